--- /dev/null
+++ b/src/cicadapier/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation; nothing here is a public interface."""
--- /dev/null
+++ b/src/cicadapier/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line plumbing, separate from the commands' logic."""
--- /dev/null
+++ b/src/cicadapier/_internal/cli/main.py
@@ -0,0 +1,60 @@
+"""Entry point of the command line: finds the command and runs it."""
+
+import importlib
+import sys
+
+import defopt
+
+import cicadapier
+from cicadapier._internal.cli import exceptions
+from cicadapier._internal.cli import status_codes
+from cicadapier._internal.commands import table
+from cicadapier._internal.models import exceptions as model_exceptions
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs a command and returns its exit status."""
+    args = sys.argv[1:] if argv is None else argv
+    if not args or args[0] in ("-h", "--help", "help"):
+        print(_overview())
+        return status_codes.SUCCESS if args else status_codes.USAGE
+    if args[0] in ("-V", "--version"):
+        print(f"cicadapier {cicadapier.__version__}")
+        return status_codes.SUCCESS
+    command = table.COMMANDS.get(args[0])
+    if command is None:
+        print(f"cicadapier: no command {args[0]!r}; see cicadapier --help", file=sys.stderr)
+        return status_codes.USAGE
+    return _run(command, args[1:])
+
+
+def _run(command: table.Command, args: list[str]) -> int:
+    # Only the chosen command is imported: the others' libraries cost start-up time.
+    module = importlib.import_module(f"cicadapier._internal.commands.{command.module}")
+    target = getattr(module, "SUBCOMMANDS", None) or module.run
+    try:
+        status = defopt.run(
+            target,
+            argv=args,
+            cli_options="has_default",
+            argparse_kwargs={"prog": f"cicadapier {command.name}"},
+        )
+    except SystemExit as exc:
+        return exc.code if isinstance(exc.code, int) else status_codes.FAILURE
+    except (exceptions.CommandError, model_exceptions.InvalidDocumentError) as exc:
+        print(f"cicadapier {command.name}: {exc}", file=sys.stderr)
+        return status_codes.FAILURE
+    except KeyboardInterrupt:
+        return status_codes.FAILURE
+    except OSError as exc:
+        print(f"cicadapier {command.name}: {exc}", file=sys.stderr)
+        return status_codes.FAILURE
+    return status if isinstance(status, int) else status_codes.SUCCESS
+
+
+def _overview() -> str:
+    lines = ["usage: cicadapier COMMAND ...", "", "commands:"]
+    width = max(len(name) for name in table.COMMANDS)
+    lines += [f"  {name.ljust(width)}  {item.summary}" for name, item in table.COMMANDS.items()]
+    lines += ["", "cicadapier COMMAND --help tells a command's options."]
+    return "\n".join(lines)
--- /dev/null
+++ b/src/cicadapier/_internal/cli/output.py
@@ -0,0 +1,26 @@
+"""Tables and JSON for the terminal."""
+
+import collections.abc
+import json
+import sys
+
+
+def print_table(
+    headings: collections.abc.Sequence[str],
+    rows: collections.abc.Iterable[collections.abc.Sequence[object]],
+) -> None:
+    """Prints rows in aligned columns."""
+    cells = [[str(cell) for cell in row] for row in rows]
+    widths = [
+        max([len(heading), *(len(row[i]) for row in cells)]) for i, heading in enumerate(headings)
+    ]
+    for row in [list(headings), *cells]:
+        line = "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        print(line.rstrip())
+
+
+def print_json(value: object) -> None:
+    """Prints one line of JSON at once."""
+    json.dump(value, sys.stdout, default=str)
+    sys.stdout.write("\n")
+    sys.stdout.flush()
--- /dev/null
+++ b/src/cicadapier/_internal/cli/status_codes.py
@@ -0,0 +1,5 @@
+"""Exit statuses of the command line."""
+
+SUCCESS = 0
+FAILURE = 1
+USAGE = 2
--- /dev/null
+++ b/src/cicadapier/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command."""
--- /dev/null
+++ b/src/cicadapier/_internal/commands/table.py
@@ -0,0 +1,31 @@
+"""The one table of commands; modules are imported when their command runs."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Command:
+    """One command.
+
+    Attributes:
+        name: What the user types.
+        module: Module of this package with `run`, or with `SUBCOMMANDS`.
+        summary: One line for the overview.
+    """
+
+    name: str
+    module: str
+    summary: str
+
+
+_ALL = (
+    Command("serve", "serve", "run one router"),
+    Command("demo", "demo", "run routers and stand-ins on loopback"),
+    Command("fault", "fault", "put a fault into a running demo"),
+    Command("config", "config", "show, check, compare, patch the configuration"),
+    Command("status", "status", "show routers, upstreams, pools and accounts"),
+    Command("explain", "explain", "show how a prompt would be placed, without running it"),
+    Command("keys", "keys", "make client keys"),
+)
+
+COMMANDS = {command.name: command for command in _ALL}
--- /dev/null
+++ b/src/cicadapier/_internal/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure state machines: no I/O, no clock, no global random."""
--- /dev/null
+++ b/src/cicadapier/_internal/decisions/chunks.py
@@ -0,0 +1,46 @@
+"""Cutting of a configuration document into objects below the platform's size limit.
+
+A change rewrites only the chunks that it touches: accounts are spread over buckets by a hash of
+their id, and each pool is a chunk of its own. The head object names the chunks.
+"""
+
+import collections.abc
+import hashlib
+from typing import Any
+
+ACCOUNTS_PER_BUCKET = 128
+MAX_BUCKETS = 1024
+
+
+def split(document: collections.abc.Mapping[str, Any]) -> dict[str, dict[str, Any]]:
+    """Returns the chunks of a document by key."""
+    chunks: dict[str, dict[str, Any]] = {}
+    accounts = document.get("accounts", {})
+    buckets = _bucket_count(len(accounts))
+    for account_id, account in accounts.items():
+        key = f"accounts/{buckets}/{_bucket(account_id, buckets)}"
+        chunks.setdefault(key, {"accounts": {}})["accounts"][account_id] = account
+    for pool_id, pool in document.get("pools", {}).items():
+        chunks[f"pools/{pool_id}"] = {"pools": {pool_id: pool}}
+    return chunks
+
+
+def join(chunks: collections.abc.Iterable[collections.abc.Mapping[str, Any]]) -> dict[str, Any]:
+    """Returns the document of all its chunks."""
+    document: dict[str, Any] = {"accounts": {}, "pools": {}}
+    for chunk in chunks:
+        for section, content in chunk.items():
+            document[section].update(content)
+    return document
+
+
+def _bucket_count(accounts: int) -> int:
+    count = 1
+    while count * ACCOUNTS_PER_BUCKET < accounts and count < MAX_BUCKETS:
+        count *= 2
+    return count
+
+
+def _bucket(account_id: str, buckets: int) -> int:
+    digest = hashlib.blake2b(account_id.encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "big") % buckets
--- /dev/null
+++ b/src/cicadapier/_internal/decisions/claims.py
@@ -0,0 +1,202 @@
+"""Once-only calls through a claim object on the platform.
+
+A claim is created before anything is sent. Whoever's nonce stands in it is the only one that may
+run the call. A lost answer of the platform is settled by creating again: the object then either
+is new or shows its holder.
+"""
+
+import dataclasses
+import enum
+import hashlib
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import outcomes
+
+MAX_CREATE_TRIES = 3
+MAX_RECORDED_BODY_BYTES = 524_288
+
+
+class ClaimState(enum.Enum):
+    """What a claim object says of its call."""
+
+    CLAIMED = "claimed"
+    DONE = "done"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A recorded answer.
+
+    Attributes:
+        status: HTTP status.
+        content_type: Content type, empty without.
+        body: Body, or None where it was too large to record.
+    """
+
+    status: int
+    content_type: str
+    body: bytes | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """A claim as the platform holds it.
+
+    Attributes:
+        nonce: Identity of the attempt that holds it.
+        fingerprint: Digest of the request.
+        state: What is known of the call.
+        answer: The recorded answer, where the state is DONE.
+    """
+
+    nonce: str
+    fingerprint: str
+    state: ClaimState
+    answer: Answer | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Created:
+    """The platform created the claim."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exists:
+    """The platform holds a claim by this name already."""
+
+    claim: Claim
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unanswered:
+    """The platform gave no answer; the create may have taken effect."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejected:
+    """The platform refused the create, which had no effect."""
+
+    reason: str
+
+
+CreateResult = Created | Exists | Unanswered | Rejected
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Create:
+    """Create the claim now, after a pause in seconds."""
+
+    pause_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """This attempt holds the claim: run the call."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replay:
+    """The call ran before: give its recorded answer."""
+
+    answer: Answer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """Refuse the call.
+
+    Attributes:
+        refusal: What the caller is told.
+        release: Whether a claim of this attempt may exist and must be deleted.
+    """
+
+    refusal: outcomes.Refusal
+    release: bool
+
+
+ClaimStep = Create | Run | Replay | Refuse
+
+
+def claim_name(account: ids.AccountId, pool: ids.PoolId, key: str) -> str:
+    """Returns the name of the claim object of an idempotency key."""
+    digest = hashlib.sha256()
+    for part in (account, pool, key):
+        digest.update(len(part.encode()).to_bytes(4, "big") + part.encode())
+    return f"claim-{digest.hexdigest()[:40]}"
+
+
+def request_fingerprint(method: str, target: str, body: bytes) -> str:
+    """Returns the digest by which a repeat is told from another request."""
+    head = f"{method} {target}\n".encode()
+    return hashlib.sha256(head + body).hexdigest()[:32]
+
+
+class ClaimAttempt:
+    """One caller's request for the right to run a call."""
+
+    def __init__(self, nonce: str, fingerprint: str) -> None:
+        self._nonce = nonce
+        self._fingerprint = fingerprint
+        self._tries = 0
+        self._unsettled = False
+
+    def start(self) -> ClaimStep:
+        """Returns the first step."""
+        return Create(0.0)
+
+    def created(self, result: CreateResult) -> ClaimStep:
+        """Takes the result of a create and returns the next step."""
+        self._tries += 1
+        if isinstance(result, Created):
+            return Run()
+        if isinstance(result, Exists):
+            return self._settle(result.claim)
+        self._unsettled = self._unsettled or isinstance(result, Unanswered)
+        if self._tries < MAX_CREATE_TRIES:
+            return Create(0.05 * 2**self._tries)
+        refusal = outcomes.Refusal(
+            outcomes.Code.CLAIM_UNAVAILABLE,
+            f"the call could not be claimed, so it was not sent: {result.reason}",
+            outcomes.Effect.NOT_RUN,
+            retry_after_s=2.0,
+        )
+        return Refuse(refusal, release=self._unsettled)
+
+    def _settle(self, claim: Claim) -> ClaimStep:
+        if claim.fingerprint != self._fingerprint:
+            refusal = outcomes.Refusal(
+                outcomes.Code.CLAIM_MISMATCH,
+                "this idempotency key was used for another request",
+                outcomes.Effect.NOT_RUN,
+            )
+            return Refuse(refusal, release=False)
+        if claim.nonce == self._nonce:
+            return Run()
+        if claim.state is ClaimState.DONE and claim.answer and claim.answer.body is not None:
+            return Replay(claim.answer)
+        return Refuse(_repeat_refusal(claim), release=False)
+
+
+def _repeat_refusal(claim: Claim) -> outcomes.Refusal:
+    if claim.state is ClaimState.DONE:
+        status = claim.answer.status if claim.answer else 0
+        return outcomes.Refusal(
+            outcomes.Code.OUTCOME_UNKNOWN,
+            f"the call ran once with status {status}; its answer was too large to keep",
+            outcomes.Effect.UNKNOWN,
+        )
+    if claim.state is ClaimState.UNKNOWN:
+        return outcomes.Refusal(
+            outcomes.Code.OUTCOME_UNKNOWN,
+            "the first call with this key may have run; it is not run again",
+            outcomes.Effect.UNKNOWN,
+        )
+    return outcomes.Refusal(
+        outcomes.Code.CLAIM_IN_PROGRESS,
+        "a call with this key has begun and its outcome is not known yet",
+        outcomes.Effect.UNKNOWN,
+        retry_after_s=1.0,
+    )
--- /dev/null
+++ b/src/cicadapier/_internal/decisions/fairqueue.py
@@ -0,0 +1,148 @@
+"""Weighted fair queue of requests that wait for a free slot.
+
+Start-time fair queueing (Goyal, Vin and Cheng, 1996) within a class. Interactive requests go
+first, but every `BATCH_TURN`-th slot goes to a waiting batch request, so that batch is never
+starved.
+"""
+
+import dataclasses
+import heapq
+
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+
+BATCH_TURN = 8
+_RATE_WINDOW_S = 2.0
+_RATE_SMOOTHING = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """A request that waits.
+
+    Attributes:
+        request: Its id.
+        account: Client account.
+        service_class: Latency class.
+        weight: Weight of the account.
+        cost: Expected work in tokens.
+        deadline: Time after which waiting is in vain.
+    """
+
+    request: ids.RequestId
+    account: ids.AccountId
+    service_class: configuration.ServiceClass
+    weight: float
+    cost: float
+    deadline: float
+
+
+@dataclasses.dataclass(order=True, slots=True)
+class _Entry:
+    start_tag: float
+    number: int
+    ticket: Ticket = dataclasses.field(compare=False)
+
+
+class _ClassQueue:
+    def __init__(self) -> None:
+        self.heap: list[_Entry] = []
+        self.virtual_time = 0.0
+        self.finish_tags: dict[ids.AccountId, float] = {}
+
+    def push(self, ticket: Ticket, number: int) -> None:
+        start = max(self.virtual_time, self.finish_tags.get(ticket.account, 0.0))
+        self.finish_tags[ticket.account] = start + ticket.cost / ticket.weight
+        heapq.heappush(self.heap, _Entry(start, number, ticket))
+
+    def pop(self) -> Ticket:
+        entry = heapq.heappop(self.heap)
+        self.virtual_time = max(self.virtual_time, entry.start_tag)
+        if not self.heap:
+            # With nobody waiting no account is ahead of another.
+            self.finish_tags.clear()
+            self.virtual_time = 0.0
+        return entry.ticket
+
+
+class FairQueue:
+    """Requests that wait for a free slot of one pool."""
+
+    def __init__(self) -> None:
+        self._queues = {member: _ClassQueue() for member in configuration.ServiceClass}
+        self._gone: set[ids.RequestId] = set()
+        self._waiting: dict[ids.RequestId, Ticket] = {}
+        self._numbers = 0
+        self._since_batch = 0
+        self._interval_s: float | None = None
+        self._last_pop: float | None = None
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def push(self, ticket: Ticket) -> None:
+        """Adds a request."""
+        self._numbers += 1
+        self._waiting[ticket.request] = ticket
+        self._queues[ticket.service_class].push(ticket, self._numbers)
+
+    def remove(self, request: ids.RequestId) -> bool:
+        """Takes out a request whose caller left; returns whether it was waiting."""
+        if self._waiting.pop(request, None) is None:
+            return False
+        self._gone.add(request)
+        return True
+
+    def pop(self, now: float) -> Ticket | None:
+        """Takes the next request, or returns None where none waits."""
+        while True:
+            queue = self._next_queue()
+            if queue is None:
+                return None
+            ticket = queue.pop()
+            if ticket.request in self._gone:
+                self._gone.discard(ticket.request)
+                continue
+            del self._waiting[ticket.request]
+            self._observe_pop(now)
+            return ticket
+
+    def shed(self, now: float) -> list[Ticket]:
+        """Takes out the requests whose deadline has passed, oldest deadline first."""
+        late = [ticket for ticket in self._waiting.values() if ticket.deadline <= now]
+        late.sort(key=lambda ticket: ticket.deadline)
+        for ticket in late:
+            self.remove(ticket.request)
+        return late
+
+    def next_deadline(self) -> float | None:
+        """Returns the earliest deadline of the waiting requests."""
+        return min((ticket.deadline for ticket in self._waiting.values()), default=None)
+
+    def expected_wait_s(self, service_class: configuration.ServiceClass) -> float:
+        """Returns how long a new request of a class would wait at the present rate."""
+        if self._interval_s is None:
+            return 0.0
+        if service_class is configuration.ServiceClass.BATCH:
+            ahead = len(self._waiting)
+        else:
+            ahead = sum(1 for t in self._waiting.values() if t.service_class is service_class)
+        return ahead * self._interval_s
+
+    def _observe_pop(self, now: float) -> None:
+        if self._last_pop is not None and self._waiting:
+            gap = min(_RATE_WINDOW_S, now - self._last_pop)
+            known = self._interval_s
+            self._interval_s = gap if known is None else known + _RATE_SMOOTHING * (gap - known)
+        self._last_pop = now
+
+    def _next_queue(self) -> _ClassQueue | None:
+        interactive = self._queues[configuration.ServiceClass.INTERACTIVE]
+        batch = self._queues[configuration.ServiceClass.BATCH]
+        if batch.heap and (not interactive.heap or self._since_batch >= BATCH_TURN - 1):
+            self._since_batch = 0
+            return batch
+        if interactive.heap:
+            self._since_batch = self._since_batch + 1 if batch.heap else 0
+            return interactive
+        return None
--- /dev/null
+++ b/src/cicadapier/_internal/decisions/limits.py
@@ -0,0 +1,213 @@
+"""Limits of client accounts that hold over all routers together.
+
+Each router enforces its share of an account's limit. The share follows the demand that the
+routers tell each other; a router that hears from nobody falls back to an equal share.
+"""
+
+import dataclasses
+import math
+
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+
+BURST_S = 1.0
+DEMAND_WINDOW_S = 2.0
+_MIN_SHARE = 0.02
+
+
+class TokenBucket:
+    """Token bucket whose rate may change at any time."""
+
+    def __init__(self, rate_per_s: float, now: float) -> None:
+        self._rate = rate_per_s
+        self._level = max(1.0, rate_per_s * BURST_S)
+        self._at = now
+
+    def set_rate(self, rate_per_s: float, now: float) -> None:
+        """Changes the rate from now on."""
+        self._refill(now)
+        self._rate = rate_per_s
+        self._level = min(self._level, self._capacity())
+
+    def wait_s(self, cost: float, now: float) -> float:
+        """Returns how long until `cost` can be taken; 0 where it can be taken now.
+
+        A cost above the capacity is allowed once the bucket is full, and leaves a debt.
+        """
+        self._refill(now)
+        missing = min(cost, self._capacity()) - self._level
+        if missing <= 1e-9:
+            return 0.0
+        return missing / self._rate if self._rate > 0 else math.inf
+
+    def take(self, cost: float) -> None:
+        """Takes `cost`, which may leave a debt."""
+        self._level -= cost
+
+    def give_back(self, cost: float) -> None:
+        """Returns a cost that was taken and not used."""
+        self._level = min(self._capacity(), self._level + cost)
+
+    def _capacity(self) -> float:
+        return max(1.0, self._rate * BURST_S)
+
+    def _refill(self, now: float) -> None:
+        elapsed = max(0.0, now - self._at)
+        self._at = max(self._at, now)
+        self._level = min(self._capacity(), self._level + elapsed * self._rate)
+
+
+class DecayingRate:
+    """Exponentially decaying rate of events."""
+
+    def __init__(self, window_s: float = DEMAND_WINDOW_S) -> None:
+        self._window_s = window_s
+        self._weight = 0.0
+        self._at = -math.inf
+
+    def add(self, amount: float, now: float) -> None:
+        """Counts an event."""
+        self._weight = self._decayed(now) + amount
+        self._at = now
+
+    def per_s(self, now: float) -> float:
+        """Returns the current rate per second."""
+        return self._decayed(now) / self._window_s
+
+    def _decayed(self, now: float) -> float:
+        if self._weight == 0.0:
+            return 0.0
+        return self._weight * math.exp(-(now - self._at) / self._window_s)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemoteUse:
+    """Use of an account by the other routers.
+
+    Attributes:
+        demand_per_s: Requests a second that they received.
+        streams: Requests that they run now.
+    """
+
+    demand_per_s: float = 0.0
+    streams: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _AccountState:
+    requests: TokenBucket
+    tokens: TokenBucket
+    demand: DecayingRate
+    streams: int = 0
+    remote: RemoteUse = RemoteUse()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Permitted:
+    """The request is within the limits."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exceeded:
+    """The request exceeds a limit.
+
+    Attributes:
+        limit: Name of the limit.
+        retry_after_s: When the request would be within the limit.
+    """
+
+    limit: str
+    retry_after_s: float
+
+
+STREAM_RETRY_S = 1.0
+
+
+class AccountLimits:
+    """This router's part in the limits of all accounts."""
+
+    def __init__(self) -> None:
+        self._states: dict[ids.AccountId, _AccountState] = {}
+        self._routers = 1
+
+    def set_routers(self, count: int) -> None:
+        """Sets how many routers there are, whether they can be reached or not."""
+        self._routers = max(1, count)
+
+    def set_all_remote(self, use: dict[ids.AccountId, RemoteUse]) -> None:
+        """Takes over the use that all other routers together tell of."""
+        for account, state in self._states.items():
+            state.remote = use.get(account, RemoteUse())
+
+    def demand(self, now: float) -> dict[ids.AccountId, RemoteUse]:
+        """Returns this router's own use of each account that is active."""
+        return {
+            account: RemoteUse(state.demand.per_s(now), state.streams)
+            for account, state in self._states.items()
+            if state.streams or state.demand.per_s(now) > 0.01
+        }
+
+    def admit(
+        self, account: ids.AccountId, spec: configuration.Account, tokens: float, now: float
+    ) -> Permitted | Exceeded:
+        """Takes a request's cost from the limits, or states which one it exceeds."""
+        state = self._state(account, spec, now)
+        state.demand.add(1.0, now)
+        share = self._share(state, now)
+        state.requests.set_rate(spec.limits.requests_per_s * share, now)
+        state.tokens.set_rate(spec.limits.tokens_per_s * share, now)
+        if state.streams + 1 > self._stream_limit(state, spec, share):
+            return Exceeded("streams", STREAM_RETRY_S)
+        wait_s = state.requests.wait_s(1.0, now)
+        if wait_s > 0:
+            return Exceeded("requests_per_s", wait_s)
+        wait_s = state.tokens.wait_s(tokens, now)
+        if wait_s > 0:
+            return Exceeded("tokens_per_s", wait_s)
+        state.requests.take(1.0)
+        state.tokens.take(tokens)
+        state.streams += 1
+        return Permitted()
+
+    def release(self, account: ids.AccountId) -> None:
+        """Records the end of an admitted request."""
+        state = self._states.get(account)
+        if state:
+            state.streams = max(0, state.streams - 1)
+
+    def refund(self, account: ids.AccountId, tokens: float) -> None:
+        """Gives back the cost of an admitted request that was not run."""
+        state = self._states.get(account)
+        if state:
+            state.requests.give_back(1.0)
+            state.tokens.give_back(tokens)
+
+    def _state(
+        self, account: ids.AccountId, spec: configuration.Account, now: float
+    ) -> _AccountState:
+        state = self._states.get(account)
+        if state is None:
+            share = 1.0 / self._routers
+            state = _AccountState(
+                TokenBucket(spec.limits.requests_per_s * share, now),
+                TokenBucket(spec.limits.tokens_per_s * share, now),
+                DecayingRate(),
+            )
+            self._states[account] = state
+        return state
+
+    def _share(self, state: _AccountState, now: float) -> float:
+        fair = 1.0 / self._routers
+        own = state.demand.per_s(now)
+        if state.remote.demand_per_s <= 0:
+            # Silence may be a partition: the others may be spending their fair share unseen.
+            return fair
+        proportional = own / (own + state.remote.demand_per_s)
+        return max(_MIN_SHARE * fair, proportional)
+
+    def _stream_limit(self, state: _AccountState, spec: configuration.Account, share: float) -> int:
+        limit = spec.limits.streams
+        if state.remote.streams or state.remote.demand_per_s > 0:
+            unused = limit - state.remote.streams
+            return max(1, min(unused, math.ceil(limit * share)))
+        return max(1, math.ceil(limit * share))
--- /dev/null
+++ b/src/cicadapier/_internal/decisions/members.py
@@ -0,0 +1,165 @@
+"""The upstreams of one pool, as every placement policy sees them."""
+
+import abc
+import collections.abc
+import dataclasses
+
+from cicadapier._internal.decisions import load
+from cicadapier._internal.decisions import prefix
+from cicadapier._internal.decisions import rendezvous
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+
+LOCAL_DISTANCE_S = 0.0002
+REMOTE_DISTANCE_S = 0.002
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementRequest:
+    """What placement needs to know of a request.
+
+    Attributes:
+        request: Its id.
+        prompt: Its pieces.
+        service_class: Latency class.
+        exclude: Upstreams that must not be chosen.
+    """
+
+    request: ids.RequestId
+    prompt: prefix.Prompt
+    service_class: configuration.ServiceClass
+    exclude: frozenset[ids.UpstreamId] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Estimate:
+    """Expected time to first token on one upstream.
+
+    Attributes:
+        upstream: The upstream.
+        cached_pieces: Pieces believed to be cached there.
+        imported_pieces: Further pieces to import from the keep.
+        queue_s: Wait behind other requests.
+        prefill_s: Time to compute or import the other tokens.
+        distance_s: Network distance.
+        cost_s: What the choice minimizes.
+    """
+
+    upstream: ids.UpstreamId
+    cached_pieces: int
+    imported_pieces: int
+    queue_s: float
+    prefill_s: float
+    distance_s: float
+    cost_s: float
+
+    @property
+    def total_s(self) -> float:
+        """Expected time to first token."""
+        return self.queue_s + self.prefill_s + self.distance_s
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """The chosen upstream and why."""
+
+    estimate: Estimate
+    reason: str
+    candidates: tuple[Estimate, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """One upstream.
+
+    Attributes:
+        spec: Its declaration.
+        load: Its load.
+        eligible: Whether its health allows new work.
+    """
+
+    spec: configuration.Upstream
+    load: load.UpstreamLoad
+    eligible: bool = True
+
+    @property
+    def usable(self) -> bool:
+        """Whether it may get new work."""
+        return self.eligible and self.spec.weight > 0 and not self.spec.leaving
+
+
+class Policy(abc.ABC):
+    """A way of choosing an upstream of a pool.
+
+    Attributes:
+        members: The upstreams.
+        order: Their deterministic order for any key.
+    """
+
+    def __init__(
+        self, pool: configuration.Pool, failure_domain: ids.FailureDomainId, now: float
+    ) -> None:
+        self.pool = pool
+        self.failure_domain = failure_domain
+        self.members: dict[ids.UpstreamId, Member] = {}
+        self.order = rendezvous.Order([])
+        self.update(pool, now)
+
+    def update(self, pool: configuration.Pool, now: float) -> None:
+        """Takes over a new declaration of the pool and keeps what is known of its upstreams."""
+        self.pool = pool
+        for upstream in [u for u in self.members if u not in pool.upstreams]:
+            del self.members[upstream]
+            self.dropped(upstream)
+        changed = False
+        for upstream, spec in pool.upstreams.items():
+            member = self.members.get(upstream)
+            if member is None:
+                changed = True
+                state = load.UpstreamLoad(pool.prefill_tokens_per_s, now)
+                self.members[upstream] = Member(spec, state)
+            else:
+                member.spec = spec
+        if changed or len(self.members) != self.order.size:
+            self.order = rendezvous.Order(self.members)
+
+    def dropped(self, upstream: ids.UpstreamId) -> None:
+        """Forgets an upstream that is no longer declared."""
+        return
+
+    @abc.abstractmethod
+    def choose(self, req: PlacementRequest, now: float) -> Choice | None:
+        """Returns the choice, or None where no upstream is eligible."""
+
+    def sent(self, req: PlacementRequest, choice: Estimate, now: float) -> None:
+        """Records that a request was sent by a choice."""
+        member = self.members.get(choice.upstream)
+        if member:
+            member.load.in_flight += 1
+            tokens = req.prompt.uncached_tokens(choice.cached_pieces + choice.imported_pieces)
+            member.load.sent(tokens, req.service_class, now)
+
+    def finished(self, upstream: ids.UpstreamId) -> None:
+        """Records the end of an attempt, whatever its outcome."""
+        member = self.members.get(upstream)
+        if member:
+            member.load.ended()
+
+    def usable(
+        self, exclude: collections.abc.Container[ids.UpstreamId] = ()
+    ) -> list[ids.UpstreamId]:
+        """Returns the upstreams that may get new work."""
+        return [u for u, m in self.members.items() if m.usable and u not in exclude]
+
+    def free_slots(self) -> int:
+        """Returns how many more requests the usable upstreams may run."""
+        return sum(
+            max(0, member.spec.max_in_flight - member.load.running())
+            for member in self.members.values()
+            if member.usable
+        )
+
+    def distance_s(self, member: Member) -> float:
+        """Returns the network distance of an upstream."""
+        local = member.spec.failure_domain == self.failure_domain
+        return LOCAL_DISTANCE_S if local else REMOTE_DISTANCE_S
--- /dev/null
+++ b/src/cicadapier/_internal/decisions/placement.py
@@ -0,0 +1,190 @@
+"""Choice of the upstream for a model request.
+
+The estimate of the time to first token is queue ahead + prefill of the uncached pieces + network
+distance. The least cost wins; near-ties go to the first upstream in the order of the prefix's
+level, so that routers choose alike without talking.
+"""
+
+import collections.abc
+import dataclasses
+
+from cicadapier._internal.decisions import belief
+from cicadapier._internal.decisions import members
+from cicadapier._internal.decisions import prefix
+from cicadapier._internal.decisions import rendezvous
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+
+NEAR_TIE_S = 0.03
+RING_CANDIDATES = 16
+IMPORT_SPEEDUP = 10.0
+_SLOW_BATCH = 24
+_SLOW_BATCH_S = 0.02
+_FULL_BATCH_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Features:
+    """Parts of placement that can be switched off for comparison.
+
+    Attributes:
+        belief: Use what is believed to be cached.
+        load: Use reports and sends to estimate queues.
+        levels: Hash at the level whose subtree fits one upstream; else at the first piece.
+        in_flight: Count prefixes that are being computed as cached.
+        keep: Import from the keep where that beats recomputing.
+        recompute_weight: Weight of prefill time in the cost, for the work that it takes from
+            other requests.
+    """
+
+    belief: bool = True
+    load: bool = True
+    levels: bool = True
+    in_flight: bool = True
+    keep: bool = True
+    recompute_weight: float = 2.0
+
+
+class PrefixPlacement(members.Policy):
+    """Placement by estimated time to first token.
+
+    Attributes:
+        belief: What is believed to be cached on each upstream.
+        kept: Pieces believed to be in the keep, oldest first.
+    """
+
+    def __init__(
+        self,
+        pool: configuration.Pool,
+        failure_domain: ids.FailureDomainId,
+        now: float,
+        features: Features = Features(),
+    ) -> None:
+        self.belief = belief.CacheBelief()
+        self.kept = belief.KeptPieces()
+        self._features = features
+        super().__init__(pool, failure_domain, now)
+
+    def dropped(self, upstream: ids.UpstreamId) -> None:
+        """See `members.Policy.dropped`."""
+        self.belief.forget(upstream)
+
+    def sent(self, req: members.PlacementRequest, choice: members.Estimate, now: float) -> None:
+        """See `members.Policy.sent`."""
+        super().sent(req, choice, now)
+        if self._features.in_flight:
+            self.belief.sent(choice.upstream, req.prompt.pieces, now)
+
+    def choose(self, req: members.PlacementRequest, now: float) -> members.Choice | None:
+        """See `members.Policy.choose`."""
+        cached: dict[ids.UpstreamId, int] = {}
+        if self._features.belief:
+            cached = self.belief.cached_pieces(req.prompt.pieces, now)
+        kept = self._kept_pieces(req.prompt)
+        estimates = []
+        for upstream in self._candidate_order(req.prompt, cached):
+            member = self.members.get(upstream)
+            if member and member.usable and upstream not in req.exclude:
+                estimates.append(
+                    self._estimate(member, upstream, req, cached.get(upstream, 0), kept, now)
+                )
+        if not estimates:
+            return None
+        least = min(estimate.cost_s for estimate in estimates)
+        # The order is that of the prefix, so the first near-tie is the same on every router.
+        chosen = next(e for e in estimates if e.cost_s <= least + NEAR_TIE_S)
+        return members.Choice(chosen, _reason(chosen, least), tuple(estimates))
+
+    def level_key(self, prompt: prefix.Prompt) -> bytes:
+        """Returns the piece at whose level the prompt is hashed.
+
+        A piece that several upstreams hold is one that a single upstream cannot serve, so the
+        key is the first piece on the way down that at most one upstream holds.
+        """
+        if not prompt.pieces:
+            return b""
+        if not self._features.levels:
+            return prompt.pieces[0]
+        for piece in prompt.pieces:
+            if self.belief.holder_count(piece) <= 1:
+                return piece
+        return prompt.pieces[-1]
+
+    def _candidate_order(
+        self, prompt: prefix.Prompt, cached: collections.abc.Mapping[ids.UpstreamId, int]
+    ) -> list[ids.UpstreamId]:
+        key = self.level_key(prompt)
+        if len(self.members) <= rendezvous.MAX_SCORED:
+            return self.order.first(key, rendezvous.MAX_SCORED)
+        deepest = sorted(cached, key=lambda u: (-cached[u], u))[:RING_CANDIDATES]
+        return list(dict.fromkeys([*deepest, *self.order.first(key, RING_CANDIDATES)]))
+
+    def _kept_pieces(self, prompt: prefix.Prompt) -> int:
+        if not self._features.keep or self.pool.keep is None:
+            return 0
+        return self.kept.prefix_length(prompt.pieces)
+
+    def _estimate(
+        self,
+        member: members.Member,
+        upstream: ids.UpstreamId,
+        req: members.PlacementRequest,
+        cached: int,
+        kept: int,
+        now: float,
+    ) -> members.Estimate:
+        rate = member.load.prefill_tokens_per_s * min(1.0, member.spec.weight)
+        queue_s = 0.0
+        if self._features.load:
+            queue_s = member.load.backlog_tokens(req.service_class, now) / rate
+            queue_s += _batch_delay_s(member)
+        imported = max(0, kept - cached)
+        computed = req.prompt.uncached_tokens(cached + imported)
+        prefill_s = (computed + imported * req.prompt.piece_tokens / IMPORT_SPEEDUP) / rate
+        distance_s = self.distance_s(member)
+        cost_s = queue_s + self._features.recompute_weight * prefill_s + distance_s
+        return members.Estimate(upstream, cached, imported, queue_s, prefill_s, distance_s, cost_s)
+
+
+class PlainPlacement(members.Policy):
+    """Placement for plain services: fewest requests in flight, nearest first."""
+
+    def choose(self, req: members.PlacementRequest, now: float) -> members.Choice | None:
+        """See `members.Policy.choose`."""
+        estimates = []
+        for upstream in self.order.first(req.request.encode(), len(self.members)):
+            member = self.members[upstream]
+            if member.usable and upstream not in req.exclude:
+                distance_s = self.distance_s(member)
+                cost_s = member.load.running() / member.spec.weight + distance_s
+                estimates.append(members.Estimate(upstream, 0, 0, 0.0, 0.0, distance_s, cost_s))
+        if not estimates:
+            return None
+        chosen = min(estimates, key=lambda estimate: estimate.cost_s)
+        return members.Choice(chosen, "fewest requests in flight", tuple(estimates))
+
+
+def make_policy(
+    pool: configuration.Pool, failure_domain: ids.FailureDomainId, now: float
+) -> members.Policy:
+    """Returns the policy that serves a pool."""
+    if pool.kind is configuration.PoolKind.MODEL:
+        return PrefixPlacement(pool, failure_domain, now)
+    return PlainPlacement(pool, failure_domain, now)
+
+
+def _batch_delay_s(member: members.Member) -> float:
+    running = member.load.running()
+    delay_s = max(0, running - _SLOW_BATCH) * _SLOW_BATCH_S
+    if running >= member.spec.max_in_flight:
+        # A full batch admits the next request only when one of its own has finished.
+        delay_s += (running - member.spec.max_in_flight + 1) * _FULL_BATCH_S
+    return delay_s
+
+
+def _reason(chosen: members.Estimate, least_cost_s: float) -> str:
+    if chosen.cost_s > least_cost_s:
+        return "first in prefix order among near-ties"
+    if chosen.cached_pieces:
+        return "least estimate, prefix cached"
+    return "least estimate"
--- /dev/null
+++ b/src/cicadapier/_internal/decisions/poison.py
@@ -0,0 +1,78 @@
+"""Requests that crash each upstream that runs them.
+
+A request that was running on an upstream as it crashed is a suspect. A suspect of two crashes is
+held back on all routers; one that completes is cleared.
+"""
+
+import collections
+import dataclasses
+
+from cicadapier._internal.models import ids
+
+CRASHES_TO_HOLD = 2
+HOLD_S = 600.0
+MAX_SUSPECTS = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """Evidence against a request: an incarnation of an upstream that crashed while running it."""
+
+    fingerprint: ids.Fingerprint
+    upstream: ids.UpstreamId
+    incarnation: ids.Incarnation
+
+
+class PoisonGuard:
+    """Counts the crashes of each suspect."""
+
+    def __init__(self) -> None:
+        self._crashes: collections.OrderedDict[ids.Fingerprint, dict[Crash, float]] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._crashes)
+
+    def crashed(self, crash: Crash, now: float) -> bool:
+        """Records evidence, own or a peer's; returns whether it was new."""
+        evidence = self._crashes.setdefault(crash.fingerprint, {})
+        self._crashes.move_to_end(crash.fingerprint)
+        known = crash in evidence
+        evidence.setdefault(crash, now)
+        while len(self._crashes) > MAX_SUSPECTS:
+            self._crashes.popitem(last=False)
+        return not known
+
+    def completed(self, fingerprint: ids.Fingerprint) -> bool:
+        """Clears a request that ran to its end; returns whether it was a suspect."""
+        return self._crashes.pop(fingerprint, None) is not None
+
+    def is_suspect(self, fingerprint: ids.Fingerprint, now: float) -> bool:
+        """Returns whether a request was running on an upstream as it crashed."""
+        return self._count(fingerprint, now) > 0
+
+    def is_held(self, fingerprint: ids.Fingerprint, now: float) -> bool:
+        """Returns whether a request must not run."""
+        return self._count(fingerprint, now) >= CRASHES_TO_HOLD
+
+    def recent(self, limit: int, now: float) -> list[Crash]:
+        """Returns the newest evidence, at most `limit` entries."""
+        newest: list[Crash] = []
+        for fingerprint in reversed(self._crashes):
+            self._expire(fingerprint, now)
+            newest.extend(self._crashes[fingerprint])
+            if len(newest) >= limit:
+                break
+        return newest[:limit]
+
+    def _count(self, fingerprint: ids.Fingerprint, now: float) -> int:
+        if fingerprint not in self._crashes:
+            return 0
+        self._expire(fingerprint, now)
+        return len(self._crashes[fingerprint])
+
+    def _expire(self, fingerprint: ids.Fingerprint, now: float) -> None:
+        evidence = self._crashes[fingerprint]
+        for crash in [c for c, at in evidence.items() if at < now - HOLD_S]:
+            del evidence[crash]
--- /dev/null
+++ b/src/cicadapier/_internal/decisions/prefix.py
@@ -0,0 +1,90 @@
+"""Identity of prompt prefixes.
+
+A prompt is cut into pieces of a fixed number of tokens. The id of a piece is a hash of its
+parent's id and its text, and the root is keyed by client account, model, adapter and weights
+version. Entries of another account or of older weights therefore never match.
+"""
+
+import dataclasses
+import hashlib
+
+from cicadapier._internal.models import ids
+
+_DIGEST_BYTES = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scope:
+    """What a cached prefix belongs to."""
+
+    account: ids.AccountId
+    model: ids.ModelId
+    adapter: str
+    weights_version: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prompt:
+    """A prompt as placement sees it.
+
+    Attributes:
+        pieces: Ids of its full pieces, outermost prefix first.
+        piece_tokens: Tokens in one piece.
+        total_tokens: Tokens in the whole prompt.
+    """
+
+    pieces: tuple[ids.PieceId, ...]
+    piece_tokens: int
+    total_tokens: int
+
+    def uncached_tokens(self, cached_pieces: int) -> int:
+        """Returns the tokens to prefill where the first pieces are cached."""
+        # The engine always computes at least the last token, to sample from it.
+        return max(1, self.total_tokens - cached_pieces * self.piece_tokens)
+
+
+def root(secret: bytes, scope: Scope) -> ids.PieceId:
+    """Returns the parent id of a scope's first pieces.
+
+    Args:
+        secret: Key shared by all routers, at most 64 bytes.
+        scope: What the cached prefixes belong to.
+    """
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES, key=secret)
+    for part in (scope.account, scope.model, scope.adapter, scope.weights_version):
+        raw = part.encode()
+        # The length in front keeps ("ab", "c") apart from ("a", "bc").
+        digest.update(len(raw).to_bytes(4, "big"))
+        digest.update(raw)
+    return ids.PieceId(digest.digest())
+
+
+def child(parent: ids.PieceId, piece: bytes) -> ids.PieceId:
+    """Returns the id of a piece below its parent."""
+    return ids.PieceId(hashlib.blake2b(piece, digest_size=_DIGEST_BYTES, key=parent).digest())
+
+
+def cut(parent: ids.PieceId, text: bytes, piece_tokens: int, bytes_per_token: int) -> Prompt:
+    """Cuts a prompt into pieces.
+
+    Args:
+        parent: Root of the scope.
+        text: The prompt as the engine sees it.
+        piece_tokens: Tokens in one piece.
+        bytes_per_token: Mean bytes of text in a token.
+    """
+    piece_bytes = piece_tokens * bytes_per_token
+    pieces = []
+    for start in range(0, len(text) - piece_bytes + 1, piece_bytes):
+        parent = child(parent, text[start : start + piece_bytes])
+        pieces.append(parent)
+    total_tokens = max(1, -(-len(text) // bytes_per_token))
+    return Prompt(tuple(pieces), piece_tokens, total_tokens)
+
+
+def fingerprint(scope: Scope, text: bytes) -> ids.Fingerprint:
+    """Returns an identity of a whole request, for requests that crash upstreams."""
+    digest = hashlib.blake2b(text, digest_size=_DIGEST_BYTES)
+    digest.update(scope.account.encode())
+    digest.update(scope.model.encode())
+    return ids.Fingerprint(digest.hexdigest())
--- /dev/null
+++ b/src/cicadapier/_internal/decisions/rendezvous.py
@@ -0,0 +1,65 @@
+"""Order of upstreams for a key, the same on every router that knows the same upstreams.
+
+Small pools use rendezvous hashing (Thaler and Ravishankar, 1998). Large pools walk a ring of
+hashed points instead, because scoring every upstream would cost time linear in their number.
+"""
+
+import bisect
+import collections.abc
+import hashlib
+
+from cicadapier._internal.models import ids
+
+MAX_SCORED = 64
+_POINTS_PER_UPSTREAM = 8
+
+
+def _score(key: bytes, member: bytes) -> int:
+    return int.from_bytes(hashlib.blake2b(key + member, digest_size=8).digest(), "big")
+
+
+class Order:
+    """Deterministic order of a fixed set of upstreams for any key."""
+
+    def __init__(self, members: collections.abc.Iterable[ids.UpstreamId]) -> None:
+        self._members = sorted(members)
+        self._encoded = [member.encode() for member in self._members]
+        self._points: list[int] = []
+        self._owners: list[ids.UpstreamId] = []
+        if len(self._members) > MAX_SCORED:
+            self._build_ring()
+
+    @property
+    def size(self) -> int:
+        """Number of upstreams."""
+        return len(self._members)
+
+    def first(self, key: bytes, count: int) -> list[ids.UpstreamId]:
+        """Returns the first upstreams for a key, at most `count`."""
+        if not self._points:
+            return self._scored(key)[:count]
+        return self._walk(key, count)
+
+    def _scored(self, key: bytes) -> list[ids.UpstreamId]:
+        scores = [_score(key, member) for member in self._encoded]
+        ranked = sorted(range(len(scores)), key=scores.__getitem__, reverse=True)
+        return [self._members[i] for i in ranked]
+
+    def _build_ring(self) -> None:
+        points = [
+            (_score(i.to_bytes(2, "big"), encoded), member)
+            for member, encoded in zip(self._members, self._encoded, strict=True)
+            for i in range(_POINTS_PER_UPSTREAM)
+        ]
+        points.sort()
+        self._points = [point for point, _ in points]
+        self._owners = [owner for _, owner in points]
+
+    def _walk(self, key: bytes, count: int) -> list[ids.UpstreamId]:
+        start = bisect.bisect(self._points, _score(key, b""))
+        found: dict[ids.UpstreamId, None] = {}
+        for step in range(len(self._points)):
+            found[self._owners[(start + step) % len(self._points)]] = None
+            if len(found) >= count:
+                break
+        return list(found)
--- /dev/null
+++ b/src/cicadapier/_internal/decisions/series.py
@@ -0,0 +1,41 @@
+"""Bound on the number of metric series by client account.
+
+An account gets a label of its own once its share of the requests makes it one of the largest;
+all others share one label.
+"""
+
+from cicadapier._internal.models import ids
+
+OTHER = ids.AccountId("other")
+LARGEST = 32
+MAX_LABELS = 2 * LARGEST
+_WARM_UP_REQUESTS = 8
+
+
+class AccountLabels:
+    """Chooses the label of each account's metrics."""
+
+    def __init__(self) -> None:
+        self._labelled: set[ids.AccountId] = set()
+        self._counts: dict[ids.AccountId, int] = {}
+        self._total = 0
+
+    def label(self, account: ids.AccountId) -> ids.AccountId:
+        """Counts a request of an account and returns its label."""
+        if account in self._labelled:
+            return account
+        self._total += 1
+        count = self._counts.get(account, 0) + 1
+        self._counts[account] = count
+        large = count >= _WARM_UP_REQUESTS and count * LARGEST >= self._total
+        if (large or len(self._labelled) < LARGEST) and len(self._labelled) < MAX_LABELS:
+            self._labelled.add(account)
+            self._counts.pop(account)
+            return account
+        if len(self._counts) > 8 * LARGEST:
+            self._shrink()
+        return OTHER
+
+    def _shrink(self) -> None:
+        # Lossy counting (Manku and Motwani, 2002): what stays small is dropped.
+        self._counts = {a: n - 1 for a, n in self._counts.items() if n > 1}
--- /dev/null
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -0,0 +1,406 @@
+"""Everything that one router decides about requests: admission, queues, placement, retries.
+
+Pure state: the services feed it messages and a clock reading, and carry out what it returns. The
+trace replay and the tests drive the same code.
+"""
+
+import collections.abc
+import dataclasses
+
+from cicadapier._internal.decisions import fairqueue
+from cicadapier._internal.decisions import health
+from cicadapier._internal.decisions import limits
+from cicadapier._internal.decisions import members
+from cicadapier._internal.decisions import placement
+from cicadapier._internal.decisions import poison
+from cicadapier._internal.decisions import prefix
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import outcomes
+
+MAX_QUEUED = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """A request that enters the router.
+
+    Attributes:
+        request: Its id.
+        account: Client account.
+        pool: Pool that serves it.
+        prompt: Its pieces; without any for plain services.
+        output_tokens: Bound on the tokens of the answer.
+        fingerprint: Identity by which it is held back where it crashes upstreams.
+    """
+
+    request: ids.RequestId
+    account: ids.AccountId
+    pool: ids.PoolId
+    prompt: prefix.Prompt
+    output_tokens: int
+    fingerprint: ids.Fingerprint
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed:
+    """Send the request to the chosen upstream now.
+
+    Attributes:
+        request: Its id.
+        choice: The upstream and why.
+        incarnation: Last known incarnation of the upstream.
+        queued_s: Time that the request waited for a slot.
+    """
+
+    request: ids.RequestId
+    choice: members.Choice
+    incarnation: ids.Incarnation
+    queued_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Refuse the request."""
+
+    request: ids.RequestId
+    refusal: outcomes.Refusal
+
+
+Decision = Placed | Refused
+
+
+@dataclasses.dataclass(slots=True)
+class _Active:
+    entry: Entry
+    account: configuration.Account
+    entered_at: float
+    queued: bool = False
+    choice: members.Estimate | None = None
+    incarnation: ids.Incarnation = ids.Incarnation("")
+    tried: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True)
+class PoolState:
+    """State of one pool."""
+
+    spec: configuration.Pool
+    policy: members.Policy
+    health: health.UpstreamHealth
+    queue: fairqueue.FairQueue
+
+
+class Traffic:
+    """Decisions of one router.
+
+    Attributes:
+        limits: This router's part in the limits of all accounts.
+        poison: Requests that crash upstreams.
+        pools: State of each pool.
+    """
+
+    def __init__(self, failure_domain: ids.FailureDomainId) -> None:
+        self.limits = limits.AccountLimits()
+        self.poison = poison.PoisonGuard()
+        self.pools: dict[ids.PoolId, PoolState] = {}
+        self._domain = failure_domain
+        self._cfg = configuration.EMPTY
+        self._active: dict[ids.RequestId, _Active] = {}
+
+    @property
+    def active_requests(self) -> int:
+        """Requests that have entered and not left."""
+        return len(self._active)
+
+    def entry(self, request: ids.RequestId) -> Entry | None:
+        """Returns what entered under an id, while the request is active."""
+        active = self._active.get(request)
+        return active.entry if active else None
+
+    def is_interactive(self, account: ids.AccountId) -> bool:
+        """Returns whether an account's requests are interactive."""
+        spec = self._cfg.content.accounts.get(account)
+        return spec is None or spec.service_class is configuration.ServiceClass.INTERACTIVE
+
+    def has_queued(self) -> bool:
+        """Returns whether any request waits for a slot."""
+        return any(len(state.queue) for state in self.pools.values())
+
+    def configure(self, cfg: configuration.NumberedConfiguration, now: float) -> None:
+        """Takes over a configuration."""
+        self._cfg = cfg
+        for pool_id in [p for p in self.pools if p not in cfg.content.pools]:
+            del self.pools[pool_id]
+        for pool_id, spec in cfg.content.pools.items():
+            state = self.pools.get(pool_id)
+            if state is None or state.spec.kind is not spec.kind:
+                policy = placement.make_policy(spec, self._domain, now)
+                self.pools[pool_id] = PoolState(
+                    spec, policy, health.UpstreamHealth(), fairqueue.FairQueue()
+                )
+                continue
+            for upstream in [u for u in state.spec.upstreams if u not in spec.upstreams]:
+                state.health.forget(upstream)
+            state.spec = spec
+            state.policy.update(spec, now)
+
+    def enter(self, entry: Entry, now: float) -> Decision | None:
+        """Admits a request; returns None where it has to wait for a slot."""
+        account = self._cfg.content.accounts.get(entry.account)
+        state = self.pools.get(entry.pool)
+        if account is None or state is None:
+            return _refused(entry, outcomes.Code.NOT_FOUND, "the account or pool is gone")
+        if self.poison.is_held(entry.fingerprint, now):
+            return self._held(entry)
+        if not self._refresh(state, now):
+            message = f"no upstream of {entry.pool} can take requests now"
+            return _refused(entry, outcomes.Code.NO_UPSTREAM, message, retry_after_s=1.0)
+        if len(self._active) >= MAX_QUEUED:
+            message = "this router runs as many requests as it can"
+            return _refused(entry, outcomes.Code.OVERLOADED, message, retry_after_s=1.0)
+        wait_s = state.queue.expected_wait_s(account.service_class)
+        if len(state.queue) and wait_s > _patience_s(state.spec, account):
+            # Waiting would be in vain: the caller learns it now and not at its deadline.
+            message = f"the queue is {wait_s:.1f} s long"
+            return _refused(entry, outcomes.Code.OVERLOADED, message, retry_after_s=wait_s)
+        cost = entry.prompt.total_tokens + entry.output_tokens
+        verdict = self.limits.admit(entry.account, account, cost, now)
+        if isinstance(verdict, limits.Exceeded):
+            message = f"the account's limit of {verdict.limit} is reached"
+            return _refused(
+                entry, outcomes.Code.RATE_LIMITED, message, retry_after_s=verdict.retry_after_s
+            )
+        active = _Active(entry, account, now)
+        self._active[entry.request] = active
+        if len(state.queue) or state.policy.free_slots() <= 0:
+            self._enqueue(state, active, now)
+            return None
+        return self._place(state, active, now)
+
+    def again(self, request: ids.RequestId, now: float) -> Decision:
+        """Chooses another upstream for a request whose attempt has failed."""
+        active = self._active[request]
+        state = self.pools.get(active.entry.pool)
+        if state is None:
+            return _refused(active.entry, outcomes.Code.NO_UPSTREAM, "the pool is gone")
+        if self.poison.is_held(active.entry.fingerprint, now):
+            return self._held(active.entry)
+        self._refresh(state, now)
+        return self._place(state, active, now)
+
+    def attempt_ended(
+        self, request: ids.RequestId, outcome: outcomes.AttemptOutcome, now: float
+    ) -> poison.Crash | None:
+        """Takes the outcome of the present attempt of a request.
+
+        Returns:
+            New evidence against the request, which the other routers must learn of.
+        """
+        active = self._active.get(request)
+        if active is None or active.choice is None:
+            return None
+        choice = active.choice
+        active.choice = None
+        state = self.pools.get(active.entry.pool)
+        if state is None:
+            return None
+        state.policy.finished(choice.upstream)
+        if isinstance(outcome, outcomes.Complete):
+            state.health.answered(choice.upstream)
+            self.poison.completed(active.entry.fingerprint)
+            return None
+        active.tried.add(choice.upstream)
+        return self._count_failure(state, active, choice, outcome, now)
+
+    def leave(self, request: ids.RequestId, ran: bool) -> None:
+        """Ends a request.
+
+        Args:
+            request: Its id.
+            ran: Whether it cost an upstream anything; else its cost is given back.
+        """
+        active = self._active.pop(request, None)
+        if active is None:
+            return
+        state = self.pools.get(active.entry.pool)
+        if state:
+            state.queue.remove(request)
+            if active.choice:
+                state.policy.finished(active.choice.upstream)
+        self.limits.release(active.entry.account)
+        if not ran:
+            cost = active.entry.prompt.total_tokens + active.entry.output_tokens
+            self.limits.refund(active.entry.account, cost)
+
+    def first_token(
+        self,
+        request: ids.RequestId,
+        incarnation: ids.Incarnation,
+        cached_tokens: int,
+        now: float,
+    ) -> None:
+        """Corrects what is believed by an answer's own count of cached tokens."""
+        active = self._active.get(request)
+        if active is None or active.choice is None:
+            return
+        state = self.pools.get(active.entry.pool)
+        if state is None:
+            return
+        state.health.answered(active.choice.upstream, incarnation)
+        if isinstance(state.policy, placement.PrefixPlacement):
+            pieces = active.entry.prompt.pieces
+            found = cached_tokens // max(1, active.entry.prompt.piece_tokens)
+            believed = active.choice.cached_pieces
+            state.policy.belief.answered(
+                active.choice.upstream, incarnation, pieces, believed, found, now
+            )
+
+    def poll(self, now: float) -> list[Decision]:
+        """Returns decisions on waiting requests that time or freed slots allow."""
+        decisions: list[Decision] = []
+        for pool_id, state in self.pools.items():
+            for ticket in state.queue.shed(now):
+                message = f"no slot of {pool_id} became free in time"
+                entry = self._active[ticket.request].entry
+                decisions.append(
+                    _refused(entry, outcomes.Code.OVERLOADED, message, retry_after_s=1.0)
+                )
+            decisions.extend(self._serve_queue(state, now))
+        return decisions
+
+    def next_deadline(self) -> float | None:
+        """Returns when `poll` has something to shed, or None."""
+        deadlines = [state.queue.next_deadline() for state in self.pools.values()]
+        return min((d for d in deadlines if d is not None), default=None)
+
+    def explain(self, entry: Entry, now: float) -> members.Choice | None:
+        """Returns the choice that would be made for a request, without any effect."""
+        state = self.pools.get(entry.pool)
+        account = self._cfg.content.accounts.get(entry.account)
+        if state is None or account is None or not self._refresh(state, now):
+            return None
+        req = members.PlacementRequest(entry.request, entry.prompt, account.service_class)
+        return state.policy.choose(req, now)
+
+    def upstream_state(
+        self, pool: ids.PoolId, upstream: ids.UpstreamId, now: float
+    ) -> health.UpstreamState:
+        """Returns the state of an upstream."""
+        return self.pools[pool].health.state(upstream, now)
+
+    def suspect_upstreams(self, now: float) -> frozenset[ids.UpstreamId]:
+        """Returns the upstreams that run a suspect request now."""
+        return frozenset(
+            active.choice.upstream
+            for active in self._active.values()
+            if active.choice and self.poison.is_suspect(active.entry.fingerprint, now)
+        )
+
+    def running_on(
+        self, pool: ids.PoolId, upstream: ids.UpstreamId
+    ) -> collections.abc.Iterator[ids.Fingerprint]:
+        """Yields the fingerprints of this router's requests that run on an upstream."""
+        for active in self._active.values():
+            choice = active.choice
+            if choice and active.entry.pool == pool and choice.upstream == upstream:
+                yield active.entry.fingerprint
+
+    def _refresh(self, state: PoolState, now: float) -> bool:
+        """Takes over the health of each upstream; returns whether any is usable."""
+        usable = False
+        for upstream, member in state.policy.members.items():
+            member.eligible = state.health.state(upstream, now) is health.UpstreamState.ACTIVE
+            usable = usable or member.usable
+        return usable
+
+    def _place(self, state: PoolState, active: _Active, now: float) -> Decision:
+        entry = active.entry
+        exclude = frozenset(active.tried)
+        if self.poison.is_suspect(entry.fingerprint, now):
+            # Two suspects on one upstream could not be told apart after the next crash.
+            exclude |= self.suspect_upstreams(now)
+        req = members.PlacementRequest(
+            entry.request, entry.prompt, active.account.service_class, exclude
+        )
+        choice = state.policy.choose(req, now)
+        if choice is None and active.tried and not self.poison.is_suspect(entry.fingerprint, now):
+            # Every upstream failed once; one that has recovered may be tried again.
+            req = dataclasses.replace(req, exclude=frozenset())
+            choice = state.policy.choose(req, now)
+        if choice is None:
+            message = f"no upstream of {entry.pool} can take this request now"
+            return _refused(entry, outcomes.Code.NO_UPSTREAM, message, retry_after_s=1.0)
+        active.choice = choice.estimate
+        active.incarnation = state.health.incarnation(choice.estimate.upstream)
+        state.policy.sent(req, choice.estimate, now)
+        return Placed(entry.request, choice, active.incarnation, now - active.entered_at)
+
+    def _enqueue(self, state: PoolState, active: _Active, now: float) -> None:
+        entry = active.entry
+        state.queue.push(
+            fairqueue.Ticket(
+                entry.request,
+                entry.account,
+                active.account.service_class,
+                active.account.weight,
+                entry.prompt.total_tokens + entry.output_tokens,
+                now + _patience_s(state.spec, active.account),
+            )
+        )
+
+    def _serve_queue(self, state: PoolState, now: float) -> list[Decision]:
+        decisions: list[Decision] = []
+        if not len(state.queue) or not self._refresh(state, now):
+            return decisions
+        free = state.policy.free_slots()
+        while free > 0 and (ticket := state.queue.pop(now)):
+            decisions.append(self._place(state, self._active[ticket.request], now))
+            free -= 1
+        return decisions
+
+    def _count_failure(
+        self,
+        state: PoolState,
+        active: _Active,
+        choice: members.Estimate,
+        outcome: outcomes.AttemptOutcome,
+        now: float,
+    ) -> poison.Crash | None:
+        if isinstance(outcome, outcomes.RefusedBeforeRunning):
+            return None
+        crashed = False
+        if isinstance(outcome, outcomes.SentNoAnswer | outcomes.Broken):
+            crashed = outcome.crashed
+        certain = crashed or isinstance(outcome, outcomes.NotSent)
+        state.health.failed(choice.upstream, certain, now)
+        if isinstance(state.policy, placement.PrefixPlacement):
+            if certain:
+                state.policy.belief.forget(choice.upstream)
+            else:
+                state.policy.belief.abandoned(choice.upstream, active.entry.prompt.pieces)
+        if not crashed:
+            return None
+        fingerprint = active.entry.fingerprint
+        crash = poison.Crash(fingerprint, choice.upstream, active.incarnation)
+        return crash if self.poison.crashed(crash, now) else None
+
+    def _held(self, entry: Entry) -> Refused:
+        message = (
+            "this request was running on two upstreams as they crashed; "
+            "it is held back and was not run again"
+        )
+        return _refused(entry, outcomes.Code.POISON, message)
+
+
+def _patience_s(spec: configuration.Pool, account: configuration.Account) -> float:
+    if account.service_class is configuration.ServiceClass.BATCH:
+        return spec.timeouts.batch_queue_s
+    return spec.timeouts.queue_s
+
+
+def _refused(
+    entry: Entry, code: outcomes.Code, message: str, retry_after_s: float | None = None
+) -> Refused:
+    refusal = outcomes.Refusal(code, message, outcomes.Effect.NOT_RUN, retry_after_s)
+    return Refused(entry.request, refusal)
--- /dev/null
+++ b/src/cicadapier/_internal/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Service base class, registry of names, mailboxes and supervision."""
--- /dev/null
+++ b/src/cicadapier/_internal/kernel/mailbox.py
@@ -0,0 +1,81 @@
+"""Bounded mailboxes through which services talk."""
+
+import math
+import typing
+from typing import Generic
+
+import trio
+
+from cicadapier._internal.kernel import exceptions
+
+_M = typing.TypeVar("_M")
+_R = typing.TypeVar("_R")
+
+DEFAULT_CAPACITY = 16_384
+
+
+class Reply(Generic[_R]):
+    """One answer to one message; the asker waits for it."""
+
+    def __init__(self) -> None:
+        self._event = trio.Event()
+        self._value: _R | None = None
+
+    def set(self, value: _R) -> None:
+        """Delivers the answer; a second call has no effect."""
+        if not self._event.is_set():
+            self._value = value
+            self._event.set()
+
+    async def get(self) -> _R:
+        """Waits for the answer."""
+        await self._event.wait()
+        return typing.cast(_R, self._value)
+
+
+class Mailbox(Generic[_M]):
+    """Queue of messages to one service.
+
+    Sending never blocks, so that two services cannot wait for each other.
+    """
+
+    def __init__(self, capacity: int | float = DEFAULT_CAPACITY) -> None:
+        self._send, self._receive = trio.open_memory_channel[_M](capacity)
+
+    def send(self, message: _M) -> None:
+        """Queues a message.
+
+        Raises:
+            MailboxFullError: The service lags by the whole capacity.
+            MailboxClosedError: The service has stopped.
+        """
+        try:
+            self._send.send_nowait(message)
+        except trio.WouldBlock as exc:
+            raise exceptions.MailboxFullError(type(message).__name__) from exc
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise exceptions.MailboxClosedError(type(message).__name__) from exc
+
+    def offer(self, message: _M) -> bool:
+        """Queues a message that may be lost; returns whether it was queued."""
+        try:
+            self.send(message)
+        except exceptions.KernelError:
+            return False
+        return True
+
+    async def receive(self) -> _M:
+        """Waits for the next message."""
+        return await self._receive.receive()
+
+    async def receive_until(self, deadline: float) -> _M | None:
+        """Waits for the next message, at most until a time of trio's clock."""
+        if math.isinf(deadline):
+            return await self.receive()
+        with trio.move_on_at(deadline):
+            return await self.receive()
+        return None
+
+    def close(self) -> None:
+        """Refuses all later messages."""
+        self._receive.close()
--- /dev/null
+++ b/src/cicadapier/_internal/kernel/service.py
@@ -0,0 +1,102 @@
+"""Base class of services and the kernel that runs them."""
+
+import abc
+import enum
+from typing import Any
+from typing import NewType
+
+import structlog
+import trio
+
+from cicadapier._internal.kernel import exceptions
+
+ServiceName = NewType("ServiceName", str)
+
+_log = structlog.get_logger()
+
+
+class ServiceState(enum.Enum):
+    """Life cycle of a service."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPED = "stopped"
+
+
+class Service(abc.ABC):
+    """A task that owns its sockets and state."""
+
+    name: ServiceName
+    state = ServiceState.STARTING
+
+    @abc.abstractmethod
+    async def run(self, kernel: "Kernel", started: "trio.TaskStatus[None]") -> None:
+        """Runs until it is cancelled; calls `started.started()` once it can be used."""
+
+    async def drain(self) -> None:
+        """Finishes accepted work; called once, in reverse order of start."""
+        return
+
+
+class Kernel:
+    """Starts services in order, finds them by name and stops them in reverse order."""
+
+    def __init__(self) -> None:
+        self._services: dict[ServiceName, Service] = {}
+        self._stop = trio.Event()
+
+    def register(self, service: Service) -> None:
+        """Adds a service; services start in the order of their registration."""
+        self._services[service.name] = service
+
+    def find(self, name: ServiceName) -> Any:
+        """Returns a service by its name.
+
+        Raises:
+            UnknownServiceError: No service has this name.
+        """
+        try:
+            return self._services[name]
+        except KeyError as exc:
+            raise exceptions.UnknownServiceError(f"no service named {name!r}") from exc
+
+    def stop(self) -> None:
+        """Asks for a graceful shutdown."""
+        self._stop.set()
+
+    @property
+    def stopping(self) -> bool:
+        """Whether a graceful shutdown has been asked for."""
+        return self._stop.is_set()
+
+    async def run(
+        self,
+        drain_s: float,
+        task_status: "trio.TaskStatus[None]" = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Runs all services until `stop` is called, then drains them.
+
+        Args:
+            drain_s: Longest time that draining may take, in seconds.
+            task_status: Reports that every service has started.
+        """
+        async with trio.open_nursery() as nursery:
+            for service in self._services.values():
+                await nursery.start(self._run_service, service)
+            task_status.started()
+            await self._stop.wait()
+            with trio.move_on_after(drain_s) as scope:
+                for service in reversed(list(self._services.values())):
+                    await service.drain()
+            if scope.cancelled_caught:
+                _log.warning("drain_timeout", drain_s=drain_s)
+            nursery.cancel_scope.cancel()
+
+    async def _run_service(
+        self, service: Service, task_status: "trio.TaskStatus[None]" = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        try:
+            service.state = ServiceState.RUNNING
+            await service.run(self, task_status)
+        finally:
+            service.state = ServiceState.STOPPED
--- /dev/null
+++ b/src/cicadapier/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Identifiers, states and value classes."""
--- /dev/null
+++ b/src/cicadapier/_internal/models/configuration.py
@@ -0,0 +1,252 @@
+"""The configuration that operators declare: client accounts, pools and their upstreams."""
+
+import collections.abc
+import dataclasses
+import enum
+import functools
+
+from cicadapier._internal.models import checked
+from cicadapier._internal.models import exceptions
+from cicadapier._internal.models import ids
+
+
+class ServiceClass(enum.Enum):
+    """Latency class of a client account."""
+
+    INTERACTIVE = "interactive"
+    BATCH = "batch"
+
+
+class PoolKind(enum.Enum):
+    """What the upstreams of a pool are."""
+
+    MODEL = "model"
+    SERVICE = "service"
+    KEEP = "keep"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Limits of a client account, over all routers together."""
+
+    requests_per_s: float = checked.field(100.0, above=0)
+    tokens_per_s: float = checked.field(1_000_000.0, above=0)
+    streams: int = checked.field(256, minimum=1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Account:
+    """A client account.
+
+    Attributes:
+        key_hashes: SHA-256 digests of its keys, in hexadecimal.
+        service_class: Latency class of its requests.
+        weight: Share in the fair queue relative to other accounts.
+        limits: Limits over all routers together.
+        pools: Pools that it may use; empty for all.
+    """
+
+    key_hashes: list[str] = checked.field(factory=list)
+    service_class: ServiceClass = ServiceClass.INTERACTIVE
+    weight: float = checked.field(1.0, above=0)
+    limits: Limits = checked.field(factory=Limits)
+    pools: list[ids.PoolId] = checked.field(factory=list)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Upstream:
+    """A back end process.
+
+    Attributes:
+        address: `IP:port` that it listens on.
+        failure_domain: Failure domain that it runs in.
+        weight: Share of the pool's work; 0 sends it nothing new.
+        max_in_flight: Requests that it may run at once.
+        checks_fencing: Whether it refuses orders with an old fencing number.
+        leaving: Whether it is being withdrawn; it gets no new work.
+    """
+
+    address: ids.Address
+    failure_domain: ids.FailureDomainId
+    weight: float = checked.field(1.0, minimum=0)
+    max_in_flight: int = checked.field(32, minimum=1)
+    checks_fencing: bool = True
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Model:
+    """A model that a pool serves."""
+
+    weights_version: str = "1"
+    adapter: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RepeatRule:
+    """States whether calls that match may run more than once.
+
+    Attributes:
+        path: Path prefix below the pool.
+        method: HTTP method in capitals, or `*`.
+        repeatable: Whether a matching call is idempotent.
+    """
+
+    path: str
+    repeatable: bool
+    method: str = "*"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timeouts:
+    """Progress deadlines of an attempt, in seconds."""
+
+    connect_s: float = checked.field(1.0, above=0)
+    first_token_s: float = checked.field(10.0, above=0)
+    between_tokens_s: float = checked.field(2.0, above=0)
+    queue_s: float = checked.field(5.0, above=0)
+    batch_queue_s: float = checked.field(60.0, above=0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pool:
+    """Upstreams that answer the same requests.
+
+    Attributes:
+        kind: What its upstreams are.
+        upstreams: Its upstreams by id.
+        models: Models that it serves, by name; model pools only.
+        keep: Pool that holds its exported KV cache, if any.
+        piece_tokens: Tokens in one piece of a prompt prefix.
+        bytes_per_token: Mean bytes of prompt text in a token.
+        prefill_tokens_per_s: Prefill rate assumed until one is measured.
+        loads_at_once: Upstreams that may load weights at the same time.
+        repeat_rules: Idempotency of its calls; the first match decides.
+        timeouts: Progress deadlines.
+        reports_load: Whether its upstreams answer load queries.
+    """
+
+    kind: PoolKind
+    upstreams: dict[ids.UpstreamId, Upstream] = checked.field(factory=dict)
+    models: dict[ids.ModelId, Model] = checked.field(factory=dict)
+    keep: ids.PoolId | None = None
+    piece_tokens: int = checked.field(2048, minimum=1)
+    bytes_per_token: int = checked.field(4, minimum=1)
+    prefill_tokens_per_s: float = checked.field(10_000.0, above=0)
+    loads_at_once: int = checked.field(1, minimum=1)
+    repeat_rules: list[RepeatRule] = checked.field(factory=list)
+    timeouts: Timeouts = checked.field(factory=Timeouts)
+    reports_load: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """Everything that operators declare."""
+
+    accounts: dict[ids.AccountId, Account] = checked.field(factory=dict)
+    pools: dict[ids.PoolId, Pool] = checked.field(factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class NumberedConfiguration:
+    """A configuration in force and its number."""
+
+    number: ids.ConfigNumber
+    content: Configuration
+
+    @functools.cached_property
+    def accounts_by_key_hash(self) -> dict[str, ids.AccountId]:
+        """Client account of each key, by the key's SHA-256 digest."""
+        return {
+            digest: account_id
+            for account_id, account in self.content.accounts.items()
+            for digest in account.key_hashes
+        }
+
+    @functools.cached_property
+    def pools_by_model(self) -> dict[ids.ModelId, ids.PoolId]:
+        """Pool that serves each model."""
+        return {
+            model_id: pool_id
+            for pool_id, pool in self.content.pools.items()
+            for model_id in pool.models
+        }
+
+
+EMPTY = NumberedConfiguration(ids.ConfigNumber(0), Configuration())
+
+
+def parse(raw: object) -> Configuration:
+    """Converts and checks a configuration document.
+
+    Raises:
+        InvalidDocumentError: Names every fault with its path.
+    """
+    value = checked.convert(Configuration, raw)
+    faults = list(_cross_faults(value))
+    if faults:
+        raise exceptions.InvalidDocumentError(faults)
+    return value
+
+
+def _cross_faults(value: Configuration) -> collections.abc.Iterator[exceptions.Fault]:
+    yield from _account_faults(value)
+    yield from _pool_faults(value)
+
+
+def _account_faults(value: Configuration) -> collections.abc.Iterator[exceptions.Fault]:
+    owners: dict[str, str] = {}
+    for account_id, account in value.accounts.items():
+        path = f"accounts.{account_id}"
+        for i, pool_id in enumerate(account.pools):
+            if pool_id not in value.pools:
+                yield exceptions.Fault(f"{path}.pools[{i}]", f"unknown pool {pool_id!r}")
+        for i, digest in enumerate(account.key_hashes):
+            where = f"{path}.key_hashes[{i}]"
+            if len(digest) != 64 or set(digest) - set("0123456789abcdef"):
+                yield exceptions.Fault(where, "expected a SHA-256 digest in lower-case hexadecimal")
+            if digest in owners:
+                yield exceptions.Fault(where, f"duplicate key; account {owners[digest]!r} has it")
+            owners[digest] = account_id
+
+
+def _pool_faults(value: Configuration) -> collections.abc.Iterator[exceptions.Fault]:
+    upstream_pools: dict[str, str] = {}
+    model_pools: dict[str, str] = {}
+    for pool_id, pool in value.pools.items():
+        path = f"pools.{pool_id}"
+        yield from _keep_faults(value, pool, path)
+        for upstream_id, upstream in pool.upstreams.items():
+            where = f"{path}.upstreams.{upstream_id}"
+            if upstream_id in upstream_pools:
+                other = upstream_pools[upstream_id]
+                yield exceptions.Fault(where, f"duplicate id; pool {other!r} has it")
+            upstream_pools[upstream_id] = pool_id
+            if not _is_address(upstream.address):
+                yield exceptions.Fault(f"{where}.address", "expected IP:port")
+        for model_id in pool.models:
+            if model_id in model_pools:
+                other = model_pools[model_id]
+                yield exceptions.Fault(
+                    f"{path}.models.{model_id}", f"duplicate id; pool {other!r} has it"
+                )
+            model_pools[model_id] = pool_id
+
+
+def _keep_faults(
+    value: Configuration, pool: Pool, path: str
+) -> collections.abc.Iterator[exceptions.Fault]:
+    if pool.models and pool.kind is not PoolKind.MODEL:
+        yield exceptions.Fault(f"{path}.models", "only a pool of kind model serves models")
+    if pool.keep is None:
+        return
+    keep = value.pools.get(pool.keep)
+    if keep is None:
+        yield exceptions.Fault(f"{path}.keep", f"unknown pool {pool.keep!r}")
+    elif keep.kind is not PoolKind.KEEP:
+        yield exceptions.Fault(f"{path}.keep", f"pool {pool.keep!r} is not of kind keep")
+
+
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    return bool(host) and port.isdigit() and 0 < int(port) < 65536
--- /dev/null
+++ b/src/cicadapier/_internal/models/documents.py
@@ -0,0 +1,99 @@
+"""YAML documents with the line of each value."""
+
+import os
+import pathlib
+
+import yaml
+
+from cicadapier._internal.models import exceptions
+
+
+class Document:
+    """A parsed YAML document.
+
+    Attributes:
+        value: Plain value of the document.
+        lines: Line of each value, counted from 1, by dotted path.
+    """
+
+    def __init__(self, text: str, filename: str = "") -> None:
+        """Parses a document.
+
+        Args:
+            text: YAML source.
+            filename: Name that error messages show.
+
+        Raises:
+            InvalidDocumentError: The text is not YAML or a mapping repeats a key.
+        """
+        self._filename = filename
+        self.lines: dict[str, int] = {}
+        self._faults: list[exceptions.Fault] = []
+        try:
+            node = yaml.compose(text, Loader=yaml.SafeLoader)
+            self.value: object = yaml.safe_load(text)
+        except (yaml.YAMLError, RecursionError, ValueError, TypeError) as exc:
+            raise exceptions.InvalidDocumentError([_syntax_fault(exc)], filename) from exc
+        if node is not None:
+            self._index(node, "")
+        if self._faults:
+            raise exceptions.InvalidDocumentError(self._faults, filename)
+
+    def locate(self, error: exceptions.InvalidDocumentError) -> exceptions.InvalidDocumentError:
+        """Returns the same error with the line of each fault filled in."""
+        faults = [
+            exceptions.Fault(fault.path, fault.expected, self._line_of(fault.path))
+            for fault in error.faults
+        ]
+        return exceptions.InvalidDocumentError(faults, self._filename)
+
+    def _line_of(self, path: str) -> int:
+        while path:
+            if path in self.lines:
+                return self.lines[path]
+            # A missing key has no line of its own: its nearest parent has.
+            path = path.rpartition(".")[0]
+        return 1
+
+    def _index(self, node: yaml.Node, path: str) -> None:
+        if isinstance(node, yaml.SequenceNode):
+            for i, item in enumerate(node.value):
+                self._mark(item, f"{path}[{i}]", item.start_mark.line + 1)
+            return
+        if not isinstance(node, yaml.MappingNode):
+            return
+        seen = set()
+        for key_node, value_node in node.value:
+            key = str(key_node.value)
+            child = f"{path}.{key}" if path else key
+            line = key_node.start_mark.line + 1
+            if key in seen:
+                self._faults.append(exceptions.Fault(child, "duplicate key", line))
+            seen.add(key)
+            self._mark(value_node, child, line)
+
+    def _mark(self, node: yaml.Node, path: str, line: int) -> None:
+        self.lines[path] = line
+        self._index(node, path)
+
+
+def read(path: str | os.PathLike[str]) -> Document:
+    """Reads a YAML file.
+
+    Raises:
+        InvalidDocumentError: The file cannot be read or is not valid YAML.
+    """
+    name = os.fspath(path)
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        fault = exceptions.Fault("", f"cannot read {name}: {exc}")
+        raise exceptions.InvalidDocumentError([fault], name) from exc
+    return Document(text, name)
+
+
+def _syntax_fault(exc: Exception) -> exceptions.Fault:
+    mark = getattr(exc, "problem_mark", None)
+    line = mark.line + 1 if mark else 0
+    problem = getattr(exc, "problem", None) or str(exc) or type(exc).__name__
+    return exceptions.Fault("", f"expected YAML: {problem}", line)
--- /dev/null
+++ b/src/cicadapier/_internal/models/ids.py
@@ -0,0 +1,17 @@
+"""Identifier types."""
+
+from typing import NewType
+
+AccountId = NewType("AccountId", str)
+PoolId = NewType("PoolId", str)
+UpstreamId = NewType("UpstreamId", str)
+VmId = NewType("VmId", str)
+FailureDomainId = NewType("FailureDomainId", str)
+ModelId = NewType("ModelId", str)
+RequestId = NewType("RequestId", str)
+PieceId = NewType("PieceId", bytes)
+Incarnation = NewType("Incarnation", str)
+ConfigNumber = NewType("ConfigNumber", int)
+PatchId = NewType("PatchId", str)
+Address = NewType("Address", str)
+Fingerprint = NewType("Fingerprint", str)
--- /dev/null
+++ b/src/cicadapier/_internal/models/outcomes.py
@@ -0,0 +1,154 @@
+"""Outcomes of requests and of attempts, as tagged values."""
+
+import dataclasses
+import enum
+import http
+
+from cicadapier._internal.models import ids
+
+
+class Effect(enum.Enum):
+    """What a refusal says of the request's effect."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+
+
+class Code(enum.Enum):
+    """Reason of a refusal."""
+
+    INVALID_REQUEST = "invalid_request"
+    INVALID_KEY = "invalid_api_key"
+    NOT_PERMITTED = "not_permitted"
+    NOT_FOUND = "not_found"
+    MODEL_NOT_FOUND = "model_not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    SLOW_REQUEST = "slow_request"
+    RATE_LIMITED = "rate_limited"
+    OVERLOADED = "overloaded"
+    NO_UPSTREAM = "no_upstream"
+    UPSTREAM_FAILED = "upstream_failed"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    STREAM_BROKEN = "stream_broken"
+    POISON = "request_crashes_upstreams"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    CLAIM_IN_PROGRESS = "claim_in_progress"
+    CLAIM_MISMATCH = "idempotency_key_reused"
+    NOT_READY = "not_ready"
+    DRAINING = "draining"
+    INTERNAL = "internal_error"
+
+
+_STATUS = {
+    Code.INVALID_REQUEST: http.HTTPStatus.BAD_REQUEST,
+    Code.INVALID_KEY: http.HTTPStatus.UNAUTHORIZED,
+    Code.NOT_PERMITTED: http.HTTPStatus.FORBIDDEN,
+    Code.NOT_FOUND: http.HTTPStatus.NOT_FOUND,
+    Code.MODEL_NOT_FOUND: http.HTTPStatus.NOT_FOUND,
+    Code.METHOD_NOT_ALLOWED: http.HTTPStatus.METHOD_NOT_ALLOWED,
+    Code.BODY_TOO_LARGE: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Code.HEADERS_TOO_LARGE: http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    Code.SLOW_REQUEST: http.HTTPStatus.REQUEST_TIMEOUT,
+    Code.RATE_LIMITED: http.HTTPStatus.TOO_MANY_REQUESTS,
+    Code.OVERLOADED: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    Code.NO_UPSTREAM: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    Code.UPSTREAM_FAILED: http.HTTPStatus.BAD_GATEWAY,
+    Code.OUTCOME_UNKNOWN: http.HTTPStatus.BAD_GATEWAY,
+    Code.STREAM_BROKEN: http.HTTPStatus.BAD_GATEWAY,
+    Code.POISON: http.HTTPStatus.UNPROCESSABLE_ENTITY,
+    Code.CLAIM_UNAVAILABLE: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    Code.CLAIM_IN_PROGRESS: http.HTTPStatus.CONFLICT,
+    Code.CLAIM_MISMATCH: http.HTTPStatus.UNPROCESSABLE_ENTITY,
+    Code.NOT_READY: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    Code.DRAINING: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    Code.INTERNAL: http.HTTPStatus.INTERNAL_SERVER_ERROR,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A truthful refusal of a request.
+
+    Attributes:
+        code: Reason.
+        message: Sentence that the caller can act on.
+        effect: What is known of the request's effect.
+        retry_after_s: When the caller may try again, or None where a repeat is no help.
+    """
+
+    code: Code
+    message: str
+    effect: Effect = Effect.NOT_RUN
+    retry_after_s: float | None = None
+
+    @property
+    def status(self) -> http.HTTPStatus:
+        """HTTP status that fits the reason."""
+        return _STATUS[self.code]
+
+    @property
+    def type(self) -> str:
+        """Error family as language-model clients know it."""
+        if self.code in (Code.RATE_LIMITED, Code.OVERLOADED):
+            return "rate_limit_error"
+        if self.code is Code.INVALID_KEY:
+            return "authentication_error"
+        return "invalid_request_error" if self.status < 500 else "server_error"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the request reached the upstream."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusedBeforeRunning:
+    """The upstream said that it did not run the request."""
+
+    reason: str
+    retry_after_s: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SentNoAnswer:
+    """The request was sent, wholly or in part, and no answer to it came."""
+
+    reason: str
+    crashed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken:
+    """The answer began and ended early.
+
+    Attributes:
+        offset: Tokens that were relayed to the caller.
+    """
+
+    reason: str
+    offset: int
+    crashed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Complete:
+    """The answer came whole."""
+
+    status: int
+
+
+AttemptOutcome = NotSent | RefusedBeforeRunning | SentNoAnswer | Broken | Complete
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """One attempt at a request, for status and explanation."""
+
+    request: ids.RequestId
+    upstream: ids.UpstreamId
+    outcome: AttemptOutcome
--- /dev/null
+++ b/src/cicadapier/_internal/models/settings.py
@@ -0,0 +1,151 @@
+"""Settings of one router process, read from a YAML file."""
+
+import dataclasses
+import enum
+import os
+
+from cicadapier._internal.models import checked
+from cicadapier._internal.models import documents
+from cicadapier._internal.models import exceptions
+from cicadapier._internal.models import ids
+
+
+class LogLevel(enum.Enum):
+    """Least severity that is logged."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listen:
+    """Addresses that a router listens on, `IP:port` each; port 0 takes any free one."""
+
+    callers: ids.Address = ids.Address("127.0.0.1:8080")
+    operators: ids.Address = ids.Address("127.0.0.1:8081")
+    peers: ids.Address = ids.Address("127.0.0.1:8082")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tls:
+    """Certificate chain and private key for callers and operators, as PEM files."""
+
+    certificate: str
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Platform:
+    """The platform's object API."""
+
+    addresses: list[ids.Address] = checked.field(factory=list)
+    token: str = ""
+    timeout_s: float = checked.field(2.0, above=0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Peers:
+    """Other routers, by their peer address, and the secret that authenticates them."""
+
+    seed: list[ids.Address] = checked.field(factory=list)
+    secret: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds on what one caller may send."""
+
+    header_bytes: int = checked.field(16_384, minimum=1024)
+    body_bytes: int = checked.field(8_388_608, minimum=1024)
+    connections: int = checked.field(4096, minimum=1)
+    header_timeout_s: float = checked.field(10.0, above=0)
+    body_timeout_s: float = checked.field(30.0, above=0)
+    idle_timeout_s: float = checked.field(75.0, above=0)
+    json_depth: int = checked.field(64, minimum=4)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of one router.
+
+    Attributes:
+        vm: Id of the VM that it runs on.
+        failure_domain: Failure domain of that VM.
+        listen: Addresses to listen on.
+        tls: Certificate and key; plain HTTP without.
+        platform: The platform's object API.
+        peers: Other routers.
+        operator_token: Credential of operators; required off loopback.
+        cache_secret: Key of prefix identities; the same on all routers.
+        log_level: Least severity that is logged.
+        otlp_endpoint: URL that metrics are pushed to, if any.
+        drain_s: Time that streams get to finish after SIGTERM.
+        caller_limits: Bounds on what one caller may send.
+    """
+
+    vm: ids.VmId
+    failure_domain: ids.FailureDomainId
+    listen: Listen = checked.field(factory=Listen)
+    tls: Tls | None = None
+    platform: Platform = checked.field(factory=Platform)
+    peers: Peers = checked.field(factory=Peers)
+    operator_token: str = ""
+    cache_secret: str = ""
+    log_level: LogLevel = LogLevel.INFO
+    otlp_endpoint: str = ""
+    drain_s: float = checked.field(600.0, minimum=0)
+    caller_limits: CallerLimits = checked.field(factory=CallerLimits)
+
+
+def load(path: str | os.PathLike[str]) -> Settings:
+    """Reads and checks a settings file.
+
+    Raises:
+        InvalidDocumentError: Names file, line, key and what was expected.
+    """
+    document = documents.read(path)
+    try:
+        value = checked.convert(Settings, document.value)
+        _check(value)
+    except exceptions.InvalidDocumentError as exc:
+        raise document.locate(exc) from exc
+    return value
+
+
+def split_address(address: ids.Address) -> tuple[str, int]:
+    """Returns host and port of an `IP:port` address."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def is_loopback(address: ids.Address) -> bool:
+    """Returns whether an address is reachable from its own machine alone."""
+    host = split_address(address)[0]
+    return host.startswith("127.") or host in ("::1", "localhost")
+
+
+def _check(value: Settings) -> None:
+    faults = []
+    named = {
+        "listen.callers": value.listen.callers,
+        "listen.operators": value.listen.operators,
+        "listen.peers": value.listen.peers,
+    }
+    for i, address in enumerate(value.platform.addresses):
+        named[f"platform.addresses[{i}]"] = address
+    for i, address in enumerate(value.peers.seed):
+        named[f"peers.seed[{i}]"] = address
+    for path, address in named.items():
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdigit() or int(port) > 65535:
+            faults.append(exceptions.Fault(path, f"expected IP:port, got {address!r}"))
+    if faults:
+        raise exceptions.InvalidDocumentError(faults)
+    if not value.operator_token and not is_loopback(value.listen.operators):
+        fault = exceptions.Fault("operator_token", "required where operators listen off loopback")
+        raise exceptions.InvalidDocumentError([fault])
+    if not value.peers.secret and not is_loopback(value.listen.peers):
+        fault = exceptions.Fault("peers.secret", "required where peers listen off loopback")
+        raise exceptions.InvalidDocumentError([fault])
--- /dev/null
+++ b/src/cicadapier/_internal/protocols/__init__.py
@@ -0,0 +1,1 @@
+"""Glue between library codecs and the services."""
--- /dev/null
+++ b/src/cicadapier/_internal/protocols/completions.py
@@ -0,0 +1,242 @@
+"""The completions and chat-completions shapes of language-model clients.
+
+Requests are read with a typed codec; unknown fields pass through to the engine. The extension
+fields towards engines are `cache_salt`, `priority`, `resume_from` and `kv_import`.
+"""
+
+import dataclasses
+import enum
+from typing import Any
+
+import msgspec
+
+from cicadapier._internal.models import ids
+
+DONE = b"data: [DONE]\n\n"
+EVENT_STREAM = b"text/event-stream"
+_PREFIX = b"data: "
+_SEPARATOR = b"\n\n"
+
+
+class Endpoint(enum.Enum):
+    """Path of a model request."""
+
+    COMPLETIONS = "/v1/completions"
+    CHAT = "/v1/chat/completions"
+
+
+class InvalidBodyError(Exception):
+    """A request body that is not of the published shape."""
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: Any = ""
+
+
+class _Common(msgspec.Struct):
+    model: str
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    n: int | None = 1
+
+
+class _Chat(_Common, kw_only=True):
+    messages: list[_Message]
+
+
+class _Completion(_Common, kw_only=True):
+    prompt: str | list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelRequest:
+    """A checked model request.
+
+    Attributes:
+        endpoint: Its path.
+        model: Model that it names.
+        stream: Whether the caller wants server-sent events.
+        max_tokens: Bound on the answer's tokens, or None.
+        prompt: The prompt as the engine sees it.
+        body: The whole body, for passing on.
+    """
+
+    endpoint: Endpoint
+    model: ids.ModelId
+    stream: bool
+    max_tokens: int | None
+    prompt: bytes
+    body: dict[str, Any]
+
+
+def parse(endpoint: Endpoint, body: bytes, max_depth: int) -> ModelRequest:
+    """Reads a request body.
+
+    Args:
+        endpoint: Path of the request.
+        body: JSON text.
+        max_depth: Greatest nesting of arrays and objects.
+
+    Raises:
+        InvalidBodyError: The body is not JSON, is nested too deeply or has wrong types.
+    """
+    try:
+        raw = msgspec.json.decode(body)
+        if not isinstance(raw, dict):
+            raise InvalidBodyError("expected a JSON object")
+        _check_depth(raw, max_depth)
+        parsed: _Common
+        if endpoint is Endpoint.CHAT:
+            chat = msgspec.convert(raw, _Chat)
+            prompt = _render_chat(chat.messages)
+            parsed = chat
+        else:
+            completion = msgspec.convert(raw, _Completion)
+            prompt = _render_prompt(completion.prompt)
+            parsed = completion
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as exc:
+        raise InvalidBodyError(str(exc)) from exc
+    limit = parsed.max_completion_tokens or parsed.max_tokens
+    _check_values(parsed, limit)
+    model = ids.ModelId(parsed.model)
+    return ModelRequest(endpoint, model, parsed.stream, limit, prompt, raw)
+
+
+def _check_values(parsed: _Common, limit: int | None) -> None:
+    if limit is not None and limit < 1:
+        raise InvalidBodyError("expected max_tokens of at least 1")
+    if parsed.n not in (None, 1):
+        raise InvalidBodyError("expected n to be 1; other numbers of choices are not served")
+
+
+def _check_depth(value: object, max_depth: int) -> None:
+    level = [value]
+    for _ in range(max_depth + 1):
+        children: list[object] = []
+        for item in level:
+            if isinstance(item, dict):
+                children.extend(item.values())
+            elif isinstance(item, list):
+                children.extend(item)
+        if not children:
+            return
+        level = children
+    raise InvalidBodyError(f"nested deeper than {max_depth} levels")
+
+
+def _render_prompt(prompt: str | list[str]) -> bytes:
+    if isinstance(prompt, str):
+        return prompt.encode()
+    if len(prompt) != 1:
+        raise InvalidBodyError("expected one prompt; batches of prompts are not served")
+    return prompt[0].encode()
+
+
+def _render_chat(messages: list[_Message]) -> bytes:
+    if not messages:
+        raise InvalidBodyError("expected at least one message")
+    parts = []
+    for message in messages:
+        parts.append(f"<|{message.role}|>\n{_content_text(message.content)}\n")
+    return "".join(parts).encode()
+
+
+def _content_text(content: Any) -> str:
+    if isinstance(content, str):
+        return content
+    if content is None:
+        return ""
+    if isinstance(content, list):
+        texts = [part.get("text") for part in content if isinstance(part, dict)]
+        if len(texts) == len(content) and all(isinstance(text, str) for text in texts):
+            return "".join(text for text in texts if isinstance(text, str))
+    raise InvalidBodyError("expected message content to be text or a list of text parts")
+
+
+class EventSplitter:
+    """Splits a server-sent event stream into its events, each with its closing blank line."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Takes a part of the stream and returns the whole events in it."""
+        buffered = self._rest + data
+        if not buffered.endswith(_SEPARATOR):
+            *events, self._rest = buffered.split(_SEPARATOR)
+        else:
+            events = buffered.split(_SEPARATOR)[:-1]
+            self._rest = b""
+        return [event + _SEPARATOR for event in events]
+
+    @property
+    def incomplete(self) -> bool:
+        """Whether the stream ends within an event."""
+        return bool(self._rest)
+
+
+class PromptDetails(msgspec.Struct):
+    """Part of the published usage object."""
+
+    cached_tokens: int = 0
+
+
+class Usage(msgspec.Struct):
+    """The published usage object."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    total_tokens: int = 0
+    prompt_tokens_details: PromptDetails | None = None
+
+
+class _Choice(msgspec.Struct):
+    finish_reason: str | None = None
+
+
+class Chunk(msgspec.Struct):
+    """What the router reads of one chunk of an answer.
+
+    Attributes:
+        id: Id of the answer, which names the request.
+        choices: Its choices.
+        usage: Token counts, on some chunks.
+        token_offset: Index of the chunk's first token in the answer, where the engine tells it.
+        token_count: Tokens in the chunk.
+        error: An error event.
+    """
+
+    id: str = ""
+    choices: list[_Choice] = []
+    usage: Usage | None = None
+    token_offset: int | None = None
+    token_count: int = 1
+    error: Any = None
+
+    @property
+    def finished(self) -> bool:
+        """Whether this chunk ends the answer."""
+        return any(choice.finish_reason is not None for choice in self.choices)
+
+
+_chunk_decoder = msgspec.json.Decoder(Chunk)
+
+
+def read_chunk(event: bytes) -> Chunk:
+    """Reads a chunk of a streamed answer or a whole answer.
+
+    Raises:
+        InvalidBodyError: The event is not of the published shape.
+    """
+    data = event[len(_PREFIX) :] if event.startswith(_PREFIX) else event
+    try:
+        return _chunk_decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        raise InvalidBodyError(str(exc)) from exc
+
+
+def encode_event(value: object) -> bytes:
+    """Returns a server-sent event with a JSON payload."""
+    return _PREFIX + msgspec.json.encode(value) + _SEPARATOR
--- /dev/null
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -0,0 +1,172 @@
+"""HTTP/1.1 client connections over h11."""
+
+import collections.abc
+import dataclasses
+import math
+
+import h11
+import trio
+
+from cicadapier._internal.protocols import exceptions
+
+READ_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestHead:
+    """Start of a request; header names are lower case."""
+
+    method: str
+    target: str
+    headers: Headers
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """Start of a response; header names are lower case."""
+
+    status: int
+    headers: Headers
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns the first header of this name."""
+        return find_header(self.headers, name)
+
+
+def find_header(
+    headers: collections.abc.Iterable[tuple[bytes, bytes]], name: bytes
+) -> bytes | None:
+    """Returns the first header of a name given in lower case."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+class ClientConnection:
+    """One connection; it carries one request at a time.
+
+    Attributes:
+        opened_at: Time of trio's clock at which it was opened.
+        idle_since: Time of trio's clock at which it last became idle.
+        sent: Whether any byte of the current request was handed to the transport.
+    """
+
+    def __init__(self, stream: trio.abc.Stream, host: str) -> None:
+        self._stream = stream
+        self._host = host.encode("ascii")
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self.opened_at = trio.current_time()
+        self.idle_since = self.opened_at
+        self.sent = False
+
+    async def send(self, head: RequestHead, body: bytes) -> None:
+        """Sends a whole request.
+
+        Raises:
+            ConnectionLostError: The connection broke while sending.
+        """
+        self.sent = False
+        headers = [(b"host", self._host), *head.headers]
+        if body or head.method in ("POST", "PUT", "PATCH"):
+            headers.append((b"content-length", b"%d" % len(body)))
+        request = h11.Request(method=head.method, target=head.target, headers=headers)
+        parts = [self._h11.send(request) or b""]
+        if body:
+            parts.append(self._h11.send(h11.Data(data=body)) or b"")
+        parts.append(self._h11.send(h11.EndOfMessage()) or b"")
+        self.sent = True
+        try:
+            await self._stream.send_all(b"".join(parts))
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise exceptions.ConnectionLostError(f"lost while sending: {exc}") from exc
+
+    async def receive_head(self, timeout_s: float) -> ResponseHead:
+        """Waits for the start of the response.
+
+        Raises:
+            ConnectionLostError: The connection broke.
+            SilentConnectionError: Nothing came within the time limit.
+            MalformedMessageError: The answer is not HTTP.
+        """
+        deadline = trio.current_time() + timeout_s
+        while True:
+            event = await self._next_event(deadline)
+            if isinstance(event, h11.Response):
+                return ResponseHead(event.status_code, list(event.headers))
+            if not isinstance(event, h11.InformationalResponse):
+                raise exceptions.ConnectionLostError("closed before the answer")
+
+    async def receive_data(self, timeout_s: float) -> bytes | None:
+        """Waits for a part of the body; returns None at its end.
+
+        Raises:
+            ConnectionLostError: The connection broke before the body's end.
+            SilentConnectionError: Nothing came within the time limit.
+            MalformedMessageError: The answer is not HTTP.
+        """
+        event = await self._next_event(trio.current_time() + timeout_s)
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise exceptions.ConnectionLostError("closed before the end of the answer")
+
+    async def receive_body(self, timeout_s: float, max_bytes: float = math.inf) -> bytes:
+        """Reads the whole body; the time limit holds for each part.
+
+        Raises:
+            ProtocolError: As for `receive_data`, or the body exceeds `max_bytes`.
+        """
+        parts = []
+        size = 0
+        while (part := await self.receive_data(timeout_s)) is not None:
+            size += len(part)
+            if size > max_bytes:
+                raise exceptions.MalformedMessageError(f"body exceeds {max_bytes} bytes")
+            parts.append(part)
+        return b"".join(parts)
+
+    def make_reusable(self) -> bool:
+        """Prepares for another request; returns False where the connection must be closed."""
+        if self._h11.trailing_data[0]:
+            # Bytes after the answer belong to no request: the peer is out of step.
+            return False
+        try:
+            self._h11.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        self.idle_since = trio.current_time()
+        return True
+
+    async def close(self) -> None:
+        """Closes the connection at once; safe to call while being cancelled."""
+        await trio.aclose_forcefully(self._stream)
+
+    async def _next_event(self, deadline: float) -> h11.Event:
+        try:
+            event = self._h11.next_event()
+            while event is h11.NEED_DATA:
+                await self._fill(deadline)
+                event = self._h11.next_event()
+        except h11.RemoteProtocolError as exc:
+            if "closed" in str(exc):
+                raise exceptions.ConnectionLostError(str(exc)) from exc
+            raise exceptions.MalformedMessageError(str(exc)) from exc
+        if isinstance(event, h11.Event):
+            return event
+        raise exceptions.ConnectionLostError("closed early")
+
+    async def _fill(self, deadline: float) -> None:
+        data: bytes | bytearray | None = None
+        with trio.move_on_at(deadline):
+            try:
+                data = await self._stream.receive_some(READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+                raise exceptions.ConnectionLostError(f"lost while receiving: {exc}") from exc
+        if data is None:
+            raise exceptions.SilentConnectionError("no progress before the deadline")
+        self._h11.receive_data(bytes(data))
--- /dev/null
+++ b/src/cicadapier/_internal/protocols/http_server.py
@@ -0,0 +1,299 @@
+"""HTTP/1.1 server connections over h11."""
+
+import abc
+import collections.abc
+import dataclasses
+import http
+import math
+
+import h11
+import msgspec
+import trio
+
+from cicadapier._internal.models import settings
+from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import http_client
+
+READ_BYTES = 65_536
+_LINGER_BYTES = 1_048_576
+_LINGER_S = 1.0
+
+_JSON_HEADERS = [(b"content-type", b"application/json")]
+_CHUNKED = [(b"transfer-encoding", b"chunked")]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A whole request; header names are lower case."""
+
+    method: str
+    target: str
+    headers: http_client.Headers
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """Target without its query."""
+        return self.target.partition("?")[0]
+
+    @property
+    def query(self) -> str:
+        """Query of the target, empty without one."""
+        return self.target.partition("?")[2]
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns the first header of this name, given in lower case."""
+        return http_client.find_header(self.headers, name)
+
+
+class Responder:
+    """Writes the answer to one request.
+
+    Attributes:
+        started: Whether the head of the answer has been sent.
+    """
+
+    def __init__(self, conn: h11.Connection, stream: trio.abc.Stream) -> None:
+        self._h11 = conn
+        self._stream = stream
+        self.started = False
+
+    async def send_json(
+        self,
+        value: object,
+        status: int = http.HTTPStatus.OK,
+        headers: http_client.Headers | None = None,
+    ) -> None:
+        """Sends a whole JSON answer."""
+        await self.send_whole(
+            status, [*_JSON_HEADERS, *(headers or [])], msgspec.json.encode(value)
+        )
+
+    async def send_whole(self, status: int, headers: http_client.Headers, body: bytes) -> None:
+        """Sends a whole answer."""
+        length = (b"content-length", b"%d" % len(body))
+        data = self._head(status, [*headers, length])
+        if body and self._h11.our_state is h11.SEND_BODY:
+            data += self._h11.send(h11.Data(data=body)) or b""
+        await self._write(data + (self._h11.send(h11.EndOfMessage()) or b""))
+
+    async def start(self, status: int, headers: http_client.Headers) -> None:
+        """Sends the head of an answer whose length is not known."""
+        await self._write(self._head(status, [*headers, *_CHUNKED]))
+
+    async def send_part(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        await self._write(self._h11.send(h11.Data(data=data)) or b"")
+
+    async def finish(self) -> None:
+        """Ends the answer."""
+        await self._write(self._h11.send(h11.EndOfMessage()) or b"")
+
+    def _head(self, status: int, headers: http_client.Headers) -> bytes:
+        self.started = True
+        reason = http.HTTPStatus(status).phrase if status in _PHRASES else ""
+        response = h11.Response(status_code=status, headers=headers, reason=reason)
+        return self._h11.send(response) or b""
+
+    async def _write(self, data: bytes) -> None:
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise exceptions.ConnectionLostError("the caller went away") from exc
+
+
+_PHRASES = frozenset(int(status) for status in http.HTTPStatus)
+
+
+class Handler(abc.ABC):
+    """Answers requests."""
+
+    @abc.abstractmethod
+    async def handle(self, req: Request, responder: Responder) -> None:
+        """Answers one request."""
+
+    async def reject(self, exc: exceptions.BadRequestError, responder: Responder) -> None:
+        """Answers a request that could not be read."""
+        status = _REJECT_STATUS[exc.kind]
+        await responder.send_json({"error": {"message": str(exc)}}, status)
+
+    @property
+    def accepting(self) -> bool:
+        """Whether connections are kept open for another request."""
+        return True
+
+
+_REJECT_STATUS = {
+    exceptions.BadRequestKind.MALFORMED: http.HTTPStatus.BAD_REQUEST,
+    exceptions.BadRequestKind.HEADERS_TOO_LARGE: http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    exceptions.BadRequestKind.BODY_TOO_LARGE: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    exceptions.BadRequestKind.SLOW: http.HTTPStatus.REQUEST_TIMEOUT,
+}
+
+
+class ServerConnection:
+    """One accepted connection."""
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        handler: Handler,
+        limits: settings.CallerLimits,
+    ) -> None:
+        self._stream = stream
+        self._handler = handler
+        self._limits = limits
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+
+    async def serve(self) -> None:
+        """Answers requests until either end closes the connection."""
+        try:
+            while await self._serve_one():
+                self._h11.start_next_cycle()
+        except (exceptions.ConnectionLostError, h11.LocalProtocolError):
+            # The caller left or the answer was cut; closing tells it so.
+            pass
+        finally:
+            await trio.aclose_forcefully(self._stream)
+
+    async def _serve_one(self) -> bool:
+        responder = Responder(self._h11, self._stream)
+        try:
+            req = await self._read_request()
+        except exceptions.BadRequestError as exc:
+            if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                await self._handler.reject(exc, responder)
+                await self._linger()
+            return False
+        if req is None:
+            return False
+        await self._handler.handle(req, responder)
+        return self._h11.our_state is h11.DONE and self._handler.accepting
+
+    async def _read_request(self) -> Request | None:
+        idle_deadline = trio.current_time() + self._limits.idle_timeout_s
+        header_deadline = math.inf
+        while True:
+            event = self._parse()
+            if event is h11.NEED_DATA:
+                deadline = min(idle_deadline, header_deadline)
+                if not await self._fill(deadline):
+                    if header_deadline < math.inf:
+                        raise _slow("headers")
+                    return None
+                if header_deadline == math.inf:
+                    header_deadline = trio.current_time() + self._limits.header_timeout_s
+            elif isinstance(event, h11.Request):
+                return await self._read_body(event)
+            else:
+                return None
+
+    async def _read_body(self, head: h11.Request) -> Request:
+        headers = list(head.headers)
+        self._check_head(headers)
+        parts: list[bytes] = []
+        size = 0
+        deadline = trio.current_time() + self._limits.body_timeout_s
+        while True:
+            event = self._parse()
+            if event is h11.NEED_DATA:
+                await self._continue_if_expected()
+                if not await self._fill(deadline):
+                    raise _slow("body")
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self._limits.body_bytes:
+                    raise self._body_too_large()
+                parts.append(bytes(event.data))
+            else:
+                method = head.method.decode("ascii")
+                target = head.target.decode("ascii")
+                return Request(method, target, headers, b"".join(parts))
+
+    def _check_head(self, headers: http_client.Headers) -> None:
+        names = [name for name, _ in headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            # Two lengths for one body are the way of request smuggling.
+            kind = exceptions.BadRequestKind.MALFORMED
+            raise exceptions.BadRequestError(kind, "both content-length and transfer-encoding")
+        length = http_client.find_header(headers, b"content-length")
+        if length and int(length) > self._limits.body_bytes:
+            raise self._body_too_large()
+
+    async def _continue_if_expected(self) -> None:
+        if self._h11.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[], reason="Continue")
+            await self._stream.send_all(self._h11.send(go_on) or b"")
+
+    def _body_too_large(self) -> exceptions.BadRequestError:
+        message = f"body exceeds {self._limits.body_bytes} bytes"
+        return exceptions.BadRequestError(exceptions.BadRequestKind.BODY_TOO_LARGE, message)
+
+    def _parse(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        try:
+            return self._h11.next_event()
+        except h11.RemoteProtocolError as exc:
+            if exc.error_status_hint == http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
+                kind = exceptions.BadRequestKind.HEADERS_TOO_LARGE
+                message = f"headers exceed {self._limits.header_bytes} bytes"
+                raise exceptions.BadRequestError(kind, message) from exc
+            kind = exceptions.BadRequestKind.MALFORMED
+            raise exceptions.BadRequestError(kind, f"malformed HTTP: {exc}") from exc
+
+    async def _fill(self, deadline: float) -> bool:
+        """Reads once; returns False where the deadline passed first."""
+        with trio.move_on_at(deadline):
+            try:
+                data = await self._stream.receive_some(READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+                raise exceptions.ConnectionLostError("the caller went away") from exc
+            self._h11.receive_data(bytes(data))
+            return True
+        return False
+
+    async def _linger(self) -> None:
+        # Closing with unread input resets the connection and may destroy the refusal on its way.
+        size = 0
+        with trio.move_on_after(_LINGER_S):
+            while size < _LINGER_BYTES:
+                try:
+                    data = await self._stream.receive_some(READ_BYTES)
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    return
+                if not data:
+                    return
+                size += len(data)
+
+
+def _slow(part: str) -> exceptions.BadRequestError:
+    message = f"the {part} did not arrive in time"
+    return exceptions.BadRequestError(exceptions.BadRequestKind.SLOW, message)
+
+
+class Listener:
+    """Serves a handler on a network, with a bound on open connections."""
+
+    def __init__(
+        self,
+        network: "collections.abc.Callable[..., collections.abc.Awaitable[None]]",
+        handler: Handler,
+        limits: settings.CallerLimits,
+    ) -> None:
+        self._serve = network
+        self._handler = handler
+        self._limits = limits
+        self._open = 0
+
+    async def run(self, address: str, task_status: "trio.TaskStatus[str]") -> None:
+        """Accepts connections until it is cancelled; reports the bound address."""
+        await self._serve(address, self._accept, task_status=task_status)
+
+    async def _accept(self, stream: trio.abc.Stream) -> None:
+        if self._open >= self._limits.connections:
+            await trio.aclose_forcefully(stream)
+            return
+        self._open += 1
+        try:
+            await ServerConnection(stream, self._handler, self._limits).serve()
+        finally:
+            self._open -= 1
--- /dev/null
+++ b/src/cicadapier/_internal/protocols/peer_codec.py
@@ -0,0 +1,146 @@
+"""Messages between routers: value classes and their wire form."""
+
+import dataclasses
+
+from cicadapier._internal.decisions import limits
+from cicadapier._internal.decisions import membership
+from cicadapier._internal.decisions import poison
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import peers_pb2
+
+MAX_HEARTBEATS = 64
+MAX_ACCOUNTS = 512
+MAX_SENDS = 2048
+MAX_CRASHES = 128
+MAX_KEPT_PIECES = 4096
+PIECE_BYTES = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SentWork:
+    """Tokens that a router has sent to one upstream since it started."""
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    tokens: float
+    interactive_tokens: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptPieces:
+    """Pieces that were exported to the keep of a pool."""
+
+    pool: ids.PoolId
+    pieces: tuple[ids.PieceId, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Digest:
+    """What one router tells another in one round.
+
+    Attributes:
+        sender: VM of the sender.
+        generation: Start number of the sender.
+        configuration_number: Number that it has in force.
+        heartbeats: Sample of the routers that it knows.
+        use: Its own use of accounts.
+        sends: Its own work sent to upstreams.
+        crashes: Newest evidence against requests.
+        kept: Newest exports to keeps.
+    """
+
+    sender: ids.VmId
+    generation: int
+    configuration_number: ids.ConfigNumber
+    heartbeats: tuple[membership.Heartbeat, ...] = ()
+    use: dict[ids.AccountId, limits.RemoteUse] = dataclasses.field(default_factory=dict)
+    sends: tuple[SentWork, ...] = ()
+    crashes: tuple[poison.Crash, ...] = ()
+    kept: tuple[KeptPieces, ...] = ()
+
+
+def encode(digest: Digest) -> peers_pb2.Digest:
+    """Returns the wire form of a digest, cut to the bounds."""
+    return peers_pb2.Digest(
+        sender=digest.sender,
+        generation=digest.generation,
+        configuration_number=digest.configuration_number,
+        heartbeats=[_encode_heartbeat(h) for h in digest.heartbeats[:MAX_HEARTBEATS]],
+        accounts=[
+            peers_pb2.AccountUse(account=a, demand_per_s=u.demand_per_s, streams=u.streams)
+            for a, u in list(digest.use.items())[:MAX_ACCOUNTS]
+        ],
+        sends=[
+            peers_pb2.SentWork(
+                pool=s.pool,
+                upstream=s.upstream,
+                tokens=s.tokens,
+                interactive_tokens=s.interactive_tokens,
+            )
+            for s in digest.sends[:MAX_SENDS]
+        ],
+        crashes=[
+            peers_pb2.Crash(
+                fingerprint=c.fingerprint, upstream=c.upstream, incarnation=c.incarnation
+            )
+            for c in digest.crashes[:MAX_CRASHES]
+        ],
+        kept=[peers_pb2.KeptPieces(pool=k.pool, pieces=k.pieces) for k in digest.kept],
+    )
+
+
+def decode(message: peers_pb2.Digest) -> Digest:
+    """Returns the value of a wire message; what exceeds the bounds is ignored."""
+    return Digest(
+        ids.VmId(message.sender),
+        message.generation,
+        ids.ConfigNumber(message.configuration_number),
+        tuple(_decode_heartbeat(h) for h in message.heartbeats[:MAX_HEARTBEATS]),
+        {
+            ids.AccountId(a.account): limits.RemoteUse(max(0.0, a.demand_per_s), a.streams)
+            for a in message.accounts[:MAX_ACCOUNTS]
+        },
+        tuple(
+            SentWork(ids.PoolId(s.pool), ids.UpstreamId(s.upstream), s.tokens, s.interactive_tokens)
+            for s in message.sends[:MAX_SENDS]
+        ),
+        tuple(
+            poison.Crash(
+                ids.Fingerprint(c.fingerprint),
+                ids.UpstreamId(c.upstream),
+                ids.Incarnation(c.incarnation),
+            )
+            for c in message.crashes[:MAX_CRASHES]
+        ),
+        tuple(_decode_kept(k) for k in message.kept),
+    )
+
+
+def _encode_heartbeat(heartbeat: membership.Heartbeat) -> peers_pb2.Heartbeat:
+    return peers_pb2.Heartbeat(
+        vm=heartbeat.vm,
+        address=heartbeat.address,
+        failure_domain=heartbeat.failure_domain,
+        generation=heartbeat.generation,
+        counter=heartbeat.counter,
+        leaving=heartbeat.leaving,
+    )
+
+
+def _decode_heartbeat(message: peers_pb2.Heartbeat) -> membership.Heartbeat:
+    return membership.Heartbeat(
+        ids.VmId(message.vm),
+        ids.Address(message.address),
+        ids.FailureDomainId(message.failure_domain),
+        message.generation,
+        message.counter,
+        message.leaving,
+    )
+
+
+def _decode_kept(message: peers_pb2.KeptPieces) -> KeptPieces:
+    pieces = message.pieces[:MAX_KEPT_PIECES]
+    return KeptPieces(
+        ids.PoolId(message.pool),
+        tuple(ids.PieceId(piece) for piece in pieces if len(piece) == PIECE_BYTES),
+    )
--- /dev/null
+++ b/src/cicadapier/_internal/protocols/peer_transport.py
@@ -0,0 +1,223 @@
+"""Transport of messages between routers: gRPC in production, direct calls in tests."""
+
+import abc
+import hmac
+
+import grpclib
+import grpclib.client
+import grpclib.const
+import grpclib.exceptions
+import grpclib.server
+import trio
+import trio_asyncio
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
+from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import peer_codec
+from cicadapier._internal.protocols import peers_grpc
+from cicadapier._internal.protocols import peers_pb2
+
+EXCHANGE_TIMEOUT_S = 1.0
+FETCH_TIMEOUT_S = 10.0
+PART_BYTES = 262_144
+MAX_DOCUMENT_BYTES = 67_108_864
+MAX_CHANNELS = 64
+_CALL_ERRORS = (
+    OSError,
+    trio.TooSlowError,
+    grpclib.exceptions.GRPCError,
+    grpclib.exceptions.StreamTerminatedError,
+    grpclib.exceptions.ProtocolError,
+)
+_SECRET_KEY = "x-peer-secret"
+
+
+class PeerHandler(abc.ABC):
+    """Answers the messages of other routers."""
+
+    @abc.abstractmethod
+    def exchange(self, digest: peer_codec.Digest) -> peer_codec.Digest:
+        """Takes a digest and returns the own one."""
+
+    @abc.abstractmethod
+    def document(self, above: ids.ConfigNumber) -> tuple[ids.ConfigNumber, bytes] | None:
+        """Returns number and content of the configuration where it is above a number."""
+
+
+class PeerTransport(abc.ABC):
+    """Carries messages between routers."""
+
+    @abc.abstractmethod
+    async def serve(
+        self,
+        address: ids.Address,
+        handler: PeerHandler,
+        task_status: "trio.TaskStatus[ids.Address]" = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Answers messages until it is cancelled; reports the bound address."""
+
+    @abc.abstractmethod
+    async def exchange(self, address: ids.Address, digest: peer_codec.Digest) -> peer_codec.Digest:
+        """Sends a digest and returns the peer's.
+
+        Raises:
+            ProtocolError: The peer did not answer in time.
+        """
+
+    @abc.abstractmethod
+    async def fetch(
+        self, address: ids.Address, above: ids.ConfigNumber
+    ) -> tuple[ids.ConfigNumber, bytes] | None:
+        """Returns the peer's configuration where its number is above the one given.
+
+        Raises:
+            ProtocolError: The peer did not answer in time.
+        """
+
+
+_ConfigurationStream = grpclib.server.Stream[
+    peers_pb2.ConfigurationRequest, peers_pb2.ConfigurationPart
+]
+
+
+class _GrpcPeers(peers_grpc.PeersBase):
+    def __init__(self, handler: PeerHandler, secret: str) -> None:
+        self._handler = handler
+        self._secret = secret.encode()
+
+    async def Exchange(  # noqa: N802 - name of the generated method
+        self, stream: "grpclib.server.Stream[peers_pb2.Digest, peers_pb2.Digest]"
+    ) -> None:
+        """Answers a digest."""
+        self._authenticate(stream)
+        message = await stream.recv_message()
+        if message is not None:
+            answer = self._handler.exchange(peer_codec.decode(message))
+            await stream.send_message(peer_codec.encode(answer))
+
+    async def FetchConfiguration(  # noqa: N802 - name of the generated method
+        self,
+        stream: "_ConfigurationStream",
+    ) -> None:
+        """Sends the configuration in parts."""
+        self._authenticate(stream)
+        message = await stream.recv_message()
+        if message is None:
+            return
+        found = self._handler.document(ids.ConfigNumber(message.above))
+        if found is None:
+            return
+        number, content = found
+        for start in range(0, len(content), PART_BYTES):
+            part = content[start : start + PART_BYTES]
+            await stream.send_message(peers_pb2.ConfigurationPart(number=number, content=part))
+
+    def _authenticate(self, stream: "grpclib.server.Stream[object, object]") -> None:
+        offered = (stream.metadata or {}).get(_SECRET_KEY, "")
+        if not hmac.compare_digest(str(offered).encode(), self._secret):
+            status = grpclib.const.Status.UNAUTHENTICATED
+            raise grpclib.exceptions.GRPCError(status, "wrong peer secret")
+
+
+class GrpcTransport(PeerTransport):
+    """gRPC over TCP. Its asyncio code runs in the loop that `serve` opens on trio."""
+
+    def __init__(self, secret: str) -> None:
+        self._secret = secret
+        self._metadata = {_SECRET_KEY: secret}
+        self._channels: dict[ids.Address, grpclib.client.Channel] = {}
+        self._loop: trio_asyncio.BaseTrioEventLoop | None = None
+
+    async def serve(
+        self,
+        address: ids.Address,
+        handler: PeerHandler,
+        task_status: "trio.TaskStatus[ids.Address]" = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """See `PeerTransport.serve`."""
+        async with trio_asyncio.open_loop() as loop:
+            self._loop = loop
+            server = grpclib.server.Server([_GrpcPeers(handler, self._secret)])
+            host, port = settings.split_address(address)
+            await trio_asyncio.aio_as_trio(server.start)(host, port)
+            task_status.started(_bound_address(server))
+            try:
+                await trio.sleep_forever()
+            finally:
+                server.close()
+                for channel in self._channels.values():
+                    channel.close()
+
+    async def exchange(self, address: ids.Address, digest: peer_codec.Digest) -> peer_codec.Digest:
+        """See `PeerTransport.exchange`."""
+        message = peer_codec.encode(digest)
+
+        async def call() -> peers_pb2.Digest:
+            stub = peers_grpc.PeersStub(self._channel(address))
+            return await stub.Exchange(message, timeout=EXCHANGE_TIMEOUT_S, metadata=self._metadata)
+
+        return peer_codec.decode(await self._run(address, call, EXCHANGE_TIMEOUT_S))
+
+    async def fetch(
+        self, address: ids.Address, above: ids.ConfigNumber
+    ) -> tuple[ids.ConfigNumber, bytes] | None:
+        """See `PeerTransport.fetch`."""
+
+        async def call() -> tuple[ids.ConfigNumber, bytes] | None:
+            stub = peers_grpc.PeersStub(self._channel(address))
+            request = peers_pb2.ConfigurationRequest(above=above)
+            parts = await stub.FetchConfiguration(
+                request, timeout=FETCH_TIMEOUT_S, metadata=self._metadata
+            )
+            return _join(parts)
+
+        return await self._run(address, call, FETCH_TIMEOUT_S)
+
+    async def _run(self, address, call, timeout_s):  # type: ignore[no-untyped-def]  # noqa: ANN001, ANN202
+        if self._loop is None:
+            raise exceptions.ConnectError("the peer transport has not started")
+        try:
+            with trio.fail_after(timeout_s):
+                return await trio_asyncio.aio_as_trio(call, loop=self._loop)()
+        except (
+            TimeoutError,
+            OSError,
+            trio.TooSlowError,
+            grpclib.exceptions.GRPCError,
+            grpclib.exceptions.StreamTerminatedError,
+            grpclib.exceptions.ProtocolError,
+        ) as exc:
+            self._drop_channel(address)
+            raise exceptions.ConnectionLostError(f"{address}: {exc!r}") from exc
+
+    def _channel(self, address: ids.Address) -> grpclib.client.Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            if len(self._channels) >= MAX_CHANNELS:
+                self._drop_channel(next(iter(self._channels)))
+            host, port = settings.split_address(address)
+            channel = grpclib.client.Channel(host, port)
+            self._channels[address] = channel
+        return channel
+
+    def _drop_channel(self, address: ids.Address) -> None:
+        # A channel that failed may be one that went silent for good.
+        channel = self._channels.pop(address, None)
+        if channel:
+            channel.close()
+
+
+def _bound_address(server: grpclib.server.Server) -> ids.Address:
+    assert server._server is not None
+    host, port = server._server.sockets[0].getsockname()[:2]  # type: ignore[attr-defined]
+    return ids.Address(f"{host}:{port}")
+
+
+def _join(parts: list[peers_pb2.ConfigurationPart]) -> tuple[ids.ConfigNumber, bytes] | None:
+    if not parts:
+        return None
+    content = b"".join(part.content for part in parts)
+    if len(content) > MAX_DOCUMENT_BYTES:
+        raise exceptions.MalformedMessageError("the configuration is too large")
+    return ids.ConfigNumber(parts[0].number), content
--- /dev/null
+++ b/src/cicadapier/_internal/protocols/transport.py
@@ -0,0 +1,71 @@
+"""Byte transports: TCP in production, in memory where tests pause the clock."""
+
+import abc
+import collections.abc
+import ssl
+
+import trio
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
+from cicadapier._internal.protocols import exceptions
+
+StreamHandler = collections.abc.Callable[[trio.abc.Stream], collections.abc.Awaitable[None]]
+
+
+class Network(abc.ABC):
+    """Opens and accepts byte streams."""
+
+    @abc.abstractmethod
+    async def connect(self, address: ids.Address, timeout_s: float) -> trio.abc.Stream:
+        """Opens a stream.
+
+        Raises:
+            ConnectError: The address refuses or does not answer in time.
+        """
+
+    @abc.abstractmethod
+    async def serve(
+        self,
+        address: ids.Address,
+        handler: StreamHandler,
+        task_status: "trio.TaskStatus[ids.Address]" = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accepts streams until it is cancelled; reports the bound address."""
+
+
+class TcpNetwork(Network):
+    """Plain TCP, or TLS on the accepting side."""
+
+    def __init__(self, tls: settings.Tls | None = None) -> None:
+        self._ssl_context: ssl.SSLContext | None = None
+        if tls:
+            self._ssl_context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+            self._ssl_context.load_cert_chain(tls.certificate, tls.key)
+
+    async def connect(self, address: ids.Address, timeout_s: float) -> trio.abc.Stream:
+        """See `Network.connect`."""
+        host, port = settings.split_address(address)
+        with trio.move_on_after(timeout_s):
+            try:
+                return await trio.open_tcp_stream(host, port, happy_eyeballs_delay=timeout_s)
+            except OSError as exc:
+                raise exceptions.ConnectError(f"{address}: {exc}") from exc
+        raise exceptions.ConnectError(f"{address}: no answer within {timeout_s} s")
+
+    async def serve(
+        self,
+        address: ids.Address,
+        handler: StreamHandler,
+        task_status: "trio.TaskStatus[ids.Address]" = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """See `Network.serve`."""
+        host, port = settings.split_address(address)
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        bound = listeners[0].socket.getsockname()
+        task_status.started(ids.Address(f"{bound[0]}:{bound[1]}"))
+        accepting: list[trio.abc.Listener[trio.abc.Stream]] = list(listeners)
+        if self._ssl_context:
+            context = self._ssl_context
+            accepting = [trio.SSLListener(item, context) for item in listeners]
+        await trio.serve_listeners(handler, accepting)
--- /dev/null
+++ b/src/cicadapier/_internal/services/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own sockets and state and talk by messages."""
--- /dev/null
+++ b/src/cicadapier/_internal/services/assembly.py
@@ -0,0 +1,95 @@
+"""Puts the services of one router together."""
+
+import dataclasses
+import random
+import time
+
+from cicadapier._internal.kernel import service
+from cicadapier._internal.models import settings
+from cicadapier._internal.protocols import peer_transport
+from cicadapier._internal.protocols import transport
+from cicadapier._internal.services import callers_service
+from cicadapier._internal.services import claims_service
+from cicadapier._internal.services import configuration_service
+from cicadapier._internal.services import connections_service
+from cicadapier._internal.services import operators_service
+from cicadapier._internal.services import peers_service
+from cicadapier._internal.services import platform_service
+from cicadapier._internal.services import telemetry_service
+from cicadapier._internal.services import traffic_service
+from cicadapier._internal.services import upstreams_service
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Router:
+    """One router.
+
+    Attributes:
+        kernel: Runs its services.
+        callers: Listener for callers.
+        operators: Listener for operators.
+        peers: Gossip with other routers.
+        configuration: The configuration in force.
+    """
+
+    kernel: service.Kernel
+    callers: callers_service.CallersService
+    operators: operators_service.OperatorsService
+    peers: peers_service.PeersService
+    configuration: configuration_service.ConfigurationService
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wiring:
+    """What connects a router to the world.
+
+    Attributes:
+        listen: Network on which callers and operators are accepted.
+        connect: Network on which upstreams and the platform are reached.
+        peers: Transport to other routers.
+        generation: Number that grows with each start on a VM.
+        seed: Seed of the router's random choices.
+    """
+
+    listen: transport.Network
+    connect: transport.Network
+    peers: peer_transport.PeerTransport
+    generation: int
+    seed: int
+
+
+def production_wiring(cfg: settings.Settings) -> Wiring:
+    """Returns TCP and gRPC."""
+    started = time.time_ns()
+    return Wiring(
+        transport.TcpNetwork(cfg.tls),
+        transport.TcpNetwork(),
+        peer_transport.GrpcTransport(cfg.peers.secret),
+        started // 1_000_000,
+        started,
+    )
+
+
+def assemble(cfg: settings.Settings, wiring: Wiring) -> Router:
+    """Returns a router that is ready to run."""
+    kernel = service.Kernel()
+    rng = random.Random(wiring.seed)
+    configurations = configuration_service.ConfigurationService(rng)
+    peers = peers_service.PeersService(cfg, wiring.peers, wiring.generation, rng)
+    callers = callers_service.CallersService(cfg, wiring.listen)
+    operators = operators_service.OperatorsService(cfg, wiring.listen)
+    # Services stop in reverse order: callers drain first, then the others may go.
+    for item in (
+        telemetry_service.TelemetryService(cfg.vm, cfg.otlp_endpoint),
+        platform_service.PlatformService(cfg.platform, wiring.connect, rng),
+        connections_service.ConnectionsService(wiring.connect),
+        traffic_service.TrafficService(cfg.failure_domain),
+        configurations,
+        peers,
+        claims_service.ClaimsService(),
+        upstreams_service.UpstreamsService(rng),
+        operators,
+        callers,
+    ):
+        kernel.register(item)
+    return Router(kernel, callers, operators, peers, configurations)
--- /dev/null
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -0,0 +1,164 @@
+"""One attempt at a request on one upstream connection."""
+
+import dataclasses
+
+import trio
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import outcomes
+from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import headers
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.services import connections_service
+
+CRASH_CHECK_S = 0.3
+NOT_RUN_STATUSES = frozenset((429, 503))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """What is sent in one attempt.
+
+    Attributes:
+        request: Id that the answer must name.
+        address: Upstream.
+        incarnation: Its last known incarnation, empty where none is known.
+        head: Start of the request.
+        body: Its body.
+        connect_s: Time limit for connecting.
+        first_s: Time limit for the start of the answer.
+    """
+
+    request: ids.RequestId
+    address: ids.Address
+    incarnation: ids.Incarnation
+    head: http_client.RequestHead
+    body: bytes
+    connect_s: float
+    first_s: float
+
+
+class AttemptFailedError(Exception):
+    """The attempt ended before its answer was complete.
+
+    Attributes:
+        outcome: What is known of it.
+    """
+
+    def __init__(self, outcome: outcomes.AttemptOutcome) -> None:
+        super().__init__(getattr(outcome, "reason", ""))
+        self.outcome = outcome
+
+
+class Attempt:
+    """One attempt; owns its connection from `start` to `finish` or `abandon`."""
+
+    def __init__(self, connections: connections_service.ConnectionsService, call: Call) -> None:
+        self._connections = connections
+        self._call = call
+        self._conn: http_client.ClientConnection | None = None
+        self.head: http_client.ResponseHead | None = None
+
+    @property
+    def incarnation(self) -> ids.Incarnation:
+        """Incarnation that answers, as far as the answer names it."""
+        raw = self.head.header(headers.INCARNATION) if self.head else None
+        return ids.Incarnation(raw.decode("latin-1")) if raw else self._call.incarnation
+
+    async def start(self) -> http_client.ResponseHead:
+        """Sends the request and waits for the start of the answer.
+
+        Raises:
+            AttemptFailedError: There is no answer that belongs to the request.
+        """
+        call = self._call
+        try:
+            self._conn = await self._connections.acquire(call.address, call.connect_s)
+        except exceptions.ConnectError as exc:
+            raise AttemptFailedError(outcomes.NotSent(str(exc))) from exc
+        try:
+            await self._conn.send(call.head, call.body)
+            self.head = await self._conn.receive_head(call.first_s)
+        except exceptions.ProtocolError as exc:
+            raise AttemptFailedError(await self._no_answer(exc)) from exc
+        await self._check_identity(self.head)
+        await self._check_refusal(self.head)
+        return self.head
+
+    async def receive(self, timeout_s: float, offset: int) -> bytes | None:
+        """Returns the next part of the answer's body, or None at its end.
+
+        Args:
+            timeout_s: Time limit for progress.
+            offset: Tokens relayed so far, for the outcome of a failure.
+
+        Raises:
+            AttemptFailedError: The answer broke off.
+        """
+        assert self._conn
+        try:
+            return await self._conn.receive_data(timeout_s)
+        except exceptions.ProtocolError as exc:
+            crashed = await self._crashed(exc)
+            raise AttemptFailedError(outcomes.Broken(_describe(exc), offset, crashed)) from exc
+
+    async def finish(self) -> None:
+        """Returns the connection to the pool after a whole answer."""
+        if self._conn:
+            conn, self._conn = self._conn, None
+            await self._connections.release(self._call.address, conn)
+
+    async def abandon(self) -> None:
+        """Closes the connection, so that a late answer can reach nobody."""
+        if self._conn:
+            conn, self._conn = self._conn, None
+            with trio.CancelScope(shield=True):
+                await self._connections.discard(self._call.address, conn)
+
+    async def _no_answer(self, exc: exceptions.ProtocolError) -> outcomes.SentNoAnswer:
+        return outcomes.SentNoAnswer(_describe(exc), await self._crashed(exc))
+
+    async def _crashed(self, exc: exceptions.ProtocolError) -> bool:
+        """Asks the upstream whether it has crashed, since a lost connection proves little."""
+        await self.abandon()
+        if not isinstance(exc, exceptions.ConnectionLostError):
+            return False
+        try:
+            conn = await self._connections.open(self._call.address, CRASH_CHECK_S)
+        except exceptions.ConnectError:
+            return True
+        try:
+            probe = http_client.RequestHead("GET", "/load", [])
+            answer, _ = await connections_service.exchange(conn, probe, b"", CRASH_CHECK_S)
+            current = answer.header(headers.INCARNATION) or b""
+        except exceptions.ProtocolError:
+            return False
+        finally:
+            await conn.close()
+        known = self._call.incarnation.encode()
+        return bool(current and known and current != known)
+
+    async def _check_identity(self, head: http_client.ResponseHead) -> None:
+        named = head.header(headers.REQUEST_ID)
+        if named is not None and named != self._call.request.encode():
+            await self.abandon()
+            reason = "the upstream answered another request"
+            raise AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
+
+    async def _check_refusal(self, head: http_client.ResponseHead) -> None:
+        if head.status < 400 or head.header(headers.NOT_RUN) != b"true":
+            return
+        if head.status not in NOT_RUN_STATUSES:
+            # A refusal for the request's own sake is the caller's answer.
+            return
+        await self.abandon()
+        reason = f"the upstream refused with status {head.status}"
+        raise AttemptFailedError(outcomes.RefusedBeforeRunning(reason))
+
+
+def _describe(exc: exceptions.ProtocolError) -> str:
+    if isinstance(exc, exceptions.SilentConnectionError):
+        return "the upstream made no progress in time"
+    if isinstance(exc, exceptions.ConnectionLostError):
+        return "the connection to the upstream was lost"
+    return "the upstream broke the protocol"
--- /dev/null
+++ b/src/cicadapier/_internal/services/claims_service.py
@@ -0,0 +1,201 @@
+"""Claims of once-only calls, as platform objects."""
+
+import base64
+import collections
+import dataclasses
+import secrets
+from typing import Any
+
+import structlog
+import trio
+
+from cicadapier._internal.decisions import claims
+from cicadapier._internal.kernel import mailbox
+from cicadapier._internal.kernel import service
+from cicadapier._internal.models import outcomes
+from cicadapier._internal.services import exceptions
+from cicadapier._internal.services import names
+from cicadapier._internal.services import platform_service
+
+PLURAL = "claims"
+RETRY_S = 1.0
+MAX_BACKLOG = 4096
+
+_log = structlog.get_logger()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """A claim that this router holds.
+
+    Attributes:
+        name: Name of the claim object.
+        nonce: Identity under which it is held.
+        fingerprint: Digest of the request.
+    """
+
+    name: str
+    nonce: str
+    fingerprint: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """Write what is known of the call into the claim."""
+
+    ticket: Ticket
+    state: claims.ClaimState
+    answer: claims.Answer | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """Delete the claim of a call that was never sent."""
+
+    ticket: Ticket
+
+
+Message = Record | Release
+
+
+class ClaimsService(service.Service):
+    """Takes claims in the task of the request; records and releases them in its own.
+
+    A claim is settled in the background, so that a slow platform holds up no answer; until then
+    a repeat is told that the outcome is not known yet.
+    """
+
+    name = names.CLAIMS
+
+    def __init__(self) -> None:
+        self.mailbox: mailbox.Mailbox[Message] = mailbox.Mailbox()
+        self._platform: platform_service.PlatformService | None = None
+        self._backlog: collections.deque[Message] = collections.deque(maxlen=MAX_BACKLOG)
+        self._idle = trio.Event()
+
+    async def run(self, kernel: service.Kernel, started: "trio.TaskStatus[None]") -> None:
+        """See `service.Service.run`."""
+        self._platform = kernel.find(names.PLATFORM)
+        started.started()
+        while True:
+            if not self._backlog:
+                self._idle.set()
+                self._backlog.append(await self.mailbox.receive())
+                self._idle = trio.Event()
+            await self._settle_next()
+
+    async def drain(self) -> None:
+        """Waits until every claim is settled."""
+        await self._idle.wait()
+
+    async def take(self, name: str, fingerprint: str) -> Ticket | claims.Answer:
+        """Claims a call.
+
+        Returns:
+            The ticket to run it, or the answer that it gave before.
+
+        Raises:
+            RefusedError: The call must not be run now.
+        """
+        nonce = secrets.token_hex(16)
+        ticket = Ticket(name, nonce, fingerprint)
+        attempt = claims.ClaimAttempt(nonce, fingerprint)
+        step = attempt.start()
+        while isinstance(step, claims.Create):
+            await trio.sleep(step.pause_s)
+            step = attempt.created(await self._create(ticket))
+        if isinstance(step, claims.Replay):
+            return step.answer
+        if isinstance(step, claims.Refuse):
+            if step.release:
+                self.mailbox.offer(Release(ticket))
+            raise exceptions.RefusedError(step.refusal)
+        return ticket
+
+    def settle(self, ticket: Ticket, answer: claims.Answer) -> None:
+        """Records the answer of a call that ran."""
+        if answer.body is not None and len(answer.body) > claims.MAX_RECORDED_BODY_BYTES:
+            answer = dataclasses.replace(answer, body=None)
+        self.mailbox.offer(Record(ticket, claims.ClaimState.DONE, answer))
+
+    def settle_refused(self, ticket: Ticket, refusal: outcomes.Refusal) -> None:
+        """Records that a call was refused: released if not run, else unknown."""
+        if refusal.effect is outcomes.Effect.NOT_RUN:
+            self.mailbox.offer(Release(ticket))
+        else:
+            self.mailbox.offer(Record(ticket, claims.ClaimState.UNKNOWN, None))
+
+    async def _create(self, ticket: Ticket) -> claims.CreateResult:
+        assert self._platform
+        try:
+            result = await self._platform.create(PLURAL, ticket.name, _spec(ticket))
+            if isinstance(result, platform_service.Written):
+                return claims.Created()
+            found = await self._platform.get(PLURAL, ticket.name)
+        except exceptions.PlatformUnavailableError as exc:
+            return claims.Unanswered(str(exc))
+        except exceptions.PlatformRefusedError as exc:
+            return claims.Rejected(str(exc))
+        if found is None:
+            # It was there and has just been released; the next create decides.
+            return claims.Rejected("the claim is being released")
+        return claims.Exists(_read(found.spec))
+
+    async def _settle_next(self) -> None:
+        message = self._backlog.popleft()
+        try:
+            await self._settle(message)
+        except exceptions.PlatformUnavailableError:
+            self._backlog.append(message)
+            await self._collect(RETRY_S)
+        except exceptions.PlatformRefusedError as exc:
+            _log.warning("claim_not_settled", claim=message.ticket.name, reason=str(exc))
+
+    async def _collect(self, seconds: float) -> None:
+        deadline = trio.current_time() + seconds
+        while (message := await self.mailbox.receive_until(deadline)) is not None:
+            self._backlog.append(message)
+
+    async def _settle(self, message: Message) -> None:
+        assert self._platform
+        found = await self._platform.get(PLURAL, message.ticket.name)
+        if found is None or _read(found.spec).nonce != message.ticket.nonce:
+            return
+        if isinstance(message, Release):
+            await self._platform.delete(PLURAL, found)
+        else:
+            spec = _spec(message.ticket, message.state, message.answer)
+            await self._platform.replace(PLURAL, found, spec)
+
+
+def _spec(
+    ticket: Ticket,
+    state: claims.ClaimState = claims.ClaimState.CLAIMED,
+    answer: claims.Answer | None = None,
+) -> dict[str, Any]:
+    spec: dict[str, Any] = {
+        "nonce": ticket.nonce,
+        "fingerprint": ticket.fingerprint,
+        "state": state.value,
+    }
+    if answer:
+        spec["answer"] = {
+            "status": answer.status,
+            "contentType": answer.content_type,
+            "body": None if answer.body is None else base64.b64encode(answer.body).decode(),
+        }
+    return spec
+
+
+def _read(spec: Any) -> claims.Claim:
+    raw = spec.get("answer")
+    answer = None
+    if raw:
+        body = raw.get("body")
+        answer = claims.Answer(
+            int(raw["status"]),
+            str(raw["contentType"]),
+            None if body is None else base64.b64decode(body),
+        )
+    state = claims.ClaimState(spec["state"])
+    return claims.Claim(str(spec["nonce"]), str(spec["fingerprint"]), state, answer)
--- /dev/null
+++ b/src/cicadapier/_internal/services/configuration_service.py
@@ -0,0 +1,143 @@
+"""The configuration in force on this router.
+
+The platform and the peers show the same numbered documents; the higher number wins, and the
+number in force never falls.
+"""
+
+import dataclasses
+import random
+from typing import Any
+import zlib
+
+import msgspec
+import structlog
+import trio
+
+from cicadapier._internal.decisions import patches
+from cicadapier._internal.kernel import service
+from cicadapier._internal.models import checked
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import exceptions as model_exceptions
+from cicadapier._internal.models import ids
+from cicadapier._internal.services import configuration_store
+from cicadapier._internal.services import exceptions
+from cicadapier._internal.services import names
+from cicadapier._internal.services import platform_service
+from cicadapier._internal.services import traffic_service
+
+POLL_S = 0.5
+MAX_PACKED_BYTES = 67_108_864
+
+_log = structlog.get_logger()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Document:
+    """A numbered document with its history."""
+
+    number: ids.ConfigNumber
+    content: dict[str, Any]
+    history: tuple[patches.Change, ...]
+
+
+_EMPTY = Document(ids.ConfigNumber(0), {"accounts": {}, "pools": {}}, ())
+
+
+class ConfigurationService(service.Service):
+    """Holds the configuration in force and submits patches.
+
+    Attributes:
+        current: The configuration in force.
+        document: The same as a plain document.
+        ready: Set once any configuration is known.
+    """
+
+    name = names.CONFIGURATION
+
+    def __init__(self, rng: random.Random) -> None:
+        self.current = configuration.EMPTY
+        self.document = _EMPTY
+        self.ready = trio.Event()
+        self.platform_reachable = False
+        self._rng = rng
+        self._store: configuration_store.ConfigurationStore | None = None
+        self._traffic: traffic_service.TrafficService | None = None
+        self._packed: tuple[ids.ConfigNumber, bytes] | None = None
+
+    async def run(self, kernel: service.Kernel, started: "trio.TaskStatus[None]") -> None:
+        """See `service.Service.run`."""
+        platform: platform_service.PlatformService = kernel.find(names.PLATFORM)
+        self._store = configuration_store.ConfigurationStore(platform)
+        self._traffic = kernel.find(names.TRAFFIC)
+        started.started()
+        while True:
+            if platform.configured:
+                await self._poll()
+            await trio.sleep(POLL_S * self._rng.uniform(0.8, 1.2))
+
+    def offer(self, document: Document) -> bool:
+        """Puts a document in force where its number is higher; returns whether it did."""
+        if document.number <= self.current.number:
+            return False
+        try:
+            value = configuration.parse(document.content)
+        except model_exceptions.InvalidDocumentError as exc:
+            _log.error("configuration_invalid", number=document.number, reason=str(exc))
+            return False
+        self.current = configuration.NumberedConfiguration(document.number, value)
+        self.document = document
+        self._packed = None
+        assert self._traffic
+        self._traffic.mailbox.send(traffic_service.ConfigurationChanged(self.current))
+        self.ready.set()
+        _log.info("configuration_in_force", number=document.number)
+        return True
+
+    def packed(self, above: ids.ConfigNumber) -> tuple[ids.ConfigNumber, bytes] | None:
+        """Returns the document for a peer where its number is above the peer's."""
+        if self.current.number <= above:
+            return None
+        if self._packed is None:
+            history = [checked.to_plain(change) for change in self.document.history]
+            body = {"content": self.document.content, "history": history}
+            self._packed = (self.current.number, zlib.compress(msgspec.json.encode(body)))
+        return self._packed
+
+    def offer_packed(self, number: ids.ConfigNumber, packed: bytes) -> None:
+        """Takes a document from a peer."""
+        try:
+            unpacker = zlib.decompressobj()
+            body = msgspec.json.decode(unpacker.decompress(packed, MAX_PACKED_BYTES))
+            history = tuple(configuration_store.read_change(raw) for raw in body["history"])
+            self.offer(Document(number, body["content"], history))
+        except (zlib.error, msgspec.MsgspecError, KeyError, TypeError) as exc:
+            _log.error("peer_configuration_unreadable", number=number, reason=repr(exc))
+
+    async def submit(
+        self, submission: configuration_store.Submission
+    ) -> configuration_store.SubmitResult:
+        """Submits a patch and puts it in force here at once where it is accepted."""
+        if self._store is None:
+            return configuration_store.Unsettled("this router is starting")
+        result = await self._store.submit(submission)
+        if isinstance(result, configuration_store.Done):
+            self._adopt(result.stored)
+        return result
+
+    async def _poll(self) -> None:
+        assert self._store
+        try:
+            number, _ = await self._store.read_number()
+            if number > self.current.number:
+                self._adopt(await self._store.read())
+            self._note_platform(True)
+        except (exceptions.PlatformUnavailableError, exceptions.PlatformRefusedError):
+            self._note_platform(False)
+
+    def _adopt(self, stored: configuration_store.Stored) -> None:
+        self.offer(Document(stored.number, stored.document, stored.history))
+
+    def _note_platform(self, reachable: bool) -> None:
+        if reachable != self.platform_reachable:
+            _log.info("platform_reachable" if reachable else "platform_unreachable")
+        self.platform_reachable = reachable
--- /dev/null
+++ b/src/cicadapier/_internal/services/connections_service.py
@@ -0,0 +1,156 @@
+"""Pooled connections to upstreams.
+
+A connection belongs to the pool while it is idle and to the task of one request while it is in
+use; ownership passes with the message. A connection that timed out never comes back.
+"""
+
+import dataclasses
+
+import trio
+
+from cicadapier._internal.kernel import mailbox
+from cicadapier._internal.kernel import service
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import transport
+from cicadapier._internal.services import names
+
+MAX_IDLE_PER_ADDRESS = 64
+MAX_IDLE_S = 4.0
+MAX_AGE_S = 120.0
+SWEEP_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Take:
+    """Asks for an idle connection."""
+
+    address: ids.Address
+    reply: "mailbox.Reply[http_client.ClientConnection | None]"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GiveBack:
+    """Hands a reusable connection to the pool."""
+
+    address: ids.Address
+    conn: http_client.ClientConnection
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspect:
+    """A connection to this address has failed: its idle siblings may be dead as well."""
+
+    address: ids.Address
+
+
+Message = Take | GiveBack | Suspect
+
+
+class ConnectionsService(service.Service):
+    """Owns the idle connections to upstreams."""
+
+    name = names.CONNECTIONS
+
+    def __init__(self, network: transport.Network) -> None:
+        self.mailbox: mailbox.Mailbox[Message] = mailbox.Mailbox()
+        self._network = network
+        self._idle: dict[ids.Address, list[http_client.ClientConnection]] = {}
+        self._suspected_at: dict[ids.Address, float] = {}
+
+    async def run(self, kernel: service.Kernel, started: "trio.TaskStatus[None]") -> None:
+        """See `service.Service.run`."""
+        started.started()
+        next_sweep = trio.current_time() + SWEEP_S
+        while True:
+            message = await self.mailbox.receive_until(next_sweep)
+            if message is None:
+                await self._sweep()
+                next_sweep = trio.current_time() + SWEEP_S
+            else:
+                await self._handle(message)
+
+    async def acquire(self, address: ids.Address, timeout_s: float) -> http_client.ClientConnection:
+        """Returns an idle connection or a new one, which the calling task then owns.
+
+        Raises:
+            ConnectError: No connection could be made.
+        """
+        reply: mailbox.Reply[http_client.ClientConnection | None] = mailbox.Reply()
+        self.mailbox.send(Take(address, reply))
+        conn = await reply.get()
+        return conn or await self.open(address, timeout_s)
+
+    async def open(self, address: ids.Address, timeout_s: float) -> http_client.ClientConnection:
+        """Returns a new connection.
+
+        Raises:
+            ConnectError: No connection could be made.
+        """
+        stream = await self._network.connect(address, timeout_s)
+        return http_client.ClientConnection(stream, address)
+
+    async def release(self, address: ids.Address, conn: http_client.ClientConnection) -> None:
+        """Gives a connection back after a whole answer, or closes it."""
+        if conn.make_reusable() and self.mailbox.offer(GiveBack(address, conn)):
+            return
+        await conn.close()
+
+    async def discard(self, address: ids.Address, conn: http_client.ClientConnection) -> None:
+        """Closes a connection that failed and puts its idle siblings under suspicion."""
+        self.mailbox.offer(Suspect(address))
+        await conn.close()
+
+    async def _handle(self, message: Message) -> None:
+        if isinstance(message, Take):
+            message.reply.set(self._take(message.address))
+        elif isinstance(message, GiveBack):
+            await self._give_back(message)
+        else:
+            self._suspected_at[message.address] = trio.current_time()
+            for conn in self._idle.pop(message.address, []):
+                await conn.close()
+
+    def _take(self, address: ids.Address) -> http_client.ClientConnection | None:
+        idle = self._idle.get(address)
+        return idle.pop() if idle else None
+
+    async def _give_back(self, message: GiveBack) -> None:
+        idle = self._idle.setdefault(message.address, [])
+        suspected_at = self._suspected_at.get(message.address, -1.0)
+        # A connection that has answered since the suspicion has proved itself.
+        proved = message.conn.idle_since >= suspected_at
+        young = trio.current_time() - message.conn.opened_at < MAX_AGE_S
+        if proved and young and len(idle) < MAX_IDLE_PER_ADDRESS:
+            idle.append(message.conn)
+        else:
+            await message.conn.close()
+
+    async def _sweep(self) -> None:
+        now = trio.current_time()
+        for address, idle in list(self._idle.items()):
+            stale = [conn for conn in idle if now - conn.idle_since > MAX_IDLE_S]
+            self._idle[address] = [conn for conn in idle if now - conn.idle_since <= MAX_IDLE_S]
+            for conn in stale:
+                await conn.close()
+            if not self._idle[address]:
+                del self._idle[address]
+
+
+async def exchange(
+    conn: http_client.ClientConnection,
+    head: http_client.RequestHead,
+    body: bytes,
+    timeout_s: float,
+) -> tuple[http_client.ResponseHead, bytes]:
+    """Sends a request and reads its whole answer.
+
+    Raises:
+        ProtocolError: As for the connection's methods.
+    """
+    with trio.move_on_after(timeout_s):
+        await conn.send(head, body)
+        answer = await conn.receive_head(timeout_s)
+        return answer, await conn.receive_body(timeout_s)
+    raise exceptions.SilentConnectionError(f"no answer within {timeout_s} s")
--- /dev/null
+++ b/src/cicadapier/_internal/services/explanations.py
@@ -0,0 +1,98 @@
+"""Explanation of a choice that would be made, without running anything."""
+
+import dataclasses
+import secrets
+
+import msgspec
+import trio
+
+from cicadapier._internal.decisions import members
+from cicadapier._internal.kernel import mailbox
+from cicadapier._internal.kernel import service
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import completions
+from cicadapier._internal.services import callers_service
+from cicadapier._internal.services import exceptions
+from cicadapier._internal.services import names
+from cicadapier._internal.services import request_context
+from cicadapier._internal.services import traffic_service
+
+
+class Question(msgspec.Struct):
+    """What an operator asks."""
+
+    account: str
+    model: str
+    prompt: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unexplained:
+    """The question cannot be answered."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explanation:
+    """Pieces, candidates and choice of a prompt.
+
+    Attributes:
+        pool: Pool that serves the model.
+        total_tokens: Tokens in the prompt.
+        pieces: Ids of its full pieces, in hexadecimal.
+        candidates: Estimate for each candidate.
+        chosen: The chosen upstream, or None.
+        reason: Why it was chosen.
+    """
+
+    pool: ids.PoolId
+    total_tokens: int
+    pieces: list[str]
+    candidates: list[members.Estimate]
+    chosen: ids.UpstreamId | None
+    reason: str
+
+
+class Explanations:
+    """Answers questions of operators."""
+
+    def __init__(self, kernel: service.Kernel) -> None:
+        self._kernel = kernel
+
+    async def explain(
+        self, question: Question, cfg: configuration.NumberedConfiguration
+    ) -> Explanation | Unexplained:
+        """Returns how a request would be placed now."""
+        callers: callers_service.CallersService = self._kernel.find(names.CALLERS)
+        traffic: traffic_service.TrafficService = self._kernel.find(names.TRAFFIC)
+        account = ids.AccountId(question.account)
+        spec = cfg.content.accounts.get(account)
+        if spec is None:
+            return Unexplained(f"there is no account {account!r}")
+        request = ids.RequestId(f"explain-{secrets.token_hex(4)}")
+        context = request_context.Context(request, account, spec, cfg, trio.current_time(), {})
+        req = completions.ModelRequest(
+            completions.Endpoint.COMPLETIONS,
+            ids.ModelId(question.model),
+            False,
+            None,
+            question.prompt.encode(),
+            {},
+        )
+        try:
+            plan = callers.models.plan(context, req)
+        except exceptions.RefusedError as exc:
+            return Unexplained(exc.refusal.message)
+        reply: mailbox.Reply[members.Choice | None] = mailbox.Reply()
+        traffic.mailbox.send(traffic_service.Explain(plan.entry, reply))
+        choice = await reply.get()
+        return Explanation(
+            plan.pool_id,
+            plan.entry.prompt.total_tokens,
+            [piece.hex() for piece in plan.entry.prompt.pieces],
+            list(choice.candidates) if choice else [],
+            choice.estimate.upstream if choice else None,
+            choice.reason if choice else "no upstream can take requests now",
+        )
--- /dev/null
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -0,0 +1,365 @@
+"""Requests to language models: placement, attempts, and the relay of the answer."""
+
+import dataclasses
+import http
+
+import msgspec
+import trio
+
+from cicadapier._internal.decisions import prefix
+from cicadapier._internal.decisions import retries
+from cicadapier._internal.decisions import traffic
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import outcomes
+from cicadapier._internal.protocols import completions
+from cicadapier._internal.protocols import headers
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import http_server
+from cicadapier._internal.services import attempts
+from cicadapier._internal.services import exceptions
+from cicadapier._internal.services import request_context
+from cicadapier._internal.services import telemetry_service
+from cicadapier._internal.services import traffic_service
+
+DEFAULT_OUTPUT_TOKENS = 256
+MIN_FIRST_TOKEN_S = 2.0
+ESTIMATE_FACTOR = 4.0
+BATCH_PRIORITY = 1
+UPSTREAM_HEADER = b"x-cicadapier-upstream"
+REASON_HEADER = b"x-cicadapier-reason"
+_MAX_ANSWER_BYTES = 67_108_864
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Plan:
+    """What stays the same over all attempts at a request."""
+
+    req: completions.ModelRequest
+    pool_id: ids.PoolId
+    pool: configuration.Pool
+    scope: prefix.Scope
+    salt: str
+    entry: traffic.Entry
+
+
+class _Progress:
+    """How far the answer has come, over all attempts.
+
+    Attributes:
+        offset: Tokens of the answer that the caller has.
+        cached_tokens: Tokens found cached by the attempt that answers.
+        last_at: Time of the last token.
+    """
+
+    def __init__(self) -> None:
+        self.offset = 0
+        self.cached_tokens: int | None = None
+        self.last_at: float | None = None
+        self.finished = False
+
+
+class ModelRequests:
+    """Handles model requests."""
+
+    def __init__(self, services: request_context.Services, secret: bytes) -> None:
+        self._services = services
+        self._secret = secret
+
+    async def handle(
+        self,
+        context: request_context.Context,
+        req: completions.ModelRequest,
+        responder: http_server.Responder,
+    ) -> None:
+        """Answers one request.
+
+        Raises:
+            RefusedError: The request is refused and no answer has begun.
+        """
+        plan = self.plan(context, req)
+        placed = await self._services.enter(plan.entry)
+        self._services.telemetry.record(
+            telemetry_service.Histogram.QUEUE_WAIT, placed.queued_s, context.attributes
+        )
+        relay = _Relay(self._services, context, plan, responder)
+        ran = True
+        try:
+            ran = await relay.run(placed)
+        finally:
+            self._services.leave(context.request, ran)
+
+    def plan(self, context: request_context.Context, req: completions.ModelRequest) -> _Plan:
+        """Returns what a request asks for, in terms of pools and pieces.
+
+        Raises:
+            RefusedError: The model is unknown or not permitted.
+        """
+        pool_id = context.cfg.pools_by_model.get(req.model)
+        permitted = not context.spec.pools or pool_id in context.spec.pools
+        if pool_id is None or not permitted:
+            message = f"there is no model {req.model!r} for this account"
+            refusal = outcomes.Refusal(outcomes.Code.MODEL_NOT_FOUND, message)
+            raise exceptions.RefusedError(refusal)
+        pool = context.cfg.content.pools[pool_id]
+        model = pool.models[req.model]
+        scope = prefix.Scope(context.account, req.model, model.adapter, model.weights_version)
+        root = prefix.root(self._secret, scope)
+        prompt = prefix.cut(root, req.prompt, pool.piece_tokens, pool.bytes_per_token)
+        entry = traffic.Entry(
+            context.request,
+            context.account,
+            pool_id,
+            prompt,
+            req.max_tokens or DEFAULT_OUTPUT_TOKENS,
+            prefix.fingerprint(scope, req.prompt),
+        )
+        return _Plan(req, pool_id, pool, scope, root.hex(), entry)
+
+
+class _Relay:
+    """Attempts at one request until its answer is complete."""
+
+    def __init__(
+        self,
+        services: request_context.Services,
+        context: request_context.Context,
+        plan: _Plan,
+        responder: http_server.Responder,
+    ) -> None:
+        self._services = services
+        self._context = context
+        self._plan = plan
+        self._responder = responder
+        self._progress = _Progress()
+        self._must_tell_offset = False
+
+    async def run(self, placed: traffic.Placed) -> bool:
+        """Runs attempts; returns whether the request may have cost an upstream anything."""
+        nature = retries.Nature(repeatable=True, resumable=True)
+        sequence = retries.AttemptSequence(nature, self._services.budget)
+        while True:
+            outcome = await self._attempt(placed)
+            await self._services.attempt_ended(self._context.request, outcome)
+            step = sequence.ended(outcome, trio.current_time())
+            if isinstance(step, retries.Finish):
+                self._measure_end()
+                return True
+            if isinstance(step, retries.Retry):
+                self._services.telemetry.retried(type(outcome).__name__)
+                decision = await self._services.again(self._context.request)
+                if isinstance(decision, traffic.Placed):
+                    placed = decision
+                    continue
+                step = self._final_refusal(sequence, decision)
+            await self._refuse(step)
+            return sequence.maybe_ran
+
+    def _final_refusal(
+        self, sequence: retries.AttemptSequence, decision: outcomes.Refusal
+    ) -> outcomes.Refusal:
+        if decision.code is not outcomes.Code.POISON:
+            return sequence.no_upstream()
+        return dataclasses.replace(decision, effect=outcomes.Effect.FAILED)
+
+    async def _refuse(self, refusal: outcomes.Refusal) -> None:
+        if not self._responder.started:
+            raise exceptions.RefusedError(refusal)
+        # The answer has begun, so the refusal becomes its last event and no [DONE] follows.
+        self._services.telemetry.refused(refusal.code.value)
+        await self._responder.send_part(request_context.refusal_event(refusal))
+        await self._responder.finish()
+
+    async def _attempt(self, placed: traffic.Placed) -> outcomes.AttemptOutcome:
+        attempt = attempts.Attempt(self._services.connections, self._call(placed))
+        try:
+            head = await attempt.start()
+            if head.status != http.HTTPStatus.OK:
+                return await self._relay_error(attempt, head)
+            self._check_weights(head)
+            if self._plan.req.stream:
+                await self._relay_stream(attempt, placed)
+            else:
+                await self._relay_whole(attempt, placed)
+            return outcomes.Complete(head.status)
+        except attempts.AttemptFailedError as exc:
+            return exc.outcome
+        finally:
+            await attempt.abandon()
+
+    def _call(self, placed: traffic.Placed) -> attempts.Call:
+        estimate = placed.choice.estimate
+        pool = self._plan.pool
+        spec = pool.upstreams[estimate.upstream]
+        expected_s = estimate.total_s * ESTIMATE_FACTOR
+        first_s = min(pool.timeouts.first_token_s, MIN_FIRST_TOKEN_S + expected_s)
+        if not self._plan.req.stream:
+            # The answer comes in one piece, after its last token.
+            first_s += self._plan.entry.output_tokens * pool.timeouts.between_tokens_s
+        body = dict(self._plan.req.body)
+        body["cache_salt"] = self._plan.salt
+        if self._context.spec.service_class is configuration.ServiceClass.BATCH:
+            body["priority"] = BATCH_PRIORITY
+        if self._progress.offset:
+            body["resume_from"] = self._progress.offset
+        if estimate.imported_pieces and pool.keep:
+            body["kv_import"] = self._keep_address()
+        head = http_client.RequestHead(
+            "POST",
+            self._plan.req.endpoint.value,
+            [
+                (headers.CONTENT_TYPE, b"application/json"),
+                (headers.REQUEST_ID, self._context.request.encode()),
+            ],
+        )
+        return attempts.Call(
+            self._context.request,
+            spec.address,
+            placed.incarnation,
+            head,
+            msgspec.json.encode(body),
+            pool.timeouts.connect_s,
+            first_s,
+        )
+
+    def _keep_address(self) -> str:
+        keep = self._context.cfg.content.pools.get(self._plan.pool.keep or ids.PoolId(""))
+        return next((u.address for u in keep.upstreams.values()), "") if keep else ""
+
+    def _check_weights(self, head: http_client.ResponseHead) -> None:
+        named = head.header(headers.WEIGHTS_VERSION)
+        if named and named.decode("latin-1") != self._plan.scope.weights_version:
+            self._services.telemetry.event("other_weights")
+
+    async def _relay_error(
+        self, attempt: attempts.Attempt, head: http_client.ResponseHead
+    ) -> outcomes.AttemptOutcome:
+        timeout_s = self._plan.pool.timeouts.between_tokens_s
+        body = b""
+        while (part := await attempt.receive(timeout_s, self._progress.offset)) is not None:
+            body += part
+        await attempt.finish()
+        if head.status >= 500 or self._responder.started:
+            reason = f"the upstream answered with status {head.status}"
+            return outcomes.SentNoAnswer(reason, crashed=False)
+        content_type = head.header(headers.CONTENT_TYPE) or b"application/json"
+        await self._responder.send_whole(
+            head.status, [(headers.CONTENT_TYPE, content_type), *self._identity()], body
+        )
+        return outcomes.Complete(head.status)
+
+    async def _relay_whole(self, attempt: attempts.Attempt, placed: traffic.Placed) -> None:
+        timeout_s = self._plan.pool.timeouts.between_tokens_s
+        parts = []
+        while (part := await attempt.receive(timeout_s, 0)) is not None:
+            parts.append(part)
+        body = b"".join(parts)
+        chunk = self._read(body)
+        if not chunk.finished or chunk.error is not None:
+            raise _broken("the answer has no end", 0)
+        self._observe_first(attempt, chunk)
+        await attempt.finish()
+        extra = [(headers.CONTENT_TYPE, b"application/json"), *self._identity(placed)]
+        await self._responder.send_whole(http.HTTPStatus.OK, extra, body)
+
+    async def _relay_stream(self, attempt: attempts.Attempt, placed: traffic.Placed) -> None:
+        timeout_s = self._plan.pool.timeouts.between_tokens_s
+        splitter = completions.EventSplitter()
+        done = False
+        self._must_tell_offset = self._progress.offset > 0
+        while (part := await attempt.receive(timeout_s, self._progress.offset)) is not None:
+            relayed: list[bytes] = []
+            try:
+                done = self._observe_events(attempt, splitter.feed(part), relayed) or done
+            finally:
+                # What has been counted must reach the caller, also where the next event is bad.
+                if relayed:
+                    await self._send(b"".join(relayed), placed)
+        if not done or not self._progress.finished:
+            raise _broken("the answer has no end", self._progress.offset)
+        await attempt.finish()
+        await self._responder.send_part(completions.DONE)
+        await self._responder.finish()
+
+    def _observe_events(
+        self, attempt: attempts.Attempt, events: list[bytes], relayed: list[bytes]
+    ) -> bool:
+        """Checks events and adds the good ones to `relayed`; returns whether the end is there."""
+        for event in events:
+            if event == completions.DONE:
+                return True
+            self._observe(attempt, self._read(event))
+            relayed.append(event)
+        return False
+
+    async def _send(self, data: bytes, placed: traffic.Placed) -> None:
+        if not self._responder.started:
+            extra = [(headers.CONTENT_TYPE, completions.EVENT_STREAM), *self._identity(placed)]
+            await self._responder.start(http.HTTPStatus.OK, extra)
+        await self._responder.send_part(data)
+
+    def _read(self, event: bytes) -> completions.Chunk:
+        """Reads a part of the answer and checks that it belongs to the request."""
+        try:
+            chunk = completions.read_chunk(event)
+        except completions.InvalidBodyError as exc:
+            raise _broken(f"the answer is malformed: {exc}", self._progress.offset) from exc
+        if chunk.error is not None:
+            raise _broken("the upstream reported an error", self._progress.offset)
+        if chunk.id != self._context.request:
+            raise _broken("the upstream answered another request", self._progress.offset)
+        return chunk
+
+    def _observe(self, attempt: attempts.Attempt, chunk: completions.Chunk) -> None:
+        progress = self._progress
+        if chunk.token_offset is None and self._must_tell_offset:
+            raise _broken("the upstream does not continue at an offset", progress.offset)
+        if chunk.token_offset is not None and chunk.token_offset != progress.offset:
+            reason = f"token {chunk.token_offset} came in place of {progress.offset}"
+            raise _broken(reason, progress.offset)
+        if progress.cached_tokens is None:
+            self._observe_first(attempt, chunk)
+        now = trio.current_time()
+        if progress.last_at is not None and chunk.token_count:
+            gap_s = (now - progress.last_at) / chunk.token_count
+            self._services.telemetry.record(
+                telemetry_service.Histogram.BETWEEN_TOKENS, gap_s, self._context.attributes
+            )
+        progress.last_at = now
+        if chunk.choices:
+            progress.offset += chunk.token_count
+            progress.finished = progress.finished or chunk.finished
+
+    def _observe_first(self, attempt: attempts.Attempt, chunk: completions.Chunk) -> None:
+        details = chunk.usage.prompt_tokens_details if chunk.usage else None
+        cached = details.cached_tokens if details else 0
+        first_before = self._progress.cached_tokens is None
+        self._progress.cached_tokens = cached
+        self._services.traffic.mailbox.offer(
+            traffic_service.FirstToken(self._context.request, attempt.incarnation, cached)
+        )
+        if first_before:
+            telemetry = self._services.telemetry
+            took_s = trio.current_time() - self._context.entered_at
+            telemetry.record(
+                telemetry_service.Histogram.FIRST_TOKEN, took_s, self._context.attributes
+            )
+
+    def _measure_end(self) -> None:
+        telemetry = self._services.telemetry
+        cached = self._progress.cached_tokens or 0
+        recomputed = max(0, self._plan.entry.prompt.total_tokens - cached)
+        attributes = self._context.attributes
+        telemetry.record(telemetry_service.Histogram.CACHED_TOKENS, cached, attributes)
+        telemetry.record(telemetry_service.Histogram.RECOMPUTED_TOKENS, recomputed, attributes)
+
+    def _identity(self, placed: traffic.Placed | None = None) -> http_client.Headers:
+        found = [(headers.REQUEST_ID, self._context.request.encode())]
+        if placed:
+            found.append((UPSTREAM_HEADER, placed.choice.estimate.upstream.encode()))
+            found.append((REASON_HEADER, placed.choice.reason.encode()))
+        return found
+
+
+def _broken(reason: str, offset: int) -> attempts.AttemptFailedError:
+    return attempts.AttemptFailedError(outcomes.Broken(reason, offset, crashed=False))
--- /dev/null
+++ b/src/cicadapier/_internal/services/names.py
@@ -0,0 +1,15 @@
+"""Names by which services find each other."""
+
+from cicadapier._internal.kernel import service
+
+CALLERS = service.ServiceName("callers")
+CLAIMS = service.ServiceName("claims")
+CONFIGURATION = service.ServiceName("configuration")
+CONNECTIONS = service.ServiceName("connections")
+OPERATORS = service.ServiceName("operators")
+ORDERS = service.ServiceName("orders")
+PEERS = service.ServiceName("peers")
+PLATFORM = service.ServiceName("platform")
+TELEMETRY = service.ServiceName("telemetry")
+TRAFFIC = service.ServiceName("traffic")
+UPSTREAMS = service.ServiceName("upstreams")
--- /dev/null
+++ b/src/cicadapier/_internal/services/service_calls.py
@@ -0,0 +1,240 @@
+"""Calls to plain services: at most once where they may not be repeated."""
+
+import dataclasses
+import http
+
+import trio
+
+from cicadapier._internal.decisions import claims
+from cicadapier._internal.decisions import prefix
+from cicadapier._internal.decisions import repeatability
+from cicadapier._internal.decisions import retries
+from cicadapier._internal.decisions import traffic
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import outcomes
+from cicadapier._internal.protocols import headers
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import http_server
+from cicadapier._internal.services import attempts
+from cicadapier._internal.services import claims_service
+from cicadapier._internal.services import exceptions
+from cicadapier._internal.services import request_context
+
+MAX_ANSWER_BYTES = 16_777_216
+MAX_KEY_BYTES = 255
+_PLAIN = prefix.Prompt((), 1, 1)
+_DROPPED = frozenset((headers.AUTHORIZATION, headers.REQUEST_ID))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """A whole answer of an upstream."""
+
+    status: int
+    headers: http_client.Headers
+    body: bytes
+    upstream: ids.UpstreamId
+
+    @property
+    def content_type(self) -> str:
+        raw = http_client.find_header(self.headers, headers.CONTENT_TYPE) or b""
+        return raw.decode("latin-1")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Plan:
+    pool_id: ids.PoolId
+    pool: configuration.Pool
+    target: str
+    repeatable: bool
+    key: str
+
+
+class ServiceCalls:
+    """Handles calls to plain services."""
+
+    def __init__(self, services: request_context.Services) -> None:
+        self._services = services
+
+    async def handle(
+        self,
+        context: request_context.Context,
+        pool_id: ids.PoolId,
+        target: str,
+        req: http_server.Request,
+        responder: http_server.Responder,
+    ) -> None:
+        """Answers one call.
+
+        Args:
+            context: The caller's request.
+            pool_id: Pool that it names.
+            target: Path and query below the pool.
+            req: The request.
+            responder: Where the answer goes.
+
+        Raises:
+            RefusedError: The call is refused and no answer has begun.
+        """
+        plan = _plan(context, pool_id, target, req)
+        if plan.key and not plan.repeatable:
+            await self._run_once(context, plan, req, responder)
+            return
+        answer = await self._run(context, plan, req)
+        await _send(responder, context, answer)
+
+    async def _run_once(
+        self,
+        context: request_context.Context,
+        plan: _Plan,
+        req: http_server.Request,
+        responder: http_server.Responder,
+    ) -> None:
+        name = claims.claim_name(context.account, plan.pool_id, plan.key)
+        digest = claims.request_fingerprint(req.method, plan.target, req.body)
+        taken = await self._services.claims.take(name, digest)
+        if isinstance(taken, claims.Answer):
+            extra = [(headers.REQUEST_ID, context.request.encode())]
+            if taken.content_type:
+                extra.append((headers.CONTENT_TYPE, taken.content_type.encode("latin-1")))
+            await responder.send_whole(taken.status, extra, taken.body or b"")
+            return
+        # A caller that leaves now asks again with its key, and then gets the recorded answer.
+        with trio.CancelScope(shield=True):
+            answer = await self._run_claimed(context, plan, req, taken)
+        await _send(responder, context, answer)
+
+    async def _run_claimed(
+        self,
+        context: request_context.Context,
+        plan: _Plan,
+        req: http_server.Request,
+        ticket: claims_service.Ticket,
+    ) -> _Answer:
+        try:
+            answer = await self._run(context, plan, req)
+        except exceptions.RefusedError as exc:
+            self._services.claims.settle_refused(ticket, exc.refusal)
+            raise
+        recorded = claims.Answer(answer.status, answer.content_type, answer.body)
+        self._services.claims.settle(ticket, recorded)
+        return answer
+
+    async def _run(
+        self, context: request_context.Context, plan: _Plan, req: http_server.Request
+    ) -> _Answer:
+        fingerprint = claims.request_fingerprint(req.method, plan.target, req.body)
+        entry = traffic.Entry(
+            context.request,
+            context.account,
+            plan.pool_id,
+            _PLAIN,
+            0,
+            ids.Fingerprint(f"{plan.pool_id}/{fingerprint}"),
+        )
+        placed = await self._services.enter(entry)
+        nature = retries.Nature(repeatable=plan.repeatable, resumable=False)
+        sequence = retries.AttemptSequence(nature, self._services.budget)
+        try:
+            return await self._attempts(context, plan, req, placed, sequence)
+        finally:
+            self._services.leave(context.request, sequence.attempts == 0 or sequence.maybe_ran)
+
+    async def _attempts(
+        self,
+        context: request_context.Context,
+        plan: _Plan,
+        req: http_server.Request,
+        placed: traffic.Placed,
+        sequence: retries.AttemptSequence,
+    ) -> _Answer:
+        while True:
+            result = await self._attempt(context, plan, req, placed)
+            outcome = outcomes.Complete(result.status) if isinstance(result, _Answer) else result
+            await self._services.attempt_ended(context.request, outcome)
+            step = sequence.ended(outcome, trio.current_time())
+            if isinstance(result, _Answer):
+                return result
+            if isinstance(step, retries.Retry):
+                self._services.telemetry.retried(type(outcome).__name__)
+                decision = await self._services.again(context.request)
+                if isinstance(decision, traffic.Placed):
+                    placed = decision
+                    continue
+                step = sequence.no_upstream()
+            assert isinstance(step, outcomes.Refusal)
+            raise exceptions.RefusedError(step)
+
+    async def _attempt(
+        self,
+        context: request_context.Context,
+        plan: _Plan,
+        req: http_server.Request,
+        placed: traffic.Placed,
+    ) -> _Answer | outcomes.AttemptOutcome:
+        upstream = placed.choice.estimate.upstream
+        timeouts = plan.pool.timeouts
+        kept = request_context.end_to_end(req.headers, _DROPPED)
+        extra = [*kept, (headers.REQUEST_ID, context.request.encode())]
+        call = attempts.Call(
+            context.request,
+            plan.pool.upstreams[upstream].address,
+            placed.incarnation,
+            http_client.RequestHead(req.method, plan.target, extra),
+            req.body,
+            timeouts.connect_s,
+            timeouts.first_token_s,
+        )
+        attempt = attempts.Attempt(self._services.connections, call)
+        try:
+            head = await attempt.start()
+            body = await _read_body(attempt, timeouts.between_tokens_s)
+            await attempt.finish()
+            kept = request_context.end_to_end(head.headers, frozenset((headers.REQUEST_ID,)))
+            return _Answer(head.status, kept, body, upstream)
+        except attempts.AttemptFailedError as exc:
+            return exc.outcome
+        finally:
+            await attempt.abandon()
+
+
+def _plan(
+    context: request_context.Context,
+    pool_id: ids.PoolId,
+    target: str,
+    req: http_server.Request,
+) -> _Plan:
+    pool = context.cfg.content.pools.get(pool_id)
+    permitted = not context.spec.pools or pool_id in context.spec.pools
+    if pool is None or not permitted or pool.kind is not configuration.PoolKind.SERVICE:
+        message = f"there is no service {pool_id!r} for this account"
+        raise exceptions.RefusedError(outcomes.Refusal(outcomes.Code.NOT_FOUND, message))
+    key = (req.header(headers.IDEMPOTENCY_KEY) or b"").decode("latin-1")
+    if len(key) > MAX_KEY_BYTES:
+        message = f"the idempotency key exceeds {MAX_KEY_BYTES} bytes"
+        raise exceptions.RefusedError(outcomes.Refusal(outcomes.Code.INVALID_REQUEST, message))
+    repeatable = repeatability.is_repeatable(pool, req.method, target.partition("?")[0])
+    return _Plan(pool_id, pool, target, repeatable, key)
+
+
+async def _read_body(attempt: attempts.Attempt, timeout_s: float) -> bytes:
+    parts = []
+    size = 0
+    while (part := await attempt.receive(timeout_s, 0)) is not None:
+        size += len(part)
+        if size > MAX_ANSWER_BYTES:
+            reason = f"the answer exceeds {MAX_ANSWER_BYTES} bytes"
+            raise attempts.AttemptFailedError(outcomes.Broken(reason, 0, crashed=False))
+        parts.append(part)
+    return b"".join(parts)
+
+
+async def _send(
+    responder: http_server.Responder, context: request_context.Context, answer: _Answer
+) -> None:
+    extra = [*answer.headers, (headers.REQUEST_ID, context.request.encode())]
+    extra.append((b"x-cicadapier-upstream", answer.upstream.encode()))
+    status = answer.status
+    body = answer.body if status != http.HTTPStatus.NO_CONTENT else b""
+    await responder.send_whole(status, extra, body)
