--- /dev/null
+++ b/src/cicadapier/_internal/services/telemetry_service.py
@@ -0,0 +1,133 @@
+"""Metrics of one router, by OpenTelemetry."""
+
+import dataclasses
+import enum
+
+from opentelemetry import metrics
+from opentelemetry.exporter import prometheus
+from opentelemetry.exporter.otlp.proto.http import metric_exporter
+from opentelemetry.sdk import metrics as sdk_metrics
+from opentelemetry.sdk import resources
+from opentelemetry.sdk.metrics import export
+from opentelemetry.sdk.metrics import view
+import prometheus_client
+import trio
+
+from cicadapier._internal.decisions import series
+from cicadapier._internal.kernel import service
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+from cicadapier._internal.services import names
+
+PUSH_INTERVAL_MS = 10_000
+_LATENCY_BUCKETS_S = (
+    0.005, 0.01, 0.02, 0.025, 0.03, 0.04, 0.05, 0.075, 0.1, 0.15, 0.2, 0.25, 0.34, 0.5, 0.75,
+    1.0, 1.5, 2.5, 5.0, 10.0, 30.0,
+)  # fmt: skip
+_TOKEN_BUCKETS = (0, 64, 256, 1024, 2048, 4096, 8192, 16_384, 32_768, 65_536, 131_072)
+
+
+class Histogram(enum.Enum):
+    """Histograms by client account and class."""
+
+    FIRST_TOKEN = "cicadapier_time_to_first_token"
+    BETWEEN_TOKENS = "cicadapier_time_between_tokens"
+    QUEUE_WAIT = "cicadapier_queue_wait"
+    CACHED_TOKENS = "cicadapier_tokens_cached"
+    RECOMPUTED_TOKENS = "cicadapier_tokens_recomputed"
+
+
+_TOKEN_HISTOGRAMS = (Histogram.CACHED_TOKENS, Histogram.RECOMPUTED_TOKENS)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Caller:
+    """Whose request a measurement belongs to."""
+
+    account: ids.AccountId
+    service_class: configuration.ServiceClass
+
+
+class TelemetryService(service.Service):
+    """Counts and measures; safe to call from any task."""
+
+    name = names.TELEMETRY
+
+    def __init__(self, vm: ids.VmId, otlp_endpoint: str = "") -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._labels = series.AccountLabels()
+        self._attributes: dict[Caller, dict[str, str]] = {}
+        readers: list[export.MetricReader] = [
+            prometheus.PrometheusMetricReader(disable_target_info=True, registry=self._registry)
+        ]
+        if otlp_endpoint:
+            exporter = metric_exporter.OTLPMetricExporter(endpoint=otlp_endpoint)
+            readers.append(export.PeriodicExportingMetricReader(exporter, PUSH_INTERVAL_MS))
+        self._provider = sdk_metrics.MeterProvider(
+            readers,
+            resource=resources.Resource({"service.name": "cicadapier", "host.id": vm}),
+            views=_views(),
+            shutdown_on_exit=False,
+        )
+        meter = self._provider.get_meter("cicadapier")
+        self._histograms = {member: _make_histogram(meter, member) for member in Histogram}
+        self._outcomes = meter.create_counter("cicadapier_requests")
+        self._refusals = meter.create_counter("cicadapier_refusals")
+        self._retries = meter.create_counter("cicadapier_retries")
+        self._events = meter.create_counter("cicadapier_events")
+
+    async def run(self, kernel: service.Kernel, started: "trio.TaskStatus[None]") -> None:
+        """See `service.Service.run`."""
+        started.started()
+        try:
+            await trio.sleep_forever()
+        finally:
+            self._provider.shutdown()
+
+    def attributes(self, caller: Caller) -> dict[str, str]:
+        """Returns the attributes of a caller's measurements."""
+        label = self._labels.label(caller.account)
+        key = Caller(label, caller.service_class)
+        found = self._attributes.get(key)
+        if found is None:
+            found = {"account": label, "class": caller.service_class.value}
+            self._attributes[key] = found
+        return found
+
+    def record(self, histogram: Histogram, value: float, attributes: dict[str, str]) -> None:
+        """Adds a measurement."""
+        self._histograms[histogram].record(value, attributes)
+
+    def request_ended(self, outcome: str, attributes: dict[str, str]) -> None:
+        """Counts a request by its outcome."""
+        self._outcomes.add(1, {**attributes, "outcome": outcome})
+
+    def refused(self, code: str) -> None:
+        """Counts a refusal by its reason."""
+        self._refusals.add(1, {"code": code})
+
+    def retried(self, reason: str) -> None:
+        """Counts a retry by its reason."""
+        self._retries.add(1, {"reason": reason})
+
+    def event(self, kind: str) -> None:
+        """Counts an internal event."""
+        self._events.add(1, {"kind": kind})
+
+    def exposition(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest(self._registry)
+
+
+def _make_histogram(meter: metrics.Meter, member: Histogram) -> metrics.Histogram:
+    unit = "{token}" if member in _TOKEN_HISTOGRAMS else "s"
+    return meter.create_histogram(member.value, unit=unit)
+
+
+def _views() -> list[view.View]:
+    found = []
+    for member in Histogram:
+        bounds = _TOKEN_BUCKETS if member in _TOKEN_HISTOGRAMS else _LATENCY_BUCKETS_S
+        aggregation = view.ExplicitBucketHistogramAggregation(bounds)
+        found.append(view.View(instrument_name=member.value, aggregation=aggregation))
+    return found
--- /dev/null
+++ b/src/cicadapier/_internal/services/upstreams_service.py
@@ -0,0 +1,272 @@
+"""Watches upstreams: load reports, cache events and the platform's list of VMs."""
+
+import dataclasses
+import random
+from typing import Any
+
+import msgspec
+import structlog
+import trio
+
+from cicadapier._internal.decisions import load
+from cicadapier._internal.kernel import mailbox
+from cicadapier._internal.kernel import service
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import completions
+from cicadapier._internal.protocols import exceptions as protocol_exceptions
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.services import configuration_service
+from cicadapier._internal.services import connections_service
+from cicadapier._internal.services import exceptions
+from cicadapier._internal.services import names
+from cicadapier._internal.services import platform_service
+from cicadapier._internal.services import traffic_service
+
+PROBE_S = 0.25
+PROBE_TIMEOUT_S = 1.0
+RECONCILE_S = 0.25
+LIST_S = 1.0
+EVENTS_SILENCE_S = 15.0
+RECONNECT_S = 0.5
+VM_PLURAL = "vms"
+VM_LEAVING = "leaving"
+
+_log = structlog.get_logger()
+
+
+class LoadBody(msgspec.Struct):
+    """A load report on the wire."""
+
+    incarnation: str = ""
+    age_s: float = 0.0
+    queued_tokens: float = 0.0
+    queued_interactive_tokens: float = 0.0
+    running: int = 0
+    leaving: bool = False
+    models: dict[str, str] = {}
+
+
+class EventBody(msgspec.Struct):
+    """A cache event on the wire."""
+
+    incarnation: str
+    sequence: int
+    kind: str
+    pieces: list[str]
+    age_s: float = 0.0
+
+
+class SnapshotBody(msgspec.Struct):
+    """All cached pieces on the wire."""
+
+    incarnation: str
+    sequence: int
+    pieces: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Target:
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    address: ids.Address
+    has_cache: bool
+
+
+class UpstreamsService(service.Service):
+    """Runs one watcher for each upstream.
+
+    Attributes:
+        model_versions: Weights version of each model that each upstream last told.
+    """
+
+    name = names.UPSTREAMS
+
+    def __init__(self, rng: random.Random) -> None:
+        self.model_versions: dict[ids.UpstreamId, dict[str, str]] = {}
+        self._rng = rng
+        self._scopes: dict[_Target, trio.CancelScope] = {}
+        self._configuration: configuration_service.ConfigurationService | None = None
+        self._connections: connections_service.ConnectionsService | None = None
+        self._traffic: traffic_service.TrafficService | None = None
+
+    async def run(self, kernel: service.Kernel, started: "trio.TaskStatus[None]") -> None:
+        """See `service.Service.run`."""
+        self._configuration = kernel.find(names.CONFIGURATION)
+        self._connections = kernel.find(names.CONNECTIONS)
+        self._traffic = kernel.find(names.TRAFFIC)
+        platform: platform_service.PlatformService = kernel.find(names.PLATFORM)
+        async with trio.open_nursery() as nursery:
+            if platform.configured:
+                nursery.start_soon(self._follow_list, platform)
+            started.started()
+            number = ids.ConfigNumber(-1)
+            while True:
+                current = self._configuration.current
+                if current.number != number:
+                    number = current.number
+                    self._reconcile(current.content, nursery)
+                await trio.sleep(RECONCILE_S)
+
+    def _reconcile(self, content: configuration.Configuration, nursery: trio.Nursery) -> None:
+        wanted = set()
+        for pool_id, pool in content.pools.items():
+            if not pool.reports_load or pool.kind is configuration.PoolKind.KEEP:
+                continue
+            for upstream_id, spec in pool.upstreams.items():
+                has_cache = pool.kind is configuration.PoolKind.MODEL
+                wanted.add(_Target(pool_id, upstream_id, spec.address, has_cache))
+        for target in set(self._scopes) - wanted:
+            self._scopes.pop(target).cancel()
+        for target in sorted(wanted - set(self._scopes), key=lambda t: t.upstream):
+            scope = trio.CancelScope()
+            self._scopes[target] = scope
+            nursery.start_soon(self._watch, target, scope)
+
+    async def _watch(self, target: _Target, scope: trio.CancelScope) -> None:
+        with scope:
+            async with trio.open_nursery() as nursery:
+                if target.has_cache:
+                    nursery.start_soon(self._follow_events, target)
+                await self._probe_forever(target)
+
+    async def _probe_forever(self, target: _Target) -> None:
+        await trio.sleep(PROBE_S * self._rng.random())
+        while True:
+            await self._probe(target)
+            await trio.sleep(PROBE_S * self._rng.uniform(0.9, 1.1))
+
+    async def _probe(self, target: _Target) -> None:
+        assert self._traffic and self._connections
+        try:
+            conn = await self._connections.acquire(target.address, PROBE_TIMEOUT_S)
+        except protocol_exceptions.ConnectError:
+            self._traffic.mailbox.offer(
+                traffic_service.ProbeFailed(target.pool, target.upstream, certain=True)
+            )
+            return
+        try:
+            body = await self._ask(target, conn, "/load", LoadBody)
+        except protocol_exceptions.ProtocolError:
+            # One silent connection proves little about its upstream.
+            self._traffic.mailbox.offer(
+                traffic_service.ProbeFailed(target.pool, target.upstream, certain=False)
+            )
+            return
+        self._report(target, body)
+
+    def _report(self, target: _Target, body: LoadBody) -> None:
+        assert self._traffic
+        self.model_versions[target.upstream] = body.models
+        measured_at = trio.current_time() - max(0.0, body.age_s)
+        self._traffic.mailbox.offer(
+            traffic_service.LoadReported(
+                target.pool,
+                target.upstream,
+                ids.Incarnation(body.incarnation),
+                body.leaving,
+                load.Report(
+                    measured_at,
+                    max(0.0, body.queued_tokens),
+                    max(0.0, body.queued_interactive_tokens),
+                    max(0, body.running),
+                ),
+            )
+        )
+
+    async def _ask(
+        self, target: _Target, conn: http_client.ClientConnection, path: str, kind: Any
+    ) -> Any:
+        """Returns the decoded answer to a query; the connection goes back or is discarded."""
+        assert self._connections
+        head = http_client.RequestHead("GET", path, [])
+        whole = False
+        try:
+            answer, body = await connections_service.exchange(conn, head, b"", PROBE_TIMEOUT_S)
+            whole = True
+            if answer.status != 200:
+                raise protocol_exceptions.MalformedMessageError(f"status {answer.status}")
+            return msgspec.json.decode(body, type=kind)
+        except msgspec.MsgspecError as exc:
+            raise protocol_exceptions.MalformedMessageError(str(exc)) from exc
+        finally:
+            with trio.CancelScope(shield=True):
+                if whole:
+                    await self._connections.release(target.address, conn)
+                else:
+                    await self._connections.discard(target.address, conn)
+
+    async def _follow_events(self, target: _Target) -> None:
+        while True:
+            try:
+                sequence = await self._resync(target)
+                await self._read_events(target, sequence)
+            except (protocol_exceptions.ProtocolError, msgspec.MsgspecError, ValueError):
+                await trio.sleep(RECONNECT_S * self._rng.uniform(0.5, 1.5))
+
+    async def _resync(self, target: _Target) -> int:
+        assert self._traffic and self._connections
+        conn = await self._connections.open(target.address, PROBE_TIMEOUT_S)
+        body: SnapshotBody = await self._ask(target, conn, "/cache/snapshot", SnapshotBody)
+        pieces = tuple(ids.PieceId(bytes.fromhex(piece)) for piece in body.pieces)
+        self._traffic.mailbox.offer(
+            traffic_service.CacheSnapshot(
+                target.pool,
+                target.upstream,
+                ids.Incarnation(body.incarnation),
+                body.sequence,
+                pieces,
+            )
+        )
+        return body.sequence
+
+    async def _read_events(self, target: _Target, after: int) -> None:
+        assert self._connections
+        conn = await self._connections.open(target.address, PROBE_TIMEOUT_S)
+        try:
+            path = f"/cache/events?after={after}"
+            await conn.send(http_client.RequestHead("GET", path, []), b"")
+            await conn.receive_head(PROBE_TIMEOUT_S)
+            splitter = completions.EventSplitter()
+            while (part := await conn.receive_data(EVENTS_SILENCE_S)) is not None:
+                for event in splitter.feed(part):
+                    if not await self._apply(target, event):
+                        # What the gap hides is in the next snapshot.
+                        return
+        finally:
+            with trio.CancelScope(shield=True):
+                await conn.close()
+
+    async def _apply(self, target: _Target, event: bytes) -> bool:
+        assert self._traffic
+        body = msgspec.json.decode(event.removeprefix(b"data: "), type=EventBody)
+        reply: mailbox.Reply[bool] = mailbox.Reply()
+        self._traffic.mailbox.send(
+            traffic_service.CacheChanged(
+                target.pool,
+                target.upstream,
+                ids.Incarnation(body.incarnation),
+                body.sequence,
+                body.kind == "stored",
+                tuple(ids.PieceId(bytes.fromhex(piece)) for piece in body.pieces),
+                body.age_s,
+                reply,
+            )
+        )
+        return await reply.get()
+
+    async def _follow_list(self, platform: platform_service.PlatformService) -> None:
+        assert self._configuration and self._traffic
+        while True:
+            await trio.sleep(LIST_S * self._rng.uniform(0.8, 1.2))
+            try:
+                listing = await platform.list_all(VM_PLURAL)
+            except (exceptions.PlatformUnavailableError, exceptions.PlatformRefusedError):
+                continue
+            leaving = {o.name for o in listing.objects if o.spec.get("state") == VM_LEAVING}
+            content = self._configuration.current.content
+            for pool_id, pool in content.pools.items():
+                for upstream_id in pool.upstreams:
+                    self._traffic.mailbox.offer(
+                        traffic_service.Listed(pool_id, upstream_id, upstream_id in leaving)
+                    )
--- /dev/null
+++ b/src/cicadapier/_internal/standins/deployments.py
@@ -0,0 +1,127 @@
+"""The users' deployments in today's sizes."""
+
+import dataclasses
+import enum
+import hashlib
+
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+
+
+class DeploymentName(enum.Enum):
+    """Deployments that the demonstration knows."""
+
+    LARKSPUR = "larkspur"
+    ANDINO = "andino"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountSize:
+    """A client account of a deployment."""
+
+    account: ids.AccountId
+    service_class: configuration.ServiceClass
+    weight: float
+    limits: configuration.Limits
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """Sizes of one deployment.
+
+    Attributes:
+        domains: Its failure domains.
+        routers: Number of entry VMs.
+        model_pool: Pool of model engines.
+        engines: Number of engines.
+        model: Model that they serve.
+        keep_pool: Pool of the kept KV cache.
+        service_pool: Pool of the plain service.
+        service_runners: Runners of the plain service.
+        once_path: Path of the service whose calls may not be repeated.
+        loads_at_once: Engines that may load weights at once.
+        accounts: Its client accounts.
+    """
+
+    domains: tuple[ids.FailureDomainId, ...]
+    routers: int
+    model_pool: ids.PoolId
+    engines: int
+    model: ids.ModelId
+    keep_pool: ids.PoolId
+    service_pool: ids.PoolId
+    service_runners: int
+    once_path: str
+    loads_at_once: int
+    accounts: tuple[AccountSize, ...]
+
+    def domain(self, index: int) -> ids.FailureDomainId:
+        """Returns the failure domain of the n-th VM of a kind."""
+        return self.domains[index % len(self.domains)]
+
+
+def _account(
+    name: str,
+    kind: configuration.ServiceClass,
+    weight: float = 1.0,
+    requests_per_s: float = 200.0,
+) -> AccountSize:
+    limits = configuration.Limits(requests_per_s, 2_000_000.0, 512)
+    return AccountSize(ids.AccountId(name), kind, weight, limits)
+
+
+_INTERACTIVE = configuration.ServiceClass.INTERACTIVE
+_BATCH = configuration.ServiceClass.BATCH
+
+LARKSPUR = Deployment(
+    tuple(ids.FailureDomainId(f"fenmoor-{letter}") for letter in "abc"),
+    4,
+    ids.PoolId("quill-models"),
+    9,
+    ids.ModelId("quill-verse"),
+    ids.PoolId("stylesheet-cache"),
+    ids.PoolId("catalogue-desk"),
+    3,
+    "/orders",
+    3,
+    (
+        _account("editors", _INTERACTIVE, 4.0),
+        _account("poets", _INTERACTIVE, 2.0),
+        _account("catalogue", _INTERACTIVE),
+        _account("grants", _INTERACTIVE),
+        _account("rights", _INTERACTIVE),
+        _account("proofs", _BATCH),
+        _account("archive", _BATCH),
+        _account("audio", _BATCH),
+    ),
+)
+
+ANDINO = Deployment(
+    tuple(ids.FailureDomainId(f"quito-{name}") for name in ("norte", "centro", "sur")),
+    4,
+    ids.PoolId("lm-pool"),
+    5,
+    ids.ModelId("registro-lm"),
+    ids.PoolId("prompt-keep"),
+    ids.PoolId("ledger-app"),
+    3,
+    "/transfers",
+    2,
+    (
+        _account("technicians", _INTERACTIVE, 4.0),
+        _account("auditors", _BATCH, 2.0),
+        _account("ledger", _INTERACTIVE),
+        _account("schools", _INTERACTIVE),
+        _account("clinics", _INTERACTIVE),
+        _account("cooperatives", _INTERACTIVE),
+        _account("reports", _BATCH),
+        _account("archive", _BATCH),
+    ),
+)
+
+BY_NAME = {DeploymentName.LARKSPUR: LARKSPUR, DeploymentName.ANDINO: ANDINO}
+
+
+def account_key(account: ids.AccountId, seed: int) -> str:
+    """Returns the demonstration's key of an account."""
+    return f"sk-demo-{hashlib.sha256(f'{account}/{seed}'.encode()).hexdigest()[:24]}"
--- /dev/null
+++ b/src/cicadapier/_internal/standins/engine_model.py
@@ -0,0 +1,382 @@
+"""Model of an inference engine: continuous batches, a prefix cache and late reports.
+
+The model is a state machine on a given clock, so that the demonstration's engine process and the
+trace replay run the same one. Prefill is a serial lane ordered by priority; decode advances all
+running requests together, and slows down as the batch grows.
+"""
+
+import bisect
+import collections
+import collections.abc
+import dataclasses
+import enum
+import heapq
+import math
+
+from cicadapier._internal.models import ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineSpec:
+    """Speed and size of an engine.
+
+    Attributes:
+        prefill_tokens_per_s: Prefill rate.
+        decode_step_s: Time between tokens of a batch of at most `full_speed_batch`.
+        full_speed_batch: Largest batch that decodes at full speed.
+        slowdown_per_request: Growth of the step for each request beyond, as a share.
+        max_batch: Requests that run at once.
+        cache_pieces: Pieces that the prefix cache holds.
+        piece_tokens: Tokens in a piece.
+        import_tokens_per_s: Rate of import from the keep.
+        load_lag_s: Age of the load report.
+        event_lag_s: Delay of cache events.
+        event_loss: Share of cache events that are lost.
+    """
+
+    prefill_tokens_per_s: float = 10_000.0
+    decode_step_s: float = 0.025
+    full_speed_batch: int = 24
+    slowdown_per_request: float = 0.02
+    max_batch: int = 32
+    cache_pieces: int = 48
+    piece_tokens: int = 2048
+    import_tokens_per_s: float = 100_000.0
+    load_lag_s: float = 1.0
+    event_lag_s: float = 2.0
+    event_loss: float = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Job:
+    """A request to an engine.
+
+    Attributes:
+        request: Its id.
+        pieces: Ids of the full pieces of its prompt.
+        total_tokens: Tokens in the prompt.
+        output_tokens: Tokens that it generates.
+        priority: Lower goes first.
+        import_pieces: Pieces, from the first on, that the keep can provide.
+    """
+
+    request: ids.RequestId
+    pieces: tuple[ids.PieceId, ...]
+    total_tokens: int
+    output_tokens: int
+    priority: int = 0
+    import_pieces: int = 0
+
+
+class CacheEventKind(enum.Enum):
+    """Kind of a cache event."""
+
+    STORED = "stored"
+    EVICTED = "evicted"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A change of the prefix cache."""
+
+    sequence: int
+    kind: CacheEventKind
+    pieces: tuple[ids.PieceId, ...]
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FirstToken:
+    """A request's prefill is done and its first token is out.
+
+    Attributes:
+        request: Its id.
+        cached_pieces: Pieces found in the cache.
+        imported_pieces: Pieces imported from the keep.
+        computed_tokens: Tokens that were prefilled.
+        at: Time of the first token.
+    """
+
+    request: ids.RequestId
+    cached_pieces: int
+    imported_pieces: int
+    computed_tokens: int
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished:
+    """A request's last token is out."""
+
+    request: ids.RequestId
+    at: float
+    mean_step_s: float
+
+
+EngineEvent = FirstToken | Finished
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadSnapshot:
+    """Load of an engine at one time."""
+
+    at: float
+    queued_tokens: int
+    queued_interactive_tokens: int
+    running: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Prefill:
+    job: Job
+    cached: int
+    imported: int
+    computed_tokens: int
+    ends_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Decode:
+    job: Job
+    first_step: float
+    first_at: float
+
+
+@dataclasses.dataclass(order=True, slots=True)
+class _Waiting:
+    priority: int
+    number: int
+    job: Job = dataclasses.field(compare=False)
+
+
+class EngineModel:
+    """State of one engine.
+
+    Attributes:
+        incarnation: Changes with each restart.
+        prefilled_tokens: Tokens that were computed since the start.
+        speed: Factor on all rates; 1 is full speed.
+    """
+
+    def __init__(self, spec: EngineSpec, incarnation: ids.Incarnation, now: float = 0.0) -> None:
+        self.spec = spec
+        self.incarnation = incarnation
+        self.prefilled_tokens = 0
+        self.speed = 1.0
+        self._now = now
+        self._steps = 0.0
+        self._numbers = 0
+        self._waiting: list[_Waiting] = []
+        self._cancelled: set[ids.RequestId] = set()
+        self._prefill: _Prefill | None = None
+        self._decoding: dict[ids.RequestId, _Decode] = {}
+        self._ends: list[tuple[float, ids.RequestId]] = []
+        self._cache: collections.OrderedDict[ids.PieceId, None] = collections.OrderedDict()
+        self._pins: collections.Counter[ids.PieceId] = collections.Counter()
+        self._sequence = 0
+        self._events: collections.deque[CacheEvent] = collections.deque(maxlen=100_000)
+        self._loads: collections.deque[LoadSnapshot] = collections.deque()
+        self._record_load()
+
+    def submit(self, job: Job, now: float) -> None:
+        """Queues a request; call `advance` up to `now` before."""
+        self._numbers += 1
+        heapq.heappush(self._waiting, _Waiting(job.priority, self._numbers, job))
+        self._start_prefill(now)
+        self._record_load()
+
+    def cancel(self, request: ids.RequestId, now: float) -> None:
+        """Drops a request in whatever state it is; call `advance` up to `now` before."""
+        decode = self._decoding.pop(request, None)
+        if decode:
+            self._pins.subtract(decode.job.pieces)
+        elif self._prefill and self._prefill.job.request == request:
+            self._pins.subtract(self._prefill.job.pieces)
+            self._prefill = None
+        elif any(waiting.job.request == request for waiting in self._waiting):
+            self._cancelled.add(request)
+        self._start_prefill(now)
+        self._record_load()
+
+    def crash(self, incarnation: ids.Incarnation, now: float) -> None:
+        """Loses everything and comes back empty."""
+        self.__init__(self.spec, incarnation, now)  # type: ignore[misc]
+
+    def next_event_at(self) -> float:
+        """Returns the time of the next event, or infinity."""
+        at = self._prefill.ends_at if self._prefill else math.inf
+        if self._ends:
+            at = min(at, self._now + (self._ends[0][0] - self._steps) * self.step_s())
+        return at
+
+    def step_s(self) -> float:
+        """Returns the present time between tokens."""
+        over = max(0, len(self._decoding) - self.spec.full_speed_batch)
+        return self.spec.decode_step_s * (1 + over * self.spec.slowdown_per_request) / self.speed
+
+    def advance(self, now: float) -> list[EngineEvent]:
+        """Runs up to a time and returns what happened, in order."""
+        happened: list[EngineEvent] = []
+        while (at := self.next_event_at()) <= now:
+            self._progress(at)
+            if self._prefill and self._prefill.ends_at <= at:
+                happened.append(self._end_prefill(self._prefill, at))
+            else:
+                happened.extend(self._end_decodes(at))
+            self._start_prefill(at)
+            self._record_load()
+        self._progress(now)
+        return happened
+
+    def tokens_out(self, request: ids.RequestId) -> int:
+        """Returns how many tokens of a decoding request are out."""
+        decode = self._decoding.get(request)
+        if decode is None:
+            return 0
+        done = int(self._steps - decode.first_step + 1e-6) + 1
+        return min(decode.job.output_tokens, done)
+
+    def next_token_in_s(self, request: ids.RequestId) -> float:
+        """Returns the time until the next token of a decoding request."""
+        decode = self._decoding.get(request)
+        if decode is None:
+            return self.step_s()
+        progress = (self._steps - decode.first_step) % 1.0
+        return max(0.001, (1.0 - progress) * self.step_s())
+
+    def has_cached(self, piece: ids.PieceId) -> bool:
+        """Returns whether a piece is in the cache."""
+        return piece in self._cache
+
+    def cached_prefix(self, pieces: collections.abc.Sequence[ids.PieceId]) -> int:
+        """Returns the length of the cached prefix."""
+        for depth, piece in enumerate(pieces):
+            if piece not in self._cache:
+                return depth
+        return len(pieces)
+
+    def snapshot(self) -> tuple[int, tuple[ids.PieceId, ...]]:
+        """Returns the last event's sequence number and the cached pieces, oldest first."""
+        return self._sequence, tuple(self._cache)
+
+    def events_after(self, sequence: int, until: float) -> list[CacheEvent]:
+        """Returns the events after a sequence number that happened up to a time."""
+        start = bisect.bisect_right(self._events, sequence, key=lambda event: event.sequence)
+        return [
+            self._events[i] for i in range(start, len(self._events)) if self._events[i].at <= until
+        ]
+
+    def load_at(self, at: float) -> LoadSnapshot:
+        """Returns the load at a time in the recent past."""
+        while len(self._loads) > 1 and self._loads[1].at <= at:
+            self._loads.popleft()
+        return self._loads[0]
+
+    def queued_tokens(self) -> int:
+        """Returns the prompt tokens that wait or are being prefilled."""
+        return self._loads[-1].queued_tokens
+
+    def in_flight(self) -> int:
+        """Returns the requests that have begun and not ended."""
+        waiting = len(self._waiting) - len(self._cancelled)
+        return len(self._decoding) + waiting + (1 if self._prefill else 0)
+
+    def _progress(self, now: float) -> None:
+        if now > self._now:
+            if self._decoding:
+                self._steps += (now - self._now) / self.step_s()
+            self._now = now
+
+    def _start_prefill(self, now: float) -> None:
+        while self._prefill is None and self._waiting:
+            if len(self._decoding) >= self.spec.max_batch:
+                return
+            job = heapq.heappop(self._waiting).job
+            if job.request in self._cancelled:
+                self._cancelled.discard(job.request)
+                continue
+            self._prefill = self._begin(job, now)
+
+    def _begin(self, job: Job, now: float) -> _Prefill:
+        cached = self.cached_prefix(job.pieces)
+        imported = max(0, job.import_pieces - cached)
+        for piece in job.pieces[:cached]:
+            self._cache.move_to_end(piece)
+        self._pins.update(job.pieces)
+        size = self.spec.piece_tokens
+        computed = max(1, job.total_tokens - (cached + imported) * size)
+        duration_s = computed / self.spec.prefill_tokens_per_s
+        duration_s += imported * size / self.spec.import_tokens_per_s
+        return _Prefill(job, cached, imported, computed, now + duration_s / self.speed)
+
+    def _end_prefill(self, prefill: _Prefill, at: float) -> FirstToken:
+        job = prefill.job
+        self._prefill = None
+        self.prefilled_tokens += prefill.computed_tokens
+        self._store(job.pieces, at)
+        self._decoding[job.request] = _Decode(job, self._steps, at)
+        heapq.heappush(self._ends, (self._steps + job.output_tokens - 1, job.request))
+        return FirstToken(
+            job.request, prefill.cached, prefill.imported, prefill.computed_tokens, at
+        )
+
+    def _end_decodes(self, at: float) -> list[EngineEvent]:
+        ended: list[EngineEvent] = []
+        while self._ends and self._ends[0][0] <= self._steps + 1e-6:
+            _, request = heapq.heappop(self._ends)
+            decode = self._decoding.pop(request, None)
+            if decode is None:
+                continue
+            self._pins.subtract(decode.job.pieces)
+            gaps = max(1, decode.job.output_tokens - 1)
+            ended.append(Finished(request, at, (at - decode.first_at) / gaps))
+        return ended
+
+    def _store(self, pieces: tuple[ids.PieceId, ...], at: float) -> None:
+        added = tuple(piece for piece in pieces if piece not in self._cache)
+        for piece in pieces:
+            self._cache[piece] = None
+            self._cache.move_to_end(piece)
+        self._publish(CacheEventKind.STORED, added, at)
+        self._publish(CacheEventKind.EVICTED, self._evict(), at)
+
+    def _evict(self) -> tuple[ids.PieceId, ...]:
+        excess = len(self._cache) - self.spec.cache_pieces
+        if excess <= 0:
+            return ()
+        victims = []
+        for piece in self._cache:
+            if self._pins[piece] <= 0:
+                victims.append(piece)
+                if len(victims) == excess:
+                    break
+        for piece in victims:
+            del self._cache[piece]
+            del self._pins[piece]
+        return tuple(victims)
+
+    def _publish(self, kind: CacheEventKind, pieces: tuple[ids.PieceId, ...], at: float) -> None:
+        if pieces:
+            self._sequence += 1
+            self._events.append(CacheEvent(self._sequence, kind, pieces, at))
+
+    def _record_load(self) -> None:
+        total = interactive = 0
+        for waiting in self._waiting:
+            if waiting.job.request in self._cancelled:
+                continue
+            tokens = self._uncached(waiting.job)
+            total += tokens
+            interactive += tokens if waiting.job.priority == 0 else 0
+        if self._prefill:
+            remaining_s = max(0.0, self._prefill.ends_at - self._now)
+            left = int(remaining_s * self.spec.prefill_tokens_per_s)
+            total += left
+            interactive += left
+        self._loads.append(LoadSnapshot(self._now, total, interactive, self.in_flight()))
+        while len(self._loads) > 2 and self._loads[1].at <= self._now - 10 * self.spec.load_lag_s:
+            self._loads.popleft()
+
+    def _uncached(self, job: Job) -> int:
+        cached = self.cached_prefix(job.pieces)
+        return max(1, job.total_tokens - cached * self.spec.piece_tokens)
--- /dev/null
+++ b/src/cicadapier/_internal/standins/engine_server.py
@@ -0,0 +1,428 @@
+"""A stand-in engine process: the engine model behind HTTP."""
+
+import collections.abc
+import dataclasses
+import hashlib
+import http
+import random
+import re
+import urllib.parse
+
+import msgspec
+import trio
+
+from cicadapier._internal.decisions import prefix
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import completions
+from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import headers
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import http_server
+from cicadapier._internal.protocols import transport
+from cicadapier._internal.standins import engine_model
+from cicadapier._internal.standins import engine_text
+from cicadapier._internal.standins import faults
+from cicadapier._internal.standins import ledger
+from cicadapier._internal.standins import upstream_server
+
+BYTES_PER_TOKEN = 4
+MAX_QUEUED = 256
+EVENT_POLL_S = 0.1
+MAX_JSON_DEPTH = 64
+KEEP_TIMEOUT_S = 1.0
+_SALT = re.compile(r"[0-9a-f]{32}")
+
+
+@dataclasses.dataclass(slots=True)
+class _Generation:
+    """One answer in the making."""
+
+    call: ledger.Call
+    req: completions.ModelRequest
+    job: engine_model.Job
+    offset: int
+    total: int
+    first: trio.Event
+    result: engine_model.FirstToken | None = None
+
+
+class LoadOrder(msgspec.Struct):
+    """An order to load weights."""
+
+    model: str
+    version: str
+    fencing: int
+
+
+class ExportOrder(msgspec.Struct):
+    """An order to export pieces to the keep."""
+
+    keep: str
+    pieces: list[str]
+
+
+class WeightStore:
+    """The rate-limited weight store: loads are slower while many run at once."""
+
+    def __init__(self, loads_at_once: int, load_s: float = 0.5) -> None:
+        self._loads_at_once = loads_at_once
+        self._load_s = load_s
+        self.active = 0
+        self.most_active = 0
+
+    async def load(self) -> None:
+        """Takes as long as loading weights takes."""
+        self.active += 1
+        self.most_active = max(self.most_active, self.active)
+        try:
+            await trio.sleep(self._load_s * max(1.0, self.active / self._loads_at_once) ** 2)
+        finally:
+            self.active -= 1
+
+
+class EngineServer(upstream_server.UpstreamServer):
+    """A stand-in engine."""
+
+    def __init__(
+        self,
+        upstream: ids.UpstreamId,
+        network: transport.Network,
+        board: faults.FaultBoard,
+        book: ledger.Ledger,
+        spec: engine_model.EngineSpec,
+        models: collections.abc.Mapping[str, str],
+        weights: WeightStore,
+        checks_fencing: bool = True,
+        seed: int = 0,
+    ) -> None:
+        super().__init__(upstream, network, board, book)
+        self._spec = spec
+        self._first_versions = dict(models)
+        self.versions = dict(models)
+        self._weights = weights
+        self.checks_fencing = checks_fencing
+        self.highest_fencing = 0
+        self._rng = random.Random(f"{seed}/{upstream}")
+        self._kick = trio.Event()
+        self.model = engine_model.EngineModel(spec, self.incarnation, trio.current_time())
+        self._generations: dict[ids.RequestId, _Generation] = {}
+
+    async def run_clock(self) -> None:
+        """Advances the model as time passes; runs beside `run`."""
+        while True:
+            await self.wait_unpaused()
+            self._advance()
+            self._kick = trio.Event()
+            wait_s = min(0.5, self.model.next_event_at() - trio.current_time())
+            with trio.move_on_after(max(0.0, wait_s)):
+                await self._kick.wait()
+            await trio.lowlevel.checkpoint()
+
+    def on_crash(self) -> None:
+        """See `UpstreamServer.on_crash`."""
+        self.versions = dict(self._first_versions)
+        self.model.crash(self.incarnation, trio.current_time())
+        self._generations.clear()
+        self._kick.set()
+
+    async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
+        """See `http_server.Handler.handle`."""
+        await self.wait_unpaused()
+        if req.path in (completions.Endpoint.COMPLETIONS.value, completions.Endpoint.CHAT.value):
+            await self._generate(req, responder)
+        elif req.path == "/load":
+            await responder.send_json(self._load_report())
+        elif req.path == "/cache/snapshot":
+            await responder.send_json(self._snapshot())
+        elif req.path == "/cache/events":
+            await self._stream_events(req, responder)
+        elif req.path == "/orders/load":
+            await self._order(req, responder)
+        elif req.path == "/kv/export":
+            await self._export(req, responder)
+        else:
+            await responder.send_json({"error": {"message": "no such path"}}, 404)
+
+    def _advance(self) -> None:
+        now = trio.current_time()
+        self.model.speed = 1.0 / self.board.amount(faults.FaultKind.SLOW, self.upstream, 1.0)
+        for event in self.model.advance(now):
+            generation = self._generations.get(event.request)
+            if generation and isinstance(event, engine_model.FirstToken):
+                generation.result = event
+                generation.first.set()
+
+    async def _generate(self, req: http_server.Request, responder: http_server.Responder) -> None:
+        call = upstream_server.call_of(req)
+        try:
+            endpoint = completions.Endpoint(req.path)
+            parsed = completions.parse(endpoint, req.body, MAX_JSON_DEPTH)
+        except completions.InvalidBodyError as exc:
+            extra = [(headers.NOT_RUN, b"true")]
+            await responder.send_json({"error": {"message": str(exc)}}, 400, extra)
+            return
+        if parsed.model not in self.versions:
+            extra = [(headers.NOT_RUN, b"true")]
+            await responder.send_json({"error": {"message": "no such model"}}, 404, extra)
+            return
+        if self.model.in_flight() >= MAX_QUEUED:
+            await self.refuse_not_run(responder, "queue is full")
+            return
+        generation = await self._begin(call, parsed)
+        if self.board.poisons(parsed.prompt.decode("utf-8", "replace")):
+            self.crash()
+        try:
+            await self._answer(generation, responder)
+        finally:
+            self._end(generation)
+
+    async def _begin(self, call: ledger.Call, req: completions.ModelRequest) -> _Generation:
+        salt = str(req.body.get("cache_salt", ""))
+        scope_text = f"{req.model}/{self.versions[req.model]}/{salt}".encode()
+        scope = ids.PieceId(hashlib.blake2b(scope_text, digest_size=16).digest())
+        if _SALT.fullmatch(salt):
+            # The routers' root keeps accounts and weights apart, and lets them name the pieces.
+            scope = ids.PieceId(bytes.fromhex(salt))
+        prompt = prefix.cut(scope, req.prompt, self._spec.piece_tokens, BYTES_PER_TOKEN)
+        total = req.max_tokens or engine_text.DEFAULT_TOKENS
+        offset = int(req.body.get("resume_from", 0))
+        imported = await self._importable(req, prompt.pieces)
+        job = engine_model.Job(
+            ids.RequestId(call.request_id),
+            prompt.pieces,
+            prompt.total_tokens + offset,
+            max(1, total - offset),
+            int(req.body.get("priority", 0)),
+            imported,
+        )
+        generation = _Generation(call, req, job, offset, total, trio.Event())
+        self._generations[job.request] = generation
+        self.note(call, ledger.LedgerEvent.STARTED, model=req.model, resumed_from=offset)
+        self._advance()
+        self.model.submit(job, trio.current_time())
+        self._kick.set()
+        return generation
+
+    def _end(self, generation: _Generation) -> None:
+        request = generation.job.request
+        if self._generations.get(request) is not generation:
+            return
+        del self._generations[request]
+        self._advance()
+        self.model.cancel(request, trio.current_time())
+        self.note(generation.call, ledger.LedgerEvent.CANCELLED)
+        self._kick.set()
+
+    async def _answer(self, generation: _Generation, responder: http_server.Responder) -> None:
+        await generation.first.wait()
+        await self.wait_late()
+        if generation.req.stream:
+            await self._answer_stream(generation, responder)
+        else:
+            await self._answer_whole(generation, responder)
+
+    async def _answer_stream(
+        self, generation: _Generation, responder: http_server.Responder
+    ) -> None:
+        head = [(headers.CONTENT_TYPE, completions.EVENT_STREAM), *self._identity(generation)]
+        await responder.start(200, head)
+        async for start, end in self._spans(generation):
+            await responder.send_part(self._chunk(generation, start, end))
+        self._note_finished(generation)
+        await responder.send_part(completions.DONE)
+        await responder.finish()
+
+    async def _answer_whole(
+        self, generation: _Generation, responder: http_server.Responder
+    ) -> None:
+        async for _ in self._spans(generation):
+            pass
+        self._note_finished(generation)
+        text = self._text(generation, generation.offset, generation.total)
+        body = self._envelope(generation, text, "stop", whole=True)
+        body["usage"] = self._usage(generation, generation.total)
+        await responder.send_json(body, 200, self._identity(generation))
+
+    async def _spans(
+        self, generation: _Generation
+    ) -> collections.abc.AsyncIterator[tuple[int, int]]:
+        """Yields the token ranges of the answer as they come out."""
+        sent = generation.offset
+        while sent < generation.total:
+            await self.wait_unpaused()
+            self._advance()
+            out = self.model.tokens_out(generation.job.request)
+            # The model forgets a request with its last token.
+            done = generation.offset + (out or generation.job.output_tokens)
+            if done > sent:
+                yield sent, done
+                sent = done
+            else:
+                await trio.sleep(self.model.next_token_in_s(generation.job.request))
+
+    def _note_finished(self, generation: _Generation) -> None:
+        result = generation.result
+        text = self._text(generation, 0, generation.total)
+        self.note(
+            generation.call,
+            ledger.LedgerEvent.FINISHED,
+            model=generation.req.model,
+            text_sha256=hashlib.sha256(text.encode()).hexdigest(),
+            prompt_tokens=generation.job.total_tokens,
+            cached_tokens=(result.cached_pieces * self._spec.piece_tokens) if result else 0,
+            computed_tokens=result.computed_tokens if result else 0,
+        )
+
+    def _identity(self, generation: _Generation) -> http_client.Headers:
+        version = self.versions[generation.req.model].encode()
+        extra = upstream_server.identity(self, generation.call)
+        return [*extra, (headers.WEIGHTS_VERSION, version)]
+
+    def _text(self, generation: _Generation, start: int, end: int) -> str:
+        prompt = generation.req.prompt
+        if self.crossed():
+            prompt = b"another request's prompt"
+        prompt_digest = engine_text.digest(prompt)
+        return "".join(engine_text.token(prompt_digest, i) for i in range(start, end))
+
+    def _chunk(self, generation: _Generation, start: int, end: int) -> bytes:
+        last = end >= generation.total
+        text = self._text(generation, start, end)
+        body = self._envelope(generation, text, "stop" if last else None, whole=False)
+        body["token_offset"] = start
+        body["token_count"] = end - start
+        if last or start == generation.offset:
+            body["usage"] = self._usage(generation, end)
+        return completions.encode_event(body)
+
+    def _usage(self, generation: _Generation, tokens: int) -> dict[str, object]:
+        result = generation.result
+        cached = result.cached_pieces + result.imported_pieces if result else 0
+        prompt_tokens = generation.job.total_tokens - generation.offset
+        return {
+            "prompt_tokens": prompt_tokens,
+            "completion_tokens": tokens,
+            "total_tokens": prompt_tokens + tokens,
+            "prompt_tokens_details": {"cached_tokens": cached * self._spec.piece_tokens},
+        }
+
+    def _envelope(
+        self, generation: _Generation, text: str, finish: str | None, *, whole: bool
+    ) -> dict[str, object]:
+        request_id = generation.call.request_id
+        if self.crossed():
+            request_id = "crossed-" + request_id
+        choice: dict[str, object] = {"index": 0, "finish_reason": finish}
+        if generation.req.endpoint is completions.Endpoint.CHAT:
+            kind = "chat.completion" if whole else "chat.completion.chunk"
+            choice["message" if whole else "delta"] = {"role": "assistant", "content": text}
+        else:
+            kind = "text_completion"
+            choice["text"] = text
+        return {
+            "id": request_id,
+            "object": kind,
+            "created": 0,
+            "model": generation.req.model,
+            "choices": [choice],
+        }
+
+    def _load_report(self) -> dict[str, object]:
+        self._advance()
+        now = trio.current_time()
+        lag_s = self.board.amount(faults.FaultKind.LOAD_LAG, self.upstream, self._spec.load_lag_s)
+        load = self.model.load_at(now - lag_s)
+        return {
+            "incarnation": self.incarnation,
+            "age_s": now - max(load.at, now - lag_s),
+            "queued_tokens": load.queued_tokens,
+            "queued_interactive_tokens": load.queued_interactive_tokens,
+            "running": load.running,
+            "leaving": self.leaving,
+            "models": self.versions,
+        }
+
+    def _snapshot(self) -> dict[str, object]:
+        sequence, pieces = self.model.snapshot()
+        return {
+            "incarnation": self.incarnation,
+            "sequence": sequence,
+            "pieces": [piece.hex() for piece in pieces],
+        }
+
+    async def _stream_events(
+        self, req: http_server.Request, responder: http_server.Responder
+    ) -> None:
+        query = urllib.parse.parse_qs(req.query)
+        after = int(query.get("after", ["0"])[0])
+        await responder.start(200, [(headers.CONTENT_TYPE, completions.EVENT_STREAM)])
+        while True:
+            await self.wait_unpaused()
+            after = await self._send_events(after, responder)
+            await trio.sleep(EVENT_POLL_S)
+
+    async def _send_events(self, after: int, responder: http_server.Responder) -> int:
+        now = trio.current_time()
+        lag_s = self.board.amount(
+            faults.FaultKind.EVENTS_LATE, self.upstream, self._spec.event_lag_s
+        )
+        loss = self.board.amount(faults.FaultKind.EVENTS_LOST, self.upstream, self._spec.event_loss)
+        for event in self.model.events_after(after, now - lag_s):
+            after = event.sequence
+            if self._rng.random() < loss:
+                continue
+            body = {
+                "incarnation": self.incarnation,
+                "sequence": event.sequence,
+                "kind": event.kind.value,
+                "age_s": now - event.at,
+                "pieces": [piece.hex() for piece in event.pieces],
+            }
+            await responder.send_part(completions.encode_event(body))
+        return after
+
+    async def _order(self, req: http_server.Request, responder: http_server.Responder) -> None:
+        order = msgspec.json.decode(req.body, type=LoadOrder)
+        call = upstream_server.call_of(req)
+        if self.checks_fencing and order.fencing < self.highest_fencing:
+            status = http.HTTPStatus.PRECONDITION_FAILED
+            await responder.send_json({"error": {"message": "old fencing number"}}, status)
+            return
+        self.highest_fencing = max(self.highest_fencing, order.fencing)
+        self.note(call, ledger.LedgerEvent.STARTED, fencing=order.fencing, version=order.version)
+        if self.versions.get(order.model) != order.version:
+            await self._weights.load()
+            self.versions[order.model] = order.version
+            self._first_versions[order.model] = order.version
+        self.note(call, ledger.LedgerEvent.FINISHED, fencing=order.fencing, version=order.version)
+        await responder.send_json({"version": order.version}, 200)
+
+    async def _export(self, req: http_server.Request, responder: http_server.Responder) -> None:
+        order = msgspec.json.decode(req.body, type=ExportOrder)
+        held = [p for p in order.pieces if self.model.has_cached(ids.PieceId(bytes.fromhex(p)))]
+        if held:
+            await self._ask_keep(ids.Address(order.keep), "/store", held)
+        await responder.send_json({"exported": len(held)})
+
+    async def _importable(
+        self, req: completions.ModelRequest, pieces: tuple[ids.PieceId, ...]
+    ) -> int:
+        keep = str(req.body.get("kv_import", ""))
+        if not keep or not pieces:
+            return 0
+        return await self._ask_keep(ids.Address(keep), "/have", [p.hex() for p in pieces])
+
+    async def _ask_keep(self, keep: ids.Address, path: str, pieces: list[str]) -> int:
+        try:
+            stream = await self._network.connect(keep, KEEP_TIMEOUT_S)
+            conn = http_client.ClientConnection(stream, keep)
+            try:
+                head = http_client.RequestHead("POST", path, [])
+                await conn.send(head, msgspec.json.encode({"pieces": pieces}))
+                await conn.receive_head(KEEP_TIMEOUT_S)
+                body = await conn.receive_body(KEEP_TIMEOUT_S)
+                return int(msgspec.json.decode(body)["pieces"])
+            finally:
+                await conn.close()
+        except (exceptions.ProtocolError, msgspec.MsgspecError, KeyError):
+            return 0
--- /dev/null
+++ b/src/cicadapier/_internal/standins/faults.py
@@ -0,0 +1,144 @@
+"""Faults that the stand-ins can show."""
+
+import dataclasses
+import enum
+import math
+import re
+
+import trio
+
+
+class FaultKind(enum.Enum):
+    """Kinds of faults."""
+
+    CRASH = "crash"
+    PAUSE = "pause"
+    SLOW = "slow"
+    SILENT = "silent"
+    EVENTS_LATE = "events-late"
+    EVENTS_LOST = "events-lost"
+    LOAD_LAG = "load-lag"
+    CROSSED = "crossed"
+    LATE = "late"
+    LEAVING = "leaving"
+    PLATFORM_OUTAGE = "platform-outage"
+    PLATFORM_SLOW = "platform-slow"
+    PLATFORM_ANSWER_LOST = "platform-answer-lost"
+    PARTITION = "partition"
+    POISON = "poison"
+
+
+KIND_HELP = {
+    FaultKind.CRASH: "upstream TARGET loses everything and comes back empty",
+    FaultKind.PAUSE: "upstream TARGET stops making progress",
+    FaultKind.SLOW: "upstream TARGET runs at 1/amount of its speed (default 10)",
+    FaultKind.SILENT: "open connections to TARGET go silent; new ones work",
+    FaultKind.EVENTS_LATE: "cache events of TARGET come amount seconds late (default 10)",
+    FaultKind.EVENTS_LOST: "TARGET loses a share amount of its cache events (default 0.5)",
+    FaultKind.LOAD_LAG: "load reports of TARGET are amount seconds old (default 5)",
+    FaultKind.CROSSED: "TARGET answers with another request's answer",
+    FaultKind.LATE: "TARGET answers amount seconds late (default 5)",
+    FaultKind.LEAVING: "upstream TARGET is being withdrawn",
+    FaultKind.PLATFORM_OUTAGE: "the platform answers nothing",
+    FaultKind.PLATFORM_SLOW: "the platform answers amount seconds late (default 1)",
+    FaultKind.PLATFORM_ANSWER_LOST: "writes take effect and their answers are lost",
+    FaultKind.PARTITION: "A|B: failure domains, or one of them and 'platform', lose each other",
+    FaultKind.POISON: "a prompt that contains TARGET crashes each engine that runs it",
+}
+
+DEFAULT_AMOUNTS = {
+    FaultKind.SLOW: 10.0,
+    FaultKind.EVENTS_LATE: 10.0,
+    FaultKind.EVENTS_LOST: 0.5,
+    FaultKind.LOAD_LAG: 5.0,
+    FaultKind.LATE: 5.0,
+    FaultKind.PLATFORM_SLOW: 1.0,
+}
+
+ANY = "*"
+_SEPARATORS = re.compile(r"[|,:/\s]+")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault.
+
+    Attributes:
+        kind: Its kind.
+        target: What it strikes; `*` for all.
+        until: Time on trio's clock at which it ends.
+        amount: Strength, in the unit of its kind.
+    """
+
+    kind: FaultKind
+    target: str
+    until: float
+    amount: float
+
+
+class FaultBoard:
+    """Faults in force."""
+
+    def __init__(self) -> None:
+        self._faults: list[Fault] = []
+        self._silenced_at: dict[str, float] = {}
+
+    def add(
+        self,
+        kind: FaultKind,
+        target: str = ANY,
+        seconds: float = math.inf,
+        amount: float | None = None,
+    ) -> Fault:
+        """Puts a fault in force."""
+        now = trio.current_time()
+        strength = DEFAULT_AMOUNTS.get(kind, 1.0) if amount is None else amount
+        fault = Fault(kind, target or ANY, now + seconds, strength)
+        self._faults.append(fault)
+        if kind is FaultKind.SILENT:
+            self._silenced_at[fault.target] = now
+        return fault
+
+    def clear(self, kind: FaultKind | None = None, target: str = ANY) -> None:
+        """Ends faults, all of them without arguments."""
+        self._faults = [
+            fault
+            for fault in self._faults
+            if (kind and fault.kind is not kind) or target not in (ANY, fault.target)
+        ]
+
+    def active(self) -> list[Fault]:
+        """Returns the faults in force."""
+        now = trio.current_time()
+        self._faults = [fault for fault in self._faults if fault.until > now]
+        return list(self._faults)
+
+    def find(self, kind: FaultKind, target: str = ANY) -> Fault | None:
+        """Returns the newest fault of a kind that strikes a target."""
+        matches = [f for f in self.active() if f.kind is kind and f.target in (ANY, target)]
+        return matches[-1] if matches else None
+
+    def amount(self, kind: FaultKind, target: str, default: float) -> float:
+        """Returns the strength of a fault, or the default where it is not in force."""
+        fault = self.find(kind, target)
+        return fault.amount if fault else default
+
+    def poisons(self, text: str) -> bool:
+        """Returns whether a prompt crashes the engine that runs it."""
+        return any(f.kind is FaultKind.POISON and f.target in text for f in self.active())
+
+    def parted(self, one: str, other: str) -> bool:
+        """Returns whether two places have lost each other."""
+        if one == other:
+            return False
+        for fault in self.active():
+            if fault.kind is FaultKind.PARTITION:
+                named = set(_SEPARATORS.split(fault.target.strip()))
+                if {one, other} <= named or (len(named) == 1 and (one in named or other in named)):
+                    return True
+        return False
+
+    def silenced(self, target: str, opened_at: float) -> bool:
+        """Returns whether a connection, opened at a time, has gone silent for good."""
+        at = max(self._silenced_at.get(target, -math.inf), self._silenced_at.get(ANY, -math.inf))
+        return opened_at <= at
--- /dev/null
+++ b/src/cicadapier/_internal/standins/faulty_network.py
@@ -0,0 +1,148 @@
+"""A network that shows partitions and silent connections."""
+
+import dataclasses
+import random
+
+import trio
+import trio.testing
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import transport
+from cicadapier._internal.standins import faults
+
+POLL_S = 0.05
+
+
+@dataclasses.dataclass(slots=True)
+class Places:
+    """Failure domain and name of each address; `platform` is a place of its own."""
+
+    domains: dict[ids.Address, str] = dataclasses.field(default_factory=dict)
+    names: dict[ids.Address, str] = dataclasses.field(default_factory=dict)
+
+    def add(self, address: ids.Address, domain: str, name: str) -> None:
+        """Records what listens on an address."""
+        self.domains[address] = domain
+        self.names[address] = name
+
+
+class FaultyNetwork(transport.Network):
+    """Passes all through to another network unless a fault is in force."""
+
+    def __init__(
+        self,
+        inner: transport.Network,
+        board: faults.FaultBoard,
+        places: Places,
+        domain: str,
+    ) -> None:
+        self._inner = inner
+        self._board = board
+        self._places = places
+        self._domain = domain
+
+    def parted(self, address: ids.Address) -> bool:
+        """Returns whether this end and an address have lost each other."""
+        domain = self._places.domains.get(address, self._domain)
+        return self._board.parted(self._domain, domain)
+
+    def silenced(self, address: ids.Address, opened_at: float) -> bool:
+        """Returns whether a connection has gone silent for good."""
+        name = self._places.names.get(address, address)
+        return self._board.silenced(name, opened_at)
+
+    async def connect(self, address: ids.Address, timeout_s: float) -> trio.abc.Stream:
+        """See `transport.Network.connect`."""
+        if self.parted(address):
+            await trio.sleep(timeout_s)
+            raise exceptions.ConnectError(f"{address}: no answer within {timeout_s} s")
+        stream = await self._inner.connect(address, timeout_s)
+        return _FaultyStream(stream, self, address)
+
+    async def serve(
+        self,
+        address: ids.Address,
+        handler: transport.StreamHandler,
+        task_status: "trio.TaskStatus[ids.Address]" = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """See `transport.Network.serve`."""
+        await self._inner.serve(address, handler, task_status=task_status)
+
+
+class _FaultyStream(trio.abc.Stream):
+    """A stream that swallows what is sent and received while it is cut."""
+
+    def __init__(
+        self, inner: trio.abc.Stream, network: FaultyNetwork, address: ids.Address
+    ) -> None:
+        self._inner = inner
+        self._network = network
+        self._address = address
+        self._opened_at = trio.current_time()
+
+    def _cut(self) -> bool:
+        if self._network.silenced(self._address, self._opened_at):
+            return True
+        return self._network.parted(self._address)
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        """Sends data, or loses it."""
+        if self._cut():
+            await trio.lowlevel.checkpoint()
+            return
+        await self._inner.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Waits until sending might not block."""
+        await self._inner.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes | bytearray:
+        """Receives data; nothing arrives while the stream is cut."""
+        data = await self._inner.receive_some(max_bytes)
+        while self._cut():
+            await trio.sleep(POLL_S)
+        return data
+
+    async def aclose(self) -> None:
+        """Closes the stream."""
+        await self._inner.aclose()
+
+
+class MemoryNetwork(transport.Network):
+    """Streams in memory, for tests on a paused clock."""
+
+    def __init__(self, seed: int = 0, latency_s: float = 0.0005) -> None:
+        self._handlers: dict[ids.Address, tuple[transport.StreamHandler, trio.Nursery]] = {}
+        self._rng = random.Random(seed)
+        self._latency_s = latency_s
+        self._next_port = 40_000
+
+    async def connect(self, address: ids.Address, timeout_s: float) -> trio.abc.Stream:
+        """See `transport.Network.connect`."""
+        await trio.sleep(self._latency_s * (1 + self._rng.random()))
+        found = self._handlers.get(address)
+        if found is None:
+            raise exceptions.ConnectError(f"{address}: connection refused")
+        handler, nursery = found
+        near, far = trio.testing.memory_stream_pair()
+        nursery.start_soon(handler, far)
+        return near
+
+    async def serve(
+        self,
+        address: ids.Address,
+        handler: transport.StreamHandler,
+        task_status: "trio.TaskStatus[ids.Address]" = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """See `transport.Network.serve`."""
+        if address.endswith(":0"):
+            self._next_port += 1
+            address = ids.Address(f"{address.rpartition(':')[0]}:{self._next_port}")
+        async with trio.open_nursery() as nursery:
+            self._handlers[address] = (handler, nursery)
+            try:
+                task_status.started(address)
+                await trio.sleep_forever()
+            finally:
+                self._handlers.pop(address, None)
--- /dev/null
+++ b/src/cicadapier/_internal/standins/object_store.py
@@ -0,0 +1,139 @@
+"""State of the stand-in platform: versioned objects with conditional updates and watches."""
+
+import collections
+import copy
+import dataclasses
+import enum
+from typing import Any
+
+MAX_VALUE_BYTES = 1_048_576
+WATCH_WINDOW = 10_000
+
+
+class ChangeType(enum.Enum):
+    """Type of a watch event, in the published spelling."""
+
+    ADDED = "ADDED"
+    MODIFIED = "MODIFIED"
+    DELETED = "DELETED"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """A change of one object."""
+
+    version: int
+    type: ChangeType
+    plural: str
+    object: dict[str, Any]
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored:
+    """The operation took effect."""
+
+    object: dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """The object exists already or has another version."""
+
+    message: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Missing:
+    """There is no such object."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Expired:
+    """The version asked for is older than the watch window."""
+
+
+class ObjectStore:
+    """Objects by plural and name, in the shape that Kubernetes publishes."""
+
+    def __init__(self) -> None:
+        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._changes: collections.deque[Change] = collections.deque(maxlen=WATCH_WINDOW)
+        self._version = 0
+
+    @property
+    def version(self) -> int:
+        """Version of the newest change."""
+        return self._version
+
+    def get(self, plural: str, name: str) -> Stored | Missing:
+        """Returns an object."""
+        found = self._objects.get((plural, name))
+        return Stored(copy.deepcopy(found)) if found else Missing()
+
+    def list_all(self, plural: str, before: float | None = None) -> list[dict[str, Any]]:
+        """Returns the objects of a plural, as they are or as they were at a time."""
+        if before is None:
+            items = [value for (kind, _), value in self._objects.items() if kind == plural]
+            return copy.deepcopy(items)
+        past: dict[str, dict[str, Any]] = {}
+        for change in self._changes:
+            if change.plural != plural or change.at > before:
+                continue
+            name = change.object["metadata"]["name"]
+            past[name] = change.object
+            if change.type is ChangeType.DELETED:
+                del past[name]
+        return copy.deepcopy(list(past.values()))
+
+    def create(self, plural: str, value: dict[str, Any], now: float) -> Stored | Conflict:
+        """Creates an object; its name must be free."""
+        name = value["metadata"]["name"]
+        if (plural, name) in self._objects:
+            return Conflict(f'{plural} "{name}" already exists')
+        return self._put(plural, name, value, ChangeType.ADDED, now)
+
+    def replace(
+        self, plural: str, name: str, value: dict[str, Any], now: float
+    ) -> Stored | Conflict | Missing:
+        """Replaces an object; a resource version in the value must be the current one."""
+        found = self._objects.get((plural, name))
+        if found is None:
+            return Missing()
+        expected = value.get("metadata", {}).get("resourceVersion")
+        if expected and expected != found["metadata"]["resourceVersion"]:
+            return Conflict(f'{plural} "{name}" has been modified')
+        return self._put(plural, name, value, ChangeType.MODIFIED, now)
+
+    def delete(
+        self, plural: str, name: str, expected: str | None, now: float
+    ) -> Stored | Conflict | Missing:
+        """Deletes an object, on condition of its resource version where one is given."""
+        found = self._objects.get((plural, name))
+        if found is None:
+            return Missing()
+        if expected and expected != found["metadata"]["resourceVersion"]:
+            return Conflict(f'{plural} "{name}" has been modified')
+        del self._objects[plural, name]
+        self._record(plural, found, ChangeType.DELETED, now)
+        return Stored(found)
+
+    def changes_after(self, plural: str, version: int) -> list[Change] | Expired:
+        """Returns the changes of a plural after a version."""
+        if self._changes and version < self._changes[0].version - 1:
+            return Expired()
+        return [c for c in self._changes if c.plural == plural and c.version > version]
+
+    def _put(
+        self, plural: str, name: str, value: dict[str, Any], kind: ChangeType, now: float
+    ) -> Stored:
+        stored = copy.deepcopy(value)
+        stored.setdefault("metadata", {})["name"] = name
+        self._record(plural, stored, kind, now)
+        self._objects[plural, name] = stored
+        return Stored(copy.deepcopy(stored))
+
+    def _record(self, plural: str, value: dict[str, Any], kind: ChangeType, now: float) -> None:
+        self._version += 1
+        value["metadata"]["resourceVersion"] = str(self._version)
+        self._changes.append(Change(self._version, kind, plural, copy.deepcopy(value), now))
--- /dev/null
+++ b/src/cicadapier/_internal/standins/plain_services.py
@@ -0,0 +1,123 @@
+"""Stand-ins for a plain service and for the keep of exported KV cache."""
+
+import collections
+import hashlib
+
+import msgspec
+import trio
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import http_server
+from cicadapier._internal.protocols import transport
+from cicadapier._internal.standins import faults
+from cicadapier._internal.standins import ledger
+from cicadapier._internal.standins import upstream_server
+
+SERVICE_TIME_S = 0.01
+KEEP_PIECES = 4096
+
+
+class PlainService(upstream_server.UpstreamServer):
+    """A service that books what it is sent and answers with a receipt."""
+
+    def __init__(
+        self,
+        upstream: ids.UpstreamId,
+        network: transport.Network,
+        board: faults.FaultBoard,
+        book: ledger.Ledger,
+    ) -> None:
+        super().__init__(upstream, network, board, book)
+        self._running_count = 0
+
+    def on_crash(self) -> None:
+        """See `UpstreamServer.on_crash`."""
+        self._running_count = 0
+
+    async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
+        """See `http_server.Handler.handle`."""
+        await self.wait_unpaused()
+        if req.path == "/load":
+            await responder.send_json(self._load_report())
+            return
+        call = upstream_server.call_of(req)
+        self.note(call, ledger.LedgerEvent.STARTED)
+        self._running_count += 1
+        try:
+            slow = self.board.amount(faults.FaultKind.SLOW, self.upstream, 1.0)
+            await trio.sleep(SERVICE_TIME_S * slow)
+            await self.wait_unpaused()
+            self.note(call, ledger.LedgerEvent.FINISHED)
+            await self.wait_late()
+            identity = upstream_server.identity(self, call)
+            await responder.send_json(self._receipt(call), 200, identity)
+        finally:
+            self._running_count = max(0, self._running_count - 1)
+
+    def _receipt(self, call: ledger.Call) -> dict[str, object]:
+        body = b"another call" if self.crossed() else call.body
+        return {
+            "method": call.method,
+            "path": call.path,
+            "body_sha256": hashlib.sha256(body).hexdigest(),
+            "upstream": self.upstream,
+        }
+
+    def _load_report(self) -> dict[str, object]:
+        return {
+            "incarnation": self.incarnation,
+            "age_s": 0.0,
+            "queued_tokens": 0,
+            "queued_interactive_tokens": 0,
+            "running": self._running_count,
+            "leaving": self.leaving,
+            "models": {},
+        }
+
+
+class _Pieces(msgspec.Struct):
+    pieces: list[str]
+
+
+class Keep(upstream_server.UpstreamServer):
+    """Keeps exported pieces, least recently used dropped first."""
+
+    def __init__(
+        self,
+        upstream: ids.UpstreamId,
+        network: transport.Network,
+        board: faults.FaultBoard,
+        book: ledger.Ledger,
+    ) -> None:
+        super().__init__(upstream, network, board, book)
+        self._held: collections.OrderedDict[str, None] = collections.OrderedDict()
+
+    def on_crash(self) -> None:
+        """See `UpstreamServer.on_crash`."""
+        self._held.clear()
+
+    async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
+        """See `http_server.Handler.handle`."""
+        await self.wait_unpaused()
+        if req.path == "/store":
+            pieces = msgspec.json.decode(req.body, type=_Pieces).pieces
+            for piece in pieces:
+                self._held[piece] = None
+                self._held.move_to_end(piece)
+            while len(self._held) > KEEP_PIECES:
+                self._held.popitem(last=False)
+            await responder.send_json({"pieces": len(pieces)})
+        elif req.path == "/have":
+            pieces = msgspec.json.decode(req.body, type=_Pieces).pieces
+            await responder.send_json({"pieces": self._prefix_length(pieces)})
+        elif req.path == "/load":
+            await responder.send_json({"incarnation": self.incarnation, "pieces": len(self._held)})
+        else:
+            await responder.send_json({"error": {"message": "no such path"}}, 404)
+
+    def _prefix_length(self, pieces: list[str]) -> int:
+        for depth, piece in enumerate(pieces):
+            if piece not in self._held:
+                return depth
+            self._held.move_to_end(piece)
+        return len(pieces)
--- /dev/null
+++ b/src/cicadapier/_internal/standins/platform_server.py
@@ -0,0 +1,175 @@
+"""The stand-in platform: an object API in the shape that Kubernetes publishes."""
+
+import collections
+import http
+from typing import Any
+import urllib.parse
+
+import msgspec
+import trio
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
+from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import http_server
+from cicadapier._internal.protocols import transport
+from cicadapier._internal.standins import faults
+from cicadapier._internal.standins import object_store
+
+ROOT = "/apis/cicadapier.io/v1/"
+VM_PLURAL = "vms"
+_LIMITS = settings.CallerLimits(body_bytes=4_194_304, idle_timeout_s=3600.0)
+_OUTAGE_POLL_S = 0.05
+_WATCH_POLL_S = 0.05
+_MAX_WATCH_S = 300.0
+_LOST_ANSWER_S = 60.0
+VM_LIST_LAG_S = 1.0
+
+
+class PlatformServer(http_server.Handler):
+    """The platform.
+
+    Attributes:
+        store: Its objects.
+        calls: Calls that it has answered, by method; a watch counts as one.
+    """
+
+    def __init__(self, network: transport.Network, board: faults.FaultBoard) -> None:
+        self.store = object_store.ObjectStore()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self._network = network
+        self._board = board
+
+    async def run(
+        self,
+        address: ids.Address,
+        task_status: "trio.TaskStatus[str]" = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serves until it is cancelled; reports its address."""
+        await http_server.Listener(self._network.serve, self, _LIMITS).run(address, task_status)
+
+    async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
+        """See `http_server.Handler.handle`."""
+        while self._board.find(faults.FaultKind.PLATFORM_OUTAGE):
+            await trio.sleep(_OUTAGE_POLL_S)
+        delay_s = self._board.amount(faults.FaultKind.PLATFORM_SLOW, faults.ANY, 0.0)
+        await trio.sleep(delay_s)
+        self.calls[req.method] += 1
+        if not req.path.startswith(ROOT):
+            await _fail(responder, http.HTTPStatus.NOT_FOUND, "NotFound", "no such path")
+            return
+        plural, _, name = req.path[len(ROOT) :].partition("/")
+        if req.method == "GET":
+            await self._read(req, plural, name, responder)
+        else:
+            await self._write(req, plural, name, responder)
+
+    async def _read(
+        self,
+        req: http_server.Request,
+        plural: str,
+        name: str,
+        responder: http_server.Responder,
+    ) -> None:
+        query = dict(urllib.parse.parse_qsl(req.query))
+        if query.get("watch") in ("1", "true"):
+            await self._watch(plural, query, responder)
+        elif name:
+            await _answer(responder, self.store.get(plural, name))
+        else:
+            before = None
+            if plural == VM_PLURAL:
+                before = trio.current_time() - VM_LIST_LAG_S
+            items = self.store.list_all(plural, before)
+            version = str(self.store.version)
+            body = {"kind": "List", "metadata": {"resourceVersion": version}, "items": items}
+            await responder.send_json(body)
+
+    async def _watch(
+        self, plural: str, query: dict[str, str], responder: http_server.Responder
+    ) -> None:
+        version = int(query.get("resourceVersion", "0"))
+        if isinstance(self.store.changes_after(plural, version), object_store.Expired):
+            await _fail(responder, http.HTTPStatus.GONE, "Expired", "too old resource version")
+            return
+        lasts_s = min(float(query.get("timeoutSeconds", "60")), _MAX_WATCH_S)
+        deadline = trio.current_time() + lasts_s
+        await responder.start(200, [(b"content-type", b"application/json")])
+        while trio.current_time() < deadline:
+            changes = self.store.changes_after(plural, version)
+            if isinstance(changes, object_store.Expired):
+                break
+            outage = self._board.find(faults.FaultKind.PLATFORM_OUTAGE)
+            for change in [] if outage else changes:
+                version = change.version
+                line = msgspec.json.encode({"type": change.type.value, "object": change.object})
+                await responder.send_part(line + b"\n")
+            await trio.sleep(_WATCH_POLL_S)
+        await responder.finish()
+
+    async def _write(
+        self,
+        req: http_server.Request,
+        plural: str,
+        name: str,
+        responder: http_server.Responder,
+    ) -> None:
+        try:
+            value: Any = msgspec.json.decode(req.body) if req.body else {}
+        except msgspec.MsgspecError as exc:
+            await _fail(responder, http.HTTPStatus.BAD_REQUEST, "BadRequest", str(exc))
+            return
+        if len(req.body) > object_store.MAX_VALUE_BYTES:
+            status = http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+            await _fail(responder, status, "RequestEntityTooLarge", "over one megabyte")
+            return
+        result = self._apply(req.method, plural, name, value)
+        if result is None:
+            status = http.HTTPStatus.METHOD_NOT_ALLOWED
+            await _fail(responder, status, "MethodNotAllowed", req.method)
+            return
+        if self._board.find(faults.FaultKind.PLATFORM_ANSWER_LOST):
+            await trio.sleep(_LOST_ANSWER_S)
+            raise exceptions.ConnectionLostError("answer lost")
+        await _answer(responder, result, created=req.method == "POST")
+
+    def _apply(
+        self, method: str, plural: str, name: str, value: Any
+    ) -> object_store.Stored | object_store.Conflict | object_store.Missing | None:
+        now = trio.current_time()
+        if method == "POST" and not name:
+            return self.store.create(plural, value, now)
+        if method == "PUT" and name:
+            return self.store.replace(plural, name, value, now)
+        if method == "DELETE" and name:
+            expected = value.get("preconditions", {}).get("resourceVersion")
+            return self.store.delete(plural, name, expected, now)
+        return None
+
+
+async def _answer(
+    responder: http_server.Responder,
+    result: object_store.Stored | object_store.Conflict | object_store.Missing,
+    created: bool = False,
+) -> None:
+    if isinstance(result, object_store.Stored):
+        status = http.HTTPStatus.CREATED if created else http.HTTPStatus.OK
+        await responder.send_json(result.object, status)
+    elif isinstance(result, object_store.Conflict):
+        reason = "AlreadyExists" if created else "Conflict"
+        await _fail(responder, http.HTTPStatus.CONFLICT, reason, result.message)
+    else:
+        await _fail(responder, http.HTTPStatus.NOT_FOUND, "NotFound", "no such object")
+
+
+async def _fail(
+    responder: http_server.Responder, status: http.HTTPStatus, reason: str, message: str
+) -> None:
+    body = {
+        "kind": "Status",
+        "status": "Failure",
+        "reason": reason,
+        "message": message,
+        "code": int(status),
+    }
+    await responder.send_json(body, status)
--- /dev/null
+++ b/src/cicadapier/_internal/standins/tour.py
@@ -0,0 +1,120 @@
+"""A few requests that show what a router does."""
+
+import dataclasses
+import http
+
+import msgspec
+import trio
+
+from cicadapier._internal.protocols import completions
+from cicadapier._internal.protocols import headers
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import transport
+from cicadapier._internal.standins import world
+
+TIMEOUT_S = 30.0
+_STYLE_SHEET = "Set verse flush left; keep the poet's line breaks; no widows. " * 600
+_MANUSCRIPT = "The tide recites its one long line and breaks it on the stones. " * 400
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What became of one request."""
+
+    request: str
+    upstream: str
+    why: str
+    cached: str
+    prompt: str
+    first_token: str
+    outcome: str
+
+
+async def take(running: world.World, network: transport.Network) -> list[Result]:
+    """Sends nested prompts and one order, through the routers in turn."""
+    access = world.account_access(running.plan)[0]
+    size = running.plan.deployment
+    routers = list(running.routers.values())
+    results = []
+    prompts = [
+        ("style sheet + manuscript + question 1", _MANUSCRIPT + "Is the third break sound?"),
+        ("same prefix, question 2", _MANUSCRIPT + "Is the last line too long?"),
+        ("same style sheet, other text", "A short new poem." + " Is it finished?"),
+        ("same prefix, question 3", _MANUSCRIPT + "Which stanza should open?"),
+    ]
+    for index, (name, rest) in enumerate(prompts):
+        address = routers[index % len(routers)].router.callers.address
+        stream = await network.connect(address, TIMEOUT_S)
+        conn = http_client.ClientConnection(stream, address)
+        body = {
+            "model": size.model,
+            "prompt": _STYLE_SHEET + rest,
+            "stream": True,
+            "max_tokens": 16,
+        }
+        results.append(await _complete(conn, access.key, name, body))
+    address = routers[0].router.callers.address
+    conn = http_client.ClientConnection(await network.connect(address, TIMEOUT_S), address)
+    target = f"/services/{size.service_pool}{size.once_path}"
+    results.append(await _order(conn, access.key, target))
+    return results
+
+
+def _head(
+    method: str, target: str, key: str, extra: http_client.Headers
+) -> http_client.RequestHead:
+    auth = (headers.AUTHORIZATION, f"Bearer {key}".encode())
+    return http_client.RequestHead(
+        method, target, [auth, (headers.CONTENT_TYPE, b"application/json"), *extra]
+    )
+
+
+def _text(head: http_client.ResponseHead, name: bytes) -> str:
+    return (head.header(name) or b"-").decode("latin-1")
+
+
+async def _complete(
+    conn: http_client.ClientConnection, key: str, name: str, body: dict[str, object]
+) -> Result:
+    began = trio.current_time()
+    head = _head("POST", completions.Endpoint.COMPLETIONS.value, key, [])
+    await conn.send(head, msgspec.json.encode(body))
+    answer = await conn.receive_head(TIMEOUT_S)
+    first_s = trio.current_time() - began
+    splitter = completions.EventSplitter()
+    events: list[bytes] = []
+    while (part := await conn.receive_data(TIMEOUT_S)) is not None:
+        events.extend(splitter.feed(part))
+    await conn.close()
+    whole = bool(events) and events[-1] == completions.DONE
+    usage = completions.read_chunk(events[0]).usage if whole else None
+    details = usage.prompt_tokens_details if usage else None
+    return Result(
+        name,
+        _text(answer, b"x-cicadapier-upstream"),
+        _text(answer, b"x-cicadapier-reason"),
+        str(details.cached_tokens if details else "-"),
+        str(usage.prompt_tokens if usage else "-"),
+        f"{first_s * 1000:.0f} ms",
+        "complete" if whole else f"status {answer.status}",
+    )
+
+
+async def _order(conn: http_client.ClientConnection, key: str, target: str) -> Result:
+    began = trio.current_time()
+    extra = [(headers.IDEMPOTENCY_KEY, b"tour-order-1")]
+    await conn.send(_head("POST", target, key, extra), b'{"title": "Tidal Lines", "copies": 2}')
+    answer = await conn.receive_head(TIMEOUT_S)
+    await conn.receive_body(TIMEOUT_S)
+    took_s = trio.current_time() - began
+    await conn.close()
+    done = answer.status == http.HTTPStatus.OK
+    return Result(
+        "print order (once only)",
+        _text(answer, b"x-cicadapier-upstream"),
+        "fewest requests in flight",
+        "-",
+        "-",
+        f"{took_s * 1000:.0f} ms",
+        "complete" if done else f"status {answer.status}",
+    )
--- /dev/null
+++ b/src/cicadapier/_internal/standins/upstream_server.py
@@ -0,0 +1,145 @@
+"""What the stand-in upstreams have in common: faults, restarts and the ledger."""
+
+import abc
+import http
+
+import trio
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
+from cicadapier._internal.protocols import headers
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import http_server
+from cicadapier._internal.protocols import transport
+from cicadapier._internal.standins import faults
+from cicadapier._internal.standins import ledger
+
+_CALLER_LIMITS = settings.CallerLimits(body_bytes=67_108_864, idle_timeout_s=3600.0)
+_PAUSE_POLL_S = 0.02
+RESTART_S = 0.5
+
+
+class UpstreamServer(http_server.Handler):
+    """A stand-in upstream that can crash and come back.
+
+    Attributes:
+        upstream: Its id.
+        incarnation: Changes with each restart.
+        address: Where it listens.
+    """
+
+    def __init__(
+        self,
+        upstream: ids.UpstreamId,
+        network: transport.Network,
+        board: faults.FaultBoard,
+        book: ledger.Ledger,
+    ) -> None:
+        self.upstream = upstream
+        self.incarnation = ids.Incarnation(f"{upstream}-1")
+        self.address = ids.Address("")
+        self.board = board
+        self.ledger = book
+        self._network = network
+        self._starts = 1
+        self._scope = trio.CancelScope()
+        self._down_s = RESTART_S
+        self._running: dict[str, ledger.Call] = {}
+
+    async def run(
+        self,
+        address: ids.Address,
+        task_status: "trio.TaskStatus[ids.Address]" = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serves until it is cancelled, over any number of crashes; reports its address."""
+        async with trio.open_nursery() as nursery:
+            self.address = await nursery.start(self._serve_life, address)
+            task_status.started(self.address)
+            nursery.start_soon(self._serve_lives)
+
+    async def _serve_lives(self) -> None:
+        while True:
+            if self._scope.cancel_called:
+                await trio.sleep(self._down_s)
+                await self._serve_life(self.address)
+            else:
+                await trio.sleep(_PAUSE_POLL_S)
+
+    async def _serve_life(
+        self,
+        address: ids.Address,
+        task_status: "trio.TaskStatus[ids.Address]" = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        listener = http_server.Listener(self._network.serve, self, _CALLER_LIMITS)
+        with trio.CancelScope() as self._scope:
+            await listener.run(address, task_status)
+
+    def crash(self, down_s: float = RESTART_S) -> None:
+        """Ends all connections and requests at once; the server comes back empty."""
+        if self._scope.cancel_called:
+            return
+        now = trio.current_time()
+        for call in self._running.values():
+            self.ledger.add(self.upstream, self.incarnation, call, ledger.LedgerEvent.CRASHED, now)
+        self._running.clear()
+        self._starts += 1
+        self.incarnation = ids.Incarnation(f"{self.upstream}-{self._starts}")
+        self._down_s = down_s
+        self._scope.cancel()
+        self.on_crash()
+
+    @abc.abstractmethod
+    def on_crash(self) -> None:
+        """Empties the state; `incarnation` is the new one already."""
+
+    @property
+    def leaving(self) -> bool:
+        """Whether it is being withdrawn."""
+        return self.board.find(faults.FaultKind.LEAVING, self.upstream) is not None
+
+    async def wait_unpaused(self) -> None:
+        """Returns once no pause is in force."""
+        while self.board.find(faults.FaultKind.PAUSE, self.upstream):
+            await trio.sleep(_PAUSE_POLL_S)
+
+    async def wait_late(self) -> None:
+        """Delays an answer where late answers are in force."""
+        delay_s = self.board.amount(faults.FaultKind.LATE, self.upstream, 0.0)
+        if delay_s:
+            await trio.sleep(delay_s)
+
+    def crossed(self) -> bool:
+        """Returns whether answers are crossed."""
+        return self.board.find(faults.FaultKind.CROSSED, self.upstream) is not None
+
+    def note(self, call: ledger.Call, event: ledger.LedgerEvent, **detail: object) -> None:
+        """Writes to the ledger."""
+        if event is ledger.LedgerEvent.STARTED:
+            self._running[call.request_id] = call
+        elif self._running.pop(call.request_id, None) is None:
+            # The crash has closed this call's account already.
+            return
+        now = trio.current_time()
+        self.ledger.add(self.upstream, self.incarnation, call, event, now, **detail)
+
+    async def refuse_not_run(self, responder: http_server.Responder, why: str) -> None:
+        """Refuses a request before running it."""
+        extra = [(headers.NOT_RUN, b"true"), (headers.RETRY_AFTER, b"1")]
+        status = http.HTTPStatus.SERVICE_UNAVAILABLE
+        await responder.send_json({"error": {"message": why}}, status, extra)
+
+
+def call_of(req: http_server.Request) -> ledger.Call:
+    """Returns what the ledger keeps of a request."""
+    request_id = (req.header(headers.REQUEST_ID) or b"").decode("latin-1")
+    key = (req.header(headers.IDEMPOTENCY_KEY) or b"").decode("latin-1")
+    return ledger.Call(request_id, req.method, req.target, req.body, key)
+
+
+def identity(server: UpstreamServer, call: ledger.Call) -> http_client.Headers:
+    """Returns the headers by which an answer names its request and its incarnation."""
+    request_id = "crossed-" + call.request_id if server.crossed() else call.request_id
+    return [
+        (headers.REQUEST_ID, request_id.encode("latin-1")),
+        (headers.INCARNATION, server.incarnation.encode()),
+    ]
--- /dev/null
+++ b/src/cicadapier/_internal/standins/world.py
@@ -0,0 +1,376 @@
+"""The stand-ins and routers of one deployment in one process."""
+
+import dataclasses
+import hashlib
+from typing import Any
+
+import structlog
+import trio
+
+from cicadapier._internal.models import checked
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
+from cicadapier._internal.protocols import exceptions as protocol_exceptions
+from cicadapier._internal.protocols import peer_codec
+from cicadapier._internal.protocols import peer_transport
+from cicadapier._internal.protocols import transport
+from cicadapier._internal.services import assembly
+from cicadapier._internal.services import configuration_store
+from cicadapier._internal.standins import deployments
+from cicadapier._internal.standins import engine_model
+from cicadapier._internal.standins import engine_server
+from cicadapier._internal.standins import faults
+from cicadapier._internal.standins import faulty_network
+from cicadapier._internal.standins import ledger
+from cicadapier._internal.standins import plain_services
+from cicadapier._internal.standins import platform_server
+from cicadapier._internal.standins import upstream_server
+
+LOOPBACK = ids.Address("127.0.0.1:0")
+PLATFORM_PLACE = "platform"
+CRASH_DOWN_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What to put up.
+
+    Attributes:
+        deployment: Sizes.
+        routers: Number of routers.
+        seed: Seed of all random choices.
+        first_port: Port of the first router, 0 for any.
+        spec: Speed and size of the engines.
+    """
+
+    deployment: deployments.Deployment
+    routers: int
+    seed: int = 0
+    first_port: int = 0
+    spec: engine_model.EngineSpec = dataclasses.field(default_factory=engine_model.EngineSpec)
+
+
+@dataclasses.dataclass(slots=True)
+class RunningRouter:
+    """A router of the world."""
+
+    router: assembly.Router
+    cfg: settings.Settings
+    scope: trio.CancelScope
+    generation: int
+
+
+class World:
+    """Stand-ins and routers that run together.
+
+    Attributes:
+        board: Faults in force.
+        ledger: What the upstreams truly ran.
+        platform: The stand-in platform.
+        platform_address: Where it listens.
+        upstreams: Stand-in upstreams by id.
+        routers: Running routers by VM.
+    """
+
+    def __init__(
+        self,
+        plan: Plan,
+        network: transport.Network,
+        peers: "PeerTransports",
+    ) -> None:
+        self.plan = plan
+        self.board = faults.FaultBoard()
+        self.ledger = ledger.Ledger()
+        self.places = faulty_network.Places()
+        self.platform_address = ids.Address("")
+        self.upstreams: dict[ids.UpstreamId, upstream_server.UpstreamServer] = {}
+        self.routers: dict[ids.VmId, RunningRouter] = {}
+        self.weights = engine_server.WeightStore(plan.deployment.loads_at_once)
+        self._network = network
+        self._peers = peers
+        self.platform = platform_server.PlatformServer(network, self.board)
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self, task_status: "trio.TaskStatus[None]" = trio.TASK_STATUS_IGNORED) -> None:
+        """Runs everything until it is cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            address = await nursery.start(self.platform.run, LOOPBACK)
+            self.platform_address = ids.Address(address)
+            self.places.add(self.platform_address, PLATFORM_PLACE, PLATFORM_PLACE)
+            await self._start_upstreams(nursery)
+            for index in range(self.plan.routers):
+                await self.start_router(index)
+            self._seed_vms()
+            await self._seed_configuration()
+            for running in self.routers.values():
+                await running.router.configuration.ready.wait()
+            task_status.started()
+            await trio.sleep_forever()
+
+    def network_of(self, domain: str) -> faulty_network.FaultyNetwork:
+        """Returns the network as a failure domain sees it."""
+        return faulty_network.FaultyNetwork(self._network, self.board, self.places, domain)
+
+    async def start_router(self, index: int) -> RunningRouter:
+        """Starts the n-th router; after a stop it is a new process on the same VM."""
+        assert self._nursery
+        vm = ids.VmId(f"router-{index + 1}")
+        before = self.routers.get(vm)
+        generation = before.generation + 1 if before else 1
+        cfg = before.cfg if before else self._router_settings(index, vm)
+        domain = cfg.failure_domain
+        wiring = assembly.Wiring(
+            self._network,
+            self.network_of(domain),
+            self._peers.make(self, domain),
+            generation,
+            self.plan.seed * 1000 + index,
+        )
+        router = assembly.assemble(cfg, wiring)
+        scope = trio.CancelScope()
+        await self._nursery.start(self._run_router, router, cfg, scope)
+        cfg = dataclasses.replace(cfg, listen=_bound(router))
+        running = RunningRouter(router, cfg, scope, generation)
+        self.routers[vm] = running
+        self.places.add(router.peers.address, domain, vm)
+        self._share_seeds()
+        return running
+
+    def stop_router(self, vm: ids.VmId, graceful: bool = False) -> None:
+        """Stops a router, at once or after draining."""
+        running = self.routers[vm]
+        if graceful:
+            running.router.kernel.stop()
+        else:
+            running.scope.cancel()
+
+    def inject(
+        self, kind: faults.FaultKind, target: str, seconds: float, amount: float | None
+    ) -> None:
+        """Puts a fault in force; a crash happens at once."""
+        if kind is faults.FaultKind.CRASH:
+            for upstream_id, upstream in self.upstreams.items():
+                if target in (faults.ANY, upstream_id):
+                    upstream.crash(CRASH_DOWN_S if amount is None else amount)
+            return
+        self.board.add(kind, target, seconds, amount)
+        if kind is faults.FaultKind.LEAVING:
+            self._seed_vms()
+
+    def declaration(self) -> dict[str, Any]:
+        """Returns the configuration document of the deployment."""
+        size = self.plan.deployment
+        accounts = {
+            account.account: {
+                "key_hashes": [self._key_hash(account.account)],
+                "service_class": account.service_class.value,
+                "weight": account.weight,
+                "limits": checked.to_plain(account.limits),
+            }
+            for account in size.accounts
+        }
+        pools = {
+            size.model_pool: {
+                "kind": "model",
+                "models": {size.model: {"weights_version": "1"}},
+                "keep": size.keep_pool,
+                "piece_tokens": self.plan.spec.piece_tokens,
+                "loads_at_once": size.loads_at_once,
+                "upstreams": self._declared(engine_server.EngineServer),
+            },
+            size.service_pool: {
+                "kind": "service",
+                "repeat_rules": [
+                    {"path": size.once_path, "method": "POST", "repeatable": False},
+                ],
+                "upstreams": self._declared(plain_services.PlainService),
+            },
+            size.keep_pool: {"kind": "keep", "upstreams": self._declared(plain_services.Keep)},
+        }
+        return {"accounts": accounts, "pools": pools}
+
+    def _key_hash(self, account: ids.AccountId) -> str:
+        key = deployments.account_key(account, self.plan.seed)
+        return hashlib.sha256(key.encode()).hexdigest()
+
+    def _declared(self, kind: type[upstream_server.UpstreamServer]) -> dict[str, Any]:
+        return {
+            upstream_id: {
+                "address": upstream.address,
+                "failure_domain": self.places.domains[upstream.address],
+                "checks_fencing": getattr(upstream, "checks_fencing", True),
+            }
+            for upstream_id, upstream in self.upstreams.items()
+            if type(upstream) is kind
+        }
+
+    async def _start_upstreams(self, nursery: trio.Nursery) -> None:
+        size = self.plan.deployment
+        for index in range(size.engines):
+            await self._start_engine(nursery, index)
+        for index in range(size.service_runners):
+            upstream_id = ids.UpstreamId(f"{size.service_pool}-{index + 1}")
+            server = plain_services.PlainService(
+                upstream_id, self.network_of(size.domain(index)), self.board, self.ledger
+            )
+            await self._start_upstream(nursery, server, size.domain(index))
+        keep = plain_services.Keep(
+            ids.UpstreamId(f"{size.keep_pool}-1"),
+            self.network_of(size.domain(0)),
+            self.board,
+            self.ledger,
+        )
+        await self._start_upstream(nursery, keep, size.domain(0))
+
+    async def _start_engine(self, nursery: trio.Nursery, index: int) -> None:
+        size = self.plan.deployment
+        engine = engine_server.EngineServer(
+            ids.UpstreamId(f"{size.model_pool}-{index + 1}"),
+            self.network_of(size.domain(index)),
+            self.board,
+            self.ledger,
+            self.plan.spec,
+            {size.model: "1"},
+            self.weights,
+            # The last engine is one of those that ignore fencing numbers.
+            checks_fencing=index + 1 < size.engines,
+            seed=self.plan.seed,
+        )
+        nursery.start_soon(engine.run_clock)
+        await self._start_upstream(nursery, engine, size.domain(index))
+
+    async def _start_upstream(
+        self,
+        nursery: trio.Nursery,
+        server: upstream_server.UpstreamServer,
+        domain: ids.FailureDomainId,
+    ) -> None:
+        self.upstreams[server.upstream] = server
+        await nursery.start(server.run, LOOPBACK)
+        self.places.add(server.address, domain, server.upstream)
+
+    def _router_settings(self, index: int, vm: ids.VmId) -> settings.Settings:
+        port = self.plan.first_port + index if self.plan.first_port else 0
+        return settings.Settings(
+            vm,
+            self.plan.deployment.domain(index),
+            settings.Listen(ids.Address(f"127.0.0.1:{port}"), LOOPBACK, LOOPBACK),
+            platform=settings.Platform([self.platform_address]),
+            cache_secret=f"demo-{self.plan.seed}",
+        )
+
+    def _share_seeds(self) -> None:
+        addresses = [running.router.peers.address for running in self.routers.values()]
+        for running in self.routers.values():
+            running.router.peers.set_seeds(addresses)
+
+    async def _run_router(
+        self,
+        router: assembly.Router,
+        cfg: settings.Settings,
+        scope: trio.CancelScope,
+        task_status: "trio.TaskStatus[None]" = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        structlog.contextvars.bind_contextvars(vm=cfg.vm)
+        with scope:
+            await router.kernel.run(cfg.drain_s, task_status)
+
+    def _seed_vms(self) -> None:
+        now = trio.current_time()
+        known = {item["metadata"]["name"] for item in self.platform.store.list_all("vms")}
+        entries: dict[str, dict[str, str]] = {}
+        for upstream_id, upstream in self.upstreams.items():
+            state = "leaving" if upstream.leaving else "live"
+            entries[upstream_id] = {"state": state, "role": "upstream"}
+        for vm, running in self.routers.items():
+            entries[vm] = {
+                "state": "live",
+                "role": "router",
+                "peerAddress": running.router.peers.address,
+            }
+        for name, spec in entries.items():
+            value = {"metadata": {"name": name}, "spec": spec}
+            if name in known:
+                self.platform.store.replace("vms", name, value, now)
+            else:
+                self.platform.store.create("vms", value, now)
+
+    async def _seed_configuration(self) -> None:
+        first = next(iter(self.routers.values()))
+        submission = configuration_store.Submission(
+            ids.PatchId("demo"), "demo", ids.ConfigNumber(0), self.declaration()
+        )
+        result = await first.router.configuration.submit(submission)
+        if not isinstance(result, configuration_store.Done):
+            raise RuntimeError(f"the deployment's configuration was refused: {result}")
+
+
+def _bound(router: assembly.Router) -> settings.Listen:
+    return settings.Listen(router.callers.address, router.operators.address, router.peers.address)
+
+
+class PeerTransports:
+    """Makes the peer transport of each router."""
+
+    def make(self, world: World, domain: str) -> peer_transport.PeerTransport:
+        """Returns gRPC with the world's partitions."""
+        return FaultyPeers(peer_transport.GrpcTransport("demo"), world, domain)
+
+
+class FaultyPeers(peer_transport.PeerTransport):
+    """A peer transport that shows partitions."""
+
+    def __init__(self, inner: peer_transport.PeerTransport, world: World, domain: str) -> None:
+        self._inner = inner
+        self._world = world
+        self._domain = domain
+
+    async def serve(
+        self,
+        address: ids.Address,
+        handler: peer_transport.PeerHandler,
+        task_status: "trio.TaskStatus[ids.Address]" = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """See `peer_transport.PeerTransport.serve`."""
+        await self._inner.serve(address, handler, task_status=task_status)
+
+    async def exchange(self, address: ids.Address, digest: peer_codec.Digest) -> peer_codec.Digest:
+        """See `peer_transport.PeerTransport.exchange`."""
+        await self._check(address)
+        return await self._inner.exchange(address, digest)
+
+    async def fetch(
+        self, address: ids.Address, above: ids.ConfigNumber
+    ) -> tuple[ids.ConfigNumber, bytes] | None:
+        """See `peer_transport.PeerTransport.fetch`."""
+        await self._check(address)
+        return await self._inner.fetch(address, above)
+
+    async def _check(self, address: ids.Address) -> None:
+        domain = self._world.places.domains.get(address, self._domain)
+        if self._world.board.parted(self._domain, domain):
+            await trio.sleep(peer_transport.EXCHANGE_TIMEOUT_S)
+            raise protocol_exceptions.ConnectError(f"{address}: no answer")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountAccess:
+    """How a caller of an account gets in."""
+
+    id: ids.AccountId
+    key: str
+    service_class: configuration.ServiceClass
+
+
+def account_access(plan: Plan) -> list[AccountAccess]:
+    """Returns the keys of all accounts."""
+    return [
+        AccountAccess(
+            item.account,
+            deployments.account_key(item.account, plan.seed),
+            item.service_class,
+        )
+        for item in plan.deployment.accounts
+    ]
