--- /dev/null
+++ b/src/cicadapier/_internal/commands/config.py
@@ -0,0 +1,124 @@
+"""Shows, checks, compares and patches the configuration."""
+
+import getpass
+from typing import Any
+import urllib.parse
+
+import msgspec
+import yaml
+
+from cicadapier._internal.cli import exceptions
+from cicadapier._internal.cli import http
+from cicadapier._internal.cli import output
+from cicadapier._internal.cli import status_codes
+from cicadapier._internal.decisions import patches
+from cicadapier._internal.models import checked
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import documents
+from cicadapier._internal.models import exceptions as model_exceptions
+
+OPERATOR = "http://127.0.0.1:8081"
+
+
+def show(*, operator: str = OPERATOR, token: str = "", json: bool = False) -> int:
+    """Prints the configuration in force, as YAML with its number in a comment.
+
+    :param operator: URL of a router's operators' listener.
+    :param token: Operators' credential.
+    :param json: Print JSON.
+    """
+    body = http.expect(http.call("GET", f"{operator}/config", token=token))
+    if json:
+        output.print_json(body)
+    else:
+        print(f"# number {body['number']}")
+        print(yaml.safe_dump(body["document"], sort_keys=False, allow_unicode=True), end="")
+    return status_codes.SUCCESS
+
+
+def check(file: str) -> int:
+    """Checks a whole declaration without a router; names each fault with its line and path.
+
+    :param file: Declaration (YAML).
+    """
+    document = documents.read(file)
+    try:
+        value = configuration.parse(document.value)
+    except model_exceptions.InvalidDocumentError as exc:
+        located = document.locate(exc)
+        message = "\n  ".join(fault.describe(file) for fault in located.faults)
+        raise exceptions.CommandError(f"{len(located.faults)} faults\n  {message}") from exc
+    print(f"valid: {len(value.accounts)} accounts, {len(value.pools)} pools")
+    return status_codes.SUCCESS
+
+
+def diff(file: str, *, operator: str = OPERATOR, token: str = "") -> int:
+    """Prints the patch that leads from the configuration in force to a declaration.
+
+    :param file: Whole declaration (YAML).
+    :param operator: URL of a router's operators' listener.
+    :param token: Operators' credential.
+    """
+    wanted: Any = checked.to_plain(configuration.parse(documents.read(file).value))
+    body = http.expect(http.call("GET", f"{operator}/config", token=token))
+    current = checked.to_plain(configuration.parse(body["document"]))
+    patch = patches.difference(current, wanted)
+    print(f"# against number {body['number']}")
+    print(yaml.safe_dump(patch, sort_keys=False, allow_unicode=True), end="")
+    return status_codes.SUCCESS
+
+
+def patch(
+    file: str,
+    *,
+    version: int,
+    operator: str = OPERATOR,
+    token: str = "",
+    author: str = "",
+) -> int:
+    """Submits a merge patch (RFC 7396) written against a numbered version.
+
+    :param file: Patch (YAML).
+    :param version: Number that the patch was written against.
+    :param operator: URL of a router's operators' listener.
+    :param token: Operators' credential.
+    :param author: Name for the history; the user's by default.
+    """
+    content = documents.read(file).value
+    query = urllib.parse.urlencode({"version": version, "author": author or getpass.getuser()})
+    url = f"{operator}/config/patch?{query}"
+    answer = http.call("POST", url, msgspec.json.encode(content), token)
+    if answer.status != 200:
+        raise exceptions.CommandError(_refusal(answer))
+    print(f"accepted as number {answer.body['number']}")
+    return status_codes.SUCCESS
+
+
+def history(*, operator: str = OPERATOR, token: str = "", json: bool = False) -> int:
+    """Prints who changed what.
+
+    :param operator: URL of a router's operators' listener.
+    :param token: Operators' credential.
+    :param json: Print JSON.
+    """
+    body = http.expect(http.call("GET", f"{operator}/config/history", token=token))
+    if json:
+        output.print_json(body)
+        return status_codes.SUCCESS
+    rows = [(c["number"], c["author"], ", ".join(c["paths"])) for c in body["changes"]]
+    output.print_table(["number", "author", "changed"], rows)
+    return status_codes.SUCCESS
+
+
+def _refusal(answer: http.Answer) -> str:
+    error = answer.body.get("error", {}) if isinstance(answer.body, dict) else {}
+    lines = [answer.message or f"status {answer.status}"]
+    for change in error.get("changes", []):
+        lines.append(f"{change['number']} by {change['author']}: {', '.join(change['paths'])}")
+    if error.get("faults"):
+        lines = [f"{len(error['faults'])} faults"]
+        lines += [f"{fault['path']}: {fault['expected']}" for fault in error["faults"]]
+    return "\n  ".join(lines)
+
+
+SUBCOMMANDS = [show, check, diff, patch, history]
--- /dev/null
+++ b/src/cicadapier/_internal/commands/keys.py
@@ -0,0 +1,28 @@
+"""Makes client keys."""
+
+import hashlib
+import secrets
+
+from cicadapier._internal.cli import output
+from cicadapier._internal.cli import status_codes
+
+KEY_BYTES = 32
+
+
+def new(*, json: bool = False) -> int:
+    """Makes a client key and prints it with the hash for the configuration.
+
+    :param json: Print JSON.
+    """
+    key = f"sk-{secrets.token_urlsafe(KEY_BYTES)}"
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    if json:
+        output.print_json({"key": key, "key_hash": digest})
+    else:
+        print(f"key       {key}")
+        print(f"key_hash  {digest}")
+        print("The key is shown this once; the configuration takes the hash.")
+    return status_codes.SUCCESS
+
+
+SUBCOMMANDS = [new]
--- a/src/cicadapier/_internal/protocols/http_server.py
+++ b/src/cicadapier/_internal/protocols/http_server.py
@@ -8,12 +8,16 @@
 
 import h11
 import msgspec
+import structlog
 import trio
 
+from cicadapier._internal.models import ids
 from cicadapier._internal.models import settings
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import http_client
 
+_log = structlog.get_logger()
+
 READ_BYTES = 65_536
 _LINGER_BYTES = 1_048_576
 _LINGER_S = 1.0
@@ -143,6 +147,7 @@
         self._stream = stream
         self._handler = handler
         self._limits = limits
+        self._broken = False
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
 
     async def serve(self) -> None:
@@ -167,8 +172,36 @@
             return False
         if req is None:
             return False
-        await self._handler.handle(req, responder)
-        return self._h11.our_state is h11.DONE and self._handler.accepting
+        await self._handle(req, responder)
+        return not self._broken and self._h11.our_state is h11.DONE and self._handler.accepting
+
+    async def _handle(self, req: Request, responder: Responder) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_when_gone, nursery.cancel_scope)
+            try:
+                await self._handler.handle(req, responder)
+            except exceptions.ConnectionLostError:
+                # The answer was cut short; only closing the connection can tell the caller.
+                self._broken = True
+            except Exception:
+                _log.exception("handler_failed", path=req.path)
+                self._broken = True
+            nursery.cancel_scope.cancel()
+
+    async def _cancel_when_gone(self, scope: trio.CancelScope) -> None:
+        """Cancels the handler once the caller has closed the connection."""
+        size = 0
+        while size < _LINGER_BYTES:
+            try:
+                data = await self._stream.receive_some(READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            if not data:
+                scope.cancel()
+                return
+            # A pipelined request waits in the parser's buffer for its turn.
+            size += len(data)
+            self._h11.receive_data(bytes(data))
 
     async def _read_request(self) -> Request | None:
         idle_deadline = trio.current_time() + self._limits.idle_timeout_s
@@ -275,16 +308,16 @@
 
     def __init__(
         self,
-        network: "collections.abc.Callable[..., collections.abc.Awaitable[None]]",
+        serve: "collections.abc.Callable[..., collections.abc.Awaitable[None]]",
         handler: Handler,
         limits: settings.CallerLimits,
     ) -> None:
-        self._serve = network
+        self._serve = serve
         self._handler = handler
         self._limits = limits
         self._open = 0
 
-    async def run(self, address: str, task_status: "trio.TaskStatus[str]") -> None:
+    async def run(self, address: ids.Address, task_status: "trio.TaskStatus[ids.Address]") -> None:
         """Accepts connections until it is cancelled; reports the bound address."""
         await self._serve(address, self._accept, task_status=task_status)
 
--- a/src/cicadapier/_internal/protocols/peer_transport.py
+++ b/src/cicadapier/_internal/protocols/peer_transport.py
@@ -1,7 +1,12 @@
 """Transport of messages between routers: gRPC in production, direct calls in tests."""
 
 import abc
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
 import hmac
+from typing import Any
+from typing import TypeVar
 
 import grpclib
 import grpclib.client
@@ -30,6 +35,7 @@
     grpclib.exceptions.StreamTerminatedError,
     grpclib.exceptions.ProtocolError,
 )
+_T = TypeVar("_T")
 _SECRET_KEY = "x-peer-secret"
 
 
@@ -113,8 +119,9 @@
             part = content[start : start + PART_BYTES]
             await stream.send_message(peers_pb2.ConfigurationPart(number=number, content=part))
 
-    def _authenticate(self, stream: "grpclib.server.Stream[object, object]") -> None:
-        offered = (stream.metadata or {}).get(_SECRET_KEY, "")
+    def _authenticate(self, stream: "grpclib.server.Stream[Any, Any]") -> None:
+        metadata: Mapping[str, Any] = stream.metadata or {}
+        offered = metadata.get(_SECRET_KEY, "")
         if not hmac.compare_digest(str(offered).encode(), self._secret):
             status = grpclib.const.Status.UNAUTHENTICATED
             raise grpclib.exceptions.GRPCError(status, "wrong peer secret")
@@ -174,12 +181,15 @@
 
         return await self._run(address, call, FETCH_TIMEOUT_S)
 
-    async def _run(self, address, call, timeout_s):  # type: ignore[no-untyped-def]  # noqa: ANN001, ANN202
+    async def _run(
+        self, address: ids.Address, call: Callable[[], Awaitable[_T]], timeout_s: float
+    ) -> _T:
         if self._loop is None:
             raise exceptions.ConnectError("the peer transport has not started")
         try:
             with trio.fail_after(timeout_s):
-                return await trio_asyncio.aio_as_trio(call, loop=self._loop)()
+                result: _T = await trio_asyncio.aio_as_trio(call, loop=self._loop)()
+                return result
         except (
             TimeoutError,
             OSError,
--- a/src/cicadapier/_internal/services/assembly.py
+++ b/src/cicadapier/_internal/services/assembly.py
@@ -5,6 +5,7 @@
 import time
 
 from cicadapier._internal.kernel import service
+from cicadapier._internal.kernel import tokens
 from cicadapier._internal.models import settings
 from cicadapier._internal.protocols import peer_transport
 from cicadapier._internal.protocols import transport
@@ -49,6 +50,7 @@
         peers: Transport to other routers.
         generation: Number that grows with each start on a VM.
         seed: Seed of the router's random choices.
+        token_source: Source of request ids and nonces.
     """
 
     listen: transport.Network
@@ -56,6 +58,7 @@
     peers: peer_transport.PeerTransport
     generation: int
     seed: int
+    token_source: tokens.TokenSource = dataclasses.field(default_factory=tokens.TokenSource)
 
 
 def production_wiring(cfg: settings.Settings) -> Wiring:
@@ -76,8 +79,8 @@
     rng = random.Random(wiring.seed)
     configurations = configuration_service.ConfigurationService(rng)
     peers = peers_service.PeersService(cfg, wiring.peers, wiring.generation, rng)
-    callers = callers_service.CallersService(cfg, wiring.listen)
-    operators = operators_service.OperatorsService(cfg, wiring.listen)
+    callers = callers_service.CallersService(cfg, wiring.listen, wiring.token_source)
+    operators = operators_service.OperatorsService(cfg, wiring.listen, wiring.token_source)
     # Services stop in reverse order: callers drain first, then the others may go.
     for item in (
         telemetry_service.TelemetryService(cfg.vm, cfg.otlp_endpoint),
@@ -86,7 +89,7 @@
         traffic_service.TrafficService(cfg.failure_domain),
         configurations,
         peers,
-        claims_service.ClaimsService(),
+        claims_service.ClaimsService(wiring.token_source),
         upstreams_service.UpstreamsService(rng),
         operators,
         callers,
--- a/src/cicadapier/_internal/services/callers_service.py
+++ b/src/cicadapier/_internal/services/callers_service.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import hashlib
-import secrets
 import urllib.parse
 
 import structlog
@@ -10,6 +9,7 @@
 
 from cicadapier._internal.kernel import exceptions as kernel_exceptions
 from cicadapier._internal.kernel import service
+from cicadapier._internal.kernel import tokens
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
@@ -51,7 +51,10 @@
 
     name = names.CALLERS
 
-    def __init__(self, cfg: settings.Settings, network: transport.Network) -> None:
+    def __init__(
+        self, cfg: settings.Settings, network: transport.Network, token_source: tokens.TokenSource
+    ) -> None:
+        self._tokens = token_source
         self._settings = cfg
         self._network = network
         self.address = cfg.listen.callers
@@ -75,8 +78,7 @@
         self._calls = service_calls.ServiceCalls(services)
         listener = http_server.Listener(self._network.serve, self, self._settings.caller_limits)
         async with trio.open_nursery() as nursery:
-            address = await nursery.start(listener.run, self._settings.listen.callers)
-            self.address = ids.Address(address)
+            self.address = await nursery.start(listener.run, self._settings.listen.callers)
             started.started()
 
     async def drain(self) -> None:
@@ -102,7 +104,7 @@
 
     async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
         """See `http_server.Handler.handle`."""
-        request = ids.RequestId(f"req-{secrets.token_hex(12)}")
+        request = ids.RequestId(f"req-{self._tokens.hex(12)}")
         self._open += 1
         if req.path not in HEALTH_PATHS:
             self._last_request_at = trio.current_time()
@@ -113,6 +115,14 @@
         except kernel_exceptions.KernelError as exc:
             refusal = outcomes.Refusal(outcomes.Code.OVERLOADED, str(exc), retry_after_s=1.0)
             await self._refuse(request, refusal, responder)
+        except protocol_exceptions.ConnectionLostError:
+            raise
+        except Exception:
+            # A fault of ours must cost one request and not the router.
+            _log.exception("request_failed", request=request)
+            message = "this router failed; the request may have run"
+            refusal = outcomes.Refusal(outcomes.Code.INTERNAL, message, outcomes.Effect.UNKNOWN)
+            await self._refuse(request, refusal, responder)
         finally:
             self._open -= 1
 
@@ -120,7 +130,7 @@
         self, exc: protocol_exceptions.BadRequestError, responder: http_server.Responder
     ) -> None:
         """See `http_server.Handler.reject`."""
-        request = ids.RequestId(f"req-{secrets.token_hex(12)}")
+        request = ids.RequestId(f"req-{self._tokens.hex(12)}")
         refusal = outcomes.Refusal(_REJECT_CODES[exc.kind], str(exc))
         await self._refuse(request, refusal, responder)
 
@@ -248,7 +258,7 @@
 
 
 def _list_models(context: request_context.Context) -> dict[str, object]:
-    models = []
+    models: list[ids.ModelId] = []
     for pool_id, pool in context.cfg.content.pools.items():
         permitted = not context.spec.pools or pool_id in context.spec.pools
         if permitted and pool.kind is configuration.PoolKind.MODEL:
--- a/src/cicadapier/_internal/services/claims_service.py
+++ b/src/cicadapier/_internal/services/claims_service.py
@@ -3,7 +3,6 @@
 import base64
 import collections
 import dataclasses
-import secrets
 from typing import Any
 
 import structlog
@@ -12,6 +11,7 @@
 from cicadapier._internal.decisions import claims
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import service
+from cicadapier._internal.kernel import tokens
 from cicadapier._internal.models import outcomes
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import names
@@ -67,7 +67,8 @@
 
     name = names.CLAIMS
 
-    def __init__(self) -> None:
+    def __init__(self, token_source: tokens.TokenSource) -> None:
+        self._tokens = token_source
         self.mailbox: mailbox.Mailbox[Message] = mailbox.Mailbox()
         self._platform: platform_service.PlatformService | None = None
         self._backlog: collections.deque[Message] = collections.deque(maxlen=MAX_BACKLOG)
@@ -97,7 +98,7 @@
         Raises:
             RefusedError: The call must not be run now.
         """
-        nonce = secrets.token_hex(16)
+        nonce = self._tokens.hex(16)
         ticket = Ticket(name, nonce, fingerprint)
         attempt = claims.ClaimAttempt(nonce, fingerprint)
         step = attempt.start()
--- a/src/cicadapier/_internal/services/operators_service.py
+++ b/src/cicadapier/_internal/services/operators_service.py
@@ -2,7 +2,6 @@
 
 import hmac
 import http
-import secrets
 import urllib.parse
 
 import msgspec
@@ -11,6 +10,7 @@
 from cicadapier._internal.decisions import patches
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import service
+from cicadapier._internal.kernel import tokens
 from cicadapier._internal.models import checked
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import documents
@@ -39,7 +39,10 @@
 
     name = names.OPERATORS
 
-    def __init__(self, cfg: settings.Settings, network: transport.Network) -> None:
+    def __init__(
+        self, cfg: settings.Settings, network: transport.Network, token_source: tokens.TokenSource
+    ) -> None:
+        self._tokens = token_source
         self._settings = cfg
         self._network = network
         self.address = cfg.listen.operators
@@ -54,9 +57,7 @@
         self._explanations = explanations.Explanations(kernel)
         listener = http_server.Listener(self._network.serve, self, self._settings.caller_limits)
         async with trio.open_nursery() as nursery:
-            self.address = ids.Address(
-                await nursery.start(listener.run, self._settings.listen.operators)
-            )
+            self.address = await nursery.start(listener.run, self._settings.listen.operators)
             started.started()
 
     async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
@@ -157,7 +158,7 @@
             await _invalid(responder, exc.faults)
             return
         submission = configuration_store.Submission(
-            ids.PatchId(secrets.token_hex(8)),
+            ids.PatchId(self._tokens.hex(8)),
             query.get("author", "unknown"),
             ids.ConfigNumber(int(version)),
             patch,
--- a/src/cicadapier/_internal/standins/fault_server.py
+++ b/src/cicadapier/_internal/standins/fault_server.py
@@ -40,7 +40,7 @@
     async def run(
         self,
         address: ids.Address,
-        task_status: "trio.TaskStatus[str]" = trio.TASK_STATUS_IGNORED,
+        task_status: "trio.TaskStatus[ids.Address]" = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serves until it is cancelled; reports its address."""
         listener = http_server.Listener(self._network.serve, self, settings.CallerLimits())
--- a/src/cicadapier/_internal/standins/platform_server.py
+++ b/src/cicadapier/_internal/standins/platform_server.py
@@ -43,7 +43,7 @@
     async def run(
         self,
         address: ids.Address,
-        task_status: "trio.TaskStatus[str]" = trio.TASK_STATUS_IGNORED,
+        task_status: "trio.TaskStatus[ids.Address]" = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serves until it is cancelled; reports its address."""
         await http_server.Listener(self._network.serve, self, _LIMITS).run(address, task_status)
--- a/src/cicadapier/_internal/standins/world.py
+++ b/src/cicadapier/_internal/standins/world.py
@@ -2,11 +2,13 @@
 
 import dataclasses
 import hashlib
+import random
 from typing import Any
 
 import structlog
 import trio
 
+from cicadapier._internal.kernel import tokens
 from cicadapier._internal.models import checked
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
@@ -96,8 +98,7 @@
         """Runs everything until it is cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            address = await nursery.start(self.platform.run, LOOPBACK)
-            self.platform_address = ids.Address(address)
+            self.platform_address = await nursery.start(self.platform.run, LOOPBACK)
             self.places.add(self.platform_address, PLATFORM_PLACE, PLATFORM_PLACE)
             await self._start_upstreams(nursery)
             for index in range(self.plan.routers):
@@ -127,6 +128,7 @@
             self._peers.make(self, domain),
             generation,
             self.plan.seed * 1000 + index,
+            tokens.TokenSource(random.Random(f"{self.plan.seed}/{vm}/{generation}")),
         )
         router = assembly.assemble(cfg, wiring)
         scope = trio.CancelScope()
--- /dev/null
+++ b/tests/_internal/services/test_service_calls.py
@@ -0,0 +1,139 @@
+"""Calls to plain services: at most once, and truthful about it."""
+
+import unittest
+
+import trio
+
+from cicadapier._internal.standins import faults
+from tests import support
+
+
+def _strike_pool(made, kind, seconds=1e9, amount=None):
+    for upstream in made.upstreams:
+        if upstream.startswith("catalogue"):
+            made.inject(kind, upstream, seconds, amount)
+
+
+class OnceOnlyTest(unittest.TestCase):
+    def test_repeat_with_key_gets_the_first_answer(self):
+        async def check(made):
+            first = await support.Caller(made, router=0).order(b"two copies", "k1")
+            await trio.sleep(1.0)
+            second = await support.Caller(made, router=1).order(b"two copies", "k1")
+            self.assertEqual((first.status, first.body), (second.status, second.body))
+            self.assertEqual(made.ledger.runs(b"two copies"), 1)
+
+        support.in_world(check)
+
+    def test_key_with_another_body_is_refused(self):
+        async def check(made):
+            await support.Caller(made).order(b"two copies", "k1")
+            reply = await support.Caller(made).order(b"three copies", "k1")
+            self.assertEqual((reply.status, reply.code), (422, "idempotency_key_reused"))
+            self.assertEqual(made.ledger.runs(b"three copies"), 0)
+
+        support.in_world(check)
+
+    def test_lost_claim_answer_still_runs_once(self):
+        async def check(made):
+            made.inject(faults.FaultKind.PLATFORM_ANSWER_LOST, faults.ANY, 3.0, None)
+            reply = await support.Caller(made).order(b"two copies", "k1")
+            self.assertEqual(reply.outcome, "complete")
+            self.assertEqual(made.ledger.runs(b"two copies"), 1)
+
+        support.in_world(check)
+
+    def test_platform_down_refuses_as_not_run(self):
+        async def check(made):
+            made.inject(faults.FaultKind.PLATFORM_OUTAGE, faults.ANY, 1e9, None)
+            reply = await support.Caller(made).order(b"two copies", "k1")
+            self.assertEqual((reply.code, reply.outcome), ("claim_unavailable", "not_run"))
+            self.assertEqual(made.ledger.runs(b"two copies"), 0)
+
+        support.in_world(check)
+
+    def test_refused_claim_is_released_so_that_a_repeat_can_run(self):
+        async def check(made):
+            made.inject(faults.FaultKind.PLATFORM_OUTAGE, faults.ANY, 9.0, None)
+            first = await support.Caller(made).order(b"two copies", "k1")
+            self.assertEqual(first.outcome, "not_run")
+            await trio.sleep(15.0)
+            second = await support.Caller(made, router=1).order(b"two copies", "k1")
+            self.assertEqual(second.outcome, "complete")
+            self.assertEqual(made.ledger.runs(b"two copies"), 1)
+
+        support.in_world(check)
+
+    def test_crash_during_a_call_is_told_as_unknown_and_not_repeated(self):
+        async def check(made):
+            replies = []
+            _strike_pool(made, faults.FaultKind.SLOW, amount=100.0)
+
+            async def ask():
+                replies.append(await support.Caller(made).order(b"two copies", "k1"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await trio.sleep(0.5)
+                _strike_pool(made, faults.FaultKind.CRASH)
+            made.board.clear()
+            await trio.sleep(3.0)
+            replies.append(await support.Caller(made, router=1).order(b"two copies", "k1"))
+            self.assertEqual([r.outcome for r in replies], ["unknown", "unknown"])
+            self.assertEqual(made.ledger.runs(b"two copies"), 1)
+
+        support.in_world(check)
+
+    def test_without_key_a_failed_call_is_sent_once(self):
+        async def check(made):
+            _strike_pool(made, faults.FaultKind.PAUSE)
+            reply = await support.Caller(made).order(b"two copies")
+            self.assertEqual(reply.outcome, "unknown")
+            made.board.clear()
+            await trio.sleep(5.0)
+            self.assertLessEqual(made.ledger.runs(b"two copies"), 1)
+
+        support.in_world(check)
+
+    def test_crossed_answer_is_unknown_for_a_call_that_may_not_be_repeated(self):
+        async def check(made):
+            _strike_pool(made, faults.FaultKind.CROSSED)
+            reply = await support.Caller(made).order(b"two copies")
+            self.assertEqual(reply.outcome, "unknown")
+            self.assertEqual(made.ledger.runs(b"two copies"), 1)
+
+        support.in_world(check)
+
+    def test_caller_that_leaves_finds_the_answer_on_its_return(self):
+        async def check(made):
+            _strike_pool(made, faults.FaultKind.SLOW, amount=100.0)
+            with trio.move_on_after(0.5):
+                await support.Caller(made).order(b"two copies", "k1")
+            await trio.sleep(5.0)
+            reply = await support.Caller(made, router=1).order(b"two copies", "k1")
+            self.assertEqual(reply.outcome, "complete")
+            self.assertEqual(made.ledger.runs(b"two copies"), 1)
+
+        support.in_world(check)
+
+
+class RepeatableTest(unittest.TestCase):
+    def test_lookup_is_repeated_elsewhere_after_a_crash(self):
+        async def check(made):
+            made.inject(faults.FaultKind.CRASH, "catalogue-desk-1", 1e9, 1e9)
+            made.inject(faults.FaultKind.CRASH, "catalogue-desk-2", 1e9, 1e9)
+            reply = await support.Caller(made).send("GET", "/services/catalogue-desk/stock/7")
+            self.assertEqual((reply.status, reply.json["path"]), (200, "/stock/7"))
+
+        support.in_world(check)
+
+    def test_unknown_service_is_not_run(self):
+        async def check(made):
+            reply = await support.Caller(made).send("GET", "/services/nowhere/x")
+            self.assertEqual((reply.status, reply.outcome), (404, "not_run"))
+
+        support.in_world(check)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,219 @@
+"""Worlds in memory on a paused clock, and callers for them."""
+
+import collections.abc
+import dataclasses
+import random
+from typing import Any
+
+import msgspec
+import trio
+import trio.testing
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import completions
+from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import peer_codec
+from cicadapier._internal.protocols import peer_transport
+from cicadapier._internal.protocols import peers_pb2
+from cicadapier._internal.standins import deployments
+from cicadapier._internal.standins import engine_model
+from cicadapier._internal.standins import faulty_network
+from cicadapier._internal.standins import world
+
+TIMEOUT_S = 120.0
+SMALL_SPEC = engine_model.EngineSpec(piece_tokens=64, cache_pieces=200)
+
+
+def run(main: collections.abc.Callable[..., Any], *args: Any, seed: int = 0) -> Any:
+    """Runs on a clock that jumps whenever all tasks wait, with a fixed order of tasks."""
+    core = trio._core._run
+    core._ALLOW_DETERMINISTIC_SCHEDULING = True
+    core._r = random.Random(seed)
+    return trio.run(main, *args, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class MemoryPeers(peer_transport.PeerTransport):
+    """Direct calls between routers, through the wire form."""
+
+    handlers: dict[ids.Address, peer_transport.PeerHandler]
+
+    def __init__(self, handlers: dict[ids.Address, peer_transport.PeerHandler]) -> None:
+        self.handlers = handlers
+
+    async def serve(self, address, handler, task_status=trio.TASK_STATUS_IGNORED):
+        if address.endswith(":0"):
+            address = ids.Address(f"127.0.0.1:{50_000 + len(self.handlers)}")
+        self.handlers[address] = handler
+        try:
+            task_status.started(address)
+            await trio.sleep_forever()
+        finally:
+            del self.handlers[address]
+
+    async def exchange(self, address, digest):
+        await trio.sleep(0.001)
+        handler = self._find(address)
+        answer = handler.exchange(peer_codec.decode(_over_the_wire(digest)))
+        return peer_codec.decode(_over_the_wire(answer))
+
+    async def fetch(self, address, above):
+        await trio.sleep(0.001)
+        return self._find(address).document(above)
+
+    def _find(self, address):
+        if address not in self.handlers:
+            raise exceptions.ConnectError(f"{address}: refused")
+        return self.handlers[address]
+
+
+def _over_the_wire(digest: peer_codec.Digest) -> peers_pb2.Digest:
+    return peers_pb2.Digest.FromString(peer_codec.encode(digest).SerializeToString())
+
+
+class MemoryPeerTransports(world.PeerTransports):
+    """Makes memory transports that find each other."""
+
+    def __init__(self) -> None:
+        self._handlers: dict[ids.Address, peer_transport.PeerHandler] = {}
+
+    def make(self, world_, domain):
+        return world.FaultyPeers(MemoryPeers(self._handlers), world_, domain)
+
+
+def make_world(
+    deployment: deployments.Deployment = deployments.LARKSPUR,
+    routers: int = 2,
+    seed: int = 0,
+    spec: engine_model.EngineSpec = SMALL_SPEC,
+) -> world.World:
+    """Returns a world in memory; call it within `run`."""
+    plan = world.Plan(deployment, routers, seed, 0, spec)
+    network = faulty_network.MemoryNetwork(seed)
+    return world.World(plan, network, MemoryPeerTransports())
+
+
+def in_world(
+    test: collections.abc.Callable[[world.World], collections.abc.Awaitable[Any]],
+    **options: Any,
+) -> Any:
+    """Runs a test in a world that has started and settled."""
+
+    async def main() -> Any:
+        made = make_world(**options)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(made.run)
+            await trio.sleep(2.0)
+            result = await test(made)
+            nursery.cancel_scope.cancel()
+        return result
+
+    return run(main, seed=options.get("seed", 0))
+
+
+@dataclasses.dataclass
+class Reply:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    events: list[bytes] = dataclasses.field(default_factory=list)
+    broken: bool = False
+
+    @property
+    def json(self) -> Any:
+        return msgspec.json.decode(self.body)
+
+    @property
+    def outcome(self) -> str:
+        """`complete`, or what the refusal says."""
+        if self.broken:
+            return "broken"
+        if self.events:
+            if self.events[-1] == completions.DONE:
+                return "complete"
+            return str(msgspec.json.decode(self.events[-1][6:])["error"]["outcome"])
+        if self.status < 400:
+            return "complete"
+        return str(self.json["error"].get("outcome", "-"))
+
+    @property
+    def code(self) -> str:
+        return str(self.json["error"]["code"])
+
+    @property
+    def text(self) -> str:
+        """Text of the answer, streamed or not."""
+        bodies = [e[6:] for e in self.events if e != completions.DONE] or [self.body]
+        parts = []
+        for raw in bodies:
+            for choice in msgspec.json.decode(raw).get("choices", []):
+                message = choice.get("delta") or choice.get("message") or {}
+                parts.append(choice.get("text") or message.get("content") or "")
+        return "".join(parts)
+
+
+class Caller:
+    """A caller of one account at one router."""
+
+    def __init__(self, made: world.World, account: str = "", router: int = 0) -> None:
+        self.world = made
+        access = world.account_access(made.plan)
+        self.account = account or access[0].id
+        self.key = deployments.account_key(ids.AccountId(self.account), made.plan.seed)
+        self.vm = list(made.routers)[router]
+
+    async def send(self, method: str, target: str, body: bytes = b"", **headers: str) -> Reply:
+        """Sends one request on a connection of its own."""
+        address = self.world.routers[self.vm].router.callers.address
+        try:
+            stream = await self.world._network.connect(address, TIMEOUT_S)
+        except exceptions.ConnectError:
+            return Reply(0, {}, b"", broken=True)
+        conn = http_client.ClientConnection(stream, address)
+        named = {"authorization": f"Bearer {self.key}", **headers}
+        raw = [(k.replace("_", "-").encode(), v.encode()) for k, v in named.items() if v]
+        try:
+            await conn.send(http_client.RequestHead(method, target, raw), body)
+            return await _receive(conn)
+        except exceptions.ProtocolError:
+            return Reply(0, {}, b"", broken=True)
+        finally:
+            await conn.close()
+
+    async def complete(
+        self, prompt: str, max_tokens: int = 8, stream: bool = True, **extra: Any
+    ) -> Reply:
+        """Asks the deployment's model to complete a prompt."""
+        body = {
+            "model": self.world.plan.deployment.model,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": stream,
+            **extra,
+        }
+        return await self.send("POST", "/v1/completions", msgspec.json.encode(body))
+
+    async def order(self, body: bytes, key: str = "", path: str = "") -> Reply:
+        """Makes a call to the plain service that may not be repeated."""
+        size = self.world.plan.deployment
+        target = f"/services/{size.service_pool}{path or size.once_path}"
+        return await self.send("POST", target, body, idempotency_key=key)
+
+
+async def _receive(conn: http_client.ClientConnection) -> Reply:
+    head = await conn.receive_head(TIMEOUT_S)
+    named = {k.decode(): v.decode("latin-1") for k, v in head.headers}
+    parts: list[bytes] = []
+    broken = False
+    try:
+        while (part := await conn.receive_data(TIMEOUT_S)) is not None:
+            parts.append(part)
+    except exceptions.ProtocolError:
+        broken = True
+    body = b"".join(parts)
+    events = []
+    if named.get("content-type", "").startswith("text/event-stream"):
+        events = completions.EventSplitter().feed(body)
+    return Reply(head.status, named, body, events, broken)
