Measure what a router adds and cut it

Cause: each read had a cancel scope of its own, each chunk a histogram record and each first token two writes; an upstream without events was asked in a tight loop (52 % of a core idle). Change: reads of a stream are watched from outside, one gap in eight is recorded, head and first part leave together, the event follower pauses.

--- /dev/null
+++ b/src/cicadapier/_internal/commands/bench.py
@@ -0,0 +1,39 @@
+"""Measures what a router adds."""
+
+import dataclasses
+
+from cicadapier._internal.cli import logs
+from cicadapier._internal.cli import output
+from cicadapier._internal.cli import status_codes
+from cicadapier._internal.experiments import bench
+from cicadapier._internal.models import settings
+
+ADDED_MS = 1.0
+CHUNK_US = 40.0
+
+
+def run(*, requests: int = 300, streams: int = 16, chunks: int = 200, json: bool = False) -> int:
+    """Measures the time added to the first token and the processor time of a relayed chunk.
+
+    :param requests: Requests for the time to the first token, each way.
+    :param streams: Streams at once for the cost of a chunk.
+    :param chunks: Chunks of each stream.
+    :param json: Print JSON.
+    """
+    logs.configure(settings.LogLevel.WARNING)
+    result = bench.run(bench.Plan(requests, streams, chunks))
+    met = result.added_ms < ADDED_MS and result.chunk_us <= CHUNK_US
+    if json:
+        output.print_json({**dataclasses.asdict(result), "met": met})
+        return status_codes.SUCCESS if met else status_codes.FAILURE
+    output.print_table(
+        ["measure", "value", "target"],
+        [
+            ("first token, direct", f"{result.direct_ms:.2f} ms", "-"),
+            ("first token, through the router", f"{result.routed_ms:.2f} ms", "-"),
+            ("added to the first token", f"{result.added_ms:.2f} ms", f"under {ADDED_MS} ms"),
+            ("idle router", f"{result.idle_share:.2%} of a core", "-"),
+            ("relayed chunk", f"{result.chunk_us:.1f} us", f"at most {CHUNK_US} us"),
+        ],
+    )
+    return status_codes.SUCCESS if met else status_codes.FAILURE
--- a/src/cicadapier/_internal/commands/table.py
+++ b/src/cicadapier/_internal/commands/table.py
@@ -26,6 +26,7 @@
     Command("status", "status", "show routers, upstreams, pools and accounts"),
     Command("explain", "explain", "show how a prompt would be placed, without running it"),
     Command("keys", "keys", "make client keys"),
+    Command("bench", "bench", "measure what a router adds to a request"),
 )
 
 COMMANDS = {command.name: command for command in _ALL}
--- /dev/null
+++ b/src/cicadapier/_internal/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Load, traces, replay and measurements."""
--- /dev/null
+++ b/src/cicadapier/_internal/experiments/bench.py
@@ -0,0 +1,223 @@
+"""Cost of a router: time added to the first token and processor time of a relayed chunk.
+
+Callers, router and upstream share one thread. The router's cost is the difference between the
+ways with and without it, so that no waking of other cores is counted as its work.
+"""
+
+import dataclasses
+import hashlib
+import statistics
+import time
+
+import msgspec
+import trio
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
+from cicadapier._internal.protocols import completions
+from cicadapier._internal.protocols import headers
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import http_server
+from cicadapier._internal.protocols import transport
+from cicadapier._internal.services import assembly
+from cicadapier._internal.services import configuration_service
+
+KEY = "sk-bench"
+MODEL = "bench-model"
+LOOPBACK = ids.Address("127.0.0.1:0")
+TIMEOUT_S = 30.0
+SETTLE_S = 1.0
+IDLE_S = 2.0
+PROMPT = "a question of ordinary length " * 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Size of the measurement.
+
+    Attributes:
+        requests: Requests for the time to the first token, each way.
+        streams: Streams at once for the cost of a chunk.
+        chunks: Chunks of each stream.
+        chunk_s: Time between the chunks of a stream.
+    """
+
+    requests: int = 300
+    streams: int = 16
+    chunks: int = 200
+    chunk_s: float = 0.025
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What was measured.
+
+    Attributes:
+        direct_ms: Median time to the first token without a router.
+        routed_ms: The same through the router.
+        added_ms: Difference.
+        idle_share: Processor time of an idle router, as a share of a core.
+        chunk_us: Processor time of the router for a relayed chunk.
+        chunks: Chunks relayed.
+    """
+
+    direct_ms: float
+    routed_ms: float
+    added_ms: float
+    idle_share: float
+    chunk_us: float
+    chunks: int
+
+
+class _Upstream(http_server.Handler):
+    """Answers at once and then at a fixed pace."""
+
+    def __init__(self, plan: Plan) -> None:
+        self._plan = plan
+
+    async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
+        """Streams a fixed answer."""
+        request_id = (req.header(headers.REQUEST_ID) or b"").decode()
+        if req.path == "/load":
+            await responder.send_json({"incarnation": "bench-1"})
+            return
+        if req.method == "GET":
+            await responder.send_json({"incarnation": "bench-1", "sequence": 0, "pieces": []})
+            return
+        body = msgspec.json.decode(req.body)
+        named = [(headers.CONTENT_TYPE, completions.EVENT_STREAM)]
+        if request_id:
+            named.append((headers.REQUEST_ID, request_id.encode()))
+        await responder.start(200, named)
+        count = int(body["max_tokens"])
+        for index in range(count):
+            await responder.send_part(_chunk(request_id, index, count))
+            if index + 1 < count:
+                await trio.sleep(self._plan.chunk_s)
+        await responder.send_part(completions.DONE)
+        await responder.finish()
+
+
+def _chunk(request_id: str, index: int, count: int) -> bytes:
+    finish = "stop" if index + 1 == count else None
+    return completions.encode_event(
+        {
+            "id": request_id,
+            "object": "text_completion",
+            "created": 0,
+            "model": MODEL,
+            "choices": [{"index": 0, "text": f"word{index} ", "finish_reason": finish}],
+            "token_offset": index,
+            "token_count": 1,
+        }
+    )
+
+
+async def _start_router(nursery: trio.Nursery, upstream: ids.Address) -> assembly.Router:
+    listen = settings.Listen(LOOPBACK, LOOPBACK, LOOPBACK)
+    cfg = settings.Settings(ids.VmId("bench"), ids.FailureDomainId("here"), listen)
+    router = assembly.assemble(cfg, assembly.production_wiring(cfg))
+    await nursery.start(router.kernel.run, 0.0)
+    router.configuration.offer(
+        configuration_service.Document(ids.ConfigNumber(1), _declaration(upstream), ())
+    )
+    await trio.sleep(SETTLE_S)
+    return router
+
+
+def _declaration(upstream: ids.Address) -> dict[str, object]:
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    limits = {"requests_per_s": 1e6, "tokens_per_s": 1e9, "streams": 10_000}
+    return {
+        "accounts": {"bench": {"key_hashes": [digest], "limits": limits}},
+        "pools": {
+            "bench": {
+                "kind": "model",
+                "models": {MODEL: {}},
+                "upstreams": {
+                    "bench-1": {
+                        "address": upstream,
+                        "failure_domain": "here",
+                        "max_in_flight": 1000,
+                    }
+                },
+            }
+        },
+    }
+
+
+def run(plan: Plan) -> Result:
+    """Measures; takes about `plan.chunks * plan.chunk_s` seconds and a few more."""
+    return trio.run(_run, plan)
+
+
+async def _run(plan: Plan) -> Result:
+    network = transport.TcpNetwork()
+    async with trio.open_nursery() as nursery:
+        listener = http_server.Listener(network.serve, _Upstream(plan), settings.CallerLimits())
+        upstream = await nursery.start(listener.run, LOOPBACK)
+        direct_us = await _chunk_us(network, upstream, plan)
+        router = await _start_router(nursery, upstream)
+        routed = router.callers.address
+        direct_ms = await _first_token_ms(network, upstream, plan.requests)
+        routed_ms = await _first_token_ms(network, routed, plan.requests)
+        idle_share = await _idle_share()
+        # The idle router's work goes on while the streams run and is no cost of a chunk.
+        idle_us = idle_share * plan.chunk_s / plan.streams * 1e6
+        chunk_us = await _chunk_us(network, routed, plan) - direct_us - idle_us
+        nursery.cancel_scope.cancel()
+    chunks = plan.streams * plan.chunks
+    return Result(direct_ms, routed_ms, routed_ms - direct_ms, idle_share, chunk_us, chunks)
+
+
+async def _first_token_ms(network: transport.Network, address: ids.Address, requests: int) -> float:
+    stream = await network.connect(address, TIMEOUT_S)
+    conn = http_client.ClientConnection(stream, address)
+    samples = []
+    for _ in range(requests):
+        began = time.perf_counter()
+        await _ask(conn, 1)
+        await conn.receive_head(TIMEOUT_S)
+        await conn.receive_data(TIMEOUT_S)
+        samples.append(time.perf_counter() - began)
+        while await conn.receive_data(TIMEOUT_S) is not None:
+            pass
+        conn.make_reusable()
+    await conn.close()
+    return statistics.median(samples) * 1000
+
+
+async def _ask(conn: http_client.ClientConnection, tokens: int) -> None:
+    body = {"model": MODEL, "prompt": PROMPT, "max_tokens": tokens, "stream": True}
+    named = [
+        (headers.AUTHORIZATION, f"Bearer {KEY}".encode()),
+        (headers.CONTENT_TYPE, b"application/json"),
+    ]
+    head = http_client.RequestHead("POST", completions.Endpoint.COMPLETIONS.value, named)
+    await conn.send(head, msgspec.json.encode(body))
+
+
+async def _idle_share() -> float:
+    before = time.thread_time()
+    await trio.sleep(IDLE_S)
+    return (time.thread_time() - before) / IDLE_S
+
+
+async def _chunk_us(network: transport.Network, address: ids.Address, plan: Plan) -> float:
+    """Returns the processor time of all ends together for a chunk, in microseconds."""
+
+    async def read_stream() -> None:
+        stream = await network.connect(address, TIMEOUT_S)
+        conn = http_client.ClientConnection(stream, address)
+        await _ask(conn, plan.chunks)
+        await conn.receive_head(TIMEOUT_S)
+        while await conn.receive_data(TIMEOUT_S) is not None:
+            pass
+        await conn.close()
+
+    before = time.thread_time()
+    async with trio.open_nursery() as nursery:
+        for _ in range(plan.streams):
+            nursery.start_soon(read_stream)
+            await trio.sleep(plan.chunk_s / plan.streams)
+    return (time.thread_time() - before) / (plan.streams * plan.chunks) * 1e6
--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -59,10 +59,27 @@
         self._stream = stream
         self._host = host.encode("ascii")
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._watched = False
+        self._expired = False
+        self._read_deadline = math.inf
         self.opened_at = trio.current_time()
         self.idle_since = self.opened_at
         self.sent = False
 
+    def watch(self, watched: bool) -> None:
+        """States whether somebody calls `expire_if_late` while reads are under way.
+
+        A cancel scope for each read costs more than the read itself, so the reads of a long
+        stream are watched from outside instead.
+        """
+        self._watched = watched
+
+    async def expire_if_late(self, now: float) -> None:
+        """Closes the connection where the read under way is past its deadline."""
+        if now >= self._read_deadline:
+            self._expired = True
+            await self.close()
+
     async def send(self, head: RequestHead, body: bytes) -> None:
         """Sends a whole request.
 
@@ -148,10 +165,8 @@
 
     async def _next_event(self, deadline: float) -> h11.Event:
         try:
-            event = self._h11.next_event()
-            while event is h11.NEED_DATA:
+            while (event := self._h11.next_event()) is h11.NEED_DATA:
                 await self._fill(deadline)
-                event = self._h11.next_event()
         except h11.RemoteProtocolError as exc:
             if "closed" in str(exc):
                 raise exceptions.ConnectionLostError(str(exc)) from exc
@@ -161,12 +176,22 @@
         raise exceptions.ConnectionLostError("closed early")
 
     async def _fill(self, deadline: float) -> None:
-        data: bytes | bytearray | None = None
+        if self._watched:
+            self._read_deadline = deadline
+            await self._receive()
+            self._read_deadline = math.inf
+            return
         with trio.move_on_at(deadline):
-            try:
-                data = await self._stream.receive_some(READ_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-                raise exceptions.ConnectionLostError(f"lost while receiving: {exc}") from exc
-        if data is None:
-            raise exceptions.SilentConnectionError("no progress before the deadline")
+            await self._receive()
+            return
+        raise exceptions.SilentConnectionError("no progress before the deadline")
+
+    async def _receive(self) -> None:
+        try:
+            data = await self._stream.receive_some(READ_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            if self._expired:
+                message = "no progress before the deadline"
+                raise exceptions.SilentConnectionError(message) from exc
+            raise exceptions.ConnectionLostError(f"lost while receiving: {exc}") from exc
         self._h11.receive_data(bytes(data))
--- a/src/cicadapier/_internal/protocols/http_server.py
+++ b/src/cicadapier/_internal/protocols/http_server.py
@@ -81,9 +81,14 @@
             data += self._h11.send(h11.Data(data=body)) or b""
         await self._write(data + (self._h11.send(h11.EndOfMessage()) or b""))
 
-    async def start(self, status: int, headers: http_client.Headers) -> None:
-        """Sends the head of an answer whose length is not known."""
-        await self._write(self._head(status, [*headers, *_CHUNKED]))
+    async def start(
+        self, status: int, headers: http_client.Headers, first_part: bytes = b""
+    ) -> None:
+        """Sends the head of an answer whose length is not known, with the first part if any."""
+        data = self._head(status, [*headers, *_CHUNKED])
+        if first_part:
+            data += self._h11.send(h11.Data(data=first_part)) or b""
+        await self._write(data)
 
     async def send_part(self, data: bytes) -> None:
         """Sends a part of the body."""
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import msgspec
 import trio
 
 from cicadapier._internal.models import ids
@@ -9,6 +10,7 @@
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import headers
 from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import upstream_bodies
 from cicadapier._internal.services import connections_service
 
 CRASH_CHECK_S = 0.3
@@ -85,6 +87,11 @@
         await self._check_refusal(self.head)
         return self.head
 
+    def watch(self) -> None:
+        """Has the reads of a long answer watched from outside, which costs them less."""
+        if self._conn:
+            self._connections.watch(self._conn)
+
     async def receive(self, timeout_s: float, offset: int) -> bytes | None:
         """Returns the next part of the answer's body, or None at its end.
 
@@ -106,12 +113,14 @@
         """Returns the connection to the pool after a whole answer."""
         if self._conn:
             conn, self._conn = self._conn, None
+            self._connections.unwatch(conn)
             await self._connections.release(self._call.address, conn)
 
     async def abandon(self) -> None:
         """Closes the connection, so that a late answer can reach nobody."""
         if self._conn:
             conn, self._conn = self._conn, None
+            self._connections.unwatch(conn)
             with trio.CancelScope(shield=True):
                 await self._connections.discard(self._call.address, conn)
 
@@ -129,13 +138,13 @@
             return True
         try:
             probe = http_client.RequestHead("GET", "/load", [])
-            answer, _ = await connections_service.exchange(conn, probe, b"", CRASH_CHECK_S)
-            current = answer.header(headers.INCARNATION) or b""
-        except exceptions.ProtocolError:
+            _, body = await connections_service.exchange(conn, probe, b"", CRASH_CHECK_S)
+            current = msgspec.json.decode(body, type=upstream_bodies.Load).incarnation
+        except (exceptions.ProtocolError, msgspec.MsgspecError):
             return False
         finally:
             await conn.close()
-        known = self._call.incarnation.encode()
+        known = self._call.incarnation
         return bool(current and known and current != known)
 
     async def _check_identity(self, head: http_client.ResponseHead) -> None:
--- a/src/cicadapier/_internal/services/connections_service.py
+++ b/src/cicadapier/_internal/services/connections_service.py
@@ -20,6 +20,7 @@
 MAX_IDLE_S = 4.0
 MAX_AGE_S = 120.0
 SWEEP_S = 1.0
+WATCH_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,10 +59,16 @@
         self._network = network
         self._idle: dict[ids.Address, list[http_client.ClientConnection]] = {}
         self._suspected_at: dict[ids.Address, float] = {}
+        self._watched: set[http_client.ClientConnection] = set()
 
     async def run(self, kernel: service.Kernel, started: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
-        started.started()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._expire_late_reads)
+            started.started()
+            await self._serve_mailbox()
+
+    async def _serve_mailbox(self) -> None:
         next_sweep = trio.current_time() + SWEEP_S
         while True:
             message = await self.mailbox.receive_until(next_sweep)
@@ -91,6 +98,23 @@
         stream = await self._network.connect(address, timeout_s)
         return http_client.ClientConnection(stream, address)
 
+    def watch(self, conn: http_client.ClientConnection) -> None:
+        """Enforces the deadlines of a connection's reads from now on."""
+        conn.watch(True)
+        self._watched.add(conn)
+
+    def unwatch(self, conn: http_client.ClientConnection) -> None:
+        """Leaves the deadlines to the connection itself again."""
+        conn.watch(False)
+        self._watched.discard(conn)
+
+    async def _expire_late_reads(self) -> None:
+        while True:
+            await trio.sleep(WATCH_S)
+            now = trio.current_time()
+            for conn in list(self._watched):
+                await conn.expire_if_late(now)
+
     async def release(self, address: ids.Address, conn: http_client.ClientConnection) -> None:
         """Gives a connection back after a whole answer, or closes it."""
         if conn.make_reusable() and self.mailbox.offer(GiveBack(address, conn)):
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -26,6 +26,7 @@
 MIN_FIRST_TOKEN_S = 2.0
 ESTIMATE_FACTOR = 4.0
 BATCH_PRIORITY = 1
+SAMPLED_GAPS = 8  # Recording each gap would cost as much as relaying its chunk.
 UPSTREAM_HEADER = b"x-cicadapier-upstream"
 REASON_HEADER = b"x-cicadapier-reason"
 _MAX_ANSWER_BYTES = 67_108_864
@@ -79,15 +80,15 @@
         """
         plan = self.plan(context, req)
         placed = await self._services.enter(plan.entry)
-        self._services.telemetry.record(
-            telemetry_service.Histogram.QUEUE_WAIT, placed.queued_s, context.attributes
-        )
         relay = _Relay(self._services, context, plan, responder)
         ran = True
         try:
             ran = await relay.run(placed)
         finally:
             self._services.leave(context.request, ran)
+            self._services.telemetry.record(
+                telemetry_service.Histogram.QUEUE_WAIT, placed.queued_s, context.attributes
+            )
 
     def plan(self, context: request_context.Context, req: completions.ModelRequest) -> _Plan:
         """Returns what a request asks for, in terms of pools and pieces.
@@ -133,6 +134,7 @@
         self._responder = responder
         self._progress = _Progress()
         self._must_tell_offset = False
+        self._chunks = 0
 
     async def run(self, placed: traffic.Placed) -> bool:
         """Runs attempts; returns whether the request may have cost an upstream anything."""
@@ -259,6 +261,7 @@
             raise _broken("the answer has no end", 0)
         self._observe_first(attempt, chunk)
         await attempt.finish()
+        self._measure_first()
         extra = [(headers.CONTENT_TYPE, b"application/json"), *self._identity(placed)]
         await self._responder.send_whole(http.HTTPStatus.OK, extra, body)
 
@@ -267,6 +270,7 @@
         splitter = completions.EventSplitter()
         done = False
         self._must_tell_offset = self._progress.offset > 0
+        attempt.watch()
         while (part := await attempt.receive(timeout_s, self._progress.offset)) is not None:
             relayed: list[bytes] = []
             try:
@@ -293,10 +297,12 @@
         return False
 
     async def _send(self, data: bytes, placed: traffic.Placed) -> None:
-        if not self._responder.started:
-            extra = [(headers.CONTENT_TYPE, completions.EVENT_STREAM), *self._identity(placed)]
-            await self._responder.start(http.HTTPStatus.OK, extra)
-        await self._responder.send_part(data)
+        if self._responder.started:
+            await self._responder.send_part(data)
+            return
+        extra = [(headers.CONTENT_TYPE, completions.EVENT_STREAM), *self._identity(placed)]
+        await self._responder.start(http.HTTPStatus.OK, extra, data)
+        self._measure_first()
 
     def _read(self, event: bytes) -> completions.Chunk:
         """Reads a part of the answer and checks that it belongs to the request."""
@@ -320,7 +326,8 @@
         if progress.cached_tokens is None:
             self._observe_first(attempt, chunk)
         now = trio.current_time()
-        if progress.last_at is not None and chunk.token_count:
+        self._chunks += 1
+        if progress.last_at is not None and chunk.token_count and not self._chunks % SAMPLED_GAPS:
             gap_s = (now - progress.last_at) / chunk.token_count
             self._services.telemetry.record(
                 telemetry_service.Histogram.BETWEEN_TOKENS, gap_s, self._context.attributes
@@ -333,17 +340,16 @@
     def _observe_first(self, attempt: attempts.Attempt, chunk: completions.Chunk) -> None:
         details = chunk.usage.prompt_tokens_details if chunk.usage else None
         cached = details.cached_tokens if details else 0
-        first_before = self._progress.cached_tokens is None
         self._progress.cached_tokens = cached
         self._services.traffic.mailbox.offer(
             traffic_service.FirstToken(self._context.request, attempt.incarnation, cached)
         )
-        if first_before:
-            telemetry = self._services.telemetry
-            took_s = trio.current_time() - self._context.entered_at
-            telemetry.record(
-                telemetry_service.Histogram.FIRST_TOKEN, took_s, self._context.attributes
-            )
+
+    def _measure_first(self) -> None:
+        took_s = trio.current_time() - self._context.entered_at
+        self._services.telemetry.record(
+            telemetry_service.Histogram.FIRST_TOKEN, took_s, self._context.attributes
+        )
 
     def _measure_end(self) -> None:
         telemetry = self._services.telemetry
--- a/src/cicadapier/_internal/services/upstreams_service.py
+++ b/src/cicadapier/_internal/services/upstreams_service.py
@@ -1,5 +1,6 @@
 """Watches upstreams: load reports, cache events and the platform's list of VMs."""
 
+import contextlib
 import dataclasses
 import random
 from typing import Any
@@ -16,6 +17,7 @@
 from cicadapier._internal.protocols import completions
 from cicadapier._internal.protocols import exceptions as protocol_exceptions
 from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import upstream_bodies
 from cicadapier._internal.services import configuration_service
 from cicadapier._internal.services import connections_service
 from cicadapier._internal.services import exceptions
@@ -35,36 +37,6 @@
 _log = structlog.get_logger()
 
 
-class LoadBody(msgspec.Struct):
-    """A load report on the wire."""
-
-    incarnation: str = ""
-    age_s: float = 0.0
-    queued_tokens: float = 0.0
-    queued_interactive_tokens: float = 0.0
-    running: int = 0
-    leaving: bool = False
-    models: dict[str, str] = {}
-
-
-class EventBody(msgspec.Struct):
-    """A cache event on the wire."""
-
-    incarnation: str
-    sequence: int
-    kind: str
-    pieces: list[str]
-    age_s: float = 0.0
-
-
-class SnapshotBody(msgspec.Struct):
-    """All cached pieces on the wire."""
-
-    incarnation: str
-    sequence: int
-    pieces: list[str]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Target:
     pool: ids.PoolId
@@ -146,7 +118,7 @@
             )
             return
         try:
-            body = await self._ask(target, conn, "/load", LoadBody)
+            body = await self._ask(target, conn, "/load", upstream_bodies.Load)
         except protocol_exceptions.ProtocolError:
             # One silent connection proves little about its upstream.
             self._traffic.mailbox.offer(
@@ -155,7 +127,7 @@
             return
         self._report(target, body)
 
-    def _report(self, target: _Target, body: LoadBody) -> None:
+    def _report(self, target: _Target, body: upstream_bodies.Load) -> None:
         assert self._traffic
         self.model_versions[target.upstream] = body.models
         measured_at = trio.current_time() - max(0.0, body.age_s)
@@ -198,16 +170,20 @@
 
     async def _follow_events(self, target: _Target) -> None:
         while True:
-            try:
+            with contextlib.suppress(
+                protocol_exceptions.ProtocolError, msgspec.MsgspecError, ValueError
+            ):
                 sequence = await self._resync(target)
                 await self._read_events(target, sequence)
-            except (protocol_exceptions.ProtocolError, msgspec.MsgspecError, ValueError):
-                await trio.sleep(RECONNECT_S * self._rng.uniform(0.5, 1.5))
+            # An upstream without an event stream must not be asked in a tight loop.
+            await trio.sleep(RECONNECT_S * self._rng.uniform(0.5, 1.5))
 
     async def _resync(self, target: _Target) -> int:
         assert self._traffic and self._connections
         conn = await self._connections.open(target.address, PROBE_TIMEOUT_S)
-        body: SnapshotBody = await self._ask(target, conn, "/cache/snapshot", SnapshotBody)
+        body: upstream_bodies.CacheSnapshot = await self._ask(
+            target, conn, "/cache/snapshot", upstream_bodies.CacheSnapshot
+        )
         pieces = tuple(ids.PieceId(bytes.fromhex(piece)) for piece in body.pieces)
         self._traffic.mailbox.offer(
             traffic_service.CacheSnapshot(
@@ -239,7 +215,7 @@
 
     async def _apply(self, target: _Target, event: bytes) -> bool:
         assert self._traffic
-        body = msgspec.json.decode(event.removeprefix(b"data: "), type=EventBody)
+        body = msgspec.json.decode(event.removeprefix(b"data: "), type=upstream_bodies.CacheEvent)
         reply: mailbox.Reply[bool] = mailbox.Reply()
         self._traffic.mailbox.send(
             traffic_service.CacheChanged(
--- a/src/cicadapier/_internal/standins/faulty_network.py
+++ b/src/cicadapier/_internal/standins/faulty_network.py
@@ -80,6 +80,7 @@
         self._network = network
         self._address = address
         self._opened_at = trio.current_time()
+        self._closed = False
 
     def _cut(self) -> bool:
         if self._network.silenced(self._address, self._opened_at):
@@ -102,10 +103,13 @@
         data = await self._inner.receive_some(max_bytes)
         while self._cut():
             await trio.sleep(POLL_S)
+            if self._closed:
+                raise trio.ClosedResourceError
         return data
 
     async def aclose(self) -> None:
         """Closes the stream."""
+        self._closed = True
         await self._inner.aclose()
 
 
