Share placements and exports between routers

Cause: a router learned of prefixes on an engine only from events two seconds late, and an empty belief counted as none, because its length was its truth. Change: digests carry the newest prompts sent and the pieces exported; the keep is used; what is observed lives in one pure module. Conclusion: routers warm each other.

--- /dev/null
+++ b/src/cicadapier/_internal/decisions/observations.py
@@ -0,0 +1,159 @@
+"""What a router learns about the upstreams of its pools: loads, caches, health, the keep.
+
+All of it is hints: late, lossy and sometimes wrong. Every method ignores pools and upstreams that
+are no longer declared.
+"""
+
+import dataclasses
+
+from cicadapier._internal.decisions import belief
+from cicadapier._internal.decisions import fairqueue
+from cicadapier._internal.decisions import health
+from cicadapier._internal.decisions import load
+from cicadapier._internal.decisions import members
+from cicadapier._internal.decisions import placement
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+
+
+@dataclasses.dataclass(slots=True)
+class PoolState:
+    """State of one pool."""
+
+    spec: configuration.Pool
+    policy: members.Policy
+    health: health.UpstreamHealth
+    queue: fairqueue.FairQueue
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A cache event of an upstream.
+
+    Attributes:
+        incarnation: Incarnation that published it.
+        sequence: Its place in the event stream.
+        stored: Whether pieces were stored; else they were evicted.
+        pieces: The pieces.
+        age_s: Age of the event.
+    """
+
+    incarnation: ids.Incarnation
+    sequence: int
+    stored: bool
+    pieces: tuple[ids.PieceId, ...]
+    age_s: float
+
+
+class Observations:
+    """Takes in what is observed of upstreams."""
+
+    def __init__(self, pools: dict[ids.PoolId, PoolState]) -> None:
+        self._pools = pools
+
+    def load_reported(
+        self,
+        pool: ids.PoolId,
+        upstream: ids.UpstreamId,
+        incarnation: ids.Incarnation,
+        leaving: bool,
+        report: load.Report,
+        now: float,
+    ) -> None:
+        """Takes a load report."""
+        state = self._find(pool, upstream)
+        if state is None:
+            return
+        state.health.answered(upstream, incarnation, leaving)
+        state.policy.members[upstream].load.reported(report, now)
+        if isinstance(state.policy, placement.PrefixPlacement):
+            state.policy.belief.observe_incarnation(upstream, incarnation)
+
+    def probe_failed(
+        self, pool: ids.PoolId, upstream: ids.UpstreamId, certain: bool, now: float
+    ) -> None:
+        """Records that an upstream did not answer a query."""
+        state = self._find(pool, upstream)
+        if state:
+            state.health.failed(upstream, certain, now)
+
+    def listed(self, pool: ids.PoolId, upstream: ids.UpstreamId, leaving: bool) -> None:
+        """Takes over the platform's list."""
+        state = self._find(pool, upstream)
+        if state:
+            state.health.listed(upstream, leaving)
+
+    def cache_event(
+        self, pool: ids.PoolId, upstream: ids.UpstreamId, event: CacheEvent, now: float
+    ) -> bool:
+        """Takes a cache event; returns False where a gap asks for a snapshot."""
+        believed = self._belief(pool, upstream)
+        if believed is None:
+            return True
+        if event.stored:
+            return believed.stored(upstream, event.incarnation, event.sequence, event.pieces, now)
+        return believed.evicted(
+            upstream, event.incarnation, event.sequence, event.pieces, event.age_s, now
+        )
+
+    def cache_snapshot(
+        self,
+        pool: ids.PoolId,
+        upstream: ids.UpstreamId,
+        incarnation: ids.Incarnation,
+        sequence: int,
+        pieces: tuple[ids.PieceId, ...],
+        now: float,
+    ) -> None:
+        """Replaces what is believed of an upstream by its own snapshot."""
+        believed = self._belief(pool, upstream)
+        if believed is not None:
+            believed.resynced(upstream, incarnation, sequence, pieces, now)
+
+    def peer_sent(
+        self,
+        pool: ids.PoolId,
+        upstream: ids.UpstreamId,
+        tokens: float,
+        interactive_tokens: float,
+        now: float,
+    ) -> None:
+        """Adds work that another router has sent."""
+        state = self._find(pool, upstream)
+        if state is None:
+            return
+        member_load = state.policy.members[upstream].load
+        if interactive_tokens > 0:
+            interactive = configuration.ServiceClass.INTERACTIVE
+            member_load.sent(interactive_tokens, interactive, now)
+        if tokens > interactive_tokens:
+            batch = configuration.ServiceClass.BATCH
+            member_load.sent(tokens - interactive_tokens, batch, now)
+
+    def peer_placed(
+        self,
+        pool: ids.PoolId,
+        upstream: ids.UpstreamId,
+        pieces: tuple[ids.PieceId, ...],
+        now: float,
+    ) -> None:
+        """Records that another router has sent a prompt with these pieces."""
+        believed = self._belief(pool, upstream)
+        if believed is not None:
+            believed.sent(upstream, pieces, now)
+
+    def kept(self, pool: ids.PoolId, pieces: tuple[ids.PieceId, ...]) -> None:
+        """Records that pieces were exported to the pool's keep."""
+        state = self._pools.get(pool)
+        if state and isinstance(state.policy, placement.PrefixPlacement):
+            state.policy.kept.add(pieces)
+
+    def _find(self, pool: ids.PoolId, upstream: ids.UpstreamId) -> PoolState | None:
+        state = self._pools.get(pool)
+        return state if state and upstream in state.policy.members else None
+
+    def _belief(self, pool: ids.PoolId, upstream: ids.UpstreamId) -> belief.CacheBelief | None:
+        state = self._find(pool, upstream)
+        if state and isinstance(state.policy, placement.PrefixPlacement):
+            return state.policy.belief
+        return None
--- a/src/cicadapier/_internal/decisions/placement.py
+++ b/src/cicadapier/_internal/decisions/placement.py
@@ -33,6 +33,7 @@
         levels: Hash at the level whose subtree fits one upstream; else at the first piece.
         in_flight: Count prefixes that are being computed as cached.
         keep: Import from the keep where that beats recomputing.
+        keep_first_use: Export pieces as soon as they are computed; else at their second use.
         recompute_weight: Weight of prefill time in the cost, for the work that it takes from
             other requests.
     """
@@ -42,6 +43,7 @@
     levels: bool = True
     in_flight: bool = True
     keep: bool = True
+    keep_first_use: bool = True
     recompute_weight: float = 2.0
 
 
@@ -95,6 +97,32 @@
         chosen = next(e for e in estimates if e.cost_s <= least + NEAR_TIE_S)
         return members.Choice(chosen, _reason(chosen, least), tuple(estimates))
 
+    def first_token(
+        self,
+        upstream: ids.UpstreamId,
+        incarnation: ids.Incarnation,
+        prompt: prefix.Prompt,
+        choice: members.Estimate,
+        found: int,
+        now: float,
+    ) -> None:
+        """Corrects what is believed by the pieces that an engine found cached or imported."""
+        expected = choice.cached_pieces + choice.imported_pieces
+        if choice.imported_pieces and found < expected:
+            self.kept.remove(prompt.pieces[found:expected])
+        self.belief.answered(upstream, incarnation, prompt.pieces, choice.cached_pieces, found, now)
+
+    def worth_keeping(self, prompt: prefix.Prompt, found: int) -> tuple[ids.PieceId, ...]:
+        """Returns the pieces to export, now that an engine has them.
+
+        Pieces that were found cached are in use again, so they are hot. The others have just been
+        computed, and computing them again would cost more than the export.
+        """
+        if not self._features.keep or self.pool.keep is None:
+            return ()
+        candidates = prompt.pieces if self._features.keep_first_use else prompt.pieces[:found]
+        return tuple(piece for piece in candidates if piece not in self.kept)
+
     def level_key(self, prompt: prefix.Prompt) -> bytes:
         """Returns the piece at whose level the prompt is hashed.
 
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -11,6 +11,7 @@
 from cicadapier._internal.decisions import health
 from cicadapier._internal.decisions import limits
 from cicadapier._internal.decisions import members
+from cicadapier._internal.decisions import observations
 from cicadapier._internal.decisions import placement
 from cicadapier._internal.decisions import poison
 from cicadapier._internal.decisions import prefix
@@ -81,14 +82,32 @@
     tried: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
 
 
-@dataclasses.dataclass(slots=True)
-class PoolState:
-    """State of one pool."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class FirstToken:
+    """What the first token of an answer tells.
+
+    Attributes:
+        incarnation: Incarnation that answers.
+        cached_tokens: Tokens that it found cached or imported.
+    """
+
+    incarnation: ids.Incarnation
+    cached_tokens: int
 
-    spec: configuration.Pool
-    policy: members.Policy
-    health: health.UpstreamHealth
-    queue: fairqueue.FairQueue
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Export:
+    """Have an upstream export pieces to the pool's keep.
+
+    Attributes:
+        pool: Pool of the upstream.
+        upstream: The upstream, which has the pieces cached.
+        pieces: The pieces, outermost first.
+    """
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    pieces: tuple[ids.PieceId, ...]
 
 
 class Traffic:
@@ -98,12 +117,14 @@
         limits: This router's part in the limits of all accounts.
         poison: Requests that crash upstreams.
         pools: State of each pool.
+        observations: Takes in what is observed of upstreams.
     """
 
     def __init__(self, failure_domain: ids.FailureDomainId) -> None:
         self.limits = limits.AccountLimits()
         self.poison = poison.PoisonGuard()
-        self.pools: dict[ids.PoolId, PoolState] = {}
+        self.pools: dict[ids.PoolId, observations.PoolState] = {}
+        self.observations = observations.Observations(self.pools)
         self._domain = failure_domain
         self._cfg = configuration.EMPTY
         self._active: dict[ids.RequestId, _Active] = {}
@@ -136,7 +157,7 @@
             state = self.pools.get(pool_id)
             if state is None or state.spec.kind is not spec.kind:
                 policy = placement.make_policy(spec, self._domain, now)
-                self.pools[pool_id] = PoolState(
+                self.pools[pool_id] = observations.PoolState(
                     spec, policy, health.UpstreamHealth(), fairqueue.FairQueue()
                 )
                 continue
@@ -233,28 +254,30 @@
             cost = active.entry.prompt.total_tokens + active.entry.output_tokens
             self.limits.refund(active.entry.account, cost)
 
-    def first_token(
-        self,
-        request: ids.RequestId,
-        incarnation: ids.Incarnation,
-        cached_tokens: int,
-        now: float,
-    ) -> None:
-        """Corrects what is believed by an answer's own count of cached tokens."""
+    def first_token(self, request: ids.RequestId, first: FirstToken, now: float) -> Export | None:
+        """Corrects what is believed by an answer's own count of cached tokens.
+
+        Returns:
+            An export that is worth its cost, if any.
+        """
         active = self._active.get(request)
         if active is None or active.choice is None:
-            return
+            return None
         state = self.pools.get(active.entry.pool)
         if state is None:
-            return
-        state.health.answered(active.choice.upstream, incarnation)
-        if isinstance(state.policy, placement.PrefixPlacement):
-            pieces = active.entry.prompt.pieces
-            found = cached_tokens // max(1, active.entry.prompt.piece_tokens)
-            believed = active.choice.cached_pieces
-            state.policy.belief.answered(
-                active.choice.upstream, incarnation, pieces, believed, found, now
-            )
+            return None
+        upstream = active.choice.upstream
+        state.health.answered(upstream, first.incarnation)
+        if not isinstance(state.policy, placement.PrefixPlacement):
+            return None
+        prompt = active.entry.prompt
+        found = first.cached_tokens // max(1, prompt.piece_tokens)
+        state.policy.first_token(upstream, first.incarnation, prompt, active.choice, found, now)
+        pieces = state.policy.worth_keeping(prompt, found)
+        if not pieces:
+            return None
+        state.policy.kept.add(pieces)
+        return Export(active.entry.pool, upstream, pieces)
 
     def poll(self, now: float) -> list[Decision]:
         """Returns decisions on waiting requests that time or freed slots allow."""
@@ -306,7 +329,7 @@
             if choice and active.entry.pool == pool and choice.upstream == upstream:
                 yield active.entry.fingerprint
 
-    def _refresh(self, state: PoolState, now: float) -> bool:
+    def _refresh(self, state: observations.PoolState, now: float) -> bool:
         """Takes over the health of each upstream; returns whether any is usable."""
         usable = False
         for upstream, member in state.policy.members.items():
@@ -314,7 +337,7 @@
             usable = usable or member.usable
         return usable
 
-    def _place(self, state: PoolState, active: _Active, now: float) -> Decision:
+    def _place(self, state: observations.PoolState, active: _Active, now: float) -> Decision:
         entry = active.entry
         exclude = frozenset(active.tried)
         if self.poison.is_suspect(entry.fingerprint, now):
@@ -336,7 +359,7 @@
         state.policy.sent(req, choice.estimate, now)
         return Placed(entry.request, choice, active.incarnation, now - active.entered_at)
 
-    def _enqueue(self, state: PoolState, active: _Active, now: float) -> None:
+    def _enqueue(self, state: observations.PoolState, active: _Active, now: float) -> None:
         entry = active.entry
         state.queue.push(
             fairqueue.Ticket(
@@ -349,7 +372,7 @@
             )
         )
 
-    def _serve_queue(self, state: PoolState, now: float) -> list[Decision]:
+    def _serve_queue(self, state: observations.PoolState, now: float) -> list[Decision]:
         decisions: list[Decision] = []
         if not len(state.queue) or not self._refresh(state, now):
             return decisions
@@ -361,7 +384,7 @@
 
     def _count_failure(
         self,
-        state: PoolState,
+        state: observations.PoolState,
         active: _Active,
         choice: members.Estimate,
         outcome: outcomes.AttemptOutcome,
--- a/src/cicadapier/_internal/protocols/peer_codec.py
+++ b/src/cicadapier/_internal/protocols/peer_codec.py
@@ -1,5 +1,6 @@
 """Messages between routers: value classes and their wire form."""
 
+import collections.abc
 import dataclasses
 
 from cicadapier._internal.decisions import limits
@@ -12,6 +13,7 @@
 MAX_ACCOUNTS = 512
 MAX_SENDS = 2048
 MAX_CRASHES = 128
+MAX_PLACED = 64
 MAX_KEPT_PIECES = 4096
 PIECE_BYTES = 16
 
@@ -34,6 +36,23 @@
     pieces: tuple[ids.PieceId, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacedPieces:
+    """Pieces of a prompt that a router has sent to an upstream.
+
+    Attributes:
+        number: Grows with each prompt of the sender, so that none is counted twice.
+        pool: Pool of the upstream.
+        upstream: The upstream.
+        pieces: The pieces, outermost first.
+    """
+
+    number: int
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    pieces: tuple[ids.PieceId, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Digest:
     """What one router tells another in one round.
@@ -47,6 +66,7 @@
         sends: Its own work sent to upstreams.
         crashes: Newest evidence against requests.
         kept: Newest exports to keeps.
+        placed: Newest prompts that it has sent.
     """
 
     sender: ids.VmId
@@ -57,6 +77,7 @@
     sends: tuple[SentWork, ...] = ()
     crashes: tuple[poison.Crash, ...] = ()
     kept: tuple[KeptPieces, ...] = ()
+    placed: tuple[PlacedPieces, ...] = ()
 
 
 def encode(digest: Digest) -> peers_pb2.Digest:
@@ -86,6 +107,12 @@
             for c in digest.crashes[:MAX_CRASHES]
         ],
         kept=[peers_pb2.KeptPieces(pool=k.pool, pieces=k.pieces) for k in digest.kept],
+        placed=[
+            peers_pb2.PlacedPieces(
+                number=p.number, pool=p.pool, upstream=p.upstream, pieces=p.pieces
+            )
+            for p in digest.placed[-MAX_PLACED:]
+        ],
     )
 
 
@@ -113,6 +140,7 @@
             for c in message.crashes[:MAX_CRASHES]
         ),
         tuple(_decode_kept(k) for k in message.kept),
+        tuple(_decode_placed(p) for p in message.placed[:MAX_PLACED]),
     )
 
 
@@ -139,8 +167,18 @@
 
 
 def _decode_kept(message: peers_pb2.KeptPieces) -> KeptPieces:
-    pieces = message.pieces[:MAX_KEPT_PIECES]
-    return KeptPieces(
+    return KeptPieces(ids.PoolId(message.pool), _decode_pieces(message.pieces))
+
+
+def _decode_placed(message: peers_pb2.PlacedPieces) -> PlacedPieces:
+    return PlacedPieces(
+        message.number,
         ids.PoolId(message.pool),
-        tuple(ids.PieceId(piece) for piece in pieces if len(piece) == PIECE_BYTES),
+        ids.UpstreamId(message.upstream),
+        _decode_pieces(message.pieces),
     )
+
+
+def _decode_pieces(raw: collections.abc.Sequence[bytes]) -> tuple[ids.PieceId, ...]:
+    pieces = raw[:MAX_KEPT_PIECES]
+    return tuple(ids.PieceId(piece) for piece in pieces if len(piece) == PIECE_BYTES)
--- a/src/cicadapier/_internal/services/assembly.py
+++ b/src/cicadapier/_internal/services/assembly.py
@@ -13,6 +13,7 @@
 from cicadapier._internal.services import claims_service
 from cicadapier._internal.services import configuration_service
 from cicadapier._internal.services import connections_service
+from cicadapier._internal.services import exports_service
 from cicadapier._internal.services import operators_service
 from cicadapier._internal.services import peers_service
 from cicadapier._internal.services import platform_service
@@ -89,6 +90,7 @@
         traffic_service.TrafficService(cfg.failure_domain),
         configurations,
         peers,
+        exports_service.ExportsService(),
         claims_service.ClaimsService(wiring.token_source),
         upstreams_service.UpstreamsService(rng),
         operators,
--- a/src/cicadapier/_internal/services/configuration_service.py
+++ b/src/cicadapier/_internal/services/configuration_service.py
@@ -23,6 +23,7 @@
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import names
 from cicadapier._internal.services import platform_service
+from cicadapier._internal.services import traffic_messages
 from cicadapier._internal.services import traffic_service
 
 POLL_S = 0.5
@@ -88,7 +89,7 @@
         self.document = document
         self._packed = None
         assert self._traffic
-        self._traffic.mailbox.send(traffic_service.ConfigurationChanged(self.current))
+        self._traffic.mailbox.send(traffic_messages.ConfigurationChanged(self.current))
         self.ready.set()
         _log.info("configuration_in_force", number=document.number)
         return True
--- a/src/cicadapier/_internal/services/explanations.py
+++ b/src/cicadapier/_internal/services/explanations.py
@@ -16,6 +16,7 @@
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import names
 from cicadapier._internal.services import request_context
+from cicadapier._internal.services import traffic_messages
 from cicadapier._internal.services import traffic_service
 
 
@@ -86,7 +87,7 @@
         except exceptions.RefusedError as exc:
             return Unexplained(exc.refusal.message)
         reply: mailbox.Reply[members.Choice | None] = mailbox.Reply()
-        traffic.mailbox.send(traffic_service.Explain(plan.entry, reply))
+        traffic.mailbox.send(traffic_messages.Explain(plan.entry, reply))
         choice = await reply.get()
         return Explanation(
             plan.pool_id,
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -20,7 +20,6 @@
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import request_context
 from cicadapier._internal.services import telemetry_service
-from cicadapier._internal.services import traffic_service
 
 DEFAULT_OUTPUT_TOKENS = 256
 MIN_FIRST_TOKEN_S = 2.0
@@ -341,8 +340,8 @@
         details = chunk.usage.prompt_tokens_details if chunk.usage else None
         cached = details.cached_tokens if details else 0
         self._progress.cached_tokens = cached
-        self._services.traffic.mailbox.offer(
-            traffic_service.FirstToken(self._context.request, attempt.incarnation, cached)
+        self._services.first_token(
+            self._context.request, traffic.FirstToken(attempt.incarnation, cached)
         )
 
     def _measure_first(self) -> None:
--- a/src/cicadapier/_internal/services/operators_service.py
+++ b/src/cicadapier/_internal/services/operators_service.py
@@ -25,6 +25,7 @@
 from cicadapier._internal.services import names
 from cicadapier._internal.services import peers_service
 from cicadapier._internal.services import telemetry_service
+from cicadapier._internal.services import traffic_messages
 from cicadapier._internal.services import traffic_service
 
 _METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
@@ -96,8 +97,8 @@
         assert self._kernel
         traffic: traffic_service.TrafficService = self._kernel.find(names.TRAFFIC)
         peers: peers_service.PeersService = self._kernel.find(names.PEERS)
-        reply: mailbox.Reply[traffic_service.Status] = mailbox.Reply()
-        traffic.mailbox.send(traffic_service.GetStatus(reply))
+        reply: mailbox.Reply[traffic_messages.Status] = mailbox.Reply()
+        traffic.mailbox.send(traffic_messages.GetStatus(reply))
         status = await reply.get()
         reachable = peers.members.reachable(trio.current_time())
         body = {
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -18,6 +18,7 @@
 from cicadapier._internal.protocols import peer_transport
 from cicadapier._internal.services import configuration_service
 from cicadapier._internal.services import names
+from cicadapier._internal.services import traffic_messages
 from cicadapier._internal.services import traffic_service
 
 ROUND_S = 0.25
@@ -52,6 +53,7 @@
         self._digest = peer_codec.Digest(cfg.vm, generation, ids.ConfigNumber(0))
         self._use: dict[ids.VmId, tuple[float, dict[ids.AccountId, limits.RemoteUse]]] = {}
         self._seen_sends: dict[tuple[ids.VmId, int, ids.UpstreamId], peer_codec.SentWork] = {}
+        self._seen_placed: dict[tuple[ids.VmId, int], int] = {}
         self._kept: collections.deque[peer_codec.KeptPieces] = collections.deque(maxlen=8)
         self._kernel: service.Kernel | None = None
         self._reachable: frozenset[ids.VmId] = frozenset()
@@ -130,8 +132,8 @@
 
     async def _refresh_digest(self) -> None:
         assert self._traffic and self._configuration
-        reply: mailbox.Reply[traffic_service.Digest] = mailbox.Reply()
-        self._traffic.mailbox.send(traffic_service.TakeDigest(reply))
+        reply: mailbox.Reply[traffic_messages.Digest] = mailbox.Reply()
+        self._traffic.mailbox.send(traffic_messages.TakeDigest(reply))
         found = await reply.get()
         now = trio.current_time()
         self._digest = peer_codec.Digest(
@@ -143,6 +145,7 @@
             found.sends,
             found.crashes,
             tuple(self._kept),
+            found.placed,
         )
 
     async def _exchange_with(self, address: ids.Address) -> None:
@@ -174,10 +177,11 @@
         self._use[digest.sender] = (now, digest.use)
         for work in digest.sends:
             self._merge_sends(digest, work)
+        self._merge_placed(digest)
         if digest.crashes:
-            self._traffic.mailbox.offer(traffic_service.PeerCrashes(digest.crashes))
+            self._traffic.mailbox.offer(traffic_messages.PeerCrashes(digest.crashes))
         for kept in digest.kept:
-            self._traffic.mailbox.offer(traffic_service.Kept(kept.pool, kept.pieces))
+            self._traffic.mailbox.offer(traffic_messages.Kept(kept.pool, kept.pieces))
 
     def _merge_sends(self, digest: peer_codec.Digest, work: peer_codec.SentWork) -> None:
         assert self._traffic
@@ -191,9 +195,21 @@
         interactive = work.interactive_tokens - before.interactive_tokens
         if tokens > 0:
             self._traffic.mailbox.offer(
-                traffic_service.PeerSends(work.pool, work.upstream, tokens, max(0.0, interactive))
+                traffic_messages.PeerSends(work.pool, work.upstream, tokens, max(0.0, interactive))
             )
 
+    def _merge_placed(self, digest: peer_codec.Digest) -> None:
+        assert self._traffic
+        key = (digest.sender, digest.generation)
+        seen = self._seen_placed.get(key, 0)
+        for placed in digest.placed:
+            if placed.number > seen:
+                self._traffic.mailbox.offer(
+                    traffic_messages.PeerPlaced(placed.pool, placed.upstream, placed.pieces)
+                )
+                seen = placed.number
+        self._seen_placed[key] = seen
+
     def _publish_use(self, now: float) -> None:
         assert self._traffic
         total: dict[ids.AccountId, limits.RemoteUse] = {}
@@ -207,7 +223,7 @@
                     known.demand_per_s + own.demand_per_s, known.streams + own.streams
                 )
         count = self.members.count(now)
-        self._traffic.mailbox.offer(traffic_service.PeerUse(count, total))
+        self._traffic.mailbox.offer(traffic_messages.PeerUse(count, total))
 
     def _log_changes(self, now: float) -> None:
         reachable = frozenset(heartbeat.vm for heartbeat in self.members.reachable(now))
@@ -221,3 +237,5 @@
     def _forget_sends(self, vm: ids.VmId) -> None:
         for key in [key for key in self._seen_sends if key[0] == vm]:
             del self._seen_sends[key]
+        for sender in [key for key in self._seen_placed if key[0] == vm]:
+            del self._seen_placed[sender]
--- a/src/cicadapier/_internal/services/request_context.py
+++ b/src/cicadapier/_internal/services/request_context.py
@@ -24,6 +24,7 @@
 from cicadapier._internal.services import names
 from cicadapier._internal.services import peers_service
 from cicadapier._internal.services import telemetry_service
+from cicadapier._internal.services import traffic_messages
 from cicadapier._internal.services import traffic_service
 
 
@@ -68,28 +69,32 @@
         """
         self.budget.request_seen()
         reply: mailbox.Reply[traffic.Decision] = mailbox.Reply()
-        self.traffic.mailbox.send(traffic_service.Enter(entry, reply))
+        self.traffic.mailbox.send(traffic_messages.Enter(entry, reply))
         return _placed(await reply.get())
 
     async def again(self, request: ids.RequestId) -> traffic.Placed | outcomes.Refusal:
         """Places a request anew; the refusal is for the caller to judge."""
         reply: mailbox.Reply[traffic.Decision] = mailbox.Reply()
-        self.traffic.mailbox.send(traffic_service.Again(request, reply))
+        self.traffic.mailbox.send(traffic_messages.Again(request, reply))
         decision = await reply.get()
         return decision.refusal if isinstance(decision, traffic.Refused) else decision
 
     async def attempt_ended(self, request: ids.RequestId, outcome: outcomes.AttemptOutcome) -> None:
         """Reports an attempt; new evidence of a crash reaches the peers before this returns."""
         reply: mailbox.Reply[poison.Crash | None] = mailbox.Reply()
-        self.traffic.mailbox.send(traffic_service.AttemptEnded(request, outcome, reply))
+        self.traffic.mailbox.send(traffic_messages.AttemptEnded(request, outcome, reply))
         crash = await reply.get()
         if crash:
             # The caller's repeat may reach another router as soon as it has our answer.
             await self.peers.announce_crash(crash)
 
+    def first_token(self, request: ids.RequestId, first: traffic.FirstToken) -> None:
+        """Reports the first token of an answer."""
+        self.traffic.mailbox.offer(traffic_messages.FirstToken(request, first))
+
     def leave(self, request: ids.RequestId, ran: bool) -> None:
         """Reports the end of a request."""
-        self.traffic.mailbox.offer(traffic_service.Leave(request, ran))
+        self.traffic.mailbox.offer(traffic_messages.Leave(request, ran))
 
 
 def _placed(decision: traffic.Decision) -> traffic.Placed:
--- /dev/null
+++ b/src/cicadapier/_internal/services/traffic_messages.py
@@ -0,0 +1,235 @@
+"""Messages to the traffic service."""
+
+import dataclasses
+
+from cicadapier._internal.decisions import health
+from cicadapier._internal.decisions import limits
+from cicadapier._internal.decisions import load
+from cicadapier._internal.decisions import members
+from cicadapier._internal.decisions import observations
+from cicadapier._internal.decisions import poison
+from cicadapier._internal.decisions import traffic
+from cicadapier._internal.kernel import mailbox
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import outcomes
+from cicadapier._internal.protocols import peer_codec
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Enter:
+    """Admits and places a request."""
+
+    entry: traffic.Entry
+    reply: "mailbox.Reply[traffic.Decision]"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Again:
+    """Places a request anew after a failed attempt."""
+
+    request: ids.RequestId
+    reply: "mailbox.Reply[traffic.Decision]"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FirstToken:
+    """The answer to a request has begun."""
+
+    request: ids.RequestId
+    first: traffic.FirstToken
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """An attempt has ended; the reply carries new evidence of a crash, if any."""
+
+    request: ids.RequestId
+    outcome: outcomes.AttemptOutcome
+    reply: "mailbox.Reply[poison.Crash | None]"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leave:
+    """A request has ended."""
+
+    request: ids.RequestId
+    ran: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationChanged:
+    """A new configuration is in force."""
+
+    cfg: configuration.NumberedConfiguration
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReported:
+    """An upstream has told its load, its incarnation and whether it is leaving."""
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    incarnation: ids.Incarnation
+    leaving: bool
+    report: load.Report
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeFailed:
+    """An upstream did not answer a load query."""
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    certain: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheChanged:
+    """A cache event of an upstream; the reply tells whether its sequence is without a gap."""
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    event: observations.CacheEvent
+    reply: "mailbox.Reply[bool]"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheSnapshot:
+    """All that an upstream has cached."""
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    incarnation: ids.Incarnation
+    sequence: int
+    pieces: tuple[ids.PieceId, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listed:
+    """The platform's list says whether an upstream is leaving."""
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerSends:
+    """Work that another router has sent to an upstream since its last message."""
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    tokens: float
+    interactive_tokens: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerPlaced:
+    """Another router has sent a prompt with these pieces to an upstream."""
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    pieces: tuple[ids.PieceId, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerUse:
+    """Use of accounts by all other routers, and their number with this one."""
+
+    routers: int
+    use: dict[ids.AccountId, limits.RemoteUse]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerCrashes:
+    """Evidence against requests from another router."""
+
+    crashes: tuple[poison.Crash, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kept:
+    """Pieces were exported to the pool's keep."""
+
+    pool: ids.PoolId
+    pieces: tuple[ids.PieceId, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explain:
+    """Asks for the choice that would be made for a request."""
+
+    entry: traffic.Entry
+    reply: "mailbox.Reply[members.Choice | None]"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Digest:
+    """What the peers are told of this router's traffic."""
+
+    sends: tuple[peer_codec.SentWork, ...]
+    placed: tuple[peer_codec.PlacedPieces, ...]
+    use: dict[ids.AccountId, limits.RemoteUse]
+    crashes: tuple[poison.Crash, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TakeDigest:
+    """Asks for a digest; its sends are counted from this router's start."""
+
+    reply: "mailbox.Reply[Digest]"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamStatus:
+    """State of one upstream."""
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    address: ids.Address
+    failure_domain: ids.FailureDomainId
+    state: health.UpstreamState
+    incarnation: ids.Incarnation
+    running: int
+    backlog_tokens: float
+    cached_pieces: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status:
+    """State of the router's traffic."""
+
+    active_requests: int
+    queued: dict[ids.PoolId, int]
+    upstreams: tuple[UpstreamStatus, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetStatus:
+    """Asks for the state of the router's traffic."""
+
+    reply: "mailbox.Reply[Status]"
+
+
+Message = (
+    Enter
+    | Again
+    | FirstToken
+    | AttemptEnded
+    | Leave
+    | ConfigurationChanged
+    | LoadReported
+    | ProbeFailed
+    | CacheChanged
+    | CacheSnapshot
+    | Listed
+    | PeerSends
+    | PeerPlaced
+    | PeerUse
+    | PeerCrashes
+    | Kept
+    | Explain
+    | TakeDigest
+    | GetStatus
+)
--- a/src/cicadapier/_internal/services/upstreams_service.py
+++ b/src/cicadapier/_internal/services/upstreams_service.py
@@ -10,6 +10,7 @@
 import trio
 
 from cicadapier._internal.decisions import load
+from cicadapier._internal.decisions import observations
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import configuration
@@ -23,6 +24,7 @@
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import names
 from cicadapier._internal.services import platform_service
+from cicadapier._internal.services import traffic_messages
 from cicadapier._internal.services import traffic_service
 
 PROBE_S = 0.25
@@ -114,7 +116,7 @@
             conn = await self._connections.acquire(target.address, PROBE_TIMEOUT_S)
         except protocol_exceptions.ConnectError:
             self._traffic.mailbox.offer(
-                traffic_service.ProbeFailed(target.pool, target.upstream, certain=True)
+                traffic_messages.ProbeFailed(target.pool, target.upstream, certain=True)
             )
             return
         try:
@@ -122,7 +124,7 @@
         except protocol_exceptions.ProtocolError:
             # One silent connection proves little about its upstream.
             self._traffic.mailbox.offer(
-                traffic_service.ProbeFailed(target.pool, target.upstream, certain=False)
+                traffic_messages.ProbeFailed(target.pool, target.upstream, certain=False)
             )
             return
         self._report(target, body)
@@ -132,7 +134,7 @@
         self.model_versions[target.upstream] = body.models
         measured_at = trio.current_time() - max(0.0, body.age_s)
         self._traffic.mailbox.offer(
-            traffic_service.LoadReported(
+            traffic_messages.LoadReported(
                 target.pool,
                 target.upstream,
                 ids.Incarnation(body.incarnation),
@@ -186,7 +188,7 @@
         )
         pieces = tuple(ids.PieceId(bytes.fromhex(piece)) for piece in body.pieces)
         self._traffic.mailbox.offer(
-            traffic_service.CacheSnapshot(
+            traffic_messages.CacheSnapshot(
                 target.pool,
                 target.upstream,
                 ids.Incarnation(body.incarnation),
@@ -218,14 +220,16 @@
         body = msgspec.json.decode(event.removeprefix(b"data: "), type=upstream_bodies.CacheEvent)
         reply: mailbox.Reply[bool] = mailbox.Reply()
         self._traffic.mailbox.send(
-            traffic_service.CacheChanged(
+            traffic_messages.CacheChanged(
                 target.pool,
                 target.upstream,
-                ids.Incarnation(body.incarnation),
-                body.sequence,
-                body.kind == "stored",
-                tuple(ids.PieceId(bytes.fromhex(piece)) for piece in body.pieces),
-                body.age_s,
+                observations.CacheEvent(
+                    ids.Incarnation(body.incarnation),
+                    body.sequence,
+                    body.kind == "stored",
+                    tuple(ids.PieceId(bytes.fromhex(piece)) for piece in body.pieces),
+                    body.age_s,
+                ),
                 reply,
             )
         )
@@ -244,5 +248,5 @@
             for pool_id, pool in content.pools.items():
                 for upstream_id in pool.upstreams:
                     self._traffic.mailbox.offer(
-                        traffic_service.Listed(pool_id, upstream_id, upstream_id in leaving)
+                        traffic_messages.Listed(pool_id, upstream_id, upstream_id in leaving)
                     )
--- a/src/cicadapier/_internal/standins/engine_model.py
+++ b/src/cicadapier/_internal/standins/engine_model.py
@@ -270,7 +270,15 @@
         """Returns the load at a time in the recent past."""
         while len(self._loads) > 1 and self._loads[1].at <= at:
             self._loads.popleft()
-        return self._loads[0]
+        last = self._loads[0]
+        # Between two changes the prefill lane works off its queue at a steady rate.
+        done = int(max(0.0, at - last.at) * self.spec.prefill_tokens_per_s * self.speed)
+        return LoadSnapshot(
+            max(at, last.at),
+            max(0, last.queued_tokens - done),
+            max(0, last.queued_interactive_tokens - done),
+            last.running,
+        )
 
     def queued_tokens(self) -> int:
         """Returns the prompt tokens that wait or are being prefilled."""
--- a/src/cicadapier/_internal/standins/engine_server.py
+++ b/src/cicadapier/_internal/standins/engine_server.py
@@ -334,7 +334,7 @@
         load = self.model.load_at(now - lag_s)
         return {
             "incarnation": self.incarnation,
-            "age_s": now - max(load.at, now - lag_s),
+            "age_s": now - load.at,
             "queued_tokens": load.queued_tokens,
             "queued_interactive_tokens": load.queued_interactive_tokens,
             "running": load.running,
