--- a/src/cicadapier/_internal/cli/main.py
+++ b/src/cicadapier/_internal/cli/main.py
@@ -37,6 +37,7 @@
             target,
             argv=args,
             cli_options="has_default",
+            parsers=getattr(module, "PARSERS", {}),
             argparse_kwargs={"prog": f"cicadapier {command.name}"},
         )
     except SystemExit as exc:
--- a/src/cicadapier/_internal/commands/demo.py
+++ b/src/cicadapier/_internal/commands/demo.py
@@ -111,3 +111,7 @@
     rows = [dataclasses.astuple(result) for result in results]
     headings = ["request", "upstream", "why", "cached", "prompt", "first token", "outcome"]
     output.print_table(headings, rows)
+
+
+# Options take the values of these, not the names of the members.
+PARSERS = {deployments.DeploymentName: deployments.DeploymentName}
--- /dev/null
+++ b/src/cicadapier/_internal/commands/replay.py
@@ -0,0 +1,70 @@
+"""Replays a trace against model engines on a virtual clock."""
+
+import collections.abc
+
+from cicadapier._internal.cli import exceptions
+from cicadapier._internal.cli import output
+from cicadapier._internal.cli import status_codes
+from cicadapier._internal.experiments import plots
+from cicadapier._internal.experiments import policies
+from cicadapier._internal.experiments import replay
+from cicadapier._internal.experiments import replay_faults
+from cicadapier._internal.experiments import traces
+from cicadapier._internal.standins import deployments
+
+
+def run(
+    trace: str,
+    *,
+    policy: collections.abc.Sequence[policies.PolicyName] = (policies.PolicyName.OURS,),
+    deployment: deployments.DeploymentName = deployments.DeploymentName.LARKSPUR,
+    seed: int = 0,
+    faults: str = "",
+    json: bool = False,
+    plot: str = "",
+) -> int:
+    """Replays a trace with one or more policies and prints what each achieves.
+
+    :param trace: Trace file, as `trace make` writes it.
+    :param policy: Policies to compare.
+    :param deployment: Whose upstreams.
+    :param seed: Seed of losses and of random policies.
+    :param faults: File of faults (YAML).
+    :param json: Print JSON.
+    :param plot: Write a plot of the times to first token to this PNG file.
+    """
+    try:
+        requests = traces.read(trace)
+    except ValueError as exc:
+        raise exceptions.CommandError(str(exc)) from exc
+    struck = replay_faults.read(faults) if faults else ()
+    size = deployments.BY_NAME[deployment]
+    reports = [
+        replay.Replay(replay.Plan(size, name, seed, faults=struck), requests).run()
+        for name in policy
+    ]
+    summaries = [report.summary() for report in reports]
+    if json:
+        output.print_json(summaries)
+    else:
+        print_summaries(summaries)
+    if plot:
+        plots.first_tokens(reports, plot)
+    return status_codes.SUCCESS
+
+
+def print_summaries(summaries: list[dict[str, object]]) -> None:
+    """Prints a table with a row for each policy."""
+    headings = list(summaries[0]) if summaries else []
+    rows = [
+        [f"{value:.4f}" if isinstance(value, float) else value for value in summary.values()]
+        for summary in summaries
+    ]
+    output.print_table(headings, rows)
+
+
+# Options take the values of these, not the names of the members.
+PARSERS = {
+    deployments.DeploymentName: deployments.DeploymentName,
+    policies.PolicyName: policies.PolicyName,
+}
--- a/src/cicadapier/_internal/commands/table.py
+++ b/src/cicadapier/_internal/commands/table.py
@@ -26,6 +26,8 @@
     Command("status", "status", "show routers, upstreams, pools and accounts"),
     Command("explain", "explain", "show how a prompt would be placed, without running it"),
     Command("keys", "keys", "make client keys"),
+    Command("trace", "trace", "make traces of requests"),
+    Command("replay", "replay", "replay a trace with one or more policies"),
     Command("bench", "bench", "measure what a router adds to a request"),
 )
 
--- /dev/null
+++ b/src/cicadapier/_internal/commands/trace.py
@@ -0,0 +1,35 @@
+"""Makes traces of requests."""
+
+from cicadapier._internal.cli import status_codes
+from cicadapier._internal.experiments import traces
+from cicadapier._internal.experiments import workloads
+from cicadapier._internal.standins import deployments
+
+
+def make(
+    file: str,
+    *,
+    workload: deployments.DeploymentName = deployments.DeploymentName.LARKSPUR,
+    seed: int = 0,
+    seconds: float = 60.0,
+    load: float = 1.0,
+) -> int:
+    """Writes a trace in the shape of a user's traffic, as JSON lines.
+
+    :param file: File to write.
+    :param workload: Whose traffic.
+    :param seed: Seed of all random choices.
+    :param seconds: Length of the trace.
+    :param load: Factor on all rates.
+    """
+    made = workloads.make(workload, seed, workloads.Shape(seconds, load))
+    traces.write(file, made)
+    print(f"{len(made)} requests in {file}")
+    return status_codes.SUCCESS
+
+
+SUBCOMMANDS = [make]
+
+
+# Options take the values of these, not the names of the members.
+PARSERS = {deployments.DeploymentName: deployments.DeploymentName}
--- a/src/cicadapier/_internal/decisions/load.py
+++ b/src/cicadapier/_internal/decisions/load.py
@@ -3,11 +3,11 @@
 import collections
 import dataclasses
 
+from cicadapier._internal.decisions import limits
 from cicadapier._internal.models import configuration
 
 SEND_LOG_S = 10.0
-_RATE_SMOOTHING = 0.1
-_MIN_SAMPLE_TOKENS = 512
+RATE_WINDOW_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +34,49 @@
     interactive: bool
 
 
+class _Lane:
+    """The prefill lane of an engine: one request at a time, interactive ones first.
+
+    A batch request that has started is not interrupted, so interactive ones wait for its rest.
+    """
+
+    def __init__(self, at: float) -> None:
+        self.at = at
+        self.started = 0.0
+        self.interactive = 0.0
+        self.batch: collections.deque[float] = collections.deque()
+        self.batch_total = 0.0
+
+    def add(self, send: _Send) -> None:
+        if send.interactive:
+            self.interactive += send.tokens
+        else:
+            self.batch.append(send.tokens)
+            self.batch_total += send.tokens
+
+    def drain(self, tokens: float) -> None:
+        while tokens > 0:
+            if self.started > 0:
+                done = min(tokens, self.started)
+                self.started -= done
+            elif self.interactive > 0:
+                done = min(tokens, self.interactive)
+                self.interactive -= done
+            elif self.batch:
+                self.started = self.batch.popleft()
+                self.batch_total = max(0.0, self.batch_total - self.started)
+                done = 0.0
+            else:
+                return
+            tokens -= done
+
+    def ahead_of(self, service_class: configuration.ServiceClass) -> float:
+        ahead = self.started + self.interactive
+        if service_class is configuration.ServiceClass.BATCH:
+            ahead += self.batch_total
+        return ahead
+
+
 class UpstreamLoad:
     """Backlog of one upstream, as a queue that drains at the prefill rate."""
 
@@ -42,17 +85,27 @@
         self.in_flight = 0
         self._reported_running = 0
         self._running_since_report = 0
-        self._at = now
-        self._total = 0.0
-        self._interactive = 0.0
+        self._lane = _Lane(now)
         self._sends: collections.deque[_Send] = collections.deque()
+        self._batch_squares = limits.DecayingRate(RATE_WINDOW_S)
+        self._interactive_requests = limits.DecayingRate(RATE_WINDOW_S)
 
     def backlog_tokens(self, service_class: configuration.ServiceClass, now: float) -> float:
         """Returns the tokens that a request of a class would wait for."""
         self._drain(now)
-        if service_class is configuration.ServiceClass.INTERACTIVE:
-            return self._interactive
-        return self._total
+        return self._lane.ahead_of(service_class)
+
+    def batch_risk_s(self, now: float) -> float:
+        """Returns the expected wait behind batch requests that this router has not heard of yet.
+
+        It is the mean residual work of the batch traffic that the upstream gets (the
+        Pollaczek-Khinchine mean residual service time).
+        """
+        return self._batch_squares.per_s(now) / 2 / self.prefill_tokens_per_s**2
+
+    def interactive_rate(self, now: float) -> float:
+        """Returns the interactive requests a second that the upstream gets."""
+        return self._interactive_requests.per_s(now)
 
     def running(self) -> int:
         """Returns the requests believed to run there, from all routers."""
@@ -62,9 +115,14 @@
         """Records a request that this router or a peer has sent."""
         self._drain(now)
         interactive = service_class is configuration.ServiceClass.INTERACTIVE
-        self._apply(_Send(now, tokens, interactive))
-        self._sends.append(_Send(now, tokens, interactive))
+        send = _Send(now, tokens, interactive)
+        self._lane.add(send)
+        self._sends.append(send)
         self._running_since_report += 1
+        if interactive:
+            self._interactive_requests.add(1.0, now)
+        else:
+            self._batch_squares.add(tokens * tokens, now)
         while self._sends and self._sends[0].at < now - SEND_LOG_S:
             self._sends.popleft()
 
@@ -75,39 +133,24 @@
 
     def reported(self, report: Report, now: float) -> None:
         """Starts again from a report and replays the sends that it cannot include."""
-        self._at = report.measured_at
-        self._total = report.queued_tokens
-        self._interactive = report.queued_interactive_tokens
+        lane = _Lane(report.measured_at)
+        # The report does not tell which request has started; what waits ahead of interactive
+        # ones counts as theirs.
+        lane.interactive = report.queued_interactive_tokens
+        rest = report.queued_tokens - report.queued_interactive_tokens
+        if rest > 0:
+            lane.add(_Send(report.measured_at, rest, interactive=False))
+        self._lane = lane
         self._reported_running = report.running
         self._running_since_report = 0
         for send in self._sends:
             if send.at > report.measured_at:
                 self._drain(send.at)
-                self._apply(send)
+                lane.add(send)
                 self._running_since_report += 1
         self._drain(now)
 
-    def prefilled(self, tokens: int, elapsed_s: float) -> None:
-        """Learns the prefill rate from a request that waited for nothing else."""
-        if tokens < _MIN_SAMPLE_TOKENS or elapsed_s <= 0:
-            return
-        sample = tokens / elapsed_s
-        if sample > self.prefill_tokens_per_s:
-            # Waiting only lowers a sample: a faster one is certain, a slower one is not.
-            self.prefill_tokens_per_s = sample
-        else:
-            change = sample - self.prefill_tokens_per_s
-            self.prefill_tokens_per_s += _RATE_SMOOTHING * change
-
-    def _apply(self, send: _Send) -> None:
-        self._total += send.tokens
-        if send.interactive:
-            self._interactive += send.tokens
-
     def _drain(self, now: float) -> None:
-        if now <= self._at:
-            return
-        drained = (now - self._at) * self.prefill_tokens_per_s
-        self._at = now
-        self._total = max(0.0, self._total - drained)
-        self._interactive = max(0.0, self._interactive - drained)
+        if now > self._lane.at:
+            self._lane.drain((now - self._lane.at) * self.prefill_tokens_per_s)
+            self._lane.at = now
--- a/src/cicadapier/_internal/decisions/members.py
+++ b/src/cicadapier/_internal/decisions/members.py
@@ -38,7 +38,7 @@
     Attributes:
         upstream: The upstream.
         cached_pieces: Pieces believed to be cached there.
-        imported_pieces: Further pieces to import from the keep.
+        imported_pieces: Further pieces that the keep is believed to hold.
         queue_s: Wait behind other requests.
         prefill_s: Time to compute or import the other tokens.
         distance_s: Network distance.
@@ -68,6 +68,19 @@
     candidates: tuple[Estimate, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FirstToken:
+    """What the first token of an answer tells.
+
+    Attributes:
+        incarnation: Incarnation that answers.
+        cached_tokens: Tokens that it found cached or imported.
+    """
+
+    incarnation: ids.Incarnation
+    cached_tokens: int
+
+
 @dataclasses.dataclass(slots=True)
 class Member:
     """One upstream.
@@ -145,6 +158,12 @@
         if member:
             member.load.ended()
 
+    def first_token(
+        self, choice: Estimate, prompt: prefix.Prompt, first: FirstToken, now: float
+    ) -> tuple[ids.PieceId, ...]:
+        """Takes what the first token tells; returns the pieces that are worth an export."""
+        return ()
+
     def usable(
         self, exclude: collections.abc.Container[ids.UpstreamId] = ()
     ) -> list[ids.UpstreamId]:
--- /dev/null
+++ b/src/cicadapier/_internal/decisions/peer_news.py
@@ -0,0 +1,178 @@
+"""What routers tell each other about their traffic, and how it is merged.
+
+Counts are cumulative from the sender's start, so that a lost message loses nothing and a repeated
+one counts nothing twice.
+"""
+
+import collections
+import dataclasses
+
+from cicadapier._internal.decisions import limits
+from cicadapier._internal.decisions import traffic
+from cicadapier._internal.models import ids
+
+MAX_PLACED = 64
+USE_EXPIRES_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SentWork:
+    """Tokens that a router has sent to one upstream since it started."""
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    tokens: float
+    interactive_tokens: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptPieces:
+    """Pieces that were exported to the keep of a pool."""
+
+    pool: ids.PoolId
+    pieces: tuple[ids.PieceId, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacedPieces:
+    """Pieces of a prompt that a router has sent to an upstream.
+
+    Attributes:
+        number: Grows with each prompt of the sender, so that none is counted twice.
+        pool: Pool of the upstream.
+        upstream: The upstream.
+        pieces: The pieces, outermost first.
+    """
+
+    number: int
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    pieces: tuple[ids.PieceId, ...]
+
+
+class Outgoing:
+    """Work that this router has sent to upstreams, for its peers.
+
+    Attributes:
+        placed: Newest prompts, oldest first.
+    """
+
+    def __init__(self) -> None:
+        self.placed: collections.deque[PlacedPieces] = collections.deque(maxlen=MAX_PLACED)
+        self._placed_count = 0
+        self._tokens: dict[tuple[ids.PoolId, ids.UpstreamId], list[float]] = {}
+
+    def count(self, decisions: traffic.Traffic, placed: traffic.Placed) -> None:
+        """Counts a request that is sent now."""
+        entry = decisions.entry(placed.request)
+        if entry is None:
+            return
+        estimate = placed.choice.estimate
+        tokens = entry.prompt.uncached_tokens(estimate.cached_pieces + estimate.imported_pieces)
+        counts = self._tokens.setdefault((entry.pool, estimate.upstream), [0.0, 0.0])
+        counts[0] += tokens
+        if decisions.is_interactive(entry.account):
+            counts[1] += tokens
+        if entry.prompt.pieces:
+            self._placed_count += 1
+            self.placed.append(
+                PlacedPieces(self._placed_count, entry.pool, estimate.upstream, entry.prompt.pieces)
+            )
+
+    def sends(self) -> tuple[SentWork, ...]:
+        """Returns the tokens sent to each upstream."""
+        return tuple(
+            SentWork(pool, upstream, tokens, interactive)
+            for (pool, upstream), (tokens, interactive) in self._tokens.items()
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sender:
+    """A router and its start, from which its counts run."""
+
+    vm: ids.VmId
+    generation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class News:
+    """One router's message.
+
+    Attributes:
+        sender: Who sent it.
+        sends: Its own work sent to upstreams.
+        placed: Newest prompts that it has sent.
+        use: Its own use of accounts.
+    """
+
+    sender: Sender
+    sends: tuple[SentWork, ...]
+    placed: tuple[PlacedPieces, ...]
+    use: dict[ids.AccountId, limits.RemoteUse]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Learned:
+    """What a message adds to earlier ones.
+
+    Attributes:
+        sends: Work that was not known yet.
+        placed: Prompts that were not known yet.
+    """
+
+    sends: tuple[SentWork, ...]
+    placed: tuple[PlacedPieces, ...]
+
+
+class Incoming:
+    """Merges the messages of all other routers."""
+
+    def __init__(self) -> None:
+        self._sends: dict[Sender, dict[ids.UpstreamId, SentWork]] = {}
+        self._placed: dict[Sender, int] = {}
+        self._use: dict[ids.VmId, tuple[float, dict[ids.AccountId, limits.RemoteUse]]] = {}
+
+    def merge(self, news: News, now: float) -> Learned:
+        """Takes a message and returns what is new in it."""
+        self._use[news.sender.vm] = (now, news.use)
+        known = self._sends.setdefault(news.sender, {})
+        # What was sent before this router listened is in the upstreams' own reports.
+        sends = [
+            _added(known[work.upstream], work) for work in news.sends if work.upstream in known
+        ]
+        known.update({work.upstream: work for work in news.sends})
+        seen = self._placed.get(news.sender, 0)
+        placed = [item for item in news.placed if item.number > seen]
+        if placed:
+            self._placed[news.sender] = placed[-1].number
+        return Learned(tuple(work for work in sends if work.tokens > 0), tuple(placed))
+
+    def forget(self, vm: ids.VmId) -> None:
+        """Drops the counts of an unreachable router; they start anew with its next message."""
+        for sender in [sender for sender in self._sends if sender.vm == vm]:
+            del self._sends[sender]
+            self._placed.pop(sender, None)
+
+    def total_use(self, now: float) -> dict[ids.AccountId, limits.RemoteUse]:
+        """Returns the use of accounts by all other routers together."""
+        total: dict[ids.AccountId, limits.RemoteUse] = {}
+        for vm, (heard_at, use) in list(self._use.items()):
+            if now - heard_at > USE_EXPIRES_S:
+                del self._use[vm]
+                continue
+            for account, own in use.items():
+                known = total.get(account, limits.RemoteUse())
+                total[account] = limits.RemoteUse(
+                    known.demand_per_s + own.demand_per_s, known.streams + own.streams
+                )
+        return total
+
+
+def _added(before: SentWork, now: SentWork) -> SentWork:
+    return SentWork(
+        now.pool,
+        now.upstream,
+        now.tokens - before.tokens,
+        max(0.0, now.interactive_tokens - before.interactive_tokens),
+    )
--- a/src/cicadapier/_internal/decisions/placement.py
+++ b/src/cicadapier/_internal/decisions/placement.py
@@ -33,6 +33,7 @@
         levels: Hash at the level whose subtree fits one upstream; else at the first piece.
         in_flight: Count prefixes that are being computed as cached.
         keep: Import from the keep where that beats recomputing.
+        separation: Keep interactive and batch requests apart where that costs little.
         keep_first_use: Export pieces as soon as they are computed; else at their second use.
         recompute_weight: Weight of prefill time in the cost, for the work that it takes from
             other requests.
@@ -44,6 +45,7 @@
     in_flight: bool = True
     keep: bool = True
     keep_first_use: bool = True
+    separation: bool = True
     recompute_weight: float = 2.0
 
 
@@ -99,20 +101,24 @@
 
     def first_token(
         self,
-        upstream: ids.UpstreamId,
-        incarnation: ids.Incarnation,
-        prompt: prefix.Prompt,
         choice: members.Estimate,
-        found: int,
+        prompt: prefix.Prompt,
+        first: members.FirstToken,
         now: float,
-    ) -> None:
-        """Corrects what is believed by the pieces that an engine found cached or imported."""
+    ) -> tuple[ids.PieceId, ...]:
+        """See `members.Policy.first_token`."""
+        found = first.cached_tokens // max(1, prompt.piece_tokens)
         expected = choice.cached_pieces + choice.imported_pieces
         if choice.imported_pieces and found < expected:
             self.kept.remove(prompt.pieces[found:expected])
-        self.belief.answered(upstream, incarnation, prompt.pieces, choice.cached_pieces, found, now)
-
-    def worth_keeping(self, prompt: prefix.Prompt, found: int) -> tuple[ids.PieceId, ...]:
+        self.belief.answered(
+            choice.upstream, first.incarnation, prompt.pieces, choice.cached_pieces, found, now
+        )
+        pieces = self._worth_keeping(prompt, found)
+        self.kept.add(pieces)
+        return pieces
+
+    def _worth_keeping(self, prompt: prefix.Prompt, found: int) -> tuple[ids.PieceId, ...]:
         """Returns the pieces to export, now that an engine has them.
 
         Pieces that were found cached are in use again, so they are hot. The others have just been
@@ -166,13 +172,25 @@
         if self._features.load:
             queue_s = member.load.backlog_tokens(req.service_class, now) / rate
             queue_s += _batch_delay_s(member)
+            queue_s += self._class_delay_s(member, req, now)
         imported = max(0, kept - cached)
         computed = req.prompt.uncached_tokens(cached + imported)
         prefill_s = (computed + imported * req.prompt.piece_tokens / IMPORT_SPEEDUP) / rate
         distance_s = self.distance_s(member)
         cost_s = queue_s + self._features.recompute_weight * prefill_s + distance_s
+        if self._features.separation and req.service_class is configuration.ServiceClass.BATCH:
+            # Interactive requests that arrive meanwhile wait for half of the prefill on average.
+            cost_s += member.load.interactive_rate(now) * prefill_s * prefill_s / 2
         return members.Estimate(upstream, cached, imported, queue_s, prefill_s, distance_s, cost_s)
 
+    def _class_delay_s(
+        self, member: members.Member, req: members.PlacementRequest, now: float
+    ) -> float:
+        interactive = req.service_class is configuration.ServiceClass.INTERACTIVE
+        if not interactive or not self._features.separation:
+            return 0.0
+        return member.load.batch_risk_s(now)
+
 
 class PlainPlacement(members.Policy):
     """Placement for plain services: fewest requests in flight, nearest first."""
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -69,6 +69,9 @@
 
 
 Decision = Placed | Refused
+PolicyFactory = collections.abc.Callable[
+    [configuration.Pool, ids.FailureDomainId, float], members.Policy
+]
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,19 +85,6 @@
     tried: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FirstToken:
-    """What the first token of an answer tells.
-
-    Attributes:
-        incarnation: Incarnation that answers.
-        cached_tokens: Tokens that it found cached or imported.
-    """
-
-    incarnation: ids.Incarnation
-    cached_tokens: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Export:
     """Have an upstream export pieces to the pool's keep.
@@ -120,7 +110,12 @@
         observations: Takes in what is observed of upstreams.
     """
 
-    def __init__(self, failure_domain: ids.FailureDomainId) -> None:
+    def __init__(
+        self,
+        failure_domain: ids.FailureDomainId,
+        make_policy: PolicyFactory = placement.make_policy,
+    ) -> None:
+        self._make_policy = make_policy
         self.limits = limits.AccountLimits()
         self.poison = poison.PoisonGuard()
         self.pools: dict[ids.PoolId, observations.PoolState] = {}
@@ -156,7 +151,7 @@
         for pool_id, spec in cfg.content.pools.items():
             state = self.pools.get(pool_id)
             if state is None or state.spec.kind is not spec.kind:
-                policy = placement.make_policy(spec, self._domain, now)
+                policy = self._make_policy(spec, self._domain, now)
                 self.pools[pool_id] = observations.PoolState(
                     spec, policy, health.UpstreamHealth(), fairqueue.FairQueue()
                 )
@@ -254,7 +249,9 @@
             cost = active.entry.prompt.total_tokens + active.entry.output_tokens
             self.limits.refund(active.entry.account, cost)
 
-    def first_token(self, request: ids.RequestId, first: FirstToken, now: float) -> Export | None:
+    def first_token(
+        self, request: ids.RequestId, first: members.FirstToken, now: float
+    ) -> Export | None:
         """Corrects what is believed by an answer's own count of cached tokens.
 
         Returns:
@@ -268,16 +265,8 @@
             return None
         upstream = active.choice.upstream
         state.health.answered(upstream, first.incarnation)
-        if not isinstance(state.policy, placement.PrefixPlacement):
-            return None
-        prompt = active.entry.prompt
-        found = first.cached_tokens // max(1, prompt.piece_tokens)
-        state.policy.first_token(upstream, first.incarnation, prompt, active.choice, found, now)
-        pieces = state.policy.worth_keeping(prompt, found)
-        if not pieces:
-            return None
-        state.policy.kept.add(pieces)
-        return Export(active.entry.pool, upstream, pieces)
+        pieces = state.policy.first_token(active.choice, active.entry.prompt, first, now)
+        return Export(active.entry.pool, upstream, pieces) if pieces else None
 
     def poll(self, now: float) -> list[Decision]:
         """Returns decisions on waiting requests that time or freed slots allow."""
--- /dev/null
+++ b/src/cicadapier/_internal/experiments/plots.py
@@ -0,0 +1,29 @@
+"""Plots of replays; they need the optional extra `plot`."""
+
+import os
+
+from cicadapier._internal.experiments import replay_report
+
+
+def first_tokens(reports: list[replay_report.Report], path: str | os.PathLike[str]) -> None:
+    """Draws the share of requests by time to first token, a line for each policy.
+
+    Raises:
+        OSError: The plotting library is not installed or the file cannot be written.
+    """
+    try:
+        from matplotlib import figure  # noqa: PLC0415 - an optional extra
+    except ImportError as exc:
+        raise OSError("plots need matplotlib: pip install 'cicadapier[plot]'") from exc
+    drawing = figure.Figure(figsize=(8, 5))
+    axes = drawing.subplots()
+    for report in reports:
+        values = sorted(r.first_s for r in report.records if r.first_s is not None)
+        shares = [(i + 1) / len(values) for i in range(len(values))]
+        axes.plot(values, shares, label=report.policy)
+    axes.set_xscale("log")
+    axes.set_xlabel("time to first token, s")
+    axes.set_ylabel("share of requests")
+    axes.grid(visible=True, alpha=0.3)
+    axes.legend()
+    drawing.savefig(os.fspath(path), dpi=120)
--- /dev/null
+++ b/src/cicadapier/_internal/experiments/policies.py
@@ -0,0 +1,215 @@
+"""Policies to compare the router's own with."""
+
+import dataclasses
+import enum
+import math
+import random
+
+from cicadapier._internal.decisions import members
+from cicadapier._internal.decisions import placement
+from cicadapier._internal.decisions import prefix
+from cicadapier._internal.decisions import traffic
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+from cicadapier._internal.standins import engine_model
+from cicadapier._internal.standins import keep_model
+
+
+class PolicyName(enum.Enum):
+    """Policies that a replay knows."""
+
+    OURS = "ours"
+    CLAIRVOYANT = "clairvoyant"
+    RANDOM = "random"
+    ROUND_ROBIN = "round-robin"
+    LEAST_LOADED = "least-loaded"
+    PREFIX_HASH = "prefix-hash"
+    NO_BELIEF = "ours-without-belief"
+    NO_LOAD = "ours-without-load"
+    NO_LEVELS = "ours-without-levels"
+    NO_IN_FLIGHT = "ours-without-in-flight"
+    NO_KEEP = "ours-without-keep"
+    NO_PEERS = "ours-without-peers"
+    KEEP_SECOND_USE = "ours-keep-at-second-use"
+    GREEDY = "ours-greedy"
+    NO_SEPARATION = "ours-without-separation"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exact:
+    """The true state, which only the clairvoyant policy may see."""
+
+    engines: dict[ids.UpstreamId, engine_model.EngineModel]
+    keep: keep_model.KeepModel
+
+
+FEATURES = {
+    PolicyName.NO_BELIEF: placement.Features(belief=False),
+    PolicyName.NO_LOAD: placement.Features(load=False),
+    PolicyName.NO_LEVELS: placement.Features(levels=False),
+    PolicyName.NO_IN_FLIGHT: placement.Features(in_flight=False),
+    PolicyName.NO_KEEP: placement.Features(keep=False),
+    PolicyName.KEEP_SECOND_USE: placement.Features(keep_first_use=False),
+    PolicyName.NO_SEPARATION: placement.Features(separation=False),
+    PolicyName.GREEDY: placement.Features(recompute_weight=1.0),
+}
+
+
+WITHOUT_KEEP = frozenset(
+    (
+        PolicyName.NO_KEEP,
+        PolicyName.RANDOM,
+        PolicyName.ROUND_ROBIN,
+        PolicyName.LEAST_LOADED,
+        PolicyName.PREFIX_HASH,
+    )
+)
+
+
+class Baseline(members.Policy):
+    """What the simple policies share: an estimate that knows nothing."""
+
+    def _choice(self, upstream: ids.UpstreamId, reason: str) -> members.Choice:
+        estimate = members.Estimate(upstream, 0, 0, 0.0, 0.0, 0.0, 0.0)
+        return members.Choice(estimate, reason, (estimate,))
+
+
+class RandomPolicy(Baseline):
+    """Any upstream."""
+
+    def __init__(
+        self, pool: configuration.Pool, domain: ids.FailureDomainId, now: float, seed: int
+    ) -> None:
+        super().__init__(pool, domain, now)
+        self._rng = random.Random(seed)
+
+    def choose(self, req: members.PlacementRequest, now: float) -> members.Choice | None:
+        """See `members.Policy.choose`."""
+        usable = self.usable(req.exclude)
+        return self._choice(self._rng.choice(usable), "random") if usable else None
+
+
+class RoundRobinPolicy(Baseline):
+    """Each upstream in turn."""
+
+    def __init__(
+        self, pool: configuration.Pool, domain: ids.FailureDomainId, now: float, seed: int
+    ) -> None:
+        super().__init__(pool, domain, now)
+        self._next = seed
+
+    def choose(self, req: members.PlacementRequest, now: float) -> members.Choice | None:
+        """See `members.Policy.choose`."""
+        usable = self.usable(req.exclude)
+        if not usable:
+            return None
+        self._next += 1
+        return self._choice(usable[self._next % len(usable)], "turn")
+
+
+class LeastLoadedPolicy(Baseline):
+    """The upstream with the least work by its report and own sends."""
+
+    def choose(self, req: members.PlacementRequest, now: float) -> members.Choice | None:
+        """See `members.Policy.choose`."""
+        usable = self.usable(req.exclude)
+        if not usable:
+            return None
+        batch = configuration.ServiceClass.BATCH
+
+        def work(upstream: ids.UpstreamId) -> tuple[float, int]:
+            load = self.members[upstream].load
+            return load.backlog_tokens(batch, now), load.running()
+
+        return self._choice(min(usable, key=work), "least loaded")
+
+
+class PrefixHashPolicy(Baseline):
+    """The first upstream in the order of the prompt's first piece."""
+
+    def choose(self, req: members.PlacementRequest, now: float) -> members.Choice | None:
+        """See `members.Policy.choose`."""
+        usable = set(self.usable(req.exclude))
+        key = req.prompt.pieces[0] if req.prompt.pieces else req.request.encode()
+        for upstream in self.order.first(key, len(self.members)):
+            if upstream in usable:
+                return self._choice(upstream, "hash")
+        return None
+
+
+class ClairvoyantPolicy(members.Policy):
+    """One router that sees all caches and queues exactly and at once."""
+
+    def __init__(
+        self,
+        pool: configuration.Pool,
+        domain: ids.FailureDomainId,
+        now: float,
+        exact: Exact,
+    ) -> None:
+        self._engines = exact.engines
+        self._keep = exact.keep
+        super().__init__(pool, domain, now)
+
+    def choose(self, req: members.PlacementRequest, now: float) -> members.Choice | None:
+        """See `members.Policy.choose`."""
+        kept = self._keep.prefix_length(req.prompt.pieces)
+        estimates = [self._estimate(u, req, kept) for u in self.usable(req.exclude)]
+        if not estimates:
+            return None
+        chosen = min(estimates, key=lambda estimate: estimate.cost_s)
+        return members.Choice(chosen, "exact", tuple(estimates))
+
+    def first_token(
+        self,
+        choice: members.Estimate,
+        prompt: prefix.Prompt,
+        first: members.FirstToken,
+        now: float,
+    ) -> tuple[ids.PieceId, ...]:
+        """See `members.Policy.first_token`."""
+        return prompt.pieces[self._keep.prefix_length(prompt.pieces) :]
+
+    def _estimate(
+        self, upstream: ids.UpstreamId, req: members.PlacementRequest, kept: int
+    ) -> members.Estimate:
+        engine = self._engines[upstream]
+        rate = engine.spec.prefill_tokens_per_s
+        interactive = req.service_class is configuration.ServiceClass.INTERACTIVE
+        queue_s = engine.exact_queue_s(0 if interactive else math.inf)
+        cached = engine.cached_or_coming(req.prompt.pieces)
+        imported = max(0, kept - cached)
+        computed = req.prompt.uncached_tokens(cached + imported)
+        import_s = imported * req.prompt.piece_tokens / engine.spec.import_tokens_per_s
+        prefill_s = computed / rate + import_s
+        weight = placement.Features().recompute_weight
+        cost_s = queue_s + weight * prefill_s
+        return members.Estimate(upstream, cached, imported, queue_s, prefill_s, 0.0, cost_s)
+
+
+def factory(name: PolicyName, seed: int, exact: Exact) -> traffic.PolicyFactory:
+    """Returns what makes a policy for each model pool.
+
+    Args:
+        name: The policy.
+        seed: Seed of random policies.
+        exact: The true state, for the clairvoyant policy.
+    """
+
+    def make(pool: configuration.Pool, domain: ids.FailureDomainId, now: float) -> members.Policy:
+        if pool.kind is not configuration.PoolKind.MODEL:
+            return placement.PlainPlacement(pool, domain, now)
+        if name is PolicyName.RANDOM:
+            return RandomPolicy(pool, domain, now, seed)
+        if name is PolicyName.ROUND_ROBIN:
+            return RoundRobinPolicy(pool, domain, now, seed)
+        if name is PolicyName.LEAST_LOADED:
+            return LeastLoadedPolicy(pool, domain, now)
+        if name is PolicyName.PREFIX_HASH:
+            return PrefixHashPolicy(pool, domain, now)
+        if name is PolicyName.CLAIRVOYANT:
+            return ClairvoyantPolicy(pool, domain, now, exact)
+        features = FEATURES.get(name, placement.Features())
+        return placement.PrefixPlacement(pool, domain, now, features)
+
+    return make
--- /dev/null
+++ b/src/cicadapier/_internal/experiments/replay.py
@@ -0,0 +1,390 @@
+"""Replay of a trace through routers' decisions against model engines, on a virtual clock.
+
+The routers' decisions and the engines are those of the product and of the demonstration; only
+what carries messages between them is replaced by a queue of events.
+"""
+
+import collections.abc
+import dataclasses
+import functools
+import heapq
+import math
+import random
+
+from cicadapier._internal.decisions import load
+from cicadapier._internal.decisions import members
+from cicadapier._internal.decisions import observations
+from cicadapier._internal.decisions import peer_news
+from cicadapier._internal.decisions import prefix
+from cicadapier._internal.decisions import traffic
+from cicadapier._internal.experiments import policies
+from cicadapier._internal.experiments import replay_faults
+from cicadapier._internal.experiments import replay_gossip
+from cicadapier._internal.experiments import replay_report
+from cicadapier._internal.experiments import traces
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import outcomes
+from cicadapier._internal.standins import deployments
+from cicadapier._internal.standins import engine_model
+from cicadapier._internal.standins import keep_model
+
+NETWORK_S = 0.002
+PROBE_S = 0.25
+PEER_ROUND_S = 0.25
+EVENTS_S = 0.1
+EXPORT_S = 0.1
+POLL_S = 0.05
+LEARN_CRASH_S = 0.25
+TAIL_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What to replay a trace with.
+
+    Attributes:
+        deployment: Sizes.
+        policy: Policy of all routers.
+        seed: Seed of losses and of random policies.
+        routers: Number of routers; the clairvoyant bound always has one.
+        spec: Speed and size of the engines.
+        faults: Faults, in order of time.
+        limits: Limits of single accounts in place of the deployment's.
+    """
+
+    deployment: deployments.Deployment
+    policy: policies.PolicyName = policies.PolicyName.OURS
+    seed: int = 0
+    routers: int = 4
+    spec: engine_model.EngineSpec = dataclasses.field(default_factory=engine_model.EngineSpec)
+    faults: tuple[replay_faults.ReplayFault, ...] = ()
+    limits: dict[ids.AccountId, configuration.Limits] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class _Router:
+    index: int
+    domain: ids.FailureDomainId
+    generation: int
+    traffic: traffic.Traffic
+    outgoing: peer_news.Outgoing = dataclasses.field(default_factory=peer_news.Outgoing)
+    incoming: peer_news.Incoming = dataclasses.field(default_factory=peer_news.Incoming)
+    after: dict[ids.UpstreamId, int] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class _Running:
+    router: _Router
+    req: traces.TraceRequest
+    record: replay_report.Record
+    upstream: ids.UpstreamId | None = None
+    done_tokens: int = 0
+
+
+class Replay:
+    """One replay."""
+
+    def __init__(self, plan: Plan, requests: list[traces.TraceRequest]) -> None:
+        self._plan = plan
+        self._requests = requests
+        self._size = plan.deployment
+        self._rng = random.Random(plan.seed)
+        self._queue: list[tuple[float, int, collections.abc.Callable[[], None]]] = []
+        self._number = 0
+        self.now = 0.0
+        self.keep = keep_model.KeepModel()
+        self.engines = {
+            ids.UpstreamId(f"{self._size.model_pool}-{i + 1}"): engine_model.EngineModel(
+                plan.spec, ids.Incarnation(f"{i + 1}-1")
+            )
+            for i in range(self._size.engines)
+        }
+        self.cuts = replay_faults.Cuts()
+        self._down: set[ids.UpstreamId] = set()
+        self._wakes: dict[ids.UpstreamId, float] = {}
+        self._running: dict[ids.RequestId, _Running] = {}
+        self._cfg = self._configuration()
+        count = 1 if plan.policy is policies.PolicyName.CLAIRVOYANT else plan.routers
+        self.routers = [self._make_router(index) for index in range(count)]
+        self.report = replay_report.Report(self._size, plan.spec, plan.policy.value, plan.seed)
+
+    def run(self) -> replay_report.Report:
+        """Replays the whole trace and returns what was measured."""
+        for number, req in enumerate(self._requests):
+            self.at(req.at, functools.partial(self._arrive, number, req))
+        for fault in self._plan.faults:
+            self.at(fault.at, functools.partial(replay_faults.strike, self, fault))
+        self._every(PROBE_S, self._probe)
+        self._every(EVENTS_S, self._deliver_events)
+        self._every(POLL_S, self._poll)
+        if self._plan.policy is not policies.PolicyName.NO_PEERS:
+            self._every(PEER_ROUND_S, self._gossip)
+        end = self._requests[-1].at + TAIL_S if self._requests else 0.0
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+        self.report.close(self._requests[-1].at if self._requests else 0.0, self.engines)
+        return self.report
+
+    def at(self, when: float, action: collections.abc.Callable[[], None]) -> None:
+        """Plans an action."""
+        self._number += 1
+        heapq.heappush(self._queue, (when, self._number, action))
+
+    def restart_router(self, index: int) -> None:
+        """Replaces a router by a new one; its open requests go on unseen."""
+        old = self.routers[index]
+        self.routers[index] = self._make_router(index)
+        for running in self._running.values():
+            if running.router is old:
+                running.router = self.routers[index]
+
+    def crash_engine(self, upstream: ids.UpstreamId, down_s: float) -> None:
+        """Has an engine lose everything; its requests are placed anew."""
+        engine = self.engines[upstream]
+        self._advance(upstream)
+        self._down.add(upstream)
+        self.report.crashed(engine)
+        engine.crash(ids.Incarnation(f"{engine.incarnation}+"), self.now)
+        lost = [request for request, r in self._running.items() if r.upstream == upstream]
+        for request in lost:
+            self.at(self.now + NETWORK_S, functools.partial(self._lost, request))
+        self.at(self.now + down_s, functools.partial(self._down.discard, upstream))
+
+    def _every(self, period_s: float, action: collections.abc.Callable[[], None]) -> None:
+        def again() -> None:
+            action()
+            self.at(self.now + period_s, again)
+
+        self.at(period_s, again)
+
+    def _configuration(self) -> configuration.NumberedConfiguration:
+        accounts = {
+            item.account: configuration.Account(
+                service_class=item.service_class,
+                weight=item.weight,
+                limits=self._plan.limits.get(item.account, item.limits),
+            )
+            for item in self._size.accounts
+        }
+        upstreams = {
+            upstream: configuration.Upstream(
+                ids.Address(f"127.0.0.1:{index + 1}"), self._size.domain(index)
+            )
+            for index, upstream in enumerate(self.engines)
+        }
+        pool = configuration.Pool(
+            configuration.PoolKind.MODEL,
+            upstreams,
+            {self._size.model: configuration.Model()},
+            self._size.keep_pool,
+        )
+        keep = configuration.Pool(configuration.PoolKind.KEEP)
+        pools = {self._size.model_pool: pool, self._size.keep_pool: keep}
+        content = configuration.Configuration(accounts, pools)
+        return configuration.NumberedConfiguration(ids.ConfigNumber(1), content)
+
+    def _make_router(self, index: int) -> _Router:
+        domain = self._size.domain(index)
+        exact = policies.Exact(self.engines, self.keep)
+        seed = self._plan.seed * 100 + index
+        made = traffic.Traffic(domain, policies.factory(self._plan.policy, seed, exact))
+        made.configure(self._cfg, self.now)
+        made.limits.set_routers(self._plan.routers)
+        self._number += 1
+        router = _Router(index, domain, self._number, made)
+        for upstream in self.engines:
+            self._report_load(router, upstream)
+            self._resync(router, upstream)
+        return router
+
+    def reaches(self, router: _Router, upstream: ids.UpstreamId) -> bool:
+        """Returns whether a router can talk to an upstream."""
+        domain = self._cfg.content.pools[self._size.model_pool].upstreams[upstream].failure_domain
+        return upstream not in self._down and not self.cuts.parted(router.domain, domain)
+
+    def _arrive(self, number: int, req: traces.TraceRequest) -> None:
+        router = self.routers[number % len(self.routers)]
+        request = ids.RequestId(f"r{number}")
+        prompt = prefix.Prompt(req.pieces, self._plan.spec.piece_tokens, req.total_tokens)
+        entry = traffic.Entry(
+            request,
+            req.account,
+            self._size.model_pool,
+            prompt,
+            req.output_tokens,
+            ids.Fingerprint(request),
+        )
+        record = self.report.arrived(req, router.index)
+        self._running[request] = _Running(router, req, record)
+        decision = router.traffic.enter(entry, self.now)
+        if decision is not None:
+            self._decide(decision)
+
+    def _decide(self, decision: traffic.Decision) -> None:
+        running = self._running[decision.request]
+        if isinstance(decision, traffic.Refused):
+            running.record.refused(decision.refusal, self.now)
+            running.router.traffic.leave(decision.request, ran=False)
+            del self._running[decision.request]
+            return
+        running.router.outgoing.count(running.router.traffic, decision)
+        upstream = decision.choice.estimate.upstream
+        running.upstream = upstream
+        running.record.upstream = upstream
+        if not self.reaches(running.router, upstream):
+            self.at(self.now + LEARN_CRASH_S, functools.partial(self._lost, decision.request))
+            return
+        submit = functools.partial(self._submit, decision, running)
+        self.at(self.now + NETWORK_S, submit)
+
+    def _submit(self, decision: traffic.Placed, running: _Running) -> None:
+        upstream = decision.choice.estimate.upstream
+        if upstream in self._down:
+            self._lost(decision.request)
+            return
+        self._advance(upstream)
+        req = running.req
+        imports = 0
+        if self._plan.policy not in policies.WITHOUT_KEEP:
+            imports = self.keep.prefix_length(req.pieces)
+        priority = 0 if req.service_class is configuration.ServiceClass.INTERACTIVE else 1
+        job = engine_model.Job(
+            decision.request,
+            req.pieces,
+            req.total_tokens + running.done_tokens,
+            max(1, req.output_tokens - running.done_tokens),
+            priority,
+            imports,
+        )
+        self.engines[upstream].submit(job, self.now)
+        self._plan_wake(upstream)
+
+    def _advance(self, upstream: ids.UpstreamId) -> None:
+        for event in self.engines[upstream].advance(self.now):
+            running = self._running.get(event.request)
+            if running is None:
+                continue
+            if isinstance(event, engine_model.FirstToken):
+                self._first_token(running, event)
+            else:
+                self._finished(running, event)
+
+    def _plan_wake(self, upstream: ids.UpstreamId) -> None:
+        when = self.engines[upstream].next_event_at()
+        if when < math.inf and self._wakes.get(upstream) != when:
+            self._wakes[upstream] = when
+            self.at(when, functools.partial(self._wake, upstream, when))
+
+    def _wake(self, upstream: ids.UpstreamId, when: float) -> None:
+        if self._wakes.get(upstream) == when:
+            del self._wakes[upstream]
+            self._advance(upstream)
+            self._plan_wake(upstream)
+
+    def _first_token(self, running: _Running, event: engine_model.FirstToken) -> None:
+        self.report.first_token(running.record, running.req, event, self.now + NETWORK_S)
+        cached = (event.cached_pieces + event.imported_pieces) * self._plan.spec.piece_tokens
+        assert running.upstream
+        incarnation = self.engines[running.upstream].incarnation
+        export = running.router.traffic.first_token(
+            event.request, members.FirstToken(incarnation, cached), self.now
+        )
+        if export:
+            self.at(self.now + EXPORT_S, functools.partial(self._export, running.router, export))
+
+    def _export(self, router: _Router, export: traffic.Export) -> None:
+        engine = self.engines[export.upstream]
+        pieces = tuple(piece for piece in export.pieces if engine.has_cached(piece))
+        self.keep.store(pieces)
+        for peer in self.routers:
+            if not self.cuts.parted(router.domain, peer.domain):
+                peer.traffic.observations.kept(export.pool, pieces)
+
+    def _finished(self, running: _Running, event: engine_model.Finished) -> None:
+        running.record.finished(event.at, event.mean_step_s)
+        router = running.router.traffic
+        router.attempt_ended(event.request, outcomes.Complete(200), self.now)
+        router.leave(event.request, ran=True)
+        del self._running[event.request]
+
+    def _lost(self, request: ids.RequestId) -> None:
+        running = self._running.get(request)
+        if running is None:
+            return
+        crashed = running.upstream in self._down
+        running.upstream = None
+        outcome = outcomes.SentNoAnswer("lost", crashed)
+        running.router.traffic.attempt_ended(request, outcome, self.now)
+        running.record.retries += 1
+        if running.router.traffic.entry(request) is None:
+            running.record.refused(None, self.now)
+            del self._running[request]
+            return
+        self._decide(running.router.traffic.again(request, self.now))
+
+    def _poll(self) -> None:
+        for router in self.routers:
+            for decision in router.traffic.poll(self.now):
+                self._decide(decision)
+
+    def _probe(self) -> None:
+        for router in self.routers:
+            for upstream in self.engines:
+                if self.reaches(router, upstream):
+                    self._report_load(router, upstream)
+                else:
+                    router.traffic.observations.probe_failed(
+                        self._size.model_pool, upstream, True, self.now
+                    )
+
+    def _report_load(self, router: _Router, upstream: ids.UpstreamId) -> None:
+        engine = self.engines[upstream]
+        seen = engine.load_at(self.now - self._plan.spec.load_lag_s)
+        report = load.Report(
+            seen.at, seen.queued_tokens, seen.queued_interactive_tokens, seen.running
+        )
+        router.traffic.observations.load_reported(
+            self._size.model_pool, upstream, engine.incarnation, False, report, self.now
+        )
+
+    def _resync(self, router: _Router, upstream: ids.UpstreamId) -> None:
+        engine = self.engines[upstream]
+        sequence, pieces = engine.snapshot()
+        router.after[upstream] = sequence
+        router.traffic.observations.cache_snapshot(
+            self._size.model_pool, upstream, engine.incarnation, sequence, pieces, self.now
+        )
+
+    def _deliver_events(self) -> None:
+        spec = self._plan.spec
+        for router in self.routers:
+            for upstream, engine in self.engines.items():
+                if not self.reaches(router, upstream):
+                    continue
+                after = router.after.get(upstream, 0)
+                for event in engine.events_after(after, self.now - spec.event_lag_s):
+                    router.after[upstream] = event.sequence
+                    if self._rng.random() < spec.event_loss:
+                        continue
+                    if not self._apply(router, upstream, event):
+                        self._resync(router, upstream)
+                        break
+
+    def _apply(
+        self, router: _Router, upstream: ids.UpstreamId, event: engine_model.CacheEvent
+    ) -> bool:
+        seen = observations.CacheEvent(
+            self.engines[upstream].incarnation,
+            event.sequence,
+            event.kind is engine_model.CacheEventKind.STORED,
+            event.pieces,
+            self.now - event.at,
+        )
+        return router.traffic.observations.cache_event(
+            self._size.model_pool, upstream, seen, self.now
+        )
+
+    def _gossip(self) -> None:
+        replay_gossip.exchange(self.routers, self.cuts, self.now)
--- /dev/null
+++ b/src/cicadapier/_internal/experiments/replay_report.py
@@ -0,0 +1,193 @@
+"""What a replay measures."""
+
+import collections.abc
+import dataclasses
+import math
+
+from cicadapier._internal.experiments import traces
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import outcomes
+from cicadapier._internal.standins import deployments
+from cicadapier._internal.standins import engine_model
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """What became of one request."""
+
+    at: float
+    account: ids.AccountId
+    service_class: configuration.ServiceClass
+    router: int
+    total_tokens: int
+    upstream: ids.UpstreamId | None = None
+    first_s: float | None = None
+    step_s: float | None = None
+    reused_tokens: int = 0
+    computed_tokens: int = 0
+    wasted_tokens: int = 0
+    refusal: str | None = None
+    ended_at: float | None = None
+    retries: int = 0
+
+    def refused(self, refusal: outcomes.Refusal | None, now: float) -> None:
+        """Records a refusal."""
+        self.refusal = refusal.code.value if refusal else "lost"
+        self.ended_at = now
+
+    def finished(self, at: float, step_s: float) -> None:
+        """Records the last token."""
+        self.ended_at = at
+        self.step_s = step_s
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Window:
+    """Part of a trace, in seconds."""
+
+    start: float = 0.0
+    end: float = math.inf
+
+
+WHOLE = Window()
+
+
+class Report:
+    """Records of one replay and the figures drawn from them."""
+
+    def __init__(
+        self,
+        size: deployments.Deployment,
+        spec: engine_model.EngineSpec,
+        policy: str,
+        seed: int,
+    ) -> None:
+        self.policy = policy
+        self.seed = seed
+        self.records: list[Record] = []
+        self._size = size
+        self._spec = spec
+        self._computed_before: set[ids.PieceId] = set()
+        self._prefilled = 0
+        self._duration_s = 0.0
+
+    def arrived(self, req: traces.TraceRequest, router: int) -> Record:
+        """Adds a request."""
+        record = Record(req.at, req.account, req.service_class, router, req.total_tokens)
+        self.records.append(record)
+        return record
+
+    def first_token(
+        self,
+        record: Record,
+        req: traces.TraceRequest,
+        event: engine_model.FirstToken,
+        now: float,
+    ) -> None:
+        """Records the first token of an attempt, and what was computed for it."""
+        if record.first_s is None:
+            record.first_s = now - record.at
+        size = self._spec.piece_tokens
+        reused = event.cached_pieces + event.imported_pieces
+        computed = req.pieces[reused:]
+        record.reused_tokens = reused * size
+        record.computed_tokens += event.computed_tokens
+        record.wasted_tokens += size * sum(1 for p in computed if p in self._computed_before)
+        self._computed_before.update(computed)
+
+    def crashed(self, engine: engine_model.EngineModel) -> None:
+        """Keeps the count of an engine that loses its state."""
+        self._prefilled += engine.prefilled_tokens
+
+    def close(
+        self,
+        duration_s: float,
+        engines: collections.abc.Mapping[ids.UpstreamId, engine_model.EngineModel],
+    ) -> None:
+        """Ends the measurement."""
+        self._duration_s = duration_s
+        self._prefilled += sum(engine.prefilled_tokens for engine in engines.values())
+
+    def chosen(
+        self,
+        service_class: configuration.ServiceClass | None = None,
+        window: Window = WHOLE,
+        account: ids.AccountId | None = None,
+    ) -> list[Record]:
+        """Returns the records of a class, window and account."""
+        return [
+            record
+            for record in self.records
+            if window.start <= record.at < window.end
+            and (service_class is None or record.service_class is service_class)
+            and (account is None or record.account == account)
+        ]
+
+    def hit_rate(self, window: Window = WHOLE) -> float:
+        """Returns the share of prompt tokens that were reused."""
+        answered = [r for r in self.chosen(window=window) if r.first_s is not None]
+        total = sum(record.total_tokens for record in answered)
+        return sum(record.reused_tokens for record in answered) / max(1, total)
+
+    def wasted_share(self) -> float:
+        """Returns the share of prefilled tokens that had been computed before."""
+        computed = sum(record.computed_tokens for record in self.records)
+        return sum(record.wasted_tokens for record in self.records) / max(1, computed)
+
+    def utilization(self) -> float:
+        """Returns the share of the engines' prefill capacity that was used."""
+        capacity = self._size.engines * self._spec.prefill_tokens_per_s * self._duration_s
+        return self._prefilled / max(1.0, capacity)
+
+    def first_token_s(
+        self,
+        share: float,
+        service_class: configuration.ServiceClass | None = None,
+        window: Window = WHOLE,
+    ) -> float:
+        """Returns a quantile of the time to first token."""
+        chosen = self.chosen(service_class, window)
+        return quantile([r.first_s for r in chosen if r.first_s is not None], share)
+
+    def step_s(self, share: float) -> float:
+        """Returns a quantile of the mean time between tokens."""
+        return quantile([r.step_s for r in self.records if r.step_s is not None], share)
+
+    def refusals(self, window: Window = WHOLE) -> int:
+        """Returns the number of refused requests."""
+        return sum(1 for record in self.chosen(window=window) if record.refusal)
+
+    def unfinished(self) -> int:
+        """Returns the number of requests without an end."""
+        return sum(1 for record in self.records if record.ended_at is None)
+
+    def summary(self) -> dict[str, object]:
+        """Returns the figures of the whole trace."""
+        interactive = configuration.ServiceClass.INTERACTIVE
+        batch = configuration.ServiceClass.BATCH
+        return {
+            "policy": self.policy,
+            "seed": self.seed,
+            "requests": len(self.records),
+            "hit_rate": self.hit_rate(),
+            "wasted": self.wasted_share(),
+            "utilization": self.utilization(),
+            "interactive_p50_s": self.first_token_s(0.5, interactive),
+            "interactive_p95_s": self.first_token_s(0.95, interactive),
+            "interactive_p99_s": self.first_token_s(0.99, interactive),
+            "batch_p50_s": self.first_token_s(0.5, batch),
+            "batch_p95_s": self.first_token_s(0.95, batch),
+            "batch_p99_s": self.first_token_s(0.99, batch),
+            "step_p95_s": self.step_s(0.95),
+            "refusals": self.refusals(),
+            "unfinished": self.unfinished(),
+        }
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Returns a quantile by the nearest rank; not a number without values."""
+    if not values:
+        return math.nan
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, max(0, math.ceil(share * len(ordered)) - 1))]
--- /dev/null
+++ b/src/cicadapier/_internal/experiments/workloads.py
@@ -0,0 +1,176 @@
+"""Traces in the shapes of the users' traffic.
+
+Larkspur: a long style sheet, below it manuscripts, below each a few short questions; drafts of
+grant letters; whole manuscripts as batch. Andino: a hot classification preamble with short device
+scans by impatient technicians; patient audit summaries of sites as batch.
+"""
+
+import collections.abc
+import dataclasses
+import random
+
+from cicadapier._internal.experiments import traces
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+from cicadapier._internal.standins import deployments
+
+_INTERACTIVE = configuration.ServiceClass.INTERACTIVE
+_BATCH = configuration.ServiceClass.BATCH
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """Size of a workload.
+
+    Attributes:
+        duration_s: Length of the trace.
+        load: Factor on all rates; 1 puts the clairvoyant bound at 70 % of capacity.
+        shift_at_s: When the hot prefix changes to another, or None.
+        shift_share: Share of the interactive requests that go to the new hot prefix.
+        flood_account: Account that floods, if any.
+        flood_rate_per_s: Its requests a second.
+        flood_from_s: When it begins.
+    """
+
+    duration_s: float = 60.0
+    load: float = 1.0
+    shift_at_s: float | None = None
+    shift_share: float = 0.9
+    flood_account: ids.AccountId | None = None
+    flood_rate_per_s: float = 0.0
+    flood_from_s: float = 0.0
+
+
+def make(name: deployments.DeploymentName, seed: int, shape: Shape) -> list[traces.TraceRequest]:
+    """Returns a trace, in order of arrival."""
+    rng = random.Random(f"{name.value}/{seed}")
+    maker = _LarkspurMaker if name is deployments.DeploymentName.LARKSPUR else _AndinoMaker
+    made = maker(rng, shape).requests()
+    requests = [req for req in made if req.at < shape.duration_s]
+    if shape.flood_account:
+        requests.extend(_flood(random.Random(f"flood/{seed}"), shape, shape.flood_account))
+    return sorted(requests, key=lambda req: req.at)
+
+
+def _flood(
+    rng: random.Random, shape: Shape, account: ids.AccountId
+) -> collections.abc.Iterator[traces.TraceRequest]:
+    at = shape.flood_from_s
+    while at < shape.duration_s:
+        at += rng.expovariate(shape.flood_rate_per_s)
+        pieces, total = traces.cut(account, [traces.Segment("flood", 300)])
+        yield traces.TraceRequest(at, account, _INTERACTIVE, pieces, total, 8)
+
+
+class _Maker:
+    def __init__(self, rng: random.Random, shape: Shape) -> None:
+        self._rng = rng
+        self._shape = shape
+        self._names = 0
+
+    def _name(self, kind: str) -> str:
+        self._names += 1
+        return f"{kind}-{self._names}"
+
+    def _arrivals(self, per_s: float) -> collections.abc.Iterator[float]:
+        at = 0.0
+        while True:
+            at += self._rng.expovariate(per_s * self._shape.load)
+            if at >= self._shape.duration_s:
+                return
+            yield at
+
+    def _request(
+        self,
+        at: float,
+        account: str,
+        kind: configuration.ServiceClass,
+        segments: list[traces.Segment],
+        answer: int,
+    ) -> traces.TraceRequest:
+        pieces, total = traces.cut(account, segments)
+        return traces.TraceRequest(at, ids.AccountId(account), kind, pieces, total, answer)
+
+
+class _LarkspurMaker(_Maker):
+    """Sessions of editors, drafts of poets, whole manuscripts as batch."""
+
+    SESSIONS_PER_S = 3.6
+    DRAFTS_PER_S = 3.0
+    PROOFS_PER_S = 0.5
+
+    def requests(self) -> collections.abc.Iterator[traces.TraceRequest]:
+        """Yields all requests, not in order."""
+        for at in self._arrivals(self.SESSIONS_PER_S):
+            yield from self._session(at)
+        for at in self._arrivals(self.DRAFTS_PER_S):
+            yield from self._drafts(at)
+        for at in self._arrivals(self.PROOFS_PER_S):
+            account = self._rng.choice(("proofs", "archive"))
+            segments = [self._style_sheet(at), self._manuscript()]
+            yield self._request(at, account, _BATCH, segments, self._rng.randint(150, 300))
+
+    def _style_sheet(self, at: float) -> traces.Segment:
+        shift_at = self._shape.shift_at_s
+        shifted = shift_at is not None and at >= shift_at
+        if shifted and self._rng.random() < self._shape.shift_share:
+            return traces.Segment("style-new", 12_500)
+        return traces.Segment("style-house", 12_500)
+
+    def _manuscript(self) -> traces.Segment:
+        return traces.Segment(self._name("manuscript"), self._rng.randint(4_000, 14_000))
+
+    def _session(self, at: float) -> collections.abc.Iterator[traces.TraceRequest]:
+        account = self._rng.choices(("editors", "catalogue", "rights"), (8, 1, 1))[0]
+        head = [self._style_sheet(at), self._manuscript()]
+        for _ in range(self._rng.randint(4, 10)):
+            question = traces.Segment(self._name("question"), self._rng.randint(30, 250))
+            answer = self._rng.randint(16, 60)
+            yield self._request(at, account, _INTERACTIVE, [*head, question], answer)
+            at += 1.5 + self._rng.expovariate(1 / 2.5)
+
+    def _drafts(self, at: float) -> collections.abc.Iterator[traces.TraceRequest]:
+        account = self._rng.choices(("poets", "grants"), (3, 1))[0]
+        draft = traces.Segment(self._name("draft"), self._rng.randint(300, 1_500))
+        for _ in range(self._rng.randint(1, 3)):
+            wish = traces.Segment(self._name("wish"), self._rng.randint(20, 80))
+            segments = [traces.Segment("grant-guide", 4_300), draft, wish]
+            answer = self._rng.randint(60, 120)
+            yield self._request(at, account, _INTERACTIVE, segments, answer)
+            at += 3.0 + self._rng.expovariate(1 / 4.0)
+
+
+class _AndinoMaker(_Maker):
+    """Scans of technicians, audit summaries as batch."""
+
+    SCANS_PER_S = 44.0
+    AUDITS_PER_S = 1.2
+
+    def requests(self) -> collections.abc.Iterator[traces.TraceRequest]:
+        """Yields all requests, not in order."""
+        for at in self._arrivals(self.SCANS_PER_S):
+            account = self._rng.choices(
+                ("technicians", "schools", "clinics", "cooperatives"), (7, 1, 1, 1)
+            )[0]
+            scan = traces.Segment(self._name("scan"), self._rng.randint(150, 600))
+            segments = [self._preamble(at), scan]
+            yield self._request(at, account, _INTERACTIVE, segments, self._rng.randint(6, 16))
+        for at in self._arrivals(self.AUDITS_PER_S):
+            yield from self._audit(at)
+
+    def _preamble(self, at: float) -> traces.Segment:
+        shift_at = self._shape.shift_at_s
+        shifted = shift_at is not None and at >= shift_at
+        if shifted and self._rng.random() < self._shape.shift_share:
+            return traces.Segment("preamble-new", 6_200)
+        return traces.Segment("preamble", 6_200)
+
+    def _audit(self, at: float) -> collections.abc.Iterator[traces.TraceRequest]:
+        account = self._rng.choices(("auditors", "reports"), (3, 1))[0]
+        site = traces.Segment(self._name("site"), self._rng.randint(5_000, 14_000))
+        guide = traces.Segment("audit-guide", 2_300)
+        for _ in range(self._rng.randint(1, 3)):
+            wish = traces.Segment(self._name("wish"), self._rng.randint(30, 120))
+            answer = self._rng.randint(150, 400)
+            yield self._request(at, account, _BATCH, [guide, site, wish], answer)
+            at += 5.0 + self._rng.expovariate(1 / 5.0)
--- a/src/cicadapier/_internal/protocols/peer_codec.py
+++ b/src/cicadapier/_internal/protocols/peer_codec.py
@@ -5,6 +5,7 @@
 
 from cicadapier._internal.decisions import limits
 from cicadapier._internal.decisions import membership
+from cicadapier._internal.decisions import peer_news
 from cicadapier._internal.decisions import poison
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import peers_pb2
@@ -13,46 +14,10 @@
 MAX_ACCOUNTS = 512
 MAX_SENDS = 2048
 MAX_CRASHES = 128
-MAX_PLACED = 64
 MAX_KEPT_PIECES = 4096
 PIECE_BYTES = 16
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SentWork:
-    """Tokens that a router has sent to one upstream since it started."""
-
-    pool: ids.PoolId
-    upstream: ids.UpstreamId
-    tokens: float
-    interactive_tokens: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeptPieces:
-    """Pieces that were exported to the keep of a pool."""
-
-    pool: ids.PoolId
-    pieces: tuple[ids.PieceId, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlacedPieces:
-    """Pieces of a prompt that a router has sent to an upstream.
-
-    Attributes:
-        number: Grows with each prompt of the sender, so that none is counted twice.
-        pool: Pool of the upstream.
-        upstream: The upstream.
-        pieces: The pieces, outermost first.
-    """
-
-    number: int
-    pool: ids.PoolId
-    upstream: ids.UpstreamId
-    pieces: tuple[ids.PieceId, ...]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Digest:
     """What one router tells another in one round.
@@ -74,10 +39,10 @@
     configuration_number: ids.ConfigNumber
     heartbeats: tuple[membership.Heartbeat, ...] = ()
     use: dict[ids.AccountId, limits.RemoteUse] = dataclasses.field(default_factory=dict)
-    sends: tuple[SentWork, ...] = ()
+    sends: tuple[peer_news.SentWork, ...] = ()
     crashes: tuple[poison.Crash, ...] = ()
-    kept: tuple[KeptPieces, ...] = ()
-    placed: tuple[PlacedPieces, ...] = ()
+    kept: tuple[peer_news.KeptPieces, ...] = ()
+    placed: tuple[peer_news.PlacedPieces, ...] = ()
 
 
 def encode(digest: Digest) -> peers_pb2.Digest:
@@ -111,7 +76,7 @@
             peers_pb2.PlacedPieces(
                 number=p.number, pool=p.pool, upstream=p.upstream, pieces=p.pieces
             )
-            for p in digest.placed[-MAX_PLACED:]
+            for p in digest.placed[-peer_news.MAX_PLACED :]
         ],
     )
 
@@ -128,7 +93,9 @@
             for a in message.accounts[:MAX_ACCOUNTS]
         },
         tuple(
-            SentWork(ids.PoolId(s.pool), ids.UpstreamId(s.upstream), s.tokens, s.interactive_tokens)
+            peer_news.SentWork(
+                ids.PoolId(s.pool), ids.UpstreamId(s.upstream), s.tokens, s.interactive_tokens
+            )
             for s in message.sends[:MAX_SENDS]
         ),
         tuple(
@@ -140,7 +107,7 @@
             for c in message.crashes[:MAX_CRASHES]
         ),
         tuple(_decode_kept(k) for k in message.kept),
-        tuple(_decode_placed(p) for p in message.placed[:MAX_PLACED]),
+        tuple(_decode_placed(p) for p in message.placed[: peer_news.MAX_PLACED]),
     )
 
 
@@ -166,12 +133,12 @@
     )
 
 
-def _decode_kept(message: peers_pb2.KeptPieces) -> KeptPieces:
-    return KeptPieces(ids.PoolId(message.pool), _decode_pieces(message.pieces))
+def _decode_kept(message: peers_pb2.KeptPieces) -> peer_news.KeptPieces:
+    return peer_news.KeptPieces(ids.PoolId(message.pool), _decode_pieces(message.pieces))
 
 
-def _decode_placed(message: peers_pb2.PlacedPieces) -> PlacedPieces:
-    return PlacedPieces(
+def _decode_placed(message: peers_pb2.PlacedPieces) -> peer_news.PlacedPieces:
+    return peer_news.PlacedPieces(
         message.number,
         ids.PoolId(message.pool),
         ids.UpstreamId(message.upstream),
--- a/src/cicadapier/_internal/services/exports_service.py
+++ b/src/cicadapier/_internal/services/exports_service.py
@@ -3,6 +3,7 @@
 import msgspec
 import trio
 
+from cicadapier._internal.decisions import peer_news
 from cicadapier._internal.decisions import traffic
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import service
@@ -10,7 +11,6 @@
 from cicadapier._internal.protocols import exceptions as protocol_exceptions
 from cicadapier._internal.protocols import headers
 from cicadapier._internal.protocols import http_client
-from cicadapier._internal.protocols import peer_codec
 from cicadapier._internal.services import configuration_service
 from cicadapier._internal.services import connections_service
 from cicadapier._internal.services import names
@@ -51,7 +51,7 @@
         keep_address = next(iter(keep.upstreams.values())).address
         body = {"keep": keep_address, "pieces": [piece.hex() for piece in export.pieces]}
         if await self._send(upstream.address, msgspec.json.encode(body)):
-            self._peers.announce_kept(peer_codec.KeptPieces(export.pool, export.pieces))
+            self._peers.announce_kept(peer_news.KeptPieces(export.pool, export.pieces))
 
     async def _send(self, address: ids.Address, body: bytes) -> bool:
         assert self._connections
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from cicadapier._internal.decisions import members
 from cicadapier._internal.decisions import prefix
 from cicadapier._internal.decisions import retries
 from cicadapier._internal.decisions import traffic
@@ -203,7 +204,8 @@
             body["priority"] = BATCH_PRIORITY
         if self._progress.offset:
             body["resume_from"] = self._progress.offset
-        if estimate.imported_pieces and pool.keep:
+        if self._plan.entry.prompt.pieces and pool.keep:
+            # What is believed of caches may be wrong, so the engine always learns of the keep.
             body["kv_import"] = self._keep_address()
         head = http_client.RequestHead(
             "POST",
@@ -341,7 +343,7 @@
         cached = details.cached_tokens if details else 0
         self._progress.cached_tokens = cached
         self._services.first_token(
-            self._context.request, traffic.FirstToken(attempt.incarnation, cached)
+            self._context.request, members.FirstToken(attempt.incarnation, cached)
         )
 
     def _measure_first(self) -> None:
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -6,8 +6,8 @@
 import structlog
 import trio
 
-from cicadapier._internal.decisions import limits
 from cicadapier._internal.decisions import membership
+from cicadapier._internal.decisions import peer_news
 from cicadapier._internal.decisions import poison
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import service
@@ -24,7 +24,6 @@
 ROUND_S = 0.25
 ANNOUNCE_TIMEOUT_S = 0.5
 MAX_KEPT_PIECES = 256
-USE_EXPIRES_S = 5.0
 
 _log = structlog.get_logger()
 
@@ -51,10 +50,8 @@
         self._traffic: traffic_service.TrafficService | None = None
         self._configuration: configuration_service.ConfigurationService | None = None
         self._digest = peer_codec.Digest(cfg.vm, generation, ids.ConfigNumber(0))
-        self._use: dict[ids.VmId, tuple[float, dict[ids.AccountId, limits.RemoteUse]]] = {}
-        self._seen_sends: dict[tuple[ids.VmId, int, ids.UpstreamId], peer_codec.SentWork] = {}
-        self._seen_placed: dict[tuple[ids.VmId, int], int] = {}
-        self._kept: collections.deque[peer_codec.KeptPieces] = collections.deque(maxlen=8)
+        self._incoming = peer_news.Incoming()
+        self._kept: collections.deque[peer_news.KeptPieces] = collections.deque(maxlen=8)
         self._kernel: service.Kernel | None = None
         self._reachable: frozenset[ids.VmId] = frozenset()
 
@@ -107,7 +104,7 @@
         await self._refresh_digest()
         await self._tell_all()
 
-    def announce_kept(self, kept: peer_codec.KeptPieces) -> None:
+    def announce_kept(self, kept: peer_news.KeptPieces) -> None:
         """Passes on an export in the next rounds."""
         self._kept.append(kept)
 
@@ -174,54 +171,31 @@
         assert self._traffic
         now = trio.current_time()
         self._membership.heard(digest.heartbeats, now)
-        self._use[digest.sender] = (now, digest.use)
-        for work in digest.sends:
-            self._merge_sends(digest, work)
-        self._merge_placed(digest)
+        news = peer_news.News(
+            peer_news.Sender(digest.sender, digest.generation),
+            digest.sends,
+            digest.placed,
+            digest.use,
+        )
+        learned = self._incoming.merge(news, now)
+        for work in learned.sends:
+            self._traffic.mailbox.offer(
+                traffic_messages.PeerSends(
+                    work.pool, work.upstream, work.tokens, work.interactive_tokens
+                )
+            )
+        for placed in learned.placed:
+            self._traffic.mailbox.offer(
+                traffic_messages.PeerPlaced(placed.pool, placed.upstream, placed.pieces)
+            )
         if digest.crashes:
             self._traffic.mailbox.offer(traffic_messages.PeerCrashes(digest.crashes))
         for kept in digest.kept:
             self._traffic.mailbox.offer(traffic_messages.Kept(kept.pool, kept.pieces))
 
-    def _merge_sends(self, digest: peer_codec.Digest, work: peer_codec.SentWork) -> None:
-        assert self._traffic
-        key = (digest.sender, digest.generation, work.upstream)
-        before = self._seen_sends.get(key)
-        self._seen_sends[key] = work
-        if before is None:
-            # What was sent before this router listened is in the upstream's own report.
-            return
-        tokens = work.tokens - before.tokens
-        interactive = work.interactive_tokens - before.interactive_tokens
-        if tokens > 0:
-            self._traffic.mailbox.offer(
-                traffic_messages.PeerSends(work.pool, work.upstream, tokens, max(0.0, interactive))
-            )
-
-    def _merge_placed(self, digest: peer_codec.Digest) -> None:
-        assert self._traffic
-        key = (digest.sender, digest.generation)
-        seen = self._seen_placed.get(key, 0)
-        for placed in digest.placed:
-            if placed.number > seen:
-                self._traffic.mailbox.offer(
-                    traffic_messages.PeerPlaced(placed.pool, placed.upstream, placed.pieces)
-                )
-                seen = placed.number
-        self._seen_placed[key] = seen
-
     def _publish_use(self, now: float) -> None:
         assert self._traffic
-        total: dict[ids.AccountId, limits.RemoteUse] = {}
-        for vm, (heard_at, use) in list(self._use.items()):
-            if now - heard_at > USE_EXPIRES_S:
-                del self._use[vm]
-                continue
-            for account, own in use.items():
-                known = total.get(account, limits.RemoteUse())
-                total[account] = limits.RemoteUse(
-                    known.demand_per_s + own.demand_per_s, known.streams + own.streams
-                )
+        total = self._incoming.total_use(now)
         count = self.members.count(now)
         self._traffic.mailbox.offer(traffic_messages.PeerUse(count, total))
 
@@ -231,11 +205,5 @@
             _log.info("peer_reachable", peer=vm)
         for vm in sorted(self._reachable - reachable):
             _log.info("peer_unreachable", peer=vm)
-            self._forget_sends(vm)
+            self._incoming.forget(vm)
         self._reachable = reachable
-
-    def _forget_sends(self, vm: ids.VmId) -> None:
-        for key in [key for key in self._seen_sends if key[0] == vm]:
-            del self._seen_sends[key]
-        for sender in [key for key in self._seen_placed if key[0] == vm]:
-            del self._seen_placed[sender]
--- a/src/cicadapier/_internal/services/request_context.py
+++ b/src/cicadapier/_internal/services/request_context.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from cicadapier._internal.decisions import members
 from cicadapier._internal.decisions import poison
 from cicadapier._internal.decisions import retries
 from cicadapier._internal.decisions import traffic
@@ -88,7 +89,7 @@
             # The caller's repeat may reach another router as soon as it has our answer.
             await self.peers.announce_crash(crash)
 
-    def first_token(self, request: ids.RequestId, first: traffic.FirstToken) -> None:
+    def first_token(self, request: ids.RequestId, first: members.FirstToken) -> None:
         """Reports the first token of an answer."""
         self.traffic.mailbox.offer(traffic_messages.FirstToken(request, first))
 
--- a/src/cicadapier/_internal/services/traffic_messages.py
+++ b/src/cicadapier/_internal/services/traffic_messages.py
@@ -7,13 +7,13 @@
 from cicadapier._internal.decisions import load
 from cicadapier._internal.decisions import members
 from cicadapier._internal.decisions import observations
+from cicadapier._internal.decisions import peer_news
 from cicadapier._internal.decisions import poison
 from cicadapier._internal.decisions import traffic
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
-from cicadapier._internal.protocols import peer_codec
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,7 +37,7 @@
     """The answer to a request has begun."""
 
     request: ids.RequestId
-    first: traffic.FirstToken
+    first: members.FirstToken
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -168,8 +168,8 @@
 class Digest:
     """What the peers are told of this router's traffic."""
 
-    sends: tuple[peer_codec.SentWork, ...]
-    placed: tuple[peer_codec.PlacedPieces, ...]
+    sends: tuple[peer_news.SentWork, ...]
+    placed: tuple[peer_news.PlacedPieces, ...]
     use: dict[ids.AccountId, limits.RemoteUse]
     crashes: tuple[poison.Crash, ...]
 
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -1,6 +1,5 @@
 """The task that owns the router's traffic decisions."""
 
-import collections
 import collections.abc
 from typing import Protocol
 
@@ -9,13 +8,13 @@
 
 from cicadapier._internal.decisions import health
 from cicadapier._internal.decisions import observations
+from cicadapier._internal.decisions import peer_news
 from cicadapier._internal.decisions import placement
 from cicadapier._internal.decisions import traffic
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
-from cicadapier._internal.protocols import peer_codec
 from cicadapier._internal.services import names
 from cicadapier._internal.services import traffic_messages
 
@@ -42,7 +41,7 @@
         self._traffic = traffic.Traffic(failure_domain)
         self._kernel: service.Kernel | None = None
         self._waiting: dict[ids.RequestId, mailbox.Reply[traffic.Decision]] = {}
-        self._outgoing = _Outgoing()
+        self._outgoing = peer_news.Outgoing()
         self._states: dict[ids.UpstreamId, health.UpstreamState] = {}
         self._handlers: dict[type, collections.abc.Callable[..., None]] = {
             traffic_messages.Enter: self._enter,
@@ -234,40 +233,3 @@
             member.load.backlog_tokens(configuration.ServiceClass.BATCH, now),
             cached,
         )
-
-
-class _Outgoing:
-    """Work sent to upstreams, counted for the peers from this router's start."""
-
-    def __init__(self) -> None:
-        self.placed: collections.deque[peer_codec.PlacedPieces] = collections.deque(
-            maxlen=peer_codec.MAX_PLACED
-        )
-        self._placed_count = 0
-        self._tokens: dict[tuple[ids.PoolId, ids.UpstreamId], list[float]] = {}
-
-    def count(self, decisions: traffic.Traffic, placed: traffic.Placed) -> None:
-        """Counts a request that is sent now."""
-        entry = decisions.entry(placed.request)
-        if entry is None:
-            return
-        estimate = placed.choice.estimate
-        tokens = entry.prompt.uncached_tokens(estimate.cached_pieces + estimate.imported_pieces)
-        counts = self._tokens.setdefault((entry.pool, estimate.upstream), [0.0, 0.0])
-        counts[0] += tokens
-        if decisions.is_interactive(entry.account):
-            counts[1] += tokens
-        if entry.prompt.pieces:
-            self._placed_count += 1
-            self.placed.append(
-                peer_codec.PlacedPieces(
-                    self._placed_count, entry.pool, estimate.upstream, entry.prompt.pieces
-                )
-            )
-
-    def sends(self) -> tuple[peer_codec.SentWork, ...]:
-        """Returns the tokens sent to each upstream."""
-        return tuple(
-            peer_codec.SentWork(pool, upstream, tokens, interactive)
-            for (pool, upstream), (tokens, interactive) in self._tokens.items()
-        )
--- a/src/cicadapier/_internal/standins/engine_model.py
+++ b/src/cicadapier/_internal/standins/engine_model.py
@@ -255,6 +255,31 @@
                 return depth
         return len(pieces)
 
+    def cached_or_coming(self, pieces: collections.abc.Sequence[ids.PieceId]) -> int:
+        """Returns the prefix that is cached or that a queued request will have cached."""
+        coming = {piece for waiting in self._waiting for piece in waiting.job.pieces}
+        if self._prefill:
+            coming.update(self._prefill.job.pieces)
+        for depth, piece in enumerate(pieces):
+            if piece not in self._cache and piece not in coming:
+                return depth
+        return len(pieces)
+
+    def exact_queue_s(self, priority: float) -> float:
+        """Returns the wait of a new request behind those of at most this priority value."""
+        wait_s = max(0.0, self._prefill.ends_at - self._now) if self._prefill else 0.0
+        seen: set[ids.PieceId] = set()
+        for waiting in sorted(self._waiting):
+            if waiting.priority <= priority and waiting.job.request not in self._cancelled:
+                missing = [p for p in waiting.job.pieces if p not in self._cache]
+                new = len([p for p in missing if p not in seen])
+                seen.update(missing)
+                held = len(waiting.job.pieces) - new
+                tokens = max(1, waiting.job.total_tokens - held * self.spec.piece_tokens)
+                wait_s += tokens / self.spec.prefill_tokens_per_s
+        over = max(0, self.in_flight() + 1 - self.spec.max_batch)
+        return wait_s + over * 0.1
+
     def snapshot(self) -> tuple[int, tuple[ids.PieceId, ...]]:
         """Returns the last event's sequence number and the cached pieces, oldest first."""
         return self._sequence, tuple(self._cache)
--- a/src/cicadapier/_internal/standins/plain_services.py
+++ b/src/cicadapier/_internal/standins/plain_services.py
@@ -1,6 +1,5 @@
 """Stand-ins for a plain service and for the keep of exported KV cache."""
 
-import collections
 import hashlib
 
 import msgspec
@@ -10,11 +9,11 @@
 from cicadapier._internal.protocols import http_server
 from cicadapier._internal.protocols import transport
 from cicadapier._internal.standins import faults
+from cicadapier._internal.standins import keep_model
 from cicadapier._internal.standins import ledger
 from cicadapier._internal.standins import upstream_server
 
 SERVICE_TIME_S = 0.01
-KEEP_PIECES = 4096
 
 
 class PlainService(upstream_server.UpstreamServer):
@@ -90,34 +89,26 @@
         book: ledger.Ledger,
     ) -> None:
         super().__init__(upstream, network, board, book)
-        self._held: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self._model = keep_model.KeepModel()
 
     def on_crash(self) -> None:
         """See `UpstreamServer.on_crash`."""
-        self._held.clear()
+        self._model.clear()
 
     async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
         """See `http_server.Handler.handle`."""
         await self.wait_unpaused()
         if req.path == "/store":
             pieces = msgspec.json.decode(req.body, type=_Pieces).pieces
-            for piece in pieces:
-                self._held[piece] = None
-                self._held.move_to_end(piece)
-            while len(self._held) > KEEP_PIECES:
-                self._held.popitem(last=False)
+            self._model.store(ids.PieceId(bytes.fromhex(piece)) for piece in pieces)
             await responder.send_json({"pieces": len(pieces)})
         elif req.path == "/have":
             pieces = msgspec.json.decode(req.body, type=_Pieces).pieces
             await responder.send_json({"pieces": self._prefix_length(pieces)})
         elif req.path == "/load":
-            await responder.send_json({"incarnation": self.incarnation, "pieces": len(self._held)})
+            await responder.send_json({"incarnation": self.incarnation, "pieces": len(self._model)})
         else:
             await responder.send_json({"error": {"message": "no such path"}}, 404)
 
     def _prefix_length(self, pieces: list[str]) -> int:
-        for depth, piece in enumerate(pieces):
-            if piece not in self._held:
-                return depth
-            self._held.move_to_end(piece)
-        return len(pieces)
+        return self._model.prefix_length([ids.PieceId(bytes.fromhex(p)) for p in pieces])
