--- a/src/cicadapier/_internal/commands/table.py
+++ b/src/cicadapier/_internal/commands/table.py
@@ -28,6 +28,7 @@
     Command("keys", "keys", "make client keys"),
     Command("trace", "trace", "make traces of requests"),
     Command("replay", "replay", "replay a trace with one or more policies"),
+    Command("targets", "targets", "measure every target over several seeds"),
     Command("bench", "bench", "measure what a router adds to a request"),
 )
 
--- a/src/cicadapier/_internal/decisions/limits.py
+++ b/src/cicadapier/_internal/decisions/limits.py
@@ -12,6 +12,7 @@
 
 BURST_S = 1.0
 DEMAND_WINDOW_S = 2.0
+MIN_AGE_S = 0.25
 _MIN_SHARE = 0.02
 
 
@@ -64,16 +65,24 @@
         self._window_s = window_s
         self._weight = 0.0
         self._at = -math.inf
+        self._first_at = math.inf
 
     def add(self, amount: float, now: float) -> None:
         """Counts an event."""
         self._weight = self._decayed(now) + amount
         self._at = now
+        self._first_at = min(self._first_at, now)
 
     def per_s(self, now: float) -> float:
         """Returns the current rate per second."""
         return self._decayed(now) / self._window_s
 
+    def young_per_s(self, now: float) -> float:
+        """Returns the rate with the bias of a window that has not filled yet taken out."""
+        age_s = max(MIN_AGE_S, now - self._first_at)
+        filled = 1.0 - math.exp(-age_s / self._window_s)
+        return self.per_s(now) / filled
+
     def _decayed(self, now: float) -> float:
         if self._weight == 0.0:
             return 0.0
--- a/src/cicadapier/_internal/decisions/observations.py
+++ b/src/cicadapier/_internal/decisions/observations.py
@@ -141,6 +141,9 @@
         believed = self._belief(pool, upstream)
         if believed is not None:
             believed.sent(upstream, pieces, now)
+        state = self._find(pool, upstream)
+        if state and isinstance(state.policy, placement.PrefixPlacement):
+            state.policy.hotness.asked(pieces, now)
 
     def kept(self, pool: ids.PoolId, pieces: tuple[ids.PieceId, ...]) -> None:
         """Records that pieces were exported to the pool's keep."""
--- a/src/cicadapier/_internal/decisions/peer_news.py
+++ b/src/cicadapier/_internal/decisions/peer_news.py
@@ -13,6 +13,7 @@
 
 MAX_PLACED = 64
 USE_EXPIRES_S = 5.0
+URGENT_TOKENS = 512
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,11 +63,15 @@
         self._placed_count = 0
         self._tokens: dict[tuple[ids.PoolId, ids.UpstreamId], list[float]] = {}
 
-    def count(self, decisions: traffic.Traffic, placed: traffic.Placed) -> None:
-        """Counts a request that is sent now."""
+    def count(self, decisions: traffic.Traffic, placed: traffic.Placed) -> bool:
+        """Counts a request that is sent now.
+
+        Returns:
+            Whether it is so much work that the peers must learn of it before the next round.
+        """
         entry = decisions.entry(placed.request)
         if entry is None:
-            return
+            return False
         estimate = placed.choice.estimate
         tokens = entry.prompt.uncached_tokens(estimate.cached_pieces + estimate.imported_pieces)
         counts = self._tokens.setdefault((entry.pool, estimate.upstream), [0.0, 0.0])
@@ -78,6 +83,7 @@
             self.placed.append(
                 PlacedPieces(self._placed_count, entry.pool, estimate.upstream, entry.prompt.pieces)
             )
+        return tokens >= URGENT_TOKENS
 
     def sends(self) -> tuple[SentWork, ...]:
         """Returns the tokens sent to each upstream."""
@@ -136,11 +142,13 @@
     def merge(self, news: News, now: float) -> Learned:
         """Takes a message and returns what is new in it."""
         self._use[news.sender.vm] = (now, news.use)
-        known = self._sends.setdefault(news.sender, {})
-        # What was sent before this router listened is in the upstreams' own reports.
-        sends = [
-            _added(known[work.upstream], work) for work in news.sends if work.upstream in known
-        ]
+        known = self._sends.get(news.sender)
+        sends: list[SentWork] = []
+        if known is None:
+            # What was sent before this router listened is in the upstreams' own reports.
+            known = self._sends.setdefault(news.sender, {})
+        else:
+            sends = [_added(known.get(work.upstream), work) for work in news.sends]
         known.update({work.upstream: work for work in news.sends})
         seen = self._placed.get(news.sender, 0)
         placed = [item for item in news.placed if item.number > seen]
@@ -169,7 +177,9 @@
         return total
 
 
-def _added(before: SentWork, now: SentWork) -> SentWork:
+def _added(before: SentWork | None, now: SentWork) -> SentWork:
+    if before is None:
+        return now
     return SentWork(
         now.pool,
         now.upstream,
--- a/src/cicadapier/_internal/decisions/placement.py
+++ b/src/cicadapier/_internal/decisions/placement.py
@@ -9,15 +9,17 @@
 import dataclasses
 
 from cicadapier._internal.decisions import belief
+from cicadapier._internal.decisions import hotness
 from cicadapier._internal.decisions import members
 from cicadapier._internal.decisions import prefix
 from cicadapier._internal.decisions import rendezvous
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 
-NEAR_TIE_S = 0.03
+NEAR_TIE_S = 0.003
 RING_CANDIDATES = 16
 IMPORT_SPEEDUP = 10.0
+COPY_LIFE_S = 10.0
 _SLOW_BATCH = 24
 _SLOW_BATCH_S = 0.02
 _FULL_BATCH_S = 0.1
@@ -35,8 +37,9 @@
         keep: Import from the keep where that beats recomputing.
         separation: Keep interactive and batch requests apart where that costs little.
         keep_first_use: Export pieces as soon as they are computed; else at their second use.
-        recompute_weight: Weight of prefill time in the cost, for the work that it takes from
-            other requests.
+        hotness: Let pieces that are asked for often be copied at a lower cost.
+        recompute_weight: Weight of the prefill of pieces in the cost, beside its own time, for
+            the work that it takes from other requests.
     """
 
     belief: bool = True
@@ -46,7 +49,8 @@
     keep: bool = True
     keep_first_use: bool = True
     separation: bool = True
-    recompute_weight: float = 2.0
+    hotness: bool = True
+    recompute_weight: float = 10.0
 
 
 class PrefixPlacement(members.Policy):
@@ -55,6 +59,7 @@
     Attributes:
         belief: What is believed to be cached on each upstream.
         kept: Pieces believed to be in the keep, oldest first.
+        hotness: How often each piece is asked for.
     """
 
     def __init__(
@@ -66,6 +71,7 @@
     ) -> None:
         self.belief = belief.CacheBelief()
         self.kept = belief.KeptPieces()
+        self.hotness = hotness.Hotness()
         self._features = features
         super().__init__(pool, failure_domain, now)
 
@@ -76,6 +82,7 @@
     def sent(self, req: members.PlacementRequest, choice: members.Estimate, now: float) -> None:
         """See `members.Policy.sent`."""
         super().sent(req, choice, now)
+        self.hotness.asked(req.prompt.pieces, now)
         if self._features.in_flight:
             self.belief.sent(choice.upstream, req.prompt.pieces, now)
 
@@ -85,13 +92,13 @@
         if self._features.belief:
             cached = self.belief.cached_pieces(req.prompt.pieces, now)
         kept = self._kept_pieces(req.prompt)
+        burden_s = self._burden_s(req.prompt, kept, now)
         estimates = []
         for upstream in self._candidate_order(req.prompt, cached):
             member = self.members.get(upstream)
             if member and member.usable and upstream not in req.exclude:
-                estimates.append(
-                    self._estimate(member, upstream, req, cached.get(upstream, 0), kept, now)
-                )
+                held = cached.get(upstream, 0)
+                estimates.append(self._estimate(member, upstream, req, held, kept, burden_s, now))
         if not estimates:
             return None
         least = min(estimate.cost_s for estimate in estimates)
@@ -158,6 +165,23 @@
             return 0
         return self.kept.prefix_length(prompt.pieces)
 
+    def _burden_s(self, prompt: prefix.Prompt, kept: int, now: float) -> list[float]:
+        """Returns what computing the pieces from each depth on costs other requests.
+
+        A piece that is asked for often soon pays for one more copy; one that is asked for by this
+        conversation alone never does.
+        """
+        weight = self._features.recompute_weight
+        piece_s = prompt.piece_tokens / self.pool.prefill_tokens_per_s
+        burden_s = [0.0] * (len(prompt.pieces) + 1)
+        for depth in range(len(prompt.pieces) - 1, -1, -1):
+            piece = prompt.pieces[depth]
+            rate = self.hotness.per_s(piece, now) if self._features.hotness else 0.0
+            uses = rate * COPY_LIFE_S / (1 + self.belief.holder_count(piece))
+            cost_s = piece_s / IMPORT_SPEEDUP if depth < kept else piece_s
+            burden_s[depth] = burden_s[depth + 1] + weight * cost_s / (1 + uses)
+        return burden_s
+
     def _estimate(
         self,
         member: members.Member,
@@ -165,6 +189,7 @@
         req: members.PlacementRequest,
         cached: int,
         kept: int,
+        burden_s: list[float],
         now: float,
     ) -> members.Estimate:
         rate = member.load.prefill_tokens_per_s * min(1.0, member.spec.weight)
@@ -177,7 +202,7 @@
         computed = req.prompt.uncached_tokens(cached + imported)
         prefill_s = (computed + imported * req.prompt.piece_tokens / IMPORT_SPEEDUP) / rate
         distance_s = self.distance_s(member)
-        cost_s = queue_s + self._features.recompute_weight * prefill_s + distance_s
+        cost_s = queue_s + prefill_s + burden_s[cached] + distance_s
         if self._features.separation and req.service_class is configuration.ServiceClass.BATCH:
             # Interactive requests that arrive meanwhile wait for half of the prefill on average.
             cost_s += member.load.interactive_rate(now) * prefill_s * prefill_s / 2
--- a/src/cicadapier/_internal/experiments/policies.py
+++ b/src/cicadapier/_internal/experiments/policies.py
@@ -32,6 +32,7 @@
     NO_PEERS = "ours-without-peers"
     KEEP_SECOND_USE = "ours-keep-at-second-use"
     GREEDY = "ours-greedy"
+    NO_HOTNESS = "ours-without-hotness"
     NO_SEPARATION = "ours-without-separation"
 
 
@@ -50,11 +51,13 @@
     PolicyName.NO_IN_FLIGHT: placement.Features(in_flight=False),
     PolicyName.NO_KEEP: placement.Features(keep=False),
     PolicyName.KEEP_SECOND_USE: placement.Features(keep_first_use=False),
+    PolicyName.NO_HOTNESS: placement.Features(hotness=False),
     PolicyName.NO_SEPARATION: placement.Features(separation=False),
-    PolicyName.GREEDY: placement.Features(recompute_weight=1.0),
+    PolicyName.GREEDY: placement.Features(recompute_weight=0.0),
 }
 
 
+RECOMPUTE_WEIGHT = 2.0
 WITHOUT_KEEP = frozenset(
     (
         PolicyName.NO_KEEP,
@@ -182,8 +185,7 @@
         computed = req.prompt.uncached_tokens(cached + imported)
         import_s = imported * req.prompt.piece_tokens / engine.spec.import_tokens_per_s
         prefill_s = computed / rate + import_s
-        weight = placement.Features().recompute_weight
-        cost_s = queue_s + weight * prefill_s
+        cost_s = queue_s + RECOMPUTE_WEIGHT * prefill_s
         return members.Estimate(upstream, cached, imported, queue_s, prefill_s, 0.0, cost_s)
 
 
--- a/src/cicadapier/_internal/experiments/replay.py
+++ b/src/cicadapier/_internal/experiments/replay.py
@@ -31,7 +31,8 @@
 
 NETWORK_S = 0.002
 PROBE_S = 0.25
-PEER_ROUND_S = 0.25
+PEER_ROUND_S = 0.1
+URGENT_GAP_S = 0.02
 EVENTS_S = 0.1
 EXPORT_S = 0.1
 POLL_S = 0.05
@@ -96,12 +97,14 @@
         self.keep = keep_model.KeepModel()
         self.engines = {
             ids.UpstreamId(f"{self._size.model_pool}-{i + 1}"): engine_model.EngineModel(
-                plan.spec, ids.Incarnation(f"{i + 1}-1")
+                plan.spec, ids.Incarnation(f"{i + 1}-1"), 0.0, self.keep
             )
             for i in range(self._size.engines)
         }
         self.cuts = replay_faults.Cuts()
         self._down: set[ids.UpstreamId] = set()
+        self._gossip_planned = False
+        self._gossiped_at = 0.0
         self._wakes: dict[ids.UpstreamId, float] = {}
         self._running: dict[ids.RequestId, _Running] = {}
         self._cfg = self._configuration()
@@ -119,6 +122,7 @@
         self._every(EVENTS_S, self._deliver_events)
         self._every(POLL_S, self._poll)
         if self._plan.policy is not policies.PolicyName.NO_PEERS:
+            self.at(0.0, self._gossip)
             self._every(PEER_ROUND_S, self._gossip)
         end = self._requests[-1].at + TAIL_S if self._requests else 0.0
         while self._queue and self._queue[0][0] <= end:
@@ -229,7 +233,8 @@
             running.router.traffic.leave(decision.request, ran=False)
             del self._running[decision.request]
             return
-        running.router.outgoing.count(running.router.traffic, decision)
+        if running.router.outgoing.count(running.router.traffic, decision):
+            self._gossip_soon()
         upstream = decision.choice.estimate.upstream
         running.upstream = upstream
         running.record.upstream = upstream
@@ -246,9 +251,6 @@
             return
         self._advance(upstream)
         req = running.req
-        imports = 0
-        if self._plan.policy not in policies.WITHOUT_KEEP:
-            imports = self.keep.prefix_length(req.pieces)
         priority = 0 if req.service_class is configuration.ServiceClass.INTERACTIVE else 1
         job = engine_model.Job(
             decision.request,
@@ -256,7 +258,7 @@
             req.total_tokens + running.done_tokens,
             max(1, req.output_tokens - running.done_tokens),
             priority,
-            imports,
+            may_import=self._plan.policy not in policies.WITHOUT_KEEP,
         )
         self.engines[upstream].submit(job, self.now)
         self._plan_wake(upstream)
@@ -386,5 +388,13 @@
             self._size.model_pool, upstream, seen, self.now
         )
 
+    def _gossip_soon(self) -> None:
+        if self._plan.policy is policies.PolicyName.NO_PEERS or self._gossip_planned:
+            return
+        self._gossip_planned = True
+        self.at(max(self.now + NETWORK_S, self._gossiped_at + URGENT_GAP_S), self._gossip)
+
     def _gossip(self) -> None:
+        self._gossip_planned = False
+        self._gossiped_at = self.now
         replay_gossip.exchange(self.routers, self.cuts, self.now)
--- a/src/cicadapier/_internal/experiments/workloads.py
+++ b/src/cicadapier/_internal/experiments/workloads.py
@@ -143,8 +143,8 @@
 class _AndinoMaker(_Maker):
     """Scans of technicians, audit summaries as batch."""
 
-    SCANS_PER_S = 44.0
-    AUDITS_PER_S = 1.2
+    SCANS_PER_S = 48.0
+    AUDITS_PER_S = 1.3
 
     def requests(self) -> collections.abc.Iterator[traces.TraceRequest]:
         """Yields all requests, not in order."""
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -21,7 +21,8 @@
 from cicadapier._internal.services import traffic_messages
 from cicadapier._internal.services import traffic_service
 
-ROUND_S = 0.25
+ROUND_S = 0.1
+MIN_ROUND_S = 0.02
 ANNOUNCE_TIMEOUT_S = 0.5
 MAX_KEPT_PIECES = 256
 
@@ -51,6 +52,7 @@
         self._configuration: configuration_service.ConfigurationService | None = None
         self._digest = peer_codec.Digest(cfg.vm, generation, ids.ConfigNumber(0))
         self._incoming = peer_news.Incoming()
+        self._urgent = trio.Event()
         self._kept: collections.deque[peer_news.KeptPieces] = collections.deque(maxlen=8)
         self._kernel: service.Kernel | None = None
         self._reachable: frozenset[ids.VmId] = frozenset()
@@ -75,7 +77,17 @@
             started.started()
             while True:
                 await self._round(nursery)
-                await trio.sleep(ROUND_S * self._rng.uniform(0.9, 1.1))
+                await self._pause()
+
+    def hasten(self) -> None:
+        """Has the next round begin soon, for news that peers would otherwise decide without."""
+        self._urgent.set()
+
+    async def _pause(self) -> None:
+        await trio.sleep(MIN_ROUND_S)
+        with trio.move_on_after(ROUND_S * self._rng.uniform(0.9, 1.1) - MIN_ROUND_S):
+            await self._urgent.wait()
+        self._urgent = trio.Event()
 
     async def drain(self) -> None:
         """Tells the peers that this router is leaving."""
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -31,6 +31,13 @@
     mailbox: "mailbox.Mailbox[traffic.Export]"
 
 
+class NewsSink(Protocol):
+    """The service that tells the peers."""
+
+    def hasten(self) -> None:
+        """Has the next round begin soon."""
+
+
 class TrafficService(service.Service):
     """Owns the traffic decisions; every change of them is a message."""
 
@@ -91,8 +98,12 @@
 
     def _decide(self, decisions: list[traffic.Decision]) -> None:
         for decision in decisions:
+            urgent = False
             if isinstance(decision, traffic.Placed):
-                self._outgoing.count(self._traffic, decision)
+                urgent = self._outgoing.count(self._traffic, decision)
+            if urgent and self._kernel:
+                news: NewsSink = self._kernel.find(names.PEERS)
+                news.hasten()
             reply = self._waiting.pop(decision.request, None)
             if reply:
                 reply.set(decision)
--- a/src/cicadapier/_internal/standins/engine_model.py
+++ b/src/cicadapier/_internal/standins/engine_model.py
@@ -14,6 +14,7 @@
 import math
 
 from cicadapier._internal.models import ids
+from cicadapier._internal.standins import keep_model
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,7 +58,8 @@
         total_tokens: Tokens in the prompt.
         output_tokens: Tokens that it generates.
         priority: Lower goes first.
-        import_pieces: Pieces, from the first on, that the keep can provide.
+        import_pieces: Pieces, from the first on, that the keep was found to hold.
+        may_import: Whether the engine looks the pieces up in the keep as its prefill begins.
     """
 
     request: ids.RequestId
@@ -66,6 +68,7 @@
     output_tokens: int
     priority: int = 0
     import_pieces: int = 0
+    may_import: bool = False
 
 
 class CacheEventKind(enum.Enum):
@@ -158,8 +161,15 @@
         speed: Factor on all rates; 1 is full speed.
     """
 
-    def __init__(self, spec: EngineSpec, incarnation: ids.Incarnation, now: float = 0.0) -> None:
+    def __init__(
+        self,
+        spec: EngineSpec,
+        incarnation: ids.Incarnation,
+        now: float = 0.0,
+        keep: keep_model.KeepModel | None = None,
+    ) -> None:
         self.spec = spec
+        self._keep = keep
         self.incarnation = incarnation
         self.prefilled_tokens = 0
         self.speed = 1.0
@@ -200,7 +210,7 @@
 
     def crash(self, incarnation: ids.Incarnation, now: float) -> None:
         """Loses everything and comes back empty."""
-        self.__init__(self.spec, incarnation, now)  # type: ignore[misc]
+        self.__init__(self.spec, incarnation, now, self._keep)  # type: ignore[misc]
 
     def next_event_at(self) -> float:
         """Returns the time of the next event, or infinity."""
@@ -332,7 +342,10 @@
 
     def _begin(self, job: Job, now: float) -> _Prefill:
         cached = self.cached_prefix(job.pieces)
-        imported = max(0, job.import_pieces - cached)
+        importable = job.import_pieces
+        if self._keep and job.may_import:
+            importable = self._keep.prefix_length(job.pieces)
+        imported = max(0, importable - cached)
         for piece in job.pieces[:cached]:
             self._cache.move_to_end(piece)
         self._pins.update(job.pieces)
