Prune candidates that are too dear without their queues

Cause: a decision estimated every candidate in full: 249 us at 16 upstreams. Change: candidates with most of the prefix cached go first, and others are left out where their idle cost is over the best so far; orders of keys are kept.

--- a/src/cicadapier/_internal/decisions/belief.py
+++ b/src/cicadapier/_internal/decisions/belief.py
@@ -59,11 +59,13 @@
     ) -> dict[ids.UpstreamId, int]:
         """Returns the length of the believed cached prefix on each upstream that has any."""
         lengths: dict[ids.UpstreamId, int] = {}
-        candidates: collections.abc.Iterable[ids.UpstreamId] = self._caches
+        candidates: collections.abc.Iterable[ids.UpstreamId] | None = None
         for depth, piece in enumerate(pieces):
             holding = self._holders.get(piece)
             if not holding:
                 break
+            if candidates is None:
+                candidates = holding
             candidates = [u for u in candidates if u in holding and self._fresh(u, piece, now)]
             for upstream in candidates:
                 lengths[upstream] = depth + 1
--- a/src/cicadapier/_internal/decisions/members.py
+++ b/src/cicadapier/_internal/decisions/members.py
@@ -65,7 +65,6 @@
 
     estimate: Estimate
     reason: str
-    candidates: tuple[Estimate, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,11 +87,13 @@
     Attributes:
         spec: Its declaration.
         load: Its load.
+        distance_s: Its network distance.
         eligible: Whether its health allows new work.
     """
 
     spec: configuration.Upstream
     load: load.UpstreamLoad
+    distance_s: float
     eligible: bool = True
 
     @property
@@ -127,12 +128,15 @@
         changed = False
         for upstream, spec in pool.upstreams.items():
             member = self.members.get(upstream)
+            local = spec.failure_domain == self.failure_domain
+            distance_s = LOCAL_DISTANCE_S if local else REMOTE_DISTANCE_S
             if member is None:
                 changed = True
                 state = load.UpstreamLoad(pool.prefill_tokens_per_s, now)
-                self.members[upstream] = Member(spec, state)
+                self.members[upstream] = Member(spec, state, distance_s)
             else:
                 member.spec = spec
+                member.distance_s = distance_s
         if changed or len(self.members) != self.order.size:
             self.order = rendezvous.Order(self.members)
 
@@ -144,6 +148,11 @@
     def choose(self, req: PlacementRequest, now: float) -> Choice | None:
         """Returns the choice, or None where no upstream is eligible."""
 
+    def estimates(self, req: PlacementRequest, now: float) -> list[Estimate]:
+        """Returns the estimate for each candidate, in the order in which ties are broken."""
+        choice = self.choose(req, now)
+        return [choice.estimate] if choice else []
+
     def sent(self, req: PlacementRequest, choice: Estimate, now: float) -> None:
         """Records that a request was sent by a choice."""
         member = self.members.get(choice.upstream)
@@ -177,8 +186,3 @@
             for member in self.members.values()
             if member.usable
         )
-
-    def distance_s(self, member: Member) -> float:
-        """Returns the network distance of an upstream."""
-        local = member.spec.failure_domain == self.failure_domain
-        return LOCAL_DISTANCE_S if local else REMOTE_DISTANCE_S
--- a/src/cicadapier/_internal/decisions/placement.py
+++ b/src/cicadapier/_internal/decisions/placement.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 from cicadapier._internal.decisions import belief
 from cicadapier._internal.decisions import hotness
@@ -88,23 +89,36 @@
 
     def choose(self, req: members.PlacementRequest, now: float) -> members.Choice | None:
         """See `members.Policy.choose`."""
-        cached: dict[ids.UpstreamId, int] = {}
-        if self._features.belief:
-            cached = self.belief.cached_pieces(req.prompt.pieces, now)
-        kept = self._kept_pieces(req.prompt)
-        burden_s = self._burden_s(req.prompt, kept, now)
-        estimates = []
-        for upstream in self._candidate_order(req.prompt, cached):
+        view = self._view(req, now)
+        limit_s = math.inf
+        costs: dict[ids.UpstreamId, float] = {}
+        for upstream in self._by_promise(view):
             member = self.members.get(upstream)
-            if member and member.usable and upstream not in req.exclude:
-                held = cached.get(upstream, 0)
-                estimates.append(self._estimate(member, upstream, req, held, kept, burden_s, now))
-        if not estimates:
+            if member is None or not member.usable or upstream in req.exclude:
+                continue
+            # Queues only add to the cost, so what is too dear without them needs no estimate.
+            idle_s = view.idle_cost_s(upstream, member)
+            if idle_s > limit_s:
+                continue
+            cost_s = idle_s + self._queue_cost_s(view, upstream, member)
+            costs[upstream] = cost_s
+            limit_s = min(limit_s, cost_s + NEAR_TIE_S)
+        if not costs:
             return None
-        least = min(estimate.cost_s for estimate in estimates)
         # The order is that of the prefix, so the first near-tie is the same on every router.
-        chosen = next(e for e in estimates if e.cost_s <= least + NEAR_TIE_S)
-        return members.Choice(chosen, _reason(chosen, least), tuple(estimates))
+        near = [upstream for upstream, cost_s in costs.items() if cost_s <= limit_s]
+        chosen = near[0] if len(near) == 1 else min(near, key=view.order.index)
+        estimate = self._estimate(view, chosen, self.members[chosen])
+        return members.Choice(estimate, _reason(estimate, limit_s - NEAR_TIE_S))
+
+    def estimates(self, req: members.PlacementRequest, now: float) -> list[members.Estimate]:
+        """See `members.Policy.estimates`."""
+        view = self._view(req, now)
+        return [
+            self._estimate(view, upstream, self.members[upstream])
+            for upstream in view.order
+            if self.members[upstream].usable and upstream not in req.exclude
+        ]
 
     def first_token(
         self,
@@ -165,6 +179,35 @@
             return 0
         return self.kept.prefix_length(prompt.pieces)
 
+    def _view(self, req: members.PlacementRequest, now: float) -> "_View":
+        cached: dict[ids.UpstreamId, int] = {}
+        if self._features.belief:
+            cached = self.belief.cached_pieces(req.prompt.pieces, now)
+        kept = self._kept_pieces(req.prompt)
+        rate = self.pool.prefill_tokens_per_s
+        return _View(
+            req,
+            now,
+            cached,
+            self._candidate_order(req.prompt, cached),
+            kept,
+            [self._prefill_s(req.prompt, held, kept) for held in range(len(req.prompt.pieces) + 1)],
+            self._burden_s(req.prompt, kept, now),
+            rate,
+        )
+
+    def _by_promise(self, view: "_View") -> list[ids.UpstreamId]:
+        """Returns the candidates with those first that have most of the prefix cached."""
+        if not view.cached:
+            return view.order
+        return sorted(view.order, key=lambda upstream: -view.cached.get(upstream, 0))
+
+    def _prefill_s(self, prompt: prefix.Prompt, cached: int, kept: int) -> float:
+        imported = max(0, kept - cached)
+        computed = prompt.uncached_tokens(cached + imported)
+        tokens = computed + imported * prompt.piece_tokens / IMPORT_SPEEDUP
+        return tokens / self.pool.prefill_tokens_per_s
+
     def _burden_s(self, prompt: prefix.Prompt, kept: int, now: float) -> list[float]:
         """Returns what computing the pieces from each depth on costs other requests.
 
@@ -182,39 +225,71 @@
             burden_s[depth] = burden_s[depth + 1] + weight * cost_s / (1 + uses)
         return burden_s
 
+    def _queue_cost_s(
+        self, view: "_View", upstream: ids.UpstreamId, member: members.Member
+    ) -> float:
+        """Returns what the work that an upstream has already adds to the cost."""
+        cost_s = self._queue_s(view, member) if self._features.load else 0.0
+        if view.interactive or not self._features.separation:
+            return cost_s
+        # Interactive requests that arrive meanwhile wait for half of the prefill on average.
+        prefill_s = view.prefill_s[view.cached.get(upstream, 0)]
+        return cost_s + member.load.interactive_rate(view.now) * prefill_s * prefill_s / 2
+
+    def _queue_s(self, view: "_View", member: members.Member) -> float:
+        load = member.load
+        backlog = load.backlog_tokens(view.req.service_class, view.now)
+        queue_s = backlog / (view.rate * min(1.0, member.spec.weight))
+        if load.running() > _SLOW_BATCH or load.running() >= member.spec.max_in_flight:
+            queue_s += _batch_delay_s(member)
+        if view.interactive and self._features.separation:
+            queue_s += load.batch_risk_s(view.now)
+        return queue_s
+
     def _estimate(
+        self, view: "_View", upstream: ids.UpstreamId, member: members.Member
+    ) -> members.Estimate:
+        cached = view.cached.get(upstream, 0)
+        return members.Estimate(
+            upstream,
+            cached,
+            max(0, view.kept - cached),
+            self._queue_s(view, member) if self._features.load else 0.0,
+            view.prefill_s[cached] / min(1.0, member.spec.weight),
+            member.distance_s,
+            view.idle_cost_s(upstream, member) + self._queue_cost_s(view, upstream, member),
+        )
+
+
+class _View:
+    """What one decision sees, computed once for all candidates."""
+
+    def __init__(
         self,
-        member: members.Member,
-        upstream: ids.UpstreamId,
         req: members.PlacementRequest,
-        cached: int,
+        now: float,
+        cached: dict[ids.UpstreamId, int],
+        order: list[ids.UpstreamId],
         kept: int,
+        prefill_s: list[float],
         burden_s: list[float],
-        now: float,
-    ) -> members.Estimate:
-        rate = member.load.prefill_tokens_per_s * min(1.0, member.spec.weight)
-        queue_s = 0.0
-        if self._features.load:
-            queue_s = member.load.backlog_tokens(req.service_class, now) / rate
-            queue_s += _batch_delay_s(member)
-            queue_s += self._class_delay_s(member, req, now)
-        imported = max(0, kept - cached)
-        computed = req.prompt.uncached_tokens(cached + imported)
-        prefill_s = (computed + imported * req.prompt.piece_tokens / IMPORT_SPEEDUP) / rate
-        distance_s = self.distance_s(member)
-        cost_s = queue_s + prefill_s + burden_s[cached] + distance_s
-        if self._features.separation and req.service_class is configuration.ServiceClass.BATCH:
-            # Interactive requests that arrive meanwhile wait for half of the prefill on average.
-            cost_s += member.load.interactive_rate(now) * prefill_s * prefill_s / 2
-        return members.Estimate(upstream, cached, imported, queue_s, prefill_s, distance_s, cost_s)
-
-    def _class_delay_s(
-        self, member: members.Member, req: members.PlacementRequest, now: float
-    ) -> float:
-        interactive = req.service_class is configuration.ServiceClass.INTERACTIVE
-        if not interactive or not self._features.separation:
-            return 0.0
-        return member.load.batch_risk_s(now)
+        rate: float,
+    ) -> None:
+        self.req = req
+        self.interactive = req.service_class is configuration.ServiceClass.INTERACTIVE
+        self.now = now
+        self.cached = cached
+        self.order = order
+        self.kept = kept
+        self.prefill_s = prefill_s
+        self.burden_s = burden_s
+        self.rate = rate
+
+    def idle_cost_s(self, upstream: ids.UpstreamId, member: members.Member) -> float:
+        """Returns the cost of a candidate that had nothing else to do."""
+        cached = self.cached.get(upstream, 0)
+        share = min(1.0, member.spec.weight)
+        return self.prefill_s[cached] / share + self.burden_s[cached] + member.distance_s
 
 
 class PlainPlacement(members.Policy):
@@ -222,17 +297,22 @@
 
     def choose(self, req: members.PlacementRequest, now: float) -> members.Choice | None:
         """See `members.Policy.choose`."""
-        estimates = []
+        found = self.estimates(req, now)
+        if not found:
+            return None
+        chosen = min(found, key=lambda estimate: estimate.cost_s)
+        return members.Choice(chosen, "fewest requests in flight")
+
+    def estimates(self, req: members.PlacementRequest, now: float) -> list[members.Estimate]:
+        """See `members.Policy.estimates`."""
+        found = []
         for upstream in self.order.first(req.request.encode(), len(self.members)):
             member = self.members[upstream]
             if member.usable and upstream not in req.exclude:
-                distance_s = self.distance_s(member)
+                distance_s = member.distance_s
                 cost_s = member.load.running() / member.spec.weight + distance_s
-                estimates.append(members.Estimate(upstream, 0, 0, 0.0, 0.0, distance_s, cost_s))
-        if not estimates:
-            return None
-        chosen = min(estimates, key=lambda estimate: estimate.cost_s)
-        return members.Choice(chosen, "fewest requests in flight", tuple(estimates))
+                found.append(members.Estimate(upstream, 0, 0, 0.0, 0.0, distance_s, cost_s))
+        return found
 
 
 def make_policy(
--- a/src/cicadapier/_internal/decisions/rendezvous.py
+++ b/src/cicadapier/_internal/decisions/rendezvous.py
@@ -11,6 +11,7 @@
 from cicadapier._internal.models import ids
 
 MAX_SCORED = 64
+MAX_KNOWN = 4096
 _POINTS_PER_UPSTREAM = 8
 
 
@@ -24,6 +25,7 @@
     def __init__(self, members: collections.abc.Iterable[ids.UpstreamId]) -> None:
         self._members = sorted(members)
         self._encoded = [member.encode() for member in self._members]
+        self._known: dict[bytes, list[ids.UpstreamId]] = {}
         self._points: list[int] = []
         self._owners: list[ids.UpstreamId] = []
         if len(self._members) > MAX_SCORED:
@@ -35,10 +37,17 @@
         return len(self._members)
 
     def first(self, key: bytes, count: int) -> list[ids.UpstreamId]:
-        """Returns the first upstreams for a key, at most `count`."""
-        if not self._points:
-            return self._scored(key)[:count]
-        return self._walk(key, count)
+        """Returns the first upstreams for a key, at most `count`; the same count for a large pool.
+
+        The orders of the keys asked for lately are kept, because hot prefixes ask again and again.
+        """
+        known = self._known.get(key)
+        if known is None:
+            known = self._walk(key, count) if self._points else self._scored(key)
+            if len(self._known) >= MAX_KNOWN:
+                self._known.clear()
+            self._known[key] = known
+        return known[:count]
 
     def _scored(self, key: bytes) -> list[ids.UpstreamId]:
         scores = [_score(key, member) for member in self._encoded]
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -68,6 +68,14 @@
     refusal: outcomes.Refusal
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explained:
+    """A choice and the estimate for each candidate."""
+
+    choice: members.Choice
+    candidates: tuple[members.Estimate, ...]
+
+
 Decision = Placed | Refused
 PolicyFactory = collections.abc.Callable[
     [configuration.Pool, ids.FailureDomainId, float], members.Policy
@@ -286,14 +294,17 @@
         deadlines = [state.queue.next_deadline() for state in self.pools.values()]
         return min((d for d in deadlines if d is not None), default=None)
 
-    def explain(self, entry: Entry, now: float) -> members.Choice | None:
+    def explain(self, entry: Entry, now: float) -> Explained | None:
         """Returns the choice that would be made for a request, without any effect."""
         state = self.pools.get(entry.pool)
         account = self._cfg.content.accounts.get(entry.account)
         if state is None or account is None or not self._refresh(state, now):
             return None
         req = members.PlacementRequest(entry.request, entry.prompt, account.service_class)
-        return state.policy.choose(req, now)
+        choice = state.policy.choose(req, now)
+        if choice is None:
+            return None
+        return Explained(choice, tuple(state.policy.estimates(req, now)))
 
     def upstream_state(
         self, pool: ids.PoolId, upstream: ids.UpstreamId, now: float
--- a/src/cicadapier/_internal/experiments/policies.py
+++ b/src/cicadapier/_internal/experiments/policies.py
@@ -74,7 +74,7 @@
 
     def _choice(self, upstream: ids.UpstreamId, reason: str) -> members.Choice:
         estimate = members.Estimate(upstream, 0, 0, 0.0, 0.0, 0.0, 0.0)
-        return members.Choice(estimate, reason, (estimate,))
+        return members.Choice(estimate, reason)
 
 
 class RandomPolicy(Baseline):
@@ -161,7 +161,7 @@
         if not estimates:
             return None
         chosen = min(estimates, key=lambda estimate: estimate.cost_s)
-        return members.Choice(chosen, "exact", tuple(estimates))
+        return members.Choice(chosen, "exact")
 
     def first_token(
         self,
--- a/src/cicadapier/_internal/services/explanations.py
+++ b/src/cicadapier/_internal/services/explanations.py
@@ -7,6 +7,7 @@
 import trio
 
 from cicadapier._internal.decisions import members
+from cicadapier._internal.decisions import traffic
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import configuration
@@ -67,7 +68,7 @@
     ) -> Explanation | Unexplained:
         """Returns how a request would be placed now."""
         callers: callers_service.CallersService = self._kernel.find(names.CALLERS)
-        traffic: traffic_service.TrafficService = self._kernel.find(names.TRAFFIC)
+        traffic_: traffic_service.TrafficService = self._kernel.find(names.TRAFFIC)
         account = ids.AccountId(question.account)
         spec = cfg.content.accounts.get(account)
         if spec is None:
@@ -86,14 +87,14 @@
             plan = callers.models.plan(context, req)
         except exceptions.RefusedError as exc:
             return Unexplained(exc.refusal.message)
-        reply: mailbox.Reply[members.Choice | None] = mailbox.Reply()
-        traffic.mailbox.send(traffic_messages.Explain(plan.entry, reply))
-        choice = await reply.get()
+        reply: mailbox.Reply[traffic.Explained | None] = mailbox.Reply()
+        traffic_.mailbox.send(traffic_messages.Explain(plan.entry, reply))
+        explained = await reply.get()
         return Explanation(
             plan.pool_id,
             plan.entry.prompt.total_tokens,
             [piece.hex() for piece in plan.entry.prompt.pieces],
-            list(choice.candidates) if choice else [],
-            choice.estimate.upstream if choice else None,
-            choice.reason if choice else "no upstream can take requests now",
+            list(explained.candidates) if explained else [],
+            explained.choice.estimate.upstream if explained else None,
+            explained.choice.reason if explained else "no upstream can take requests now",
         )
--- a/src/cicadapier/_internal/services/traffic_messages.py
+++ b/src/cicadapier/_internal/services/traffic_messages.py
@@ -161,7 +161,7 @@
     """Asks for the choice that would be made for a request."""
 
     entry: traffic.Entry
-    reply: "mailbox.Reply[members.Choice | None]"
+    reply: "mailbox.Reply[traffic.Explained | None]"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
