Order new weights under a lease with fencing numbers

Cause: a declared weights version reached no engine. Change: one router a pool holds a platform lease and orders loads, at most N at once; requests are placed on engines that have the weights of their pieces, and a broken answer is continued with the same weights only.

--- a/src/cicadapier/_internal/decisions/members.py
+++ b/src/cicadapier/_internal/decisions/members.py
@@ -14,6 +14,14 @@
 REMOTE_DISTANCE_S = 0.002
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Weights:
+    """A model at one weights version."""
+
+    model: ids.ModelId
+    version: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlacementRequest:
     """What placement needs to know of a request.
@@ -23,12 +31,14 @@
         prompt: Its pieces.
         service_class: Latency class.
         exclude: Upstreams that must not be chosen.
+        weights: Weights that the pieces belong to.
     """
 
     request: ids.RequestId
     prompt: prefix.Prompt
     service_class: configuration.ServiceClass
     exclude: frozenset[ids.UpstreamId] = frozenset()
+    weights: Weights | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,12 +99,20 @@
         load: Its load.
         distance_s: Its network distance.
         eligible: Whether its health allows new work.
+        versions: Weights version of each model, as it last told.
     """
 
     spec: configuration.Upstream
     load: load.UpstreamLoad
     distance_s: float
     eligible: bool = True
+    versions: dict[ids.ModelId, str] = dataclasses.field(default_factory=dict)
+
+    def serves(self, weights: "Weights | None") -> bool:
+        """Returns whether it may answer with these weights; unknown weights count as the same."""
+        if weights is None:
+            return True
+        return self.versions.get(weights.model, weights.version) == weights.version
 
     @property
     def usable(self) -> bool:
--- a/src/cicadapier/_internal/decisions/observations.py
+++ b/src/cicadapier/_internal/decisions/observations.py
@@ -59,13 +59,17 @@
         leaving: bool,
         report: load.Report,
         now: float,
+        versions: dict[ids.ModelId, str] | None = None,
     ) -> None:
-        """Takes a load report."""
+        """Takes a load report, and the weights versions where it tells them."""
         state = self._find(pool, upstream)
         if state is None:
             return
         state.health.answered(upstream, incarnation, leaving)
-        state.policy.members[upstream].load.reported(report, now)
+        member = state.policy.members[upstream]
+        member.load.reported(report, now)
+        if versions is not None:
+            member.versions = versions
         if isinstance(state.policy, placement.PrefixPlacement):
             state.policy.belief.observe_incarnation(upstream, incarnation)
 
--- a/src/cicadapier/_internal/decisions/placement.py
+++ b/src/cicadapier/_internal/decisions/placement.py
@@ -96,6 +96,8 @@
             member = self.members.get(upstream)
             if member is None or not member.usable or upstream in req.exclude:
                 continue
+            if not member.serves(req.weights):
+                continue
             # Queues only add to the cost, so what is too dear without them needs no estimate.
             idle_s = view.idle_cost_s(upstream, member)
             if idle_s > limit_s:
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -33,6 +33,7 @@
         prompt: Its pieces; without any for plain services.
         output_tokens: Bound on the tokens of the answer.
         fingerprint: Identity by which it is held back where it crashes upstreams.
+        weights: Weights that its pieces belong to; None for plain services.
     """
 
     request: ids.RequestId
@@ -41,6 +42,7 @@
     prompt: prefix.Prompt
     output_tokens: int
     fingerprint: ids.Fingerprint
+    weights: members.Weights | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -344,7 +346,7 @@
             # Two suspects on one upstream could not be told apart after the next crash.
             exclude |= self.suspect_upstreams(now)
         req = members.PlacementRequest(
-            entry.request, entry.prompt, active.account.service_class, exclude
+            entry.request, entry.prompt, active.account.service_class, exclude, entry.weights
         )
         choice = state.policy.choose(req, now)
         if choice is None and active.tried and not self.poison.is_suspect(entry.fingerprint, now):
--- a/src/cicadapier/_internal/services/assembly.py
+++ b/src/cicadapier/_internal/services/assembly.py
@@ -15,6 +15,7 @@
 from cicadapier._internal.services import connections_service
 from cicadapier._internal.services import exports_service
 from cicadapier._internal.services import operators_service
+from cicadapier._internal.services import orders_service
 from cicadapier._internal.services import peers_service
 from cicadapier._internal.services import platform_service
 from cicadapier._internal.services import telemetry_service
@@ -93,6 +94,7 @@
         exports_service.ExportsService(),
         claims_service.ClaimsService(wiring.token_source),
         upstreams_service.UpstreamsService(rng),
+        orders_service.OrdersService(cfg.vm, rng, wiring.token_source),
         operators,
         callers,
     ):
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -51,6 +51,8 @@
         offset: Tokens of the answer that the caller has.
         cached_tokens: Tokens found cached by the attempt that answers.
         last_at: Time of the last token.
+        finished: Whether the last token has come.
+        weights: Weights version that answers, as far as the answer names it.
     """
 
     def __init__(self) -> None:
@@ -58,6 +60,7 @@
         self.cached_tokens: int | None = None
         self.last_at: float | None = None
         self.finished = False
+        self.weights: bytes | None = None
 
 
 class ModelRequests:
@@ -104,7 +107,8 @@
             raise exceptions.RefusedError(refusal)
         pool = context.cfg.content.pools[pool_id]
         model = pool.models[req.model]
-        scope = prefix.Scope(context.account, req.model, model.adapter, model.weights_version)
+        version = self._services.upstreams.serving_version(pool, req.model)
+        scope = prefix.Scope(context.account, req.model, model.adapter, version)
         root = prefix.root(self._secret, scope)
         prompt = prefix.cut(root, req.prompt, pool.piece_tokens, pool.bytes_per_token)
         entry = traffic.Entry(
@@ -114,6 +118,7 @@
             prompt,
             req.max_tokens or DEFAULT_OUTPUT_TOKENS,
             prefix.fingerprint(scope, req.prompt),
+            members.Weights(req.model, version),
         )
         return _Plan(req, pool_id, pool, scope, root.hex(), entry)
 
@@ -230,9 +235,12 @@
         return next((u.address for u in keep.upstreams.values()), "") if keep else ""
 
     def _check_weights(self, head: http_client.ResponseHead) -> None:
+        """Refuses to continue an answer with other weights than it began with."""
         named = head.header(headers.WEIGHTS_VERSION)
-        if named and named.decode("latin-1") != self._plan.scope.weights_version:
-            self._services.telemetry.event("other_weights")
+        if self._progress.offset and named != self._progress.weights:
+            reason = "the upstream has other weights than the answer began with"
+            raise _broken(reason, self._progress.offset)
+        self._progress.weights = named
 
     async def _relay_error(
         self, attempt: attempts.Attempt, head: http_client.ResponseHead
--- /dev/null
+++ b/src/cicadapier/_internal/services/orders_service.py
@@ -0,0 +1,180 @@
+"""Orders to engines: which weights to load.
+
+One router at a time gives the orders of a pool. It holds the pool's lease, a platform object whose
+fencing number goes with every order.
+"""
+
+import dataclasses
+import random
+
+import msgspec
+import structlog
+import trio
+
+from cicadapier._internal.decisions import leases
+from cicadapier._internal.kernel import service
+from cicadapier._internal.kernel import tokens
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import exceptions as protocol_exceptions
+from cicadapier._internal.protocols import headers
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.services import configuration_service
+from cicadapier._internal.services import connections_service
+from cicadapier._internal.services import exceptions
+from cicadapier._internal.services import names
+from cicadapier._internal.services import platform_service
+from cicadapier._internal.services import upstreams_service
+
+PLURAL = "leases"
+ROUND_S = 0.5
+CONNECT_S = 0.5
+NONCE_BYTES = 12
+
+_log = structlog.get_logger()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """Weights that an engine should have."""
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    address: ids.Address
+    model: ids.ModelId
+    version: str
+
+
+class OrdersService(service.Service):
+    """Brings the engines' weights to the declared versions."""
+
+    name = names.ORDERS
+
+    def __init__(self, vm: ids.VmId, rng: random.Random, token_source: tokens.TokenSource) -> None:
+        self._vm = vm
+        self._rng = rng
+        self._nonce = token_source.hex(NONCE_BYTES)
+        self._tokens = token_source
+        self._leases: dict[ids.PoolId, leases.Lease] = {}
+        self._loading: set[ids.UpstreamId] = set()
+        self._configuration: configuration_service.ConfigurationService | None = None
+        self._connections: connections_service.ConnectionsService | None = None
+        self._platform: platform_service.PlatformService | None = None
+        self._upstreams: upstreams_service.UpstreamsService | None = None
+
+    async def run(self, kernel: service.Kernel, started: "trio.TaskStatus[None]") -> None:
+        """See `service.Service.run`."""
+        self._configuration = kernel.find(names.CONFIGURATION)
+        self._connections = kernel.find(names.CONNECTIONS)
+        self._platform = kernel.find(names.PLATFORM)
+        self._upstreams = kernel.find(names.UPSTREAMS)
+        async with trio.open_nursery() as nursery:
+            started.started()
+            while True:
+                await trio.sleep(ROUND_S * self._rng.uniform(0.8, 1.2))
+                if self._platform.configured and not kernel.stopping:
+                    await self._round(nursery)
+
+    async def _round(self, nursery: trio.Nursery) -> None:
+        assert self._configuration
+        for pool_id, pool in self._configuration.current.content.pools.items():
+            wanted = self._wanted(pool_id, pool)
+            if not wanted:
+                continue
+            lease = self._leases.setdefault(pool_id, leases.Lease(self._vm, self._nonce))
+            if not await self._keep_lease(pool_id, lease):
+                continue
+            free = pool.loads_at_once - len(self._loading)
+            for order in wanted[: max(0, free)]:
+                self._loading.add(order.upstream)
+                nursery.start_soon(self._give, order, lease)
+
+    def _wanted(self, pool_id: ids.PoolId, pool: configuration.Pool) -> list[Order]:
+        assert self._upstreams
+        wanted = []
+        for upstream_id, spec in pool.upstreams.items():
+            told = self._upstreams.model_versions.get(upstream_id, {})
+            if upstream_id in self._loading or spec.leaving:
+                continue
+            for model_id, model in pool.models.items():
+                if told.get(model_id, model.weights_version) != model.weights_version:
+                    version = model.weights_version
+                    wanted.append(Order(pool_id, upstream_id, spec.address, model_id, version))
+        return wanted
+
+    async def _keep_lease(self, pool_id: ids.PoolId, lease: leases.Lease) -> bool:
+        """Takes or renews the lease; returns whether orders may be given now."""
+        assert self._platform
+        name = f"orders-{pool_id}"
+        try:
+            found = await self._platform.get(PLURAL, name)
+            lease.observed(_read(found) if found else None, trio.current_time())
+            proposal = lease.proposal(trio.current_time())
+            if proposal:
+                await self._write(name, found, lease, proposal)
+        except (exceptions.PlatformUnavailableError, exceptions.PlatformRefusedError):
+            # Whether a lost write took effect shows in the next read.
+            pass
+        return lease.fencing_number(trio.current_time()) is not None
+
+    async def _write(
+        self,
+        name: str,
+        found: platform_service.PlatformObject | None,
+        lease: leases.Lease,
+        proposal: leases.LeaseObject,
+    ) -> None:
+        assert self._platform
+        asked_at = trio.current_time()
+        spec = dataclasses.asdict(proposal)
+        if found is None:
+            written = await self._platform.create(PLURAL, name, spec)
+        else:
+            written = await self._platform.replace(PLURAL, found, spec)
+        if isinstance(written, platform_service.Written):
+            lease.written(proposal, asked_at, trio.current_time())
+            if not proposal.renewals:
+                _log.info("lease_taken", lease=name, fencing=proposal.fencing)
+        else:
+            lease.lost()
+
+    async def _give(self, order: Order, lease: leases.Lease) -> None:
+        try:
+            with trio.move_on_after(leases.LONGEST_ORDER_S):
+                await self._send(order, lease)
+        except protocol_exceptions.ProtocolError as exc:
+            _log.warning("order_failed", upstream=order.upstream, reason=str(exc))
+        finally:
+            self._loading.discard(order.upstream)
+
+    async def _send(self, order: Order, lease: leases.Lease) -> None:
+        assert self._connections
+        conn = await self._connections.open(order.address, CONNECT_S)
+        try:
+            # The lease may have lapsed while the connection was being made.
+            fencing = lease.fencing_number(trio.current_time())
+            if fencing is None:
+                return
+            body = {"model": order.model, "version": order.version, "fencing": fencing}
+            extra = [
+                (headers.CONTENT_TYPE, b"application/json"),
+                (headers.REQUEST_ID, f"order-{self._tokens.hex(8)}".encode()),
+            ]
+            head = http_client.RequestHead("POST", "/orders/load", extra)
+            answer, _ = await connections_service.exchange(
+                conn, head, msgspec.json.encode(body), leases.LONGEST_ORDER_S
+            )
+            _log.info("order_given", upstream=order.upstream, status=answer.status)
+        finally:
+            with trio.CancelScope(shield=True):
+                await conn.close()
+
+
+def _read(found: platform_service.PlatformObject) -> leases.LeaseObject:
+    spec = found.spec
+    return leases.LeaseObject(
+        ids.VmId(str(spec["holder"])),
+        str(spec["nonce"]),
+        int(spec["fencing"]),
+        int(spec["renewals"]),
+    )
--- a/src/cicadapier/_internal/services/request_context.py
+++ b/src/cicadapier/_internal/services/request_context.py
@@ -27,6 +27,7 @@
 from cicadapier._internal.services import telemetry_service
 from cicadapier._internal.services import traffic_messages
 from cicadapier._internal.services import traffic_service
+from cicadapier._internal.services import upstreams_service
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,6 +61,7 @@
         self.traffic: traffic_service.TrafficService = kernel.find(names.TRAFFIC)
         self.telemetry: telemetry_service.TelemetryService = kernel.find(names.TELEMETRY)
         self.claims: claims_service.ClaimsService = kernel.find(names.CLAIMS)
+        self.upstreams: upstreams_service.UpstreamsService = kernel.find(names.UPSTREAMS)
         self.peers: peers_service.PeersService = kernel.find(names.PEERS)
 
     async def enter(self, entry: traffic.Entry) -> traffic.Placed:
--- a/src/cicadapier/_internal/services/traffic_messages.py
+++ b/src/cicadapier/_internal/services/traffic_messages.py
@@ -73,6 +73,7 @@
     incarnation: ids.Incarnation
     leaving: bool
     report: load.Report
+    versions: dict[ids.ModelId, str]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -134,6 +134,7 @@
             message.leaving,
             message.report,
             now,
+            message.versions,
         )
         self._log_state(message.pool, message.upstream, now)
 
--- a/src/cicadapier/_internal/services/upstreams_service.py
+++ b/src/cicadapier/_internal/services/upstreams_service.py
@@ -57,7 +57,7 @@
     name = names.UPSTREAMS
 
     def __init__(self, rng: random.Random) -> None:
-        self.model_versions: dict[ids.UpstreamId, dict[str, str]] = {}
+        self.model_versions: dict[ids.UpstreamId, dict[ids.ModelId, str]] = {}
         self._rng = rng
         self._scopes: dict[_Target, trio.CancelScope] = {}
         self._configuration: configuration_service.ConfigurationService | None = None
@@ -82,6 +82,18 @@
                     self._reconcile(current.content, nursery)
                 await trio.sleep(RECONCILE_S)
 
+    def serving_version(self, pool: configuration.Pool, model: ids.ModelId) -> str:
+        """Returns the weights version to ask for: the declared one once any engine has it.
+
+        Until then the version that most engines have goes on serving.
+        """
+        declared = pool.models[model].weights_version
+        told = [self.model_versions.get(u, {}).get(model) for u in sorted(pool.upstreams)]
+        known = [version for version in told if version is not None]
+        if not known or declared in known:
+            return declared
+        return max(known, key=known.count)
+
     def _reconcile(self, content: configuration.Configuration, nursery: trio.Nursery) -> None:
         wanted = set()
         for pool_id, pool in content.pools.items():
@@ -131,7 +143,8 @@
 
     def _report(self, target: _Target, body: upstream_bodies.Load) -> None:
         assert self._traffic
-        self.model_versions[target.upstream] = body.models
+        versions = {ids.ModelId(model): version for model, version in body.models.items()}
+        self.model_versions[target.upstream] = versions
         measured_at = trio.current_time() - max(0.0, body.age_s)
         self._traffic.mailbox.offer(
             traffic_messages.LoadReported(
@@ -145,6 +158,7 @@
                     max(0.0, body.queued_interactive_tokens),
                     max(0, body.running),
                 ),
+                versions,
             )
         )
 
--- a/src/cicadapier/_internal/standins/engine_model.py
+++ b/src/cicadapier/_internal/standins/engine_model.py
@@ -212,6 +212,13 @@
         """Loses everything and comes back empty."""
         self.__init__(self.spec, incarnation, now, self._keep)  # type: ignore[misc]
 
+    def flush(self, now: float) -> None:
+        """Empties the cache, as engines do with new weights; call `advance` up to `now` before."""
+        gone = tuple(piece for piece in self._cache if self._pins[piece] <= 0)
+        for piece in gone:
+            del self._cache[piece]
+        self._publish(CacheEventKind.EVICTED, gone, now)
+
     def next_event_at(self) -> float:
         """Returns the time of the next event, or infinity."""
         at = self._prefill.ends_at if self._prefill else math.inf
--- a/src/cicadapier/_internal/standins/engine_server.py
+++ b/src/cicadapier/_internal/standins/engine_server.py
@@ -393,6 +393,8 @@
         if self.versions.get(order.model) != order.version:
             await self._weights.load()
             self.versions[order.model] = order.version
+            self._advance()
+            self.model.flush(trio.current_time())
             self._first_versions[order.model] = order.version
         self.note(call, ledger.LedgerEvent.FINISHED, fencing=order.fencing, version=order.version)
         await responder.send_json({"version": order.version}, 200)
