Replay traces of what fails, alone and in pairs

Cause: dangerous pairs had no test. Before: a prompt sent over a dead kept connection counted as a second crash and was held. Conclusion: evidence of a crash needs a connection that was alive.

--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -8,6 +8,7 @@
 import trio
 
 from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import transport
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
@@ -67,6 +68,11 @@
         self.idle_since = self.opened_at
         self.sent = False
 
+    @property
+    def stale(self) -> bool:
+        """Whether the other end has closed the idle connection or sent something unasked."""
+        return transport.has_input(self._stream)
+
     def watch(self, watched: bool) -> None:
         """States whether somebody calls `expire_if_late` while reads are under way.
 
--- a/src/cicadapier/_internal/protocols/transport.py
+++ b/src/cicadapier/_internal/protocols/transport.py
@@ -13,6 +13,24 @@
 StreamHandler = collections.abc.Callable[[trio.abc.Stream], collections.abc.Awaitable[None]]
 
 
+class InputProbe(abc.ABC):
+    """A stream that can tell whether input or its end is waiting."""
+
+    @property
+    @abc.abstractmethod
+    def has_input(self) -> bool:
+        """Whether reading would return at once."""
+
+
+def has_input(stream: trio.abc.Stream) -> bool:
+    """Returns whether reading would return at once; False where the stream cannot tell."""
+    if isinstance(stream, InputProbe):
+        return stream.has_input
+    if isinstance(stream, trio.SocketStream):
+        return stream.socket.is_readable()
+    return False
+
+
 class Network(abc.ABC):
     """Opens and accepts byte streams."""
 
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -29,6 +29,8 @@
         body: Its body.
         connect_s: Time limit for connecting.
         first_s: Time limit for the start of the answer.
+        fresh: Whether to use a new connection, for calls that may not be repeated: a kept one may
+            have gone silent, and then their outcome would be unknown.
     """
 
     request: ids.RequestId
@@ -38,6 +40,7 @@
     body: bytes
     connect_s: float
     first_s: float
+    fresh: bool = False
 
 
 class AttemptFailedError(Exception):
@@ -75,7 +78,10 @@
         """
         call = self._call
         try:
-            self._conn = await self._connections.acquire(call.address, call.connect_s)
+            if call.fresh:
+                self._conn = await self._connections.open(call.address, call.connect_s)
+            else:
+                self._conn = await self._connections.acquire(call.address, call.connect_s)
         except exceptions.ConnectError as exc:
             raise AttemptFailedError(outcomes.NotSent(str(exc))) from exc
         try:
--- a/src/cicadapier/_internal/services/configuration_store.py
+++ b/src/cicadapier/_internal/services/configuration_store.py
@@ -109,7 +109,7 @@
             await trio.sleep(_RETRY_S * attempt)
             try:
                 current = await self.read()
-                if any(c.patch_id == submission.patch_id for c in current.history):
+                if _contains(current, submission):
                     return Done(current)
                 result = patches.evaluate(
                     current.document,
@@ -121,6 +121,9 @@
                 if not isinstance(result, patches.Accepted):
                     return result
                 await self._write(current, submission, result)
+                written = await self.read()
+                if _contains(written, submission):
+                    return Done(written)
             except exceptions.PlatformUnavailableError as exc:
                 unsettled = str(exc)
             except exceptions.PlatformRefusedError as exc:
@@ -184,6 +187,10 @@
         return chunks.join(cached.values())
 
 
+def _contains(stored: Stored, submission: Submission) -> bool:
+    return any(change.patch_id == submission.patch_id for change in stored.history)
+
+
 def _stored(head: platform_service.PlatformObject, document: dict[str, Any]) -> Stored:
     history = tuple(read_change(raw) for raw in head.spec["history"])
     number = ids.ConfigNumber(head.spec["number"])
--- a/src/cicadapier/_internal/services/connections_service.py
+++ b/src/cicadapier/_internal/services/connections_service.py
@@ -87,7 +87,11 @@
         reply: mailbox.Reply[http_client.ClientConnection | None] = mailbox.Reply()
         self.mailbox.send(Take(address, reply))
         conn = await reply.get()
-        return conn or await self.open(address, timeout_s)
+        if conn and not conn.stale:
+            return conn
+        if conn:
+            await self.discard(address, conn)
+        return await self.open(address, timeout_s)
 
     async def open(self, address: ids.Address, timeout_s: float) -> http_client.ClientConnection:
         """Returns a new connection.
--- a/src/cicadapier/_internal/services/service_calls.py
+++ b/src/cicadapier/_internal/services/service_calls.py
@@ -185,6 +185,7 @@
             req.body,
             timeouts.connect_s,
             timeouts.first_token_s,
+            fresh=not plan.repeatable,
         )
         attempt = attempts.Attempt(self._services.connections, call)
         try:
--- a/src/cicadapier/_internal/standins/faulty_network.py
+++ b/src/cicadapier/_internal/standins/faulty_network.py
@@ -70,7 +70,7 @@
         await self._inner.serve(address, handler, task_status=task_status)
 
 
-class _FaultyStream(trio.abc.Stream):
+class _FaultyStream(trio.abc.Stream, transport.InputProbe):
     """A stream that swallows what is sent and received while it is cut."""
 
     def __init__(
@@ -107,12 +107,56 @@
                 raise trio.ClosedResourceError
         return data
 
+    @property
+    def has_input(self) -> bool:
+        """See `transport.InputProbe.has_input`."""
+        return not self._cut() and transport.has_input(self._inner)
+
     async def aclose(self) -> None:
         """Closes the stream."""
         self._closed = True
         await self._inner.aclose()
 
 
+@dataclasses.dataclass(slots=True)
+class _Ends:
+    """Whether the accepting end of a memory stream is closed."""
+
+    far_closed: bool = False
+
+
+class _Delegate(trio.abc.Stream):
+    """Passes all through to another stream."""
+
+    def __init__(self, inner: trio.abc.Stream, ends: _Ends) -> None:
+        self._inner = inner
+        self._ends = ends
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        await self._inner.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        await self._inner.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes | bytearray:
+        return await self._inner.receive_some(max_bytes)
+
+    async def aclose(self) -> None:
+        await self._inner.aclose()
+
+
+class _NearEnd(_Delegate, transport.InputProbe):
+    @property
+    def has_input(self) -> bool:
+        return self._ends.far_closed
+
+
+class _FarEnd(_Delegate):
+    async def aclose(self) -> None:
+        self._ends.far_closed = True
+        await self._inner.aclose()
+
+
 class MemoryNetwork(transport.Network):
     """Streams in memory, for tests on a paused clock."""
 
@@ -130,8 +174,9 @@
             raise exceptions.ConnectError(f"{address}: connection refused")
         handler, nursery = found
         near, far = trio.testing.memory_stream_pair()
-        nursery.start_soon(handler, far)
-        return near
+        ends = _Ends()
+        nursery.start_soon(handler, _FarEnd(far, ends))
+        return _NearEnd(near, ends)
 
     async def serve(
         self,
--- a/tests/fuzzing.py
+++ b/tests/fuzzing.py
@@ -82,6 +82,19 @@
         if not graceful:
             await self.world.start_router(router)
 
+    async def declare_weights(self, router: int, version: str) -> None:
+        model = {"models": {self.world.plan.deployment.model: {"weights_version": version}}}
+        content = {"pools": {self.world.plan.deployment.model_pool: model}}
+        running = list(self.world.routers.values())[router]
+        number = running.router.configuration.current.number
+        await operate(
+            self.world,
+            running.router.operators.address,
+            "POST",
+            f"/config/patch?version={number}",
+            msgspec.json.encode(content),
+        )
+
     def sample_numbers(self) -> None:
         """Notes a configuration number that has fallen on a router process."""
         for vm, running in self.world.routers.items():
@@ -169,7 +182,7 @@
     runs = collections.Counter(
         (entry.body_sha256, entry.idempotency_key)
         for entry in _started(program)
-        if entry.path.startswith("/orders") and entry.method == "POST"
+        if entry.path == "/orders" and entry.method == "POST"
     )
     sent = collections.Counter(
         (hashlib.sha256(s.text.encode()).hexdigest(), s.key)
--- /dev/null
+++ b/tests/test_traces.py
@@ -0,0 +1,112 @@
+"""Replay of recorded traces against their stated outcomes, and the oracle of the fuzz."""
+
+import pathlib
+import unittest
+
+import trio
+import yaml
+
+from cicadapier._internal.standins import faults
+from tests import fuzzing
+from tests import support
+
+FOLDER = pathlib.Path(__file__).parent / "traces"
+PREFIX = "the style sheet asks for plain lines. " * 12
+
+
+def _do(program, step, ids):
+    """Carries out one step; returns something to await where it takes time."""
+    action = step["do"]
+    if action == "complete":
+        text = PREFIX + step["text"]
+        program.complete(step["router"], step["account"], text, step["tokens"])
+        ids[step["id"]] = program.sent[-1]
+    elif action == "order":
+        program.order(step["router"], "catalogue", step["text"], step["key"])
+        ids[step["id"]] = program.sent[-1]
+    elif action == "strike":
+        kind = faults.FaultKind(step["kind"])
+        target = step.get("target", faults.ANY)
+        if kind is faults.FaultKind.LEAVING:
+            program.strike(kind, target, step.get("seconds", 1e6))
+        else:
+            program.world.inject(kind, target, step.get("seconds", 1e6), step.get("amount"))
+    elif action == "clear":
+        program.world.board.clear()
+    elif action == "restart":
+        return program.restart(step["router"], step.get("graceful", False))
+    elif action == "patch":
+        number = max(program.numbers.values(), default=1)
+        program.patch(step["router"], step["id"], number)
+    elif action == "weights":
+        return program.declare_weights(step["router"], step["version"])
+    return None
+
+
+def run_trace(trace):
+    """Runs a trace and returns the program, the requests by id and the oracle's findings."""
+    ids = {}
+
+    async def main():
+        made = support.make_world(support.SMALL, routers=3)
+        async with trio.open_nursery() as outer:
+            await outer.start(made.run)
+            await trio.sleep(2.0)
+            begun = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                program = fuzzing.Program(made, nursery)
+                for step in trace["steps"]:
+                    await trio.sleep_until(begun + step["at"])
+                    program.sample_numbers()
+                    waiting = _do(program, step, ids)
+                    if waiting is not None:
+                        await waiting
+                await trio.sleep(1.0)
+                await fuzzing.settle(program)
+                nursery.cancel_scope.cancel()
+            found = fuzzing.faults_found(program)
+            outer.cancel_scope.cancel()
+        return program, found
+
+    program, found = support.run(main)
+    return program, ids, found
+
+
+class TracesTest(unittest.TestCase):
+    def _check(self, path):
+        trace = yaml.safe_load(path.read_text())
+        program, ids, found = run_trace(trace)
+        self.assertEqual(found, [])
+        for name, allowed in trace["outcomes"].items():
+            reply = ids[name].reply
+            self.assertIn(reply.outcome, allowed, (name, reply.status, reply.body[-300:]))
+        for text, count in trace.get("runs", {}).items():
+            self.assertEqual(program.world.ledger.runs(text.encode()), count)
+        for text, most in trace.get("runs_at_most", {}).items():
+            self.assertLessEqual(program.world.ledger.runs(text.encode()), most)
+        for patch in program.patches:
+            self.assertIn(patch.status, trace["patches"][patch.name])
+        if "crashes_at_most" in trace:
+            crashed = {
+                e.incarnation for e in program.world.ledger.entries if e.event.value == "crashed"
+            }
+            self.assertLessEqual(len(crashed), trace["crashes_at_most"])
+        if "weights" in trace:
+            versions = {
+                upstream.versions["quill-verse"]
+                for name, upstream in program.world.upstreams.items()
+                if name.startswith("quill")
+            }
+            self.assertEqual(versions, {trace["weights"]})
+
+
+def _add(path):
+    setattr(TracesTest, f"test_{path.stem}", lambda self: self._check(path))
+
+
+for _path in sorted(FOLDER.glob("*.yaml")):
+    _add(_path)
+
+
+if __name__ == "__main__":
+    unittest.main()
