Plant known bugs and measure slopes

Cause: nothing showed that the tests catch what they are for, or how cost grows. Change: make mutants plants 24 bugs; make slopes grows each decision's state.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 SEED ?= 0
-STEPS ?= 60
+STEPS ?= 40
+EXAMPLES ?= 100
 
 .PHONY: demo test fuzz mutants bench slopes targets binary proto clean
 
@@ -24,10 +25,11 @@
 	$(BIN)/python tools/run_tests.py
 
 fuzz: $(VENV)/.ready
-	$(BIN)/python tools/fuzz.py --seed $(SEED) --steps $(STEPS)
+	FUZZ_SEED=$(SEED) FUZZ_STEPS=$(STEPS) FUZZ_EXAMPLES=$(EXAMPLES) FUZZ_SHRINK=1 \
+	  $(BIN)/python tools/run_tests.py test_fuzz.py
 
 mutants: $(VENV)/.ready
-	$(BIN)/python tools/mutants.py
+	$(BIN)/python -m tests.mutants
 
 bench: $(VENV)/.ready
 	$(BIN)/cicadapier bench
--- /dev/null
+++ b/src/cicadapier/_internal/commands/slopes.py
@@ -0,0 +1,30 @@
+"""Measures how state and cost grow with size."""
+
+import dataclasses
+
+from cicadapier._internal.cli import output
+from cicadapier._internal.cli import status_codes
+from cicadapier._internal.experiments import slopes
+
+
+def run(*, json: bool = False) -> int:
+    """Measures state and processor time of each decision at growing sizes.
+
+    :param json: Print JSON.
+    """
+    points = list(slopes.all_points())
+    if json:
+        output.print_json([dataclasses.asdict(point) for point in points])
+        return status_codes.SUCCESS
+    rows = [
+        (
+            point.role,
+            f"{point.size:,} {point.unit}",
+            f"{point.cost_us:,.1f} us",
+            f"{point.state_bytes:,} B",
+            f"{point.message_bytes:,} B" if point.message_bytes else "-",
+        )
+        for point in points
+    ]
+    output.print_table(["role", "size", "cost", "state", "message"], rows)
+    return status_codes.SUCCESS
--- a/src/cicadapier/_internal/commands/table.py
+++ b/src/cicadapier/_internal/commands/table.py
@@ -29,6 +29,7 @@
     Command("trace", "trace", "make traces of requests"),
     Command("replay", "replay", "replay a trace with one or more policies"),
     Command("targets", "targets", "measure every target over several seeds"),
+    Command("slopes", "slopes", "measure how state and cost grow with size"),
     Command("bench", "bench", "measure what a router adds to a request"),
 )
 
--- a/src/cicadapier/_internal/experiments/targets.py
+++ b/src/cicadapier/_internal/experiments/targets.py
@@ -208,8 +208,10 @@
     return report.refusals(window) / max(1, len(report.chosen(window=window)))
 
 
-def decision_us(upstreams: int, seed: int = 0, rounds: int = 400) -> float:
-    """Returns the processor time of a placement with warm beliefs, in microseconds.
+def warm_policy(
+    upstreams: int, seed: int = 0, rounds: int = 400
+) -> tuple[placement.PrefixPlacement, list[tuple[ids.PieceId, ...]]]:
+    """Returns a placement that has sent requests, and the prefixes that it has sent.
 
     Requests come at a rate that keeps 16 upstreams at two thirds of their prefill capacity.
     """
@@ -224,11 +226,17 @@
     )
     policy = placement.PrefixPlacement(pool, domain, 0.0)
     chains = [tuple(ids.PieceId(rng.randbytes(16)) for _ in range(10)) for _ in range(64)]
-    for upstream in pool.upstreams:
-        policy.belief.observe_incarnation(upstream, ids.Incarnation("1"))
     names = list(pool.upstreams)
+    for upstream in names:
+        policy.belief.observe_incarnation(upstream, ids.Incarnation("1"))
     for number in range(rounds):
         _place(policy, chains[number % 64], rng.choice(names), number * ARRIVAL_GAP_S)
+    return policy, chains
+
+
+def decision_us(upstreams: int, seed: int = 0, rounds: int = 400) -> float:
+    """Returns the processor time of a placement with warm beliefs, in microseconds."""
+    policy, chains = warm_policy(upstreams, seed, rounds)
     began = time.process_time()
     for number in range(rounds):
         now = (rounds + number) * ARRIVAL_GAP_S
--- a/tests/_internal/services/test_model_requests.py
+++ b/tests/_internal/services/test_model_requests.py
@@ -1,9 +1,15 @@
 """Model requests over the whole path."""
 
+import copy
 import unittest
 
 import trio
 
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
+from cicadapier._internal.protocols import completions
+from cicadapier._internal.protocols import headers
+from cicadapier._internal.protocols import http_server
 from cicadapier._internal.standins import engine_text
 from cicadapier._internal.standins import faults
 from tests import support
@@ -121,5 +127,49 @@
         support.in_world(check, deployment=support.SMALL)
 
 
+class _EarlyEnd(http_server.Handler):
+    """An upstream that ends its stream without its last tokens."""
+
+    async def handle(self, req, responder):
+        request_id = req.header(headers.REQUEST_ID) or b""
+        if req.method == "GET":
+            await responder.send_json({"incarnation": "early-1"})
+            return
+        await responder.start(
+            200,
+            [(headers.CONTENT_TYPE, completions.EVENT_STREAM), (headers.REQUEST_ID, request_id)],
+            completions.encode_event(
+                {
+                    "id": request_id.decode(),
+                    "choices": [{"index": 0, "text": "word ", "finish_reason": None}],
+                    "token_offset": 0,
+                }
+            ),
+        )
+        await responder.finish()
+
+
+class EarlyEndTest(unittest.TestCase):
+    def test_stream_that_ends_early_gets_an_explicit_error(self):
+        async def check(made):
+            network = made._network
+            listener = http_server.Listener(network.serve, _EarlyEnd(), settings.CallerLimits())
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(listener.run, ids.Address("127.0.0.1:0"))
+                configuration = next(iter(made.routers.values())).router.configuration
+                content = copy.deepcopy(configuration.document.content)
+                pool = content["pools"]["quill-models"]
+                pool["upstreams"] = {"early": {"address": address, "failure_domain": "fenmoor-a"}}
+                document = type(configuration.document)(9, content, ())
+                self.assertTrue(configuration.offer(document))
+                await trio.sleep(1.0)
+                reply = await support.Caller(made).complete(LONG, 5)
+                self.assertEqual(reply.outcome, "failed")
+                self.assertNotIn(completions.DONE, reply.events)
+                nursery.cancel_scope.cancel()
+
+        support.in_world(check, deployment=support.SMALL, routers=1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/_internal/services/test_service_calls.py
+++ b/tests/_internal/services/test_service_calls.py
@@ -104,6 +104,17 @@
 
         support.in_world(check, deployment=support.SMALL)
 
+    def test_silent_kept_connections_do_not_make_an_order_unknown(self):
+        async def check(made):
+            caller = support.Caller(made)
+            for number in range(6):
+                await caller.send("GET", f"/services/catalogue-desk/stock/{number}")
+            _strike_pool(made, faults.FaultKind.SILENT)
+            reply = await caller.order(b"two copies", "k1")
+            self.assertEqual(reply.outcome, "complete")
+
+        support.in_world(check, deployment=support.SMALL)
+
     def test_caller_that_leaves_finds_the_answer_on_its_return(self):
         async def check(made):
             _strike_pool(made, faults.FaultKind.SLOW, amount=100.0)
--- a/tests/_internal/services/test_togetherness.py
+++ b/tests/_internal/services/test_togetherness.py
@@ -1,10 +1,12 @@
 """How routers behave together: configuration, membership, draining, crashes of upstreams."""
 
+import dataclasses
 import unittest
 
 import msgspec
 import trio
 
+from cicadapier._internal.standins import deployments
 from cicadapier._internal.standins import engine_text
 from cicadapier._internal.standins import faults
 from tests import fuzzing
@@ -66,6 +68,22 @@
 
         _in_world(check)
 
+    def test_of_two_patches_that_read_the_same_head_one_is_accepted(self):
+        async def check(made):
+            # A slow platform lets both read before either writes.
+            made.inject(faults.FaultKind.PLATFORM_SLOW, faults.ANY, 1e9, 0.3)
+            results = []
+
+            async def submit(router):
+                results.append(await _patch(made, router, {"accounts": {f"a{router}": {}}}, 1))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(submit, 0)
+                nursery.start_soon(submit, 1)
+            self.assertEqual(sorted(status for status, _ in results), [200, 409])
+
+        _in_world(check)
+
     def test_invalid_patch_names_each_fault_and_changes_nothing(self):
         async def check(made):
             content = {
@@ -80,6 +98,16 @@
 
         _in_world(check)
 
+    def test_number_in_force_never_falls(self):
+        async def check(made):
+            await _patch(made, 0, {"accounts": {"new": {}}}, 1)
+            configuration = _router(made, 0).configuration
+            old = dataclasses.replace(configuration.document, number=1)
+            self.assertFalse(configuration.offer(old))
+            self.assertEqual(configuration.current.number, 2)
+
+        _in_world(check, routers=1)
+
     def test_lost_answer_of_the_platform_is_settled(self):
         async def check(made):
             made.inject(faults.FaultKind.PLATFORM_ANSWER_LOST, faults.ANY, 5.0, None)
@@ -122,29 +150,27 @@
         _in_world(check)
 
     def test_drain_cuts_none_of_200_streams(self):
-        async def check(made):
-            replies = []
+        accounts = ["editors", "poets", "catalogue", "grants", "rights"]
+        replies = []
 
+        async def check(made):
             async def ask(number):
-                caller = support.Caller(made, router=0)
-                replies.append((number, await caller.complete(f"poem {number}", 60)))
+                caller = support.Caller(made, accounts[number % 5], router=0)
+                replies.append((number, await caller.complete(f"poem {number}", 150)))
 
             async with trio.open_nursery() as nursery:
                 for number in range(200):
                     nursery.start_soon(ask, number)
                 await trio.sleep(0.8)
+                self.assertEqual(replies, [])
                 made.stop_router(next(iter(made.routers)), graceful=True)
-            self.assertEqual(len(replies), 200)
             for number, reply in replies:
-                if reply.outcome == "complete":
-                    expected = engine_text.answer(f"poem {number}".encode(), 60)
-                    self.assertEqual(reply.text, expected)
-                else:
-                    self.assertEqual(reply.outcome, "not_run", reply)
-            complete = sum(reply.outcome == "complete" for _, reply in replies)
-            self.assertGreater(complete, 60)
+                self.assertEqual(reply.outcome, "complete", reply.body[-200:])
+                expected = engine_text.answer(f"poem {number}".encode(), 150)
+                self.assertEqual(reply.text, expected)
 
-        _in_world(check)
+        support.in_world(check, deployment=deployments.LARKSPUR, routers=2)
+        self.assertEqual(len(replies), 200)
 
     def test_draining_router_says_not_ready_and_still_answers(self):
         async def check(made):
@@ -187,6 +213,15 @@
 
         _in_world(check)
 
+    def test_evidence_reaches_the_peers_before_the_caller_has_its_answer(self):
+        async def check(made):
+            made.inject(faults.FaultKind.POISON, "cursed", 1e9, None)
+            await support.Caller(made, router=0).complete("a cursed poem", 5)
+            known = [len(_router(made, i).kernel.find("traffic")._traffic.poison) for i in range(3)]
+            self.assertEqual(known, [1, 1, 1])
+
+        _in_world(check)
+
     def test_innocents_beside_a_poison_at_one_router_are_cleared(self):
         self._poison_beside_innocents(routers=1, innocents=3)
 
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,241 @@
+"""Plants known bugs, one at a time, and expects the tests to catch each: `make mutants`."""
+
+import concurrent.futures
+import dataclasses
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).parent.parent
+PACKAGE = "src/cicadapier/_internal"
+LIMIT_S = 240
+DECISIONS = "tests._internal.decisions"
+SERVICES = "tests._internal.services"
+
+
+@dataclasses.dataclass(frozen=True)
+class Mutant:
+    """A bug and the tests that must catch it."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+    tests: str
+
+
+MUTANTS = [
+    Mutant(
+        "retry a call that may have run",
+        "decisions/retries.py",
+        "if self._nature.repeatable and continues and",
+        "if continues and",
+        f"{SERVICES}.test_service_calls.OnceOnlyTest",
+    ),
+    Mutant(
+        "say not run where the outcome is unknown",
+        "decisions/retries.py",
+        "outcomes.Effect.UNKNOWN,",
+        "outcomes.Effect.NOT_RUN,",
+        f"{SERVICES}.test_service_calls.OnceOnlyTest",
+    ),
+    Mutant(
+        "ignore the incarnation",
+        "decisions/belief.py",
+        "if cache and cache.incarnation == incarnation:",
+        "if cache:",
+        f"{DECISIONS}.test_observations",
+    ),
+    Mutant(
+        "revive a dead incarnation by its late events",
+        "decisions/belief.py",
+        "return cache if cache and cache.incarnation == incarnation else None",
+        "return cache",
+        f"{DECISIONS}.test_observations",
+    ),
+    Mutant(
+        "take another request's answer",
+        "services/attempts.py",
+        "if named is not None and named != self._call.request.encode():",
+        "if False:",
+        f"{SERVICES}.test_service_calls.OnceOnlyTest",
+    ),
+    Mutant(
+        "take a lower configuration number",
+        "services/configuration_service.py",
+        "if document.number <= self.current.number:",
+        "if document.number == self.current.number:",
+        f"{SERVICES}.test_togetherness.ConfigurationTest",
+    ),
+    Mutant(
+        "accept a stale patch",
+        "decisions/patches.py",
+        "if against != number:",
+        "if against > number:",
+        f"{SERVICES}.test_togetherness.ConfigurationTest",
+    ),
+    Mutant(
+        "write the head whatever its version",
+        "services/platform_service.py",
+        '"resourceVersion": old.version}, "spec": spec}',
+        '"resourceVersion": ""}, "spec": spec}',
+        f"{SERVICES}.test_togetherness.ConfigurationTest",
+    ),
+    Mutant(
+        "give orders after the lease",
+        "decisions/leases.py",
+        "if now >= self._asked_at + LEASE_S - SAFETY_MARGIN_S:",
+        "if False:",
+        f"{DECISIONS}.test_agreements.LeasesTest",
+    ),
+    Mutant(
+        "take over a lease without waiting out its orders",
+        "decisions/leases.py",
+        "LONGEST_ORDER_S if had_holder else 0.0",
+        "0.0",
+        f"{DECISIONS}.test_agreements.LeasesTest",
+    ),
+    Mutant(
+        "run a call whose claim another holds",
+        "decisions/claims.py",
+        "if claim.nonce == self._nonce:",
+        "if True:",
+        f"{DECISIONS}.test_agreements.ClaimsTest",
+    ),
+    Mutant(
+        "answer another request under a used key",
+        "decisions/claims.py",
+        "if claim.fingerprint != self._fingerprint:",
+        "if False:",
+        f"{SERVICES}.test_service_calls.OnceOnlyTest",
+    ),
+    Mutant(
+        "share cached prefixes between accounts",
+        "decisions/prefix.py",
+        "for part in (scope.account, scope.model,",
+        "for part in (scope.model,",
+        f"{DECISIONS}.test_placement.PrefixTest",
+    ),
+    Mutant(
+        "starve batch",
+        "decisions/fairqueue.py",
+        "or self._since_batch >= BATCH_TURN - 1",
+        "or False",
+        f"{DECISIONS}.test_limits_and_queues.FairQueueTest",
+    ),
+    Mutant(
+        "spend the whole limit on every router",
+        "decisions/limits.py",
+        "fair = 1.0 / self._routers",
+        "fair = 1.0",
+        f"{DECISIONS}.test_limits_and_queues.AccountLimitsTest",
+    ),
+    Mutant(
+        "let a poison request run on",
+        "decisions/poison.py",
+        "CRASHES_TO_HOLD = 2",
+        "CRASHES_TO_HOLD = 99",
+        "tests.test_traces.TracesTest.test_poison_through_another_domain",
+    ),
+    Mutant(
+        "keep evidence from the peers",
+        "services/request_context.py",
+        "await self.peers.announce_crash(crash)",
+        "pass",
+        f"{SERVICES}.test_togetherness.UpstreamsTest"
+        ".test_evidence_reaches_the_peers_before_the_caller_has_its_answer",
+    ),
+    Mutant(
+        "give new work to a leaving upstream",
+        "decisions/health.py",
+        "if record.said_leaving or record.listed_leaving:",
+        "if False:",
+        f"{SERVICES}.test_togetherness.UpstreamsTest"
+        ".test_leaving_upstream_gets_no_new_work_after_three_seconds",
+    ),
+    Mutant(
+        "continue an answer at the wrong offset",
+        "services/model_requests.py",
+        'body["resume_from"] = self._progress.offset',
+        'body["resume_from"] = self._progress.offset - 1',
+        f"{SERVICES}.test_model_requests.FailuresTest",
+    ),
+    Mutant(
+        "end a stream in silence where the upstream does",
+        "services/model_requests.py",
+        "if not done or not self._progress.finished:",
+        "if False:",
+        f"{SERVICES}.test_model_requests.EarlyEndTest",
+    ),
+    Mutant(
+        "place on other weights",
+        "decisions/members.py",
+        "return self.versions.get(weights.model, weights.version) == weights.version",
+        "return True",
+        f"{DECISIONS}.test_placement",
+    ),
+    Mutant(
+        "leave while streams are open",
+        "services/callers_service.py",
+        "while self._open or trio.current_time()",
+        "while trio.current_time()",
+        f"{SERVICES}.test_togetherness.RestartTest.test_drain_cuts_none_of_200_streams",
+    ),
+    Mutant(
+        "revive a router by an old heartbeat",
+        "decisions/membership.py",
+        "if known is None or heartbeat.newer_than(known.heartbeat):",
+        "if True:",
+        f"{DECISIONS}.test_agreements.MembershipTest",
+    ),
+    Mutant(
+        "use a kept connection for a call that may not be repeated",
+        "services/service_calls.py",
+        "fresh=not plan.repeatable,",
+        "fresh=False,",
+        f"{SERVICES}.test_service_calls.OnceOnlyTest"
+        ".test_silent_kept_connections_do_not_make_an_order_unknown",
+    ),
+]
+
+
+def survives(mutant: Mutant) -> bool:
+    """Plants a bug in a copy of the tree; returns whether the tests pass all the same."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = pathlib.Path(folder)
+        shutil.copytree(ROOT / "src", copy / "src")
+        shutil.copytree(ROOT / "tests", copy / "tests")
+        path = copy / PACKAGE / mutant.file
+        text = path.read_text()
+        if mutant.old not in text:
+            raise ValueError(f"{mutant.name}: {mutant.old!r} is not in {mutant.file}")
+        path.write_text(text.replace(mutant.old, mutant.new))
+        command = [sys.executable, "-m", "unittest", "-q", "-f", mutant.tests]
+        environment = {**os.environ, "PYTHONPATH": str(copy / "src"), "PYTHONSAFEPATH": ""}
+        try:
+            done = subprocess.run(
+                command, cwd=copy, env=environment, capture_output=True, timeout=LIMIT_S
+            )
+        except subprocess.TimeoutExpired:
+            # A run that no longer ends is a failed run.
+            return False
+        if b"Ran 0 tests" in done.stderr or b"_FailedTest" in done.stderr:
+            raise ValueError(f"{mutant.name}: no such test: {mutant.tests}")
+        return done.returncode == 0
+
+
+def main() -> int:
+    """Prints each mutant's fate; returns 1 where one survives."""
+    with concurrent.futures.ThreadPoolExecutor(4) as pool:
+        fates = list(pool.map(survives, MUTANTS))
+    for mutant, alive in zip(MUTANTS, fates, strict=True):
+        print(f"{'SURVIVED' if alive else 'caught  '}  {mutant.name}")
+    print(f"{fates.count(False)} of {len(fates)} caught")
+    return 1 if any(fates) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
