Let control traffic fit any fleet and configuration changes be small

Change: accounts that did not change are not converted again; peers pass on merge patches; two routers a failure domain read the platform often; large fleets gossip once a second with one peer, and each upstream of a large pool is watched by two routers.

--- /dev/null
+++ b/src/cicadapier/_internal/decisions/cadence.py
@@ -0,0 +1,82 @@
+"""How often a router talks to its peers and to the platform, by the size of the fleet.
+
+A small fleet tells everything to everybody at once. In a large one a router's share of the control
+traffic stays the same however many routers there are, so rounds are rarer and news that only
+some routers can use is left out.
+"""
+
+import collections.abc
+import dataclasses
+import hashlib
+
+from cicadapier._internal.models import ids
+
+SMALL_FLEET = 8
+SMALL_ROUND_S = 0.1
+LARGE_ROUND_S = 1.0
+SMALL_FANOUT = 3
+LARGE_FANOUT = 1
+PLATFORM_READERS = 2
+READER_POLL_S = 0.5
+OTHER_POLL_S = 15.0
+WATCH_ALL = 64
+WATCHERS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rounds:
+    """Rounds of gossip.
+
+    Attributes:
+        period_s: Time between rounds.
+        fanout: Peers told in a round.
+        urgent: Whether large placements are told before the next round.
+    """
+
+    period_s: float
+    fanout: int
+    urgent: bool
+
+
+def rounds(routers: int) -> Rounds:
+    """Returns the rounds for a number of routers, this one among them."""
+    if routers <= SMALL_FLEET:
+        return Rounds(SMALL_ROUND_S, SMALL_FANOUT, urgent=True)
+    return Rounds(LARGE_ROUND_S, LARGE_FANOUT, urgent=False)
+
+
+def platform_poll_s(own: ids.VmId, domain: collections.abc.Iterable[ids.VmId]) -> float:
+    """Returns how often a router reads the platform.
+
+    Args:
+        own: The router's VM.
+        domain: Reachable routers of its failure domain. The first few of them by hash read
+            often; the others learn from them and read rarely.
+    """
+    members = sorted({own, *domain}, key=_hash)
+    return READER_POLL_S if own in members[:PLATFORM_READERS] else OTHER_POLL_S
+
+
+def watches(
+    own: ids.VmId,
+    domain: collections.abc.Collection[ids.VmId],
+    upstream: ids.UpstreamId,
+    upstreams: int,
+) -> bool:
+    """Returns whether a router watches an upstream's load and cache events.
+
+    Args:
+        own: The router's VM.
+        domain: Reachable routers of its failure domain.
+        upstream: The upstream.
+        upstreams: Number of upstreams of the pool in the failure domain. Few are watched by all;
+            of many, each is watched by a few routers, chosen by hash.
+    """
+    if upstreams <= WATCH_ALL:
+        return True
+    members = sorted({own, *domain}, key=lambda vm: _hash(ids.VmId(f"{vm}/{upstream}")))
+    return own in members[:WATCHERS]
+
+
+def _hash(name: ids.VmId) -> bytes:
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- a/src/cicadapier/_internal/decisions/membership.py
+++ b/src/cicadapier/_internal/decisions/membership.py
@@ -13,8 +13,9 @@
 from cicadapier._internal.models import ids
 
 SAMPLE_ENTRIES = 16
-FANOUT = 3
 UNREACHABLE_AFTER_S = 2.0
+SMALL_FLEET = 8
+LARGE_UNREACHABLE_AFTER_S = 60.0
 FORGET_AFTER_S = 3600.0
 
 
@@ -108,10 +109,11 @@
         seeds: collections.abc.Collection[ids.Address],
         now: float,
         rng: random.Random,
+        fanout: int,
     ) -> list[ids.Address]:
         """Returns the peer addresses to talk to this round."""
         known = sorted(m.address for m in self.reachable(now))
-        chosen = rng.sample(known, min(FANOUT, len(known)))
+        chosen = rng.sample(known, min(fanout, len(known)))
         # One seed a round finds routers again after a partition or a restart of all.
         others = sorted(set(seeds) - set(known) - {self._own.address})
         if others:
@@ -124,4 +126,7 @@
             self._own = dataclasses.replace(self._own, generation=heartbeat.generation + 1)
 
     def _is_reachable(self, member: _Member, now: float) -> bool:
-        return now - member.heard_at <= UNREACHABLE_AFTER_S
+        # In a large fleet a heartbeat comes over several hops, a few entries a message.
+        small = len(self._members) < SMALL_FLEET
+        limit_s = UNREACHABLE_AFTER_S if small else LARGE_UNREACHABLE_AFTER_S
+        return now - member.heard_at <= limit_s
--- a/src/cicadapier/_internal/decisions/patches.py
+++ b/src/cicadapier/_internal/decisions/patches.py
@@ -116,7 +116,7 @@
     for key, value in new.items():
         if key not in old:
             patch[key] = copy.deepcopy(value)
-        elif old[key] != value:
+        elif old[key] is not value and old[key] != value:
             patch[key] = difference(old[key], value)
     return patch
 
--- a/src/cicadapier/_internal/experiments/slopes.py
+++ b/src/cicadapier/_internal/experiments/slopes.py
@@ -12,10 +12,12 @@
 import trio
 
 from cicadapier._internal.decisions import belief
+from cicadapier._internal.decisions import cadence
 from cicadapier._internal.decisions import chunks
 from cicadapier._internal.decisions import hotness
 from cicadapier._internal.decisions import limits
 from cicadapier._internal.decisions import membership
+from cicadapier._internal.decisions import patches
 from cicadapier._internal.decisions import peer_news
 from cicadapier._internal.experiments import targets
 from cicadapier._internal.models import configuration
@@ -106,7 +108,7 @@
 
     def round_(number: int) -> None:
         sample = built.sample(1.0, rng)
-        built.targets([], 1.0, rng)
+        built.targets([], 1.0, rng, cadence.rounds(size).fanout)
         built.heard(sample, 1.0)
 
     cost = _cost_us(round_)
@@ -182,9 +184,18 @@
 def _configuration(size: int) -> Point:
     document = _document(size)
     _, state = _measured(lambda: configuration.parse(_document(size)))
-    cost = _cost_us(lambda _: configuration.parse(document), 1)
+    parser = configuration.Parser()
+    parser.parse(document)
+
+    def change(number: int) -> None:
+        patch = {"accounts": {"account-1": {"weight": 2.0 + number}}}
+        changed = patches.merge(document, patch)
+        patches.difference(document, changed)
+        parser.parse(changed)
+
+    cost = _cost_us(change, 3)
     largest = max(len(msgspec.json.encode(chunk)) for chunk in chunks.split(document).values())
-    return Point("configuration put in force", size, "accounts", cost, state, largest)
+    return Point("configuration change", size, "accounts", cost, state, largest)
 
 
 def _news(size: int) -> peer_codec.Digest:
--- a/src/cicadapier/_internal/services/assembly.py
+++ b/src/cicadapier/_internal/services/assembly.py
@@ -79,7 +79,7 @@
     """Returns a router that is ready to run."""
     kernel = service.Kernel()
     rng = random.Random(wiring.seed)
-    configurations = configuration_service.ConfigurationService(rng)
+    configurations = configuration_service.ConfigurationService(cfg.vm, rng)
     peers = peers_service.PeersService(cfg, wiring.peers, wiring.generation, rng)
     callers = callers_service.CallersService(cfg, wiring.listen, wiring.token_source)
     operators = operators_service.OperatorsService(cfg, wiring.listen, wiring.token_source)
@@ -93,7 +93,7 @@
         peers,
         exports_service.ExportsService(),
         claims_service.ClaimsService(wiring.token_source),
-        upstreams_service.UpstreamsService(rng),
+        upstreams_service.UpstreamsService(cfg.vm, rng),
         orders_service.OrdersService(cfg.vm, rng, wiring.token_source),
         operators,
         callers,
--- a/src/cicadapier/_internal/services/configuration_service.py
+++ b/src/cicadapier/_internal/services/configuration_service.py
@@ -4,15 +4,18 @@
 number in force never falls.
 """
 
+import collections
 import dataclasses
 import random
 from typing import Any
+from typing import Protocol
 import zlib
 
 import msgspec
 import structlog
 import trio
 
+from cicadapier._internal.decisions import cadence
 from cicadapier._internal.decisions import patches
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import checked
@@ -26,8 +29,8 @@
 from cicadapier._internal.services import traffic_messages
 from cicadapier._internal.services import traffic_service
 
-POLL_S = 0.5
 MAX_PACKED_BYTES = 67_108_864
+MAX_DELTAS = 64
 
 _log = structlog.get_logger()
 
@@ -44,6 +47,22 @@
 _EMPTY = Document(ids.ConfigNumber(0), {"accounts": {}, "pools": {}}, ())
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delta:
+    """The merge patch that leads from one number to a later one."""
+
+    base: ids.ConfigNumber
+    number: ids.ConfigNumber
+    patch: Any
+
+
+class DomainView(Protocol):
+    """The service that knows the routers of the own failure domain."""
+
+    def domain_routers(self) -> frozenset[ids.VmId]:
+        """Returns the other reachable routers of the own failure domain."""
+
+
 class ConfigurationService(service.Service):
     """Holds the configuration in force and submits patches.
 
@@ -55,7 +74,8 @@
 
     name = names.CONFIGURATION
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, vm: ids.VmId, rng: random.Random) -> None:
+        self._vm = vm
         self.current = configuration.EMPTY
         self.document = _EMPTY
         self.ready = trio.Event()
@@ -63,7 +83,9 @@
         self._rng = rng
         self._store: configuration_store.ConfigurationStore | None = None
         self._traffic: traffic_service.TrafficService | None = None
-        self._packed: tuple[ids.ConfigNumber, bytes] | None = None
+        self._parser = configuration.Parser()
+        self._deltas: collections.deque[Delta] = collections.deque(maxlen=MAX_DELTAS)
+        self._packed: dict[ids.ConfigNumber, bytes] = {}
 
     async def run(self, kernel: service.Kernel, started: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
@@ -74,20 +96,29 @@
         while True:
             if platform.configured:
                 await self._poll()
-            await trio.sleep(POLL_S * self._rng.uniform(0.8, 1.2))
+            peers: DomainView = kernel.find(names.PEERS)
+            period_s = cadence.platform_poll_s(self._vm, peers.domain_routers())
+            await trio.sleep(period_s * self._rng.uniform(0.8, 1.2))
 
     def offer(self, document: Document) -> bool:
         """Puts a document in force where its number is higher; returns whether it did."""
         if document.number <= self.current.number:
             return False
         try:
-            value = configuration.parse(document.content)
+            value = self._parser.parse(document.content)
         except model_exceptions.InvalidDocumentError as exc:
             _log.error("configuration_invalid", number=document.number, reason=str(exc))
             return False
+        self._deltas.append(
+            Delta(
+                self.document.number,
+                document.number,
+                patches.difference(self.document.content, document.content),
+            )
+        )
         self.current = configuration.NumberedConfiguration(document.number, value)
         self.document = document
-        self._packed = None
+        self._packed.clear()
         assert self._traffic
         self._traffic.mailbox.send(traffic_messages.ConfigurationChanged(self.current))
         self.ready.set()
@@ -95,22 +126,43 @@
         return True
 
     def packed(self, above: ids.ConfigNumber) -> tuple[ids.ConfigNumber, bytes] | None:
-        """Returns the document for a peer where its number is above the peer's."""
+        """Returns what leads a peer from its number to the present one.
+
+        That is the patches in between where they are still known, else the whole document.
+        """
         if self.current.number <= above:
             return None
-        if self._packed is None:
+        if above not in self._packed:
             history = [checked.to_plain(change) for change in self.document.history]
-            body = {"content": self.document.content, "history": history}
-            self._packed = (self.current.number, zlib.compress(msgspec.json.encode(body)))
-        return self._packed
+            body: dict[str, Any] = {"history": history}
+            steps = self._steps_from(above)
+            if steps is None:
+                body["content"] = self.document.content
+            else:
+                body["base"] = above
+                body["patches"] = [step.patch for step in steps]
+            self._packed[above] = zlib.compress(msgspec.json.encode(body))
+        return self.current.number, self._packed[above]
+
+    def _steps_from(self, number: ids.ConfigNumber) -> list[Delta] | None:
+        steps = [delta for delta in self._deltas if delta.base >= number]
+        return steps if steps and steps[0].base == number and number > 0 else None
 
     def offer_packed(self, number: ids.ConfigNumber, packed: bytes) -> None:
-        """Takes a document from a peer."""
+        """Takes from a peer what leads to a number."""
         try:
             unpacker = zlib.decompressobj()
             body = msgspec.json.decode(unpacker.decompress(packed, MAX_PACKED_BYTES))
             history = tuple(configuration_store.read_change(raw) for raw in body["history"])
-            self.offer(Document(number, body["content"], history))
+            content = body.get("content")
+            if content is None:
+                if body["base"] != self.document.number:
+                    # Another source was faster; the next round asks from the new number on.
+                    return
+                content = self.document.content
+                for patch in body["patches"]:
+                    content = patches.merge(content, patch)
+            self.offer(Document(number, content, history))
         except (zlib.error, msgspec.MsgspecError, KeyError, TypeError) as exc:
             _log.error("peer_configuration_unreadable", number=number, reason=repr(exc))
 
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -6,6 +6,7 @@
 import structlog
 import trio
 
+from cicadapier._internal.decisions import cadence
 from cicadapier._internal.decisions import membership
 from cicadapier._internal.decisions import peer_news
 from cicadapier._internal.decisions import poison
@@ -21,7 +22,6 @@
 from cicadapier._internal.services import traffic_messages
 from cicadapier._internal.services import traffic_service
 
-ROUND_S = 0.1
 MIN_ROUND_S = 0.02
 ANNOUNCE_TIMEOUT_S = 0.5
 MAX_KEPT_PIECES = 256
@@ -56,6 +56,7 @@
         self._kept: collections.deque[peer_news.KeptPieces] = collections.deque(maxlen=8)
         self._kernel: service.Kernel | None = None
         self._reachable: frozenset[ids.VmId] = frozenset()
+        self._domain_routers: frozenset[ids.VmId] = frozenset()
 
     def set_seeds(self, addresses: list[ids.Address]) -> None:
         """Replaces the addresses at which other routers are first looked for."""
@@ -84,11 +85,21 @@
         self._urgent.set()
 
     async def _pause(self) -> None:
+        rounds = self._rounds()
         await trio.sleep(MIN_ROUND_S)
-        with trio.move_on_after(ROUND_S * self._rng.uniform(0.9, 1.1) - MIN_ROUND_S):
+        with trio.move_on_after(rounds.period_s * self._rng.uniform(0.9, 1.1) - MIN_ROUND_S):
+            if not rounds.urgent:
+                await trio.sleep_forever()
             await self._urgent.wait()
         self._urgent = trio.Event()
 
+    def _rounds(self) -> cadence.Rounds:
+        return cadence.rounds(1 + len(self._reachable))
+
+    def domain_routers(self) -> frozenset[ids.VmId]:
+        """Returns the other reachable routers of the own failure domain."""
+        return self._domain_routers
+
     async def drain(self) -> None:
         """Tells the peers that this router is leaving."""
         await self._refresh_digest()
@@ -126,7 +137,7 @@
         reachable = self._membership.reachable(trio.current_time())
         with trio.move_on_after(ANNOUNCE_TIMEOUT_S):
             async with trio.open_nursery() as nursery:
-                for heartbeat in reachable[: 4 * membership.FANOUT]:
+                for heartbeat in reachable[: 4 * cadence.SMALL_FANOUT]:
                     nursery.start_soon(self._exchange_with, heartbeat.address)
 
     async def _round(self, nursery: trio.Nursery) -> None:
@@ -134,7 +145,7 @@
         now = trio.current_time()
         self.members.beat(leaving=self._kernel is not None and self._kernel.stopping)
         await self._refresh_digest()
-        for address in self.members.targets(self._seeds, now, self._rng):
+        for address in self.members.targets(self._seeds, now, self._rng, self._rounds().fanout):
             nursery.start_soon(self._exchange_with, address)
         self._publish_use(now)
         self._log_changes(now)
@@ -212,7 +223,13 @@
         self._traffic.mailbox.offer(traffic_messages.PeerUse(count, total))
 
     def _log_changes(self, now: float) -> None:
-        reachable = frozenset(heartbeat.vm for heartbeat in self.members.reachable(now))
+        heard = self.members.reachable(now)
+        reachable = frozenset(heartbeat.vm for heartbeat in heard)
+        self._domain_routers = frozenset(
+            heartbeat.vm
+            for heartbeat in heard
+            if heartbeat.failure_domain == self._cfg.failure_domain
+        )
         for vm in sorted(reachable - self._reachable):
             _log.info("peer_reachable", peer=vm)
         for vm in sorted(self._reachable - reachable):
--- a/src/cicadapier/_internal/services/upstreams_service.py
+++ b/src/cicadapier/_internal/services/upstreams_service.py
@@ -9,6 +9,7 @@
 import structlog
 import trio
 
+from cicadapier._internal.decisions import cadence
 from cicadapier._internal.decisions import load
 from cicadapier._internal.decisions import observations
 from cicadapier._internal.kernel import mailbox
@@ -30,7 +31,6 @@
 PROBE_S = 0.25
 PROBE_TIMEOUT_S = 1.0
 RECONCILE_S = 0.25
-LIST_S = 1.0
 EVENTS_SILENCE_S = 15.0
 RECONNECT_S = 0.5
 VM_PLURAL = "vms"
@@ -56,7 +56,8 @@
 
     name = names.UPSTREAMS
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, vm: ids.VmId, rng: random.Random) -> None:
+        self._vm = vm
         self.model_versions: dict[ids.UpstreamId, dict[ids.ModelId, str]] = {}
         self._rng = rng
         self._scopes: dict[_Target, trio.CancelScope] = {}
@@ -72,14 +73,16 @@
         platform: platform_service.PlatformService = kernel.find(names.PLATFORM)
         async with trio.open_nursery() as nursery:
             if platform.configured:
-                nursery.start_soon(self._follow_list, platform)
+                nursery.start_soon(self._follow_list, platform, kernel.find(names.PEERS))
             started.started()
-            number = ids.ConfigNumber(-1)
+            peers: configuration_service.DomainView = kernel.find(names.PEERS)
+            seen: tuple[ids.ConfigNumber, frozenset[ids.VmId]] | None = None
             while True:
                 current = self._configuration.current
-                if current.number != number:
-                    number = current.number
-                    self._reconcile(current.content, nursery)
+                routers = peers.domain_routers()
+                if seen != (current.number, routers):
+                    seen = (current.number, routers)
+                    self._reconcile(current.content, routers, nursery)
                 await trio.sleep(RECONCILE_S)
 
     def serving_version(self, pool: configuration.Pool, model: ids.ModelId) -> str:
@@ -94,12 +97,19 @@
             return declared
         return max(known, key=known.count)
 
-    def _reconcile(self, content: configuration.Configuration, nursery: trio.Nursery) -> None:
+    def _reconcile(
+        self,
+        content: configuration.Configuration,
+        routers: frozenset[ids.VmId],
+        nursery: trio.Nursery,
+    ) -> None:
         wanted = set()
         for pool_id, pool in content.pools.items():
             if not pool.reports_load or pool.kind is configuration.PoolKind.KEEP:
                 continue
             for upstream_id, spec in pool.upstreams.items():
+                if not cadence.watches(self._vm, routers, upstream_id, len(pool.upstreams)):
+                    continue
                 has_cache = pool.kind is configuration.PoolKind.MODEL
                 wanted.add(_Target(pool_id, upstream_id, spec.address, has_cache))
         for target in set(self._scopes) - wanted:
@@ -249,10 +259,16 @@
         )
         return await reply.get()
 
-    async def _follow_list(self, platform: platform_service.PlatformService) -> None:
+    async def _follow_list(
+        self,
+        platform: platform_service.PlatformService,
+        peers: configuration_service.DomainView,
+    ) -> None:
         assert self._configuration and self._traffic
         while True:
-            await trio.sleep(LIST_S * self._rng.uniform(0.8, 1.2))
+            routers = peers.domain_routers()
+            period_s = 2 * cadence.platform_poll_s(self._vm, routers)
+            await trio.sleep(period_s * self._rng.uniform(0.8, 1.2))
             try:
                 listing = await platform.list_all(VM_PLURAL)
             except (exceptions.PlatformUnavailableError, exceptions.PlatformRefusedError):
--- /dev/null
+++ b/tests/_internal/decisions/test_cadence.py
@@ -0,0 +1,62 @@
+"""Control traffic by the size of the fleet."""
+
+import unittest
+
+from cicadapier._internal.decisions import cadence
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+
+
+def names(count):
+    return [ids.VmId(f"vm-{number}") for number in range(count)]
+
+
+class CadenceTest(unittest.TestCase):
+    def test_few_of_a_large_domain_read_the_platform_often(self):
+        domain = names(107)
+        often = [
+            vm for vm in domain if cadence.platform_poll_s(vm, domain) == cadence.READER_POLL_S
+        ]
+        self.assertEqual(len(often), cadence.PLATFORM_READERS)
+
+    def test_a_router_without_peers_reads_for_itself(self):
+        own = ids.VmId("alone")
+        self.assertEqual(cadence.platform_poll_s(own, []), cadence.READER_POLL_S)
+
+    def test_each_upstream_of_a_large_pool_has_its_watchers(self):
+        domain = names(50)
+        for number in range(40):
+            upstream = ids.UpstreamId(f"u{number}")
+            watching = [vm for vm in domain if cadence.watches(vm, domain, upstream, 700)]
+            self.assertEqual(len(watching), cadence.WATCHERS)
+
+    def test_small_pool_is_watched_by_all(self):
+        self.assertTrue(cadence.watches(ids.VmId("a"), names(9), ids.UpstreamId("u"), 9))
+
+    def test_rounds_cost_the_same_in_any_large_fleet(self):
+        self.assertEqual(cadence.rounds(100), cadence.rounds(1500))
+        self.assertTrue(cadence.rounds(4).urgent)
+
+
+class ParserTest(unittest.TestCase):
+    def test_parsing_step_by_step_equals_parsing_anew(self):
+        parser = configuration.Parser()
+        document = {"accounts": {f"a{n}": {"weight": 1.0 + n} for n in range(20)}, "pools": {}}
+        for step in range(10):
+            accounts = dict(document["accounts"])
+            accounts[f"a{step}"] = {"weight": 50.0 + step}
+            accounts.pop(f"a{19 - step}", None)
+            document = {**document, "accounts": accounts}
+            self.assertEqual(parser.parse(document), configuration.parse(document))
+
+    def test_duplicate_key_beside_a_known_account_is_found(self):
+        parser = configuration.Parser()
+        digest = "0" * 64
+        accounts = {"a": {"key_hashes": [digest]}}
+        parser.parse({"accounts": accounts})
+        with self.assertRaises(configuration.exceptions.InvalidDocumentError):
+            parser.parse({"accounts": {**accounts, "b": {"key_hashes": [digest]}}})
+
+
+if __name__ == "__main__":
+    unittest.main()
