--- /dev/null
+++ b/src/cicadapier/_internal/commands/soak.py
@@ -0,0 +1,23 @@
+"""Measures a router's memory over many requests."""
+
+from cicadapier._internal.cli import logs
+from cicadapier._internal.cli import output
+from cicadapier._internal.cli import status_codes
+from cicadapier._internal.experiments import soak
+from cicadapier._internal.models import settings
+
+MAX_GROWTH = 0.05
+
+
+def run(*, requests: int = 100_000) -> int:
+    """Sends requests through a router and prints the resident memory along the way.
+
+    :param requests: Requests to send.
+    """
+    logs.configure(settings.LogLevel.ERROR)
+    samples = soak.run(requests)
+    rows = [(f"{s.requests:,}", f"{s.resident_bytes / 1e6:.1f} MB") for s in samples]
+    output.print_table(["requests", "resident"], rows)
+    grown = soak.growth(samples)
+    print(f"growth over the second half: {grown:.1%}, at most {MAX_GROWTH:.0%}")
+    return status_codes.SUCCESS if grown <= MAX_GROWTH else status_codes.FAILURE
--- a/src/cicadapier/_internal/commands/table.py
+++ b/src/cicadapier/_internal/commands/table.py
@@ -30,6 +30,7 @@
     Command("replay", "replay", "replay a trace with one or more policies"),
     Command("targets", "targets", "measure every target over several seeds"),
     Command("slopes", "slopes", "measure how state and cost grow with size"),
+    Command("soak", "soak", "measure a router's memory over many requests"),
     Command("bench", "bench", "measure what a router adds to a request"),
 )
 
--- a/src/cicadapier/_internal/experiments/bench.py
+++ b/src/cicadapier/_internal/experiments/bench.py
@@ -69,7 +69,7 @@
     chunks: int
 
 
-class _Upstream(http_server.Handler):
+class Upstream(http_server.Handler):
     """Answers at once and then at a fixed pace."""
 
     def __init__(self, plan: Plan) -> None:
@@ -113,7 +113,8 @@
     )
 
 
-async def _start_router(nursery: trio.Nursery, upstream: ids.Address) -> assembly.Router:
+async def start_router(nursery: trio.Nursery, upstream: ids.Address) -> assembly.Router:
+    """Returns a running router before one upstream."""
     listen = settings.Listen(LOOPBACK, LOOPBACK, LOOPBACK)
     cfg = settings.Settings(ids.VmId("bench"), ids.FailureDomainId("here"), listen)
     router = assembly.assemble(cfg, assembly.production_wiring(cfg))
@@ -154,10 +155,10 @@
 async def _run(plan: Plan) -> Result:
     network = transport.TcpNetwork()
     async with trio.open_nursery() as nursery:
-        listener = http_server.Listener(network.serve, _Upstream(plan), settings.CallerLimits())
+        listener = http_server.Listener(network.serve, Upstream(plan), settings.CallerLimits())
         upstream = await nursery.start(listener.run, LOOPBACK)
         direct_us = await _chunk_us(network, upstream, plan)
-        router = await _start_router(nursery, upstream)
+        router = await start_router(nursery, upstream)
         routed = router.callers.address
         direct_ms = await _first_token_ms(network, upstream, plan.requests)
         routed_ms = await _first_token_ms(network, routed, plan.requests)
@@ -176,7 +177,7 @@
     samples = []
     for _ in range(requests):
         began = time.perf_counter()
-        await _ask(conn, 1)
+        await ask(conn, 1)
         await conn.receive_head(TIMEOUT_S)
         await conn.receive_data(TIMEOUT_S)
         samples.append(time.perf_counter() - began)
@@ -187,8 +188,9 @@
     return statistics.median(samples) * 1000
 
 
-async def _ask(conn: http_client.ClientConnection, tokens: int) -> None:
-    body = {"model": MODEL, "prompt": PROMPT, "max_tokens": tokens, "stream": True}
+async def ask(conn: http_client.ClientConnection, tokens: int, prompt: str = PROMPT) -> None:
+    """Sends a request for a stream of tokens."""
+    body = {"model": MODEL, "prompt": prompt, "max_tokens": tokens, "stream": True}
     named = [
         (headers.AUTHORIZATION, f"Bearer {KEY}".encode()),
         (headers.CONTENT_TYPE, b"application/json"),
@@ -209,7 +211,7 @@
     async def read_stream() -> None:
         stream = await network.connect(address, TIMEOUT_S)
         conn = http_client.ClientConnection(stream, address)
-        await _ask(conn, plan.chunks)
+        await ask(conn, plan.chunks)
         await conn.receive_head(TIMEOUT_S)
         while await conn.receive_data(TIMEOUT_S) is not None:
             pass
--- /dev/null
+++ b/src/cicadapier/_internal/experiments/soak.py
@@ -0,0 +1,85 @@
+"""Resident memory of a router over many requests."""
+
+import collections.abc
+import dataclasses
+import gc
+import pathlib
+import resource
+
+import trio
+
+from cicadapier._internal.experiments import bench
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import http_server
+from cicadapier._internal.protocols import transport
+
+SAMPLES = 10
+CALLERS = 8
+_STATM = pathlib.Path("/proc/self/statm")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """Memory after a number of requests.
+
+    Attributes:
+        requests: Requests answered so far.
+        resident_bytes: Resident memory of the process, callers and upstream included.
+    """
+
+    requests: int
+    resident_bytes: int
+
+
+def run(requests: int) -> list[Sample]:
+    """Sends requests through a router and returns its memory along the way."""
+    return trio.run(_run, requests)
+
+
+async def _run(requests: int) -> list[Sample]:
+    network = transport.TcpNetwork()
+    samples: list[Sample] = []
+    async with trio.open_nursery() as nursery:
+        upstream = bench.Upstream(bench.Plan())
+        listener = http_server.Listener(network.serve, upstream, settings.CallerLimits())
+        address = await nursery.start(listener.run, bench.LOOPBACK)
+        router = await bench.start_router(nursery, address)
+        share = requests // SAMPLES
+        for number in range(SAMPLES):
+            async with trio.open_nursery() as callers:
+                for _ in range(CALLERS):
+                    target = router.callers.address
+                    callers.start_soon(_ask_many, network, target, share // CALLERS, number)
+            gc.collect()
+            samples.append(Sample((number + 1) * share, _resident_bytes()))
+        nursery.cancel_scope.cancel()
+    return samples
+
+
+async def _ask_many(
+    network: transport.Network, address: ids.Address, count: int, salt: int
+) -> None:
+    stream = await network.connect(address, bench.TIMEOUT_S)
+    conn = http_client.ClientConnection(stream, address)
+    for number in range(count):
+        # Each prompt has a prefix of its own, so that beliefs have to be dropped as well.
+        prompt = f"{salt}/{number}/{id(conn)} " * 600
+        await bench.ask(conn, 1, prompt)
+        await conn.receive_head(bench.TIMEOUT_S)
+        while await conn.receive_data(bench.TIMEOUT_S) is not None:
+            pass
+        conn.make_reusable()
+    await conn.close()
+
+
+def _resident_bytes() -> int:
+    pages = int(_STATM.read_text(encoding="ascii").split()[1])
+    return pages * resource.getpagesize()
+
+
+def growth(samples: collections.abc.Sequence[Sample]) -> float:
+    """Returns how much memory grew over the second half, as a share."""
+    half = samples[len(samples) // 2 - 1]
+    return samples[-1].resident_bytes / half.resident_bytes - 1.0
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -156,16 +156,19 @@
         self._traffic.mailbox.send(traffic_messages.TakeDigest(reply))
         found = await reply.get()
         now = trio.current_time()
+        # In a large fleet few of the peers place on the same upstreams, and a sample of the use
+        # of an account says nothing of the whole.
+        direct = self._rounds().urgent
         self._digest = peer_codec.Digest(
             self._cfg.vm,
             self._generation,
             self._configuration.current.number,
             tuple(self.members.sample(now, self._rng)),
-            found.use,
-            found.sends,
+            found.use if direct else {},
+            found.sends if direct else (),
             found.crashes,
             tuple(self._kept),
-            found.placed,
+            found.placed if direct else (),
         )
 
     async def _exchange_with(self, address: ids.Address) -> None:
