Survive errors that asyncio merely reports

Change: the handler logs; channels belong to the loop that closes them. The platform's list drops silent routers.

--- a/src/cicadapier/_internal/protocols/peer_transport.py
+++ b/src/cicadapier/_internal/protocols/peer_transport.py
@@ -13,6 +13,7 @@
 import grpclib.const
 import grpclib.exceptions
 import grpclib.server
+import structlog
 import trio
 import trio_asyncio
 
@@ -35,6 +36,8 @@
     grpclib.exceptions.StreamTerminatedError,
     grpclib.exceptions.ProtocolError,
 )
+_log = structlog.get_logger()
+
 _T = TypeVar("_T")
 _SECRET_KEY = "x-peer-secret"
 
@@ -144,6 +147,8 @@
     ) -> None:
         """See `PeerTransport.serve`."""
         async with trio_asyncio.open_loop() as loop:
+            # By default an error that asyncio merely reports would end the whole router.
+            loop.set_exception_handler(_report)
             self._loop = loop
             server = grpclib.server.Server([_GrpcPeers(handler, self._secret)])
             host, port = settings.split_address(address)
@@ -152,6 +157,7 @@
             try:
                 await trio.sleep_forever()
             finally:
+                self._loop = None
                 server.close()
                 for channel in self._channels.values():
                     channel.close()
@@ -207,7 +213,7 @@
             if len(self._channels) >= MAX_CHANNELS:
                 self._drop_channel(next(iter(self._channels)))
             host, port = settings.split_address(address)
-            channel = grpclib.client.Channel(host, port)
+            channel = grpclib.client.Channel(host, port, loop=self._loop)
             self._channels[address] = channel
         return channel
 
@@ -218,6 +224,10 @@
             channel.close()
 
 
+def _report(_: object, context: dict[str, Any]) -> None:
+    _log.warning("peer_transport_error", message=str(context.get("message", "")))
+
+
 def _bound_address(server: grpclib.server.Server) -> ids.Address:
     assert server._server is not None
     host, port = server._server.sockets[0].getsockname()[:2]  # type: ignore[attr-defined]
--- a/src/cicadapier/_internal/services/configuration_service.py
+++ b/src/cicadapier/_internal/services/configuration_service.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 import random
 from typing import Any
@@ -62,6 +63,9 @@
     def domain_routers(self) -> frozenset[ids.VmId]:
         """Returns the other reachable routers of the own failure domain."""
 
+    def listed(self, vms: collections.abc.Collection[ids.VmId]) -> None:
+        """Takes over the routers that the platform lists."""
+
 
 class ConfigurationService(service.Service):
     """Holds the configuration in force and submits patches.
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -1,6 +1,7 @@
 """Gossip between routers."""
 
 import collections
+import collections.abc
 import random
 
 import structlog
@@ -96,6 +97,10 @@
     def _rounds(self) -> cadence.Rounds:
         return cadence.rounds(1 + len(self._reachable))
 
+    def listed(self, vms: collections.abc.Collection[ids.VmId]) -> None:
+        """Drops unreachable routers that the platform no longer lists."""
+        self.members.listed(vms, trio.current_time())
+
     def domain_routers(self) -> frozenset[ids.VmId]:
         """Returns the other reachable routers of the own failure domain."""
         return self._domain_routers
--- a/src/cicadapier/_internal/services/upstreams_service.py
+++ b/src/cicadapier/_internal/services/upstreams_service.py
@@ -35,6 +35,7 @@
 RECONNECT_S = 0.5
 VM_PLURAL = "vms"
 VM_LEAVING = "leaving"
+VM_ROUTER = "router"
 
 _log = structlog.get_logger()
 
@@ -274,6 +275,11 @@
             except (exceptions.PlatformUnavailableError, exceptions.PlatformRefusedError):
                 continue
             leaving = {o.name for o in listing.objects if o.spec.get("state") == VM_LEAVING}
+            routers_listed = {
+                ids.VmId(o.name) for o in listing.objects if o.spec.get("role") == VM_ROUTER
+            }
+            if routers_listed:
+                peers.listed(routers_listed)
             content = self._configuration.current.content
             for pool_id, pool in content.pools.items():
                 for upstream_id in pool.upstreams:
