Let no claimed call outlive its router

Change: the call runs in a task of the callers' service, which ends with the router and not with the caller. Conclusion: draining waits for claimed calls whose callers have left.

--- a/src/cicadapier/_internal/services/callers_service.py
+++ b/src/cicadapier/_internal/services/callers_service.py
@@ -75,9 +75,9 @@
         services = request_context.Services(kernel, self._settings)
         secret = hashlib.blake2b(self._settings.cache_secret.encode(), digest_size=32).digest()
         self._models = model_requests.ModelRequests(services, secret)
-        self._calls = service_calls.ServiceCalls(services)
         listener = http_server.Listener(self._network.serve, self, self._settings.caller_limits)
         async with trio.open_nursery() as nursery:
+            self._calls = service_calls.ServiceCalls(services, nursery)
             self.address = await nursery.start(listener.run, self._settings.listen.callers)
             started.started()
 
@@ -88,9 +88,13 @@
         """
         self._draining = True
         self._last_request_at = trio.current_time()
-        while self._open or trio.current_time() - self._last_request_at < QUIET_S:
+        while self._busy or trio.current_time() - self._last_request_at < QUIET_S:
             await trio.sleep(DRAIN_POLL_S)
 
+    @property
+    def _busy(self) -> bool:
+        return self._open > 0 or (self._calls is not None and self._calls.claimed_running > 0)
+
     @property
     def models(self) -> model_requests.ModelRequests:
         """The handler of model requests."""
--- a/src/cicadapier/_internal/services/service_calls.py
+++ b/src/cicadapier/_internal/services/service_calls.py
@@ -3,6 +3,7 @@
 import dataclasses
 import http
 
+import structlog
 import trio
 
 from cicadapier._internal.decisions import claims
@@ -10,6 +11,7 @@
 from cicadapier._internal.decisions import repeatability
 from cicadapier._internal.decisions import retries
 from cicadapier._internal.decisions import traffic
+from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
@@ -21,6 +23,8 @@
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import request_context
 
+_log = structlog.get_logger()
+
 MAX_ANSWER_BYTES = 16_777_216
 MAX_KEY_BYTES = 255
 _PLAIN = prefix.Prompt((), 1, 1)
@@ -52,10 +56,16 @@
 
 
 class ServiceCalls:
-    """Handles calls to plain services."""
+    """Handles calls to plain services.
+
+    Attributes:
+        claimed_running: Claimed calls under way, whether or not their callers still wait.
+    """
 
-    def __init__(self, services: request_context.Services) -> None:
+    def __init__(self, services: request_context.Services, nursery: trio.Nursery) -> None:
+        self.claimed_running = 0
         self._services = services
+        self._nursery = nursery
 
     async def handle(
         self,
@@ -100,10 +110,14 @@
                 extra.append((headers.CONTENT_TYPE, taken.content_type.encode("latin-1")))
             await responder.send_whole(taken.status, extra, taken.body or b"")
             return
-        # A caller that leaves now asks again with its key, and then gets the recorded answer.
-        with trio.CancelScope(shield=True):
-            answer = await self._run_claimed(context, plan, req, taken)
-        await _send(responder, context, answer)
+        # A caller that leaves now asks again with its key, and then gets the recorded answer; so
+        # the call goes on in a task that does not end with the caller's connection.
+        reply: mailbox.Reply[_Answer | outcomes.Refusal] = mailbox.Reply()
+        self._nursery.start_soon(self._run_claimed, context, plan, req, taken, reply)
+        result = await reply.get()
+        if isinstance(result, outcomes.Refusal):
+            raise exceptions.RefusedError(result)
+        await _send(responder, context, result)
 
     async def _run_claimed(
         self,
@@ -111,12 +125,34 @@
         plan: _Plan,
         req: http_server.Request,
         ticket: claims_service.Ticket,
-    ) -> _Answer:
+        reply: "mailbox.Reply[_Answer | outcomes.Refusal]",
+    ) -> None:
+        self.claimed_running += 1
+        try:
+            result = await self._settle(context, plan, req, ticket)
+        finally:
+            self.claimed_running -= 1
+        reply.set(result)
+
+    async def _settle(
+        self,
+        context: request_context.Context,
+        plan: _Plan,
+        req: http_server.Request,
+        ticket: claims_service.Ticket,
+    ) -> _Answer | outcomes.Refusal:
         try:
             answer = await self._run(context, plan, req)
         except exceptions.RefusedError as exc:
             self._services.claims.settle_refused(ticket, exc.refusal)
-            raise
+            return exc.refusal
+        except Exception:
+            # A fault of ours must cost one request and not the router.
+            _log.exception("claimed_call_failed", request=context.request)
+            message = "this router failed; the call may have run"
+            refusal = outcomes.Refusal(outcomes.Code.INTERNAL, message, outcomes.Effect.UNKNOWN)
+            self._services.claims.settle_refused(ticket, refusal)
+            return refusal
         recorded = claims.Answer(answer.status, answer.content_type, answer.body)
         self._services.claims.settle(ticket, recorded)
         return answer
--- a/tests/_internal/services/test_service_calls.py
+++ b/tests/_internal/services/test_service_calls.py
@@ -115,6 +115,24 @@
 
         support.in_world(check, deployment=support.SMALL)
 
+    def test_killed_router_leaves_no_task_behind_in_a_claimed_call(self):
+        async def check(made):
+            _strike_pool(made, faults.FaultKind.SLOW, amount=1000.0)
+            vm = next(iter(made.routers))
+            replies = []
+
+            async def ask():
+                replies.append(await support.Caller(made).order(b"two copies", "k1"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await trio.sleep(0.5)
+                made.stop_router(vm)
+                await trio.sleep(1.0)
+                self.assertEqual([reply.outcome for reply in replies], ["broken"])
+
+        support.in_world(check, deployment=support.SMALL)
+
     def test_caller_that_leaves_finds_the_answer_on_its_return(self):
         async def check(made):
             _strike_pool(made, faults.FaultKind.SLOW, amount=100.0)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -180,7 +180,7 @@
     Mutant(
         "leave while streams are open",
         "services/callers_service.py",
-        "while self._open or trio.current_time()",
+        "while self._busy or trio.current_time()",
         "while trio.current_time()",
         f"{SERVICES}.test_togetherness.RestartTest.test_drain_cuts_none_of_200_streams",
     ),
