Give both listeners one base and compare an engine's loss with the bound

Cause: callers' and operators' services repeated their listening; a loss told twice placed a request twice in the replay (found while comparing). Change: services/listening_service.py; the replay drops stale losses; a row for p99 after a loss over the bound's.

--- a/src/cicadapier/_internal/experiments/replay.py
+++ b/src/cicadapier/_internal/experiments/replay.py
@@ -153,7 +153,7 @@
         engine.crash(ids.Incarnation(f"{engine.incarnation}+"), self.now)
         lost = [request for request, r in self._running.items() if r.upstream == upstream]
         for request in lost:
-            self.at(self.now + NETWORK_S, functools.partial(self._lost, request))
+            self.at(self.now + NETWORK_S, functools.partial(self._lost, request, upstream))
         self.at(self.now + down_s, functools.partial(self._down.discard, upstream))
 
     def _every(self, period_s: float, action: collections.abc.Callable[[], None]) -> None:
@@ -239,7 +239,9 @@
         running.upstream = upstream
         running.record.upstream = upstream
         if not self.reaches(running.router, upstream):
-            self.at(self.now + LEARN_CRASH_S, functools.partial(self._lost, decision.request))
+            self.at(
+                self.now + LEARN_CRASH_S, functools.partial(self._lost, decision.request, upstream)
+            )
             return
         submit = functools.partial(self._submit, decision, running)
         self.at(self.now + NETWORK_S, submit)
@@ -247,7 +249,7 @@
     def _submit(self, decision: traffic.Placed, running: _Running) -> None:
         upstream = decision.choice.estimate.upstream
         if upstream in self._down:
-            self._lost(decision.request)
+            self._lost(decision.request, upstream)
             return
         self._advance(upstream)
         req = running.req
@@ -311,9 +313,10 @@
         router.leave(event.request, ran=True)
         del self._running[event.request]
 
-    def _lost(self, request: ids.RequestId) -> None:
+    def _lost(self, request: ids.RequestId, upstream: ids.UpstreamId) -> None:
         running = self._running.get(request)
-        if running is None:
+        if running is None or running.upstream != upstream:
+            # Another message of the same loss was faster.
             return
         crashed = running.upstream in self._down
         running.upstream = None
--- a/src/cicadapier/_internal/experiments/targets.py
+++ b/src/cicadapier/_internal/experiments/targets.py
@@ -121,11 +121,11 @@
     return after / before
 
 
-def _crash(seed: int) -> replay_report.Report:
+def _crash(seed: int, policy: policies.PolicyName = OURS) -> replay_report.Report:
     victim = f"{deployments.ANDINO.model_pool}-{seed % 5 + 1}"
     fault = replay_faults.ReplayFault(FAULT_AT_S, replay_faults.ReplayFaultKind.CRASH, victim)
     shape = workloads.Shape(load=0.9)
-    return _run(ANDINO, seed, OURS, shape, (fault,))
+    return _run(ANDINO, seed, policy, shape, (fault,))
 
 
 def _crash_p99(seed: int) -> float:
@@ -136,6 +136,13 @@
     return report.first_token_s(0.99, INTERACTIVE, after) / before
 
 
+def _crash_p99_ratio(seed: int) -> float:
+    """Returns p99 from 5 s after the loss on, over that of the bound with the same loss."""
+    after = replay_report.Window(FAULT_AT_S + 5, FAULT_AT_S + 20)
+    bound = _crash(seed, CLAIRVOYANT).first_token_s(0.99, INTERACTIVE, after)
+    return _crash(seed).first_token_s(0.99, INTERACTIVE, after) / bound
+
+
 def _crash_refused(seed: int) -> float:
     report = _crash(seed)
     return report.refusals() + report.unfinished()
@@ -266,6 +273,9 @@
     Row("distance of the bound's load from 70 %", 0.07, False, _bound_load),
     Row("hit rate after all routers restart, over before", 0.95, True, _herd_restart),
     Row("interactive p99 5 s after an engine's loss, over before", 1.5, False, _crash_p99),
+    Row(
+        "interactive p99 5 s after an engine's loss, over the bound's", 1.5, False, _crash_p99_ratio
+    ),
     Row("requests lost or refused by an engine's loss", 0.0, False, _crash_refused),
     Row("busiest upstream 3 s after a shift, over the mean", 1.5, False, _shift_load),
     Row("hit rate 5 s after a shift, over before", 0.97, True, _shift_hits),
--- a/src/cicadapier/_internal/services/callers_service.py
+++ b/src/cicadapier/_internal/services/callers_service.py
@@ -21,6 +21,7 @@
 from cicadapier._internal.protocols import transport
 from cicadapier._internal.services import configuration_service
 from cicadapier._internal.services import exceptions
+from cicadapier._internal.services import listening_service
 from cicadapier._internal.services import model_requests
 from cicadapier._internal.services import names
 from cicadapier._internal.services import request_context
@@ -42,22 +43,15 @@
 _log = structlog.get_logger()
 
 
-class CallersService(service.Service, http_server.Handler):
-    """Accepts callers' requests and hands them to their handlers.
-
-    Attributes:
-        address: Where it listens.
-    """
+class CallersService(listening_service.ListeningService):
+    """Accepts callers' requests and hands them to their handlers."""
 
     name = names.CALLERS
 
     def __init__(
         self, cfg: settings.Settings, network: transport.Network, token_source: tokens.TokenSource
     ) -> None:
-        self._tokens = token_source
-        self._settings = cfg
-        self._network = network
-        self.address = cfg.listen.callers
+        super().__init__(cfg, cfg.listen.callers, network, token_source)
         self._kernel: service.Kernel | None = None
         self._configuration: configuration_service.ConfigurationService | None = None
         self._telemetry: telemetry_service.TelemetryService | None = None
@@ -75,10 +69,9 @@
         services = request_context.Services(kernel, self._settings)
         secret = hashlib.blake2b(self._settings.cache_secret.encode(), digest_size=32).digest()
         self._models = model_requests.ModelRequests(services, secret)
-        listener = http_server.Listener(self._network.serve, self, self._settings.caller_limits)
         async with trio.open_nursery() as nursery:
             self._calls = service_calls.ServiceCalls(services, nursery)
-            self.address = await nursery.start(listener.run, self._settings.listen.callers)
+            await self.listen(nursery)
             started.started()
 
     async def drain(self) -> None:
--- /dev/null
+++ b/src/cicadapier/_internal/services/listening_service.py
@@ -0,0 +1,35 @@
+"""Base of the services that listen for HTTP."""
+
+import trio
+
+from cicadapier._internal.kernel import service
+from cicadapier._internal.kernel import tokens
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
+from cicadapier._internal.protocols import http_server
+from cicadapier._internal.protocols import transport
+
+
+class ListeningService(service.Service, http_server.Handler):
+    """Answers HTTP requests on one address.
+
+    Attributes:
+        address: Where it listens; the bound port once it has started.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        address: ids.Address,
+        network: transport.Network,
+        token_source: tokens.TokenSource,
+    ) -> None:
+        self.address = address
+        self._settings = cfg
+        self._network = network
+        self._tokens = token_source
+
+    async def listen(self, nursery: trio.Nursery) -> None:
+        """Returns once connections are accepted, which goes on in the nursery."""
+        listener = http_server.Listener(self._network.serve, self, self._settings.caller_limits)
+        self.address = await nursery.start(listener.run, self.address)
--- a/src/cicadapier/_internal/services/operators_service.py
+++ b/src/cicadapier/_internal/services/operators_service.py
@@ -22,6 +22,7 @@
 from cicadapier._internal.services import configuration_service
 from cicadapier._internal.services import configuration_store
 from cicadapier._internal.services import explanations
+from cicadapier._internal.services import listening_service
 from cicadapier._internal.services import names
 from cicadapier._internal.services import peers_service
 from cicadapier._internal.services import telemetry_service
@@ -31,22 +32,15 @@
 _METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
 
-class OperatorsService(service.Service, http_server.Handler):
-    """Answers operators.
-
-    Attributes:
-        address: Where it listens.
-    """
+class OperatorsService(listening_service.ListeningService):
+    """Answers operators."""
 
     name = names.OPERATORS
 
     def __init__(
         self, cfg: settings.Settings, network: transport.Network, token_source: tokens.TokenSource
     ) -> None:
-        self._tokens = token_source
-        self._settings = cfg
-        self._network = network
-        self.address = cfg.listen.operators
+        super().__init__(cfg, cfg.listen.operators, network, token_source)
         self._kernel: service.Kernel | None = None
         self._configuration: configuration_service.ConfigurationService | None = None
         self._explanations: explanations.Explanations | None = None
@@ -56,9 +50,8 @@
         self._kernel = kernel
         self._configuration = kernel.find(names.CONFIGURATION)
         self._explanations = explanations.Explanations(kernel)
-        listener = http_server.Listener(self._network.serve, self, self._settings.caller_limits)
         async with trio.open_nursery() as nursery:
-            self.address = await nursery.start(listener.run, self._settings.listen.operators)
+            await self.listen(nursery)
             started.started()
 
     async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
--- a/tests/_internal/experiments/test_replay.py
+++ b/tests/_internal/experiments/test_replay.py
@@ -49,6 +49,16 @@
         self.assertEqual((report.unfinished(), report.refusals()), (0, 0))
         self.assertGreater(sum(record.retries for record in report.records), 0)
 
+    def test_loss_told_twice_places_a_request_once(self):
+        fault = replay_faults.ReplayFault(
+            4.0, replay_faults.ReplayFaultKind.CRASH, "lm-pool-2", 1e9
+        )
+        andino = deployments.DeploymentName.ANDINO
+        requests = workloads.make(andino, 1, workloads.Shape(duration_s=8.0, load=0.9))
+        plan = replay.Plan(deployments.ANDINO, policies.PolicyName.CLAIRVOYANT, 1, faults=(fault,))
+        report = replay.Replay(plan, requests).run()
+        self.assertEqual((report.unfinished(), report.refusals()), (0, 0))
+
     def test_trace_survives_its_file(self):
         made = workloads.make(LARKSPUR, 3, SHORT)
         with tempfile.TemporaryDirectory() as folder:
