Gossip rarely while there is nothing to tell

Cause: an idle demonstration of four routers took 0.80 of a core. Change: rounds come every 0.5 s until a request is placed; the replay takes its periods from the services.

--- a/src/cicadapier/_internal/experiments/replay.py
+++ b/src/cicadapier/_internal/experiments/replay.py
@@ -11,6 +11,7 @@
 import math
 import random
 
+from cicadapier._internal.decisions import cadence
 from cicadapier._internal.decisions import load
 from cicadapier._internal.decisions import members
 from cicadapier._internal.decisions import observations
@@ -25,14 +26,16 @@
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
+from cicadapier._internal.services import peers_service
+from cicadapier._internal.services import upstreams_service
 from cicadapier._internal.standins import deployments
 from cicadapier._internal.standins import engine_model
 from cicadapier._internal.standins import keep_model
 
 NETWORK_S = 0.002
-PROBE_S = 0.25
-PEER_ROUND_S = 0.1
-URGENT_GAP_S = 0.02
+PROBE_S = upstreams_service.PROBE_S
+PEER_ROUND_S = cadence.SMALL_ROUND_S
+URGENT_GAP_S = peers_service.MIN_ROUND_S
 EVENTS_S = 0.1
 EXPORT_S = 0.1
 POLL_S = 0.05
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -24,6 +24,7 @@
 from cicadapier._internal.services import traffic_service
 
 MIN_ROUND_S = 0.02
+IDLE_ROUND_S = 0.5
 ANNOUNCE_TIMEOUT_S = 0.5
 MAX_KEPT_PIECES = 256
 
@@ -53,6 +54,7 @@
         self._configuration: configuration_service.ConfigurationService | None = None
         self._digest = peer_codec.Digest(cfg.vm, generation, ids.ConfigNumber(0))
         self._incoming = peer_news.Incoming()
+        self._news = trio.Event()
         self._urgent = trio.Event()
         self._kept: collections.deque[peer_news.KeptPieces] = collections.deque(maxlen=8)
         self._kernel: service.Kernel | None = None
@@ -81,17 +83,29 @@
                 await self._round(nursery)
                 await self._pause()
 
-    def hasten(self) -> None:
-        """Has the next round begin soon, for news that peers would otherwise decide without."""
-        self._urgent.set()
+    def placed(self, urgent: bool) -> None:
+        """Notes that there is something to tell.
+
+        Args:
+            urgent: Whether the next round has to begin at once, because the peers would decide
+                without the news otherwise.
+        """
+        self._news.set()
+        if urgent:
+            self._urgent.set()
 
     async def _pause(self) -> None:
         rounds = self._rounds()
+        jitter = self._rng.uniform(0.9, 1.1)
+        began = trio.current_time()
         await trio.sleep(MIN_ROUND_S)
-        with trio.move_on_after(rounds.period_s * self._rng.uniform(0.9, 1.1) - MIN_ROUND_S):
+        with trio.move_on_at(began + max(IDLE_ROUND_S, rounds.period_s) * jitter):
+            await self._news.wait()
+        with trio.move_on_at(began + rounds.period_s * jitter):
             if not rounds.urgent:
                 await trio.sleep_forever()
             await self._urgent.wait()
+        self._news = trio.Event()
         self._urgent = trio.Event()
 
     def _rounds(self) -> cadence.Rounds:
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -34,8 +34,8 @@
 class NewsSink(Protocol):
     """The service that tells the peers."""
 
-    def hasten(self) -> None:
-        """Has the next round begin soon."""
+    def placed(self, urgent: bool) -> None:
+        """Notes that there is something to tell, at once where it is urgent."""
 
 
 class TrafficService(service.Service):
@@ -100,16 +100,17 @@
 
     def _decide(self, decisions: list[traffic.Decision]) -> None:
         for decision in decisions:
-            urgent = False
             if isinstance(decision, traffic.Placed):
-                urgent = self._outgoing.count(self._traffic, decision)
-            if urgent and self._kernel:
-                news: NewsSink = self._kernel.find(names.PEERS)
-                news.hasten()
+                self._tell(self._outgoing.count(self._traffic, decision))
             reply = self._waiting.pop(decision.request, None)
             if reply:
                 reply.set(decision)
 
+    def _tell(self, urgent: bool) -> None:
+        if self._kernel:
+            news: NewsSink = self._kernel.find(names.PEERS)
+            news.placed(urgent)
+
     def _first_token(self, message: traffic_messages.FirstToken, now: float) -> None:
         export = self._traffic.first_token(message.request, message.first, now)
         if export and self._kernel:
--- /dev/null
+++ b/tests/_internal/decisions/test_series.py
@@ -0,0 +1,34 @@
+"""The number of metric series stays bounded."""
+
+import random
+import unittest
+
+from cicadapier._internal.decisions import series
+from cicadapier._internal.models import ids
+
+
+class AccountLabelsTest(unittest.TestCase):
+    def test_bounded_at_28000_accounts_and_the_largest_are_named(self):
+        labels = series.AccountLabels()
+        rng = random.Random(1)
+        seen = set()
+        for _ in range(60_000):
+            if rng.random() < 0.3:
+                name = f"large-{rng.randrange(3)}"
+            else:
+                name = f"account-{rng.randrange(28_000)}"
+            seen.add(labels.label(ids.AccountId(name)))
+        self.assertLessEqual(len(seen), series.MAX_LABELS + 1)
+        for number in range(3):
+            name = ids.AccountId(f"large-{number}")
+            self.assertEqual(labels.label(name), name)
+
+    def test_few_accounts_have_each_their_own(self):
+        labels = series.AccountLabels()
+        for number in range(8):
+            name = ids.AccountId(f"a{number}")
+            self.assertEqual(labels.label(name), name)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/_internal/protocols/test_http_server.py
@@ -0,0 +1,133 @@
+"""Bounds of the HTTP listener."""
+
+import unittest
+
+import trio
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
+from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import http_server
+from cicadapier._internal.standins import faulty_network
+from tests import support
+
+
+class _Hello(http_server.Handler):
+    async def handle(self, req, responder):
+        if req.path == "/bug":
+            raise ZeroDivisionError
+        await responder.send_json({"length": len(req.body)})
+
+
+class ListenerTest(unittest.TestCase):
+    def _serve(self, check, **limits):
+        async def main():
+            network = faulty_network.MemoryNetwork()
+            bounds = settings.CallerLimits(**limits)
+            listener = http_server.Listener(network.serve, _Hello(), bounds)
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(listener.run, ids.Address("127.0.0.1:0"))
+
+                async def connect():
+                    stream = await network.connect(address, 1.0)
+                    return http_client.ClientConnection(stream, address)
+
+                await check(connect)
+                nursery.cancel_scope.cancel()
+
+        support.run(main)
+
+    async def _get(self, conn, path="/", body=b""):
+        await conn.send(http_client.RequestHead("POST", path, []), body)
+        head = await conn.receive_head(5.0)
+        return head.status, await conn.receive_body(5.0)
+
+    def test_connections_beyond_the_bound_are_closed(self):
+        async def check(connect):
+            first, second, third = [await connect() for _ in range(3)]
+            self.assertEqual((await self._get(first))[0], 200)
+            self.assertEqual((await self._get(second))[0], 200)
+            with self.assertRaises(exceptions.ConnectionLostError):
+                await self._get(third)
+
+        self._serve(check, connections=2)
+
+    def test_body_beyond_the_bound_is_refused_although_its_length_is_not_told(self):
+        async def check(connect):
+            conn = await connect()
+            head = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+            await conn._stream.send_all(head + b"1000\r\n" + b"x" * 4096 + b"\r\n0\r\n\r\n")
+            answer = await conn._stream.receive_some()
+            self.assertTrue(answer.startswith(b"HTTP/1.1 413"))
+
+        self._serve(check, body_bytes=1024)
+
+    def test_idle_connection_is_closed(self):
+        async def check(connect):
+            conn = await connect()
+            await self._get(conn)
+            self.assertEqual(await conn._stream.receive_some(), b"")
+            self.assertGreater(trio.current_time(), 7.0)
+
+        self._serve(check, idle_timeout_s=7.0)
+
+    def test_a_bug_costs_one_connection(self):
+        async def check(connect):
+            with self.assertRaises(exceptions.ConnectionLostError):
+                await self._get(await connect(), "/bug")
+            self.assertEqual((await self._get(await connect()))[0], 200)
+
+        self._serve(check)
+
+
+class ClientTest(unittest.TestCase):
+    def _exchange(self, answer, then_silent=False):
+        async def main():
+            network = faulty_network.MemoryNetwork()
+
+            async def upstream(stream):
+                await stream.receive_some()
+                await stream.send_all(answer)
+                if then_silent:
+                    await trio.sleep_forever()
+                await stream.aclose()
+
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(network.serve, ids.Address("127.0.0.1:0"), upstream)
+                conn = http_client.ClientConnection(await network.connect(address, 1.0), address)
+                try:
+                    await conn.send(http_client.RequestHead("GET", "/", []), b"")
+                    head = await conn.receive_head(2.0)
+                    result = head.status, await conn.receive_body(2.0), conn.make_reusable()
+                except exceptions.ProtocolError as exc:
+                    result = type(exc)
+                nursery.cancel_scope.cancel()
+            return result
+
+        return support.run(main)
+
+    def test_end_before_the_answer_is_a_lost_connection(self):
+        for part in (
+            b"",
+            b"HTTP/1.1 200 OK\r\nconte",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab",
+        ):
+            self.assertIs(self._exchange(part), exceptions.ConnectionLostError)
+
+    def test_garbage_is_malformed(self):
+        self.assertIs(self._exchange(b"\x00\x01 what\r\n\r\n"), exceptions.MalformedMessageError)
+
+    def test_silence_has_an_end(self):
+        found = self._exchange(b"HTTP/1.1 200 OK\r\n", then_silent=True)
+        self.assertIs(found, exceptions.SilentConnectionError)
+
+    def test_connection_with_bytes_after_the_answer_is_not_reused(self):
+        whole = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+        self.assertEqual(self._exchange(whole, then_silent=True), (200, b"ok", True))
+        late = whole + b"HTTP/1.1 200 OK\r\n"
+        self.assertEqual(self._exchange(late, then_silent=True), (200, b"ok", False))
+
+
+if __name__ == "__main__":
+    unittest.main()
