Drop what nothing uses

Cause: names that stood alone after the refactorings. Change: six unused names removed; the peer transport uses its one tuple of errors. Conclusion: no behaviour changes.

--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -90,7 +90,6 @@
     entry: Entry
     account: configuration.Account
     entered_at: float
-    queued: bool = False
     choice: members.Estimate | None = None
     incarnation: ids.Incarnation = ids.Incarnation("")
     tried: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
@@ -341,15 +340,6 @@
             if active.choice and self.poison.is_suspect(active.entry.fingerprint, now)
         )
 
-    def running_on(
-        self, pool: ids.PoolId, upstream: ids.UpstreamId
-    ) -> collections.abc.Iterator[ids.Fingerprint]:
-        """Yields the fingerprints of this router's requests that run on an upstream."""
-        for active in self._active.values():
-            choice = active.choice
-            if choice and active.entry.pool == pool and choice.upstream == upstream:
-                yield active.entry.fingerprint
-
     def _refresh(self, state: observations.PoolState, now: float) -> bool:
         """Takes over the health of each upstream; returns whether any is usable."""
         usable = False
--- a/src/cicadapier/_internal/experiments/slopes.py
+++ b/src/cicadapier/_internal/experiments/slopes.py
@@ -14,7 +14,6 @@
 from cicadapier._internal.decisions import belief
 from cicadapier._internal.decisions import cadence
 from cicadapier._internal.decisions import chunks
-from cicadapier._internal.decisions import hotness
 from cicadapier._internal.decisions import limits
 from cicadapier._internal.decisions import membership
 from cicadapier._internal.decisions import patches
@@ -27,7 +26,6 @@
 
 ROUNDS = 200
 PIECES_PER_EVENT = 4
-_DOMAIN = ids.FailureDomainId("domain-1")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -263,15 +261,3 @@
     return Point(
         "exchange over gRPC, both ends", 16, "entries", trio.run(main), 0, _size_of(digest)
     )
-
-
-def hotness_bytes(size: int) -> int:
-    """Returns the memory of the request rates of a number of pieces."""
-    rng = random.Random(0)
-
-    def build() -> hotness.Hotness:
-        made = hotness.Hotness()
-        made.asked((ids.PieceId(rng.randbytes(16)) for _ in range(size)), 0.0)
-        return made
-
-    return _measured(build)[1]
--- a/src/cicadapier/_internal/protocols/completions.py
+++ b/src/cicadapier/_internal/protocols/completions.py
@@ -171,11 +171,6 @@
             self._rest = b""
         return [event + _SEPARATOR for event in events]
 
-    @property
-    def incomplete(self) -> bool:
-        """Whether the stream ends within an event."""
-        return bool(self._rest)
-
 
 class PromptDetails(msgspec.Struct):
     """Part of the published usage object."""
--- a/src/cicadapier/_internal/protocols/peer_transport.py
+++ b/src/cicadapier/_internal/protocols/peer_transport.py
@@ -196,14 +196,7 @@
             with trio.fail_after(timeout_s):
                 result: _T = await trio_asyncio.aio_as_trio(call, loop=self._loop)()
                 return result
-        except (
-            TimeoutError,
-            OSError,
-            trio.TooSlowError,
-            grpclib.exceptions.GRPCError,
-            grpclib.exceptions.StreamTerminatedError,
-            grpclib.exceptions.ProtocolError,
-        ) as exc:
+        except _CALL_ERRORS as exc:
             self._drop_channel(address)
             raise exceptions.ConnectionLostError(f"{address}: {exc!r}") from exc
 
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -29,7 +29,6 @@
 SAMPLED_GAPS = 8  # Recording each gap would cost as much as relaying its chunk.
 UPSTREAM_HEADER = b"x-cicadapier-upstream"
 REASON_HEADER = b"x-cicadapier-reason"
-_MAX_ANSWER_BYTES = 67_108_864
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
