Let a caller come back whose claim was being made as it left

Cause: a caller that left while its claim was under way left a claim that nobody would ever settle, and a vanished router's claim asked the caller to come back for ever. Change: the claim of a call that was not sent is released on cancellation; a claim unsettled for 300 s is told as unknown without Retry-After. Conclusion: every claim ends in an answer or in the truth.

--- a/src/cicadapier/_internal/decisions/claims.py
+++ b/src/cicadapier/_internal/decisions/claims.py
@@ -13,6 +13,8 @@
 from cicadapier._internal.models import outcomes
 
 MAX_CREATE_TRIES = 3
+# Longer than any call and its settlement take; the VMs' clocks may differ by a few seconds.
+ABANDONED_AFTER_S = 300.0
 MAX_RECORDED_BODY_BYTES = 524_288
 
 
@@ -48,12 +50,14 @@
         fingerprint: Digest of the request.
         state: What is known of the call.
         answer: The recorded answer, where the state is DONE.
+        age_s: Time since it was created, as far as the VMs' clocks agree.
     """
 
     nonce: str
     fingerprint: str
     state: ClaimState
     answer: Answer | None = None
+    age_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -194,6 +198,12 @@
             "the first call with this key may have run; it is not run again",
             outcomes.Effect.UNKNOWN,
         )
+    if claim.age_s > ABANDONED_AFTER_S:
+        return outcomes.Refusal(
+            outcomes.Code.OUTCOME_UNKNOWN,
+            "the router that began a call with this key has not settled it; it may have run",
+            outcomes.Effect.UNKNOWN,
+        )
     return outcomes.Refusal(
         outcomes.Code.CLAIM_IN_PROGRESS,
         "a call with this key has begun and its outcome is not known yet",
--- a/src/cicadapier/_internal/services/claims_service.py
+++ b/src/cicadapier/_internal/services/claims_service.py
@@ -3,6 +3,7 @@
 import base64
 import collections
 import dataclasses
+import time
 from typing import Any
 
 import structlog
@@ -32,11 +33,13 @@
         name: Name of the claim object.
         nonce: Identity under which it is held.
         fingerprint: Digest of the request.
+        created_at: When, as seconds since the epoch.
     """
 
     name: str
     nonce: str
     fingerprint: str
+    created_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,12 +102,17 @@
             RefusedError: The call must not be run now.
         """
         nonce = self._tokens.hex(16)
-        ticket = Ticket(name, nonce, fingerprint)
+        ticket = Ticket(name, nonce, fingerprint, time.time())
         attempt = claims.ClaimAttempt(nonce, fingerprint)
         step = attempt.start()
-        while isinstance(step, claims.Create):
-            await trio.sleep(step.pause_s)
-            step = attempt.created(await self._create(ticket))
+        try:
+            while isinstance(step, claims.Create):
+                await trio.sleep(step.pause_s)
+                step = attempt.created(await self._create(ticket))
+        except trio.Cancelled:
+            # The caller left; a claim that may exist must not stand in the way of its return.
+            self.mailbox.offer(Release(ticket))
+            raise
         if isinstance(step, claims.Replay):
             return step.answer
         if isinstance(step, claims.Refuse):
@@ -178,6 +186,7 @@
         "nonce": ticket.nonce,
         "fingerprint": ticket.fingerprint,
         "state": state.value,
+        "createdAt": ticket.created_at,
     }
     if answer:
         spec["answer"] = {
@@ -199,4 +208,5 @@
             None if body is None else base64.b64decode(body),
         )
     state = claims.ClaimState(spec["state"])
-    return claims.Claim(str(spec["nonce"]), str(spec["fingerprint"]), state, answer)
+    age_s = max(0.0, time.time() - float(spec.get("createdAt", 0.0)))
+    return claims.Claim(str(spec["nonce"]), str(spec["fingerprint"]), state, answer, age_s)
--- a/tests/_internal/decisions/test_agreements.py
+++ b/tests/_internal/decisions/test_agreements.py
@@ -57,6 +57,15 @@
         step = claims.ClaimAttempt("mine", "f").created(claims.Exists(done))
         self.assertEqual(step, claims.Replay(answer))
 
+    def test_claim_of_a_vanished_router_stops_asking_the_caller_to_come_back(self):
+        held = claims.Claim("other", "f", claims.ClaimState.CLAIMED, None, 1.0)
+        step = claims.ClaimAttempt("mine", "f").created(claims.Exists(held))
+        self.assertIsNotNone(step.refusal.retry_after_s)
+        old = claims.Claim("other", "f", claims.ClaimState.CLAIMED, None, 1e4)
+        step = claims.ClaimAttempt("mine", "f").created(claims.Exists(old))
+        self.assertIsNone(step.refusal.retry_after_s)
+        self.assertEqual(step.refusal.effect, outcomes.Effect.UNKNOWN)
+
     def test_unknown_outcome_is_never_run_again(self):
         unknown = claims.Claim("other", "f", claims.ClaimState.UNKNOWN)
         step = claims.ClaimAttempt("mine", "f").created(claims.Exists(unknown))
--- a/tests/_internal/services/test_service_calls.py
+++ b/tests/_internal/services/test_service_calls.py
@@ -115,6 +115,18 @@
 
         support.in_world(check, deployment=support.SMALL)
 
+    def test_caller_that_leaves_while_its_claim_is_made_can_come_back(self):
+        async def check(made):
+            made.inject(faults.FaultKind.PLATFORM_SLOW, faults.ANY, 3.0, 1.0)
+            with trio.move_on_after(0.5):
+                await support.Caller(made).order(b"two copies", "k1")
+            await trio.sleep(8.0)
+            reply = await support.Caller(made, router=1).order(b"two copies", "k1")
+            self.assertEqual(reply.outcome, "complete")
+            self.assertEqual(made.ledger.runs(b"two copies"), 1)
+
+        support.in_world(check, deployment=support.SMALL)
+
     def test_killed_router_leaves_no_task_behind_in_a_claimed_call(self):
         async def check(made):
             _strike_pool(made, faults.FaultKind.SLOW, amount=1000.0)
