--- a/tests/_internal/services/test_model_requests.py
+++ b/tests/_internal/services/test_model_requests.py
@@ -83,6 +83,7 @@
         resumed = [e for e in made.ledger.entries if e.detail.get("resumed_from")]
         self.assertEqual(len(resumed), 1)
         self.assertNotEqual(resumed[0].upstream, self.struck)
+        self.assertLess(resumed[0].at - self.struck_at, 2.0)
 
     def test_pause_in_mid_stream_is_resumed_elsewhere(self):
         _, reply = self._stream_with_fault(faults.FaultKind.PAUSE, 1.0)
