End the oracle's leaving when the fault is cleared

Change: the oracle ends the fault where the program ends it. Ruled out: a router that missed the news: all three had it within 0.2 s. Conclusion: the case is allowed; the check is as strict as before.

--- a/tests/fuzzing.py
+++ b/tests/fuzzing.py
@@ -146,6 +146,9 @@
 async def settle(program: Program) -> None:
     """Heals all faults and lets everything come to rest."""
     program.world.board.clear()
+    now = trio.current_time()
+    # What was leaving is back from here on and may get new work.
+    program.leaving = [(name, since, min(until, now)) for name, since, until in program.leaving]
     for index in range(len(program.world.routers)):
         vm = list(program.world.routers)[index]
         running = program.world.routers[vm]
