Bound what is believed of all upstreams together

Cause: the belief was bounded for each upstream, so a router that watches 13 of them could hold 350 MB.

--- a/src/cicadapier/_internal/decisions/belief.py
+++ b/src/cicadapier/_internal/decisions/belief.py
@@ -17,7 +17,8 @@
 _RETENTION_SHRINK = 0.8
 _RETENTION_GROWTH = 1.02
 _GAP_TRUST = 0.5
-MAX_PIECES_PER_UPSTREAM = 65_536
+MAX_PIECES = 65_536
+MIN_PIECES_PER_UPSTREAM = 256
 
 
 @dataclasses.dataclass(slots=True)
@@ -215,9 +216,10 @@
         cache.touched[piece] = now
         cache.touched.move_to_end(piece)
         self._holders.setdefault(piece, set()).add(upstream)
-        if len(cache.touched) > MAX_PIECES_PER_UPSTREAM:
-            oldest = next(iter(cache.touched))
-            self._remove(upstream, cache, oldest)
+        # All upstreams share one bound, so that memory does not grow with their number.
+        most = max(MIN_PIECES_PER_UPSTREAM, MAX_PIECES // len(self._caches))
+        while len(cache.touched) > most:
+            self._remove(upstream, cache, next(iter(cache.touched)))
 
     def _remove(self, upstream: ids.UpstreamId, cache: _UpstreamCache, piece: ids.PieceId) -> None:
         if cache.touched.pop(piece, None) is not None:
