--- a/src/cicadapier/_internal/cli/main.py
+++ b/src/cicadapier/_internal/cli/main.py
@@ -37,7 +37,6 @@
             target,
             argv=args,
             cli_options="has_default",
-            parsers=getattr(module, "PARSERS", {}),
             argparse_kwargs={"prog": f"cicadapier {command.name}"},
         )
     except SystemExit as exc:
--- a/src/cicadapier/_internal/commands/demo.py
+++ b/src/cicadapier/_internal/commands/demo.py
@@ -3,6 +3,7 @@
 import dataclasses
 import signal
 import sys
+from typing import Literal
 
 import trio
 
@@ -20,7 +21,7 @@
 
 def run(
     *,
-    deployment: deployments.DeploymentName = deployments.DeploymentName.LARKSPUR,
+    deployment: Literal["larkspur", "andino"] = "larkspur",
     port: int = 0,
     routers: int = 4,
     seed: int = 0,
@@ -38,7 +39,9 @@
     """
     level = settings.LogLevel.WARNING if once else settings.LogLevel.INFO
     logs.configure(level)
-    plan = world.Plan(deployments.BY_NAME[deployment], max(1, routers), seed, port)
+    plan = world.Plan(
+        deployments.BY_NAME[deployments.DeploymentName(deployment)], max(1, routers), seed, port
+    )
     return trio.run(_demo, plan, once, json)
 
 
@@ -111,7 +114,3 @@
     rows = [dataclasses.astuple(result) for result in results]
     headings = ["request", "upstream", "why", "cached", "prompt", "first token", "outcome"]
     output.print_table(headings, rows)
-
-
-# Options take the values of these, not the names of the members.
-PARSERS = {deployments.DeploymentName: deployments.DeploymentName}
--- a/src/cicadapier/_internal/commands/fault.py
+++ b/src/cicadapier/_internal/commands/fault.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from cicadapier._internal.cli import exceptions
 from cicadapier._internal.cli import http
 from cicadapier._internal.cli import output
 from cicadapier._internal.cli import status_codes
@@ -9,8 +10,7 @@
 
 def run(
     kind: str,
-    target: str = "*",
-    *,
+    *target: str,
     faults: str,
     seconds: float | None = None,
     amount: float | None = None,
@@ -19,11 +19,13 @@
 
     :param kind: Kind of fault; "list" shows the kinds and what is in force, "clear" ends all,
         "ledger" shows what the upstreams ran.
-    :param target: What it strikes; * for all.
+    :param target: What it strikes, at most one; all without.
     :param faults: URL of the demonstration's faults, as it prints it.
     :param seconds: How long it lasts; without, until it is cleared.
     :param amount: Strength, in the unit of its kind.
     """
+    if len(target) > 1:
+        raise exceptions.CommandError("expected at most one target")
     if kind == "list":
         output.print_json(http.expect(http.call("GET", faults)))
     elif kind == "ledger":
@@ -31,7 +33,7 @@
     elif kind == "clear":
         http.expect(http.call("DELETE", faults))
     else:
-        body: dict[str, object] = {"kind": kind, "target": target}
+        body: dict[str, object] = {"kind": kind, "target": target[0] if target else "*"}
         if seconds is not None:
             body["seconds"] = seconds
         if amount is not None:
--- a/src/cicadapier/_internal/commands/replay.py
+++ b/src/cicadapier/_internal/commands/replay.py
@@ -1,6 +1,7 @@
 """Replays a trace against model engines on a virtual clock."""
 
 import collections.abc
+from typing import Literal
 
 from cicadapier._internal.cli import exceptions
 from cicadapier._internal.cli import output
@@ -16,8 +17,8 @@
 def run(
     trace: str,
     *,
-    policy: collections.abc.Sequence[policies.PolicyName] = (policies.PolicyName.OURS,),
-    deployment: deployments.DeploymentName = deployments.DeploymentName.LARKSPUR,
+    policy: collections.abc.Sequence[str] = ("ours",),
+    deployment: Literal["larkspur", "andino"] = "larkspur",
     seed: int = 0,
     faults: str = "",
     json: bool = False,
@@ -26,7 +27,7 @@
     """Replays a trace with one or more policies and prints what each achieves.
 
     :param trace: Trace file, as `trace make` writes it.
-    :param policy: Policies to compare.
+    :param policy: Policies to compare; a wrong name lists all.
     :param deployment: Whose upstreams.
     :param seed: Seed of losses and of random policies.
     :param faults: File of faults (YAML).
@@ -37,11 +38,12 @@
         requests = traces.read(trace)
     except ValueError as exc:
         raise exceptions.CommandError(str(exc)) from exc
+    chosen = [_policy(name) for name in policy]
     struck = replay_faults.read(faults) if faults else ()
-    size = deployments.BY_NAME[deployment]
+    size = deployments.BY_NAME[deployments.DeploymentName(deployment)]
     reports = [
         replay.Replay(replay.Plan(size, name, seed, faults=struck), requests).run()
-        for name in policy
+        for name in chosen
     ]
     summaries = [report.summary() for report in reports]
     if json:
@@ -53,6 +55,14 @@
     return status_codes.SUCCESS
 
 
+def _policy(name: str) -> policies.PolicyName:
+    try:
+        return policies.PolicyName(name)
+    except ValueError as exc:
+        known = ", ".join(member.value for member in policies.PolicyName)
+        raise exceptions.CommandError(f"no policy {name!r}; known are {known}") from exc
+
+
 def print_summaries(summaries: list[dict[str, object]]) -> None:
     """Prints a table with a row for each policy."""
     headings = list(summaries[0]) if summaries else []
@@ -61,10 +71,3 @@
         for summary in summaries
     ]
     output.print_table(headings, rows)
-
-
-# Options take the values of these, not the names of the members.
-PARSERS = {
-    deployments.DeploymentName: deployments.DeploymentName,
-    policies.PolicyName: policies.PolicyName,
-}
--- a/src/cicadapier/_internal/commands/trace.py
+++ b/src/cicadapier/_internal/commands/trace.py
@@ -1,5 +1,7 @@
 """Makes traces of requests."""
 
+from typing import Literal
+
 from cicadapier._internal.cli import status_codes
 from cicadapier._internal.experiments import traces
 from cicadapier._internal.experiments import workloads
@@ -9,7 +11,7 @@
 def make(
     file: str,
     *,
-    workload: deployments.DeploymentName = deployments.DeploymentName.LARKSPUR,
+    workload: Literal["larkspur", "andino"] = "larkspur",
     seed: int = 0,
     seconds: float = 60.0,
     load: float = 1.0,
@@ -22,14 +24,12 @@
     :param seconds: Length of the trace.
     :param load: Factor on all rates.
     """
-    made = workloads.make(workload, seed, workloads.Shape(seconds, load))
+    made = workloads.make(
+        deployments.DeploymentName(workload), seed, workloads.Shape(seconds, load)
+    )
     traces.write(file, made)
     print(f"{len(made)} requests in {file}")
     return status_codes.SUCCESS
 
 
 SUBCOMMANDS = [make]
-
-
-# Options take the values of these, not the names of the members.
-PARSERS = {deployments.DeploymentName: deployments.DeploymentName}
--- a/tests/_internal/services/test_tcp.py
+++ b/tests/_internal/services/test_tcp.py
@@ -112,6 +112,20 @@
             self.assertRegex(text, f'cicadapier_{name}.*bucket.*account="editors"')
         self.assertIn('class="interactive"', text)
 
+    def test_fault_command_takes_kind_and_target(self):
+        url = self.demo.info["faults"]
+        run = [sys.executable, "-m", "cicadapier", "fault", "--faults", url]
+        struck = ["late", "quill-models-9", "--seconds", "600", "--amount", "0.1"]
+        done = subprocess.run([*run, *struck], capture_output=True, text=True)
+        self.assertEqual(done.returncode, 0, done.stderr)
+        active = self.demo.get(url)["active"]
+        self.assertEqual([fault["target"] for fault in active], ["quill-models-9"])
+        wrong = subprocess.run([*run, "earthquake"], capture_output=True, text=True)
+        self.assertEqual(wrong.returncode, 1)
+        self.assertIn("partition", wrong.stderr)
+        self.assertEqual(subprocess.run([*run, "clear"]).returncode, 0)
+        self.assertEqual(self.demo.get(url)["active"], [])
+
     def test_commands_talk_to_the_demo(self):
         operator = self.demo.info["operator"]
         run = [sys.executable, "-m", "cicadapier"]
