--- a/tests/_internal/services/test_tcp.py
+++ b/tests/_internal/services/test_tcp.py
@@ -181,6 +181,32 @@
             self.assertEqual(process.wait(WAIT_S), 0)
             process.stderr.close()
 
+    def test_tls_is_spoken_to_callers_and_operators(self):
+        authority = trustme.CA()
+        certificate = authority.issue_cert("127.0.0.1")
+        context = ssl.create_default_context()
+        authority.configure_trust(context)
+        with tempfile.TemporaryDirectory() as folder:
+            chain = pathlib.Path(folder) / "chain.pem"
+            key = pathlib.Path(folder) / "key.pem"
+            for pem in certificate.cert_chain_pems:
+                pem.write_to_path(str(chain), append=True)
+            certificate.private_key_pem.write_to_path(str(key))
+            extra = f"tls: {{certificate: {chain}, key: {key}}}\n"
+            process = subprocess.Popen(
+                [sys.executable, "-m", "cicadapier", "serve", "-s", self._settings(folder, extra)],
+                stderr=subprocess.PIPE,
+                text=True,
+            )
+            started = json.loads(process.stderr.readline())
+            for listener, path in (("callers", "/livez"), ("operators", "/status")):
+                url = f"https://{started[listener]}{path}"
+                with urllib.request.urlopen(url, timeout=WAIT_S, context=context) as answer:
+                    self.assertEqual(answer.status, 200)
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(process.wait(WAIT_S), 0)
+            process.stderr.close()
+
     def test_bad_settings_name_file_line_and_key(self):
         with tempfile.TemporaryDirectory() as folder:
             path = self._settings(folder, "drain_s: soon\ntypo: 1\n")
