Keep the fuzz over real sockets and test what it found

Cause: the program that found a dying router and a task without an end lived in no file, and the first of them had no test. Change: make fuzz-sockets SEED=; a collected unclosed channel must not end the transport.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STEPS ?= 40
 EXAMPLES ?= 100
 
-.PHONY: demo test fuzz mutants bench slopes targets binary proto clean
+.PHONY: demo test fuzz fuzz-sockets mutants bench slopes targets binary proto clean
 
 $(VENV)/.ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -28,6 +28,9 @@
 	FUZZ_SEED=$(SEED) FUZZ_STEPS=$(STEPS) FUZZ_EXAMPLES=$(EXAMPLES) FUZZ_SHRINK=1 \
 	  $(BIN)/python tools/run_tests.py test_fuzz.py
 
+fuzz-sockets: $(VENV)/.ready
+	$(BIN)/python -m tests.sockets_fuzz $(SEED)
+
 mutants: $(VENV)/.ready
 	$(BIN)/python -m tests.mutants
 
--- a/tests/_internal/services/test_tcp.py
+++ b/tests/_internal/services/test_tcp.py
@@ -1,5 +1,6 @@
 """The system over real sockets: the official client, TLS, gRPC between routers, one process."""
 
+import gc
 import json
 import pathlib
 import signal
@@ -272,6 +273,22 @@
     def test_exchange_fetch_and_authentication(self):
         trio.run(self._run)
 
+    def test_what_asyncio_reports_does_not_end_the_router(self):
+        async def main():
+            server = peer_transport.GrpcTransport("secret")
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(server.serve, ids.Address("127.0.0.1:0"), _Handler())
+                mine = peer_codec.Digest(ids.VmId("a"), 1, ids.ConfigNumber(0))
+                await server.exchange(address, mine)
+                # A channel that is collected unclosed reports to the loop's handler.
+                server._channels.clear()
+                gc.collect()
+                await trio.sleep(0.1)
+                self.assertEqual((await server.exchange(address, mine)).configuration_number, 7)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
     async def _run(self):
         server = peer_transport.GrpcTransport("secret")
         stranger = peer_transport.GrpcTransport("guess")
