--- a/src/cicadapier/_internal/commands/targets.py
+++ b/src/cicadapier/_internal/commands/targets.py
@@ -5,13 +5,14 @@
 from cicadapier._internal.experiments import targets
 
 
-def run(*, seeds: int = 5, json: bool = False) -> int:
+def run(*, seeds: int = 5, first_seed: int = 0, json: bool = False) -> int:
     """Measures every target; exits with 1 where one is missed.
 
-    :param seeds: Number of seeds, from 0 on.
+    :param seeds: Number of seeds.
+    :param first_seed: First of them; the weights of placement were swept on 0 to 4.
     :param json: Print JSON.
     """
-    verdicts = list(targets.judge(range(seeds)))
+    verdicts = list(targets.judge(range(first_seed, first_seed + seeds)))
     rows = [
         (
             verdict.row.name,
