--- /dev/null
+++ b/src/cicadapier/_internal/services/request_listener.py
@@ -0,0 +1,132 @@
+"""Base of the listeners for callers: counts, refusals, and the end of the process."""
+
+import abc
+
+import structlog
+import trio
+
+from cicadapier._internal.kernel import exceptions as kernel_exceptions
+from cicadapier._internal.kernel import tokens
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import outcomes
+from cicadapier._internal.models import settings
+from cicadapier._internal.protocols import exceptions as protocol_exceptions
+from cicadapier._internal.protocols import http_server
+from cicadapier._internal.protocols import transport
+from cicadapier._internal.services import exceptions
+from cicadapier._internal.services import listening_service
+from cicadapier._internal.services import request_context
+from cicadapier._internal.services import telemetry_service
+
+QUIET_S = 1.0
+DRAIN_POLL_S = 0.05
+_REJECT_CODES = {
+    protocol_exceptions.BadRequestKind.MALFORMED: outcomes.Code.INVALID_REQUEST,
+    protocol_exceptions.BadRequestKind.HEADERS_TOO_LARGE: outcomes.Code.HEADERS_TOO_LARGE,
+    protocol_exceptions.BadRequestKind.BODY_TOO_LARGE: outcomes.Code.BODY_TOO_LARGE,
+    protocol_exceptions.BadRequestKind.SLOW: outcomes.Code.SLOW_REQUEST,
+}
+
+_log = structlog.get_logger()
+
+
+class RequestListener(listening_service.ListeningService):
+    """Accepts callers' requests and hands them to a handler that may refuse them."""
+
+    def __init__(
+        self, cfg: settings.Settings, network: transport.Network, token_source: tokens.TokenSource
+    ) -> None:
+        super().__init__(cfg, cfg.listen.callers, network, token_source)
+        self._telemetry: telemetry_service.TelemetryService | None = None
+        self._open = 0
+        self._last_request_at = trio.current_time()
+        self._draining = False
+
+    @abc.abstractmethod
+    async def dispatch(
+        self,
+        request: ids.RequestId,
+        req: http_server.Request,
+        responder: http_server.Responder,
+    ) -> None:
+        """Answers one request.
+
+        Raises:
+            RefusedError: It is refused and no answer has begun.
+        """
+
+    def request_id(self, req: http_server.Request | None) -> ids.RequestId:
+        """Returns the id of a request, None where it could not be read."""
+        return ids.RequestId(f"req-{self._tokens.hex(12)}")
+
+    async def refuse(
+        self,
+        request: ids.RequestId,
+        refusal: outcomes.Refusal,
+        responder: http_server.Responder,
+    ) -> None:
+        """Sends a refusal where no answer has begun."""
+        assert self._telemetry
+        self._telemetry.refused(refusal.code.value)
+        if not responder.started:
+            await request_context.send_refusal(responder, request, refusal)
+
+    @property
+    def busy(self) -> bool:
+        """Whether any request is open."""
+        return self._open > 0
+
+    @property
+    def accepting(self) -> bool:
+        """See `http_server.Handler.accepting`."""
+        return not self._draining
+
+    def is_question(self, req: http_server.Request) -> bool:
+        """Returns whether a request asks for this router's health alone."""
+        return False
+
+    async def drain(self) -> None:
+        """Finishes open requests; connections are closed after their present answer.
+
+        New requests are still served, until the balancer has noticed and sends none.
+        """
+        self._draining = True
+        self._last_request_at = trio.current_time()
+        while self.busy or trio.current_time() - self._last_request_at < QUIET_S:
+            await trio.sleep(DRAIN_POLL_S)
+
+    async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
+        """See `http_server.Handler.handle`."""
+        request = self.request_id(req)
+        self._open += 1
+        if not self.is_question(req):
+            self._last_request_at = trio.current_time()
+        try:
+            await self.dispatch(request, req, responder)
+        except exceptions.RefusedError as exc:
+            await self.refuse(request, exc.refusal, responder)
+        except kernel_exceptions.KernelError as exc:
+            refusal = outcomes.Refusal(outcomes.Code.OVERLOADED, str(exc), retry_after_s=1.0)
+            await self.refuse(request, refusal, responder)
+        except protocol_exceptions.ConnectionLostError:
+            raise
+        except Exception:
+            # A fault of ours must cost one request and not the router.
+            _log.exception("request_failed", request=request)
+            message = "this router failed; the request may have run"
+            refusal = outcomes.Refusal(outcomes.Code.INTERNAL, message, outcomes.Effect.UNKNOWN)
+            await self.refuse(request, refusal, responder)
+        finally:
+            self._open -= 1
+
+    async def reject(
+        self, exc: protocol_exceptions.BadRequestError, responder: http_server.Responder
+    ) -> None:
+        """See `http_server.Handler.reject`."""
+        refusal = outcomes.Refusal(reject_code(exc), str(exc))
+        await self.refuse(self.request_id(None), refusal, responder)
+
+
+def reject_code(exc: protocol_exceptions.BadRequestError) -> outcomes.Code:
+    """Returns the reason of a refusal of a request that breaks a rule."""
+    return _REJECT_CODES[exc.kind]
--- a/src/cicadapier/_internal/services/service_calls.py
+++ b/src/cicadapier/_internal/services/service_calls.py
@@ -27,8 +27,8 @@
 
 MAX_ANSWER_BYTES = 16_777_216
 MAX_KEY_BYTES = 255
-_PLAIN = prefix.Prompt((), 1, 1)
-_DROPPED = frozenset((headers.AUTHORIZATION, headers.REQUEST_ID))
+_DROPPED = headers.HOP_BY_HOP | {headers.AUTHORIZATION, headers.REQUEST_ID}
+_ANSWER_DROPPED = headers.HOP_BY_HOP | {headers.REQUEST_ID}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,42 +165,31 @@
             context.request,
             context.account,
             plan.pool_id,
-            _PLAIN,
+            prefix.EMPTY,
             0,
             ids.Fingerprint(f"{plan.pool_id}/{fingerprint}"),
         )
         placed = await self._services.enter(entry)
         nature = retries.Nature(repeatable=plan.repeatable, resumable=False)
-        sequence = retries.AttemptSequence(nature, self._services.budget)
-        try:
-            return await self._attempts(context, plan, req, placed, sequence)
-        finally:
-            self._services.leave(context.request, sequence.attempts == 0 or sequence.maybe_ran)
+        sequence = retries.AttemptSequence(nature, self._services.budget, plan.pool_id)
+        answer: _Answer | None = None
 
-    async def _attempts(
-        self,
-        context: request_context.Context,
-        plan: _Plan,
-        req: http_server.Request,
-        placed: traffic.Placed,
-        sequence: retries.AttemptSequence,
-    ) -> _Answer:
-        while True:
+        async def attempt(placed: traffic.Placed) -> outcomes.AttemptOutcome:
+            nonlocal answer
             result = await self._attempt(context, plan, req, placed)
-            outcome = outcomes.Complete(result.status) if isinstance(result, _Answer) else result
-            await self._services.attempt_ended(context.request, outcome)
-            step = sequence.ended(outcome, trio.current_time())
-            if isinstance(result, _Answer):
+            if not isinstance(result, _Answer):
                 return result
-            if isinstance(step, retries.Retry):
-                self._services.telemetry.retried(type(outcome).__name__)
-                decision = await self._services.again(context.request)
-                if isinstance(decision, traffic.Placed):
-                    placed = decision
-                    continue
-                step = sequence.no_upstream()
-            assert isinstance(step, outcomes.Refusal)
-            raise exceptions.RefusedError(step)
+            answer = result
+            return outcomes.Complete(result.status)
+
+        try:
+            refusal = await self._services.run_attempts(context.request, sequence, placed, attempt)
+        finally:
+            self._services.leave(context.request, sequence.attempts == 0 or sequence.maybe_ran)
+        if answer is None or refusal is not None:
+            assert refusal
+            raise exceptions.RefusedError(refusal)
+        return answer
 
     async def _attempt(
         self,
@@ -211,7 +200,7 @@
     ) -> _Answer | outcomes.AttemptOutcome:
         upstream = placed.choice.estimate.upstream
         timeouts = plan.pool.timeouts
-        kept = request_context.end_to_end(req.headers, _DROPPED)
+        kept = http_client.end_to_end(req.headers, _DROPPED)
         extra = [*kept, (headers.REQUEST_ID, context.request.encode())]
         call = attempts.Call(
             context.request,
@@ -228,7 +217,7 @@
             head = await attempt.start()
             body = await _read_body(attempt, timeouts.between_tokens_s)
             await attempt.finish()
-            kept = request_context.end_to_end(head.headers, frozenset((headers.REQUEST_ID,)))
+            kept = http_client.end_to_end(head.headers, _ANSWER_DROPPED)
             return _Answer(head.status, kept, body, upstream)
         except attempts.AttemptFailedError as exc:
             return exc.outcome
--- a/src/cicadapier/_internal/services/traffic_messages.py
+++ b/src/cicadapier/_internal/services/traffic_messages.py
@@ -9,6 +9,7 @@
 from cicadapier._internal.decisions import observations
 from cicadapier._internal.decisions import peer_news
 from cicadapier._internal.decisions import poison
+from cicadapier._internal.decisions import rollout
 from cicadapier._internal.decisions import traffic
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.models import configuration
@@ -76,6 +77,59 @@
     versions: dict[ids.ModelId, str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerTold:
+    """What an upstream has told of itself with an answer.
+
+    Attributes:
+        pool: Its pool.
+        upstream: The upstream.
+        running: Requests that it has, None where it did not say.
+        weights: Model and weights version that it serves, None where it did not say.
+    """
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    running: int | None
+    weights: members.Weights | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WeightsNamed:
+    """Operators have named a weights version."""
+
+    model: ids.ModelId
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WeightsTold:
+    """An upstream serves a weights version, by its own word or that of who ordered it."""
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    model: ids.ModelId
+    version: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loading:
+    """An upstream is about to load weights; to be believed until a time."""
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    until: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetEngines:
+    """Asks for the engines of a pool as a router that orders sees them."""
+
+    pool: ids.PoolId
+    model: ids.ModelId
+    reply: "mailbox.Reply[tuple[rollout.Engine, ...]]"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProbeFailed:
     """An upstream did not answer a load query."""
@@ -221,6 +275,11 @@
     | Leave
     | ConfigurationChanged
     | LoadReported
+    | AnswerTold
+    | WeightsNamed
+    | WeightsTold
+    | Loading
+    | GetEngines
     | ProbeFailed
     | CacheChanged
     | CacheSnapshot
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -1,6 +1,7 @@
 """The task that owns the router's traffic decisions."""
 
 import collections.abc
+import math
 from typing import Protocol
 
 import structlog
@@ -43,9 +44,9 @@
 
     name = names.TRAFFIC
 
-    def __init__(self, failure_domain: ids.FailureDomainId) -> None:
+    def __init__(self, failure_domain: ids.FailureDomainId, weights_s: float = math.inf) -> None:
         self.mailbox: mailbox.Mailbox[traffic_messages.Message] = mailbox.Mailbox()
-        self._traffic = traffic.Traffic(failure_domain)
+        self._traffic = traffic.Traffic(failure_domain, weights_s=weights_s)
         self._kernel: service.Kernel | None = None
         self._waiting: dict[ids.RequestId, mailbox.Reply[traffic.Decision]] = {}
         self._outgoing = peer_news.Outgoing()
@@ -58,6 +59,11 @@
             traffic_messages.Leave: self._leave,
             traffic_messages.ConfigurationChanged: self._configure,
             traffic_messages.LoadReported: self._load_reported,
+            traffic_messages.AnswerTold: self._answer_told,
+            traffic_messages.WeightsNamed: self._weights_named,
+            traffic_messages.WeightsTold: self._weights_told,
+            traffic_messages.Loading: self._loading,
+            traffic_messages.GetEngines: self._get_engines,
             traffic_messages.ProbeFailed: self._probe_failed,
             traffic_messages.CacheChanged: self._cache_changed,
             traffic_messages.CacheSnapshot: self._cache_snapshot,
@@ -141,6 +147,29 @@
         )
         self._log_state(message.pool, message.upstream, now)
 
+    def _answer_told(self, message: traffic_messages.AnswerTold, now: float) -> None:
+        told = self._traffic.observations
+        if message.weights is not None:
+            weights = message.weights
+            told.weights_told(message.pool, message.upstream, weights.model, weights.version)
+        if message.running is not None:
+            told.load_told(message.pool, message.upstream, message.running)
+
+    def _weights_named(self, message: traffic_messages.WeightsNamed, now: float) -> None:
+        if self._traffic.named.named(message.model, message.version, now):
+            _log.info("weights_named", model=message.model, version=message.version)
+
+    def _weights_told(self, message: traffic_messages.WeightsTold, now: float) -> None:
+        self._traffic.observations.weights_told(
+            message.pool, message.upstream, message.model, message.version
+        )
+
+    def _loading(self, message: traffic_messages.Loading, now: float) -> None:
+        self._traffic.observations.loading(message.pool, message.upstream, message.until)
+
+    def _get_engines(self, message: traffic_messages.GetEngines, now: float) -> None:
+        message.reply.set(self._traffic.engines(message.pool, message.model))
+
     def _probe_failed(self, message: traffic_messages.ProbeFailed, now: float) -> None:
         self._traffic.observations.probe_failed(
             message.pool, message.upstream, message.certain, now
--- /dev/null
+++ b/src/cicadapier/_internal/services/watched_configuration.py
@@ -0,0 +1,110 @@
+"""The configuration that others write and this router watches."""
+
+import random
+from typing import Protocol
+
+import structlog
+import trio
+
+from cicadapier._internal.decisions import freshness
+from cicadapier._internal.kernel import service
+from cicadapier._internal.models import exceptions as model_exceptions
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import declarations
+from cicadapier._internal.protocols import store_format
+from cicadapier._internal.services import configuration_source
+from cicadapier._internal.services import names
+from cicadapier._internal.services import watching
+
+# Each answer proves that the configuration was the newest when it was asked for.
+WATCH_S = 1.0
+# Share of the bound on keys that were taken away after which they are refused for lack of proof.
+PROOF_SHARE = 0.8
+
+_log = structlog.get_logger()
+
+
+class ConfigurationUser(Protocol):
+    """The service that puts pools and upstreams together."""
+
+    def configured(self) -> None:
+        """Notes that another configuration is in force."""
+
+
+class WatchedConfiguration(configuration_source.ConfigurationSource, watching.Follower):
+    """Holds the newest configuration that the store has shown, and the proof that it is."""
+
+    spreads = False
+
+    def __init__(
+        self,
+        documents: declarations.DeclarationFormat,
+        revoke_s: float,
+        clock: watching.Clock,
+        rng: random.Random,
+    ) -> None:
+        super().__init__()
+        self._documents = documents
+        self._proof = freshness.Freshness(revoke_s * PROOF_SHARE)
+        self._clock = clock
+        self._rng = rng
+        self._kernel: service.Kernel | None = None
+
+    async def run(self, kernel: service.Kernel, started: "trio.TaskStatus[None]") -> None:
+        """See `service.Service.run`."""
+        self._kernel = kernel
+        kind = self._documents.configuration_kind
+        platform = kernel.find(names.PLATFORM)
+        watch = watching.Watch(platform, kind, WATCH_S, self, self._clock, self._rng)
+        started.started()
+        await watch.run()
+
+    @property
+    def proof_age_s(self) -> float:
+        """Age of the proof that the configuration is the newest, infinite without any."""
+        return self._proof.age_s(self._clock())
+
+    @property
+    def is_proved(self) -> bool:
+        """Whether keys may be trusted: the proof is younger than the bound on revoked ones."""
+        return self._proof.is_fresh(self._clock())
+
+    def answered(self, asked_at: float) -> None:
+        """See `watching.Follower.answered`."""
+        self._proof.proved(asked_at)
+
+    def listed(self, objects: tuple[store_format.StoredObject, ...]) -> None:
+        """See `watching.Follower.listed`."""
+        for item in objects:
+            self._take(item)
+
+    def changed(self, change: store_format.Change) -> None:
+        """See `watching.Follower.changed`."""
+        if not change.deleted:
+            self._take(change.object)
+
+    def packed(self, above: ids.ConfigNumber) -> tuple[ids.ConfigNumber, bytes] | None:
+        """See `ConfigurationSource.packed`; the store's watch is faster than the peers."""
+        return None
+
+    def offer_packed(self, number: ids.ConfigNumber, packed: bytes) -> None:
+        """See `ConfigurationSource.offer_packed`."""
+        return
+
+    def _take(self, item: store_format.StoredObject) -> None:
+        if item.name != self._documents.configuration_name:
+            return
+        try:
+            found = self._documents.read_configuration(item)
+        except model_exceptions.InvalidDocumentError as exc:
+            _log.error("configuration_invalid", version=item.version, reason=str(exc))
+            return
+        if found.number <= self.current.number:
+            _log.info("configuration_ignored", number=found.number, current=self.current.number)
+            return
+        self.current = found
+        self.ready.set()
+        _log.info("configuration_in_force", number=found.number, version=item.version)
+        if self._kernel:
+            user: ConfigurationUser = self._kernel.find(names.UPSTREAMS)
+            user.configured()
--- a/src/cicadapier/_internal/standins/world.py
+++ b/src/cicadapier/_internal/standins/world.py
@@ -8,6 +8,7 @@
 import structlog
 import trio
 
+from cicadapier._internal.assembly import router as router_assembly
 from cicadapier._internal.kernel import tokens
 from cicadapier._internal.models import checked
 from cicadapier._internal.models import configuration
@@ -17,7 +18,6 @@
 from cicadapier._internal.protocols import peer_codec
 from cicadapier._internal.protocols import peer_transport
 from cicadapier._internal.protocols import transport
-from cicadapier._internal.services import assembly
 from cicadapier._internal.services import configuration_store
 from cicadapier._internal.standins import deployments
 from cicadapier._internal.standins import engine_model
@@ -57,7 +57,7 @@
 class RunningRouter:
     """A router of the world."""
 
-    router: assembly.Router
+    router: router_assembly.Router
     cfg: settings.Settings
     scope: trio.CancelScope
     generation: int
@@ -122,7 +122,7 @@
         generation = before.generation + 1 if before else 1
         cfg = before.cfg if before else self._router_settings(index, vm)
         domain = cfg.failure_domain
-        wiring = assembly.Wiring(
+        wiring = router_assembly.Wiring(
             self._network,
             self.network_of(domain),
             self._peers.make(self, domain),
@@ -130,7 +130,7 @@
             self.plan.seed * 1000 + index,
             tokens.TokenSource(random.Random(f"{self.plan.seed}/{vm}/{generation}")),
         )
-        router = assembly.assemble(cfg, wiring)
+        router = router_assembly.assemble(cfg, wiring)
         scope = trio.CancelScope()
         await self._nursery.start(self._run_router, router, cfg, scope)
         cfg = dataclasses.replace(cfg, listen=_bound(router))
@@ -270,7 +270,7 @@
 
     async def _run_router(
         self,
-        router: assembly.Router,
+        router: router_assembly.Router,
         cfg: settings.Settings,
         scope: trio.CancelScope,
         task_status: "trio.TaskStatus[None]" = trio.TASK_STATUS_IGNORED,
@@ -309,7 +309,7 @@
             raise RuntimeError(f"the deployment's configuration was refused: {result}")
 
 
-def _bound(router: assembly.Router) -> settings.Listen:
+def _bound(router: router_assembly.Router) -> settings.Listen:
     return settings.Listen(router.callers.address, router.operators.address, router.peers.address)
 
 
--- a/tests/_internal/decisions/test_limits_and_queues.py
+++ b/tests/_internal/decisions/test_limits_and_queues.py
@@ -11,10 +11,12 @@
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
+from cicadapier._internal.models import settings
 
 INTERACTIVE = configuration.ServiceClass.INTERACTIVE
 BATCH = configuration.ServiceClass.BATCH
 ACCOUNT = ids.AccountId("caller")
+POOL = ids.PoolId("pool")
 
 
 def spec(rate=10.0, tokens=1e9, streams=1000):
@@ -146,7 +148,8 @@
 class RetriesTest(unittest.TestCase):
     def _sequence(self, repeatable, resumable=False):
         nature = retries.Nature(repeatable, resumable)
-        return retries.AttemptSequence(nature, retries.RetryBudget(0.0))
+        budget = retries.RetryBudget(settings.RetryBudget())
+        return retries.AttemptSequence(nature, budget, POOL)
 
     def test_not_sent_may_be_tried_again_whatever_the_call(self):
         step = self._sequence(False).ended(outcomes.NotSent("refused"), 0.0)
@@ -172,12 +175,38 @@
         self.assertEqual(step.code, outcomes.Code.STREAM_BROKEN)
 
     def test_budget_bounds_retries_to_a_share_of_the_traffic(self):
-        budget = retries.RetryBudget(0.0)
-        spent = 0
-        for number in range(2000):
-            budget.request_seen()
-            spent += budget.spend(number / 1000)
-        self.assertLessEqual(spent, 2000 * retries.RETRY_SHARE + retries.MAX_SAVED_RETRIES + 2)
+        terms = settings.RetryBudget(share=0.2, slack=12.0, window_s=1.0)
+        routers = [retries.RetryBudget(terms) for _ in range(3)]
+        spent = []
+        for number in range(6000):
+            now = number / 1000
+            budget = routers[number % 3]
+            budget.set_routers(3)
+            budget.request_seen(POOL, now)
+            spent += [now] if budget.spend(POOL, now) else []
+        for begin in range(0, 6000, 100):
+            window = [at for at in spent if begin / 1000 <= at < begin / 1000 + 1.0]
+            self.assertLessEqual(len(window), 0.2 * 1000 + 12)
+        self.assertGreater(len(spent), 600)
+
+    def test_budgets_of_pools_are_apart(self):
+        budget = retries.RetryBudget(settings.RetryBudget(share=0.0, slack=2.5))
+        self.assertTrue(budget.spend(POOL, 0.0))
+        self.assertTrue(budget.spend(POOL, 0.0))
+        self.assertFalse(budget.spend(POOL, 0.0))
+        self.assertTrue(budget.spend(ids.PoolId("other"), 0.0))
+
+    def test_runs_are_bounded_and_what_never_arrived_costs_nothing(self):
+        budget = retries.RetryBudget(settings.RetryBudget(share=0.0, slack=0.0))
+        nature = retries.Nature(repeatable=True, resumable=True, max_runs=2)
+        sequence = retries.AttemptSequence(nature, budget, POOL)
+        self.assertEqual(sequence.ended(outcomes.NotSent("refused"), 0.0), retries.Retry())
+        lost = outcomes.SentNoAnswer("lost", crashed=False)
+        self.assertIsInstance(sequence.ended(lost, 0.0), outcomes.Refusal)
+        generous = retries.RetryBudget(settings.RetryBudget(slack=100.0))
+        sequence = retries.AttemptSequence(nature, generous, POOL)
+        self.assertEqual(sequence.ended(lost, 0.0), retries.Retry())
+        self.assertIsInstance(sequence.ended(lost, 0.0), outcomes.Refusal)
 
 
 if __name__ == "__main__":
--- a/tests/_internal/decisions/test_placement.py
+++ b/tests/_internal/decisions/test_placement.py
@@ -19,7 +19,7 @@
 
 
 def request(pieces, kind=INTERACTIVE, **extra):
-    prompt = prefix.Prompt(pieces, 2048, len(pieces) * 2048 + 100)
+    prompt = prefix.uniform(pieces, 2048, len(pieces) * 2048 + 100)
     return members.PlacementRequest(ids.RequestId("r"), prompt, kind, **extra)
 
 
--- a/tests/_internal/services/test_tcp.py
+++ b/tests/_internal/services/test_tcp.py
@@ -16,6 +16,7 @@
 import trio
 import trustme
 
+from cicadapier._internal.cli import status_codes
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import settings
 from cicadapier._internal.protocols import peer_codec
@@ -173,14 +174,14 @@
         with tempfile.TemporaryDirectory() as folder:
             process = subprocess.Popen(
                 [sys.executable, "-m", "cicadapier", "serve", "-s", self._settings(folder)],
-                stderr=subprocess.PIPE,
+                stdout=subprocess.PIPE,
                 text=True,
             )
-            line = process.stderr.readline()
+            line = process.stdout.readline()
             self.assertIn("router_started", line)
             process.send_signal(signal.SIGTERM)
             self.assertEqual(process.wait(WAIT_S), 0)
-            process.stderr.close()
+            process.stdout.close()
 
     def test_tls_is_spoken_to_callers_and_operators(self):
         authority = trustme.CA()
@@ -196,17 +197,17 @@
             extra = f"tls: {{certificate: {chain}, key: {key}}}\n"
             process = subprocess.Popen(
                 [sys.executable, "-m", "cicadapier", "serve", "-s", self._settings(folder, extra)],
-                stderr=subprocess.PIPE,
+                stdout=subprocess.PIPE,
                 text=True,
             )
-            started = json.loads(process.stderr.readline())
+            started = json.loads(process.stdout.readline())
             for listener, path in (("callers", "/livez"), ("operators", "/status")):
                 url = f"https://{started[listener]}{path}"
                 with urllib.request.urlopen(url, timeout=WAIT_S, context=context) as answer:
                     self.assertEqual(answer.status, 200)
             process.send_signal(signal.SIGTERM)
             self.assertEqual(process.wait(WAIT_S), 0)
-            process.stderr.close()
+            process.stdout.close()
 
     def test_bad_settings_name_file_line_and_key(self):
         with tempfile.TemporaryDirectory() as folder:
@@ -216,7 +217,8 @@
                 capture_output=True,
                 text=True,
             )
-        self.assertEqual(done.returncode, 1)
+        self.assertEqual(done.returncode, status_codes.INVALID_SETTINGS)
+        self.assertEqual(done.stderr.count("\n"), 1)
         self.assertIn(f"{path}:4: drain_s: expected a number, got a string", done.stderr)
         self.assertIn("typo: unknown key", done.stderr)
         self.assertNotIn("Traceback", done.stderr)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -79,7 +79,7 @@
     ),
     Mutant(
         "write the head whatever its version",
-        "services/platform_service.py",
+        "protocols/native_store_format.py",
         '"resourceVersion": old.version}, "spec": spec}',
         '"resourceVersion": ""}, "spec": spec}',
         f"{SERVICES}.test_togetherness.ConfigurationTest",
@@ -87,15 +87,15 @@
     Mutant(
         "give orders after the lease",
         "decisions/leases.py",
-        "if now >= self._asked_at + LEASE_S - SAFETY_MARGIN_S:",
+        "if now >= self._asked_at + self._terms.valid_s:",
         "if False:",
         f"{DECISIONS}.test_agreements.LeasesTest",
     ),
     Mutant(
         "take over a lease without waiting out its orders",
         "decisions/leases.py",
-        "LONGEST_ORDER_S if had_holder else 0.0",
-        "0.0",
+        "return max(now + self._terms.takeover_wait_s, self._others_until)",
+        "return now",
         f"{DECISIONS}.test_agreements.LeasesTest",
     ),
     Mutant(
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -11,12 +11,21 @@
     "kernel": {"models"},
     "decisions": {"models"},
     "protocols": {"models", "kernel", "decisions"},
+    # The adapter to the users' platform knows types and abstract classes, and nobody but
+    # assembly and the stand-ins of that platform knows it.
+    "platform": {"models", "decisions", "protocols"},
     "services": {"models", "kernel", "decisions", "protocols"},
-    "standins": {"models", "kernel", "decisions", "protocols", "services"},
-    "experiments": {"models", "kernel", "decisions", "protocols", "services", "standins"},
+    "assembly": {"models", "kernel", "decisions", "protocols", "services", "platform"},
+    "standins": {
+        "models", "kernel", "decisions", "protocols", "services", "assembly", "platform",
+    },
+    "experiments": {
+        "models", "kernel", "decisions", "protocols", "services", "assembly", "standins",
+    },
     "cli": {"models", "protocols", "commands"},
     "commands": {
-        "models", "kernel", "decisions", "protocols", "services", "standins", "experiments", "cli",
+        "models", "kernel", "decisions", "protocols", "services", "assembly", "standins",
+        "experiments", "cli",
     },
 }  # fmt: skip
 PREFIX = "cicadapier._internal."
