--- a/src/cicadapier/_internal/assembly/forwarding.py
+++ b/src/cicadapier/_internal/assembly/forwarding.py
@@ -4,6 +4,7 @@
 import random
 
 from cicadapier._internal.assembly import router
+from cicadapier._internal.decisions import cadence
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import settings
 from cicadapier._internal.platform import documents
@@ -55,7 +56,9 @@
     configuration = watched_configuration.WatchedConfiguration(
         shapes, terms.revoke_ms / 1000, clock, rng
     )
-    peers = peers_service.PeersService(cfg, wiring.peers, wiring.generation, rng)
+    peers = peers_service.PeersService(
+        cfg, wiring.peers, wiring.generation, rng, cadence.sparse_rounds
+    )
     readiness = probes_service.ReadinessService(cfg, terms.readiness_path, wiring.listen, tokens)
     callers = forwarding_service.ForwardingService(cfg, terms, wiring.listen, spelling, tokens)
     orders = weights_service.WeightsService(
--- a/src/cicadapier/_internal/decisions/cadence.py
+++ b/src/cicadapier/_internal/decisions/cadence.py
@@ -14,6 +14,7 @@
 SMALL_FLEET = 8
 SMALL_ROUND_S = 0.1
 LARGE_ROUND_S = 1.0
+SPARSE_ROUND_S = 0.5
 SMALL_FANOUT = 3
 LARGE_FANOUT = 1
 PLATFORM_READERS = 2
@@ -31,18 +32,29 @@
         period_s: Time between rounds.
         fanout: Peers told in a round.
         urgent: Whether large placements are told before the next round.
+        direct: Whether peers are told what was sent where, as all place on the same upstreams.
+        memory_rounds: Rounds for which a placement is told.
     """
 
     period_s: float
     fanout: int
     urgent: bool
+    direct: bool
+    memory_rounds: float = 10.0
 
 
 def rounds(routers: int) -> Rounds:
     """Returns the rounds for a number of routers, this one among them."""
     if routers <= SMALL_FLEET:
-        return Rounds(SMALL_ROUND_S, SMALL_FANOUT, urgent=True)
-    return Rounds(LARGE_ROUND_S, LARGE_FANOUT, urgent=False)
+        return Rounds(SMALL_ROUND_S, SMALL_FANOUT, urgent=True, direct=True)
+    return Rounds(LARGE_ROUND_S, LARGE_FANOUT, urgent=False, direct=False)
+
+
+def sparse_rounds(routers: int) -> Rounds:
+    """Returns the rounds where bytes between failure domains are dear."""
+    if routers <= SMALL_FLEET:
+        return Rounds(SPARSE_ROUND_S, SMALL_FANOUT, urgent=False, direct=True, memory_rounds=2.5)
+    return Rounds(LARGE_ROUND_S, LARGE_FANOUT, urgent=False, direct=False)
 
 
 def platform_poll_s(own: ids.VmId, domain: collections.abc.Iterable[ids.VmId]) -> float:
--- a/src/cicadapier/_internal/decisions/members.py
+++ b/src/cicadapier/_internal/decisions/members.py
@@ -32,6 +32,7 @@
         service_class: Latency class.
         exclude: Upstreams that must not be chosen.
         weights: Weights that the pieces belong to.
+        model: Model that it names; pieces move only between upstreams with the same weights of it.
     """
 
     request: ids.RequestId
@@ -39,6 +40,7 @@
     service_class: configuration.ServiceClass
     exclude: frozenset[ids.UpstreamId] = frozenset()
     weights: Weights | None = None
+    model: ids.ModelId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,11 +50,12 @@
     Attributes:
         upstream: The upstream.
         cached_pieces: Pieces believed to be cached there.
-        imported_pieces: Further pieces that the keep is believed to hold.
+        imported_pieces: Further pieces that the keep or another upstream is believed to hold.
         queue_s: Wait behind other requests.
         prefill_s: Time to compute or import the other tokens.
         distance_s: Network distance.
         cost_s: What the choice minimizes.
+        source: Upstream that the imported pieces come from, None for the keep.
     """
 
     upstream: ids.UpstreamId
@@ -62,6 +65,7 @@
     prefill_s: float
     distance_s: float
     cost_s: float
+    source: ids.UpstreamId | None = None
 
     @property
     def total_s(self) -> float:
--- a/src/cicadapier/_internal/decisions/peer_news.py
+++ b/src/cicadapier/_internal/decisions/peer_news.py
@@ -43,12 +43,14 @@
         pool: Pool of the upstream.
         upstream: The upstream.
         pieces: The pieces, outermost first.
+        at: Time of the sender's clock; it does not leave the sender.
     """
 
     number: int
     pool: ids.PoolId
     upstream: ids.UpstreamId
     pieces: tuple[ids.PieceId, ...]
+    at: float = 0.0
 
 
 class Outgoing:
@@ -63,7 +65,7 @@
         self._placed_count = 0
         self._tokens: dict[tuple[ids.PoolId, ids.UpstreamId], list[float]] = {}
 
-    def count(self, decisions: traffic.Traffic, placed: traffic.Placed) -> bool:
+    def count(self, decisions: traffic.Traffic, placed: traffic.Placed, now: float) -> bool:
         """Counts a request that is sent now.
 
         Returns:
@@ -81,7 +83,9 @@
         if entry.prompt.pieces:
             self._placed_count += 1
             self.placed.append(
-                PlacedPieces(self._placed_count, entry.pool, estimate.upstream, entry.prompt.pieces)
+                PlacedPieces(
+                    self._placed_count, entry.pool, estimate.upstream, entry.prompt.pieces, now
+                )
             )
         return tokens >= URGENT_TOKENS
 
--- a/src/cicadapier/_internal/decisions/placement.py
+++ b/src/cicadapier/_internal/decisions/placement.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 import math
 
 from cicadapier._internal.decisions import belief
@@ -196,19 +197,46 @@
         cached: dict[ids.UpstreamId, int] = {}
         if self._features.belief:
             cached = self.belief.cached_pieces(req.prompt.pieces, now)
-        kept = self._kept_pieces(req.prompt)
-        rate = self.pool.prefill_tokens_per_s
         return _View(
             req,
             now,
             cached,
             self._candidate_order(req.prompt, cached),
-            kept,
-            self._prefill_s(req.prompt, kept),
-            self._burden_s(req.prompt, kept, now),
-            rate,
+            self._kept_pieces(req.prompt),
+            self._sources(req, cached),
+            functools.partial(self._costs, req.prompt, now),
+            self.pool.prefill_tokens_per_s,
         )
 
+    def _sources(
+        self,
+        req: members.PlacementRequest,
+        cached: collections.abc.Mapping[ids.UpstreamId, int],
+    ) -> "dict[str | None, _Source]":
+        """Returns who holds most of the prompt, for each weights version that is served."""
+        found: dict[str | None, _Source] = {}
+        if self.pool.import_tokens_per_s <= 0 or req.model is None:
+            return found
+        for upstream, depth in cached.items():
+            member = self.members.get(upstream)
+            if member is None or not member.eligible or member.loading:
+                continue
+            version = member.versions.get(req.model)
+            known = found.get(version)
+            if known is None or depth > known.depth:
+                found[version] = _Source(depth, [upstream])
+            elif depth == known.depth:
+                known.holders.append(upstream)
+        return found
+
+    def _costs(self, prompt: prefix.Prompt, now: float, kept: int) -> "_Costs":
+        return _Costs(self._prefill_s(prompt, kept), self._burden_s(prompt, kept, now))
+
+    def _import_s(self, tokens: int) -> float:
+        """Returns the time to import a piece."""
+        pool = self.pool
+        return tokens / (pool.import_tokens_per_s or pool.prefill_tokens_per_s * IMPORT_SPEEDUP)
+
     def _by_promise(self, view: "_View") -> list[ids.UpstreamId]:
         """Returns the candidates with those first that have most of the prefix cached."""
         if not view.cached:
@@ -221,9 +249,9 @@
         rest_s = prompt.uncached_tokens(len(prompt.pieces)) / rate
         prefill_s = [rest_s] * (len(prompt.pieces) + 1)
         for depth in range(len(prompt.pieces) - 1, -1, -1):
-            piece_s = prompt.sizes[depth] / rate
-            import_s = piece_s / IMPORT_SPEEDUP
-            prefill_s[depth] = prefill_s[depth + 1] + (import_s if depth < kept else piece_s)
+            size = prompt.sizes[depth]
+            cost_s = self._import_s(size) if depth < kept else size / rate
+            prefill_s[depth] = prefill_s[depth + 1] + cost_s
         return prefill_s
 
     def _burden_s(self, prompt: prefix.Prompt, kept: int, now: float) -> list[float]:
@@ -236,10 +264,11 @@
         burden_s = [0.0] * (len(prompt.pieces) + 1)
         for depth in range(len(prompt.pieces) - 1, -1, -1):
             piece = prompt.pieces[depth]
-            piece_s = prompt.sizes[depth] / self.pool.prefill_tokens_per_s
+            size = prompt.sizes[depth]
             rate = self.hotness.per_s(piece, now) if self._features.hotness else 0.0
             uses = rate * COPY_LIFE_S / (1 + self.belief.holder_count(piece))
-            cost_s = piece_s / IMPORT_SPEEDUP if depth < kept else piece_s
+            read_s = size / self.pool.prefill_tokens_per_s
+            cost_s = self._import_s(size) if depth < kept else read_s
             burden_s[depth] = burden_s[depth + 1] + weight * cost_s / (1 + uses)
         return burden_s
 
@@ -251,7 +280,7 @@
         if view.interactive or not self._features.separation:
             return cost_s
         # Interactive requests that arrive meanwhile wait for half of the prefill on average.
-        prefill_s = view.prefill_s[view.cached.get(upstream, 0)]
+        prefill_s = view.prefill_s(upstream, member)
         return cost_s + member.load.interactive_rate(view.now) * prefill_s * prefill_s / 2
 
     def _queue_s(self, view: "_View", member: members.Member) -> float:
@@ -271,14 +300,36 @@
         return members.Estimate(
             upstream,
             cached,
-            max(0, view.kept - cached),
+            max(0, view.reachable(upstream, member) - cached),
             self._queue_s(view, member) if self._features.load else 0.0,
-            view.prefill_s[cached] / min(1.0, member.spec.weight),
+            view.prefill_s(upstream, member) / min(1.0, member.spec.weight),
             member.distance_s,
             view.idle_cost_s(upstream, member) + self._queue_cost_s(view, upstream, member),
+            view.source(upstream, member, self.members),
         )
 
 
+@dataclasses.dataclass(slots=True)
+class _Source:
+    """Upstreams with the longest cached prefix among those with the same weights."""
+
+    depth: int
+    holders: list[ids.UpstreamId]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Costs:
+    """Costs of what is missing, by the number of pieces that a candidate has.
+
+    Attributes:
+        prefill_s: Time to compute or import it.
+        burden_s: What that costs other requests.
+    """
+
+    prefill_s: list[float]
+    burden_s: list[float]
+
+
 class _View:
     """What one decision sees, computed once for all candidates."""
 
@@ -289,8 +340,8 @@
         cached: dict[ids.UpstreamId, int],
         order: list[ids.UpstreamId],
         kept: int,
-        prefill_s: list[float],
-        burden_s: list[float],
+        sources: dict[str | None, _Source],
+        costs: collections.abc.Callable[[int], _Costs],
         rate: float,
     ) -> None:
         self.req = req
@@ -298,23 +349,66 @@
         self.now = now
         self.cached = cached
         self.order = order
-        self.kept = kept
-        self.prefill_s = prefill_s
-        self.burden_s = burden_s
         self.rate = rate
+        self._kept = kept
+        self._sources = sources
+        self._make_costs = costs
+        self._costs: dict[int, _Costs] = {}
+        depths = [source.depth for source in sources.values()]
+        self._most = max([kept, *depths])
+
+    def reachable(self, upstream: ids.UpstreamId, member: members.Member) -> int:
+        """Returns how many pieces a candidate could import, those that it has among them."""
+        source = self._source(upstream, member)
+        return max(self._kept, source.depth if source else 0)
+
+    def source(
+        self,
+        upstream: ids.UpstreamId,
+        member: members.Member,
+        others: collections.abc.Mapping[ids.UpstreamId, members.Member],
+    ) -> ids.UpstreamId | None:
+        """Returns the upstream that a candidate would import from, one nearby if there is any."""
+        source = self._source(upstream, member)
+        if source is None or source.depth < self._kept:
+            return None
+        if source.depth <= self.cached.get(upstream, 0):
+            return None
+        domain = member.spec.failure_domain
+        near = [u for u in source.holders if others[u].spec.failure_domain == domain]
+        return (near or source.holders)[0]
+
+    def prefill_s(self, upstream: ids.UpstreamId, member: members.Member) -> float:
+        """Returns the time to compute or import what a candidate lacks."""
+        costs = self._costs_with(self.reachable(upstream, member))
+        return costs.prefill_s[self.cached.get(upstream, 0)]
 
     def least_cost_s(self, upstream: ids.UpstreamId) -> float:
         """Returns a lower bound on the cost of a candidate, from its cached prefix alone."""
         cached = self.cached.get(upstream, 0)
-        return self.prefill_s[cached] + self.burden_s[cached]
+        costs = self._costs_with(self._most)
+        return costs.prefill_s[cached] + costs.burden_s[cached]
 
     def idle_cost_s(self, upstream: ids.UpstreamId, member: members.Member) -> float:
         """Returns the cost of a candidate that had nothing else to do."""
         cached = self.cached.get(upstream, 0)
         share = min(1.0, member.spec.weight)
-        work_s = self.prefill_s[cached] / share + self.burden_s[cached]
+        costs = self._costs_with(self.reachable(upstream, member))
+        work_s = costs.prefill_s[cached] / share + costs.burden_s[cached]
         return work_s + member.distance_s + member.penalty_s
 
+    def _source(self, upstream: ids.UpstreamId, member: members.Member) -> _Source | None:
+        if self.req.model is None:
+            return None
+        return self._sources.get(member.versions.get(self.req.model))
+
+    def _costs_with(self, kept: int) -> _Costs:
+        found = self._costs.get(kept)
+        if found is None:
+            found = self._make_costs(kept)
+            self._costs[kept] = found
+        return found
+
 
 class PlainPlacement(members.Policy):
     """Placement for plain services: fewest requests in flight, nearest first."""
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -403,7 +403,12 @@
             # Two suspects on one upstream could not be told apart after the next crash.
             exclude |= self.suspect_upstreams(now)
         req = members.PlacementRequest(
-            entry.request, entry.prompt, active.account.service_class, exclude, entry.weights
+            entry.request,
+            entry.prompt,
+            active.account.service_class,
+            exclude,
+            entry.weights,
+            entry.model,
         )
         choice = state.policy.choose(req, now)
         if choice is None and active.tried and not self.poison.is_suspect(entry.fingerprint, now):
--- a/src/cicadapier/_internal/experiments/replay.py
+++ b/src/cicadapier/_internal/experiments/replay.py
@@ -236,7 +236,7 @@
             running.router.traffic.leave(decision.request, ran=False)
             del self._running[decision.request]
             return
-        if running.router.outgoing.count(running.router.traffic, decision):
+        if running.router.outgoing.count(running.router.traffic, decision, self.now):
             self._gossip_soon()
         upstream = decision.choice.estimate.upstream
         running.upstream = upstream
--- a/src/cicadapier/_internal/models/configuration.py
+++ b/src/cicadapier/_internal/models/configuration.py
@@ -139,6 +139,8 @@
         piece_tokens: Tokens in one piece of a prompt prefix.
         bytes_per_token: Mean bytes of prompt text in a token.
         prefill_tokens_per_s: Prefill rate assumed until one is measured.
+        import_tokens_per_s: Rate at which cached pieces come from another upstream of the pool,
+            0 where they cannot.
         loads_at_once: Upstreams that may load weights at the same time.
         repeat_rules: Idempotency of its calls; the first match decides.
         timeouts: Progress deadlines.
@@ -152,6 +154,7 @@
     piece_tokens: int = checked.field(2048, minimum=1)
     bytes_per_token: int = checked.field(4, minimum=1)
     prefill_tokens_per_s: float = checked.field(10_000.0, above=0)
+    import_tokens_per_s: float = checked.field(0.0, minimum=0)
     loads_at_once: int = checked.field(1, minimum=1)
     repeat_rules: list[RepeatRule] = checked.field(factory=list)
     timeouts: Timeouts = checked.field(factory=Timeouts)
@@ -230,6 +233,15 @@
             for digest in account.key_hashes
         }
 
+    @functools.cached_property
+    def keep_address(self) -> ids.Address | None:
+        """Address of a keep, None where there is none."""
+        for pool in self.content.pools.values():
+            if pool.kind is PoolKind.KEEP:
+                for upstream in pool.upstreams.values():
+                    return upstream.address
+        return None
+
     @functools.cached_property
     def routes_by_host(self) -> dict[str, list[tuple[str, ids.RouteId]]]:
         """Path prefix and route of each host, longest prefix first."""
--- a/src/cicadapier/_internal/platform/documents.py
+++ b/src/cicadapier/_internal/platform/documents.py
@@ -19,6 +19,7 @@
     "non_idempotent": configuration.RouteKind.NON_IDEMPOTENT,
     "streaming": configuration.RouteKind.STREAM,
 }
+_PREFILL_TOKENS_PER_S = 45_000.0  # The platform does not tell it; its engines read 40 to 51 a ms.
 _READY = "ready"
 _DRAINING = "draining"
 
@@ -51,6 +52,8 @@
 class _Engine(msgspec.Struct):
     slots: int = 1
     models: list[_Model] = []
+    kv_token_bytes: float = 0.0  # Memory of one token's keys and values.
+    link_mbps: float = 0.0  # Megabits a second between engines.
 
 
 class _Service(msgspec.Struct):
@@ -177,7 +180,16 @@
     if service.engine is None:
         return configuration.Pool(configuration.PoolKind.SERVICE)
     models = {ids.ModelId(m.name): configuration.Model("") for m in service.engine.models}
-    return configuration.Pool(configuration.PoolKind.MODEL, models=models)
+    engine = service.engine
+    import_rate = 0.0
+    if engine.kv_token_bytes > 0:
+        import_rate = engine.link_mbps * 1e6 / 8 / engine.kv_token_bytes
+    return configuration.Pool(
+        configuration.PoolKind.MODEL,
+        models=models,
+        prefill_tokens_per_s=_PREFILL_TOKENS_PER_S,
+        import_tokens_per_s=import_rate,
+    )
 
 
 def _route(route: _Route) -> configuration.Route:
--- a/src/cicadapier/_internal/platform/requests.py
+++ b/src/cicadapier/_internal/platform/requests.py
@@ -68,6 +68,10 @@
             found.append((wire_headers.CACHE_SCOPE, directions.cache_scope.encode()))
         if directions.weights is not None:
             found.append((wire_headers.EXPECTED_WEIGHTS, directions.weights.encode()))
+        if directions.import_from is not None:
+            found.append((wire_headers.IMPORT_FROM, directions.import_from.encode()))
+        if directions.export_to is not None:
+            found.append((wire_headers.EXPORT_TO, directions.export_to.encode()))
         if directions.resume_after is not None:
             found.append((wire_headers.LAST_EVENT_ID, b"%d" % directions.resume_after))
         return http_client.RequestHead(req.raw.method, req.raw.target, found)
--- a/src/cicadapier/_internal/platform/wire_headers.py
+++ b/src/cicadapier/_internal/platform/wire_headers.py
@@ -30,6 +30,12 @@
 # Text under which prompt parts are shared; any text will do.
 CACHE_SCOPE = b"x-cache-salt"
 
+# Address of an upstream or keep that holds parts of the prompt.
+IMPORT_FROM = b"x-kv-fetch"
+
+# Address of the keep that gets the parts once they are computed.
+EXPORT_TO = b"x-kv-save"
+
 # What the router alone may say to an upstream; a caller's own values are dropped.
 ROUTER_ONLY = frozenset(
     (
@@ -41,8 +47,8 @@
         LAST_EVENT_ID,
         AUTHORIZATION,
         b"x-request-priority",
-        b"x-kv-fetch",
-        b"x-kv-save",
+        IMPORT_FROM,
+        EXPORT_TO,
         b"x-kv-hold",
         b"x-kv-backup",
         b"x-pin-ms",
--- a/src/cicadapier/_internal/protocols/forwarding.py
+++ b/src/cicadapier/_internal/protocols/forwarding.py
@@ -65,6 +65,8 @@
         cache_scope: Name of the scope in which prompt parts may be shared, empty for none.
         weights: Weights version that must answer, None for any.
         resume_after: Event after which the stream goes on, None for a whole one.
+        import_from: Where the upstream finds cached parts of the prompt that it lacks.
+        export_to: Where it sends the parts that it has computed.
     """
 
     upstream: ids.UpstreamId
@@ -73,6 +75,8 @@
     cache_scope: str = ""
     weights: str | None = None
     resume_after: int | None = None
+    import_from: ids.Address | None = None
+    export_to: ids.Address | None = None
 
 
 class ForwardFormat(answers.AnswerFormat):
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -237,6 +237,8 @@
             f"{scope}/{placed.weights or ''}" if scope else "",
             placed.weights,
             self._last_event,
+            self._import_from(placed),
+            self._keep(placed),
         )
         head = self._around.spelling.request_head(asked, directions)
         return attempts.Call(
@@ -250,6 +252,19 @@
             self._around.spelling,
         )
 
+    def _import_from(self, placed: traffic.Placed) -> ids.Address | None:
+        """Returns where the upstream may find parts that it lacks, or that were evicted there."""
+        source = placed.choice.estimate.source
+        found = self._around.directory.find(source) if source else None
+        if found is not None and placed.weights is not None:
+            return found.address
+        return self._keep(placed)
+
+    def _keep(self, placed: traffic.Placed) -> ids.Address | None:
+        if not self._plan.entry.prompt.pieces or placed.weights is None:
+            return None
+        return self._plan.admission.current.keep_address
+
     def _first_limit_s(self, left_s: float) -> float:
         if not self._may_go_elsewhere():
             return left_s
@@ -420,6 +435,7 @@
             reason=placed.choice.reason if placed else None,
             estimate_ms=round(estimate.total_s * 1000) if estimate else None,
             cached_pieces=estimate.cached_pieces if estimate else None,
+            imported_pieces=estimate.imported_pieces if estimate else None,
             weights=placed.weights if placed else None,
             queued_ms=round(placed.queued_s * 1000) if placed else None,
             first_ms=round((self._first_at - began_at) * 1000) if self._first_at else None,
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -42,7 +42,9 @@
         transport: peer_transport.PeerTransport,
         generation: int,
         rng: random.Random,
+        rounds: collections.abc.Callable[[int], cadence.Rounds] = cadence.rounds,
     ) -> None:
+        self._rounds_for = rounds
         self._cfg = cfg
         self._transport = transport
         self._rng = rng
@@ -114,7 +116,7 @@
         self._urgent = trio.Event()
 
     def _rounds(self) -> cadence.Rounds:
-        return cadence.rounds(1 + len(self._reachable))
+        return self._rounds_for(1 + len(self._reachable))
 
     def listed(self, vms: collections.abc.Collection[ids.VmId]) -> None:
         """Drops unreachable routers that the platform no longer lists."""
@@ -182,7 +184,10 @@
         now = trio.current_time()
         # In a large fleet few of the peers place on the same upstreams, and a sample of the use
         # of an account says nothing of the whole.
-        direct = self._rounds().urgent
+        rounds = self._rounds()
+        direct = rounds.direct
+        since = now - rounds.memory_rounds * rounds.period_s
+        placed = tuple(item for item in found.placed if item.at >= since)
         self._digest = peer_codec.Digest(
             self._cfg.vm,
             self._generation,
@@ -192,7 +197,7 @@
             found.sends if direct else (),
             found.crashes,
             tuple(self._kept),
-            found.placed if direct else (),
+            placed if direct else (),
         )
 
     async def _exchange_with(self, address: ids.Address) -> None:
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -90,24 +90,24 @@
             if message is not None:
                 self._handlers[type(message)](message, now)
             if self._waiting:
-                self._decide(self._traffic.poll(now))
+                self._decide(self._traffic.poll(now), now)
 
     def _enter(self, message: traffic_messages.Enter, now: float) -> None:
         decision = self._traffic.enter(message.entry, now)
         self._waiting[message.entry.request] = message.reply
         if decision is not None:
-            self._decide([decision])
+            self._decide([decision], now)
 
     def _again(self, message: traffic_messages.Again, now: float) -> None:
         self._waiting[message.request] = message.reply
         decision = self._traffic.again(message.request, now)
         if decision is not None:
-            self._decide([decision])
+            self._decide([decision], now)
 
-    def _decide(self, decisions: list[traffic.Decision]) -> None:
+    def _decide(self, decisions: list[traffic.Decision], now: float) -> None:
         for decision in decisions:
             if isinstance(decision, traffic.Placed):
-                self._tell(self._outgoing.count(self._traffic, decision))
+                self._tell(self._outgoing.count(self._traffic, decision, now))
             reply = self._waiting.pop(decision.request, None)
             if reply:
                 reply.set(decision)
@@ -130,7 +130,7 @@
         self._waiting.pop(message.request, None)
         self._traffic.leave(message.request, message.ran)
         if self._traffic.has_queued():
-            self._decide(self._traffic.poll(now))
+            self._decide(self._traffic.poll(now), now)
 
     def _configure(self, message: traffic_messages.ConfigurationChanged, now: float) -> None:
         self._traffic.configure(message.cfg, now)
