Load new weights under running requests, once what waits has begun

Cause: an order that lets runs finish kept each engine away for 1.5 to 7 s, as runs of the long route last seconds, while weights are named every 3 to 4 s; the others ran full, and each order turned away what had not begun at its engine (162 of 951 arrivals). An order now waits until nothing waits at the engine, 1.2 s at most, and keeps the runs.

Refusals with other weights are told apart from those of another upstream at the address, which the new stand-ins showed, and streams are not begun after the balancer has left a stopping router.

--- a/src/cicadapier/_internal/decisions/rollout.py
+++ b/src/cicadapier/_internal/decisions/rollout.py
@@ -1,8 +1,10 @@
 """Bringing newly named weights to the engines of a pool: which engine next, and what follows.
 
-One router at a time gives the orders, under a lease. An order makes its engine finish what it runs
-and take nothing new until it has loaded, so some engines are left serving. An order without an
-answer may still be carried out later; it is told apart by the engine's own count of orders.
+One router at a time gives the orders, under a lease. An engine that loads takes nothing new, and
+turns away what has not begun, so some engines are left serving and the others' queues are let
+begin first. Runs go on under the new weights: to wait for their ends would keep engines away for
+longer than names of weights are apart. An order without an answer may still be carried out later;
+it is told apart by the engine's own count of orders.
 """
 
 import collections.abc
@@ -13,7 +15,8 @@
 from cicadapier._internal.models import ids
 
 OUT_SHARE = 0.6  # Engines that may be out of service at once, of all that a pool has.
-REPORT_LAG_S = 0.5
+EMPTY_LIMIT_S = 1.2  # Longest wait for requests at the engine that have not begun.
+REPORT_LAG_S = 0.3
 SETTLE_S = 1.0
 GIVE_UP_S = 20.0
 
@@ -52,11 +55,15 @@
         version: Weights version that it serves.
         busy: Whether it is carrying out an order.
         orders: Orders that it has accepted since its start.
+        running: Requests that it runs.
+        waiting: Requests that have not begun.
     """
 
     version: int
     busy: bool
     orders: int
+    running: int = 0
+    waiting: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,6 +123,7 @@
     def __init__(self, target: int, now: float) -> None:
         self._target = target
         self._began_at = now
+        self._emptied = False
         self._asked_at = -math.inf
         self._accepted = False
         self._orders: int | None = None
@@ -134,6 +142,8 @@
         if report.busy:
             self._orders = report.orders
             return Step.LOOK
+        if not self._is_emptied(report, now):
+            return Step.LOOK
         # A report is some hundred milliseconds old, and may be from before the order.
         wait_s = SETTLE_S if self._accepted else REPORT_LAG_S
         if now - self._asked_at < wait_s:
@@ -142,6 +152,13 @@
         self._accepted = False
         return Step.ORDER
 
+    def _is_emptied(self, report: Report, now: float) -> bool:
+        """Returns whether the order may be given: it would turn away what has not begun."""
+        waited_s = now - self._began_at
+        all_begun = waited_s >= REPORT_LAG_S and report.waiting == 0
+        self._emptied = self._emptied or all_begun or waited_s >= EMPTY_LIMIT_S
+        return self._emptied
+
     def replied(self, reply: Reply, now: float) -> Step:
         """Takes the answer to an order and returns what to do."""
         self._asked_at = now
--- a/src/cicadapier/_internal/platform/engine_calls.py
+++ b/src/cicadapier/_internal/platform/engine_calls.py
@@ -19,7 +19,7 @@
     http.HTTPStatus.BAD_REQUEST: rollout.Reply.REFUSED,
 }
 _LOAD_WEIGHTS = "version"
-_FINISH_RUNS = "wait"
+_KEEP_RUNS = "retain"
 
 
 class _Loaded(msgspec.Struct):
@@ -31,6 +31,8 @@
     models: list[_Loaded]
     busy: bool
     seq: int  # Orders accepted since the start.
+    active: int = 0
+    queued: int = 0
 
 
 class EngineCalls(engines.EngineFormat):
@@ -48,7 +50,9 @@
             return None
         for loaded in found.models:
             if loaded.name == model:
-                return rollout.Report(loaded.version, found.busy, found.seq)
+                return rollout.Report(
+                    loaded.version, found.busy, found.seq, found.active, found.queued
+                )
         return None
 
     def order_head(self, upstream: ids.UpstreamId) -> http_client.RequestHead:
@@ -66,7 +70,7 @@
                 "op": _LOAD_WEIGHTS,
                 "model": order.model,
                 "version": order.version,
-                "mode": _FINISH_RUNS,
+                "mode": _KEEP_RUNS,
                 "holder": order.holder,
                 "fence": order.fencing,
                 "expect": order.expected_orders,
--- /dev/null
+++ b/src/cicadapier/_internal/platform/far_side.py
@@ -0,0 +1,255 @@
+"""The far side of the platform's formats, for stand-ins of its store and its upstreams."""
+
+import dataclasses
+import http
+from typing import Any
+import urllib.parse
+
+import msgspec
+
+from cicadapier._internal.decisions import rollout
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import directory
+from cicadapier._internal.models import ids
+from cicadapier._internal.platform import wire_headers
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import http_server
+from cicadapier._internal.protocols import store_format
+
+OBJECTS_ROOT = "/api/objects/"
+REPORT_PATH = "/api/report"
+ORDER_PATH = "/api/order"
+_KINDS = {
+    configuration.RouteKind.IDEMPOTENT: "idempotent",
+    configuration.RouteKind.NON_IDEMPOTENT: "non_idempotent",
+    configuration.RouteKind.STREAM: "streaming",
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreQuestion:
+    """A call as the store understands it.
+
+    Attributes:
+        kind: Kind of the objects.
+        name: Name of one object, empty for all.
+        after: Name to list from.
+        watch: Revision to watch from, None for a plain read.
+        wait_s: Time that a watch waits.
+        revision: Revision that a write expects, None for any.
+        spec: Content that a write brings.
+    """
+
+    kind: str
+    name: str
+    after: str
+    watch: int | None
+    wait_s: float
+    revision: int | None
+    spec: Any
+
+
+def read_store_question(req: http_server.Request) -> StoreQuestion:
+    """Reads a call to the store."""
+    kind, _, name = req.path[len(OBJECTS_ROOT) :].partition("/")
+    query = dict(urllib.parse.parse_qsl(req.query))
+    body = msgspec.json.decode(req.body) if req.body else {}
+    metadata = body.get("metadata", {})
+    revision = metadata.get("rev", query.get("rev"))
+    return StoreQuestion(
+        kind,
+        urllib.parse.unquote(name) or str(metadata.get("name", "")),
+        query.get("after", ""),
+        int(query["watch"]) if "watch" in query else None,
+        float(query.get("wait_ms", "0")) / 1000,
+        int(revision) if revision is not None else None,
+        body.get("spec"),
+    )
+
+
+def show_object(item: store_format.StoredObject) -> dict[str, Any]:
+    """Returns an object as the store shows it."""
+    metadata = {
+        "name": item.name,
+        "rev": int(item.version),
+        "created": 1,
+        "finalizers": [],
+        "pending_delete": False,
+    }
+    return {"metadata": metadata, "spec": item.spec, "status": None}
+
+
+def show_page(items: list[store_format.StoredObject], revision: int, more: bool) -> dict[str, Any]:
+    """Returns a part of a list as the store shows it."""
+    shown = [show_object(item) for item in items]
+    return {"items": shown, "has_more": more, "as_of": revision}
+
+
+def show_changes(changes: list[store_format.Change], revision: int) -> dict[str, Any]:
+    """Returns the answer of a watch as the store shows it."""
+    events = [{"deleted": c.deleted, "object": show_object(c.object)} for c in changes]
+    return {"events": events, "as_of": revision}
+
+
+def show_registration(entry: directory.Registration) -> dict[str, Any]:
+    """Returns an upstream's registration as it writes it."""
+    models = [
+        {"name": model, "version": int(version), "adapters": []}
+        for model, version in entry.weights.items()
+    ]
+    return {
+        "service": entry.pool,
+        "address": entry.address,
+        "zone": entry.failure_domain,
+        "version": "v1",
+        "slots": entry.slots,
+        "state": "draining" if entry.leaving else "ready",
+        "cold_remaining_ms": 0,
+        "phase": "both",
+        "models": models,
+        "seq": 1,
+        "born": int(entry.incarnation.rpartition("@")[2] or "0"),
+    }
+
+
+def show_named_version(model: ids.ModelId, version: int) -> dict[str, Any]:
+    """Returns the object that names weights."""
+    return {"model": model, "version": version}
+
+
+def show_configuration(
+    current: configuration.NumberedConfiguration, keys: dict[ids.AccountId, list[str]]
+) -> dict[str, Any]:
+    """Returns a configuration as operators write it; the keys are not known in clear here."""
+    content = current.content
+    return {
+        "version": current.number,
+        "routes": [_show_route(name, route) for name, route in content.routes.items()],
+        "services": [_show_pool(name, pool) for name, pool in content.pools.items()],
+        "tenants": [
+            {
+                "name": account,
+                "api_keys": keys.get(account, []),
+                "priority": spec.priority,
+                "isolated": spec.isolated,
+            }
+            for account, spec in content.accounts.items()
+        ],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 4_194_304,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15_000,
+        },
+    }
+
+
+def _show_route(name: ids.RouteId, route: configuration.Route) -> dict[str, Any]:
+    return {
+        "name": name,
+        "hostname": route.host,
+        "path_prefix": route.prefix,
+        "kind": _KINDS[route.kind],
+        "timeout_ms": route.timeout_s * 1000,
+        "slo_ms": route.objective_s * 1000,
+        "priority": route.priority,
+        "traffic_split": [{"service": share.pool, "weight": share.weight} for share in route.pools],
+        "max_attempts": route.max_attempts,
+        "public": route.public,
+        "resumable": route.resumable,
+        "gap_target_ms": route.gap_s * 1000,
+    }
+
+
+def _show_pool(name: ids.PoolId, pool: configuration.Pool) -> dict[str, Any]:
+    shown: dict[str, Any] = {"name": name, "health_path": "/health", "max_conns": 100}
+    if pool.kind is configuration.PoolKind.MODEL:
+        shown["engine"] = {
+            "slots": 8,
+            "kv_token_bytes": 163_840,
+            "link_mbps": 550_000.0,
+            "models": [{"name": model} for model in pool.models],
+        }
+    if pool.kind is configuration.PoolKind.KEEP:
+        shown["kv_store_addr"] = next(iter(pool.upstreams.values())).address
+    return shown
+
+
+def request_headers(
+    request: ids.RequestId,
+    host: str,
+    key: str = "",
+    time_left_ms: int = 3000,
+    model: str = "",
+    parts: str = "",
+) -> http_client.Headers:
+    """Returns the headers of a caller's request."""
+    found = [
+        (b"host", host.encode()),
+        (wire_headers.REQUEST_ID, request.encode()),
+        (wire_headers.TIME_LEFT_MS, b"%d" % time_left_ms),
+    ]
+    if key:
+        found.append((wire_headers.AUTHORIZATION, f"Token {key}".encode()))
+    if model:
+        found.append((wire_headers.MODEL, model.encode()))
+        found.append((wire_headers.TOKEN_COUNTS, b"1000,8"))
+        found.append((wire_headers.PROMPT_PARTS, parts.encode()))
+    return found
+
+
+def answer_headers(request: str, weights: int | None = None) -> http_client.Headers:
+    """Returns the headers of a genuine answer."""
+    found = [
+        (wire_headers.REQUEST_ID, request.encode()),
+        (wire_headers.PROOF, f"proof-of-{request}".encode()),
+        (wire_headers.LOAD, b"1,0,8"),
+    ]
+    if weights is not None:
+        found.append((wire_headers.WEIGHTS, b"%d" % weights))
+    return found
+
+
+def not_run_headers(weights: int | None = None) -> http_client.Headers:
+    """Returns the headers of a refusal without a run."""
+    found = [(wire_headers.NOT_RUN, b"1")]
+    if weights is not None:
+        found.append((wire_headers.WEIGHTS, b"%d" % weights))
+    return found
+
+
+def show_report(report: rollout.Report, model: str) -> dict[str, Any]:
+    """Returns an engine's report as it shows it."""
+    return {
+        "phase": "both",
+        "models": [{"name": model, "version": report.version, "adapters": []}],
+        "busy": report.busy,
+        "seq": report.orders,
+        "queued": report.waiting,
+        "active": report.running,
+        "kv_used": 0,
+        "kv_total": 1,
+        "handles": 0,
+    }
+
+
+def read_order(body: bytes) -> rollout.Order:
+    """Reads an order."""
+    found = msgspec.json.decode(body)
+    return rollout.Order(
+        ids.ModelId(found["model"]),
+        found["version"],
+        ids.VmId(found["holder"]),
+        found["fence"],
+        found["expect"],
+    )
+
+
+def reply_status(reply: rollout.Reply) -> int:
+    """Returns the status of an answer to an order."""
+    return {
+        rollout.Reply.ACCEPTED: http.HTTPStatus.ACCEPTED,
+        rollout.Reply.HOLDS_ALREADY: http.HTTPStatus.OK,
+        rollout.Reply.CONFLICT: http.HTTPStatus.CONFLICT,
+        rollout.Reply.OTHER_INSTANCE: http.HTTPStatus.MISDIRECTED_REQUEST,
+    }.get(reply, http.HTTPStatus.BAD_REQUEST)
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -33,6 +33,8 @@
         connect_s: Time limit for connecting.
         first_s: Time limit for the start of the answer.
         spelling: Spelling of the answer's head.
+        upstream: Upstream that is meant, where the request names it.
+        weights: Weights version that is meant, where the request names it.
         fresh: Whether to use a new connection, for calls that may not be repeated: a kept one may
             have gone silent, and then their outcome would be unknown.
     """
@@ -45,6 +47,8 @@
     connect_s: float
     first_s: float
     spelling: answers.AnswerFormat = answers.NATIVE
+    upstream: ids.UpstreamId | None = None
+    weights: str | None = None
     fresh: bool = False
 
 
@@ -209,9 +213,16 @@
             return
         await self._drop_refusal()
         reason = f"the upstream refused with status {head.status}"
-        other = self.facts.misdirected and self.facts.weights is not None
+        other = self._has_other_weights()
         raise AttemptFailedError(outcomes.RefusedBeforeRunning(reason, other_weights=other))
 
+    def _has_other_weights(self) -> bool:
+        """Returns whether the right upstream merely serves other weights than were meant."""
+        facts = self.facts
+        if not facts.misdirected or facts.upstream not in (None, self._call.upstream):
+            return False
+        return facts.weights is not None and facts.weights != self._call.weights
+
     async def _drop_refusal(self) -> None:
         """Reads the rest of a refusal, so that its connection can be used again."""
         assert self._conn
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -250,6 +250,8 @@
             min(CONNECT_S, left_s),
             self._first_limit_s(left_s),
             self._around.spelling,
+            placed.choice.estimate.upstream,
+            placed.weights,
         )
 
     def _import_from(self, placed: traffic.Placed) -> ids.Address | None:
@@ -393,6 +395,8 @@
     def _tell(self, placed: traffic.Placed, attempt: attempts.Attempt) -> None:
         """Passes on what the upstream has told of itself with its answer."""
         facts = attempt.facts
+        if facts.upstream not in (None, placed.choice.estimate.upstream):
+            return
         weights = None
         if facts.weights is not None and self._plan.entry.model is not None:
             weights = members.Weights(self._plan.entry.model, facts.weights)
--- a/src/cicadapier/_internal/services/forwarded_requests.py
+++ b/src/cicadapier/_internal/services/forwarded_requests.py
@@ -38,6 +38,19 @@
 _log = structlog.get_logger()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ending:
+    """Until when a router begins requests; infinite unless it stops.
+
+    Attributes:
+        streams_until: Time of trio's clock for streams.
+        others_until: Time for all others.
+    """
+
+    streams_until: float
+    others_until: float
+
+
 class ForwardedRequests:
     """Handles forwarded requests."""
 
--- a/src/cicadapier/_internal/services/forwarding_service.py
+++ b/src/cicadapier/_internal/services/forwarding_service.py
@@ -14,7 +14,6 @@
 from cicadapier._internal.protocols import headers
 from cicadapier._internal.protocols import http_server
 from cicadapier._internal.protocols import transport
-from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import forwarded_requests
 from cicadapier._internal.services import names
 from cicadapier._internal.services import request_context
@@ -24,6 +23,8 @@
 BALANCER_LEAVES_S = 2.6  # It asks once a second and leaves after two refusals.
 QUIET_S = 0.4
 LAST_START_S = 1.2  # Before the end of the grace time; what arrives later could not end in time.
+# After the signal; the balancer has left by then, and a stream may last for the rest of the grace.
+LAST_STREAM_S = 2.7
 END_MARGIN_S = 0.6
 _READY = "ready"
 
@@ -50,6 +51,7 @@
         self._requests: forwarded_requests.ForwardedRequests | None = None
         self._services: request_context.Services | None = None
         self._stop_at = float("inf")
+        self._last_stream_at = float("inf")
 
     async def run(self, kernel: service.Kernel, started: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
@@ -99,11 +101,11 @@
     ) -> None:
         """See `RequestListener.dispatch`."""
         assert self._requests
-        if trio.current_time() > self._stop_at - LAST_START_S:
-            raise exceptions.RefusedError(
-                outcomes.Refusal(outcomes.Code.DRAINING, "this router stops", retry_after_s=0.0)
-            )
-        await self._requests.handle(req, responder)
+        await self._requests.handle(req, responder, self._end_by())
+
+    def _end_by(self) -> forwarded_requests.Ending:
+        """Returns what a stopping router still begins."""
+        return forwarded_requests.Ending(self._last_stream_at, self._stop_at - LAST_START_S)
 
     def request_id(self, req: http_server.Request | None) -> ids.RequestId:
         """See `RequestListener.request_id`."""
@@ -132,6 +134,7 @@
         """Serves until the balancer has left and every open request is answered."""
         began_at = trio.current_time()
         self._draining = True
+        self._last_stream_at = began_at + LAST_STREAM_S
         self._stop_at = began_at + self._terms.grace_s - END_MARGIN_S
         _log.info("draining", open=self._open)
         while not self._may_stop(began_at):
--- /dev/null
+++ b/src/cicadapier/_internal/standins/users_store.py
@@ -0,0 +1,189 @@
+"""Stand-in of the object store of the users' platform, with its failures."""
+
+import collections
+import dataclasses
+import enum
+import http
+from typing import Any
+
+import trio
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
+from cicadapier._internal.platform import far_side
+from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import http_server
+from cicadapier._internal.protocols import store_format
+from cicadapier._internal.protocols import transport
+
+PAGE_ITEMS = 50
+ANSWER_S = 0.004
+LATE_WRITE_S = 2.0
+_WATCH_POLL_S = 0.005
+_LIMITS = settings.CallerLimits(body_bytes=4_194_304, idle_timeout_s=3600.0)
+
+
+class StoreFault(enum.Enum):
+    """What the store does wrong."""
+
+    SILENT = "silent"
+    REFUSES = "refuses"
+    BUSY = "busy"
+    LOSES_ANSWERS = "loses_answers"
+    WRITES_LATE = "writes_late"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Event:
+    revision: int
+    kind: str
+    change: store_format.Change
+
+
+class UsersStore(http_server.Handler):
+    """The store.
+
+    Attributes:
+        faults: What it does wrong now.
+        calls: Calls by method.
+        revision: Revision of the newest change.
+    """
+
+    def __init__(self, network: transport.Network) -> None:
+        self.faults: set[StoreFault] = set()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.revision = 1
+        self._network = network
+        self._objects: dict[tuple[str, str], store_format.StoredObject] = {}
+        self._events: list[_Event] = []
+        self._oldest = 1
+        self._nursery: trio.Nursery | None = None
+
+    async def run(
+        self,
+        address: ids.Address,
+        task_status: "trio.TaskStatus[ids.Address]" = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serves until it is cancelled; reports its address."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            listener = http_server.Listener(self._network.serve, self, _LIMITS)
+            await listener.run(address, task_status)
+
+    def find(self, kind: str, name: str) -> store_format.StoredObject | None:
+        """Returns an object."""
+        return self._objects.get((kind, name))
+
+    def names(self, kind: str) -> list[str]:
+        """Returns the names of a kind's objects."""
+        return sorted(name for found, name in self._objects if found == kind)
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Writes an object, as operators and upstreams do."""
+        known = self._objects.get((kind, name))
+        if known is not None and known.spec == spec:
+            return
+        self.revision += 1
+        item = store_format.StoredObject(name, str(self.revision), spec)
+        self._objects[kind, name] = item
+        self._record(kind, item, deleted=False)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Removes an object."""
+        item = self._objects.pop((kind, name), None)
+        if item is not None:
+            self.revision += 1
+            gone = dataclasses.replace(item, version=str(self.revision))
+            self._record(kind, gone, deleted=True)
+
+    def forget_history(self) -> None:
+        """Drops all changes, so that watches from before are told to list again."""
+        self._events.clear()
+        self._oldest = self.revision
+
+    async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
+        """See `http_server.Handler.handle`."""
+        await trio.sleep(ANSWER_S)
+        self.calls[req.method] += 1
+        await self._misbehave(responder)
+        if responder.started:
+            return
+        asked = far_side.read_store_question(req)
+        if req.method == "GET":
+            await self._read(asked, responder)
+            return
+        if StoreFault.WRITES_LATE in self.faults:
+            assert self._nursery
+            self._nursery.start_soon(self._write_late, req.method, asked)
+            await trio.sleep_forever()
+        status, body = self._write(req.method, asked)
+        if StoreFault.LOSES_ANSWERS in self.faults:
+            await trio.sleep_forever()
+        await responder.send_json(body, status)
+
+    async def _misbehave(self, responder: http_server.Responder) -> None:
+        if StoreFault.SILENT in self.faults:
+            await trio.sleep_forever()
+        if StoreFault.REFUSES in self.faults:
+            raise exceptions.ConnectionLostError("reset")
+        if StoreFault.BUSY in self.faults:
+            await responder.send_json({}, http.HTTPStatus.TOO_MANY_REQUESTS)
+
+    async def _read(self, asked: far_side.StoreQuestion, responder: http_server.Responder) -> None:
+        if asked.watch is not None:
+            await self._watch(asked, responder)
+            return
+        if asked.name:
+            found = self._objects.get((asked.kind, asked.name))
+            status = http.HTTPStatus.OK if found else http.HTTPStatus.NOT_FOUND
+            await responder.send_json(far_side.show_object(found) if found else {}, status)
+            return
+        names = [name for name in self.names(asked.kind) if name > asked.after]
+        items = [self._objects[asked.kind, name] for name in names[:PAGE_ITEMS]]
+        more = len(names) > PAGE_ITEMS
+        await responder.send_json(far_side.show_page(items, self.revision, more))
+
+    async def _watch(self, asked: far_side.StoreQuestion, responder: http_server.Responder) -> None:
+        assert asked.watch is not None
+        deadline = trio.current_time() + asked.wait_s
+        while True:
+            if asked.watch < self._oldest:
+                await responder.send_json({}, http.HTTPStatus.GONE)
+                return
+            await self._misbehave(responder)
+            if responder.started:
+                return
+            found = [
+                event.change
+                for event in self._events
+                if event.kind == asked.kind and event.revision > asked.watch
+            ]
+            if found or trio.current_time() >= deadline:
+                await responder.send_json(far_side.show_changes(found, self.revision))
+                return
+            await trio.sleep(_WATCH_POLL_S)
+
+    async def _write_late(self, method: str, asked: far_side.StoreQuestion) -> None:
+        await trio.sleep(LATE_WRITE_S)
+        self._write(method, asked)
+
+    def _write(self, method: str, asked: far_side.StoreQuestion) -> tuple[int, Any]:
+        known = self._objects.get((asked.kind, asked.name))
+        if method == "POST":
+            if known is not None:
+                return http.HTTPStatus.CONFLICT, far_side.show_object(known)
+            self.put(asked.kind, asked.name, asked.spec)
+        elif known is None:
+            return http.HTTPStatus.NOT_FOUND, {}
+        elif asked.revision is not None and asked.revision != int(known.version):
+            return http.HTTPStatus.CONFLICT, far_side.show_object(known)
+        elif method == "DELETE":
+            self.remove(asked.kind, asked.name)
+            return http.HTTPStatus.OK, {}
+        else:
+            self.put(asked.kind, asked.name, asked.spec)
+        return http.HTTPStatus.OK, far_side.show_object(self._objects[asked.kind, asked.name])
+
+    def _record(self, kind: str, item: store_format.StoredObject, deleted: bool) -> None:
+        change = store_format.Change(item, deleted)
+        self._events.append(_Event(self.revision, kind, change))
--- /dev/null
+++ b/src/cicadapier/_internal/standins/users_upstream.py
@@ -0,0 +1,202 @@
+"""Stand-in of an upstream of the users' platform: a model engine or a plain service."""
+
+import collections
+import dataclasses
+import enum
+import http
+
+import trio
+
+from cicadapier._internal.decisions import rollout
+from cicadapier._internal.models import directory
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
+from cicadapier._internal.platform import far_side
+from cicadapier._internal.platform import wire_headers
+from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import http_server
+from cicadapier._internal.protocols import transport
+
+EVENT_S = 0.01
+LOAD_S = 0.5
+_LIMITS = settings.CallerLimits(body_bytes=67_108_864, idle_timeout_s=3600.0)
+
+
+class UpstreamFault(enum.Enum):
+    """What the upstream does wrong."""
+
+    SHEDS = "sheds"
+    SILENT = "silent"
+    FAILS = "fails"
+    UNPROVED = "unproved"
+    ENCODED = "encoded"
+    WRONG_REQUEST = "wrong_request"
+    BREAKS_OFF = "breaks_off"
+    SKIPS_AN_EVENT = "skips_an_event"
+    LOSES_ANSWERS = "loses_answers"
+    ORDERS_LATE = "orders_late"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """A request that began to run.
+
+    Attributes:
+        request: Its id.
+        upstream: Where it ran.
+        weights: Weights version that it ran on.
+        headers: Its headers by name.
+        target: Its path and query.
+        body: Its body.
+    """
+
+    request: str
+    upstream: ids.UpstreamId
+    weights: int
+    headers: dict[str, str]
+    target: str
+    body: bytes
+
+
+class UsersUpstream(http_server.Handler):
+    """An upstream.
+
+    Attributes:
+        faults: What it does wrong now.
+        weights: Weights version that it serves.
+        orders: Orders that it was given, with the time of each.
+        events: Events of each stream.
+    """
+
+    def __init__(
+        self,
+        network: transport.Network,
+        entry: directory.Registration,
+        runs: list[Run],
+        model: ids.ModelId | None = None,
+    ) -> None:
+        self.faults: set[UpstreamFault] = set()
+        self.weights = 1
+        self.orders: list[tuple[float, rollout.Order]] = []
+        self.events = 6
+        self.ended: collections.Counter[str] = collections.Counter()
+        self.entry = entry
+        self._accepted = 0
+        self._loading_until = 0.0
+        self._network = network
+        self._runs = runs
+        self._model = model
+        self._nursery: trio.Nursery | None = None
+
+    async def run(
+        self, task_status: "trio.TaskStatus[ids.Address]" = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serves until it is cancelled; reports its address."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            listener = http_server.Listener(self._network.serve, self, _LIMITS)
+            await listener.run(self.entry.address, task_status)
+
+    async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
+        """See `http_server.Handler.handle`."""
+        if req.path == far_side.REPORT_PATH:
+            await responder.send_json(far_side.show_report(self._report(), self._model or ""))
+        elif req.path == far_side.ORDER_PATH:
+            await self._order(req, responder)
+        else:
+            await self._serve(req, responder)
+
+    def _report(self) -> rollout.Report:
+        busy = trio.current_time() < self._loading_until
+        return rollout.Report(self.weights, busy, self._accepted)
+
+    async def _order(self, req: http_server.Request, responder: http_server.Responder) -> None:
+        order = far_side.read_order(req.body)
+        self.orders.append((trio.current_time(), order))
+        if UpstreamFault.ORDERS_LATE in self.faults:
+            assert self._nursery
+            self._nursery.start_soon(self._order_late, order)
+            await trio.sleep_forever()
+        reply = self._take_order(order)
+        await responder.send_json({}, far_side.reply_status(reply))
+
+    async def _order_late(self, order: rollout.Order) -> None:
+        await trio.sleep(2.0)
+        self._take_order(order)
+
+    def _take_order(self, order: rollout.Order) -> rollout.Reply:
+        if order.version == self.weights:
+            return rollout.Reply.HOLDS_ALREADY
+        if order.expected_orders != self._accepted or self._report().busy:
+            return rollout.Reply.CONFLICT
+        self._accepted += 1
+        self.weights = order.version
+        self._loading_until = trio.current_time() + LOAD_S
+        return rollout.Reply.ACCEPTED
+
+    async def _serve(self, req: http_server.Request, responder: http_server.Responder) -> None:
+        refusal = self._refusal(req)
+        if refusal:
+            other = self.weights if refusal == http.HTTPStatus.MISDIRECTED_REQUEST else None
+            await responder.send_whole(refusal, far_side.not_run_headers(other), b"")
+            return
+        request = _text(req, wire_headers.REQUEST_ID)
+        named = {k.decode(): v.decode("latin-1") for k, v in req.headers}
+        self._runs.append(
+            Run(request, self.entry.upstream, self.weights, named, req.target, req.body)
+        )
+        await self._misbehave()
+        if self._model is not None:
+            await self._stream(req, responder, request)
+            return
+        headers = far_side.answer_headers(request)
+        if UpstreamFault.UNPROVED in self.faults:
+            headers = [item for item in headers if item[0] != wire_headers.PROOF]
+        if UpstreamFault.ENCODED in self.faults:
+            headers.append((wire_headers.CONTENT_ENCODING, b"gzip"))
+        if UpstreamFault.WRONG_REQUEST in self.faults:
+            headers = far_side.answer_headers("somebody-else")
+        status = http.HTTPStatus.OK
+        if UpstreamFault.FAILS in self.faults:
+            status = http.HTTPStatus.INTERNAL_SERVER_ERROR
+        await responder.send_whole(status, headers, b"answer to " + req.body)
+        self.ended[request] += 1
+
+    def _refusal(self, req: http_server.Request) -> int:
+        if UpstreamFault.SHEDS in self.faults or trio.current_time() < self._loading_until:
+            return http.HTTPStatus.SERVICE_UNAVAILABLE
+        expected = _text(req, wire_headers.EXPECTED_UPSTREAM)
+        if expected and expected != self.entry.upstream:
+            return http.HTTPStatus.MISDIRECTED_REQUEST
+        weights = _text(req, wire_headers.EXPECTED_WEIGHTS)
+        if weights and int(weights) != self.weights:
+            return http.HTTPStatus.MISDIRECTED_REQUEST
+        return 0
+
+    async def _misbehave(self) -> None:
+        if UpstreamFault.SILENT in self.faults:
+            await trio.sleep_forever()
+        if UpstreamFault.LOSES_ANSWERS in self.faults:
+            raise exceptions.ConnectionLostError("answer lost")
+
+    async def _stream(
+        self, req: http_server.Request, responder: http_server.Responder, request: str
+    ) -> None:
+        first = int(_text(req, wire_headers.LAST_EVENT_ID) or "0") + 1
+        headers = far_side.answer_headers(request, self.weights)
+        headers.append((b"content-type", b"text/event-stream"))
+        await responder.start(http.HTTPStatus.OK, headers)
+        for number in range(first, self.events + 1):
+            await trio.sleep(EVENT_S)
+            if UpstreamFault.BREAKS_OFF in self.faults and number == first + 2:
+                await responder.send_part(b"id: %d\nda" % number)
+                raise exceptions.ConnectionLostError("broke off")
+            if UpstreamFault.SKIPS_AN_EVENT in self.faults and number == first + 1:
+                continue
+            await responder.send_part(b"id: %d\ndata: piece %d\n\n" % (number, number))
+        await responder.finish()
+        self.ended[request] += 1
+
+
+def _text(req: http_server.Request, name: bytes) -> str:
+    return (req.header(name) or b"").decode("latin-1")
