--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -221,7 +221,8 @@
         facts = self.facts
         if not facts.misdirected or facts.upstream not in (None, self._call.upstream):
             return False
-        return facts.weights is not None and facts.weights != self._call.weights
+        known = (None, self._call.weights)
+        return self._call.weights is not None and facts.weights not in known
 
     async def _drop_refusal(self) -> None:
         """Reads the rest of a refusal, so that its connection can be used again."""
--- a/src/cicadapier/_internal/services/forwarded_requests.py
+++ b/src/cicadapier/_internal/services/forwarded_requests.py
@@ -71,9 +71,16 @@
         self._secret = secret
         self._numbers = itertools.count()
 
-    async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
+    async def handle(
+        self, req: http_server.Request, responder: http_server.Responder, ending: Ending
+    ) -> None:
         """Answers one request.
 
+        Args:
+            req: The request.
+            responder: Where its answer goes.
+            ending: What may still begin.
+
         Raises:
             RefusedError: It is refused and no answer has begun.
             ConnectionLostError: The answer broke off, which only closing can tell.
@@ -81,6 +88,7 @@
         asked = self._read(req)
         try:
             plan = self._plan(asked)
+            _require_time(plan, ending)
             self._services.budget.set_routers(len(self._cluster.routers()))
             exchange = forwarded_exchange.Exchange(self._surroundings(), plan, responder)
             await exchange.run()
@@ -202,6 +210,14 @@
     return route.pools[-1].pool
 
 
+def _require_time(plan: forwarded_exchange.Plan, ending: Ending) -> None:
+    """Refuses what could not end before this router does."""
+    streams = plan.admission.route.kind is configuration.RouteKind.STREAM
+    until = ending.streams_until if streams else ending.others_until
+    if trio.current_time() > until:
+        raise _refused(outcomes.Code.DRAINING, "this router is stopping", 0.0)
+
+
 def _public_account(admission: forwarded_exchange.Admission) -> ids.AccountId:
     return ids.AccountId(f"route:{admission.route_id}")
 
