Hand the lease of orders over without waiting for holders that never ordered

A lease now says whether it is active, what quiet time is left, and that it is released; a stopping router orders until its end. A router that starts takes a name that it did not hear as 4.4 s old. The fuzz of three routers and a lossy store holds the distance.

--- a/src/cicadapier/_internal/decisions/leases.py
+++ b/src/cicadapier/_internal/decisions/leases.py
@@ -49,6 +49,9 @@
         fencing: Number that grows with each change of holder.
         renewals: Number that grows with each renewal.
         note: What the holder tells the other routers with it.
+        active: Whether the holder may give orders under it; at first it may have to wait.
+        released: Whether the holder has given it up and sends no more orders.
+        quiet_s: Time from the write on in which orders of earlier holders are still too near.
     """
 
     holder: ids.VmId
@@ -56,6 +59,9 @@
     fencing: int
     renewals: int
     note: str = ""
+    active: bool = True
+    released: bool = False
+    quiet_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,35 +89,74 @@
             self._observed = None
             return
         if self._observed is None or self._observed.lease != lease:
+            self._note_quiet(lease, now)
             # Clocks differ, so a lease ends by the observer's clock, from the last change on.
             self._observed = _Observed(lease, now)
-            if lease.holder != self._vm:
-                self._others_until = now + self._terms.valid_s + self._terms.quiet_s
         if self._held and (lease.nonce, lease.fencing) != (self._nonce, self._held.fencing):
             self._held = None
 
-    def proposal(self, now: float, note: str = "") -> LeaseObject | None:
+    def _note_quiet(self, lease: LeaseObject, now: float) -> None:
+        """Works out until when the orders of others are too near for one of this router."""
+        known = self._observed.lease if self._observed else None
+        if lease.released and known and known.fencing == lease.fencing:
+            # The holder itself says that its last order is behind it.
+            self._others_until = now + lease.quiet_s
+        elif not lease.active:
+            self._others_until = max(self._others_until, now + lease.quiet_s)
+        elif lease.holder != self._vm:
+            self._others_until = now + self._terms.valid_s + self._terms.quiet_s
+
+    def proposal(self, now: float, note: str = "", active: bool = True) -> LeaseObject | None:
         """Returns the object to write in order to take or renew the lease, or None.
 
         Args:
             now: Present time.
             note: What to tell the other routers with it; a new note is a reason to renew.
+            active: Whether orders are to be given under it, as far as it may be used yet.
         """
         current = self._observed.lease if self._observed else None
+        active = active and now >= self._others_until
         if current is None:
-            return LeaseObject(self._vm, self._nonce, 1, 0, note)
-        if self._held and current.nonce == self._nonce:
-            if now - self._asked_at < self._terms.renew_after_s and note == current.note:
+            return LeaseObject(self._vm, self._nonce, 1, 0, note, active)
+        if current.nonce == self._nonce and not current.released:
+            recent = now - self._asked_at < self._terms.renew_after_s
+            same = (note, active) == (current.note, current.active)
+            if self._held and recent and same:
                 return None
-            return dataclasses.replace(current, renewals=current.renewals + 1, note=note)
-        if current.nonce == self._nonce:
-            # A write of this router that was not answered has taken effect.
-            return dataclasses.replace(current, renewals=current.renewals + 1, note=note)
+            # Without being held, a write that was not answered has taken effect.
+            return dataclasses.replace(
+                current,
+                renewals=current.renewals + 1,
+                note=note,
+                active=active,
+                quiet_s=self._quiet_left_s(now),
+            )
         own = self._terms.own_at_once and current.holder == self._vm
-        if own or (self._observed and now - self._observed.since >= self._terms.free_after_s):
-            return LeaseObject(self._vm, self._nonce, current.fencing + 1, 0, note)
+        silent = self._observed and now - self._observed.since >= self._terms.free_after_s
+        if own or current.released or silent:
+            quiet_s = self._quiet_left_s(now)
+            return LeaseObject(
+                self._vm, self._nonce, current.fencing + 1, 0, note, active, False, quiet_s
+            )
         return None
 
+    def release(self) -> LeaseObject | None:
+        """Returns the object to write in order to give the lease up, None where it is not held."""
+        if self._held is None:
+            return None
+        quiet_s = self._terms.quiet_s if self._held.active else self._held.quiet_s
+        return dataclasses.replace(
+            self._held,
+            renewals=self._held.renewals + 1,
+            note="",
+            active=False,
+            released=True,
+            quiet_s=quiet_s,
+        )
+
+    def _quiet_left_s(self, now: float) -> float:
+        return max(0.0, self._others_until - now)
+
     def written(self, lease: LeaseObject, asked_at: float, now: float) -> None:
         """Records that the platform accepted a proposal.
 
@@ -122,7 +167,7 @@
         """
         if self._held is None:
             self._usable_from = self._first_order_at(now)
-        self._held = lease
+        self._held = None if lease.released else lease
         self._asked_at = asked_at
         self._observed = _Observed(lease, now)
 
@@ -137,7 +182,7 @@
 
     def fencing_number(self, now: float) -> int | None:
         """Returns the fencing number where an order may be sent now, else None."""
-        if self._held is None or now < self._usable_from:
+        if self._held is None or not self._held.active or now < self._usable_from:
             return None
         if now >= self._asked_at + self._terms.valid_s:
             return None
--- a/src/cicadapier/_internal/services/traffic_messages.py
+++ b/src/cicadapier/_internal/services/traffic_messages.py
@@ -96,10 +96,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WeightsNamed:
-    """Operators have named a weights version."""
+    """Operators have named a weights version.
+
+    Attributes:
+        model: The model.
+        version: The version.
+        age_s: Time that may have passed since.
+    """
 
     model: ids.ModelId
     version: int
+    age_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -156,8 +156,13 @@
             told.load_told(message.pool, message.upstream, message.running)
 
     def _weights_named(self, message: traffic_messages.WeightsNamed, now: float) -> None:
-        if self._traffic.named.named(message.model, message.version, now):
-            _log.info("weights_named", model=message.model, version=message.version)
+        if self._traffic.named.named(message.model, message.version, now - message.age_s):
+            _log.info(
+                "weights_named",
+                model=message.model,
+                version=message.version,
+                age_s=round(message.age_s, 2),
+            )
 
     def _weights_told(self, message: traffic_messages.WeightsTold, now: float) -> None:
         self._traffic.observations.weights_told(
--- a/src/cicadapier/_internal/services/weights_service.py
+++ b/src/cicadapier/_internal/services/weights_service.py
@@ -7,6 +7,7 @@
 import contextlib
 import dataclasses
 import hashlib
+import math
 import random
 
 import msgspec
@@ -50,6 +51,9 @@
 CONTEND_S = 1.0  # Head start of the router that ordered last.
 RANK_S = 0.4
 NONCE_BYTES = 12
+# Age assumed of a name that was there before this router listened; the rest of the time in which
+# requests may begin on older weights is left for bringing the newer ones to an engine.
+UNHEARD_S = 4.4
 
 _log = structlog.get_logger()
 
@@ -113,6 +117,10 @@
         self._terms = leases.Terms(
             VALID_S, FREE_S, RENEW_S, 0.0, lease_s + QUIET_MARGIN_S, own_at_once=True
         )
+        self._released = False
+        self._heard = False
+        self._heard_at = -math.inf
+        self._named_at = 0.0
         self._named: dict[ids.ModelId, int] = {}
         self._pools: dict[ids.PoolId, _Pool] = {}
         self._cluster: cluster_service.ClusterService | None = None
@@ -140,12 +148,35 @@
                 with trio.move_on_after(ROUND_S):
                     await self.cluster.changed_event.wait()
 
+    async def drain(self) -> None:
+        """Gives up the leases, so that others need not wait for their ends."""
+        self._released = True
+        for pool_id, state in self._pools.items():
+            proposal = state.lease.release()
+            if proposal:
+                try:
+                    await self._write(pool_id, state, proposal)
+                except exceptions.ServiceError as exc:
+                    _log.info("lease_not_released", pool=pool_id, reason=str(exc))
+
     @property
     def cluster(self) -> cluster_service.ClusterService:
         """The shared objects."""
         assert self._cluster
         return self._cluster
 
+    def answered(self, asked_at: float) -> None:
+        """See `watching.Follower.answered`."""
+        now = self._clock()
+        # What an answer after a silence shows may be as old as the answer before it.
+        self._named_at = now if self._heard else max(self._heard_at, now - UNHEARD_S)
+        self._heard = True
+        self._heard_at = now
+
+    def unanswered(self) -> None:
+        """See `watching.Follower.unanswered`."""
+        self._heard = False
+
     def listed(self, objects: tuple[store_format.StoredObject, ...]) -> None:
         """See `watching.Follower.listed`."""
         for item in objects:
@@ -165,7 +196,8 @@
             return
         self._named[found.model] = found.version
         assert self._traffic
-        self._traffic.mailbox.send(traffic_messages.WeightsNamed(found.model, found.version))
+        age_s = self._clock() - self._named_at
+        self._traffic.mailbox.send(traffic_messages.WeightsNamed(found.model, found.version, age_s))
 
     def _targets(self) -> list[_Target]:
         assert self._configuration
@@ -193,10 +225,10 @@
         now = self._clock()
         if state.behind_since is None:
             state.behind_since = now
-        if stopping or not self._may_contend(target, state, now):
+        if self._released or not self._may_contend(target, state, now, stopping):
             return
         chosen = rollout.choose(found, target.version, state.ordering)
-        if not await self._keep_lease(target, state, chosen):
+        if not await self._keep_lease(target, state, chosen) or self._released:
             return
         by_id = {engine.upstream: engine for engine in found}
         for upstream in chosen:
@@ -241,12 +273,17 @@
         self._traffic.mailbox.send(traffic_messages.Loading(pool, upstream, 0.0))
         self._traffic.mailbox.send(traffic_messages.AnswerTold(pool, upstream, None, weights))
 
-    def _may_contend(self, target: _Target, state: _Pool, now: float) -> bool:
+    def _may_contend(self, target: _Target, state: _Pool, now: float, stopping: bool) -> bool:
         """Returns whether this router may try for the lease now.
 
-        The last holder goes first, because it need not wait for anybody else's orders.
+        The last holder goes first, because it need not wait for anybody else's orders. One that
+        stops keeps the lease to its end and takes no other.
         """
-        if state.lease.holds or state.lease.last_holder == self._vm:
+        if state.lease.holds:
+            return True
+        if stopping:
+            return False
+        if state.lease.last_holder == self._vm:
             return True
         assert state.behind_since is not None
         head_start_s = CONTEND_S if state.lease.last_holder is not None else 0.0
@@ -275,15 +312,15 @@
         proposal = state.lease.proposal(self._clock(), msgspec.json.encode(note).decode())
         if proposal:
             try:
-                await self._write(target, state, proposal)
+                await self._write(target.pool, state, proposal)
             except exceptions.ServiceError as exc:
                 # Whether a lost write took effect shows in the watch.
                 _log.info("lease_write_unanswered", pool=target.pool, reason=str(exc))
                 return False
         return usable and state.lease.fencing_number(self._clock()) is not None
 
-    async def _write(self, target: _Target, state: _Pool, proposal: leases.LeaseObject) -> None:
-        name = _lease_name(target.pool)
+    async def _write(self, pool: ids.PoolId, state: _Pool, proposal: leases.LeaseObject) -> None:
+        name = _lease_name(pool)
         found = self.cluster.find(name)
         spec = dataclasses.asdict(proposal)
         asked_at = self._clock()
@@ -293,10 +330,12 @@
             written = await self.cluster.platform.replace(cluster_service.KIND, found, spec)
         if isinstance(written, platform_service.NotWritten):
             state.lease.lost()
-            _log.info("lease_refused", pool=target.pool, fencing=proposal.fencing)
+            _log.info("lease_refused", pool=pool, fencing=proposal.fencing)
             return
-        if not state.lease.holds:
-            _log.info("lease_taken", pool=target.pool, fencing=proposal.fencing)
+        if proposal.released or not state.lease.holds:
+            event = "lease_released" if proposal.released else "lease_taken"
+            quiet_s = round(proposal.quiet_s, 2)
+            _log.info(event, pool=pool, fencing=proposal.fencing, quiet_s=quiet_s)
         state.lease.written(proposal, asked_at, self._clock())
         state.seen_note = proposal.note
         self.cluster.put(written.object)
@@ -343,7 +382,7 @@
     ) -> rollout.Step:
         step = rollout.Step.LOOK
         while step in (rollout.Step.LOOK, rollout.Step.ORDER):
-            if not self._is_there(engine):
+            if self._released or not self._is_there(engine):
                 return rollout.Step.GIVE_UP
             if step is rollout.Step.ORDER:
                 if state.lease.fencing_number(self._clock()) is None:
--- a/tests/_internal/decisions/test_forwarding_decisions.py
+++ b/tests/_internal/decisions/test_forwarding_decisions.py
@@ -216,10 +216,10 @@
         self.holders = [leases.Lease(ids.VmId(f"vm{i}"), f"n{i}", TERMS) for i in range(count)]
         self.orders = []
 
-    def act(self, who, now, lost):
+    def act(self, who, now, lost, release=False):
         holder = self.holders[who]
         holder.observed(self.stored, now)
-        proposal = holder.proposal(now)
+        proposal = holder.release() if release else holder.proposal(now)
         if proposal:
             self.stored = proposal
             if not lost:
@@ -234,14 +234,17 @@
 class QuickLeaseTest(unittest.TestCase):
     @FUZZ
     @hypothesis.given(
-        st.lists(st.tuples(st.integers(0, 2), st.floats(0.05, 4.0), st.booleans()), max_size=60)
+        st.lists(
+            st.tuples(st.integers(0, 2), st.floats(0.05, 4.0), st.booleans(), st.integers(0, 5)),
+            max_size=60,
+        )
     )
     def test_orders_of_two_routers_are_apart_and_numbers_grow(self, events):
         world = LeaseWorld()
         now = 0.0
-        for who, pause, lost in events:
+        for who, pause, lost, chance in events:
             now += pause
-            world.act(who, now, lost)
+            world.act(who, now, lost, release=chance == 0)
             for router in range(3):
                 world.order(router, now)
         for before, after in itertools.pairwise(world.orders):
@@ -264,6 +267,47 @@
         world.act(0, 0.5, False)
         self.assertEqual(world.holders[0].fencing_number(0.5), 2)
 
+    def test_a_released_lease_is_taken_at_once_and_waits_for_the_last_order_alone(self):
+        world = LeaseWorld(2)
+        world.act(0, 0.0, False)
+        world.act(1, 0.5, False)
+        released = world.holders[0].release()
+        world.stored = released
+        world.holders[0].written(released, 1.0, 1.0)
+        self.assertIsNone(world.holders[0].fencing_number(1.0))
+        world.act(1, 1.1, False)
+        self.assertFalse(world.stored.active)
+        world.act(1, 1.1 + TERMS.quiet_s + 0.01, False)
+        self.assertEqual(world.holders[1].fencing_number(1.1 + TERMS.quiet_s + 0.02), 2)
+
+    def test_a_holder_that_never_ordered_costs_the_next_no_wait_of_its_own(self):
+        world = LeaseWorld(3)
+        world.act(0, 0.0, False)
+        world.act(1, 0.1, False)
+        world.act(1, 2.2, False)
+        world.act(2, 2.3, False)
+        self.assertFalse(world.stored.active)
+        world.act(2, 4.6, False)
+        waited_until = 0.1 + TERMS.valid_s + TERMS.quiet_s
+        world.act(2, waited_until + 0.1, False)
+        self.assertEqual(world.holders[2].fencing_number(waited_until + 0.1), 3)
+
+    def test_a_router_that_saw_nothing_of_the_former_holder_keeps_its_distance(self):
+        world = LeaseWorld(3)
+        world.act(0, 0.0, False)
+        world.order(0, 1.5)
+        world.act(1, 0.1, False)
+        world.act(1, 2.2, False)
+        world.act(2, 2.3, False)
+        world.holders[1] = None
+        for step in range(60):
+            now = 4.4 + step * 0.1
+            world.act(2, now, False)
+            if world.holders[2].fencing_number(now) is not None:
+                self.assertGreaterEqual(now - 1.5, LEASE_S)
+                return
+        self.fail("the lease was never usable")
+
     def test_a_new_note_is_written_at_once(self):
         lease = leases.Lease(ids.VmId("vm0"), "n", TERMS)
         lease.written(lease.proposal(0.0, "one"), 0.0, 0.0)
