Take a write of the lease as done when the watch shows it

The watch shows a write that took effect within milliseconds; it now counts as answered, and a write is given up after 0.8 s.

--- a/src/cicadapier/_internal/services/weights_service.py
+++ b/src/cicadapier/_internal/services/weights_service.py
@@ -41,6 +41,7 @@
 WATCH_S = 2.5
 ROUND_S = 0.1
 CALL_S = 0.6
+WRITE_S = 0.8
 LOOK_S = 0.2
 ANNOUNCED_S = 0.04  # Time that the others need to hear that an engine is about to load.
 LOADING_BELIEVED_S = 6.0
@@ -77,6 +78,7 @@
     """What this router knows of the orders to one pool."""
 
     lease: leases.Lease
+    pending: "_Pending | None" = None
     behind_since: float | None = None
     ordering: dict[ids.UpstreamId, rollout.Ordering] = dataclasses.field(default_factory=dict)
     loaded: dict[str, str] = dataclasses.field(default_factory=dict)
@@ -84,6 +86,19 @@
     seen_note: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pending:
+    """A write of the lease that has not been answered.
+
+    Attributes:
+        proposal: What was written.
+        asked_at: Time just before the write was sent.
+    """
+
+    proposal: leases.LeaseObject
+    asked_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Target:
     """A pool whose engines are to serve a version."""
@@ -250,6 +265,10 @@
     def _observe(self, target: _Target, state: _Pool) -> None:
         found = self.cluster.find(_lease_name(target.pool))
         lease = _read_lease(found) if found else None
+        pending = state.pending
+        if pending and lease == pending.proposal:
+            # The watch shows what the lost answer would have said.
+            self._note_written(target.pool, state, pending)
         state.lease.observed(lease, self._clock())
         if lease and lease.note != state.seen_note:
             state.seen_note = lease.note
@@ -323,22 +342,33 @@
         name = _lease_name(pool)
         found = self.cluster.find(name)
         spec = dataclasses.asdict(proposal)
-        asked_at = self._clock()
-        if found is None:
-            written = await self.cluster.platform.create(cluster_service.KIND, name, spec)
-        else:
-            written = await self.cluster.platform.replace(cluster_service.KIND, found, spec)
+        state.pending = _Pending(proposal, self._clock())
+        pending = state.pending
+        with trio.move_on_after(WRITE_S) as scope:
+            if found is None:
+                written = await self.cluster.platform.create(cluster_service.KIND, name, spec)
+            else:
+                written = await self.cluster.platform.replace(cluster_service.KIND, found, spec)
+        if scope.cancelled_caught:
+            raise exceptions.PlatformUnavailableError(f"no answer within {WRITE_S} s")
         if isinstance(written, platform_service.NotWritten):
+            state.pending = None
             state.lease.lost()
             _log.info("lease_refused", pool=pool, fencing=proposal.fencing)
             return
+        if state.pending is pending:
+            self._note_written(pool, state, pending)
+        self.cluster.put(written.object)
+
+    def _note_written(self, pool: ids.PoolId, state: _Pool, pending: _Pending) -> None:
+        proposal = pending.proposal
+        state.pending = None
         if proposal.released or not state.lease.holds:
             event = "lease_released" if proposal.released else "lease_taken"
             quiet_s = round(proposal.quiet_s, 2)
             _log.info(event, pool=pool, fencing=proposal.fencing, quiet_s=quiet_s)
-        state.lease.written(proposal, asked_at, self._clock())
+        state.lease.written(proposal, pending.asked_at, self._clock())
         state.seen_note = proposal.note
-        self.cluster.put(written.object)
 
     async def _bring(
         self,
--- a/src/cicadapier/_internal/standins/users_upstream.py
+++ b/src/cicadapier/_internal/standins/users_upstream.py
@@ -32,6 +32,7 @@
     ENCODED = "encoded"
     WRONG_REQUEST = "wrong_request"
     BREAKS_OFF = "breaks_off"
+    ENDS_WITHIN_AN_EVENT = "ends_within_an_event"
     SKIPS_AN_EVENT = "skips_an_event"
     LOSES_ANSWERS = "loses_answers"
     ORDERS_LATE = "orders_late"
@@ -191,6 +192,9 @@
             if UpstreamFault.BREAKS_OFF in self.faults and number == first + 2:
                 await responder.send_part(b"id: %d\nda" % number)
                 raise exceptions.ConnectionLostError("broke off")
+            if UpstreamFault.ENDS_WITHIN_AN_EVENT in self.faults and number == first + 2:
+                await responder.send_part(b"id: %d\nda" % number)
+                break
             if UpstreamFault.SKIPS_AN_EVENT in self.faults and number == first + 1:
                 continue
             await responder.send_part(b"id: %d\ndata: piece %d\n\n" % (number, number))
--- a/tests/_internal/services/test_forwarding_service.py
+++ b/tests/_internal/services/test_forwarding_service.py
@@ -182,6 +182,27 @@
 
         forwarding_world.in_world(check)
 
+    def test_a_stream_that_ends_within_an_event_is_not_called_complete(self):
+        async def check(made):
+            strike(made, "engine", Fault.ENDS_WITHIN_AN_EVENT)
+            reply = await made.ask("/long/x")
+            self.assertTrue(reply.broken)
+            self.assertEqual(reply.numbers, [1, 2])
+
+        forwarding_world.in_world(check)
+
+    def test_a_request_that_is_refused_after_its_wait_leaves_nothing_behind(self):
+        async def check(made):
+            strike(made, "desk", Fault.SILENT)
+            async with trio.open_nursery() as nursery:
+                for _ in range(30):
+                    nursery.start_soon(made.send, "POST", "desk", "/order/1")
+            await trio.sleep(0.5)
+            traffic = made.routers[0].kernel.find("traffic")
+            self.assertEqual(traffic._traffic.active_requests, 0)
+
+        forwarding_world.in_world(check, desks=1)
+
     def test_an_event_out_of_order_is_not_relayed(self):
         async def check(made):
             strike(made, "engine", Fault.SKIPS_AN_EVENT)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -14,6 +14,7 @@
 LIMIT_S = 240
 DECISIONS = "tests._internal.decisions"
 SERVICES = "tests._internal.services"
+FORWARDING = f"{SERVICES}.test_forwarding_service"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -179,8 +180,8 @@
     ),
     Mutant(
         "leave while streams are open",
-        "services/callers_service.py",
-        "while self._busy or trio.current_time()",
+        "services/request_listener.py",
+        "while self.busy or trio.current_time()",
         "while trio.current_time()",
         f"{SERVICES}.test_togetherness.RestartTest.test_drain_cuts_none_of_200_streams",
     ),
@@ -199,6 +200,111 @@
         f"{SERVICES}.test_service_calls.OnceOnlyTest"
         ".test_silent_kept_connections_do_not_make_an_order_unknown",
     ),
+    Mutant(
+        "trust keys without proof",
+        "decisions/freshness.py",
+        "return self.age_s(now) < self._limit_s",
+        "return True",
+        f"{FORWARDING}.ConfigurationTest",
+    ),
+    Mutant(
+        "count the proof from the answer",
+        "services/watched_configuration.py",
+        "self._proof.proved(asked_at)",
+        "self._proof.proved(self._clock() + 1.0)",
+        f"{FORWARDING}.ConfigurationTest",
+    ),
+    Mutant(
+        "let a configuration fall back",
+        "services/watched_configuration.py",
+        "if found.number <= self.current.number:",
+        "if False:",
+        f"{FORWARDING}.ConfigurationTest",
+    ),
+    Mutant(
+        "order right after another holder",
+        "decisions/leases.py",
+        "self._others_until = now + self._terms.valid_s + self._terms.quiet_s",
+        "self._others_until = now",
+        f"{DECISIONS}.test_forwarding_decisions.QuickLeaseTest",
+    ),
+    Mutant(
+        "forget the quiet time of a holder that never ordered",
+        "decisions/leases.py",
+        "self._others_until = max(self._others_until, now + lease.quiet_s)",
+        "pass",
+        f"{DECISIONS}.test_forwarding_decisions.QuickLeaseTest",
+    ),
+    Mutant(
+        "send an unanswered order under a new count",
+        "decisions/rollout.py",
+        "self._orders = max(report.orders, self._orders or 0)",
+        "self._orders = report.orders + 1",
+        f"{DECISIONS}.test_forwarding_decisions.OrderingTest",
+    ),
+    Mutant(
+        "begin on weights that are too old",
+        "decisions/named_weights.py",
+        "return Standing.BARRED",
+        "return Standing.OUTDATED",
+        f"{DECISIONS}.test_forwarding_decisions.NamedWeightsTest",
+    ),
+    Mutant(
+        "keep a removed upstream",
+        "decisions/directory.py",
+        "if registration is None or registration.leaving or self._back_at is None:",
+        "if registration is None:",
+        f"{DECISIONS}.test_forwarding_decisions.DirectoryTest",
+    ),
+    Mutant(
+        "relay events out of order",
+        "services/forwarded_exchange.py",
+        "if self._last_event is not None and event.number != self._last_event + 1:",
+        "if False:",
+        f"{FORWARDING}.WholeAnswersTest",
+    ),
+    Mutant(
+        "relay half an event",
+        "services/forwarded_exchange.py",
+        "if splitter.rest:",
+        "if False:",
+        f"{FORWARDING}.WholeAnswersTest",
+    ),
+    Mutant(
+        "promise that a sent request has not run",
+        "services/forwarded_exchange.py",
+        "if under_way or self._sequence.maybe_ran:",
+        "if False:",
+        f"{FORWARDING}.OnceTest",
+    ),
+    Mutant(
+        "take an answer without proof",
+        "services/forwarded_exchange.py",
+        "if not attempt.facts.genuine:",
+        "if False:",
+        f"{FORWARDING}.WholeAnswersTest",
+    ),
+    Mutant(
+        "send to an upstream that is leaving",
+        "decisions/members.py",
+        "if self.barred or self.loading or self.spec.leaving:",
+        "if self.barred or self.loading:",
+        f"{FORWARDING}.LeavingTest",
+    ),
+    Mutant(
+        "share cached parts with isolated accounts",
+        "services/forwarded_requests.py",
+        "owner = account if account and spec and spec.isolated else",
+        "owner = account if False else",
+        f"{FORWARDING}.PassingOnTest",
+    ),
+    Mutant(
+        "spend the retry budget on every router",
+        "decisions/retries.py",
+        "self._terms.slack / self._routers",
+        "self._terms.slack",
+        f"{DECISIONS}.test_limits_and_queues.RetriesTest",
+    ),
 ]
 
 
