--- a/src/cicadapier/_internal/commands/demo.py
+++ b/src/cicadapier/_internal/commands/demo.py
@@ -15,6 +15,7 @@
 from cicadapier._internal.protocols import transport
 from cicadapier._internal.standins import deployments
 from cicadapier._internal.standins import fault_server
+from cicadapier._internal.standins import forwarding_demo
 from cicadapier._internal.standins import tour
 from cicadapier._internal.standins import world
 
@@ -27,6 +28,7 @@
     seed: int = 0,
     once: bool = False,
     json: bool = False,
+    forwarding: bool = False,
 ) -> int:
     """Runs routers, engines, a keep, a plain service and a platform in one process.
 
@@ -36,9 +38,12 @@
     :param seed: Seed of all random choices.
     :param once: Send a few requests, print what became of them and exit.
     :param json: Print one line of JSON with all addresses when ready.
+    :param forwarding: Show forwarded routes before stand-ins of the users' platform instead.
     """
     level = settings.LogLevel.WARNING if once else settings.LogLevel.INFO
     logs.configure_beside_output(level)
+    if forwarding:
+        return trio.run(forwarding_demo.run, max(1, routers), once)
     plan = world.Plan(
         deployments.BY_NAME[deployments.DeploymentName(deployment)], max(1, routers), seed, port
     )
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -16,6 +16,7 @@
 from cicadapier._internal.decisions import observations
 from cicadapier._internal.decisions import placement
 from cicadapier._internal.decisions import poison
+from cicadapier._internal.decisions import pool_weights
 from cicadapier._internal.decisions import prefix
 from cicadapier._internal.decisions import rollout
 from cicadapier._internal.models import configuration
@@ -24,7 +25,6 @@
 
 MAX_QUEUED = 10_000
 MAX_ALONE_S = 1.5
-OUTDATED_PENALTY_S = 0.15  # What an answer on older weights loses, in time to first token.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -354,17 +354,7 @@
     def engines(self, pool: ids.PoolId, model: ids.ModelId) -> tuple[rollout.Engine, ...]:
         """Returns the engines of a pool that are not leaving, for whoever orders them."""
         state = self.pools.get(pool)
-        if state is None:
-            return ()
-        found = []
-        for upstream, member in state.policy.members.items():
-            if member.spec.leaving:
-                continue
-            version = member.versions.get(model, "")
-            number = int(version) if version.isdigit() else None
-            running = member.load.running()
-            found.append(rollout.Engine(upstream, member.spec.incarnation, number, running))
-        return tuple(found)
+        return pool_weights.engines(state, model) if state else ()
 
     def suspect_upstreams(self, now: float) -> frozenset[ids.UpstreamId]:
         """Returns the upstreams that run a suspect request now."""
@@ -383,21 +373,10 @@
             usable = usable or member.usable
         return usable
 
-    def _compare_weights(
-        self, state: observations.PoolState, model: ids.ModelId | None, now: float
-    ) -> None:
-        """Bars members with weights that are too old and makes merely older ones dearer."""
-        if model is None:
-            return
-        for member in state.policy.members.values():
-            standing = self.named.standing(model, member.versions.get(model), now)
-            member.barred = standing is named_weights.Standing.BARRED
-            outdated = standing is named_weights.Standing.OUTDATED
-            member.penalty_s = OUTDATED_PENALTY_S if outdated else 0.0
-
     def _place(self, state: observations.PoolState, active: _Active, now: float) -> Decision:
         entry = active.entry
-        self._compare_weights(state, entry.model, now)
+        if entry.model is not None:
+            pool_weights.compare(state, self.named, entry.model, now)
         exclude = frozenset(active.tried)
         if self.poison.is_suspect(entry.fingerprint, now):
             # Two suspects on one upstream could not be told apart after the next crash.
--- /dev/null
+++ b/src/cicadapier/_internal/services/engine_orders.py
@@ -0,0 +1,146 @@
+"""Calls that bring one engine to newly named weights."""
+
+import collections.abc
+import dataclasses
+
+import structlog
+import trio
+
+from cicadapier._internal.decisions import rollout
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import engines
+from cicadapier._internal.protocols import exceptions as protocol_exceptions
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.services import connections_service
+from cicadapier._internal.services import directory_service
+from cicadapier._internal.services import watching
+
+CALL_S = 0.6
+LOOK_S = 0.2
+
+_log = structlog.get_logger()
+
+Fence = collections.abc.Callable[[], int | None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """A pool whose engines are to serve a version."""
+
+    pool: ids.PoolId
+    model: ids.ModelId
+    version: int
+
+
+class EngineOrders:
+    """Asks engines for reports and gives them orders."""
+
+    def __init__(
+        self,
+        vm: ids.VmId,
+        calls: engines.EngineFormat,
+        connections: connections_service.ConnectionsService,
+        directory: directory_service.DirectoryService,
+        clock: watching.Clock,
+    ) -> None:
+        self._vm = vm
+        self._calls = calls
+        self._connections = connections
+        self._directory = directory
+        self._clock = clock
+
+    async def bring(self, target: Target, engine: rollout.Engine, fence: Fence) -> rollout.Step:
+        """Brings an engine to a version; returns `DONE`, or `GIVE_UP` where that fails.
+
+        Args:
+            target: The version.
+            engine: The engine.
+            fence: Returns the fencing number where an order may be sent now, else None.
+        """
+        ordering = rollout.Ordering(target.version, self._clock())
+        step = rollout.Step.LOOK
+        while step in (rollout.Step.LOOK, rollout.Step.ORDER):
+            address = self._address(engine)
+            if address is None:
+                return rollout.Step.GIVE_UP
+            if step is rollout.Step.ORDER:
+                step = await self._order(target, engine, address, ordering, fence)
+                continue
+            report = await self._report(target, address)
+            now = self._clock()
+            step = ordering.reported(report, now) if report else ordering.unreachable(now)
+            if step is rollout.Step.LOOK:
+                await trio.sleep(LOOK_S)
+        return step
+
+    def _address(self, engine: rollout.Engine) -> ids.Address | None:
+        found = self._directory.find(engine.upstream)
+        if found is None or found.incarnation != engine.incarnation:
+            return None
+        return found.address
+
+    async def _report(self, target: Target, address: ids.Address) -> rollout.Report | None:
+        try:
+            conn = await self._connections.acquire(address, CALL_S)
+        except protocol_exceptions.ProtocolError as exc:
+            _log.info("report_missing", address=address, reason=str(exc))
+            return None
+        try:
+            _, body = await connections_service.exchange(conn, self._calls.report(), b"", CALL_S)
+        except protocol_exceptions.ProtocolError as exc:
+            _log.info("report_missing", address=address, reason=str(exc))
+            await self._connections.discard(address, conn)
+            return None
+        await self._connections.release(address, conn)
+        return self._calls.read_report(body, target.model)
+
+    async def _order(
+        self,
+        target: Target,
+        engine: rollout.Engine,
+        address: ids.Address,
+        ordering: rollout.Ordering,
+        fence: Fence,
+    ) -> rollout.Step:
+        try:
+            conn = await self._connections.open(address, CALL_S)
+        except protocol_exceptions.ProtocolError as exc:
+            _log.info("order_not_sent", upstream=engine.upstream, reason=str(exc))
+            return ordering.replied(rollout.Reply.NONE, self._clock())
+        try:
+            # The lease may have lapsed while the connection was being made.
+            fencing = fence()
+            if fencing is None:
+                return rollout.Step.GIVE_UP
+            order = rollout.Order(
+                target.model, target.version, self._vm, fencing, ordering.expected_orders
+            )
+            reply = await self._give(conn, engine, order)
+        finally:
+            with trio.CancelScope(shield=True):
+                await conn.close()
+        return ordering.replied(reply, self._clock())
+
+    async def _give(
+        self, conn: http_client.ClientConnection, engine: rollout.Engine, order: rollout.Order
+    ) -> rollout.Reply:
+        head = self._calls.order_head(engine.upstream)
+        body = self._calls.order_body(order)
+        reason = ""
+        try:
+            answer, _ = await connections_service.exchange(conn, head, body, CALL_S)
+            reply = self._calls.read_reply(answer)
+        except protocol_exceptions.ProtocolError as exc:
+            reply = rollout.Reply.NONE
+            reason = str(exc)
+        _log.info(
+            "order_given",
+            upstream=engine.upstream,
+            version=order.version,
+            fencing=order.fencing,
+            expected_orders=order.expected_orders,
+            running=engine.running,
+            reply=reply.value,
+            reason=reason,
+        )
+        return reply
--- /dev/null
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -0,0 +1,184 @@
+"""This router's part in the lease under which the engines of one pool get orders.
+
+The lease is an object in the store. Its note tells the other routers which engines are about to
+load and which have loaded.
+"""
+
+import dataclasses
+
+import msgspec
+import structlog
+import trio
+
+from cicadapier._internal.decisions import leases
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import store_format
+from cicadapier._internal.services import cluster_service
+from cicadapier._internal.services import exceptions
+from cicadapier._internal.services import platform_service
+from cicadapier._internal.services import watching
+
+NAME_PREFIX = "orders-"
+WRITE_S = 0.8
+
+_log = structlog.get_logger()
+
+
+class Note(msgspec.Struct):
+    """What the router that orders tells the others with its lease.
+
+    Attributes:
+        model: The model.
+        loading: Engines that are about to load or do so.
+        loaded: Weights version of engines that have loaded lately.
+    """
+
+    model: str = ""
+    loading: list[str] = []
+    loaded: dict[str, str] = {}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pending:
+    """A write that has not been answered.
+
+    Attributes:
+        proposal: What was written.
+        asked_at: Time just before the write was sent.
+    """
+
+    proposal: leases.LeaseObject
+    asked_at: float
+
+
+class OrderLease:
+    """Keeps one lease in step with the store.
+
+    Attributes:
+        pool: Pool whose engines get orders under it.
+    """
+
+    def __init__(
+        self,
+        pool: ids.PoolId,
+        lease: leases.Lease,
+        nonce: str,
+        cluster: cluster_service.ClusterService,
+        clock: watching.Clock,
+    ) -> None:
+        self.pool = pool
+        self._lease = lease
+        self._nonce = nonce
+        self._cluster = cluster
+        self._clock = clock
+        self._pending: _Pending | None = None
+        self._note = ""
+
+    @property
+    def holds(self) -> bool:
+        """Whether this router holds the lease, as far as it knows."""
+        return self._lease.holds
+
+    @property
+    def last_holder(self) -> ids.VmId | None:
+        """VM that holds or last held the lease, None where it is new."""
+        return self._lease.last_holder
+
+    @property
+    def note(self) -> Note:
+        """The note that was last seen or written."""
+        return _read_note(self._note)
+
+    def fencing_number(self) -> int | None:
+        """Returns the fencing number where an order may be sent now, else None."""
+        return self._lease.fencing_number(self._clock())
+
+    def observe(self) -> Note | None:
+        """Takes over what the store shows; returns a new note of another router, if any."""
+        found = self._cluster.find(self._name)
+        lease = _read_lease(found) if found else None
+        if self._pending and lease == self._pending.proposal:
+            # The watch shows what the lost answer would have said.
+            self._note_written(self._pending)
+        self._lease.observed(lease, self._clock())
+        if lease is None or lease.note == self._note:
+            return None
+        self._note = lease.note
+        return None if lease.nonce == self._nonce else _read_note(lease.note)
+
+    async def keep(self, note: Note) -> bool:
+        """Takes or renews the lease; returns whether the store has it as this router wants it."""
+        text = msgspec.json.encode(note).decode()
+        proposal = self._lease.proposal(self._clock(), text)
+        return proposal is None or await self._try_write(proposal)
+
+    async def release(self) -> None:
+        """Gives the lease up, so that others need not wait for its end."""
+        proposal = self._lease.release()
+        if proposal:
+            await self._try_write(proposal)
+
+    @property
+    def _name(self) -> str:
+        return f"{NAME_PREFIX}{self.pool}"
+
+    async def _try_write(self, proposal: leases.LeaseObject) -> bool:
+        try:
+            await self._write(proposal)
+        except exceptions.ServiceError as exc:
+            # Whether a lost write took effect shows in the watch.
+            _log.info("lease_write_unanswered", pool=self.pool, reason=str(exc))
+            return False
+        return True
+
+    async def _write(self, proposal: leases.LeaseObject) -> None:
+        found = self._cluster.find(self._name)
+        pending = _Pending(proposal, self._clock())
+        self._pending = pending
+        with trio.move_on_after(WRITE_S) as scope:
+            written = await self._send(found, proposal)
+        if scope.cancelled_caught:
+            raise exceptions.PlatformUnavailableError(f"no answer within {WRITE_S} s")
+        if isinstance(written, platform_service.NotWritten):
+            self._pending = None
+            self._lease.lost()
+            _log.info("lease_refused", pool=self.pool, fencing=proposal.fencing)
+            return
+        if self._pending is pending:
+            self._note_written(pending)
+        self._cluster.put(written.object)
+
+    async def _send(
+        self, found: store_format.StoredObject | None, proposal: leases.LeaseObject
+    ) -> platform_service.Written | platform_service.NotWritten:
+        spec = dataclasses.asdict(proposal)
+        store = self._cluster.platform
+        if found is None:
+            return await store.create(cluster_service.KIND, self._name, spec)
+        return await store.replace(cluster_service.KIND, found, spec)
+
+    def _note_written(self, pending: _Pending) -> None:
+        proposal = pending.proposal
+        self._pending = None
+        if proposal.released or not self._lease.holds:
+            event = "lease_released" if proposal.released else "lease_taken"
+            quiet_s = round(proposal.quiet_s, 2)
+            _log.info(event, pool=self.pool, fencing=proposal.fencing, quiet_s=quiet_s)
+        self._lease.written(proposal, pending.asked_at, self._clock())
+        self._note = proposal.note
+
+
+def _read_lease(found: store_format.StoredObject) -> leases.LeaseObject | None:
+    try:
+        return msgspec.convert(found.spec, leases.LeaseObject)
+    except msgspec.ValidationError as exc:
+        _log.info("lease_unreadable", entry=found.name, reason=str(exc))
+        return None
+
+
+def _read_note(raw: str) -> Note:
+    try:
+        return msgspec.json.decode(raw, type=Note) if raw else Note()
+    except msgspec.MsgspecError as exc:
+        _log.info("lease_note_unreadable", reason=str(exc))
+        return Note()
--- a/src/cicadapier/_internal/services/weights_service.py
+++ b/src/cicadapier/_internal/services/weights_service.py
@@ -4,13 +4,12 @@
 are about to load and which have loaded, so that the others send the first ones nothing.
 """
 
-import contextlib
 import dataclasses
+import functools
 import hashlib
 import math
 import random
 
-import msgspec
 import structlog
 import trio
 
@@ -24,25 +23,18 @@
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import declarations
 from cicadapier._internal.protocols import engines
-from cicadapier._internal.protocols import exceptions as protocol_exceptions
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import cluster_service
 from cicadapier._internal.services import configuration_source
-from cicadapier._internal.services import connections_service
-from cicadapier._internal.services import directory_service
-from cicadapier._internal.services import exceptions
+from cicadapier._internal.services import engine_orders
 from cicadapier._internal.services import names
-from cicadapier._internal.services import platform_service
+from cicadapier._internal.services import order_lease
 from cicadapier._internal.services import traffic_messages
 from cicadapier._internal.services import traffic_service
 from cicadapier._internal.services import watching
 
-LEASE_PREFIX = "orders-"
 WATCH_S = 2.5
 ROUND_S = 0.1
-CALL_S = 0.6
-WRITE_S = 0.8
-LOOK_S = 0.2
 ANNOUNCED_S = 0.04  # Time that the others need to hear that an engine is about to load.
 LOADING_BELIEVED_S = 6.0
 VALID_S = 1.6
@@ -59,53 +51,23 @@
 _log = structlog.get_logger()
 
 
-class Note(msgspec.Struct):
-    """What the router that orders tells the others with its lease.
-
-    Attributes:
-        loading: Engines that are about to load or do so.
-        loaded: Weights version of engines that have loaded lately.
-        model: The model.
-    """
-
-    model: str = ""
-    loading: list[str] = []
-    loaded: dict[str, str] = {}
-
-
 @dataclasses.dataclass(slots=True)
 class _Pool:
-    """What this router knows of the orders to one pool."""
-
-    lease: leases.Lease
-    pending: "_Pending | None" = None
-    behind_since: float | None = None
-    ordering: dict[ids.UpstreamId, rollout.Ordering] = dataclasses.field(default_factory=dict)
-    loaded: dict[str, str] = dataclasses.field(default_factory=dict)
-    loaded_target: int = 0
-    seen_note: str = ""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Pending:
-    """A write of the lease that has not been answered.
+    """What this router knows of the orders to one pool.
 
     Attributes:
-        proposal: What was written.
-        asked_at: Time just before the write was sent.
+        lease: The lease under which its engines get orders.
+        behind_since: Time since which some engine lacks the named version.
+        ordering: Engines that this router is bringing to it.
+        loaded: Weights version of those that it has brought to the present target.
+        target: The present target.
     """
 
-    proposal: leases.LeaseObject
-    asked_at: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Target:
-    """A pool whose engines are to serve a version."""
-
-    pool: ids.PoolId
-    model: ids.ModelId
-    version: int
+    lease: order_lease.OrderLease
+    behind_since: float | None = None
+    ordering: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
+    loaded: dict[str, str] = dataclasses.field(default_factory=dict)
+    target: int = 0
 
 
 class WeightsService(service.Service, watching.Follower):
@@ -140,17 +102,21 @@
         self._pools: dict[ids.PoolId, _Pool] = {}
         self._cluster: cluster_service.ClusterService | None = None
         self._configuration: configuration_source.ConfigurationSource | None = None
-        self._connections: connections_service.ConnectionsService | None = None
-        self._directory: directory_service.DirectoryService | None = None
+        self._orders: engine_orders.EngineOrders | None = None
         self._traffic: traffic_service.TrafficService | None = None
 
     async def run(self, kernel: service.Kernel, started: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
         self._cluster = kernel.find(names.CLUSTER)
         self._configuration = kernel.find(names.CONFIGURATION)
-        self._connections = kernel.find(names.CONNECTIONS)
-        self._directory = kernel.find(names.UPSTREAMS)
         self._traffic = kernel.find(names.TRAFFIC)
+        self._orders = engine_orders.EngineOrders(
+            self._vm,
+            self._calls,
+            kernel.find(names.CONNECTIONS),
+            kernel.find(names.UPSTREAMS),
+            self._clock,
+        )
         kind = self._documents.weights_kind
         platform = kernel.find(names.PLATFORM)
         watch = watching.Watch(platform, kind, WATCH_S, self, self._clock, self._rng)
@@ -166,13 +132,8 @@
     async def drain(self) -> None:
         """Gives up the leases, so that others need not wait for their ends."""
         self._released = True
-        for pool_id, state in self._pools.items():
-            proposal = state.lease.release()
-            if proposal:
-                try:
-                    await self._write(pool_id, state, proposal)
-                except exceptions.ServiceError as exc:
-                    _log.info("lease_not_released", pool=pool_id, reason=str(exc))
+        for state in self._pools.values():
+            await state.lease.release()
 
     @property
     def cluster(self) -> cluster_service.ClusterService:
@@ -214,85 +175,84 @@
         age_s = self._clock() - self._named_at
         self._traffic.mailbox.send(traffic_messages.WeightsNamed(found.model, found.version, age_s))
 
-    def _targets(self) -> list[_Target]:
+    def _targets(self) -> list[engine_orders.Target]:
         assert self._configuration
         found = []
         for pool_id, pool in self._configuration.current.content.pools.items():
             if pool.kind is configuration.PoolKind.MODEL:
                 found += [
-                    _Target(pool_id, model, self._named[model])
+                    engine_orders.Target(pool_id, model, self._named[model])
                     for model in pool.models
                     if model in self._named
                 ]
         return found
 
-    async def _round(self, target: _Target, nursery: trio.Nursery, stopping: bool) -> None:
-        state = self._pools.get(target.pool)
-        if state is None:
-            state = _Pool(leases.Lease(self._vm, self._nonce, self._terms))
-            self._pools[target.pool] = state
-        self._observe(target, state)
+    async def _round(
+        self, target: engine_orders.Target, nursery: trio.Nursery, stopping: bool
+    ) -> None:
+        state = self._pool(target)
+        note = state.lease.observe()
+        if note is not None:
+            self._believe(target.pool, note)
         found = await self._engines(target)
         behind = any(e.version is not None and e.version < target.version for e in found)
-        if not (behind or state.ordering or self._must_tell(target, state)):
+        must_tell = state.lease.holds and bool(state.lease.note.loading)
+        if not (behind or state.ordering or must_tell):
             state.behind_since = None
             return
         now = self._clock()
         if state.behind_since is None:
             state.behind_since = now
-        if self._released or not self._may_contend(target, state, now, stopping):
+        if self._released or not self._may_contend(state, now, stopping):
             return
         chosen = rollout.choose(found, target.version, state.ordering)
         if not await self._keep_lease(target, state, chosen) or self._released:
             return
         by_id = {engine.upstream: engine for engine in found}
         for upstream in chosen:
-            ordering = rollout.Ordering(target.version, self._clock())
-            state.ordering[upstream] = ordering
-            nursery.start_soon(self._bring, target, state, by_id[upstream], ordering)
+            state.ordering.add(upstream)
+            nursery.start_soon(self._bring, target, state, by_id[upstream])
+
+    def _pool(self, target: engine_orders.Target) -> _Pool:
+        state = self._pools.get(target.pool)
+        if state is None:
+            lease = leases.Lease(self._vm, self._nonce, self._terms)
+            state = _Pool(
+                order_lease.OrderLease(target.pool, lease, self._nonce, self.cluster, self._clock)
+            )
+            self._pools[target.pool] = state
+        if target.version != state.target:
+            state.target = target.version
+            state.loaded = {}
+        return state
 
-    async def _engines(self, target: _Target) -> tuple[rollout.Engine, ...]:
+    async def _engines(self, target: engine_orders.Target) -> tuple[rollout.Engine, ...]:
         assert self._traffic
         reply: mailbox.Reply[tuple[rollout.Engine, ...]] = mailbox.Reply()
         message = traffic_messages.GetEngines(target.pool, target.model, reply)
         self._traffic.mailbox.send(message)
         return await reply.get()
 
-    def _must_tell(self, target: _Target, state: _Pool) -> bool:
-        """Returns whether the last note still shows engines as loading."""
-        return state.lease.holds and bool(_read_note(state.seen_note).loading)
-
-    def _observe(self, target: _Target, state: _Pool) -> None:
-        found = self.cluster.find(_lease_name(target.pool))
-        lease = _read_lease(found) if found else None
-        pending = state.pending
-        if pending and lease == pending.proposal:
-            # The watch shows what the lost answer would have said.
-            self._note_written(target.pool, state, pending)
-        state.lease.observed(lease, self._clock())
-        if lease and lease.note != state.seen_note:
-            state.seen_note = lease.note
-            if lease.nonce != self._nonce:
-                self._believe(target.pool, _read_note(lease.note))
-
-    def _believe(self, pool: ids.PoolId, note: Note) -> None:
-        assert self._traffic
-        until = trio.current_time() + LOADING_BELIEVED_S
+    def _believe(self, pool: ids.PoolId, note: order_lease.Note) -> None:
         for name in note.loading:
-            upstream = ids.UpstreamId(name)
-            self._traffic.mailbox.send(traffic_messages.Loading(pool, upstream, until))
+            self._tell_loading(pool, ids.UpstreamId(name), LOADING_BELIEVED_S)
         for name, version in note.loaded.items():
             self._tell_loaded(pool, ids.UpstreamId(name), ids.ModelId(note.model), version)
 
+    def _tell_loading(self, pool: ids.PoolId, upstream: ids.UpstreamId, for_s: float) -> None:
+        assert self._traffic
+        until = trio.current_time() + for_s
+        self._traffic.mailbox.send(traffic_messages.Loading(pool, upstream, until))
+
     def _tell_loaded(
         self, pool: ids.PoolId, upstream: ids.UpstreamId, model: ids.ModelId, version: str
     ) -> None:
         assert self._traffic
+        self._tell_loading(pool, upstream, 0.0)
         weights = members.Weights(model, version)
-        self._traffic.mailbox.send(traffic_messages.Loading(pool, upstream, 0.0))
         self._traffic.mailbox.send(traffic_messages.AnswerTold(pool, upstream, None, weights))
 
-    def _may_contend(self, target: _Target, state: _Pool, now: float, stopping: bool) -> bool:
+    def _may_contend(self, state: _Pool, now: float, stopping: bool) -> bool:
         """Returns whether this router may try for the lease now.
 
         The last holder goes first, because it need not wait for anybody else's orders. One that
@@ -306,7 +266,7 @@
             return True
         assert state.behind_since is not None
         head_start_s = CONTEND_S if state.lease.last_holder is not None else 0.0
-        return now >= state.behind_since + head_start_s + RANK_S * self._rank(target.pool)
+        return now >= state.behind_since + head_start_s + RANK_S * self._rank(state.lease.pool)
 
     def _rank(self, pool: ids.PoolId) -> int:
         ranked = sorted(
@@ -316,198 +276,45 @@
         return ranked.index(self._vm)
 
     async def _keep_lease(
-        self, target: _Target, state: _Pool, chosen: list[ids.UpstreamId]
+        self, target: engine_orders.Target, state: _Pool, chosen: list[ids.UpstreamId]
     ) -> bool:
         """Takes or renews the lease; returns whether orders may be given now.
 
         Where it may not yet be used, nothing is announced.
         """
-        usable = state.lease.fencing_number(self._clock()) is not None
+        usable = state.lease.fencing_number() is not None
         loading = sorted([*state.ordering, *(chosen if usable else [])])
-        if target.version != state.loaded_target:
-            state.loaded_target = target.version
-            state.loaded = {}
-        note = Note(target.model, list(loading), dict(state.loaded))
-        proposal = state.lease.proposal(self._clock(), msgspec.json.encode(note).decode())
-        if proposal:
-            try:
-                await self._write(target.pool, state, proposal)
-            except exceptions.ServiceError as exc:
-                # Whether a lost write took effect shows in the watch.
-                _log.info("lease_write_unanswered", pool=target.pool, reason=str(exc))
-                return False
-        return usable and state.lease.fencing_number(self._clock()) is not None
-
-    async def _write(self, pool: ids.PoolId, state: _Pool, proposal: leases.LeaseObject) -> None:
-        name = _lease_name(pool)
-        found = self.cluster.find(name)
-        spec = dataclasses.asdict(proposal)
-        state.pending = _Pending(proposal, self._clock())
-        pending = state.pending
-        with trio.move_on_after(WRITE_S) as scope:
-            if found is None:
-                written = await self.cluster.platform.create(cluster_service.KIND, name, spec)
-            else:
-                written = await self.cluster.platform.replace(cluster_service.KIND, found, spec)
-        if scope.cancelled_caught:
-            raise exceptions.PlatformUnavailableError(f"no answer within {WRITE_S} s")
-        if isinstance(written, platform_service.NotWritten):
-            state.pending = None
-            state.lease.lost()
-            _log.info("lease_refused", pool=pool, fencing=proposal.fencing)
-            return
-        if state.pending is pending:
-            self._note_written(pool, state, pending)
-        self.cluster.put(written.object)
-
-    def _note_written(self, pool: ids.PoolId, state: _Pool, pending: _Pending) -> None:
-        proposal = pending.proposal
-        state.pending = None
-        if proposal.released or not state.lease.holds:
-            event = "lease_released" if proposal.released else "lease_taken"
-            quiet_s = round(proposal.quiet_s, 2)
-            _log.info(event, pool=pool, fencing=proposal.fencing, quiet_s=quiet_s)
-        state.lease.written(proposal, pending.asked_at, self._clock())
-        state.seen_note = proposal.note
+        note = order_lease.Note(target.model, list(loading), dict(state.loaded))
+        kept = await state.lease.keep(note)
+        return kept and usable and state.lease.fencing_number() is not None
 
     async def _bring(
-        self,
-        target: _Target,
-        state: _Pool,
-        engine: rollout.Engine,
-        ordering: rollout.Ordering,
+        self, target: engine_orders.Target, state: _Pool, engine: rollout.Engine
     ) -> None:
         """Brings one engine to the version, or gives up."""
-        assert self._traffic
-        until = trio.current_time() + LOADING_BELIEVED_S
-        loading = traffic_messages.Loading(target.pool, engine.upstream, until)
-        self._traffic.mailbox.send(loading)
+        assert self._orders
+        self._tell_loading(target.pool, engine.upstream, LOADING_BELIEVED_S)
         began_at = self._clock()
+        step = rollout.Step.GIVE_UP
         try:
             await trio.sleep(ANNOUNCED_S)
-            step = await self._until_loaded(target, state, engine, ordering)
-            took_s = self._clock() - began_at
-            _log.info(
-                "weights_" + ("loaded" if step is rollout.Step.DONE else "not_loaded"),
-                upstream=engine.upstream,
-                version=target.version,
-                took_s=round(took_s, 3),
-            )
-            if step is rollout.Step.DONE:
-                version = str(target.version)
-                state.loaded[engine.upstream] = version
-                self._tell_loaded(target.pool, engine.upstream, target.model, version)
-            else:
-                cleared = traffic_messages.Loading(target.pool, engine.upstream, 0.0)
-                self._traffic.mailbox.send(cleared)
-        finally:
-            state.ordering.pop(engine.upstream, None)
-
-    async def _until_loaded(
-        self,
-        target: _Target,
-        state: _Pool,
-        engine: rollout.Engine,
-        ordering: rollout.Ordering,
-    ) -> rollout.Step:
-        step = rollout.Step.LOOK
-        while step in (rollout.Step.LOOK, rollout.Step.ORDER):
-            if self._released or not self._is_there(engine):
-                return rollout.Step.GIVE_UP
-            if step is rollout.Step.ORDER:
-                if state.lease.fencing_number(self._clock()) is None:
-                    return rollout.Step.GIVE_UP
-                reply = await self._order(target, state, engine, ordering)
-                step = ordering.replied(reply, self._clock())
-                continue
-            report = await self._report(target, engine)
-            if report is None:
-                step = ordering.unreachable(self._clock())
-            else:
-                step = ordering.reported(report, self._clock())
-            if step is rollout.Step.LOOK:
-                await trio.sleep(LOOK_S)
-        return step
-
-    def _is_there(self, engine: rollout.Engine) -> bool:
-        assert self._directory
-        found = self._directory.find(engine.upstream)
-        return found is not None and found.incarnation == engine.incarnation
-
-    async def _report(self, target: _Target, engine: rollout.Engine) -> rollout.Report | None:
-        assert self._directory and self._connections
-        found = self._directory.find(engine.upstream)
-        if found is None:
-            return None
-        try:
-            conn = await self._connections.acquire(found.address, CALL_S)
-        except protocol_exceptions.ProtocolError:
-            return None
-        try:
-            _, body = await connections_service.exchange(conn, self._calls.report(), b"", CALL_S)
-        except protocol_exceptions.ProtocolError:
-            await self._connections.discard(found.address, conn)
-            return None
-        await self._connections.release(found.address, conn)
-        return self._calls.read_report(body, target.model)
-
-    async def _order(
-        self,
-        target: _Target,
-        state: _Pool,
-        engine: rollout.Engine,
-        ordering: rollout.Ordering,
-    ) -> rollout.Reply:
-        assert self._directory and self._connections
-        found = self._directory.find(engine.upstream)
-        if found is None:
-            return rollout.Reply.OTHER_INSTANCE
-        reply = rollout.Reply.NONE
-        try:
-            conn = await self._connections.open(found.address, CALL_S)
-        except protocol_exceptions.ProtocolError:
-            return reply
-        try:
-            # The lease may have lapsed while the connection was being made.
-            fencing = state.lease.fencing_number(self._clock())
-            if fencing is None:
-                return rollout.Reply.FENCED
-            order = rollout.Order(
-                target.model, target.version, self._vm, fencing, ordering.expected_orders
-            )
-            head = self._calls.order_head(engine.upstream)
-            body = self._calls.order_body(order)
-            with contextlib.suppress(protocol_exceptions.ProtocolError):
-                answer, _ = await connections_service.exchange(conn, head, body, CALL_S)
-                reply = self._calls.read_reply(answer)
+            step = await self._orders.bring(target, engine, functools.partial(self._fence, state))
         finally:
-            with trio.CancelScope(shield=True):
-                await conn.close()
+            state.ordering.discard(engine.upstream)
+        done = step is rollout.Step.DONE
         _log.info(
-            "order_given",
+            "weights_loaded" if done else "weights_not_loaded",
             upstream=engine.upstream,
-            version=order.version,
-            fencing=order.fencing,
-            expected_orders=order.expected_orders,
-            running=engine.running,
-            reply=reply.value,
+            version=target.version,
+            took_s=round(self._clock() - began_at, 3),
         )
-        return reply
-
-
-def _lease_name(pool: ids.PoolId) -> str:
-    return f"{LEASE_PREFIX}{pool}"
-
-
-def _read_lease(found: store_format.StoredObject) -> leases.LeaseObject | None:
-    try:
-        return msgspec.convert(found.spec, leases.LeaseObject)
-    except msgspec.ValidationError:
-        return None
-
+        if done:
+            version = str(target.version)
+            if state.target == target.version:
+                state.loaded[engine.upstream] = version
+            self._tell_loaded(target.pool, engine.upstream, target.model, version)
+        else:
+            self._tell_loading(target.pool, engine.upstream, 0.0)
 
-def _read_note(raw: str) -> Note:
-    try:
-        return msgspec.json.decode(raw, type=Note) if raw else Note()
-    except msgspec.MsgspecError:
-        return Note()
+    def _fence(self, state: _Pool) -> int | None:
+        return None if self._released else state.lease.fencing_number()
--- /dev/null
+++ b/src/cicadapier/_internal/standins/forwarding_demo.py
@@ -0,0 +1,72 @@
+"""Demonstration of forwarded routes on loopback."""
+
+import signal
+import time
+
+import trio
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.platform import far_side
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import peer_transport
+from cicadapier._internal.protocols import transport
+from cicadapier._internal.standins import users_world
+
+LIMIT_S = 5.0
+_CALLS = (
+    ("look", "GET", "desk", "/look/title", b""),
+    ("order", "POST", "desk", "/order/print", b"two copies"),
+    ("ask", "POST", "lm", "/ask/verdict", b"Is the last line too long?"),
+)
+
+
+async def run(routers: int, once: bool) -> int:
+    """Runs store, upstreams and routers until a signal, or for one request of each kind."""
+    network = transport.TcpNetwork()
+    world = users_world.UsersWorld(
+        network, lambda: peer_transport.GrpcTransport(""), time.monotonic
+    )
+    complete = True
+    async with trio.open_nursery() as nursery:
+        await world.start(nursery, routers)
+        for index, router in world.routers.items():
+            print(f"vm-{index}  http://{router.callers.address}")
+        print(_hint(world), flush=True)
+        if once:
+            for name, method, host, path, body in _CALLS:
+                status, size = await _call(world, name, method, host, path, body)
+                complete = complete and status == 200
+                print(f"{name:6} {status} {size} bytes")
+        else:
+            await _until_signal()
+        nursery.cancel_scope.cancel()
+    return 0 if complete else 1
+
+
+def _hint(world: users_world.UsersWorld) -> str:
+    headers = far_side.request_headers(ids.RequestId("1"), "desk", "key-1")
+    options = " ".join(f"-H '{name.decode()}: {value.decode()}'" for name, value in headers)
+    return f"curl {options} http://{world.routers[0].callers.address}/look/title"
+
+
+async def _call(
+    world: users_world.UsersWorld, name: str, method: str, host: str, path: str, body: bytes
+) -> tuple[int, int]:
+    address = world.routers[0].callers.address
+    model = users_world.MODEL if host == "lm" else ""
+    headers = far_side.request_headers(
+        ids.RequestId(f"demo-{name}"), host, "key-1", model=model, parts="aa:600,bb:300"
+    )
+    stream = await world.network.connect(address, LIMIT_S)
+    conn = http_client.ClientConnection(stream, address)
+    await conn.send(http_client.RequestHead(method, path, headers), body)
+    head = await conn.receive_head(LIMIT_S)
+    content = await conn.receive_body(LIMIT_S)
+    await conn.close()
+    return head.status, len(content)
+
+
+async def _until_signal() -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
--- /dev/null
+++ b/src/cicadapier/_internal/standins/users_world.py
@@ -0,0 +1,216 @@
+"""The users' platform in one process: store, upstreams and routers of forwarded routes."""
+
+import collections.abc
+import dataclasses
+import random
+from typing import Any
+
+import trio
+
+from cicadapier._internal.assembly import forwarding as forwarding_assembly
+from cicadapier._internal.assembly import router as router_assembly
+from cicadapier._internal.kernel import tokens
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import directory
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
+from cicadapier._internal.platform import documents
+from cicadapier._internal.platform import far_side
+from cicadapier._internal.protocols import peer_transport
+from cicadapier._internal.protocols import transport
+from cicadapier._internal.standins import users_store
+from cicadapier._internal.standins import users_upstream
+
+ANY_PORT = ids.Address("127.0.0.1:0")
+HERE = ids.FailureDomainId("here")
+MODEL = ids.ModelId("verse")
+ENGINES = ids.PoolId("engines")
+DESK = ids.PoolId("desk")
+ACCOUNT = ids.AccountId("press")
+APART = ids.AccountId("apart")
+KEYS = {ACCOUNT: ["key-1", "key-2"], APART: ["key-3"]}
+SLOTS = 8
+DRAIN_S = 7.7
+_SHAPES = documents.DocumentFormat()
+
+Runner = collections.abc.Callable[..., collections.abc.Awaitable[Any]]
+
+
+def routes() -> dict[ids.RouteId, configuration.Route]:
+    """Returns one route of each kind."""
+    desk = [configuration.PoolShare(DESK)]
+    engines = [configuration.PoolShare(ENGINES)]
+    kind = configuration.RouteKind
+    make = configuration.Route
+    return {
+        ids.RouteId("look"): make(
+            "desk", "/look/", desk, kind.IDEMPOTENT, False, 3.0, 0.4, max_attempts=2
+        ),
+        ids.RouteId("order"): make("desk", "/order/", desk, kind.NON_IDEMPOTENT, False, 3.0, 0.4),
+        ids.RouteId("open"): make(
+            "desk", "/open/", desk, kind.IDEMPOTENT, False, 3.0, 0.4, public=True
+        ),
+        ids.RouteId("ask"): make(
+            "lm", "/ask/", engines, kind.STREAM, True, 5.0, 0.6, 0.5, max_attempts=2
+        ),
+        ids.RouteId("long"): make("lm", "/long/", engines, kind.STREAM, False, 5.0, 0.6, 0.5),
+    }
+
+
+class UsersWorld:
+    """Everything that runs.
+
+    Attributes:
+        store: The store.
+        runs: All requests that began to run anywhere.
+        upstreams: Upstreams by name.
+        routers: Routers by index.
+        keys: Keys of each account.
+    """
+
+    def __init__(
+        self,
+        network: transport.Network,
+        make_peers: collections.abc.Callable[[], peer_transport.PeerTransport],
+        clock: collections.abc.Callable[[], float],
+        seed: int = 0,
+    ) -> None:
+        self.network = network
+        self.store = users_store.UsersStore(network)
+        self.runs: list[users_upstream.Run] = []
+        self.upstreams: dict[str, users_upstream.UsersUpstream] = {}
+        self.routers: dict[int, forwarding_assembly.ForwardingRouter] = {}
+        self.keys = {account: list(keys) for account, keys in KEYS.items()}
+        self._make_peers = make_peers
+        self._clock = clock
+        self._seed = seed
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._number = 1
+        self._starts = 0
+        self._store_address = ANY_PORT
+        self._nursery: trio.Nursery | None = None
+
+    async def start(
+        self, nursery: trio.Nursery, routers: int = 1, engines: int = 3, desks: int = 2
+    ) -> None:
+        """Starts everything in a nursery."""
+        self._nursery = nursery
+        self._store_address = await nursery.start(self.store.run, ANY_PORT)
+        self.configure(routes())
+        self.name_weights(1)
+        for index in range(engines):
+            await self.add_upstream(f"engine-{index}", ENGINES, MODEL)
+        for index in range(desks):
+            await self.add_upstream(f"desk-{index}", DESK, None)
+        for index in range(routers):
+            await self.start_router(index)
+        for router in self.routers.values():
+            await router.configuration.ready.wait()
+
+    def configure(
+        self, declared: dict[ids.RouteId, configuration.Route], number: int | None = None
+    ) -> None:
+        """Writes a configuration as operators do."""
+        self._number = number or self._number + 1
+        accounts = {
+            ACCOUNT: configuration.Account(),
+            APART: configuration.Account(isolated=True),
+        }
+        models = {MODEL: configuration.Model("")}
+        pools = {
+            ENGINES: configuration.Pool(configuration.PoolKind.MODEL, models=models),
+            DESK: configuration.Pool(configuration.PoolKind.SERVICE),
+        }
+        content = configuration.Configuration(accounts, pools, declared)
+        current = configuration.NumberedConfiguration(ids.ConfigNumber(self._number), content)
+        self.store.put(
+            _SHAPES.configuration_kind,
+            _SHAPES.configuration_name,
+            far_side.show_configuration(current, self.keys),
+        )
+
+    def name_weights(self, version: int) -> None:
+        """Names weights as operators do."""
+        named = far_side.show_named_version(MODEL, version)
+        self.store.put(_SHAPES.weights_kind, MODEL, named)
+
+    async def add_upstream(
+        self, name: str, pool: ids.PoolId, model: ids.ModelId | None
+    ) -> users_upstream.UsersUpstream:
+        """Starts and registers an upstream."""
+        weights = {model: "1"} if model else {}
+        entry = directory.Registration(
+            ids.UpstreamId(name),
+            pool,
+            ANY_PORT,
+            HERE,
+            ids.Incarnation(f"{name}@1"),
+            SLOTS,
+            False,
+            weights,
+        )
+        upstream = users_upstream.UsersUpstream(self.network, entry, self.runs, model)
+        self.upstreams[name] = upstream
+        address = await self._start(name, upstream.run)
+        upstream.entry = dataclasses.replace(entry, address=address)
+        self.register(upstream.entry)
+        return upstream
+
+    def register(self, entry: directory.Registration) -> None:
+        """Writes a registration as upstreams do."""
+        shown = far_side.show_registration(entry)
+        self.store.put(_SHAPES.directory_kind, entry.upstream, shown)
+
+    def retire(self, name: str) -> None:
+        """Registers an upstream as leaving."""
+        self.register(dataclasses.replace(self.upstreams[name].entry, leaving=True))
+
+    def unregister(self, name: str) -> None:
+        """Takes an upstream out of the directory."""
+        self.store.remove(_SHAPES.directory_kind, name)
+
+    def end(self, name: str) -> None:
+        """Ends an upstream or a router without a word; what it registered stays."""
+        self._scopes[name].cancel()
+
+    async def start_router(self, index: int) -> forwarding_assembly.ForwardingRouter:
+        """Starts a router."""
+        vm = ids.VmId(f"vm-{index}")
+        terms = settings.Forwarding()
+        cfg = settings.Settings(
+            vm,
+            HERE,
+            listen=settings.Listen(ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT),
+            platform=settings.Platform([self._store_address], timeout_s=1.5),
+            forwarding=terms,
+        )
+        self._starts += 1
+        wiring = router_assembly.Wiring(
+            self.network,
+            self.network,
+            self._make_peers(),
+            self._starts,
+            index,
+            tokens.TokenSource(random.Random(f"{self._seed}/{index}/{self._starts}")),
+            self._clock,
+        )
+        router = forwarding_assembly.assemble(cfg, terms, wiring)
+        self.routers[index] = router
+        await self._start(vm, router.kernel.run, DRAIN_S)
+        return router
+
+    async def _start(self, name: str, run: Runner, *args: Any) -> Any:
+        assert self._nursery
+        scope = trio.CancelScope()
+        self._scopes[name] = scope
+        return await self._nursery.start(_run_scoped, scope, run, *args)
+
+
+async def _run_scoped(
+    scope: trio.CancelScope,
+    run: Runner,
+    *args: Any,
+    task_status: "trio.TaskStatus[Any]" = trio.TASK_STATUS_IGNORED,
+) -> None:
+    with scope:
+        await run(*args, task_status=task_status)
--- a/tests/_internal/services/test_forwarding_service.py
+++ b/tests/_internal/services/test_forwarding_service.py
@@ -10,6 +10,7 @@
 from cicadapier._internal.models import ids
 from cicadapier._internal.standins import users_store
 from cicadapier._internal.standins import users_upstream
+from cicadapier._internal.standins import users_world
 from tests import forwarding_world
 
 Fault = users_upstream.UpstreamFault
@@ -78,8 +79,8 @@
 
     def test_the_longest_prefix_decides(self):
         async def check(made):
-            found = forwarding_world.routes()
-            engines = [configuration.PoolShare(forwarding_world.ENGINES)]
+            found = users_world.routes()
+            engines = [configuration.PoolShare(users_world.ENGINES)]
             found[ids.RouteId("deep")] = dataclasses.replace(
                 found["look"], prefix="/look/deep/", pools=engines
             )
@@ -236,8 +237,8 @@
 class ConfigurationTest(unittest.TestCase):
     def test_a_key_that_was_taken_away_stops_working(self):
         async def check(made):
-            made.keys[forwarding_world.ACCOUNT].remove("key-1")
-            made.configure(forwarding_world.routes())
+            made.keys[users_world.ACCOUNT].remove("key-1")
+            made.configure(users_world.routes())
             await trio.sleep(0.3)
             self.assertEqual((await made.send("GET", "desk", "/look/")).status, 401)
             other = await made.send("GET", "desk", "/look/", key="key-2")
@@ -252,8 +253,8 @@
                 async def check(made, fault=fault):
                     made.store.faults.add(fault)
                     await trio.sleep(0.1)
-                    made.keys[forwarding_world.ACCOUNT].remove("key-1")
-                    made.configure(forwarding_world.routes())
+                    made.keys[users_world.ACCOUNT].remove("key-1")
+                    made.configure(users_world.routes())
                     await trio.sleep(4.9)
                     reply = await made.send("GET", "desk", "/look/", request="q")
                     self.assertEqual((reply.status, made.runs_of("q")), (503, []))
@@ -269,7 +270,7 @@
 
     def test_an_older_configuration_changes_nothing(self):
         async def check(made):
-            made.configure(forwarding_world.routes(), number=9)
+            made.configure(users_world.routes(), number=9)
             await trio.sleep(0.2)
             made.configure({}, number=5)
             await trio.sleep(0.2)
@@ -306,7 +307,7 @@
     def test_a_leaving_upstream_gets_nothing_new(self):
         async def check(made):
             made.retire("desk-0")
-            made.store.remove("servers", "engine-0")
+            made.unregister("engine-0")
             await trio.sleep(0.1)
             for number in range(8):
                 await made.send("GET", "desk", "/look/", request=f"q{number}")
@@ -393,7 +394,7 @@
             await trio.sleep(1.0)
             given = [o for u in made.upstreams.values() for o in u.orders]
             holder = given[0][1].holder
-            made.scopes[holder].cancel()
+            made.end(holder)
             made.name_weights(3)
             await trio.sleep(14.0)
             orders = sorted(
--- a/tests/_internal/services/test_tcp.py
+++ b/tests/_internal/services/test_tcp.py
@@ -224,6 +224,19 @@
         self.assertNotIn("Traceback", done.stderr)
 
 
+class ForwardingDemoTest(unittest.TestCase):
+    def test_one_request_of_each_kind_is_answered(self):
+        done = subprocess.run(
+            [sys.executable, "-m", "cicadapier", "demo", "--forwarding", "--once"],
+            capture_output=True,
+            text=True,
+            timeout=WAIT_S,
+        )
+        self.assertEqual(done.returncode, 0, done.stderr)
+        for name in ("look", "order", "ask"):
+            self.assertRegex(done.stdout, rf"(?m)^{name} +200 ")
+
+
 class BinaryTest(unittest.TestCase):
     BINARY = ROOT / "dist" / "cicadapier"
 
