Prefer upstreams of the own failure domain more strongly

Cause: streams that cross failure domains end when one is cut off, and their bytes are dear; 2 ms of distance hardly counted.

--- a/src/cicadapier/_internal/decisions/members.py
+++ b/src/cicadapier/_internal/decisions/members.py
@@ -176,7 +176,8 @@
         for upstream, spec in pool.upstreams.items():
             member = self.members.get(upstream)
             local = spec.failure_domain == self.failure_domain
-            distance_s = LOCAL_DISTANCE_S if local else REMOTE_DISTANCE_S
+            remote_s = max(REMOTE_DISTANCE_S, pool.remote_cost_s)
+            distance_s = LOCAL_DISTANCE_S if local else remote_s
             if member is None or member.spec.incarnation != spec.incarnation:
                 changed = True
                 state = load.UpstreamLoad(pool.prefill_tokens_per_s, now)
--- a/src/cicadapier/_internal/models/configuration.py
+++ b/src/cicadapier/_internal/models/configuration.py
@@ -145,6 +145,8 @@
         repeat_rules: Idempotency of its calls; the first match decides.
         timeouts: Progress deadlines.
         reports_load: Whether its upstreams answer load queries.
+        remote_cost_s: What an upstream of another failure domain costs at least beside its own
+            time, since a cut between the two ends what runs there.
     """
 
     kind: PoolKind
@@ -159,6 +161,7 @@
     repeat_rules: list[RepeatRule] = checked.field(factory=list)
     timeouts: Timeouts = checked.field(factory=Timeouts)
     reports_load: bool = True
+    remote_cost_s: float = checked.field(0.0, minimum=0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/platform/documents.py
+++ b/src/cicadapier/_internal/platform/documents.py
@@ -20,6 +20,7 @@
     "streaming": configuration.RouteKind.STREAM,
 }
 _PREFILL_TOKENS_PER_S = 45_000.0  # The platform does not tell it; its engines read 40 to 51 a ms.
+_REMOTE_COST_S = 0.1
 _READY = "ready"
 _DRAINING = "draining"
 
@@ -189,6 +190,7 @@
         models=models,
         prefill_tokens_per_s=_PREFILL_TOKENS_PER_S,
         import_tokens_per_s=import_rate,
+        remote_cost_s=_REMOTE_COST_S,
     )
 
 
