--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -255,12 +255,16 @@
         )
 
     def _import_from(self, placed: traffic.Placed) -> ids.Address | None:
-        """Returns where the upstream may find parts that it lacks, or that were evicted there."""
+        """Returns where the upstream may find parts that it lacks, or that were evicted there.
+
+        An engine forgets parts within seconds, so a keep is the surer source where there is one.
+        """
+        keep = self._keep(placed)
         source = placed.choice.estimate.source
-        found = self._around.directory.find(source) if source else None
-        if found is not None and placed.weights is not None:
-            return found.address
-        return self._keep(placed)
+        if keep is not None or source is None or placed.weights is None:
+            return keep
+        found = self._around.directory.find(source)
+        return found.address if found else None
 
     def _keep(self, placed: traffic.Placed) -> ids.Address | None:
         if not self._plan.entry.prompt.pieces or placed.weights is None:
--- /dev/null
+++ b/tests/test_checks.py
@@ -0,0 +1,32 @@
+"""The checks of the tree notice what they are for."""
+
+import importlib.util
+import pathlib
+import tempfile
+import unittest
+
+TOOLS = pathlib.Path(__file__).parent.parent / "tools"
+
+
+def load(name):
+    spec = importlib.util.spec_from_file_location(name, TOOLS / f"{name}.py")
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+class BoundaryTest(unittest.TestCase):
+    def test_a_planted_name_of_the_platform_is_found(self):
+        check = load("check_boundary")
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "planted.py"
+            path.write_text('HEADER = b"X-Server-Stamp"\nfine = 1\nkind = "path_prefix"\n')
+            self.assertEqual(len(check.faults_of(path)), 2)
+
+    def test_the_tree_is_clean(self):
+        self.assertEqual(load("check_boundary").main(), 0)
+        self.assertEqual(load("check_layers").main(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
