Forget what the retry budget and the peers' counts no longer need

Cause: the window of a pool's requests was cut only when a repeat was considered, so a pool whose requests are never repeated grew it without end; counts of upstreams that are gone stayed too, and their ids do not come back. Found by reading; the test failed first.

--- a/src/cicadapier/_internal/decisions/peer_news.py
+++ b/src/cicadapier/_internal/decisions/peer_news.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 
 from cicadapier._internal.decisions import limits
@@ -89,6 +90,11 @@
             )
         return tokens >= URGENT_TOKENS
 
+    def forget_others(self, upstreams: collections.abc.Container[ids.UpstreamId]) -> None:
+        """Drops the counts of upstreams that are gone; their ids do not come back."""
+        for key in [key for key in self._tokens if key[1] not in upstreams]:
+            del self._tokens[key]
+
     def sends(self) -> tuple[SentWork, ...]:
         """Returns the tokens sent to each upstream."""
         return tuple(
--- a/src/cicadapier/_internal/decisions/retries.py
+++ b/src/cicadapier/_internal/decisions/retries.py
@@ -47,7 +47,9 @@
 
     def request_seen(self, pool: ids.PoolId, now: float) -> None:
         """Counts a request of a caller."""
-        self._requests[pool].times.append(now)
+        seen = self._requests[pool]
+        seen.times.append(now)
+        seen.count(now - self._terms.window_s)
 
     def left(self, pool: ids.PoolId, now: float) -> float:
         """Returns how many repeats may be sent now."""
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -134,6 +134,9 @@
 
     def _configure(self, message: traffic_messages.ConfigurationChanged, now: float) -> None:
         self._traffic.configure(message.cfg, now)
+        known = {u for pool in message.cfg.content.pools.values() for u in pool.upstreams}
+        self._states = {u: state for u, state in self._states.items() if u in known}
+        self._outgoing.forget_others(known)
 
     def _load_reported(self, message: traffic_messages.LoadReported, now: float) -> None:
         self._traffic.observations.load_reported(
--- a/tests/_internal/decisions/test_limits_and_queues.py
+++ b/tests/_internal/decisions/test_limits_and_queues.py
@@ -189,6 +189,12 @@
             self.assertLessEqual(len(window), 0.2 * 1000 + 12)
         self.assertGreater(len(spent), 600)
 
+    def test_requests_beyond_the_window_are_forgotten_without_any_repeat(self):
+        budget = retries.RetryBudget(settings.RetryBudget(window_s=1.0))
+        for number in range(5000):
+            budget.request_seen(POOL, number / 100)
+        self.assertLessEqual(len(budget._requests[POOL].times), 101)
+
     def test_budgets_of_pools_are_apart(self):
         budget = retries.RetryBudget(settings.RetryBudget(share=0.0, slack=2.5))
         self.assertTrue(budget.spend(POOL, 0.0))
