Try upstreams again that were full when last heard of

Loads are told by answers alone; once all three upstreams were last heard of as full, nothing was sent, and so nothing heard, any more. What an answer tells is now believed for 0.3 s. Ruled out: health (no ejection outlasts 15 s) and the store.

--- a/src/cicadapier/_internal/decisions/load.py
+++ b/src/cicadapier/_internal/decisions/load.py
@@ -2,11 +2,13 @@
 
 import collections
 import dataclasses
+import math
 
 from cicadapier._internal.decisions import limits
 from cicadapier._internal.models import configuration
 
 SEND_LOG_S = 10.0
+TOLD_S = 0.3
 RATE_WINDOW_S = 10.0
 
 
@@ -85,6 +87,8 @@
         self.in_flight = 0
         self._reported_running = 0
         self._running_since_report = 0
+        # Infinite where nothing that an answer told is believed.
+        self._told_at = math.inf
         self._lane = _Lane(now)
         self._sends: collections.deque[_Send] = collections.deque()
         self._batch_squares = limits.DecayingRate(RATE_WINDOW_S)
@@ -150,10 +154,22 @@
                 self._running_since_report += 1
         self._drain(now)
 
-    def running_told(self, running: int) -> None:
-        """Takes over the requests that the upstream says it has, from all routers."""
+    def running_told(self, running: int, now: float) -> None:
+        """Takes over the requests that the upstream says with an answer, from all routers."""
         self._reported_running = running
         self._running_since_report = 0
+        self._told_at = now
+
+    def forget_told(self, now: float) -> None:
+        """Drops what an answer told too long ago.
+
+        Answers come only while requests are sent. An upstream that was last heard of as full
+        would else get none any more, and never be heard of again.
+        """
+        if now - self._told_at > TOLD_S:
+            self._told_at = math.inf
+            self._reported_running = 0
+            self._running_since_report = 0
 
     def _drain(self, now: float) -> None:
         if now > self._lane.at:
--- a/src/cicadapier/_internal/decisions/observations.py
+++ b/src/cicadapier/_internal/decisions/observations.py
@@ -73,11 +73,13 @@
         if isinstance(state.policy, placement.PrefixPlacement):
             state.policy.belief.observe_incarnation(upstream, incarnation)
 
-    def load_told(self, pool: ids.PoolId, upstream: ids.UpstreamId, running: int) -> None:
+    def load_told(
+        self, pool: ids.PoolId, upstream: ids.UpstreamId, running: int, now: float
+    ) -> None:
         """Takes the number of requests that an upstream tells with an answer."""
         state = self._find(pool, upstream)
         if state:
-            state.policy.members[upstream].load.running_told(running)
+            state.policy.members[upstream].load.running_told(running, now)
 
     def weights_told(
         self, pool: ids.PoolId, upstream: ids.UpstreamId, model: ids.ModelId, version: str
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -370,6 +370,7 @@
         for upstream, member in state.policy.members.items():
             member.eligible = state.health.state(upstream, now) is health.UpstreamState.ACTIVE
             member.loading = now < member.loading_until
+            member.load.forget_told(now)
             usable = usable or member.usable
         return usable
 
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -156,7 +156,7 @@
             weights = message.weights
             told.weights_told(message.pool, message.upstream, weights.model, weights.version)
         if message.running is not None:
-            told.load_told(message.pool, message.upstream, message.running)
+            told.load_told(message.pool, message.upstream, message.running, now)
 
     def _weights_named(self, message: traffic_messages.WeightsNamed, now: float) -> None:
         if self._traffic.named.named(message.model, message.version, now - message.age_s):
--- /dev/null
+++ b/tests/_internal/decisions/test_traffic.py
@@ -0,0 +1,67 @@
+"""Admission where what is believed of upstreams may be out of date."""
+
+import unittest
+
+from cicadapier._internal.decisions import load
+from cicadapier._internal.decisions import prefix
+from cicadapier._internal.decisions import traffic
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+
+DESK = ids.PoolId("desk")
+ACCOUNT = ids.AccountId("press")
+HERE = ids.FailureDomainId("here")
+
+
+def entry(name):
+    fingerprint = ids.Fingerprint(name)
+    return traffic.Entry(ids.RequestId(name), ACCOUNT, DESK, prefix.EMPTY, 0, fingerprint)
+
+
+def make_traffic(upstreams=3, slots=6):
+    made = traffic.Traffic(HERE)
+    found = {
+        ids.UpstreamId(f"desk-{i}"): configuration.Upstream(
+            ids.Address("10.0.0.1:80"), HERE, max_in_flight=slots
+        )
+        for i in range(upstreams)
+    }
+    pools = {DESK: configuration.Pool(configuration.PoolKind.SERVICE, found)}
+    content = configuration.Configuration({ACCOUNT: configuration.Account()}, pools)
+    made.configure(configuration.NumberedConfiguration(ids.ConfigNumber(1), content), 0.0)
+    return made
+
+
+class ToldLoadTest(unittest.TestCase):
+    def _tell_full(self, made, now):
+        for upstream in made.pools[DESK].policy.members:
+            made.observations.load_told(DESK, upstream, 6, now)
+
+    def test_a_full_pool_keeps_requests_waiting(self):
+        made = make_traffic()
+        self._tell_full(made, 1.0)
+        self.assertIsNone(made.enter(entry("a"), 1.1))
+
+    def test_a_pool_that_was_full_when_last_heard_of_is_tried_again(self):
+        made = make_traffic()
+        self._tell_full(made, 1.0)
+        later = 1.0 + load.TOLD_S + 0.01
+        self.assertIsInstance(made.enter(entry("a"), later), traffic.Placed)
+
+    def test_a_waiting_request_is_sent_once_the_news_is_old(self):
+        made = make_traffic()
+        self._tell_full(made, 1.0)
+        self.assertIsNone(made.enter(entry("a"), 1.1))
+        decisions = made.poll(1.0 + load.TOLD_S + 0.01)
+        self.assertIsInstance(decisions[0], traffic.Placed)
+
+    def test_own_requests_still_count(self):
+        made = make_traffic(upstreams=1, slots=2)
+        self.assertIsInstance(made.enter(entry("a"), 0.0), traffic.Placed)
+        self.assertIsInstance(made.enter(entry("b"), 0.0), traffic.Placed)
+        made.observations.load_told(DESK, ids.UpstreamId("desk-0"), 2, 0.1)
+        self.assertIsNone(made.enter(entry("c"), 5.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
