--- a/src/cicadapier/_internal/decisions/observations.py
+++ b/src/cicadapier/_internal/decisions/observations.py
@@ -25,6 +25,12 @@
     health: health.UpstreamHealth
     queue: fairqueue.FairQueue
 
+    def register(self) -> None:
+        """Takes over the incarnations that the directory shows."""
+        for upstream, spec in self.spec.upstreams.items():
+            if spec.incarnation:
+                self.health.registered(upstream, spec.incarnation)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CacheEvent:
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -183,12 +183,12 @@
                     spec, policy, health.UpstreamHealth(), fairqueue.FairQueue()
                 )
                 self.pools[pool_id] = state
-                _register(state)
+                state.register()
                 continue
             for upstream in [u for u in state.spec.upstreams if u not in spec.upstreams]:
                 state.health.forget(upstream)
             state.spec = spec
-            _register(state)
+            state.register()
             state.policy.update(spec, now)
 
     def enter(self, entry: Entry, now: float) -> Decision | None:
@@ -480,12 +480,6 @@
         return _refused(entry, outcomes.Code.POISON, message)
 
 
-def _register(state: observations.PoolState) -> None:
-    for upstream, spec in state.spec.upstreams.items():
-        if spec.incarnation:
-            state.health.registered(upstream, spec.incarnation)
-
-
 def _patience_s(spec: configuration.Pool, account: configuration.Account, entry: Entry) -> float:
     if entry.patience_s is not None:
         return entry.patience_s
