--- a/tests/_internal/decisions/test_traffic.py
+++ b/tests/_internal/decisions/test_traffic.py
@@ -1,5 +1,6 @@
 """Admission where what is believed of upstreams may be out of date."""
 
+import dataclasses
 import unittest
 
 from cicadapier._internal.decisions import load
@@ -32,6 +33,19 @@
     return made
 
 
+class LeavingTest(unittest.TestCase):
+    def test_a_leaving_upstream_is_never_chosen(self):
+        made = make_traffic(upstreams=2)
+        spec = made.pools[DESK].spec
+        leaving = dataclasses.replace(spec.upstreams["desk-0"], leaving=True)
+        pool = dataclasses.replace(spec, upstreams={**spec.upstreams, "desk-0": leaving})
+        content = configuration.Configuration({ACCOUNT: configuration.Account()}, {DESK: pool})
+        made.configure(configuration.NumberedConfiguration(ids.ConfigNumber(2), content), 1.0)
+        for number in range(6):
+            placed = made.enter(entry(f"r{number}"), 1.0)
+            self.assertEqual(placed.choice.estimate.upstream, "desk-1")
+
+
 class ToldLoadTest(unittest.TestCase):
     def _tell_full(self, made, now):
         for upstream in made.pools[DESK].policy.members:
