Compare weights with the named ones before admission

Cause: engines whose weights are too old for a request were marked so as a request was placed, and admission looked at that mark before it was worked out anew. Once every engine of a pool had been too old at the same time, admission refused every later request, so nothing was placed and the mark stayed, although the named weights were loaded meanwhile. Only a new start of an engine ended it. It shows where names of weights come while nobody may order, as when the lease's writes are lost.

Tests: OutdatedWeightsTest, three cases, failed before; a waiting request is compared as its turn comes, so the fair queue shows its next ticket without taking it out.

--- a/src/cicadapier/_internal/decisions/fairqueue.py
+++ b/src/cicadapier/_internal/decisions/fairqueue.py
@@ -55,6 +55,9 @@
         self.finish_tags[ticket.account] = start + ticket.cost / ticket.weight
         heapq.heappush(self.heap, _Entry(start, number, ticket))
 
+    def first(self) -> Ticket:
+        return self.heap[0].ticket
+
     def pop(self) -> Ticket:
         entry = heapq.heappop(self.heap)
         self.virtual_time = max(self.virtual_time, entry.start_tag)
@@ -93,19 +96,21 @@
         self._gone.add(request)
         return True
 
+    def peek(self) -> Ticket | None:
+        """Returns the next request, or None where none waits."""
+        queue = self._next_queue()
+        return queue.first() if queue else None
+
     def pop(self, now: float) -> Ticket | None:
         """Takes the next request, or returns None where none waits."""
-        while True:
-            queue = self._next_queue()
-            if queue is None:
-                return None
-            ticket = queue.pop()
-            if ticket.request in self._gone:
-                self._gone.discard(ticket.request)
-                continue
-            del self._waiting[ticket.request]
-            self._observe_pop(now)
-            return ticket
+        queue = self._next_queue()
+        if queue is None:
+            return None
+        self._count_turn(queue)
+        ticket = queue.pop()
+        del self._waiting[ticket.request]
+        self._observe_pop(now)
+        return ticket
 
     def shed(self, now: float) -> list[Ticket]:
         """Takes out the requests whose deadline has passed, oldest deadline first."""
@@ -137,12 +142,20 @@
         self._last_pop = now
 
     def _next_queue(self) -> _ClassQueue | None:
+        """Returns the queue whose turn it is, None where nothing waits."""
+        for queue in self._queues.values():
+            self._drop_gone(queue)
         interactive = self._queues[configuration.ServiceClass.INTERACTIVE]
         batch = self._queues[configuration.ServiceClass.BATCH]
         if batch.heap and (not interactive.heap or self._since_batch >= BATCH_TURN - 1):
-            self._since_batch = 0
             return batch
-        if interactive.heap:
-            self._since_batch = self._since_batch + 1 if batch.heap else 0
-            return interactive
-        return None
+        return interactive if interactive.heap else None
+
+    def _count_turn(self, queue: _ClassQueue) -> None:
+        batch = self._queues[configuration.ServiceClass.BATCH]
+        passed_over = queue is not batch and bool(batch.heap)
+        self._since_batch = self._since_batch + 1 if passed_over else 0
+
+    def _drop_gone(self, queue: _ClassQueue) -> None:
+        while queue.heap and queue.first().request in self._gone:
+            self._gone.discard(queue.pop().request)
--- a/src/cicadapier/_internal/decisions/pool_weights.py
+++ b/src/cicadapier/_internal/decisions/pool_weights.py
@@ -1,5 +1,6 @@
 """Weights that the upstreams of one pool serve, compared with those that were named."""
 
+from cicadapier._internal.decisions import members
 from cicadapier._internal.decisions import named_weights
 from cicadapier._internal.decisions import observations
 from cicadapier._internal.decisions import rollout
@@ -11,17 +12,35 @@
 def compare(
     state: observations.PoolState,
     named: named_weights.NamedWeights,
-    model: ids.ModelId,
+    model: ids.ModelId | None,
     now: float,
 ) -> None:
-    """Bars members whose weights are too old for a request, and makes merely older ones dearer."""
+    """Bars members whose weights are too old for a request, and makes merely older ones dearer.
+
+    Args:
+        state: The pool.
+        named: Weights that were named.
+        model: Model that the request names; without any, all weights will do.
+        now: Present time.
+    """
     for member in state.policy.members.values():
-        standing = named.standing(model, member.versions.get(model), now)
+        standing = _standing(member, named, model, now)
         member.barred = standing is named_weights.Standing.BARRED
         outdated = standing is named_weights.Standing.OUTDATED
         member.penalty_s = OUTDATED_PENALTY_S if outdated else 0.0
 
 
+def _standing(
+    member: members.Member,
+    named: named_weights.NamedWeights,
+    model: ids.ModelId | None,
+    now: float,
+) -> named_weights.Standing:
+    if model is None:
+        return named_weights.Standing.CURRENT
+    return named.standing(model, member.versions.get(model), now)
+
+
 def engines(state: observations.PoolState, model: ids.ModelId) -> tuple[rollout.Engine, ...]:
     """Returns the engines that are not leaving, as a router that orders sees them."""
     found = []
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -199,7 +199,7 @@
             return _refused(entry, outcomes.Code.NOT_FOUND, "the account or pool is gone")
         if self.poison.is_held(entry.fingerprint, now):
             return self._held(entry)
-        if not self._refresh(state, now):
+        if not self._refresh(state, entry, now):
             message = f"no upstream of {entry.pool} can take requests now"
             return _refused(entry, outcomes.Code.NO_UPSTREAM, message, retry_after_s=1.0)
         if len(self._active) >= MAX_QUEUED:
@@ -237,7 +237,7 @@
             return _refused(active.entry, outcomes.Code.NO_UPSTREAM, "the pool is gone")
         if self.poison.is_held(active.entry.fingerprint, now):
             return self._held(active.entry)
-        self._refresh(state, now)
+        self._refresh(state, active.entry, now)
         if self._must_wait_alone(state, active, now):
             self._alone[request] = now + MAX_ALONE_S
             return None
@@ -337,7 +337,7 @@
         """Returns the choice that would be made for a request, without any effect."""
         state = self.pools.get(entry.pool)
         account = self._cfg.content.accounts.get(entry.account)
-        if state is None or account is None or not self._refresh(state, now):
+        if state is None or account is None or not self._refresh(state, entry, now):
             return None
         req = members.PlacementRequest(entry.request, entry.prompt, account.service_class)
         choice = state.policy.choose(req, now)
@@ -364,8 +364,9 @@
             if active.choice and self.poison.is_suspect(active.entry.fingerprint, now)
         )
 
-    def _refresh(self, state: observations.PoolState, now: float) -> bool:
-        """Takes over the health of each upstream; returns whether any is usable."""
+    def _refresh(self, state: observations.PoolState, entry: Entry, now: float) -> bool:
+        """Works out which upstreams a request may use now; returns whether there are any."""
+        pool_weights.compare(state, self.named, entry.model, now)
         usable = False
         for upstream, member in state.policy.members.items():
             member.eligible = state.health.state(upstream, now) is health.UpstreamState.ACTIVE
@@ -376,8 +377,6 @@
 
     def _place(self, state: observations.PoolState, active: _Active, now: float) -> Decision:
         entry = active.entry
-        if entry.model is not None:
-            pool_weights.compare(state, self.named, entry.model, now)
         exclude = frozenset(active.tried)
         if self.poison.is_suspect(entry.fingerprint, now):
             # Two suspects on one upstream could not be told apart after the next crash.
@@ -422,12 +421,12 @@
 
     def _serve_queue(self, state: observations.PoolState, now: float) -> list[Decision]:
         decisions: list[Decision] = []
-        if not len(state.queue) or not self._refresh(state, now):
-            return decisions
-        free = state.policy.free_slots()
-        while free > 0 and (ticket := state.queue.pop(now)):
-            decisions.append(self._place(state, self._active[ticket.request], now))
-            free -= 1
+        while ticket := state.queue.peek():
+            active = self._active[ticket.request]
+            if not self._refresh(state, active.entry, now) or state.policy.free_slots() <= 0:
+                break
+            state.queue.pop(now)
+            decisions.append(self._place(state, active, now))
         return decisions
 
     def _serve_alone(self, now: float) -> list[Decision]:
--- a/tests/_internal/decisions/test_traffic.py
+++ b/tests/_internal/decisions/test_traffic.py
@@ -10,6 +10,9 @@
 from cicadapier._internal.models import ids
 
 DESK = ids.PoolId("desk")
+MODELS = ids.PoolId("models")
+MODEL = ids.ModelId("quill")
+WEIGHTS_S = 8.0
 ACCOUNT = ids.AccountId("press")
 HERE = ids.FailureDomainId("here")
 
@@ -33,6 +36,68 @@
     return made
 
 
+def model_entry(name, patience_s=None):
+    return traffic.Entry(
+        ids.RequestId(name),
+        ACCOUNT,
+        MODELS,
+        prefix.EMPTY,
+        10,
+        ids.Fingerprint(name),
+        model=MODEL,
+        patience_s=patience_s,
+    )
+
+
+def make_engines(version, slots=4):
+    made = traffic.Traffic(HERE, weights_s=WEIGHTS_S)
+    found = {
+        ids.UpstreamId(f"engine-{i}"): configuration.Upstream(
+            ids.Address("10.0.0.1:80"), HERE, max_in_flight=slots, weights={MODEL: version}
+        )
+        for i in range(2)
+    }
+    models = {MODEL: configuration.Model("")}
+    pools = {MODELS: configuration.Pool(configuration.PoolKind.MODEL, found, models=models)}
+    content = configuration.Configuration({ACCOUNT: configuration.Account()}, pools)
+    made.configure(configuration.NumberedConfiguration(ids.ConfigNumber(1), content), 0.0)
+    return made
+
+
+class OutdatedWeightsTest(unittest.TestCase):
+    def _load(self, made, version):
+        for upstream in made.pools[MODELS].policy.members:
+            made.observations.weights_told(MODELS, upstream, MODEL, version)
+
+    def test_requests_are_served_again_once_the_named_weights_are_loaded(self):
+        made = make_engines("3")
+        made.named.named(MODEL, 4, 0.0)
+        self.assertIsInstance(made.enter(model_entry("early"), 1.0), traffic.Placed)
+        self.assertIsInstance(made.enter(model_entry("late"), WEIGHTS_S), traffic.Refused)
+        self._load(made, "4")
+        self.assertIsInstance(made.enter(model_entry("after"), WEIGHTS_S + 1), traffic.Placed)
+
+    def test_too_old_weights_are_refused_at_the_first_request(self):
+        made = make_engines("3")
+        made.named.named(MODEL, 4, 0.0)
+        refused = made.enter(model_entry("late"), WEIGHTS_S)
+        self.assertIsInstance(refused, traffic.Refused)
+        self.assertEqual(made.active_requests, 0)
+
+    def test_a_waiting_request_is_placed_once_the_named_weights_are_loaded(self):
+        made = make_engines("3", slots=1)
+        made.named.named(MODEL, 4, 0.0)
+        placed = [made.enter(model_entry(name), 1.0) for name in ("a", "b")]
+        self.assertIsNone(made.enter(model_entry("c", patience_s=WEIGHTS_S), 1.0))
+        for decision in placed:
+            made.leave(decision.request, ran=True)
+        self.assertEqual(made.poll(WEIGHTS_S), [])
+        self._load(made, "4")
+        decisions = made.poll(WEIGHTS_S + 0.1)
+        self.assertIsInstance(decisions[0], traffic.Placed)
+        self.assertEqual(decisions[0].weights, "4")
+
+
 class LeavingTest(unittest.TestCase):
     def test_a_leaving_upstream_is_never_chosen(self):
         made = make_traffic(upstreams=2)
