Forget what peers have sent to an upstream that tells its load with answers alone

Cause: peers tell what they send and not what ends. On the users' platform only an answer to a request of this router sets the count right. Without one for a while (an upstream that the prefix order never chooses here, or one believed full) the count grew until the upstream looked full, and then got nothing more that could set it right.

Tests: two cases in ToldLoadTest, failed before. Engines that report their load are as before.

--- a/src/cicadapier/_internal/decisions/load.py
+++ b/src/cicadapier/_internal/decisions/load.py
@@ -2,7 +2,7 @@
 
 import collections
 import dataclasses
-import math
+import itertools
 
 from cicadapier._internal.decisions import limits
 from cicadapier._internal.models import configuration
@@ -87,8 +87,8 @@
         self.in_flight = 0
         self._reported_running = 0
         self._running_since_report = 0
-        # Infinite where nothing that an answer told is believed.
-        self._told_at = math.inf
+        self._reports = False
+        self._told_at = now
         self._lane = _Lane(now)
         self._sends: collections.deque[_Send] = collections.deque()
         self._batch_squares = limits.DecayingRate(RATE_WINDOW_S)
@@ -145,6 +145,7 @@
         if rest > 0:
             lane.add(_Send(report.measured_at, rest, interactive=False))
         self._lane = lane
+        self._reports = True
         self._reported_running = report.running
         self._running_since_report = 0
         for send in self._sends:
@@ -161,15 +162,20 @@
         self._told_at = now
 
     def forget_told(self, now: float) -> None:
-        """Drops what an answer told too long ago.
+        """Drops what an answer told too long ago, and what peers have sent since.
 
-        Answers come only while requests are sent. An upstream that was last heard of as full
-        would else get none any more, and never be heard of again.
+        Answers come only while requests are sent, and peers tell no ends. An upstream that was
+        last heard of as full would else get none any more, and never be heard of again. One that
+        reports its load is heard of all the same.
         """
-        if now - self._told_at > TOLD_S:
-            self._told_at = math.inf
+        if not self._reports and now - self._told_at > TOLD_S:
+            self._told_at = now
             self._reported_running = 0
-            self._running_since_report = 0
+            self._running_since_report = self._sent_since(now - TOLD_S)
+
+    def _sent_since(self, at: float) -> int:
+        recent = itertools.takewhile(lambda send: send.at >= at, reversed(self._sends))
+        return sum(1 for _ in recent)
 
     def _drain(self, now: float) -> None:
         if now > self._lane.at:
--- a/tests/_internal/decisions/test_traffic.py
+++ b/tests/_internal/decisions/test_traffic.py
@@ -134,6 +134,25 @@
         decisions = made.poll(1.0 + load.TOLD_S + 0.01)
         self.assertIsInstance(decisions[0], traffic.Placed)
 
+    def test_what_peers_alone_send_does_not_fill_an_upstream_for_good(self):
+        made = make_traffic(upstreams=1, slots=2)
+        desk = ids.UpstreamId("desk-0")
+        for number in range(10):
+            made.observations.peer_sent(DESK, desk, 1.0, 1.0, 0.1 * number)
+        self.assertIsNone(made.enter(entry("at once"), 1.0))
+        made.leave(ids.RequestId("at once"), ran=False)
+        self.assertIsInstance(made.enter(entry("later"), 5.0), traffic.Placed)
+
+    def test_what_peers_send_after_old_news_does_not_fill_an_upstream_for_good(self):
+        made = make_traffic(upstreams=1, slots=2)
+        desk = ids.UpstreamId("desk-0")
+        made.observations.load_told(DESK, desk, 2, 0.0)
+        made.enter(entry("forgets"), 1.0)
+        made.leave(ids.RequestId("forgets"), ran=False)
+        for _ in range(10):
+            made.observations.peer_sent(DESK, desk, 1.0, 1.0, 1.1)
+        self.assertIsInstance(made.enter(entry("later"), 5.0), traffic.Placed)
+
     def test_own_requests_still_count(self):
         made = make_traffic(upstreams=1, slots=2)
         self.assertIsInstance(made.enter(entry("a"), 0.0), traffic.Placed)
