Let the product's settings say what the platform does not tell of engines

The prefill rate and the cost of leaving the failure domain are choices, and stood in the adapter; they are now forwarding.engines. forwarding.drain_ms was read and unused: a leaving upstream gets no more requests as soon as the router hears of it, so there is nothing to set.

With it: the type of run_attempts' callback has a name, and a kept connection that was idle for too long, or that the upstream closed, is closed by itself; its siblings are judged one by one. Such an end is usual and says nothing of them.

--- a/src/cicadapier/_internal/assembly/forwarding.py
+++ b/src/cicadapier/_internal/assembly/forwarding.py
@@ -51,7 +51,7 @@
     rng = random.Random(wiring.seed)
     clock = wiring.clock
     spelling = requests.RequestFormat()
-    shapes = documents.DocumentFormat()
+    shapes = documents.DocumentFormat(terms.engines)
     tokens = wiring.token_source
     configuration = watched_configuration.WatchedConfiguration(
         shapes, terms.revoke_ms / 1000, clock, rng
--- a/src/cicadapier/_internal/models/settings.py
+++ b/src/cicadapier/_internal/models/settings.py
@@ -83,6 +83,19 @@
     window_s: float = checked.field(10.0, above=0)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineTerms:
+    """What routers assume of model engines.
+
+    Attributes:
+        prefill_tokens_per_s: Prompt tokens that an idle engine computes in a second.
+        remote_cost_ms: Time to first token that is given up to stay in the failure domain.
+    """
+
+    prefill_tokens_per_s: float = checked.field(45_000.0, above=0)
+    remote_cost_ms: float = checked.field(100.0, minimum=0)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Forwarding:
     """How routers serve forwarded routes under a configuration that they only watch.
@@ -91,19 +104,19 @@
         readiness_path: Path at which the balancer asks whether this router takes connections.
         grace_s: Time from SIGTERM to SIGKILL.
         revoke_ms: Time within which a key that was taken away is refused by every router.
-        drain_ms: Time within which a leaving upstream gets no more requests.
         order_lease_ms: Least time between orders of two routers to one upstream.
         weights_ms: Time within which requests run on newly named weights alone.
         retries: Bound on repeated sends.
+        engines: What the platform does not tell of its engines.
     """
 
     readiness_path: str = "/readyz"
     grace_s: float = checked.field(8.0, above=0)
     revoke_ms: float = checked.field(5000.0, above=0)
-    drain_ms: float = checked.field(2000.0, above=0)
     order_lease_ms: float = checked.field(3000.0, above=0)
     weights_ms: float = checked.field(8000.0, above=0)
     retries: RetryBudget = checked.field(factory=RetryBudget)
+    engines: EngineTerms = checked.field(factory=EngineTerms)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/platform/documents.py
+++ b/src/cicadapier/_internal/platform/documents.py
@@ -19,8 +19,6 @@
     "non_idempotent": configuration.RouteKind.NON_IDEMPOTENT,
     "streaming": configuration.RouteKind.STREAM,
 }
-_PREFILL_TOKENS_PER_S = 45_000.0  # The platform does not tell it; its engines read 40 to 51 a ms.
-_REMOTE_COST_S = 0.1
 _READY = "ready"
 _DRAINING = "draining"
 
@@ -107,13 +105,20 @@
 
 
 class DocumentFormat(declarations.DeclarationFormat):
-    """See the module."""
+    """See the module.
+
+    Args:
+        engines: What the documents do not tell of engines.
+    """
 
     configuration_kind = "config"
     configuration_name = "main"
     directory_kind = "servers"
     weights_kind = "versions"
 
+    def __init__(self, engines: settings.EngineTerms | None = None) -> None:
+        self._engines = engines or settings.EngineTerms()
+
     def read_configuration(
         self, item: store_format.StoredObject
     ) -> configuration.NumberedConfiguration:
@@ -124,7 +129,10 @@
             raise exceptions.InvalidDocumentError([exceptions.Fault("", str(exc))]) from exc
         content = configuration.Configuration(
             accounts={ids.AccountId(tenant.name): _account(tenant) for tenant in found.tenants},
-            pools={ids.PoolId(service.name): _pool(service) for service in found.services},
+            pools={
+                ids.PoolId(service.name): _pool(service, self._engines)
+                for service in found.services
+            },
             routes={ids.RouteId(route.name): _route(route) for route in found.routes},
             caller_limits=_caller_limits(found.limits) if found.limits else None,
         )
@@ -171,7 +179,7 @@
     )
 
 
-def _pool(service: _Service) -> configuration.Pool:
+def _pool(service: _Service, terms: settings.EngineTerms) -> configuration.Pool:
     if service.kv_store_addr:
         upstream = configuration.Upstream(
             ids.Address(service.kv_store_addr), ids.FailureDomainId(service.zone)
@@ -188,9 +196,9 @@
     return configuration.Pool(
         configuration.PoolKind.MODEL,
         models=models,
-        prefill_tokens_per_s=_PREFILL_TOKENS_PER_S,
+        prefill_tokens_per_s=terms.prefill_tokens_per_s,
         import_tokens_per_s=import_rate,
-        remote_cost_s=_REMOTE_COST_S,
+        remote_cost_s=terms.remote_cost_ms / 1000,
     )
 
 
--- a/src/cicadapier/_internal/services/connections_service.py
+++ b/src/cicadapier/_internal/services/connections_service.py
@@ -85,14 +85,17 @@
         Raises:
             ConnectError: No connection could be made.
         """
+        while conn := await self._take_idle(address):
+            if not conn.stale and not _idle_too_long(conn, trio.current_time()):
+                return conn
+            # Upstreams close idle connections, so this says nothing of the others.
+            await conn.close()
+        return await self.open(address, timeout_s)
+
+    async def _take_idle(self, address: ids.Address) -> http_client.ClientConnection | None:
         reply: mailbox.Reply[http_client.ClientConnection | None] = mailbox.Reply()
         self.mailbox.send(Take(address, reply))
-        conn = await reply.get()
-        if conn and not conn.stale and not _idle_too_long(conn, trio.current_time()):
-            return conn
-        if conn:
-            await self.discard(address, conn)
-        return await self.open(address, timeout_s)
+        return await reply.get()
 
     async def open(self, address: ids.Address, timeout_s: float) -> http_client.ClientConnection:
         """Returns a new connection.
--- a/src/cicadapier/_internal/services/request_context.py
+++ b/src/cicadapier/_internal/services/request_context.py
@@ -28,6 +28,10 @@
 from cicadapier._internal.services import traffic_service
 from cicadapier._internal.services import upstreams_service
 
+MakeAttempt = collections.abc.Callable[
+    [traffic.Placed], collections.abc.Awaitable[outcomes.AttemptOutcome]
+]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Context:
@@ -115,7 +119,7 @@
         request: ids.RequestId,
         sequence: retries.AttemptSequence,
         placed: traffic.Placed,
-        attempt: "collections.abc.Callable[[traffic.Placed], collections.abc.Awaitable[outcomes.AttemptOutcome]]",  # noqa: E501
+        attempt: MakeAttempt,
     ) -> outcomes.Refusal | None:
         """Makes attempts until one is complete or no other may follow.
 
