--- /dev/null
+++ b/tests/_internal/services/test_connections_service.py
@@ -0,0 +1,123 @@
+"""Which kept connections are used again."""
+
+import unittest
+
+import trio
+import trio.testing
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import transport
+from cicadapier._internal.services import connections_service
+from tests import support
+
+HERE = ids.Address("10.0.0.1:80")
+START_S = 20.0  # Time at which the tests begin, so that connections may have been idle before.
+
+
+class _Stream(transport.InputProbe, trio.abc.Stream):
+    """A stream that carries nothing and may have been closed by the other end."""
+
+    def __init__(self):
+        self.closed_by_peer = False
+        self.closed = False
+
+    @property
+    def has_input(self):
+        return self.closed_by_peer
+
+    async def send_all(self, data):
+        await trio.lowlevel.checkpoint()
+
+    async def wait_send_all_might_not_block(self):
+        await trio.lowlevel.checkpoint()
+
+    async def receive_some(self, max_bytes=None):
+        await trio.sleep_forever()
+
+    async def aclose(self):
+        self.closed = True
+
+
+class _Network(transport.Network):
+    def __init__(self):
+        self.streams = []
+
+    async def connect(self, address, timeout_s):
+        self.streams.append(_Stream())
+        return self.streams[-1]
+
+    async def serve(self, address, handler, task_status=trio.TASK_STATUS_IGNORED):
+        raise NotImplementedError
+
+
+class _Pool:
+    """The service with kept connections that became idle one after the other."""
+
+    def __init__(self):
+        self.network = _Network()
+        self.service = connections_service.ConnectionsService(self.network)
+
+    async def keep(self, idle_since):
+        for at in idle_since:
+            conn = await self.service.open(HERE, 1.0)
+            conn.idle_since = at
+            conn.max_idle_s = 10.0
+            self.service.mailbox.send(connections_service.GiveBack(HERE, conn))
+        await trio.testing.wait_all_tasks_blocked()
+
+    async def take(self):
+        conn = await self.service.acquire(HERE, 1.0)
+        return self.network.streams.index(conn._stream)
+
+
+async def _with_pool(check):
+    pool = _Pool()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(pool.service.run, None, trio.TASK_STATUS_IGNORED)
+        await trio.sleep(START_S)
+        await check(pool)
+        nursery.cancel_scope.cancel()
+
+
+class KeptConnectionsTest(unittest.TestCase):
+    def test_a_connection_that_was_idle_for_too_long_says_nothing_of_its_siblings(self):
+        async def check(pool):
+            now = trio.current_time()
+            await pool.keep([now - 1.0, now - 9.9])
+            self.assertEqual(await pool.take(), 0)
+            self.assertTrue(pool.network.streams[1].closed)
+            self.assertFalse(pool.network.streams[0].closed)
+
+        support.run(_with_pool, check)
+
+    def test_a_connection_that_its_other_end_closed_is_passed_over(self):
+        async def check(pool):
+            now = trio.current_time()
+            await pool.keep([now, now])
+            pool.network.streams[1].closed_by_peer = True
+            self.assertEqual(await pool.take(), 0)
+            self.assertFalse(pool.network.streams[0].closed)
+
+        support.run(_with_pool, check)
+
+    def test_without_a_good_one_a_new_connection_is_made(self):
+        async def check(pool):
+            await pool.keep([trio.current_time()])
+            pool.network.streams[0].closed_by_peer = True
+            self.assertEqual(await pool.take(), 1)
+
+        support.run(_with_pool, check)
+
+    def test_a_failure_closes_the_idle_siblings(self):
+        async def check(pool):
+            await pool.keep([trio.current_time()])
+            conn = await pool.service.open(HERE, 1.0)
+            await pool.service.discard(HERE, conn)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertTrue(pool.network.streams[0].closed)
+
+        support.run(_with_pool, check)
+
+
+if __name__ == "__main__":
+    unittest.main()
