--- /dev/null
+++ b/src/cicadapier/_internal/decisions/entries.py
@@ -0,0 +1,91 @@
+"""What enters the traffic decisions and what they answer."""
+
+import dataclasses
+
+from cicadapier._internal.decisions import members
+from cicadapier._internal.decisions import prefix
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import outcomes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """A request that enters the router.
+
+    Attributes:
+        request: Its id.
+        account: Client account.
+        pool: Pool that serves it.
+        prompt: Its pieces; without any for plain services.
+        output_tokens: Bound on the tokens of the answer.
+        fingerprint: Identity by which it is held back where it crashes upstreams.
+        weights: Weights that its pieces belong to; None where any will do.
+        model: Model that it names, where newer weights are preferred to older ones.
+        patience_s: Longest wait for a slot; None leaves it to the pool.
+        terms: Terms of a caller without account; None where it must have one.
+    """
+
+    request: ids.RequestId
+    account: ids.AccountId
+    pool: ids.PoolId
+    prompt: prefix.Prompt
+    output_tokens: int
+    fingerprint: ids.Fingerprint
+    weights: members.Weights | None = None
+    model: ids.ModelId | None = None
+    patience_s: float | None = None
+    terms: configuration.Account | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed:
+    """Send the request to the chosen upstream now.
+
+    Attributes:
+        request: Its id.
+        choice: The upstream and why.
+        incarnation: Last known incarnation of the upstream.
+        queued_s: Time that the request waited for a slot.
+        weights: Weights version that the upstream is believed to serve, where it tells it.
+    """
+
+    request: ids.RequestId
+    choice: members.Choice
+    incarnation: ids.Incarnation
+    queued_s: float
+    weights: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Refuse the request."""
+
+    request: ids.RequestId
+    refusal: outcomes.Refusal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explained:
+    """A choice and the estimate for each candidate."""
+
+    choice: members.Choice
+    candidates: tuple[members.Estimate, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Export:
+    """Have an upstream export pieces to the pool's keep.
+
+    Attributes:
+        pool: Pool of the upstream.
+        upstream: The upstream, which has the pieces cached.
+        pieces: The pieces, outermost first.
+    """
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    pieces: tuple[ids.PieceId, ...]
+
+
+Decision = Placed | Refused
--- a/src/cicadapier/_internal/decisions/peer_news.py
+++ b/src/cicadapier/_internal/decisions/peer_news.py
@@ -8,6 +8,7 @@
 import collections.abc
 import dataclasses
 
+from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import limits
 from cicadapier._internal.decisions import traffic
 from cicadapier._internal.models import ids
@@ -66,7 +67,7 @@
         self._placed_count = 0
         self._tokens: dict[tuple[ids.PoolId, ids.UpstreamId], list[float]] = {}
 
-    def count(self, decisions: traffic.Traffic, placed: traffic.Placed, now: float) -> bool:
+    def count(self, decisions: traffic.Traffic, placed: entries.Placed, now: float) -> bool:
         """Counts a request that is sent now.
 
         Returns:
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -8,6 +8,7 @@
 import dataclasses
 import math
 
+from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import fairqueue
 from cicadapier._internal.decisions import health
 from cicadapier._internal.decisions import limits
@@ -17,7 +18,6 @@
 from cicadapier._internal.decisions import placement
 from cicadapier._internal.decisions import poison
 from cicadapier._internal.decisions import pool_weights
-from cicadapier._internal.decisions import prefix
 from cicadapier._internal.decisions import rollout
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
@@ -27,71 +27,6 @@
 MAX_ALONE_S = 1.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Entry:
-    """A request that enters the router.
-
-    Attributes:
-        request: Its id.
-        account: Client account.
-        pool: Pool that serves it.
-        prompt: Its pieces; without any for plain services.
-        output_tokens: Bound on the tokens of the answer.
-        fingerprint: Identity by which it is held back where it crashes upstreams.
-        weights: Weights that its pieces belong to; None where any will do.
-        model: Model that it names, where newer weights are preferred to older ones.
-        patience_s: Longest wait for a slot; None leaves it to the pool.
-        terms: Terms of a caller without account; None where it must have one.
-    """
-
-    request: ids.RequestId
-    account: ids.AccountId
-    pool: ids.PoolId
-    prompt: prefix.Prompt
-    output_tokens: int
-    fingerprint: ids.Fingerprint
-    weights: members.Weights | None = None
-    model: ids.ModelId | None = None
-    patience_s: float | None = None
-    terms: configuration.Account | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Placed:
-    """Send the request to the chosen upstream now.
-
-    Attributes:
-        request: Its id.
-        choice: The upstream and why.
-        incarnation: Last known incarnation of the upstream.
-        queued_s: Time that the request waited for a slot.
-        weights: Weights version that the upstream is believed to serve, where it tells it.
-    """
-
-    request: ids.RequestId
-    choice: members.Choice
-    incarnation: ids.Incarnation
-    queued_s: float
-    weights: str | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refused:
-    """Refuse the request."""
-
-    request: ids.RequestId
-    refusal: outcomes.Refusal
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Explained:
-    """A choice and the estimate for each candidate."""
-
-    choice: members.Choice
-    candidates: tuple[members.Estimate, ...]
-
-
-Decision = Placed | Refused
 PolicyFactory = collections.abc.Callable[
     [configuration.Pool, ids.FailureDomainId, float], members.Policy
 ]
@@ -99,7 +34,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Active:
-    entry: Entry
+    entry: entries.Entry
     account: configuration.Account
     entered_at: float
     choice: members.Estimate | None = None
@@ -107,21 +42,6 @@
     tried: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Export:
-    """Have an upstream export pieces to the pool's keep.
-
-    Attributes:
-        pool: Pool of the upstream.
-        upstream: The upstream, which has the pieces cached.
-        pieces: The pieces, outermost first.
-    """
-
-    pool: ids.PoolId
-    upstream: ids.UpstreamId
-    pieces: tuple[ids.PieceId, ...]
-
-
 class Traffic:
     """Decisions of one router.
 
@@ -156,7 +76,7 @@
         """Requests that have entered and not left."""
         return len(self._active)
 
-    def entry(self, request: ids.RequestId) -> Entry | None:
+    def entry(self, request: ids.RequestId) -> entries.Entry | None:
         """Returns what entered under an id, while the request is active."""
         active = self._active.get(request)
         return active.entry if active else None
@@ -191,7 +111,7 @@
             state.register()
             state.policy.update(spec, now)
 
-    def enter(self, entry: Entry, now: float) -> Decision | None:
+    def enter(self, entry: entries.Entry, now: float) -> entries.Decision | None:
         """Admits a request; returns None where it has to wait for a slot."""
         account = self._cfg.content.accounts.get(entry.account, entry.terms)
         state = self.pools.get(entry.pool)
@@ -224,7 +144,7 @@
             return None
         return self._place(state, active, now)
 
-    def again(self, request: ids.RequestId, now: float) -> Decision | None:
+    def again(self, request: ids.RequestId, now: float) -> entries.Decision | None:
         """Chooses another upstream for a request whose attempt has failed.
 
         Returns:
@@ -297,7 +217,7 @@
 
     def first_token(
         self, request: ids.RequestId, first: members.FirstToken, now: float
-    ) -> Export | None:
+    ) -> entries.Export | None:
         """Corrects what is believed by an answer's own count of cached tokens.
 
         Returns:
@@ -312,11 +232,11 @@
         upstream = active.choice.upstream
         state.health.answered(upstream, first.incarnation)
         pieces = state.policy.first_token(active.choice, active.entry.prompt, first, now)
-        return Export(active.entry.pool, upstream, pieces) if pieces else None
+        return entries.Export(active.entry.pool, upstream, pieces) if pieces else None
 
-    def poll(self, now: float) -> list[Decision]:
+    def poll(self, now: float) -> list[entries.Decision]:
         """Returns decisions on waiting requests that time or freed slots allow."""
-        decisions: list[Decision] = []
+        decisions: list[entries.Decision] = []
         for pool_id, state in self.pools.items():
             for ticket in state.queue.shed(now):
                 message = f"no slot of {pool_id} became free in time"
@@ -333,7 +253,7 @@
         deadlines = [state.queue.next_deadline() for state in self.pools.values()]
         return min((d for d in deadlines if d is not None), default=None)
 
-    def explain(self, entry: Entry, now: float) -> Explained | None:
+    def explain(self, entry: entries.Entry, now: float) -> entries.Explained | None:
         """Returns the choice that would be made for a request, without any effect."""
         state = self.pools.get(entry.pool)
         account = self._cfg.content.accounts.get(entry.account)
@@ -343,7 +263,7 @@
         choice = state.policy.choose(req, now)
         if choice is None:
             return None
-        return Explained(choice, tuple(state.policy.estimates(req, now)))
+        return entries.Explained(choice, tuple(state.policy.estimates(req, now)))
 
     def upstream_state(
         self, pool: ids.PoolId, upstream: ids.UpstreamId, now: float
@@ -364,7 +284,7 @@
             if active.choice and self.poison.is_suspect(active.entry.fingerprint, now)
         )
 
-    def _refresh(self, state: observations.PoolState, entry: Entry, now: float) -> bool:
+    def _refresh(self, state: observations.PoolState, entry: entries.Entry, now: float) -> bool:
         """Works out which upstreams a request may use now; returns whether there are any."""
         pool_weights.compare(state, self.named, entry.model, now)
         usable = False
@@ -375,7 +295,9 @@
             usable = usable or member.usable
         return usable
 
-    def _place(self, state: observations.PoolState, active: _Active, now: float) -> Decision:
+    def _place(
+        self, state: observations.PoolState, active: _Active, now: float
+    ) -> entries.Decision:
         entry = active.entry
         exclude = frozenset(active.tried)
         if self.poison.is_suspect(entry.fingerprint, now):
@@ -404,7 +326,7 @@
         if entry.model is not None:
             weights = state.policy.members[choice.estimate.upstream].versions.get(entry.model)
         waited_s = now - active.entered_at
-        return Placed(entry.request, choice, active.incarnation, waited_s, weights)
+        return entries.Placed(entry.request, choice, active.incarnation, waited_s, weights)
 
     def _enqueue(self, state: observations.PoolState, active: _Active, now: float) -> None:
         entry = active.entry
@@ -419,8 +341,8 @@
             )
         )
 
-    def _serve_queue(self, state: observations.PoolState, now: float) -> list[Decision]:
-        decisions: list[Decision] = []
+    def _serve_queue(self, state: observations.PoolState, now: float) -> list[entries.Decision]:
+        decisions: list[entries.Decision] = []
         while ticket := state.queue.peek():
             active = self._active[ticket.request]
             if not self._refresh(state, active.entry, now) or state.policy.free_slots() <= 0:
@@ -429,8 +351,8 @@
             decisions.append(self._place(state, active, now))
         return decisions
 
-    def _serve_alone(self, now: float) -> list[Decision]:
-        decisions: list[Decision] = []
+    def _serve_alone(self, now: float) -> list[entries.Decision]:
+        decisions: list[entries.Decision] = []
         for request, deadline in list(self._alone.items()):
             active = self._active[request]
             del self._alone[request]
@@ -471,7 +393,7 @@
         crash = poison.Crash(fingerprint, choice.upstream, active.incarnation)
         return crash if self.poison.crashed(crash, now) else None
 
-    def _held(self, entry: Entry) -> Refused:
+    def _held(self, entry: entries.Entry) -> entries.Refused:
         message = (
             "this request was running on two upstreams as they crashed; "
             "it is held back and was not run again"
@@ -479,7 +401,9 @@
         return _refused(entry, outcomes.Code.POISON, message)
 
 
-def _patience_s(spec: configuration.Pool, account: configuration.Account, entry: Entry) -> float:
+def _patience_s(
+    spec: configuration.Pool, account: configuration.Account, entry: entries.Entry
+) -> float:
     if entry.patience_s is not None:
         return entry.patience_s
     if account.service_class is configuration.ServiceClass.BATCH:
@@ -488,7 +412,7 @@
 
 
 def _refused(
-    entry: Entry, code: outcomes.Code, message: str, retry_after_s: float | None = None
-) -> Refused:
+    entry: entries.Entry, code: outcomes.Code, message: str, retry_after_s: float | None = None
+) -> entries.Refused:
     refusal = outcomes.Refusal(code, message, outcomes.Effect.NOT_RUN, retry_after_s)
-    return Refused(entry.request, refusal)
+    return entries.Refused(entry.request, refusal)
--- a/src/cicadapier/_internal/experiments/replay.py
+++ b/src/cicadapier/_internal/experiments/replay.py
@@ -12,6 +12,7 @@
 import random
 
 from cicadapier._internal.decisions import cadence
+from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import load
 from cicadapier._internal.decisions import members
 from cicadapier._internal.decisions import observations
@@ -215,7 +216,7 @@
         router = self.routers[number % len(self.routers)]
         request = ids.RequestId(f"r{number}")
         prompt = prefix.uniform(req.pieces, self._plan.spec.piece_tokens, req.total_tokens)
-        entry = traffic.Entry(
+        entry = entries.Entry(
             request,
             req.account,
             self._size.model_pool,
@@ -229,9 +230,9 @@
         if decision is not None:
             self._decide(decision)
 
-    def _decide(self, decision: traffic.Decision) -> None:
+    def _decide(self, decision: entries.Decision) -> None:
         running = self._running[decision.request]
-        if isinstance(decision, traffic.Refused):
+        if isinstance(decision, entries.Refused):
             running.record.refused(decision.refusal, self.now)
             running.router.traffic.leave(decision.request, ran=False)
             del self._running[decision.request]
@@ -249,7 +250,7 @@
         submit = functools.partial(self._submit, decision, running)
         self.at(self.now + NETWORK_S, submit)
 
-    def _submit(self, decision: traffic.Placed, running: _Running) -> None:
+    def _submit(self, decision: entries.Placed, running: _Running) -> None:
         upstream = decision.choice.estimate.upstream
         if upstream in self._down:
             self._lost(decision.request, upstream)
@@ -301,7 +302,7 @@
         if export:
             self.at(self.now + EXPORT_S, functools.partial(self._export, running.router, export))
 
-    def _export(self, router: _Router, export: traffic.Export) -> None:
+    def _export(self, router: _Router, export: entries.Export) -> None:
         engine = self.engines[export.upstream]
         pieces = tuple(piece for piece in export.pieces if engine.has_cached(piece))
         self.keep.store(pieces)
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -8,9 +8,9 @@
 import structlog
 import trio
 
+from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import members
 from cicadapier._internal.decisions import retries
-from cicadapier._internal.decisions import traffic
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
@@ -73,7 +73,7 @@
     asked: forwarding.ForwardedRequest
     admission: Admission
     pool: ids.PoolId
-    entry: traffic.Entry
+    entry: entries.Entry
     scope: str
     deadline: float
     attributes: dict[str, str]
@@ -129,7 +129,7 @@
         self._last_event = plan.asked.resume_after
         self._relayed = 0
         self._first_at: float | None = None
-        self._placed: traffic.Placed | None = None
+        self._placed: entries.Placed | None = None
         self._ended = "caller_left"
 
     async def run(self) -> None:
@@ -198,7 +198,7 @@
             code = outcomes.Code.DEADLINE
         return outcomes.Refusal(code, "no answer in the time that was left", effect)
 
-    async def _try(self, placed: traffic.Placed) -> outcomes.AttemptOutcome:
+    async def _try(self, placed: entries.Placed) -> outcomes.AttemptOutcome:
         self._placed = placed
         upstream = placed.choice.estimate.upstream
         registration = self._around.directory.find(upstream)
@@ -225,7 +225,7 @@
             self._log_attempt(placed, outcome)
         return outcome
 
-    def _call(self, placed: traffic.Placed, address: ids.Address) -> attempts.Call:
+    def _call(self, placed: entries.Placed, address: ids.Address) -> attempts.Call:
         asked = self._plan.asked
         left_s = self._plan.deadline - trio.current_time()
         scope = self._plan.scope
@@ -254,7 +254,7 @@
             placed.weights,
         )
 
-    def _import_from(self, placed: traffic.Placed) -> ids.Address | None:
+    def _import_from(self, placed: entries.Placed) -> ids.Address | None:
         """Returns where the upstream may find parts that it lacks, or that were evicted there.
 
         An engine forgets parts within seconds, so a keep is the surer source where there is one.
@@ -266,7 +266,7 @@
         found = self._around.directory.find(source)
         return found.address if found else None
 
-    def _keep(self, placed: traffic.Placed) -> ids.Address | None:
+    def _keep(self, placed: entries.Placed) -> ids.Address | None:
         if not self._plan.entry.prompt.pieces or placed.weights is None:
             return None
         return self._plan.admission.current.keep_address
@@ -290,7 +290,7 @@
             return False
         return self._sequence.may_try_again(trio.current_time())
 
-    def _check(self, placed: traffic.Placed) -> None:
+    def _check(self, placed: entries.Placed) -> None:
         """Makes sure, in the step that sends, that what was decided before still holds."""
         if self._plan.deadline - trio.current_time() < MIN_LEFT_S:
             raise exceptions.RefusedError(self._deadline_refusal())
@@ -396,7 +396,7 @@
     def _broken(self, reason: str) -> attempts.AttemptFailedError:
         return attempts.AttemptFailedError(outcomes.Broken(reason, self._relayed, crashed=False))
 
-    def _tell(self, placed: traffic.Placed, attempt: attempts.Attempt) -> None:
+    def _tell(self, placed: entries.Placed, attempt: attempts.Attempt) -> None:
         """Passes on what the upstream has told of itself with its answer."""
         facts = attempt.facts
         if facts.upstream not in (None, placed.choice.estimate.upstream):
@@ -412,7 +412,7 @@
             traffic_messages.AnswerTold(self._plan.pool, upstream, running, weights)
         )
 
-    def _log_attempt(self, placed: traffic.Placed, outcome: outcomes.AttemptOutcome) -> None:
+    def _log_attempt(self, placed: entries.Placed, outcome: outcomes.AttemptOutcome) -> None:
         _log.info(
             "attempt_failed",
             request=self._plan.asked.request,
--- a/src/cicadapier/_internal/services/forwarded_requests.py
+++ b/src/cicadapier/_internal/services/forwarded_requests.py
@@ -11,8 +11,8 @@
 import structlog
 import trio
 
+from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import prefix
-from cicadapier._internal.decisions import traffic
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
@@ -163,7 +163,7 @@
         number = next(self._numbers)
         request = ids.RequestId(f"{asked.request}#{number}")
         prompt, scope = self._prompt(admission, asked)
-        entry = traffic.Entry(
+        entry = entries.Entry(
             request,
             admission.account or _public_account(admission),
             pool_id,
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -6,10 +6,10 @@
 import msgspec
 import trio
 
+from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import members
 from cicadapier._internal.decisions import prefix
 from cicadapier._internal.decisions import retries
-from cicadapier._internal.decisions import traffic
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
@@ -40,7 +40,7 @@
     pool: configuration.Pool
     scope: prefix.Scope
     salt: str
-    entry: traffic.Entry
+    entry: entries.Entry
 
 
 class _Progress:
@@ -110,7 +110,7 @@
         scope = prefix.Scope(context.account, req.model, model.adapter, version)
         root = prefix.root(self._secret, scope)
         prompt = prefix.cut(root, req.prompt, pool.piece_tokens, pool.bytes_per_token)
-        entry = traffic.Entry(
+        entry = entries.Entry(
             context.request,
             context.account,
             pool_id,
@@ -140,7 +140,7 @@
         self._must_tell_offset = False
         self._chunks = 0
 
-    async def run(self, placed: traffic.Placed) -> bool:
+    async def run(self, placed: entries.Placed) -> bool:
         """Runs attempts; returns whether the request may have cost an upstream anything."""
         nature = retries.Nature(repeatable=True, resumable=True)
         sequence = retries.AttemptSequence(nature, self._services.budget, self._plan.pool_id)
@@ -161,7 +161,7 @@
         await self._responder.send_part(request_context.refusal_event(refusal))
         await self._responder.finish()
 
-    async def _attempt(self, placed: traffic.Placed) -> outcomes.AttemptOutcome:
+    async def _attempt(self, placed: entries.Placed) -> outcomes.AttemptOutcome:
         attempt = attempts.Attempt(self._services.connections, self._call(placed))
         try:
             head = await attempt.start()
@@ -178,7 +178,7 @@
         finally:
             await attempt.abandon()
 
-    def _call(self, placed: traffic.Placed) -> attempts.Call:
+    def _call(self, placed: entries.Placed) -> attempts.Call:
         estimate = placed.choice.estimate
         pool = self._plan.pool
         spec = pool.upstreams[estimate.upstream]
@@ -243,7 +243,7 @@
         )
         return outcomes.Complete(head.status)
 
-    async def _relay_whole(self, attempt: attempts.Attempt, placed: traffic.Placed) -> None:
+    async def _relay_whole(self, attempt: attempts.Attempt, placed: entries.Placed) -> None:
         timeout_s = self._plan.pool.timeouts.between_tokens_s
         parts = []
         while (part := await attempt.receive(timeout_s, 0)) is not None:
@@ -258,7 +258,7 @@
         extra = [(headers.CONTENT_TYPE, b"application/json"), *self._identity(placed)]
         await self._responder.send_whole(http.HTTPStatus.OK, extra, body)
 
-    async def _relay_stream(self, attempt: attempts.Attempt, placed: traffic.Placed) -> None:
+    async def _relay_stream(self, attempt: attempts.Attempt, placed: entries.Placed) -> None:
         timeout_s = self._plan.pool.timeouts.between_tokens_s
         splitter = completions.EventSplitter()
         done = False
@@ -289,7 +289,7 @@
             relayed.append(event)
         return False
 
-    async def _send(self, data: bytes, placed: traffic.Placed) -> None:
+    async def _send(self, data: bytes, placed: entries.Placed) -> None:
         if self._responder.started:
             await self._responder.send_part(data)
             return
@@ -352,7 +352,7 @@
         telemetry.record(telemetry_service.Histogram.CACHED_TOKENS, cached, attributes)
         telemetry.record(telemetry_service.Histogram.RECOMPUTED_TOKENS, recomputed, attributes)
 
-    def _identity(self, placed: traffic.Placed | None = None) -> http_client.Headers:
+    def _identity(self, placed: entries.Placed | None = None) -> http_client.Headers:
         found = [(headers.REQUEST_ID, self._context.request.encode())]
         if placed:
             found.append((UPSTREAM_HEADER, placed.choice.estimate.upstream.encode()))
--- a/src/cicadapier/_internal/services/request_context.py
+++ b/src/cicadapier/_internal/services/request_context.py
@@ -6,10 +6,10 @@
 import msgspec
 import trio
 
+from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import members
 from cicadapier._internal.decisions import poison
 from cicadapier._internal.decisions import retries
-from cicadapier._internal.decisions import traffic
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import configuration
@@ -29,7 +29,7 @@
 from cicadapier._internal.services import upstreams_service
 
 MakeAttempt = collections.abc.Callable[
-    [traffic.Placed], collections.abc.Awaitable[outcomes.AttemptOutcome]
+    [entries.Placed], collections.abc.Awaitable[outcomes.AttemptOutcome]
 ]
 
 
@@ -79,14 +79,14 @@
         found: upstreams_service.UpstreamsService = self._kernel.find(names.UPSTREAMS)
         return found
 
-    async def enter(self, entry: traffic.Entry) -> traffic.Placed:
+    async def enter(self, entry: entries.Entry) -> entries.Placed:
         """Admits and places a request.
 
         Raises:
             RefusedError: It is refused; nothing was sent.
         """
         self.budget.request_seen(entry.pool, trio.current_time())
-        reply: mailbox.Reply[traffic.Decision] = mailbox.Reply()
+        reply: mailbox.Reply[entries.Decision] = mailbox.Reply()
         self.traffic.mailbox.send(traffic_messages.Enter(entry, reply))
         placed = False
         try:
@@ -98,12 +98,12 @@
                 self.leave(entry.request, ran=False)
         return found
 
-    async def again(self, request: ids.RequestId) -> traffic.Placed | outcomes.Refusal:
+    async def again(self, request: ids.RequestId) -> entries.Placed | outcomes.Refusal:
         """Places a request anew; the refusal is for the caller to judge."""
-        reply: mailbox.Reply[traffic.Decision] = mailbox.Reply()
+        reply: mailbox.Reply[entries.Decision] = mailbox.Reply()
         self.traffic.mailbox.send(traffic_messages.Again(request, reply))
         decision = await reply.get()
-        return decision.refusal if isinstance(decision, traffic.Refused) else decision
+        return decision.refusal if isinstance(decision, entries.Refused) else decision
 
     async def attempt_ended(self, request: ids.RequestId, outcome: outcomes.AttemptOutcome) -> None:
         """Reports an attempt; new evidence of a crash reaches the peers before this returns."""
@@ -118,7 +118,7 @@
         self,
         request: ids.RequestId,
         sequence: retries.AttemptSequence,
-        placed: traffic.Placed,
+        placed: entries.Placed,
         attempt: MakeAttempt,
     ) -> outcomes.Refusal | None:
         """Makes attempts until one is complete or no other may follow.
@@ -141,7 +141,7 @@
             if isinstance(step, retries.Retry):
                 self.telemetry.retried(type(outcome).__name__)
                 decision = await self.again(request)
-                if isinstance(decision, traffic.Placed):
+                if isinstance(decision, entries.Placed):
                     placed = decision
                     continue
                 step = _final_refusal(sequence, decision)
@@ -164,8 +164,8 @@
     return sequence.no_upstream()
 
 
-def _placed(decision: traffic.Decision) -> traffic.Placed:
-    if isinstance(decision, traffic.Refused):
+def _placed(decision: entries.Decision) -> entries.Placed:
+    if isinstance(decision, entries.Refused):
         raise exceptions.RefusedError(decision.refusal)
     return decision
 
--- a/src/cicadapier/_internal/services/traffic_messages.py
+++ b/src/cicadapier/_internal/services/traffic_messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import health
 from cicadapier._internal.decisions import limits
 from cicadapier._internal.decisions import load
@@ -10,7 +11,6 @@
 from cicadapier._internal.decisions import peer_news
 from cicadapier._internal.decisions import poison
 from cicadapier._internal.decisions import rollout
-from cicadapier._internal.decisions import traffic
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
@@ -21,8 +21,8 @@
 class Enter:
     """Admits and places a request."""
 
-    entry: traffic.Entry
-    reply: "mailbox.Reply[traffic.Decision]"
+    entry: entries.Entry
+    reply: "mailbox.Reply[entries.Decision]"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,7 +30,7 @@
     """Places a request anew after a failed attempt."""
 
     request: ids.RequestId
-    reply: "mailbox.Reply[traffic.Decision]"
+    reply: "mailbox.Reply[entries.Decision]"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -222,8 +222,8 @@
 class Explain:
     """Asks for the choice that would be made for a request."""
 
-    entry: traffic.Entry
-    reply: "mailbox.Reply[traffic.Explained | None]"
+    entry: entries.Entry
+    reply: "mailbox.Reply[entries.Explained | None]"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -7,6 +7,7 @@
 import structlog
 import trio
 
+from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import health
 from cicadapier._internal.decisions import observations
 from cicadapier._internal.decisions import peer_news
@@ -29,7 +30,7 @@
 class ExportSink(Protocol):
     """The service that carries out exports."""
 
-    mailbox: "mailbox.Mailbox[traffic.Export]"
+    mailbox: "mailbox.Mailbox[entries.Export]"
 
 
 class NewsSink(Protocol):
@@ -48,7 +49,7 @@
         self.mailbox: mailbox.Mailbox[traffic_messages.Message] = mailbox.Mailbox()
         self._traffic = traffic.Traffic(failure_domain, weights_s=weights_s)
         self._kernel: service.Kernel | None = None
-        self._waiting: dict[ids.RequestId, mailbox.Reply[traffic.Decision]] = {}
+        self._waiting: dict[ids.RequestId, mailbox.Reply[entries.Decision]] = {}
         self._outgoing = peer_news.Outgoing()
         self._states: dict[ids.UpstreamId, health.UpstreamState] = {}
         self._handlers: dict[type, collections.abc.Callable[..., None]] = {
@@ -104,9 +105,9 @@
         if decision is not None:
             self._decide([decision], now)
 
-    def _decide(self, decisions: list[traffic.Decision], now: float) -> None:
+    def _decide(self, decisions: list[entries.Decision], now: float) -> None:
         for decision in decisions:
-            if isinstance(decision, traffic.Placed):
+            if isinstance(decision, entries.Placed):
                 self._tell(self._outgoing.count(self._traffic, decision, now))
             reply = self._waiting.pop(decision.request, None)
             if reply:
--- a/tests/_internal/decisions/test_traffic.py
+++ b/tests/_internal/decisions/test_traffic.py
@@ -3,6 +3,7 @@
 import dataclasses
 import unittest
 
+from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import load
 from cicadapier._internal.decisions import prefix
 from cicadapier._internal.decisions import traffic
@@ -19,7 +20,7 @@
 
 def entry(name):
     fingerprint = ids.Fingerprint(name)
-    return traffic.Entry(ids.RequestId(name), ACCOUNT, DESK, prefix.EMPTY, 0, fingerprint)
+    return entries.Entry(ids.RequestId(name), ACCOUNT, DESK, prefix.EMPTY, 0, fingerprint)
 
 
 def make_traffic(upstreams=3, slots=6):
@@ -37,7 +38,7 @@
 
 
 def model_entry(name, patience_s=None):
-    return traffic.Entry(
+    return entries.Entry(
         ids.RequestId(name),
         ACCOUNT,
         MODELS,
@@ -72,16 +73,16 @@
     def test_requests_are_served_again_once_the_named_weights_are_loaded(self):
         made = make_engines("3")
         made.named.named(MODEL, 4, 0.0)
-        self.assertIsInstance(made.enter(model_entry("early"), 1.0), traffic.Placed)
-        self.assertIsInstance(made.enter(model_entry("late"), WEIGHTS_S), traffic.Refused)
+        self.assertIsInstance(made.enter(model_entry("early"), 1.0), entries.Placed)
+        self.assertIsInstance(made.enter(model_entry("late"), WEIGHTS_S), entries.Refused)
         self._load(made, "4")
-        self.assertIsInstance(made.enter(model_entry("after"), WEIGHTS_S + 1), traffic.Placed)
+        self.assertIsInstance(made.enter(model_entry("after"), WEIGHTS_S + 1), entries.Placed)
 
     def test_too_old_weights_are_refused_at_the_first_request(self):
         made = make_engines("3")
         made.named.named(MODEL, 4, 0.0)
         refused = made.enter(model_entry("late"), WEIGHTS_S)
-        self.assertIsInstance(refused, traffic.Refused)
+        self.assertIsInstance(refused, entries.Refused)
         self.assertEqual(made.active_requests, 0)
 
     def test_a_waiting_request_is_placed_once_the_named_weights_are_loaded(self):
@@ -94,7 +95,7 @@
         self.assertEqual(made.poll(WEIGHTS_S), [])
         self._load(made, "4")
         decisions = made.poll(WEIGHTS_S + 0.1)
-        self.assertIsInstance(decisions[0], traffic.Placed)
+        self.assertIsInstance(decisions[0], entries.Placed)
         self.assertEqual(decisions[0].weights, "4")
 
 
@@ -125,14 +126,14 @@
         made = make_traffic()
         self._tell_full(made, 1.0)
         later = 1.0 + load.TOLD_S + 0.01
-        self.assertIsInstance(made.enter(entry("a"), later), traffic.Placed)
+        self.assertIsInstance(made.enter(entry("a"), later), entries.Placed)
 
     def test_a_waiting_request_is_sent_once_the_news_is_old(self):
         made = make_traffic()
         self._tell_full(made, 1.0)
         self.assertIsNone(made.enter(entry("a"), 1.1))
         decisions = made.poll(1.0 + load.TOLD_S + 0.01)
-        self.assertIsInstance(decisions[0], traffic.Placed)
+        self.assertIsInstance(decisions[0], entries.Placed)
 
     def test_what_peers_alone_send_does_not_fill_an_upstream_for_good(self):
         made = make_traffic(upstreams=1, slots=2)
@@ -141,7 +142,7 @@
             made.observations.peer_sent(DESK, desk, 1.0, 1.0, 0.1 * number)
         self.assertIsNone(made.enter(entry("at once"), 1.0))
         made.leave(ids.RequestId("at once"), ran=False)
-        self.assertIsInstance(made.enter(entry("later"), 5.0), traffic.Placed)
+        self.assertIsInstance(made.enter(entry("later"), 5.0), entries.Placed)
 
     def test_what_peers_send_after_old_news_does_not_fill_an_upstream_for_good(self):
         made = make_traffic(upstreams=1, slots=2)
@@ -151,12 +152,12 @@
         made.leave(ids.RequestId("forgets"), ran=False)
         for _ in range(10):
             made.observations.peer_sent(DESK, desk, 1.0, 1.0, 1.1)
-        self.assertIsInstance(made.enter(entry("later"), 5.0), traffic.Placed)
+        self.assertIsInstance(made.enter(entry("later"), 5.0), entries.Placed)
 
     def test_own_requests_still_count(self):
         made = make_traffic(upstreams=1, slots=2)
-        self.assertIsInstance(made.enter(entry("a"), 0.0), traffic.Placed)
-        self.assertIsInstance(made.enter(entry("b"), 0.0), traffic.Placed)
+        self.assertIsInstance(made.enter(entry("a"), 0.0), entries.Placed)
+        self.assertIsInstance(made.enter(entry("b"), 0.0), entries.Placed)
         made.observations.load_told(DESK, ids.UpstreamId("desk-0"), 2, 0.1)
         self.assertIsNone(made.enter(entry("c"), 5.0))
 
