Keep a lease where the store loses the answers to its writes

With half of the answers lost it renewed too late again and again, and where all are lost it never ordered, although the watch showed each write within milliseconds.

Now the watch stands in for a lost answer as soon as it shows the write, and the wait for an answer is four times what the last one took (0.15 to 0.8 s, half as long again after each miss), so that several writes fit into a lease.

--- a/src/cicadapier/_internal/decisions/leases.py
+++ b/src/cicadapier/_internal/decisions/leases.py
@@ -13,6 +13,10 @@
 RENEW_AFTER_S = 3.0
 SAFETY_MARGIN_S = 4.0
 LONGEST_ORDER_S = 3.0
+SHORTEST_WRITE_S = 0.15
+LONGEST_WRITE_S = 0.8
+USUAL_WRITES = 4.0  # Wait for an answer, in times of the last one.
+WAIT_GROWTH = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +74,29 @@
     since: float
 
 
+class WritePatience:
+    """How long to wait for the answer to a write of a lease before it is written again.
+
+    A store that loses answers is asked again several times before the lease ends; one that is slow
+    gets the time that it takes.
+
+    Attributes:
+        limit_s: Longest wait, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.limit_s = LONGEST_WRITE_S
+
+    def answered(self, took_s: float) -> None:
+        """Records that a write was answered, or shown by the watch, in so many seconds."""
+        limit_s = took_s * USUAL_WRITES
+        self.limit_s = min(LONGEST_WRITE_S, max(SHORTEST_WRITE_S, limit_s))
+
+    def unanswered(self) -> None:
+        """Records that a write was neither answered nor shown within the limit."""
+        self.limit_s = min(LONGEST_WRITE_S, self.limit_s * WAIT_GROWTH)
+
+
 class Lease:
     """One router's view of one lease."""
 
--- a/src/cicadapier/_internal/services/order_lease.py
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -19,7 +19,6 @@
 from cicadapier._internal.services import watching
 
 NAME_PREFIX = "orders-"
-WRITE_S = 0.8
 
 _log = structlog.get_logger()
 
@@ -73,6 +72,7 @@
         self._clock = clock
         self._pending: _Pending | None = None
         self._note = ""
+        self._patience = leases.WritePatience()
 
     @property
     def holds(self) -> bool:
@@ -95,17 +95,21 @@
 
     def observe(self) -> Note | None:
         """Takes over what the store shows; returns a new note of another router, if any."""
-        found = self._cluster.find(self._name)
-        lease = _read_lease(found) if found else None
-        if self._pending and lease == self._pending.proposal:
-            # The watch shows what the lost answer would have said.
-            self._note_written(self._pending)
+        lease = self._settle()
         self._lease.observed(lease, self._clock())
         if lease is None or lease.note == self._note:
             return None
         self._note = lease.note
         return None if lease.nonce == self._nonce else _read_note(lease.note)
 
+    def _settle(self) -> leases.LeaseObject | None:
+        """Notes where the watch shows what a lost answer would have said; returns what it shows."""
+        found = self._cluster.find(self._name)
+        lease = _read_lease(found) if found else None
+        if self._pending and lease == self._pending.proposal:
+            self._note_written(self._pending)
+        return lease
+
     async def keep(self, note: Note) -> bool:
         """Takes or renews the lease; returns whether the store has it as this router wants it."""
         text = msgspec.json.encode(note).decode()
@@ -135,10 +139,9 @@
         found = self._cluster.find(self._name)
         pending = _Pending(proposal, self._clock())
         self._pending = pending
-        with trio.move_on_after(WRITE_S) as scope:
-            written = await self._send(found, proposal)
-        if scope.cancelled_caught:
-            raise exceptions.PlatformUnavailableError(f"no answer within {WRITE_S} s")
+        written = await self._send_or_see(found, pending)
+        if written is None:
+            return
         if isinstance(written, platform_service.NotWritten):
             self._pending = None
             self._lease.lost()
@@ -148,6 +151,40 @@
             self._note_written(pending)
         self._cluster.put(written.object)
 
+    async def _send_or_see(
+        self, found: store_format.StoredObject | None, pending: _Pending
+    ) -> platform_service.Written | platform_service.NotWritten | None:
+        """Returns the answer to a write, or None where the watch shows it before an answer comes.
+
+        Raises:
+            ServiceError: The write failed, or neither came in time.
+        """
+        answers: list[platform_service.Written | platform_service.NotWritten] = []
+        failures: list[exceptions.ServiceError] = []
+
+        async def send() -> None:
+            try:
+                answers.append(await self._send(found, pending.proposal))
+            except exceptions.ServiceError as exc:
+                failures.append(exc)
+            nursery.cancel_scope.cancel()
+
+        limit_s = self._patience.limit_s
+        with trio.move_on_after(limit_s) as limit:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send)
+                while self._pending is pending:
+                    await self._cluster.changed_event.wait()
+                    self._settle()
+                nursery.cancel_scope.cancel()
+        if limit.cancelled_caught:
+            self._patience.unanswered()
+            raise exceptions.PlatformUnavailableError(f"no answer within {limit_s:.2f} s")
+        if failures:
+            raise failures[0]
+        self._patience.answered(self._clock() - pending.asked_at)
+        return answers[0] if answers else None
+
     async def _send(
         self, found: store_format.StoredObject | None, proposal: leases.LeaseObject
     ) -> platform_service.Written | platform_service.NotWritten:
--- a/src/cicadapier/_internal/standins/users_store.py
+++ b/src/cicadapier/_internal/standins/users_store.py
@@ -18,7 +18,9 @@
 
 PAGE_ITEMS = 50
 ANSWER_S = 0.004
+SLOW_ANSWER_S = 0.2
 LATE_WRITE_S = 2.0
+TIMELY_EVERY = 3  # Of the writes, where most are late.
 _WATCH_POLL_S = 0.005
 _LIMITS = settings.CallerLimits(body_bytes=4_194_304, idle_timeout_s=3600.0)
 
@@ -31,6 +33,8 @@
     BUSY = "busy"
     LOSES_ANSWERS = "loses_answers"
     WRITES_LATE = "writes_late"
+    MOST_WRITES_LATE = "most_writes_late"
+    SLOW = "slow"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,6 +61,7 @@
         self._objects: dict[tuple[str, str], store_format.StoredObject] = {}
         self._events: list[_Event] = []
         self._oldest = 1
+        self._writes = 0
         self._nursery: trio.Nursery | None = None
 
     async def run(
@@ -103,7 +108,7 @@
 
     async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
         """See `http_server.Handler.handle`."""
-        await trio.sleep(ANSWER_S)
+        await trio.sleep(SLOW_ANSWER_S if StoreFault.SLOW in self.faults else ANSWER_S)
         self.calls[req.method] += 1
         await self._misbehave(responder)
         if responder.started:
@@ -112,7 +117,7 @@
         if req.method == "GET":
             await self._read(asked, responder)
             return
-        if StoreFault.WRITES_LATE in self.faults:
+        if self._is_late():
             assert self._nursery
             self._nursery.start_soon(self._write_late, req.method, asked)
             await trio.sleep_forever()
@@ -121,6 +126,13 @@
             await trio.sleep_forever()
         await responder.send_json(body, status)
 
+    def _is_late(self) -> bool:
+        """Returns whether this write is done late and not answered."""
+        if StoreFault.MOST_WRITES_LATE in self.faults:
+            self._writes += 1
+            return self._writes % TIMELY_EVERY != 0
+        return StoreFault.WRITES_LATE in self.faults
+
     async def _misbehave(self, responder: http_server.Responder) -> None:
         if StoreFault.SILENT in self.faults:
             await trio.sleep_forever()
--- a/tests/_internal/decisions/test_agreements.py
+++ b/tests/_internal/decisions/test_agreements.py
@@ -137,6 +137,26 @@
 )
 
 
+class WritePatienceTest(unittest.TestCase):
+    def test_a_quick_store_is_asked_again_several_times_within_a_lease(self):
+        patience = leases.WritePatience()
+        patience.answered(0.005)
+        waited_s = 0.0
+        for _ in range(3):
+            waited_s += patience.limit_s
+            patience.unanswered()
+        self.assertLess(waited_s, 0.8)
+
+    def test_a_slow_store_gets_the_time_that_it_takes(self):
+        patience = leases.WritePatience()
+        patience.answered(0.005)
+        for _ in range(8):
+            patience.unanswered()
+        self.assertEqual(patience.limit_s, leases.LONGEST_WRITE_S)
+        patience.answered(0.15)
+        self.assertGreater(patience.limit_s, 0.3)
+
+
 class PatchesTest(unittest.TestCase):
     @FUZZ
     @hypothesis.given(
