Back up the memory of long runs and go on from it when their engine is lost

Cause: a stream that must not run twice ended with its engine.

The engines of the platform send the memory of a run to another engine as it grows, and going on from there counts as the same run. A new decision, backups.py, chooses that engine (same weights, another failure domain than the first one's, near this router, least loaded) and says when a run may go on: only after an event was relayed, since else the request may be what made its engine crash; only where the engine that ran it cannot be reached any more, so that no two work on it; and only on the weights that its memory belongs to. A stream that is silent for two longest pauses has its engine checked by a connection; one that can be reached is waited for. Also: a refusal of a repeat never lets a request that may have run begin anew, and a failure instead of the rest of a stream ends it incomplete.

Tests: LostEngineTest, eight cases; another answer instead of the rest of a stream. Short answers to long prompts are not backed up.

--- /dev/null
+++ b/src/cicadapier/_internal/decisions/backups.py
@@ -0,0 +1,92 @@
+"""Backups of a run's memory, from which its stream goes on after its engine is lost.
+
+They answer engines that crash, or are cut off, under long streams that must not run twice. The
+engine sends the memory of the run to another one as it grows. Only an engine that nobody reaches
+any more is given up for its backup: the run may not go on at two engines at once.
+"""
+
+import collections.abc
+import dataclasses
+
+from cicadapier._internal.decisions import members
+from cicadapier._internal.models import ids
+
+# Output tokens for each prompt token from which on a run lasts long enough to pay for its backup.
+MIN_OUTPUT_SHARE = 0.02
+
+Members = collections.abc.Mapping[ids.UpstreamId, members.Member]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Backup:
+    """Where the memory of a run is backed up.
+
+    Attributes:
+        primary: Upstream that runs the request.
+        upstream: Upstream that holds the backup.
+        incarnation: Incarnation of that one as it was chosen.
+        weights: Weights version of both, which the memory belongs to.
+    """
+
+    primary: ids.UpstreamId
+    upstream: ids.UpstreamId
+    incarnation: ids.Incarnation
+    weights: members.Weights
+
+
+def pays(prompt_tokens: int, output_tokens: int) -> bool:
+    """Returns whether a run is likely to be worth its backup."""
+    return output_tokens >= MIN_OUTPUT_SHARE * prompt_tokens
+
+
+def choose(
+    found: Members, primary: ids.UpstreamId, model: ids.ModelId, here: ids.FailureDomainId
+) -> Backup | None:
+    """Returns where to back up a run, or None where nothing fits.
+
+    The backup survives the loss of the primary's failure domain where that is possible, and is
+    near this router, which a cut between failure domains then does not part from it.
+
+    Args:
+        found: The upstreams of the pool.
+        primary: Upstream that will run the request.
+        model: Model that it names.
+        here: Failure domain of this router.
+    """
+    first = found[primary]
+    version = first.versions.get(model)
+    if version is None:
+        return None
+
+    def rank(upstream: ids.UpstreamId) -> tuple[bool, bool, int, ids.UpstreamId]:
+        spec = found[upstream].spec
+        together = spec.failure_domain == first.spec.failure_domain
+        away = spec.failure_domain != here
+        return together, away, found[upstream].load.running(), upstream
+
+    fitting = [
+        upstream
+        for upstream, member in found.items()
+        if upstream != primary and member.usable and member.versions.get(model) == version
+    ]
+    if not fitting:
+        return None
+    chosen = min(fitting, key=rank)
+    weights = members.Weights(model, version)
+    return Backup(primary, chosen, found[chosen].spec.incarnation, weights)
+
+
+def may_continue(found: Members, backup: Backup) -> bool:
+    """Returns whether a run may go on from its backup.
+
+    Memory of other weights must not be used, and an engine that loads drops what it holds.
+    """
+    member = found.get(backup.upstream)
+    if member is None or not member.usable or member.spec.incarnation != backup.incarnation:
+        return False
+    primary = found.get(backup.primary)
+    holders = [member] if primary is None else [member, primary]
+    weights = backup.weights
+    if primary is not None and primary.loading:
+        return False
+    return all(held.versions.get(weights.model) == weights.version for held in holders)
--- a/src/cicadapier/_internal/decisions/entries.py
+++ b/src/cicadapier/_internal/decisions/entries.py
@@ -24,6 +24,7 @@
         model: Model that it names, where newer weights are preferred to older ones.
         patience_s: Longest wait for a slot; None leaves it to the pool.
         terms: Terms of a caller without account; None where it must have one.
+        backed_up: Whether to have the memory of its run backed up.
     """
 
     request: ids.RequestId
@@ -36,6 +37,7 @@
     model: ids.ModelId | None = None
     patience_s: float | None = None
     terms: configuration.Account | None = None
+    backed_up: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +50,8 @@
         incarnation: Last known incarnation of the upstream.
         queued_s: Time that the request waited for a slot.
         weights: Weights version that the upstream is believed to serve, where it tells it.
+        backup: Upstream that is to back up the run's memory, if any.
+        continues: Whether the run goes on from the backup that the upstream holds.
     """
 
     request: ids.RequestId
@@ -55,6 +59,8 @@
     incarnation: ids.Incarnation
     queued_s: float
     weights: str | None = None
+    backup: ids.UpstreamId | None = None
+    continues: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/decisions/retries.py
+++ b/src/cicadapier/_internal/decisions/retries.py
@@ -92,12 +92,17 @@
     offset: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Continue:
+    """Go on with the run from the backup of its memory."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finish:
     """The answer is complete."""
 
 
-Step = Retry | Finish | outcomes.Refusal
+Step = Retry | Continue | Finish | outcomes.Refusal
 
 
 class AttemptSequence:
@@ -161,7 +166,8 @@
     def _after_not_run(
         self, outcome: outcomes.NotSent | outcomes.RefusedBeforeRunning, now: float
     ) -> Step:
-        if self._take_repeat(now):
+        settled = self._nature.repeatable or not self._maybe_ran
+        if settled and self._take_repeat(now):
             return Retry(self._offset)
         if self._maybe_ran:
             return self._maybe_ran_refusal(outcome.reason)
@@ -173,6 +179,9 @@
     def _after_maybe_run(
         self, outcome: outcomes.SentNoAnswer | outcomes.Broken, now: float
     ) -> Step:
+        continuable = isinstance(outcome, outcomes.Broken) and outcome.continuable
+        if continuable and self._take_continuation(now):
+            return Continue()
         continues = self._offset == 0 or self._nature.resumable
         if self._nature.repeatable and continues and self._take_repeat(now):
             return Retry(self._offset)
@@ -202,6 +211,10 @@
             return False
         return not self._arrived or self._budget.left(self._pool, now) >= 1.0
 
+    def _take_continuation(self, now: float) -> bool:
+        """Takes one repeat for going on with the same run, which counts as no other run."""
+        return self._attempts < MAX_ATTEMPTS and self._budget.spend(self._pool, now)
+
     def _take_repeat(self, now: float) -> bool:
         if not self.may_try_again(now):
             return False
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -8,6 +8,7 @@
 import dataclasses
 import math
 
+from cicadapier._internal.decisions import backups
 from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import fairqueue
 from cicadapier._internal.decisions import health
@@ -18,6 +19,7 @@
 from cicadapier._internal.decisions import placement
 from cicadapier._internal.decisions import poison
 from cicadapier._internal.decisions import pool_weights
+from cicadapier._internal.decisions import prefix
 from cicadapier._internal.decisions import rollout
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
@@ -39,6 +41,7 @@
     entered_at: float
     choice: members.Estimate | None = None
     incarnation: ids.Incarnation = ids.Incarnation("")
+    backup: backups.Backup | None = None
     tried: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
 
 
@@ -163,6 +166,58 @@
             return None
         return self._place(state, active, now)
 
+    def continue_run(self, request: ids.RequestId, now: float) -> entries.Decision:
+        """Returns where a run whose engine is lost goes on, or refuses that."""
+        active = self._active[request]
+        backup, active.backup = active.backup, None
+        state = self.pools.get(active.entry.pool)
+        if state is None or backup is None:
+            return _refused(active.entry, outcomes.Code.NO_UPSTREAM, "the run has no backup")
+        self._refresh(state, active.entry, now)
+        if not backups.may_continue(state.policy.members, backup):
+            message = f"the backup of the run at {backup.upstream} cannot be used"
+            return _refused(active.entry, outcomes.Code.NO_UPSTREAM, message)
+        return self._place_at_backup(state, active, backup, now)
+
+    def _place_at_backup(
+        self,
+        state: observations.PoolState,
+        active: _Active,
+        backup: backups.Backup,
+        now: float,
+    ) -> entries.Placed:
+        entry = active.entry
+        distance_s = state.policy.members[backup.upstream].distance_s
+        estimate = members.Estimate(
+            backup.upstream, len(entry.prompt.pieces), 0, 0.0, 0.0, distance_s, distance_s
+        )
+        req = members.PlacementRequest(
+            entry.request, prefix.EMPTY, active.account.service_class, model=entry.model
+        )
+        active.choice = estimate
+        active.incarnation = backup.incarnation
+        state.policy.sent(req, estimate, now)
+        choice = members.Choice(estimate, "holds a backup of the run")
+        return entries.Placed(
+            entry.request,
+            choice,
+            backup.incarnation,
+            now - active.entered_at,
+            backup.weights.version,
+            self._back_up(state, active),
+            continues=True,
+        )
+
+    def _back_up(self, state: observations.PoolState, active: _Active) -> ids.UpstreamId | None:
+        """Chooses where the run that has just been placed is backed up."""
+        entry = active.entry
+        active.backup = None
+        if entry.backed_up and entry.model is not None and active.choice:
+            active.backup = backups.choose(
+                state.policy.members, active.choice.upstream, entry.model, self._domain
+            )
+        return active.backup.upstream if active.backup else None
+
     def _must_wait_alone(self, state: observations.PoolState, active: _Active, now: float) -> bool:
         if not self.poison.is_suspect(active.entry.fingerprint, now):
             return False
@@ -326,7 +381,8 @@
         if entry.model is not None:
             weights = state.policy.members[choice.estimate.upstream].versions.get(entry.model)
         waited_s = now - active.entered_at
-        return entries.Placed(entry.request, choice, active.incarnation, waited_s, weights)
+        backup = self._back_up(state, active)
+        return entries.Placed(entry.request, choice, active.incarnation, waited_s, weights, backup)
 
     def _enqueue(self, state: observations.PoolState, active: _Active, now: float) -> None:
         entry = active.entry
--- a/src/cicadapier/_internal/models/configuration.py
+++ b/src/cicadapier/_internal/models/configuration.py
@@ -147,6 +147,7 @@
         reports_load: Whether its upstreams answer load queries.
         remote_cost_s: What an upstream of another failure domain costs at least beside its own
             time, since a cut between the two ends what runs there.
+        run_backups: Whether its upstreams back up the memory of a run at another one.
     """
 
     kind: PoolKind
@@ -162,6 +163,7 @@
     timeouts: Timeouts = checked.field(factory=Timeouts)
     reports_load: bool = True
     remote_cost_s: float = checked.field(0.0, minimum=0)
+    run_backups: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/models/outcomes.py
+++ b/src/cicadapier/_internal/models/outcomes.py
@@ -139,11 +139,14 @@
 
     Attributes:
         offset: Tokens that were relayed to the caller.
+        crashed: Whether the upstream is down, or cannot be reached.
+        continuable: Whether the run may go on from a backup of its memory.
     """
 
     reason: str
     offset: int
     crashed: bool
+    continuable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/platform/documents.py
+++ b/src/cicadapier/_internal/platform/documents.py
@@ -53,6 +53,7 @@
     models: list[_Model] = []
     kv_token_bytes: float = 0.0  # Memory of one token's keys and values.
     link_mbps: float = 0.0  # Megabits a second between engines.
+    backups: bool = False
 
 
 class _Service(msgspec.Struct):
@@ -199,6 +200,7 @@
         prefill_tokens_per_s=terms.prefill_tokens_per_s,
         import_tokens_per_s=import_rate,
         remote_cost_s=terms.remote_cost_ms / 1000,
+        run_backups=engine.backups,
     )
 
 
--- a/src/cicadapier/_internal/platform/far_side.py
+++ b/src/cicadapier/_internal/platform/far_side.py
@@ -168,6 +168,7 @@
             "slots": 8,
             "kv_token_bytes": 163_840,
             "link_mbps": 550_000.0,
+            "backups": pool.run_backups,
             "models": [{"name": model} for model in pool.models],
         }
     if pool.kind is configuration.PoolKind.KEEP:
@@ -182,6 +183,7 @@
     time_left_ms: int = 3000,
     model: str = "",
     parts: str = "",
+    output_tokens: int = 8,
 ) -> http_client.Headers:
     """Returns the headers of a caller's request."""
     found = [
@@ -193,7 +195,7 @@
         found.append((wire_headers.AUTHORIZATION, f"Token {key}".encode()))
     if model:
         found.append((wire_headers.MODEL, model.encode()))
-        found.append((wire_headers.TOKEN_COUNTS, b"1000,8"))
+        found.append((wire_headers.TOKEN_COUNTS, b"1000,%d" % output_tokens))
         found.append((wire_headers.PROMPT_PARTS, parts.encode()))
     return found
 
@@ -210,6 +212,11 @@
     return found
 
 
+def event_weights(weights: int) -> bytes:
+    """Returns the line with which an event of a stream tells other weights than those before."""
+    return wire_headers.WEIGHTS + b": %d\n" % weights
+
+
 def not_run_headers(weights: int | None = None) -> http_client.Headers:
     """Returns the headers of a refusal without a run."""
     found = [(wire_headers.NOT_RUN, b"1")]
--- a/src/cicadapier/_internal/platform/requests.py
+++ b/src/cicadapier/_internal/platform/requests.py
@@ -72,6 +72,11 @@
             found.append((wire_headers.IMPORT_FROM, directions.import_from.encode()))
         if directions.export_to is not None:
             found.append((wire_headers.EXPORT_TO, directions.export_to.encode()))
+        if directions.backup_to is not None:
+            found.append((wire_headers.BACKUP_TO, directions.backup_to.encode()))
+        if directions.continue_from is not None:
+            source = f"{directions.continue_from}/{req.request}"
+            found.append((wire_headers.CONTINUE_FROM, source.encode("latin-1")))
         if directions.resume_after is not None:
             found.append((wire_headers.LAST_EVENT_ID, b"%d" % directions.resume_after))
         return http_client.RequestHead(req.raw.method, req.raw.target, found)
@@ -94,6 +99,13 @@
             idle_s=_idle_s(head.header(wire_headers.KEEP_ALIVE)),
         )
 
+    def event_weights(self, event: bytes) -> str | None:
+        """See `ForwardFormat.event_weights`."""
+        name, _, value = event.partition(b"\n")[0].partition(b":")
+        if name.strip() != wire_headers.WEIGHTS:
+            return None
+        return value.strip().decode("latin-1")
+
     def answer_headers(self, head: http_client.ResponseHead) -> http_client.Headers:
         """See `ForwardFormat.answer_headers`."""
         return http_client.end_to_end(head.headers, headers.HOP_BY_HOP | _NOT_FOR_CALLERS)
--- a/src/cicadapier/_internal/platform/wire_headers.py
+++ b/src/cicadapier/_internal/platform/wire_headers.py
@@ -36,6 +36,12 @@
 # Address of the keep that gets the parts once they are computed.
 EXPORT_TO = b"x-kv-save"
 
+# Address of an upstream that gets the memory of the run while it grows.
+BACKUP_TO = b"x-kv-backup"
+
+# Address and request id, or address and handle, of memory to go on from; a slash stands between.
+CONTINUE_FROM = b"kv-from"
+
 # What the router alone may say to an upstream; a caller's own values are dropped.
 ROUTER_ONLY = frozenset(
     (
@@ -50,8 +56,8 @@
         IMPORT_FROM,
         EXPORT_TO,
         b"x-kv-hold",
-        b"x-kv-backup",
+        BACKUP_TO,
         b"x-pin-ms",
-        b"kv-from",
+        CONTINUE_FROM,
     )
 )
--- a/src/cicadapier/_internal/protocols/forwarding.py
+++ b/src/cicadapier/_internal/protocols/forwarding.py
@@ -67,6 +67,8 @@
         resume_after: Event after which the stream goes on, None for a whole one.
         import_from: Where the upstream finds cached parts of the prompt that it lacks.
         export_to: Where it sends the parts that it has computed.
+        backup_to: Where it sends the memory of the run as it grows.
+        continue_from: Upstream whose backup of this run it goes on from.
     """
 
     upstream: ids.UpstreamId
@@ -77,6 +79,8 @@
     resume_after: int | None = None
     import_from: ids.Address | None = None
     export_to: ids.Address | None = None
+    backup_to: ids.Address | None = None
+    continue_from: ids.Address | None = None
 
 
 class ForwardFormat(answers.AnswerFormat):
@@ -96,6 +100,10 @@
     ) -> http_client.RequestHead:
         """Returns the head to send to an upstream."""
 
+    @abc.abstractmethod
+    def event_weights(self, event: bytes) -> str | None:
+        """Returns the weights version that an event of a stream tells, None where it tells none."""
+
     @abc.abstractmethod
     def answer_headers(self, head: http_client.ResponseHead) -> http_client.Headers:
         """Returns the headers of an upstream's answer that its caller gets."""
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 import msgspec
 import trio
@@ -124,22 +125,43 @@
         if self._conn:
             self._connections.watch(self._conn)
 
-    async def receive(self, timeout_s: float, offset: int) -> bytes | None:
+    async def receive(
+        self, timeout_s: float, offset: int, check_after_s: float = math.inf
+    ) -> bytes | None:
         """Returns the next part of the answer's body, or None at its end.
 
         Args:
             timeout_s: Time limit for progress.
             offset: Tokens relayed so far, for the outcome of a failure.
+            check_after_s: Silence after which it is checked whether the upstream can be reached;
+                one that can is waited for.
 
         Raises:
             AttemptFailedError: The answer broke off.
         """
         assert self._conn
+        deadline = trio.current_time() + timeout_s
+        while True:
+            left_s = deadline - trio.current_time()
+            try:
+                return await self._conn.receive_data(min(left_s, check_after_s))
+            except exceptions.SilentConnectionError as exc:
+                if check_after_s < left_s and await self._is_reachable():
+                    continue
+                lost = check_after_s < left_s
+                await self.abandon(suspect=True)
+                raise AttemptFailedError(outcomes.Broken(_describe(exc), offset, lost)) from exc
+            except exceptions.ProtocolError as exc:
+                crashed = await self._crashed(exc)
+                raise AttemptFailedError(outcomes.Broken(_describe(exc), offset, crashed)) from exc
+
+    async def _is_reachable(self) -> bool:
         try:
-            return await self._conn.receive_data(timeout_s)
-        except exceptions.ProtocolError as exc:
-            crashed = await self._crashed(exc)
-            raise AttemptFailedError(outcomes.Broken(_describe(exc), offset, crashed)) from exc
+            conn = await self._connections.open(self._call.address, CRASH_CHECK_S)
+        except exceptions.ConnectError:
+            return False
+        await conn.close()
+        return True
 
     async def finish(self) -> None:
         """Returns the connection to the pool after a whole answer."""
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import http
+import math
 
 import structlog
 import trio
@@ -35,6 +36,8 @@
 SILENT_OBJECTIVES = 2.0
 MIN_SILENT_S = 0.5
 SILENT_GAPS = 1.2
+# After so many longest pauses without an event, whether the upstream can still be reached.
+CHECK_GAPS = 2.0
 
 _log = structlog.get_logger()
 
@@ -130,6 +133,7 @@
         self._relayed = 0
         self._first_at: float | None = None
         self._placed: entries.Placed | None = None
+        self._weights_changed = False
         self._ended = "caller_left"
 
     async def run(self) -> None:
@@ -212,10 +216,12 @@
             head = await attempt.start(functools.partial(self._check, placed))
             if self._is_stream(attempt, head):
                 outcome = await self._relay(attempt, head)
+            elif self._responder.started:
+                raise self._broken("the upstream did not go on with the stream")
             else:
                 outcome = await self._take_whole(attempt, head)
         except attempts.AttemptFailedError as exc:
-            outcome = exc.outcome
+            outcome = self._with_backup(exc.outcome, placed)
         finally:
             await attempt.abandon()
             if attempt.head is not None:
@@ -225,6 +231,19 @@
             self._log_attempt(placed, outcome)
         return outcome
 
+    def _with_backup(
+        self, outcome: outcomes.AttemptOutcome, placed: entries.Placed
+    ) -> outcomes.AttemptOutcome:
+        """Returns an outcome that says whether the run may go on from its backup.
+
+        A run without an event may be what made its upstream crash, and one whose weights have
+        changed has a backup that no weights fit.
+        """
+        if not isinstance(outcome, outcomes.Broken) or not outcome.crashed:
+            return outcome
+        good = placed.backup is not None and self._relayed > 0 and not self._weights_changed
+        return dataclasses.replace(outcome, continuable=good)
+
     def _call(self, placed: entries.Placed, address: ids.Address) -> attempts.Call:
         asked = self._plan.asked
         left_s = self._plan.deadline - trio.current_time()
@@ -239,6 +258,8 @@
             self._last_event,
             self._import_from(placed),
             self._keep(placed),
+            self._address_of(placed.backup),
+            address if placed.continues else None,
         )
         head = self._around.spelling.request_head(asked, directions)
         return attempts.Call(
@@ -263,7 +284,10 @@
         source = placed.choice.estimate.source
         if keep is not None or source is None or placed.weights is None:
             return keep
-        found = self._around.directory.find(source)
+        return self._address_of(source)
+
+    def _address_of(self, upstream: ids.UpstreamId | None) -> ids.Address | None:
+        found = self._around.directory.find(upstream) if upstream else None
         return found.address if found else None
 
     def _keep(self, placed: entries.Placed) -> ids.Address | None:
@@ -338,7 +362,7 @@
         self, attempt: attempts.Attempt, head: http_client.ResponseHead
     ) -> outcomes.AttemptOutcome:
         splitter = event_stream.Splitter()
-        while (part := await attempt.receive(self._gap_limit_s(), self._relayed)) is not None:
+        while (part := await self._receive(attempt)) is not None:
             events = splitter.feed(part)
             good = self._in_order(events)
             if good:
@@ -353,6 +377,17 @@
         await self._responder.finish()
         return outcomes.Complete(head.status)
 
+    async def _receive(self, attempt: attempts.Attempt) -> bytes | None:
+        """Returns the next part of a stream, None at its end.
+
+        Raises:
+            AttemptFailedError: It broke off, or its upstream was lost without a word.
+        """
+        check_after_s = math.inf
+        if self._relayed and self._placed and self._placed.backup is not None:
+            check_after_s = CHECK_GAPS * self._plan.admission.route.gap_s
+        return await attempt.receive(self._gap_limit_s(), self._relayed, check_after_s)
+
     def _in_order(self, events: list[event_stream.Event]) -> list[event_stream.Event]:
         """Returns the events up to the first that does not follow, and counts them as relayed."""
         good = []
@@ -363,6 +398,8 @@
                 break
             self._last_event = event.number
             self._relayed += 1
+            told = self._around.spelling.event_weights(event.raw)
+            self._weights_changed = self._weights_changed or told is not None
             good.append(event)
         return good
 
--- a/src/cicadapier/_internal/services/forwarded_requests.py
+++ b/src/cicadapier/_internal/services/forwarded_requests.py
@@ -11,6 +11,7 @@
 import structlog
 import trio
 
+from cicadapier._internal.decisions import backups
 from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import prefix
 from cicadapier._internal.models import configuration
@@ -173,6 +174,7 @@
             model=asked.work.model if asked.work else None,
             patience_s=min(limit_s, QUEUE_SHARE * route.objective_s),
             terms=_PUBLIC_TERMS if admission.account is None else None,
+            backed_up=_is_backed_up(admission, pool_id, asked.work),
         )
         attributes = self._services.telemetry.attributes(
             telemetry_service.Caller(entry.account, configuration.ServiceClass.INTERACTIVE)
@@ -218,6 +220,21 @@
         raise _refused(outcomes.Code.DRAINING, "this router is stopping", 0.0)
 
 
+def _is_backed_up(
+    admission: forwarded_exchange.Admission,
+    pool: ids.PoolId,
+    work: forwarding.ModelWork | None,
+) -> bool:
+    """Returns whether the memory of a run is backed up: of long streams that run once only."""
+    route = admission.route
+    if work is None or route.kind is not configuration.RouteKind.STREAM or route.resumable:
+        return False
+    spec = admission.current.content.pools.get(pool)
+    if spec is None or not spec.run_backups:
+        return False
+    return backups.pays(work.prompt_tokens, work.output_tokens)
+
+
 def _public_account(admission: forwarded_exchange.Admission) -> ids.AccountId:
     return ids.AccountId(f"route:{admission.route_id}")
 
--- a/src/cicadapier/_internal/services/request_context.py
+++ b/src/cicadapier/_internal/services/request_context.py
@@ -98,10 +98,15 @@
                 self.leave(entry.request, ran=False)
         return found
 
-    async def again(self, request: ids.RequestId) -> entries.Placed | outcomes.Refusal:
-        """Places a request anew; the refusal is for the caller to judge."""
+    async def again(
+        self, request: ids.RequestId, continues: bool = False
+    ) -> entries.Placed | outcomes.Refusal:
+        """Places a request anew, or where its run goes on.
+
+        A refusal is for the caller to judge.
+        """
         reply: mailbox.Reply[entries.Decision] = mailbox.Reply()
-        self.traffic.mailbox.send(traffic_messages.Again(request, reply))
+        self.traffic.mailbox.send(traffic_messages.Again(request, reply, continues))
         decision = await reply.get()
         return decision.refusal if isinstance(decision, entries.Refused) else decision
 
@@ -138,9 +143,10 @@
             step = sequence.ended(outcome, trio.current_time())
             if isinstance(step, retries.Finish):
                 return None
-            if isinstance(step, retries.Retry):
+            if isinstance(step, retries.Retry | retries.Continue):
                 self.telemetry.retried(type(outcome).__name__)
-                decision = await self.again(request)
+                continues = isinstance(step, retries.Continue)
+                decision = await self.again(request, continues)
                 if isinstance(decision, entries.Placed):
                     placed = decision
                     continue
--- a/src/cicadapier/_internal/services/traffic_messages.py
+++ b/src/cicadapier/_internal/services/traffic_messages.py
@@ -27,10 +27,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Again:
-    """Places a request anew after a failed attempt."""
+    """Places a request anew after a failed attempt.
+
+    Attributes:
+        request: Its id.
+        reply: Gets the decision.
+        continues: Whether its run goes on from its backup.
+    """
 
     request: ids.RequestId
     reply: "mailbox.Reply[entries.Decision]"
+    continues: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -101,6 +101,9 @@
 
     def _again(self, message: traffic_messages.Again, now: float) -> None:
         self._waiting[message.request] = message.reply
+        if message.continues:
+            self._decide([self._traffic.continue_run(message.request, now)], now)
+            return
         decision = self._traffic.again(message.request, now)
         if decision is not None:
             self._decide([decision], now)
--- a/src/cicadapier/_internal/standins/faulty_network.py
+++ b/src/cicadapier/_internal/standins/faulty_network.py
@@ -166,6 +166,10 @@
         self._latency_s = latency_s
         self._next_port = 40_000
 
+    def hide(self, address: ids.Address) -> None:
+        """Lets nobody connect to an address any more; open streams stay."""
+        self._handlers.pop(address, None)
+
     async def connect(self, address: ids.Address, timeout_s: float) -> trio.abc.Stream:
         """See `transport.Network.connect`."""
         await trio.sleep(self._latency_s * (1 + self._rng.random()))
--- a/src/cicadapier/_internal/standins/users_upstream.py
+++ b/src/cicadapier/_internal/standins/users_upstream.py
@@ -19,6 +19,7 @@
 
 EVENT_S = 0.01
 LOAD_S = 0.5
+STALL_S = 2.5
 _LIMITS = settings.CallerLimits(body_bytes=67_108_864, idle_timeout_s=3600.0)
 
 
@@ -34,10 +35,28 @@
     BREAKS_OFF = "breaks_off"
     ENDS_WITHIN_AN_EVENT = "ends_within_an_event"
     SKIPS_AN_EVENT = "skips_an_event"
+    STALLS = "stalls"
+    FAILS_TO_RESUME = "fails_to_resume"
     LOSES_ANSWERS = "loses_answers"
     ORDERS_LATE = "orders_late"
 
 
+@dataclasses.dataclass
+class Backups:
+    """Memory of runs that upstreams hold for others.
+
+    Attributes:
+        weights: Weights version of each, by the holder's address and the request.
+    """
+
+    weights: dict[tuple[str, str], int] = dataclasses.field(default_factory=dict)
+
+    def drop(self, holder: str) -> None:
+        """Drops what an upstream holds."""
+        for key in [key for key in self.weights if key[0] == holder]:
+            del self.weights[key]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
     """A request that began to run.
@@ -67,6 +86,7 @@
         weights: Weights version that it serves.
         orders: Orders that it was given, with the time of each.
         events: Events of each stream.
+        event_s: Time between two events.
     """
 
     def __init__(
@@ -74,18 +94,21 @@
         network: transport.Network,
         entry: directory.Registration,
         runs: list[Run],
+        backups: Backups,
         model: ids.ModelId | None = None,
     ) -> None:
         self.faults: set[UpstreamFault] = set()
         self.weights = 1
         self.orders: list[tuple[float, rollout.Order]] = []
         self.events = 6
+        self.event_s = EVENT_S
         self.ended: collections.Counter[str] = collections.Counter()
         self.entry = entry
         self._accepted = 0
         self._loading_until = 0.0
         self._network = network
         self._runs = runs
+        self._backups = backups
         self._model = model
         self._nursery: trio.Nursery | None = None
 
@@ -132,6 +155,7 @@
             return rollout.Reply.CONFLICT
         self._accepted += 1
         self.weights = order.version
+        self._backups.drop(self.entry.address)
         self._loading_until = trio.current_time() + LOAD_S
         return rollout.Reply.ACCEPTED
 
@@ -147,6 +171,11 @@
             Run(request, self.entry.upstream, self.weights, named, req.target, req.body)
         )
         await self._misbehave()
+        resumes = req.header(wire_headers.LAST_EVENT_ID) is not None
+        if resumes and UpstreamFault.FAILS_TO_RESUME in self.faults:
+            status = http.HTTPStatus.INTERNAL_SERVER_ERROR
+            await responder.send_whole(status, far_side.answer_headers(request), b"failed")
+            return
         if self._model is not None:
             await self._stream(req, responder, request)
             return
@@ -172,7 +201,16 @@
         weights = _text(req, wire_headers.EXPECTED_WEIGHTS)
         if weights and int(weights) != self.weights:
             return http.HTTPStatus.MISDIRECTED_REQUEST
-        return 0
+        return 0 if self._has_backup(req) else http.HTTPStatus.SERVICE_UNAVAILABLE
+
+    def _has_backup(self, req: http_server.Request) -> bool:
+        """Returns whether the run that a request goes on with is held here, to be used once."""
+        source = _text(req, wire_headers.CONTINUE_FROM)
+        if not source:
+            return True
+        address, _, request = source.partition("/")
+        held = self._backups.weights.pop((address, request), None)
+        return address == self.entry.address and held == self.weights
 
     async def _misbehave(self) -> None:
         if UpstreamFault.SILENT in self.faults:
@@ -184,11 +222,17 @@
         self, req: http_server.Request, responder: http_server.Responder, request: str
     ) -> None:
         first = int(_text(req, wire_headers.LAST_EVENT_ID) or "0") + 1
+        weights = self.weights
         headers = far_side.answer_headers(request, self.weights)
         headers.append((b"content-type", b"text/event-stream"))
+        backup_to = _text(req, wire_headers.BACKUP_TO)
+        if backup_to:
+            self._backups.weights[backup_to, request] = self.weights
         await responder.start(http.HTTPStatus.OK, headers)
         for number in range(first, self.events + 1):
-            await trio.sleep(EVENT_S)
+            await trio.sleep(self.event_s)
+            if UpstreamFault.STALLS in self.faults and number == first + 2:
+                await trio.sleep(STALL_S)
             if UpstreamFault.BREAKS_OFF in self.faults and number == first + 2:
                 await responder.send_part(b"id: %d\nda" % number)
                 raise exceptions.ConnectionLostError("broke off")
@@ -197,7 +241,11 @@
                 break
             if UpstreamFault.SKIPS_AN_EVENT in self.faults and number == first + 1:
                 continue
-            await responder.send_part(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            told = b""
+            if self.weights != weights:
+                weights = self.weights
+                told = far_side.event_weights(weights)
+            await responder.send_part(told + b"id: %d\ndata: piece %d\n\n" % (number, number))
         await responder.finish()
         self.ended[request] += 1
 
--- a/src/cicadapier/_internal/standins/users_world.py
+++ b/src/cicadapier/_internal/standins/users_world.py
@@ -63,6 +63,7 @@
     Attributes:
         store: The store.
         runs: All requests that began to run anywhere.
+        backups: Memory of runs that upstreams hold for others.
         upstreams: Upstreams by name.
         routers: Routers by index.
         keys: Keys of each account.
@@ -78,6 +79,7 @@
         self.network = network
         self.store = users_store.UsersStore(network)
         self.runs: list[users_upstream.Run] = []
+        self.backups = users_upstream.Backups()
         self.upstreams: dict[str, users_upstream.UsersUpstream] = {}
         self.routers: dict[int, forwarding_assembly.ForwardingRouter] = {}
         self.keys = {account: list(keys) for account, keys in KEYS.items()}
@@ -118,7 +120,9 @@
         }
         models = {MODEL: configuration.Model("")}
         pools = {
-            ENGINES: configuration.Pool(configuration.PoolKind.MODEL, models=models),
+            ENGINES: configuration.Pool(
+                configuration.PoolKind.MODEL, models=models, run_backups=True
+            ),
             DESK: configuration.Pool(configuration.PoolKind.SERVICE),
         }
         content = configuration.Configuration(accounts, pools, declared)
@@ -149,7 +153,7 @@
             False,
             weights,
         )
-        upstream = users_upstream.UsersUpstream(self.network, entry, self.runs, model)
+        upstream = users_upstream.UsersUpstream(self.network, entry, self.runs, self.backups, model)
         self.upstreams[name] = upstream
         address = await self._start(name, upstream.run)
         upstream.entry = dataclasses.replace(entry, address=address)
--- a/tests/_internal/services/test_forwarding_service.py
+++ b/tests/_internal/services/test_forwarding_service.py
@@ -15,6 +15,7 @@
 
 Fault = users_upstream.UpstreamFault
 StoreFault = users_store.StoreFault
+LONG = {"path": "/long/x", "output_tokens": 200}  # A stream whose run is backed up.
 
 
 def strike(made, prefix, fault):
@@ -187,6 +188,17 @@
 
         forwarding_world.in_world(check)
 
+    def test_another_answer_instead_of_the_rest_of_a_stream_ends_it_incomplete(self):
+        async def check(made):
+            strike(made, "engine", Fault.BREAKS_OFF)
+            for name in ("engine-0", "engine-1", "engine-2"):
+                made.upstreams[name].faults.add(Fault.FAILS_TO_RESUME)
+            reply = await made.ask(request="q")
+            self.assertTrue(reply.broken)
+            self.assertEqual(reply.numbers, [1, 2])
+
+        forwarding_world.in_world(check)
+
     def test_a_stream_that_ends_within_an_event_is_not_called_complete(self):
         async def check(made):
             strike(made, "engine", Fault.ENDS_WITHIN_AN_EVENT)
@@ -238,6 +250,136 @@
         forwarding_world.in_world(check)
 
 
+class LostEngineTest(unittest.TestCase):
+    """Long streams that run once, on engines that are lost under them."""
+
+    def _engine_of(self, made, request):
+        return made.upstreams[made.runs_of(request)[0].upstream]
+
+    async def _ask(self, made, replies, **options):
+        options = {**LONG, "request": "q", **options}
+        replies.append(await made.ask(**options))
+
+    async def _during(self, made, do, **options):
+        """Runs something after the first events of a stream; returns what the caller got."""
+        for upstream in made.upstreams.values():
+            upstream.events = 20
+        replies = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._ask, made, replies)
+            await trio.sleep(0.055)
+            await do(self._engine_of(made, "q"))
+        return replies[0]
+
+    def test_the_run_goes_on_from_its_backup_without_gap_or_repeat(self):
+        async def check(made):
+            async def crash(engine):
+                made.end(engine.entry.upstream)
+
+            reply = await self._during(made, crash)
+            self.assertFalse(reply.broken)
+            self.assertEqual(reply.numbers, list(range(1, 21)))
+            first, second = made.runs_of("q")
+            self.assertNotEqual(first.upstream, second.upstream)
+            backup = made.upstreams[second.upstream].entry.address
+            self.assertEqual(first.headers["x-kv-backup"], backup)
+            self.assertEqual(second.headers["kv-from"], f"{backup}/q")
+            self.assertGreater(int(second.headers["last-event-id"]), 0)
+            self.assertEqual(first.headers["x-expect-version"], second.headers["x-expect-version"])
+
+        forwarding_world.in_world(check)
+
+    def test_an_engine_that_is_lost_without_a_word_is_given_up(self):
+        async def check(made):
+            strike(made, "engine", Fault.STALLS)
+
+            async def hide(engine):
+                made.network.hide(engine.entry.address)
+                for upstream in made.upstreams.values():
+                    upstream.faults.clear()
+
+            reply = await self._during(made, hide)
+            self.assertFalse(reply.broken)
+            self.assertEqual(reply.numbers, list(range(1, 21)))
+            self.assertEqual(len(made.runs_of("q")), 2)
+
+        forwarding_world.in_world(check)
+
+    def test_an_engine_that_is_merely_slow_is_waited_for(self):
+        async def check(made):
+            strike(made, "engine", Fault.STALLS)
+
+            async def wait(engine):
+                await trio.sleep(0)
+
+            reply = await self._during(made, wait)
+            self.assertFalse(reply.broken)
+            self.assertEqual(len(made.runs_of("q")), 1)
+
+        forwarding_world.in_world(check)
+
+    def test_a_run_does_not_go_on_beside_an_engine_that_can_be_reached(self):
+        async def check(made):
+            strike(made, "engine", Fault.BREAKS_OFF)
+            replies = []
+            await self._ask(made, replies)
+            self.assertTrue(replies[0].broken)
+            self.assertEqual(len(made.runs_of("q")), 1)
+
+        forwarding_world.in_world(check)
+
+    def test_a_run_never_begins_anew_where_its_backup_is_gone(self):
+        async def check(made):
+            async def crash(engine):
+                made.backups.weights.clear()
+                made.end(engine.entry.upstream)
+
+            reply = await self._during(made, crash)
+            self.assertTrue(reply.broken)
+            self.assertEqual(reply.numbers, list(range(1, len(reply.numbers) + 1)))
+            self.assertEqual(len(made.runs_of("q")), 1)
+
+        forwarding_world.in_world(check)
+
+    def test_a_run_whose_weights_have_changed_does_not_go_on(self):
+        async def check(made):
+            async def crash(engine):
+                engine.weights = 2
+                await trio.sleep(0.02)
+                made.end(engine.entry.upstream)
+
+            reply = await self._during(made, crash)
+            self.assertTrue(reply.broken)
+            self.assertEqual(len(made.runs_of("q")), 1)
+
+        forwarding_world.in_world(check)
+
+    def test_what_may_have_made_its_engine_crash_does_not_go_on(self):
+        async def check(made):
+            strike(made, "engine", Fault.SILENT)
+
+            async def crash(engine):
+                for upstream in made.upstreams.values():
+                    upstream.faults.clear()
+                made.end(engine.entry.upstream)
+
+            reply = await self._during(made, crash)
+            self.assertGreaterEqual(reply.status, 500)
+            self.assertNotEqual(reply.status, 503)
+            self.assertEqual(len(made.runs_of("q")), 1)
+
+        forwarding_world.in_world(check)
+
+    def test_short_answers_to_long_prompts_are_not_backed_up(self):
+        async def check(made):
+            await made.ask("/long/x", request="short")
+            await made.ask("/ask/x", request="resumable", output_tokens=200)
+            for request in ("short", "resumable"):
+                self.assertNotIn("x-kv-backup", made.runs_of(request)[0].headers)
+
+        forwarding_world.in_world(check)
+
+
 class ConfigurationTest(unittest.TestCase):
     def test_a_key_that_was_taken_away_stops_working(self):
         async def check(made):
@@ -415,6 +557,52 @@
 
         forwarding_world.in_world(check, routers=3)
 
+    def test_the_watch_stands_in_for_answers_that_the_store_loses(self):
+        async def check(made):
+            made.store.faults.add(StoreFault.LOSES_ANSWERS)
+            made.name_weights(2)
+            await trio.sleep(5.0)
+            engines = [u for n, u in made.upstreams.items() if n.startswith("engine")]
+            self.assertEqual([u.weights for u in engines], [2, 2, 2])
+
+        forwarding_world.in_world(check, routers=2)
+
+    def test_a_lease_is_kept_where_most_of_its_writes_are_late(self):
+        async def check(made):
+            made.store.faults.add(StoreFault.MOST_WRITES_LATE)
+            made.name_weights(2)
+            await trio.sleep(6.0)
+            engines = [u for n, u in made.upstreams.items() if n.startswith("engine")]
+            self.assertEqual([u.weights for u in engines], [2, 2, 2])
+
+        forwarding_world.in_world(check, routers=2)
+
+    def test_a_store_that_turns_slow_amid_a_rollout_delays_it_little(self):
+        async def check(made):
+            made.name_weights(2)
+            await trio.sleep(0.5)
+            made.store.faults.add(StoreFault.SLOW)
+            made.name_weights(3)
+            await trio.sleep(8.0)
+            engines = [u for n, u in made.upstreams.items() if n.startswith("engine")]
+            self.assertEqual([u.weights for u in engines], [3, 3, 3])
+
+        forwarding_world.in_world(check, routers=2)
+
+    def test_a_store_that_refuses_amid_a_rollout_delays_it_and_ends_nobody(self):
+        async def check(made):
+            made.name_weights(2)
+            await trio.sleep(0.06)
+            made.store.faults.add(StoreFault.REFUSES)
+            await trio.sleep(3.0)
+            made.store.faults.clear()
+            await trio.sleep(9.0)
+            engines = [u for n, u in made.upstreams.items() if n.startswith("engine")]
+            self.assertEqual([u.weights for u in engines], [2, 2, 2])
+            self.assertEqual(await made.ready(), 200)
+
+        forwarding_world.in_world(check, routers=2)
+
     def test_lost_and_late_lease_writes_let_nobody_order_beside_another(self):
         for fault in (StoreFault.LOSES_ANSWERS, StoreFault.WRITES_LATE):
             with self.subTest(fault):
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -53,6 +53,7 @@
         model="",
         parts="",
         time_left_ms=3000,
+        output_tokens=8,
         extra=(),
     ):
         """Sends one request on a connection of its own."""
@@ -60,7 +61,7 @@
         request = f"r{self._requests}" if request is None else request
         address = self.routers[router].callers.address
         headers = far_side.request_headers(
-            ids.RequestId(request), host, key, time_left_ms, model, parts
+            ids.RequestId(request), host, key, time_left_ms, model, parts, output_tokens
         )
         return await self._exchange(
             address, http_client.RequestHead(method, path, [*headers, *extra]), body
