Back up longer runs alone, and check silent engines after one longest pause

Cause: most of the memory moved for backups belonged to answers of a few tokens, which end within half a second. A silence of one longest pause has made the answer late already, so nothing is gained by waiting for a second one before the engine is checked; one that can be reached is still waited for.

--- a/src/cicadapier/_internal/decisions/backups.py
+++ b/src/cicadapier/_internal/decisions/backups.py
@@ -12,7 +12,7 @@
 from cicadapier._internal.models import ids
 
 # Output tokens for each prompt token from which on a run lasts long enough to pay for its backup.
-MIN_OUTPUT_SHARE = 0.02
+MIN_OUTPUT_SHARE = 0.1
 
 Members = collections.abc.Mapping[ids.UpstreamId, members.Member]
 
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -37,7 +37,7 @@
 MIN_SILENT_S = 0.5
 SILENT_GAPS = 1.2
 # After so many longest pauses without an event, whether the upstream can still be reached.
-CHECK_GAPS = 2.0
+CHECK_GAPS = 1.0
 
 _log = structlog.get_logger()
 
