Give the stand-ins a store that is short of calls or turns some routers away

The store's stand-in answers 429 above its rates, and each router meets it at a door of its own, where it may fail for that router alone.

--- a/src/cicadapier/_internal/standins/users_store.py
+++ b/src/cicadapier/_internal/standins/users_store.py
@@ -44,36 +44,71 @@
     change: store_format.Change
 
 
-class UsersStore(http_server.Handler):
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rates:
+    """Calls that the store takes in a second from all callers together; others get 429."""
+
+    writes: int = 400
+    reads: int = 2000
+
+
+class StoreDoor(http_server.Handler):
+    """The store as one caller meets it.
+
+    Attributes:
+        faults: What the store does wrong to this caller alone.
+    """
+
+    def __init__(self, store: "UsersStore") -> None:
+        self.faults: set[StoreFault] = set()
+        self._store = store
+
+    async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
+        """See `http_server.Handler.handle`."""
+        await self._store.answer(req, responder, self.faults)
+
+
+class UsersStore:
     """The store.
 
     Attributes:
-        faults: What it does wrong now.
+        faults: What it does wrong now to all callers.
+        rates: Calls that it takes in a second.
         calls: Calls by method.
+        turned_away: Calls that came too fast.
         revision: Revision of the newest change.
     """
 
     def __init__(self, network: transport.Network) -> None:
         self.faults: set[StoreFault] = set()
+        self.rates = Rates()
         self.calls: collections.Counter[str] = collections.Counter()
+        self.turned_away = 0
         self.revision = 1
         self._network = network
         self._objects: dict[tuple[str, str], store_format.StoredObject] = {}
         self._events: list[_Event] = []
         self._oldest = 1
         self._writes = 0
+        self._recent: dict[bool, collections.deque[float]] = {
+            writes: collections.deque() for writes in (False, True)
+        }
         self._nursery: trio.Nursery | None = None
 
-    async def run(
-        self,
-        address: ids.Address,
-        task_status: "trio.TaskStatus[ids.Address]" = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        """Serves until it is cancelled; reports its address."""
+    async def run(self, task_status: "trio.TaskStatus[None]" = trio.TASK_STATUS_IGNORED) -> None:
+        """Serves until it is cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            listener = http_server.Listener(self._network.serve, self, _LIMITS)
-            await listener.run(address, task_status)
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def open_door(self, address: ids.Address) -> tuple[StoreDoor, ids.Address]:
+        """Serves one caller; returns the door and its address."""
+        assert self._nursery
+        door = StoreDoor(self)
+        listener = http_server.Listener(self._network.serve, door, _LIMITS)
+        bound: ids.Address = await self._nursery.start(listener.run, address)
+        return door, bound
 
     def find(self, kind: str, name: str) -> store_format.StoredObject | None:
         """Returns an object."""
@@ -106,16 +141,32 @@
         self._events.clear()
         self._oldest = self.revision
 
-    async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
-        """See `http_server.Handler.handle`."""
-        await trio.sleep(SLOW_ANSWER_S if StoreFault.SLOW in self.faults else ANSWER_S)
+    async def answer(
+        self,
+        req: http_server.Request,
+        responder: http_server.Responder,
+        own_faults: set[StoreFault],
+    ) -> None:
+        """Answers a call.
+
+        Args:
+            req: The call.
+            responder: Where the answer goes.
+            own_faults: What goes wrong for this caller alone.
+        """
+        slow = StoreFault.SLOW in self.faults | own_faults
+        await trio.sleep(SLOW_ANSWER_S if slow else ANSWER_S)
         self.calls[req.method] += 1
-        await self._misbehave(responder)
+        await self._misbehave(responder, own_faults)
         if responder.started:
             return
+        if self._is_too_fast(req.method != "GET"):
+            self.turned_away += 1
+            await responder.send_json({}, http.HTTPStatus.TOO_MANY_REQUESTS)
+            return
         asked = far_side.read_store_question(req)
         if req.method == "GET":
-            await self._read(asked, responder)
+            await self._read(asked, responder, own_faults)
             return
         if self._is_late():
             assert self._nursery
@@ -133,17 +184,36 @@
             return self._writes % TIMELY_EVERY != 0
         return StoreFault.WRITES_LATE in self.faults
 
-    async def _misbehave(self, responder: http_server.Responder) -> None:
-        if StoreFault.SILENT in self.faults:
+    def _is_too_fast(self, writes: bool) -> bool:
+        """Counts a call; returns whether it is over the rate."""
+        now = trio.current_time()
+        recent = self._recent[writes]
+        while recent and recent[0] <= now - 1.0:
+            recent.popleft()
+        if len(recent) >= (self.rates.writes if writes else self.rates.reads):
+            return True
+        recent.append(now)
+        return False
+
+    async def _misbehave(
+        self, responder: http_server.Responder, own_faults: set[StoreFault]
+    ) -> None:
+        found = self.faults | own_faults
+        if StoreFault.SILENT in found:
             await trio.sleep_forever()
-        if StoreFault.REFUSES in self.faults:
+        if StoreFault.REFUSES in found:
             raise exceptions.ConnectionLostError("reset")
-        if StoreFault.BUSY in self.faults:
+        if StoreFault.BUSY in found:
             await responder.send_json({}, http.HTTPStatus.TOO_MANY_REQUESTS)
 
-    async def _read(self, asked: far_side.StoreQuestion, responder: http_server.Responder) -> None:
+    async def _read(
+        self,
+        asked: far_side.StoreQuestion,
+        responder: http_server.Responder,
+        own_faults: set[StoreFault],
+    ) -> None:
         if asked.watch is not None:
-            await self._watch(asked, responder)
+            await self._watch(asked, responder, own_faults)
             return
         if asked.name:
             found = self._objects.get((asked.kind, asked.name))
@@ -155,14 +225,19 @@
         more = len(names) > PAGE_ITEMS
         await responder.send_json(far_side.show_page(items, self.revision, more))
 
-    async def _watch(self, asked: far_side.StoreQuestion, responder: http_server.Responder) -> None:
+    async def _watch(
+        self,
+        asked: far_side.StoreQuestion,
+        responder: http_server.Responder,
+        own_faults: set[StoreFault],
+    ) -> None:
         assert asked.watch is not None
         deadline = trio.current_time() + asked.wait_s
         while True:
             if asked.watch < self._oldest:
                 await responder.send_json({}, http.HTTPStatus.GONE)
                 return
-            await self._misbehave(responder)
+            await self._misbehave(responder, own_faults)
             if responder.started:
                 return
             found = [
--- a/src/cicadapier/_internal/standins/users_world.py
+++ b/src/cicadapier/_internal/standins/users_world.py
@@ -53,7 +53,9 @@
         ids.RouteId("ask"): make(
             "lm", "/ask/", engines, kind.STREAM, True, 5.0, 0.6, 0.5, max_attempts=2
         ),
-        ids.RouteId("long"): make("lm", "/long/", engines, kind.STREAM, False, 5.0, 0.6, 0.5),
+        ids.RouteId("long"): make(
+            "lm", "/long/", engines, kind.STREAM, False, 5.0, 0.6, 0.5, max_attempts=2
+        ),
     }
 
 
@@ -66,6 +68,7 @@
         backups: Memory of runs that upstreams hold for others.
         upstreams: Upstreams by name.
         routers: Routers by index.
+        doors: The store as each of them meets it.
         keys: Keys of each account.
     """
 
@@ -82,6 +85,7 @@
         self.backups = users_upstream.Backups()
         self.upstreams: dict[str, users_upstream.UsersUpstream] = {}
         self.routers: dict[int, forwarding_assembly.ForwardingRouter] = {}
+        self.doors: dict[int, users_store.StoreDoor] = {}
         self.keys = {account: list(keys) for account, keys in KEYS.items()}
         self._make_peers = make_peers
         self._clock = clock
@@ -89,7 +93,6 @@
         self._scopes: dict[str, trio.CancelScope] = {}
         self._number = 1
         self._starts = 0
-        self._store_address = ANY_PORT
         self._nursery: trio.Nursery | None = None
 
     async def start(
@@ -97,7 +100,7 @@
     ) -> None:
         """Starts everything in a nursery."""
         self._nursery = nursery
-        self._store_address = await nursery.start(self.store.run, ANY_PORT)
+        await nursery.start(self.store.run)
         self.configure(routes())
         self.name_weights(1)
         for index in range(engines):
@@ -181,11 +184,12 @@
         """Starts a router."""
         vm = ids.VmId(f"vm-{index}")
         terms = settings.Forwarding()
+        self.doors[index], store_address = await self.store.open_door(ANY_PORT)
         cfg = settings.Settings(
             vm,
             HERE,
             listen=settings.Listen(ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT),
-            platform=settings.Platform([self._store_address], timeout_s=1.5),
+            platform=settings.Platform([store_address], timeout_s=1.5),
             forwarding=terms,
         )
         self._starts += 1
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -122,3 +122,10 @@
             nursery.cancel_scope.cancel()
 
     support.run(main, seed=seed)
+
+
+def strike(made, prefix, fault):
+    """Lets all upstreams of a kind do something wrong."""
+    for name, upstream in made.upstreams.items():
+        if name.startswith(prefix):
+            upstream.faults.add(fault)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -15,6 +15,7 @@
 DECISIONS = "tests._internal.decisions"
 SERVICES = "tests._internal.services"
 FORWARDING = f"{SERVICES}.test_forwarding_service"
+EXCHANGE = f"{SERVICES}.test_forwarded_exchange"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -261,28 +262,28 @@
         "services/forwarded_exchange.py",
         "if self._last_event is not None and event.number != self._last_event + 1:",
         "if False:",
-        f"{FORWARDING}.WholeAnswersTest",
+        f"{EXCHANGE}.WholeAnswersTest",
     ),
     Mutant(
         "relay half an event",
         "services/forwarded_exchange.py",
         "if splitter.rest:",
         "if False:",
-        f"{FORWARDING}.WholeAnswersTest",
+        f"{EXCHANGE}.WholeAnswersTest",
     ),
     Mutant(
         "promise that a sent request has not run",
         "services/forwarded_exchange.py",
         "if under_way or self._sequence.maybe_ran:",
         "if False:",
-        f"{FORWARDING}.OnceTest",
+        f"{EXCHANGE}.OnceTest",
     ),
     Mutant(
         "take an answer without proof",
         "services/forwarded_exchange.py",
         "if not attempt.facts.genuine:",
         "if False:",
-        f"{FORWARDING}.WholeAnswersTest",
+        f"{EXCHANGE}.WholeAnswersTest",
     ),
     Mutant(
         "send to an upstream that is leaving",
@@ -305,6 +306,62 @@
         "self._terms.slack",
         f"{DECISIONS}.test_limits_and_queues.RetriesTest",
     ),
+    Mutant(
+        "go on with a run beside an engine that can be reached",
+        "services/forwarded_exchange.py",
+        "if not isinstance(outcome, outcomes.Broken) or not outcome.crashed:",
+        "if not isinstance(outcome, outcomes.Broken):",
+        f"{EXCHANGE}.LostEngineTest",
+    ),
+    Mutant(
+        "go on with a run that may have made its engine crash",
+        "services/forwarded_exchange.py",
+        "placed.backup is not None and self._relayed > 0 and",
+        "placed.backup is not None and",
+        f"{EXCHANGE}.LostEngineTest",
+    ),
+    Mutant(
+        "go on with a run whose weights have changed",
+        "services/forwarded_exchange.py",
+        "self._relayed > 0 and not self._weights_changed",
+        "self._relayed > 0",
+        f"{EXCHANGE}.LostEngineTest",
+    ),
+    Mutant(
+        "begin a run anew where its backup is gone",
+        "decisions/retries.py",
+        "if settled and self._take_repeat(now):",
+        "if self._take_repeat(now):",
+        f"{EXCHANGE}.LostEngineTest",
+    ),
+    Mutant(
+        "use a backup of other weights",
+        "decisions/backups.py",
+        "return all(held.versions.get(weights.model) == weights.version for held in holders)",
+        "return True",
+        f"{DECISIONS}.test_backups",
+    ),
+    Mutant(
+        "back a run up at an engine with other weights",
+        "decisions/backups.py",
+        "member.usable and member.versions.get(model) == version",
+        "member.usable",
+        f"{DECISIONS}.test_backups",
+    ),
+    Mutant(
+        "admit by a comparison of weights that is out of date",
+        "decisions/traffic.py",
+        "pool_weights.compare(state, self.named, entry.model, now)",
+        "pass",
+        f"{DECISIONS}.test_traffic",
+    ),
+    Mutant(
+        "take no notice of a lease write that the watch shows",
+        "services/order_lease.py",
+        "if self._pending and lease == self._pending.proposal:",
+        "if False:",
+        f"{SERVICES}.test_weights_service",
+    ),
 ]
 
 
