Read an upstream's early answer where it no longer reads the request

Cause, by reading: an upstream that answers before it has read a long body and then closes made the send fail, and a refusal that says "not run" was taken for a lost connection, so that a call that must run once ended as unknown. The answer is now read first; its connection is not used again.

--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -81,6 +81,7 @@
         self._watched = False
         self._expired = False
         self._ended = False
+        self._cut_short = False
         self._read_deadline = math.inf
         self.opened_at = trio.current_time()
         self.idle_since = self.opened_at
@@ -127,6 +128,7 @@
         try:
             await self._stream.send_all(b"".join(parts))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            self._cut_short = True
             raise exceptions.ConnectionLostError(f"lost while sending: {exc}") from exc
 
     async def receive_head(self, timeout_s: float) -> ResponseHead:
@@ -177,6 +179,8 @@
 
     def make_reusable(self) -> bool:
         """Prepares for another request; returns False where the connection must be closed."""
+        if self._cut_short:
+            return False
         if self._h11.trailing_data[0]:
             # Bytes after the answer belong to no request: the peer is out of step.
             return False
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -5,6 +5,7 @@
 import math
 
 import msgspec
+import structlog
 import trio
 
 from cicadapier._internal.models import ids
@@ -20,6 +21,8 @@
 MAX_REFUSAL_BYTES = 65_536
 NOT_RUN_STATUSES = frozenset((429, 503))
 
+_log = structlog.get_logger()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
@@ -111,7 +114,7 @@
             await self._run_check(check)
         try:
             self.sent = True
-            await self._conn.send(call.head, call.body)
+            await self._send(self._conn)
             self.head = await self._conn.receive_head(call.first_s)
         except exceptions.ProtocolError as exc:
             raise AttemptFailedError(await self._no_answer(exc)) from exc
@@ -120,6 +123,13 @@
         await self._check_refusal(self.head)
         return self.head
 
+    async def _send(self, conn: http_client.ClientConnection) -> None:
+        try:
+            await conn.send(self._call.head, self._call.body)
+        except exceptions.ConnectionLostError as exc:
+            # The upstream may have answered before it had read the whole request.
+            _log.info("request_not_read_whole", request=self._call.request, reason=str(exc))
+
     def watch(self) -> None:
         """Has the reads of a long answer watched from outside, which costs them less."""
         if self._conn:
