Let a restarted router take back the lease that it gave up without a wait

For 3.3 s nobody gave orders although weights had been named, and all model requests were refused once the engines' weights were too old. Ruled out: health of the engines (no upstream_state line), the store (answered).

Tests: ReleasedLeaseTest (three cases, one failed before), a holder that is restarted orders on.

--- a/src/cicadapier/_internal/decisions/leases.py
+++ b/src/cicadapier/_internal/decisions/leases.py
@@ -56,6 +56,7 @@
         active: Whether the holder may give orders under it; at first it may have to wait.
         released: Whether the holder has given it up and sends no more orders.
         quiet_s: Time from the write on in which orders of earlier holders are still too near.
+        own_quiet_s: The same for the holder's VM itself, where it has been given up.
     """
 
     holder: ids.VmId
@@ -66,6 +67,7 @@
     active: bool = True
     released: bool = False
     quiet_s: float = 0.0
+    own_quiet_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -125,7 +127,9 @@
     def _note_quiet(self, lease: LeaseObject, now: float) -> None:
         """Works out until when the orders of others are too near for one of this router."""
         known = self._observed.lease if self._observed else None
-        if lease.released and known and known.fencing == lease.fencing:
+        if lease.released and lease.holder == self._vm:
+            self._others_until = max(self._others_until, now + lease.own_quiet_s)
+        elif lease.released and known and known.fencing == lease.fencing:
             # The holder itself says that its last order is behind it.
             self._others_until = now + lease.quiet_s
         elif not lease.active:
@@ -171,6 +175,7 @@
         """Returns the object to write in order to give the lease up, None where it is not held."""
         if self._held is None:
             return None
+        waited_s = 0.0 if self._held.active else self._held.quiet_s
         quiet_s = self._terms.quiet_s if self._held.active else self._held.quiet_s
         return dataclasses.replace(
             self._held,
@@ -179,6 +184,7 @@
             active=False,
             released=True,
             quiet_s=quiet_s,
+            own_quiet_s=waited_s,
         )
 
     def _quiet_left_s(self, now: float) -> float:
--- a/tests/_internal/decisions/test_agreements.py
+++ b/tests/_internal/decisions/test_agreements.py
@@ -130,6 +130,35 @@
         self.assertEqual(world.holders[1].fencing_number(12.0 + leases.LONGEST_ORDER_S), 2)
 
 
+class ReleasedLeaseTest(unittest.TestCase):
+    TERMS = leases.Terms(1.6, 2.0, 0.6, 0.0, quiet_s=3.3, own_at_once=True)
+
+    def _take(self, vm, nonce, seen, now):
+        """Observes a lease, takes it and returns whoever holds it then."""
+        lease = leases.Lease(ids.VmId(vm), nonce, self.TERMS)
+        lease.observed(seen, now)
+        lease.written(lease.proposal(now), now, now)
+        return lease
+
+    def _released(self):
+        first = self._take("vm", "n1", None, 0.0)
+        self.assertEqual(first.fencing_number(0.1), 1)
+        return first.release()
+
+    def test_the_router_that_gave_it_up_orders_at_once_after_its_restart(self):
+        again = self._take("vm", "n2", self._released(), 1.0)
+        self.assertEqual(again.fencing_number(1.0), 2)
+
+    def test_another_router_keeps_its_distance(self):
+        other = self._take("other", "n3", self._released(), 1.0)
+        self.assertIsNone(other.fencing_number(4.2))
+
+    def test_one_that_gave_it_up_while_it_waited_for_others_waits_on(self):
+        waiting = self._take("other", "n3", self._released(), 1.0)
+        again = self._take("other", "n4", waiting.release(), 1.1)
+        self.assertIsNone(again.fencing_number(1.2))
+
+
 _DOCUMENTS = st.recursive(
     st.integers(0, 3) | st.booleans(),
     lambda inner: st.dictionaries(st.sampled_from("abc"), inner, max_size=3),
--- a/tests/_internal/services/test_weights_service.py
+++ b/tests/_internal/services/test_weights_service.py
@@ -150,6 +150,31 @@
 
                 forwarding_world.in_world(check, routers=3)
 
+    def test_a_holder_that_is_restarted_orders_on_without_a_wait(self):
+        async def check(made):
+            made.name_weights(2)
+            await trio.sleep(1.0)
+            holder = next(o.holder for u in made.upstreams.values() for _, o in u.orders)
+            index = int(holder.rpartition("-")[2])
+            made.routers[index].kernel.stop()
+            await trio.sleep(7.0)
+            began_at = trio.current_time()
+            await made.start_router(index)
+            made.name_weights(3)
+            await trio.sleep(6.0)
+            third = [
+                (at - began_at, o.holder)
+                for u in made.upstreams.values()
+                for at, o in u.orders
+                if o.version == 3
+            ]
+            self.assertLess(min(third)[0], 1.5)
+            self.assertEqual({name for _, name in third}, {holder})
+            self._check_holders(made)
+            self._check_weights(made, 3)
+
+        forwarding_world.in_world(check, routers=2)
+
     def test_a_store_with_little_rate_delays_a_rollout_and_is_not_pressed(self):
         async def check(made):
             made.store.rates = users_store.Rates(writes=3, reads=8)
--- a/tests/support.py
+++ b/tests/support.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import itertools
 import random
 from typing import Any
 
@@ -47,7 +48,8 @@
 
     async def serve(self, address, handler, task_status=trio.TASK_STATUS_IGNORED):
         if address.endswith(":0"):
-            address = ids.Address(f"127.0.0.1:{50_000 + len(self.handlers)}")
+            free = (port for port in itertools.count(50_000) if not self._is_used(port))
+            address = ids.Address(f"127.0.0.1:{next(free)}")
         self.handlers[address] = handler
         try:
             task_status.started(address)
@@ -55,6 +57,9 @@
         finally:
             del self.handlers[address]
 
+    def _is_used(self, port):
+        return ids.Address(f"127.0.0.1:{port}") in self.handlers
+
     async def exchange(self, address, digest):
         await trio.sleep(0.001)
         handler = self._find(address)
