Fuzz the forwarded routes with the failures of the store and the upstreams

Programs of requests, new weights, keys taken away, restarts, crashes and every fault of both stand-ins (for all routers or for one) run against three routers on a paused clock. The oracle checks: what must run once runs once (a run that goes on from its backup is the same one), a refusal that says "not run" is true, answers are whole and streams in order, runs meet the weights of their cache scope, two that order keep their distance under growing numbers, no revoked key works after five seconds, repeats keep to the budget over all routers, and at the end every engine serves the named weights.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 
 fuzz: $(VENV)/.ready
 	FUZZ_SEED=$(SEED) FUZZ_STEPS=$(STEPS) FUZZ_EXAMPLES=$(EXAMPLES) FUZZ_SHRINK=1 \
-	  $(BIN)/python tools/run_tests.py test_fuzz.py
+	  $(BIN)/python tools/run_tests.py "test_*fuzz.py"
 
 fuzz-sockets: $(VENV)/.ready
 	$(BIN)/python -m tests.sockets_fuzz $(SEED)
--- a/src/cicadapier/_internal/standins/users_upstream.py
+++ b/src/cicadapier/_internal/standins/users_upstream.py
@@ -78,10 +78,19 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached an upstream, whether or not it ran there."""
+
+    at: float
+    request: str
+
+
 class UsersUpstream(http_server.Handler):
     """An upstream.
 
     Attributes:
+        arrivals: Requests that reached it.
         faults: What it does wrong now.
         weights: Weights version that it serves.
         orders: Orders that it was given, with the time of each.
@@ -100,6 +109,7 @@
         self.faults: set[UpstreamFault] = set()
         self.weights = 1
         self.orders: list[tuple[float, rollout.Order]] = []
+        self.arrivals: list[Arrival] = []
         self.events = 6
         self.event_s = EVENT_S
         self.ended: collections.Counter[str] = collections.Counter()
@@ -160,6 +170,8 @@
         return rollout.Reply.ACCEPTED
 
     async def _serve(self, req: http_server.Request, responder: http_server.Responder) -> None:
+        arrived = _text(req, wire_headers.REQUEST_ID)
+        self.arrivals.append(Arrival(trio.current_time(), arrived))
         refusal = self._refusal(req)
         if refusal:
             other = self.weights if refusal == http.HTTPStatus.MISDIRECTED_REQUEST else None
--- /dev/null
+++ b/tests/test_forwarding_fuzz.py
@@ -0,0 +1,135 @@
+"""Stateful fuzz of routers of forwarded routes, with the store's and the upstreams' failures."""
+
+import os
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import trio
+
+from cicadapier._internal.standins import users_store
+from cicadapier._internal.standins import users_upstream
+from tests import forwarding_fuzzing
+from tests import forwarding_world
+from tests import support
+
+ROUTERS = 3
+ENGINES = 4
+EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "8"))
+STEPS = int(os.environ.get("FUZZ_STEPS", "14"))
+SEED = os.environ.get("FUZZ_SEED", "")
+PHASES = [hypothesis.Phase.explicit, hypothesis.Phase.generate]
+if os.environ.get("FUZZ_SHRINK"):
+    PHASES.append(hypothesis.Phase.shrink)
+
+_ROUTER = st.integers(0, ROUTERS - 1)
+_SECONDS = st.sampled_from([0.5, 2.0, 6.0])
+_UPSTREAMS = [f"engine-{i}" for i in range(ENGINES)] + ["desk-0", "desk-1"]
+
+
+class ForwardingMachine(stateful.RuleBasedStateMachine):
+    """Rules write a program; it runs as a whole on a paused clock when the machine ends."""
+
+    def __init__(self):
+        super().__init__()
+        self.steps = []
+
+    @stateful.rule(
+        router=_ROUTER,
+        route=st.sampled_from(["look", "order", "ask", "long", "long"]),
+        key=st.sampled_from(["key-1", "key-2"]),
+        part=st.sampled_from("abc"),
+        count=st.integers(1, 6),
+    )
+    def send(self, router, route, key, part, count):
+        for _ in range(count):
+            self.steps.append(lambda program: program.send(router, route, key, part))
+
+    @stateful.rule()
+    def name_weights(self):
+        self.steps.append(lambda program: program.name_weights())
+
+    @stateful.rule(key=st.sampled_from(["key-1", "key-2"]))
+    def revoke(self, key):
+        self.steps.append(lambda program: program.revoke(key))
+
+    @stateful.rule(fault=st.sampled_from(list(users_store.StoreFault)), seconds=_SECONDS)
+    def strike_store(self, fault, seconds):
+        self.steps.append(lambda p: p.strike(p.made.store.faults, fault, seconds))
+
+    @stateful.rule(
+        router=_ROUTER, fault=st.sampled_from(list(users_store.StoreFault)), seconds=_SECONDS
+    )
+    def strike_door(self, router, fault, seconds):
+        self.steps.append(lambda p: p.strike(p.made.doors[router].faults, fault, seconds))
+
+    @stateful.rule(
+        name=st.sampled_from(_UPSTREAMS),
+        fault=st.sampled_from(list(users_upstream.UpstreamFault)),
+        seconds=_SECONDS,
+    )
+    def strike_upstream(self, name, fault, seconds):
+        self.steps.append(lambda p: p.strike(p.made.upstreams[name].faults, fault, seconds))
+
+    @stateful.rule()
+    def forget_history(self):
+        self.steps.append(lambda program: program.made.store.forget_history())
+
+    @stateful.rule(name=st.sampled_from(_UPSTREAMS[:2]))
+    def crash(self, name):
+        self.steps.append(lambda program: program.crash(name))
+
+    @stateful.rule(router=_ROUTER, graceful=st.booleans())
+    def restart(self, router, graceful):
+        self.steps.append(lambda program: program.restart(router, graceful))
+
+    @stateful.rule(seconds=st.sampled_from([0.03, 0.1, 0.5, 2.0, 5.0]))
+    def wait(self, seconds):
+        self.steps.append(lambda program: trio.sleep(seconds))
+
+    def teardown(self):
+        if self.steps:
+            found = run_program(self.steps)
+            assert not found, "\n".join(found)
+
+
+def run_program(steps):
+    """Runs steps in a new world and returns the promises that were broken."""
+    found = []
+
+    async def main():
+        made = forwarding_world.World()
+        async with trio.open_nursery() as outer:
+            await made.start(outer, routers=ROUTERS, engines=ENGINES)
+            await trio.sleep(forwarding_world.SETTLE_S)
+            async with trio.open_nursery() as nursery:
+                program = forwarding_fuzzing.Program(made, nursery)
+                for step in steps:
+                    result = step(program)
+                    if result is not None:
+                        await result
+            await forwarding_fuzzing.settle(program)
+            found.extend(forwarding_fuzzing.faults_found(program))
+            outer.cancel_scope.cancel()
+
+    support.run(main)
+    return found
+
+
+ForwardingMachine.TestCase.settings = hypothesis.settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=STEPS,
+    deadline=None,
+    database=None,
+    derandomize=not SEED,
+    phases=PHASES,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+ForwardingTest = ForwardingMachine.TestCase
+if SEED:
+    ForwardingTest = hypothesis.seed(int(SEED))(ForwardingTest)
+
+
+if __name__ == "__main__":
+    unittest.main()
