--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -1,12 +1,10 @@
 """One forwarded request on its way: attempts, checks before each send, and the relay."""
 
-import collections.abc
 import dataclasses
 import functools
 import http
 import math
 
-import structlog
 import trio
 
 from cicadapier._internal.decisions import entries
@@ -21,12 +19,11 @@
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import http_server
 from cicadapier._internal.services import attempts
-from cicadapier._internal.services import directory_service
 from cicadapier._internal.services import exceptions
-from cicadapier._internal.services import request_context
+from cicadapier._internal.services import forwarded_log
+from cicadapier._internal.services import forwarded_plan
 from cicadapier._internal.services import telemetry_service
 from cicadapier._internal.services import traffic_messages
-from cicadapier._internal.services import watched_configuration
 
 CONNECT_S = 0.4
 MIN_LEFT_S = 0.01
@@ -39,67 +36,6 @@
 # After so many longest pauses without an event, whether the upstream can still be reached.
 CHECK_GAPS = 1.0
 
-_log = structlog.get_logger()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Admission:
-    """What a configuration allows a request.
-
-    Attributes:
-        current: The configuration.
-        route_id: Route that fits.
-        route: Its declaration.
-        account: Client account, None on a public route.
-    """
-
-    current: configuration.NumberedConfiguration
-    route_id: ids.RouteId
-    route: configuration.Route
-    account: ids.AccountId | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Plan:
-    """What stays the same over all attempts at a request.
-
-    Attributes:
-        asked: The request.
-        admission: What the configuration allowed as it came.
-        pool: Pool that serves it.
-        entry: What the traffic decisions know of it.
-        scope: Scope in which the parts of its prompt are shared, empty without any.
-        deadline: Time of trio's clock at which it must be answered.
-        attributes: Attributes of its measurements.
-    """
-
-    asked: forwarding.ForwardedRequest
-    admission: Admission
-    pool: ids.PoolId
-    entry: entries.Entry
-    scope: str
-    deadline: float
-    attributes: dict[str, str]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Surroundings:
-    """What every exchange uses.
-
-    Attributes:
-        services: Services of request handlers.
-        spelling: Spelling of requests and answers.
-        directory: The upstreams that exist.
-        configuration: The configuration in force.
-        admit: Returns what it allows a request, or refuses it.
-    """
-
-    services: request_context.Services
-    spelling: forwarding.ForwardFormat
-    directory: directory_service.DirectoryService
-    configuration: watched_configuration.WatchedConfiguration
-    admit: collections.abc.Callable[[forwarding.ForwardedRequest], Admission]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Answer:
@@ -113,7 +49,12 @@
 class Exchange:
     """One request until its answer is relayed or it is refused."""
 
-    def __init__(self, around: Surroundings, plan: Plan, responder: http_server.Responder) -> None:
+    def __init__(
+        self,
+        around: forwarded_plan.Surroundings,
+        plan: forwarded_plan.Plan,
+        responder: http_server.Responder,
+    ) -> None:
         self._around = around
         self._services = around.services
         self._plan = plan
@@ -149,7 +90,7 @@
             if scope.cancelled_caught:
                 self._end_refused(self._deadline_refusal())
         finally:
-            self._log_end()
+            forwarded_log.request_ended(self._plan, self._placed, self._summary())
 
     async def _serve(self) -> None:
         placed = await self._services.enter(self._plan.entry)
@@ -228,7 +169,7 @@
                 self._tell(placed, attempt)
         self._attempt = None
         if not isinstance(outcome, outcomes.Complete):
-            self._log_attempt(placed, outcome)
+            forwarded_log.attempt_failed(self._plan, placed, outcome, self._summary())
         return outcome
 
     def _with_backup(
@@ -449,45 +390,13 @@
             traffic_messages.AnswerTold(self._plan.pool, upstream, running, weights)
         )
 
-    def _log_attempt(self, placed: entries.Placed, outcome: outcomes.AttemptOutcome) -> None:
-        _log.info(
-            "attempt_failed",
-            request=self._plan.asked.request,
-            upstream=placed.choice.estimate.upstream,
-            incarnation=placed.incarnation,
-            weights=placed.weights,
-            outcome=type(outcome).__name__,
-            reason=getattr(outcome, "reason", ""),
-            relayed=self._relayed,
-            attempts=self._sequence.attempts + 1,
-            repeats_left=round(self._services.budget.left(self._plan.pool, trio.current_time()), 1),
-        )
-
-    def _log_end(self) -> None:
+    def _summary(self) -> forwarded_log.Summary:
         plan = self._plan
-        now = trio.current_time()
-        began_at = plan.asked.raw.began_at
-        placed = self._placed
-        estimate = placed.choice.estimate if placed else None
-        _log.info(
-            "request_ended",
-            request=plan.asked.request,
-            route=plan.admission.route_id,
-            account=plan.admission.account,
-            pool=plan.pool,
-            outcome=self._ended,
-            upstream=estimate.upstream if estimate else None,
-            reason=placed.choice.reason if placed else None,
-            estimate_ms=round(estimate.total_s * 1000) if estimate else None,
-            cached_pieces=estimate.cached_pieces if estimate else None,
-            imported_pieces=estimate.imported_pieces if estimate else None,
-            weights=placed.weights if placed else None,
-            queued_ms=round(placed.queued_s * 1000) if placed else None,
-            first_ms=round((self._first_at - began_at) * 1000) if self._first_at else None,
-            took_ms=round((now - began_at) * 1000),
-            left_ms=round((plan.deadline - now) * 1000),
-            attempts=self._sequence.attempts,
-            events=self._relayed,
-            config=plan.admission.current.number,
-            proof_age_s=round(self._around.configuration.proof_age_s, 3),
+        return forwarded_log.Summary(
+            self._ended,
+            self._sequence.attempts,
+            self._relayed,
+            self._first_at,
+            self._around.configuration.proof_age_s,
+            self._services.budget.left(plan.pool, trio.current_time()),
         )
--- /dev/null
+++ b/src/cicadapier/_internal/services/forwarded_log.py
@@ -0,0 +1,90 @@
+"""The lines that a forwarded request leaves in the log."""
+
+import dataclasses
+
+import structlog
+import trio
+
+from cicadapier._internal.decisions import entries
+from cicadapier._internal.models import outcomes
+from cicadapier._internal.services import forwarded_plan
+
+_log = structlog.get_logger()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """How far a request has come.
+
+    Attributes:
+        ended: How it ended.
+        attempts: Attempts that have ended.
+        relayed: Events that its caller has.
+        first_at: Time of trio's clock at which its answer began, None before that.
+        proof_age_s: Age of the proof that the configuration is the newest.
+        repeats_left: Repeats that the budget of its pool still allows.
+    """
+
+    ended: str
+    attempts: int
+    relayed: int
+    first_at: float | None
+    proof_age_s: float
+    repeats_left: float
+
+
+def attempt_failed(
+    plan: forwarded_plan.Plan,
+    placed: entries.Placed,
+    outcome: outcomes.AttemptOutcome,
+    summary: Summary,
+) -> None:
+    """Logs an attempt that did not bring a whole answer."""
+    _log.info(
+        "attempt_failed",
+        request=plan.asked.request,
+        upstream=placed.choice.estimate.upstream,
+        incarnation=placed.incarnation,
+        weights=placed.weights,
+        outcome=type(outcome).__name__,
+        reason=getattr(outcome, "reason", ""),
+        relayed=summary.relayed,
+        backup=placed.backup,
+        continuable=getattr(outcome, "continuable", False),
+        attempts=summary.attempts + 1,
+        repeats_left=round(summary.repeats_left, 1),
+    )
+
+
+def request_ended(
+    plan: forwarded_plan.Plan, placed: entries.Placed | None, summary: Summary
+) -> None:
+    """Logs the end of a request."""
+    now = trio.current_time()
+    began_at = plan.asked.raw.began_at
+    estimate = placed.choice.estimate if placed else None
+    first_ms = None
+    if summary.first_at is not None:
+        first_ms = round((summary.first_at - began_at) * 1000)
+    _log.info(
+        "request_ended",
+        request=plan.asked.request,
+        route=plan.admission.route_id,
+        account=plan.admission.account,
+        pool=plan.pool,
+        outcome=summary.ended,
+        upstream=estimate.upstream if estimate else None,
+        reason=placed.choice.reason if placed else None,
+        estimate_ms=round(estimate.total_s * 1000) if estimate else None,
+        cached_pieces=estimate.cached_pieces if estimate else None,
+        imported_pieces=estimate.imported_pieces if estimate else None,
+        weights=placed.weights if placed else None,
+        queued_ms=round(placed.queued_s * 1000) if placed else None,
+        first_ms=first_ms,
+        took_ms=round((now - began_at) * 1000),
+        left_ms=round((plan.deadline - now) * 1000),
+        attempts=summary.attempts,
+        events=summary.relayed,
+        config=plan.admission.current.number,
+        proof_age_s=round(summary.proof_age_s, 3),
+    )
--- /dev/null
+++ b/src/cicadapier/_internal/services/forwarded_plan.py
@@ -0,0 +1,71 @@
+"""What stays the same over all attempts at one forwarded request."""
+
+import collections.abc
+import dataclasses
+
+from cicadapier._internal.decisions import entries
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import forwarding
+from cicadapier._internal.services import directory_service
+from cicadapier._internal.services import request_context
+from cicadapier._internal.services import watched_configuration
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admission:
+    """What a configuration allows a request.
+
+    Attributes:
+        current: The configuration.
+        route_id: Route that fits.
+        route: Its declaration.
+        account: Client account, None on a public route.
+    """
+
+    current: configuration.NumberedConfiguration
+    route_id: ids.RouteId
+    route: configuration.Route
+    account: ids.AccountId | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What stays the same over all attempts at a request.
+
+    Attributes:
+        asked: The request.
+        admission: What the configuration allowed as it came.
+        pool: Pool that serves it.
+        entry: What the traffic decisions know of it.
+        scope: Scope in which the parts of its prompt are shared, empty without any.
+        deadline: Time of trio's clock at which it must be answered.
+        attributes: Attributes of its measurements.
+    """
+
+    asked: forwarding.ForwardedRequest
+    admission: Admission
+    pool: ids.PoolId
+    entry: entries.Entry
+    scope: str
+    deadline: float
+    attributes: dict[str, str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What every exchange uses.
+
+    Attributes:
+        services: Services of request handlers.
+        spelling: Spelling of requests and answers.
+        directory: The upstreams that exist.
+        configuration: The configuration in force.
+        admit: Returns what it allows a request, or refuses it.
+    """
+
+    services: request_context.Services
+    spelling: forwarding.ForwardFormat
+    directory: directory_service.DirectoryService
+    configuration: watched_configuration.WatchedConfiguration
+    admit: collections.abc.Callable[[forwarding.ForwardedRequest], Admission]
--- a/src/cicadapier/_internal/services/forwarded_requests.py
+++ b/src/cicadapier/_internal/services/forwarded_requests.py
@@ -24,6 +24,7 @@
 from cicadapier._internal.services import directory_service
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import forwarded_exchange
+from cicadapier._internal.services import forwarded_plan
 from cicadapier._internal.services import request_context
 from cicadapier._internal.services import request_listener
 from cicadapier._internal.services import telemetry_service
@@ -108,8 +109,8 @@
             )
             raise exceptions.RefusedError(refusal) from exc
 
-    def _surroundings(self) -> forwarded_exchange.Surroundings:
-        return forwarded_exchange.Surroundings(
+    def _surroundings(self) -> forwarded_plan.Surroundings:
+        return forwarded_plan.Surroundings(
             self._services, self._spelling, self._directory, self._configuration, self.admit
         )
 
@@ -120,7 +121,7 @@
             refusal = outcomes.Refusal(request_listener.reject_code(exc), str(exc))
             raise exceptions.RefusedError(refusal) from exc
 
-    def admit(self, asked: forwarding.ForwardedRequest) -> forwarded_exchange.Admission:
+    def admit(self, asked: forwarding.ForwardedRequest) -> forwarded_plan.Admission:
         """Returns what the configuration in force allows a request.
 
         Raises:
@@ -139,13 +140,13 @@
             raise _refused(outcomes.Code.NOT_FOUND, "no route fits this host and path")
         route = current.content.routes[route_id]
         if route.public:
-            return forwarded_exchange.Admission(current, route_id, route, None)
+            return forwarded_plan.Admission(current, route_id, route, None)
         self._require_proof()
         digest = hashlib.sha256(asked.key.encode()).hexdigest()
         account = current.accounts_by_key_hash.get(digest) if asked.key else None
         if account is None and current.content.accounts:
             raise _refused(outcomes.Code.INVALID_KEY, "the API key is missing or unknown")
-        return forwarded_exchange.Admission(current, route_id, route, account)
+        return forwarded_plan.Admission(current, route_id, route, account)
 
     def _require_proof(self) -> None:
         """Refuses what a configuration that this router has not heard of might decide otherwise."""
@@ -154,7 +155,7 @@
             message = f"the configuration has not been proved to be the newest for {age_s:.1f} s"
             raise _refused(outcomes.Code.STALE_CONFIGURATION, message, NOT_READY_RETRY_S)
 
-    def _plan(self, asked: forwarding.ForwardedRequest) -> forwarded_exchange.Plan:
+    def _plan(self, asked: forwarding.ForwardedRequest) -> forwarded_plan.Plan:
         admission = self.admit(asked)
         route = admission.route
         limit_s = route.timeout_s
@@ -179,12 +180,12 @@
         attributes = self._services.telemetry.attributes(
             telemetry_service.Caller(entry.account, configuration.ServiceClass.INTERACTIVE)
         )
-        return forwarded_exchange.Plan(
+        return forwarded_plan.Plan(
             asked, admission, pool_id, entry, scope, asked.raw.began_at + limit_s, attributes
         )
 
     def _prompt(
-        self, admission: forwarded_exchange.Admission, asked: forwarding.ForwardedRequest
+        self, admission: forwarded_plan.Admission, asked: forwarding.ForwardedRequest
     ) -> tuple[prefix.Prompt, str]:
         """Returns the prompt as placement sees it and the scope in which its parts are shared."""
         work = asked.work
@@ -212,7 +213,7 @@
     return route.pools[-1].pool
 
 
-def _require_time(plan: forwarded_exchange.Plan, ending: Ending) -> None:
+def _require_time(plan: forwarded_plan.Plan, ending: Ending) -> None:
     """Refuses what could not end before this router does."""
     streams = plan.admission.route.kind is configuration.RouteKind.STREAM
     until = ending.streams_until if streams else ending.others_until
@@ -221,7 +222,7 @@
 
 
 def _is_backed_up(
-    admission: forwarded_exchange.Admission,
+    admission: forwarded_plan.Admission,
     pool: ids.PoolId,
     work: forwarding.ModelWork | None,
 ) -> bool:
@@ -235,12 +236,12 @@
     return backups.pays(work.prompt_tokens, work.output_tokens)
 
 
-def _public_account(admission: forwarded_exchange.Admission) -> ids.AccountId:
+def _public_account(admission: forwarded_plan.Admission) -> ids.AccountId:
     return ids.AccountId(f"route:{admission.route_id}")
 
 
 def _fingerprint(
-    pool: ids.PoolId, admission: forwarded_exchange.Admission, req: http_server.Request
+    pool: ids.PoolId, admission: forwarded_plan.Admission, req: http_server.Request
 ) -> ids.Fingerprint:
     digest = hashlib.blake2b(req.body, digest_size=16)
     for part in (pool, admission.account or "", req.method, req.target):
