Let fewer engines load weights at once while there is time

Now two fifths of a pool load at once in place of three, and more only where the engines left would not be done before requests may no longer begin on their weights. For that the decision on named weights tells for how long each engine's weights may still be used.

Test: the number at once by the time left.

--- a/src/cicadapier/_internal/decisions/named_weights.py
+++ b/src/cicadapier/_internal/decisions/named_weights.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from cicadapier._internal.models import ids
 
@@ -49,12 +50,17 @@
 
     def standing(self, model: ids.ModelId, version: str | None, now: float) -> Standing:
         """Returns how a version that an upstream serves compares; unknown counts as current."""
+        left_s = self.time_left_s(model, version, now)
+        if math.isinf(left_s):
+            return Standing.CURRENT
+        return Standing.BARRED if left_s <= 0 else Standing.OUTDATED
+
+    def time_left_s(self, model: ids.ModelId, version: str | None, now: float) -> float:
+        """Returns for how long requests may begin on a version, infinite without a newer one."""
         known = self._named.get(model)
         if not known or version is None or not version.isdigit():
-            return Standing.CURRENT
+            return math.inf
         newer = [named for named in known if named.version > int(version)]
         if not newer:
-            return Standing.CURRENT
-        if now - newer[0].at >= self._barred_after_s:
-            return Standing.BARRED
-        return Standing.OUTDATED
+            return math.inf
+        return self._barred_after_s - (now - newer[0].at)
--- a/src/cicadapier/_internal/decisions/pool_weights.py
+++ b/src/cicadapier/_internal/decisions/pool_weights.py
@@ -41,7 +41,12 @@
     return named.standing(model, member.versions.get(model), now)
 
 
-def engines(state: observations.PoolState, model: ids.ModelId) -> tuple[rollout.Engine, ...]:
+def engines(
+    state: observations.PoolState,
+    named: named_weights.NamedWeights,
+    model: ids.ModelId,
+    now: float,
+) -> tuple[rollout.Engine, ...]:
     """Returns the engines that are not leaving, as a router that orders sees them."""
     found = []
     for upstream, member in state.policy.members.items():
@@ -50,5 +55,6 @@
         version = member.versions.get(model, "")
         number = int(version) if version.isdigit() else None
         running = member.load.running()
-        found.append(rollout.Engine(upstream, member.spec.incarnation, number, running))
+        left_s = named.time_left_s(model, version, now)
+        found.append(rollout.Engine(upstream, member.spec.incarnation, number, running, left_s))
     return tuple(found)
--- a/src/cicadapier/_internal/decisions/rollout.py
+++ b/src/cicadapier/_internal/decisions/rollout.py
@@ -14,7 +14,10 @@
 
 from cicadapier._internal.models import ids
 
-OUT_SHARE = 0.6  # Engines that may be out of service at once, of all that a pool has.
+# Engines that may be out of service at once, of all that a pool has, and where time is short.
+OUT_SHARE = 0.4
+MOST_OUT_SHARE = 0.6
+LOAD_S = 1.8  # From the choice of an engine until it serves again.
 EMPTY_LIMIT_S = 1.2  # Longest wait for requests at the engine that have not begun.
 REPORT_LAG_S = 0.3
 SETTLE_S = 1.0
@@ -39,12 +42,14 @@
         incarnation: Its start.
         version: Weights version that it serves, None where unknown.
         running: Requests that it is believed to run.
+        time_left_s: Time for which requests may still begin on its weights.
     """
 
     upstream: ids.UpstreamId
     incarnation: ids.Incarnation
     version: int | None
     running: int
+    time_left_s: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,11 +117,26 @@
     behind = [e for e in engines if e.version is not None and e.version < target]
     ready = [e for e in behind if e.upstream not in out]
     away = sum(1 for e in engines if e.upstream in out)
-    most = max(1, math.floor(OUT_SHARE * len(engines)))
+    most = _most_out(len(engines), ready)
     ready.sort(key=lambda e: (e.running, e.upstream))
     return [e.upstream for e in ready[: max(0, most - away)]]
 
 
+def _most_out(engines: int, ready: list[Engine]) -> int:
+    """Returns how many engines may be out of service at once.
+
+    Few at once keep the others from being overrun; more are taken where the rest would not be
+    done before requests may no longer begin on its weights.
+    """
+    fewest = max(1, math.floor(OUT_SHARE * engines))
+    most = max(1, math.floor(MOST_OUT_SHARE * engines))
+    left_s = min((engine.time_left_s for engine in ready), default=math.inf)
+    if math.isinf(left_s):
+        return fewest
+    rounds = max(1, math.floor(left_s / LOAD_S))
+    return min(most, max(fewest, math.ceil(len(ready) / rounds)))
+
+
 class Ordering:
     """One engine on its way to one version."""
 
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -326,10 +326,12 @@
         """Returns the state of an upstream."""
         return self.pools[pool].health.state(upstream, now)
 
-    def engines(self, pool: ids.PoolId, model: ids.ModelId) -> tuple[rollout.Engine, ...]:
+    def engines(
+        self, pool: ids.PoolId, model: ids.ModelId, now: float
+    ) -> tuple[rollout.Engine, ...]:
         """Returns the engines of a pool that are not leaving, for whoever orders them."""
         state = self.pools.get(pool)
-        return pool_weights.engines(state, model) if state else ()
+        return pool_weights.engines(state, self.named, model, now) if state else ()
 
     def suspect_upstreams(self, now: float) -> frozenset[ids.UpstreamId]:
         """Returns the upstreams that run a suspect request now."""
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -180,7 +180,7 @@
         self._traffic.observations.loading(message.pool, message.upstream, message.until)
 
     def _get_engines(self, message: traffic_messages.GetEngines, now: float) -> None:
-        message.reply.set(self._traffic.engines(message.pool, message.model))
+        message.reply.set(self._traffic.engines(message.pool, message.model, now))
 
     def _probe_failed(self, message: traffic_messages.ProbeFailed, now: float) -> None:
         self._traffic.observations.probe_failed(
--- a/tests/_internal/decisions/test_forwarding_decisions.py
+++ b/tests/_internal/decisions/test_forwarding_decisions.py
@@ -1,5 +1,6 @@
 """Freshness, named weights, the directory, the order of weights, and leases that end quickly."""
 
+import dataclasses
 import itertools
 import math
 import unittest
@@ -154,6 +155,14 @@
     def test_a_single_engine_is_ordered_too(self):
         self.assertEqual(rollout.choose([engine("a")], 2, ()), ["a"])
 
+    def test_more_at_once_where_the_rest_would_not_be_done_in_time(self):
+        for left_s, count in ((math.inf, 4), (6.4, 4), (4.0, 5), (0.5, 6), (-1.0, 6)):
+            with self.subTest(left_s=left_s):
+                fleet = [
+                    dataclasses.replace(engine(f"e{i}"), time_left_s=left_s) for i in range(10)
+                ]
+                self.assertEqual(len(rollout.choose(fleet, 2, ())), count)
+
     def test_engines_whose_runs_end_soonest_come_first(self):
         fleet = [engine("a", running=9), engine("b", running=1), engine("c", running=5)]
         self.assertEqual(rollout.choose(fleet, 2, ())[0], "b")
