Tell weights without a bound apart from the newest ones

Found by reading: with the time left as the one measure, a version older than the newest named one counted as current where no bound is set. Test: time left by names.

--- a/src/cicadapier/_internal/decisions/named_weights.py
+++ b/src/cicadapier/_internal/decisions/named_weights.py
@@ -50,17 +50,23 @@
 
     def standing(self, model: ids.ModelId, version: str | None, now: float) -> Standing:
         """Returns how a version that an upstream serves compares; unknown counts as current."""
-        left_s = self.time_left_s(model, version, now)
-        if math.isinf(left_s):
+        newer_at = self._newer_named_at(model, version)
+        if newer_at is None:
             return Standing.CURRENT
-        return Standing.BARRED if left_s <= 0 else Standing.OUTDATED
+        barred = now - newer_at >= self._barred_after_s
+        return Standing.BARRED if barred else Standing.OUTDATED
 
     def time_left_s(self, model: ids.ModelId, version: str | None, now: float) -> float:
         """Returns for how long requests may begin on a version, infinite without a newer one."""
+        newer_at = self._newer_named_at(model, version)
+        if newer_at is None:
+            return math.inf
+        return self._barred_after_s - (now - newer_at)
+
+    def _newer_named_at(self, model: ids.ModelId, version: str | None) -> float | None:
+        """Returns when the first version newer than this one was named, None without any."""
         known = self._named.get(model)
         if not known or version is None or not version.isdigit():
-            return math.inf
+            return None
         newer = [named for named in known if named.version > int(version)]
-        if not newer:
-            return math.inf
-        return self._barred_after_s - (now - newer[0].at)
+        return newer[0].at if newer else None
--- a/src/cicadapier/_internal/decisions/rollout.py
+++ b/src/cicadapier/_internal/decisions/rollout.py
@@ -14,9 +14,8 @@
 
 from cicadapier._internal.models import ids
 
-# Engines that may be out of service at once, of all that a pool has, and where time is short.
-OUT_SHARE = 0.4
-MOST_OUT_SHARE = 0.6
+OUT_SHARE = 0.4  # Engines that may be out of service at once, of all that a pool has.
+MOST_OUT_SHARE = 0.6  # The same where time is short.
 LOAD_S = 1.8  # From the choice of an engine until it serves again.
 EMPTY_LIMIT_S = 1.2  # Longest wait for requests at the engine that have not begun.
 REPORT_LAG_S = 0.3
--- a/tests/_internal/decisions/test_forwarding_decisions.py
+++ b/tests/_internal/decisions/test_forwarding_decisions.py
@@ -155,6 +155,18 @@
     def test_a_single_engine_is_ordered_too(self):
         self.assertEqual(rollout.choose([engine("a")], 2, ()), ["a"])
 
+    def test_time_is_left_until_the_first_newer_name_bars_a_version(self):
+        named = named_weights.NamedWeights(10.0)
+        named.named(MODEL, 2, 1.0)
+        named.named(MODEL, 3, 4.0)
+        self.assertEqual(named.time_left_s(MODEL, "1", 5.0), 4.0)
+        self.assertEqual(named.time_left_s(MODEL, "2", 5.0), 7.0)
+        self.assertEqual(named.time_left_s(MODEL, "3", 5.0), math.inf)
+        unbounded = named_weights.NamedWeights(math.inf)
+        unbounded.named(MODEL, 2, 1.0)
+        outdated = named_weights.Standing.OUTDATED
+        self.assertIs(unbounded.standing(MODEL, "1", 5.0), outdated)
+
     def test_more_at_once_where_the_rest_would_not_be_done_in_time(self):
         for left_s, count in ((math.inf, 4), (6.4, 4), (4.0, 5), (0.5, 6), (-1.0, 6)):
             with self.subTest(left_s=left_s):
