Begin nothing after the listener has drained

After the listener for callers has drained, the other services still stop: the lease is given up and the router's entry removed, which takes two answers of the store and up to seconds where it is slow. In that time the listener still took requests, and the end of the process cut them. A call was read 3.7 s after SIGTERM, passed on, and cut 10 ms later.

What arrives now after the drain is refused as not run. Test: a call in that time, with a silent store; it ran and was cut before. The own interface shares the listener and with it the mend.

--- a/src/cicadapier/_internal/services/forwarding_service.py
+++ b/src/cicadapier/_internal/services/forwarding_service.py
@@ -139,6 +139,7 @@
         _log.info("draining", open=self._open)
         while not self._may_stop(began_at):
             await trio.sleep(request_listener.DRAIN_POLL_S)
+        self._drained = True
         _log.info("drained", open=self._open, took_s=round(trio.current_time() - began_at, 2))
 
     def _may_stop(self, began_at: float) -> bool:
--- a/src/cicadapier/_internal/services/request_listener.py
+++ b/src/cicadapier/_internal/services/request_listener.py
@@ -41,6 +41,7 @@
         self._open = 0
         self._last_request_at = trio.current_time()
         self._draining = False
+        self._drained = False
 
     @abc.abstractmethod
     async def dispatch(
@@ -94,6 +95,7 @@
         self._last_request_at = trio.current_time()
         while self.busy or trio.current_time() - self._last_request_at < QUIET_S:
             await trio.sleep(DRAIN_POLL_S)
+        self._drained = True
 
     async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
         """See `http_server.Handler.handle`."""
@@ -102,6 +104,7 @@
         if not self.is_question(req):
             self._last_request_at = trio.current_time()
         try:
+            self._require_open()
             await self.dispatch(request, req, responder)
         except exceptions.RefusedError as exc:
             await self.refuse(request, exc.refusal, responder)
@@ -119,6 +122,14 @@
         finally:
             self._open -= 1
 
+    def _require_open(self) -> None:
+        """Refuses what the end of the process would cut, while the other services stop."""
+        if self._drained:
+            refusal = outcomes.Refusal(
+                outcomes.Code.DRAINING, "this router has stopped", retry_after_s=0.0
+            )
+            raise exceptions.RefusedError(refusal)
+
     async def reject(
         self, exc: protocol_exceptions.BadRequestError, responder: http_server.Responder
     ) -> None:
--- a/tests/_internal/services/test_forwarding_service.py
+++ b/tests/_internal/services/test_forwarding_service.py
@@ -199,6 +199,19 @@
 
         forwarding_world.in_world(check)
 
+    def test_a_router_that_has_drained_begins_nothing_while_its_other_services_end(self):
+        async def check(made):
+            forwarding_world.strike(made, "desk", Fault.SILENT)
+            made.routers[0].kernel.stop()
+            await trio.sleep(1.0)
+            # The end of the router's entry in the store takes a while.
+            made.store.faults.add(StoreFault.SILENT)
+            await trio.sleep(1.9)
+            reply = await made.send("POST", "desk", "/order/", request="q")
+            self.assertEqual((reply.status, made.runs_of("q")), (503, []))
+
+        forwarding_world.in_world(check)
+
     def test_a_stopping_router_finishes_what_it_runs_and_turns_away_what_cannot_end(self):
         async def check(made):
             for upstream in made.upstreams.values():
