--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -306,6 +306,13 @@
         "self._terms.slack",
         f"{DECISIONS}.test_limits_and_queues.RetriesTest",
     ),
+    Mutant(
+        "begin requests after the drain",
+        "services/request_listener.py",
+        "if self._drained:",
+        "if False:",
+        f"{FORWARDING}.LeavingTest",
+    ),
     Mutant(
         "go on with a run beside an engine that can be reached",
         "services/forwarded_exchange.py",
