Note that a request may have run before its attempt is reported

The sequence of attempts learnt of the outcome only after that report, so the router still took the call for one that had not run, and promised so with a 503. The same could hide a lost connection. The outcome is now noted in the step in which the attempt ends, and a whole answer counts as a run as well.

--- a/src/cicadapier/_internal/decisions/retries.py
+++ b/src/cicadapier/_internal/decisions/retries.py
@@ -142,6 +142,7 @@
         """Takes the outcome of an attempt and returns the next step."""
         self._attempts += 1
         if isinstance(outcome, outcomes.Complete):
+            self._maybe_ran = True
             return Finish()
         self._arrived = self._arrived or not isinstance(outcome, outcomes.NotSent)
         if isinstance(outcome, outcomes.NotSent | outcomes.RefusedBeforeRunning):
--- a/src/cicadapier/_internal/services/request_context.py
+++ b/src/cicadapier/_internal/services/request_context.py
@@ -139,8 +139,9 @@
         """
         while True:
             outcome = await attempt(placed)
-            await self.attempt_ended(request, outcome)
+            # Noted before anything else: the request's time may end during the report.
             step = sequence.ended(outcome, trio.current_time())
+            await self.attempt_ended(request, outcome)
             if isinstance(step, retries.Finish):
                 return None
             if isinstance(step, retries.Retry | retries.Continue):
