Bring the oldest weights up first, and count an engine's queue against their bound

Ruled out: the share of engines that load at once ( with 0.6: no difference).

Now the oldest weights go first, and an engine is passed over where a request would begin later than 0.9 of the bound by the estimate of its wait there. Tests: one each, failed before; a mutant.

--- a/src/cicadapier/_internal/decisions/named_weights.py
+++ b/src/cicadapier/_internal/decisions/named_weights.py
@@ -9,6 +9,8 @@
 # Share of the bound after which nothing begins on older weights; the rest covers the time that
 # the name took to get here and the request takes to get to the upstream.
 _BARRED_SHARE = 0.8
+# Share of the bound within which a request must begin, by the estimate of its wait.
+_BEGIN_SHARE = 0.9
 
 
 class Standing(enum.Enum):
@@ -30,6 +32,7 @@
 
     def __init__(self, limit_s: float) -> None:
         self._barred_after_s = limit_s * _BARRED_SHARE
+        self._begin_within_s = limit_s * _BEGIN_SHARE
         self._named: dict[ids.ModelId, list[_Named]] = {}
 
     def named(self, model: ids.ModelId, version: int, now: float) -> bool:
@@ -48,12 +51,22 @@
         known = self._named.get(model)
         return known[-1].version if known else None
 
-    def standing(self, model: ids.ModelId, version: str | None, now: float) -> Standing:
-        """Returns how a version that an upstream serves compares; unknown counts as current."""
+    def standing(
+        self, model: ids.ModelId, version: str | None, now: float, wait_s: float = 0.0
+    ) -> Standing:
+        """Returns how a version that an upstream serves compares; unknown counts as current.
+
+        Args:
+            model: The model.
+            version: Weights version that the upstream serves.
+            now: Present time.
+            wait_s: Expected wait of a request there until it begins.
+        """
         newer_at = self._newer_named_at(model, version)
         if newer_at is None:
             return Standing.CURRENT
-        barred = now - newer_at >= self._barred_after_s
+        age_s = now - newer_at
+        barred = age_s >= self._barred_after_s or age_s + wait_s >= self._begin_within_s
         return Standing.BARRED if barred else Standing.OUTDATED
 
     def time_left_s(self, model: ids.ModelId, version: str | None, now: float) -> float:
--- a/src/cicadapier/_internal/decisions/pool_weights.py
+++ b/src/cicadapier/_internal/decisions/pool_weights.py
@@ -4,6 +4,7 @@
 from cicadapier._internal.decisions import named_weights
 from cicadapier._internal.decisions import observations
 from cicadapier._internal.decisions import rollout
+from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 
 OUTDATED_PENALTY_S = 0.15  # What an answer on older weights loses, in time to first token.
@@ -38,7 +39,9 @@
 ) -> named_weights.Standing:
     if model is None:
         return named_weights.Standing.CURRENT
-    return named.standing(model, member.versions.get(model), now)
+    backlog = member.load.backlog_tokens(configuration.ServiceClass.INTERACTIVE, now)
+    wait_s = backlog / member.load.prefill_tokens_per_s
+    return named.standing(model, member.versions.get(model), now, wait_s)
 
 
 def engines(
--- a/src/cicadapier/_internal/decisions/rollout.py
+++ b/src/cicadapier/_internal/decisions/rollout.py
@@ -106,7 +106,7 @@
     target: int,
     out: collections.abc.Container[ids.UpstreamId],
 ) -> list[ids.UpstreamId]:
-    """Returns the engines to order now, those whose runs end soonest first.
+    """Returns the engines to order now: the oldest weights first, then whose runs end soonest.
 
     Args:
         engines: All engines of the pool that take work.
@@ -117,7 +117,7 @@
     ready = [e for e in behind if e.upstream not in out]
     away = sum(1 for e in engines if e.upstream in out)
     most = _most_out(len(engines), ready)
-    ready.sort(key=lambda e: (e.running, e.upstream))
+    ready.sort(key=lambda e: (e.version or 0, e.running, e.upstream))
     return [e.upstream for e in ready[: max(0, most - away)]]
 
 
--- a/tests/_internal/decisions/test_forwarding_decisions.py
+++ b/tests/_internal/decisions/test_forwarding_decisions.py
@@ -167,6 +167,10 @@
         outdated = named_weights.Standing.OUTDATED
         self.assertIs(unbounded.standing(MODEL, "1", 5.0), outdated)
 
+    def test_the_oldest_weights_go_first(self):
+        fleet = [engine("a", 2), engine("b", 1, running=9), engine("c", 2), engine("d", 2)]
+        self.assertEqual(rollout.choose(fleet, 3, ()), ["b"])
+
     def test_more_at_once_where_the_rest_would_not_be_done_in_time(self):
         for left_s, count in ((math.inf, 4), (6.4, 4), (4.0, 5), (0.5, 6), (-1.0, 6)):
             with self.subTest(left_s=left_s):
--- a/tests/_internal/decisions/test_traffic.py
+++ b/tests/_internal/decisions/test_traffic.py
@@ -85,6 +85,16 @@
         self.assertIsInstance(refused, entries.Refused)
         self.assertEqual(made.active_requests, 0)
 
+    def test_an_engine_whose_queue_is_longer_than_its_weights_may_be_used_is_passed_over(self):
+        made = make_engines("3")
+        made.named.named(MODEL, 4, 0.0)
+        members = made.pools[MODELS].policy.members
+        engine = members[ids.UpstreamId("engine-0")]
+        interactive = configuration.ServiceClass.INTERACTIVE
+        engine.load.sent(3.0 * engine.load.prefill_tokens_per_s, interactive, 5.0)
+        self.assertIsInstance(made.enter(model_entry("a"), 5.0), entries.Placed)
+        self.assertEqual([m.barred for m in members.values()], [True, False])
+
     def test_a_waiting_request_is_placed_once_the_named_weights_are_loaded(self):
         made = make_engines("3", slots=1)
         made.named.named(MODEL, 4, 0.0)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -306,6 +306,13 @@
         "self._terms.slack",
         f"{DECISIONS}.test_limits_and_queues.RetriesTest",
     ),
+    Mutant(
+        "forget the wait at an engine whose weights may soon not be used",
+        "decisions/named_weights.py",
+        "or age_s + wait_s >= self._begin_within_s",
+        "",
+        f"{DECISIONS}.test_traffic",
+    ),
     Mutant(
         "begin requests after the drain",
         "services/request_listener.py",
