--- a/src/cicadapier/_internal/services/forwarding_service.py
+++ b/src/cicadapier/_internal/services/forwarding_service.py
@@ -112,17 +112,13 @@
         named = req.header(headers.REQUEST_ID) if req else None
         return ids.RequestId((named or b"").decode("latin-1"))
 
-    async def refuse(
+    async def send_refusal(
         self,
         request: ids.RequestId,
         refusal: outcomes.Refusal,
         responder: http_server.Responder,
     ) -> None:
-        """See `RequestListener.refuse`."""
-        assert self._telemetry
-        self._telemetry.refused(refusal.code.value)
-        if responder.started:
-            return
+        """See `RequestListener.send_refusal`."""
         extra = [(headers.REQUEST_ID, request.encode("latin-1"))] if request else []
         if refusal.retry_after_s is not None:
             value = self._spelling.retry_after(refusal.retry_after_s)
--- a/src/cicadapier/_internal/services/request_listener.py
+++ b/src/cicadapier/_internal/services/request_listener.py
@@ -66,11 +66,20 @@
         refusal: outcomes.Refusal,
         responder: http_server.Responder,
     ) -> None:
-        """Sends a refusal where no answer has begun."""
+        """Counts a refusal, and sends it where no answer has begun."""
         assert self._telemetry
         self._telemetry.refused(refusal.code.value)
         if not responder.started:
-            await request_context.send_refusal(responder, request, refusal)
+            await self.send_refusal(request, refusal, responder)
+
+    async def send_refusal(
+        self,
+        request: ids.RequestId,
+        refusal: outcomes.Refusal,
+        responder: http_server.Responder,
+    ) -> None:
+        """Sends a refusal as this listener's callers expect it."""
+        await request_context.send_refusal(responder, request, refusal)
 
     @property
     def busy(self) -> bool:
