Say how long a failed attempt was silent, and what time was left

Needed to tell the hypotheses of the lost answers apart: the line said neither whether the upstream was taken for lost, nor how long it had been silent, nor what time the request still had.

--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -73,6 +73,7 @@
         self._last_event = plan.asked.resume_after
         self._relayed = 0
         self._first_at: float | None = None
+        self._progress_at = trio.current_time()
         self._placed: entries.Placed | None = None
         self._weights_changed = False
         self._ended = "caller_left"
@@ -153,8 +154,10 @@
         attempt = attempts.Attempt(self._services.connections, call)
         self._attempt = attempt
         outcome: outcomes.AttemptOutcome = outcomes.NotSent("not sent")
+        self._progress_at = trio.current_time()
         try:
             head = await attempt.start(functools.partial(self._check, placed))
+            self._progress_at = trio.current_time()
             if self._is_stream(attempt, head):
                 outcome = await self._relay(attempt, head)
             elif self._responder.started:
@@ -287,6 +290,7 @@
                     outcomes.Broken("the answer is too large", 0, crashed=False)
                 )
             parts.append(part)
+            self._progress_at = trio.current_time()
         await attempt.finish()
         if not attempt.facts.genuine:
             return outcomes.SentNoAnswer("the answer is not the upstream's", crashed=False)
@@ -304,6 +308,7 @@
     ) -> outcomes.AttemptOutcome:
         splitter = event_stream.Splitter()
         while (part := await self._receive(attempt)) is not None:
+            self._progress_at = trio.current_time()
             events = splitter.feed(part)
             good = self._in_order(events)
             if good:
@@ -392,11 +397,13 @@
 
     def _summary(self) -> forwarded_log.Summary:
         plan = self._plan
+        now = trio.current_time()
         return forwarded_log.Summary(
             self._ended,
             self._sequence.attempts,
             self._relayed,
             self._first_at,
             self._around.configuration.proof_age_s,
-            self._services.budget.left(plan.pool, trio.current_time()),
+            self._services.budget.left(plan.pool, now),
+            now - self._progress_at,
         )
--- a/src/cicadapier/_internal/services/forwarded_log.py
+++ b/src/cicadapier/_internal/services/forwarded_log.py
@@ -23,6 +23,7 @@
         first_at: Time of trio's clock at which its answer began, None before that.
         proof_age_s: Age of the proof that the configuration is the newest.
         repeats_left: Repeats that the budget of its pool still allows.
+        silent_s: Time since the present attempt last showed progress.
     """
 
     ended: str
@@ -31,6 +32,7 @@
     first_at: float | None
     proof_age_s: float
     repeats_left: float
+    silent_s: float
 
 
 def attempt_failed(
@@ -51,8 +53,11 @@
         relayed=summary.relayed,
         backup=placed.backup,
         continuable=getattr(outcome, "continuable", False),
+        crashed=getattr(outcome, "crashed", False),
         attempts=summary.attempts + 1,
         repeats_left=round(summary.repeats_left, 1),
+        silent_ms=round(summary.silent_s * 1000),
+        left_ms=round((plan.deadline - trio.current_time()) * 1000),
     )
 
 
