--- /dev/null
+++ b/tests/_internal/services/test_silent_answers.py
@@ -0,0 +1,100 @@
+"""Answers without progress are given up only for a run that follows."""
+
+import unittest
+
+import trio
+
+from cicadapier._internal.models import settings
+from cicadapier._internal.standins import users_upstream
+from tests import forwarding_world
+
+Fault = users_upstream.UpstreamFault
+WHOLE = [1, 2, 3, 4, 5, 6]
+LONG = {"path": "/long/x", "output_tokens": 200}  # A stream whose run is backed up.
+
+
+async def ask_many(made, count, **options):
+    """Returns what callers get that ask at the same moment."""
+    replies = []
+
+    async def ask(number):
+        replies.append(await made.ask(request=f"q{number}", **options))
+
+    async with trio.open_nursery() as nursery:
+        for number in range(count):
+            nursery.start_soon(ask, number)
+    return replies
+
+
+def set_budget(made, repeats):
+    """Leaves a router so many repeats in a window, whatever its traffic."""
+    made.routers[0].callers._services.budget.set_terms(
+        settings.RetryBudget(share=0.0, slack=repeats)
+    )
+
+
+class LastRepeatTest(unittest.TestCase):
+    """Runs given up on the strength of a repeat that another one took."""
+
+    def test_paused_streams_are_not_broken_for_one_repeat_that_is_left(self):
+        async def check(made):
+            forwarding_world.strike(made, "engine", Fault.STALLS)
+            set_budget(made, 1.5)
+            replies = await ask_many(made, 8)
+            self.assertEqual([reply.broken for reply in replies], [False] * 8)
+            self.assertEqual([reply.numbers for reply in replies], [WHOLE] * 8)
+            self.assertLessEqual(len(made.runs), 9)
+
+        forwarding_world.in_world(check)
+
+    def test_answers_without_a_first_event_are_not_failed_for_one_repeat_that_is_left(self):
+        async def check(made):
+            for upstream in made.upstreams.values():
+                upstream.event_s, upstream.events = 1.6, 2
+            set_budget(made, 1.5)
+            replies = await ask_many(made, 8)
+            self.assertEqual([reply.status for reply in replies], [200] * 8)
+            self.assertEqual([reply.numbers for reply in replies], [[1, 2]] * 8)
+
+        forwarding_world.in_world(check)
+
+    def test_a_stream_is_not_broken_where_no_other_upstream_is(self):
+        async def check(made):
+            forwarding_world.strike(made, "engine", Fault.STALLS)
+            reply = await made.ask(request="q")
+            self.assertEqual(reply.numbers, WHOLE)
+            self.assertEqual(len(made.runs_of("q")), 1)
+
+        forwarding_world.in_world(check, engines=1)
+
+    def test_a_stream_whose_engine_is_unreachable_for_a_while_waits_without_a_repeat(self):
+        async def check(made):
+            forwarding_world.strike(made, "engine", Fault.STALLS)
+            set_budget(made, 0.0)
+            replies = []
+
+            async def ask():
+                replies.append(await made.ask(request="q", **LONG))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await trio.sleep(0.2)
+                address = made.upstreams[made.runs_of("q")[0].upstream].entry.address
+                made.network.hide(address)
+            self.assertFalse(replies[0].broken)
+            self.assertEqual(replies[0].numbers, WHOLE)
+
+        forwarding_world.in_world(check)
+
+    def test_a_silent_engine_is_left_while_there_is_a_repeat(self):
+        async def check(made):
+            made.upstreams["engine-0"].faults.add(Fault.SILENT)
+            replies = await ask_many(made, 8)
+            self.assertEqual([reply.numbers for reply in replies], [WHOLE] * 8)
+            self.assertGreater(len(made.runs), 8)
+
+        forwarding_world.in_world(check)
+
+
+if __name__ == "__main__":
+    unittest.main()
