Give a silent run up only once its successor has its place and its repeat

Cause: the wait for the next event was shortened where a repeat was allowed as the wait began; the repeat was taken from the budget after the run had been closed. Under one last repeat many waits were short, one took it, the others had closed their runs for nothing. The class: an act that cannot be undone, on the strength of a resource that was looked at and not taken.

--- a/src/cicadapier/_internal/decisions/entries.py
+++ b/src/cicadapier/_internal/decisions/entries.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from cicadapier._internal.decisions import members
+from cicadapier._internal.decisions import poison
 from cicadapier._internal.decisions import prefix
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
@@ -63,6 +64,34 @@
     continues: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Successor:
+    """An attempt has its place, and the one under way may be given up.
+
+    Attributes:
+        placed: Where the request goes on.
+        crash: New evidence against the request, which the other routers must learn of.
+    """
+
+    placed: Placed
+    crash: poison.Crash | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Superseded:
+    """An attempt was given up for another one, which has its place and its repeat.
+
+    Attributes:
+        reason: Why.
+        offset: Tokens that were relayed to the caller.
+        placed: Where the request goes on.
+    """
+
+    reason: str
+    offset: int
+    placed: Placed
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
     """Refuse the request."""
--- a/src/cicadapier/_internal/decisions/retries.py
+++ b/src/cicadapier/_internal/decisions/retries.py
@@ -65,6 +65,10 @@
         self._repeats[pool].times.append(now)
         return True
 
+    def give_back(self, pool: ids.PoolId) -> None:
+        """Returns the repeat that was taken last and was not sent."""
+        self._repeats[pool].times.pop()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Nature:
@@ -153,6 +157,45 @@
             self._offset = max(self._offset, outcome.offset)
         return self._after_maybe_run(outcome, now)
 
+    def claim(self, offset: int, now: float, continues: bool = False) -> bool:
+        """Takes a repeat for the attempt that is to follow one which is still under way.
+
+        Args:
+            offset: Tokens of the answer that the caller has.
+            now: Present time.
+            continues: Whether it goes on with the same run, which counts as no other run.
+
+        Returns:
+            Whether there was one.
+        """
+        if not continues and not self.may_run_elsewhere(offset):
+            return False
+        return self._attempts + 1 < MAX_ATTEMPTS and self._budget.spend(self._pool, now)
+
+    def may_run_elsewhere(self, offset: int) -> bool:
+        """Returns whether the request may run once more after an attempt that is under way.
+
+        The budget decides only as a repeat is claimed.
+
+        Args:
+            offset: Tokens of the answer that the caller has.
+        """
+        exact = offset == 0 or self._nature.resumable
+        left = self._runs + 1 < self._nature.max_runs and self._attempts + 1 < MAX_ATTEMPTS
+        return self._nature.repeatable and exact and left
+
+    def disclaim(self) -> None:
+        """Gives back a claimed repeat that cannot be sent."""
+        self._budget.give_back(self._pool)
+
+    def superseded(self, offset: int) -> None:
+        """Notes that an attempt was given up for the one that was claimed."""
+        self._attempts += 1
+        self._runs += 1
+        self._arrived = True
+        self._maybe_ran = True
+        self._offset = max(self._offset, offset)
+
     def no_upstream(self) -> outcomes.Refusal:
         """Returns the refusal where no eligible upstream is left."""
         if not self._maybe_ran:
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -36,12 +36,26 @@
 
 @dataclasses.dataclass(slots=True)
 class _Active:
+    """A request that has entered.
+
+    Attributes:
+        entry: What entered.
+        account: Declaration of its account.
+        entered_at: When it entered.
+        choice: Where its present attempt is, None between attempts.
+        incarnation: Incarnation that was known of that upstream.
+        backup: Where its run is backed up.
+        suspected: Whether the silence of the present attempt was counted against its upstream.
+        tried: Upstreams at which attempts have failed.
+    """
+
     entry: entries.Entry
     account: configuration.Account
     entered_at: float
     choice: members.Estimate | None = None
     incarnation: ids.Incarnation = ids.Incarnation("")
     backup: backups.Backup | None = None
+    suspected: bool = False
     tried: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
 
 
@@ -166,10 +180,63 @@
             return None
         return self._place(state, active, now)
 
+    def supersede(self, request: ids.RequestId, lost: bool, now: float) -> entries.Successor | None:
+        """Finds where a request goes on, so that its present attempt may be given up.
+
+        Args:
+            request: The request, whose attempt shows no progress.
+            lost: Whether its upstream cannot be reached, so that the run goes on from its backup.
+            now: Present time.
+
+        Returns:
+            None where it goes on nowhere else; the attempt then stands.
+        """
+        active = self._active.get(request)
+        state = self.pools.get(active.entry.pool) if active else None
+        if active is None or active.choice is None or state is None:
+            return None
+        self._suspect(state, active, now)
+        before = dataclasses.replace(active)
+        outcome = outcomes.Broken("no progress", 0, crashed=lost)
+        if lost:
+            decision = self.continue_run(request, now)
+        else:
+            decision = self._place_elsewhere(state, active, now)
+        if isinstance(decision, entries.Refused):
+            return None
+        return entries.Successor(decision, self._attempt_over(state, before, outcome, now))
+
+    def silent(self, request: ids.RequestId, now: float) -> None:
+        """Counts that the present attempt of a request shows no progress."""
+        active = self._active.get(request)
+        state = self.pools.get(active.entry.pool) if active else None
+        if active and state:
+            self._suspect(state, active, now)
+
+    def _place_elsewhere(
+        self, state: observations.PoolState, active: _Active, now: float
+    ) -> entries.Decision:
+        """Places a request at an upstream that it has not been sent to."""
+        assert active.choice
+        entry = active.entry
+        if self.poison.is_held(entry.fingerprint, now):
+            return self._held(entry)
+        self._refresh(state, entry, now)
+        choice = self._choose(state, active, {*active.tried, active.choice.upstream}, now)
+        if choice is None:
+            return _refused(entry, outcomes.Code.NO_UPSTREAM, "there is no other upstream")
+        return self._place_at(state, active, choice, now)
+
+    def _suspect(self, state: observations.PoolState, active: _Active, now: float) -> None:
+        """Counts the silence of an attempt against its upstream, once."""
+        if active.choice and not active.suspected:
+            state.health.failed(active.choice.upstream, False, now)
+        active.suspected = True
+
     def continue_run(self, request: ids.RequestId, now: float) -> entries.Decision:
         """Returns where a run whose engine is lost goes on, or refuses that."""
         active = self._active[request]
-        backup, active.backup = active.backup, None
+        backup = active.backup
         state = self.pools.get(active.entry.pool)
         if state is None or backup is None:
             return _refused(active.entry, outcomes.Code.NO_UPSTREAM, "the run has no backup")
@@ -196,6 +263,7 @@
         )
         active.choice = estimate
         active.incarnation = backup.incarnation
+        active.suspected = False
         state.policy.sent(req, estimate, now)
         choice = members.Choice(estimate, "holds a backup of the run")
         return entries.Placed(
@@ -235,11 +303,20 @@
         active = self._active.get(request)
         if active is None or active.choice is None:
             return None
-        choice = active.choice
+        before = dataclasses.replace(active)
         active.choice = None
         state = self.pools.get(active.entry.pool)
-        if state is None:
-            return None
+        return self._attempt_over(state, before, outcome, now) if state else None
+
+    def _attempt_over(
+        self,
+        state: observations.PoolState,
+        active: _Active,
+        outcome: outcomes.AttemptOutcome,
+        now: float,
+    ) -> poison.Crash | None:
+        choice = active.choice
+        assert choice
         state.policy.finished(choice.upstream)
         if isinstance(outcome, outcomes.Complete):
             state.health.answered(choice.upstream)
@@ -356,27 +433,39 @@
         self, state: observations.PoolState, active: _Active, now: float
     ) -> entries.Decision:
         entry = active.entry
-        exclude = frozenset(active.tried)
-        if self.poison.is_suspect(entry.fingerprint, now):
-            # Two suspects on one upstream could not be told apart after the next crash.
-            exclude |= self.suspect_upstreams(now)
-        req = members.PlacementRequest(
-            entry.request,
-            entry.prompt,
-            active.account.service_class,
-            exclude,
-            entry.weights,
-            entry.model,
-        )
-        choice = state.policy.choose(req, now)
+        choice = self._choose(state, active, active.tried, now)
         if choice is None and active.tried and not self.poison.is_suspect(entry.fingerprint, now):
             # Every upstream failed once; one that has recovered may be tried again.
-            req = dataclasses.replace(req, exclude=frozenset())
-            choice = state.policy.choose(req, now)
+            choice = self._choose(state, active, (), now)
         if choice is None:
             message = f"no upstream of {entry.pool} can take this request now"
             return _refused(entry, outcomes.Code.NO_UPSTREAM, message, retry_after_s=1.0)
+        return self._place_at(state, active, choice, now)
+
+    def _choose(
+        self,
+        state: observations.PoolState,
+        active: _Active,
+        exclude: collections.abc.Iterable[ids.UpstreamId],
+        now: float,
+    ) -> members.Choice | None:
+        excluded = frozenset(exclude)
+        if self.poison.is_suspect(active.entry.fingerprint, now):
+            # Two suspects on one upstream could not be told apart after the next crash.
+            excluded |= self.suspect_upstreams(now)
+        return state.policy.choose(_placement_request(active, excluded), now)
+
+    def _place_at(
+        self,
+        state: observations.PoolState,
+        active: _Active,
+        choice: members.Choice,
+        now: float,
+    ) -> entries.Placed:
+        entry = active.entry
+        req = _placement_request(active, frozenset())
         active.choice = choice.estimate
+        active.suspected = False
         active.incarnation = state.health.incarnation(choice.estimate.upstream)
         state.policy.sent(req, choice.estimate, now)
         weights = None
@@ -439,7 +528,8 @@
         if isinstance(outcome, outcomes.SentNoAnswer | outcomes.Broken):
             crashed = outcome.crashed
         certain = crashed or isinstance(outcome, outcomes.NotSent)
-        state.health.failed(choice.upstream, certain, now)
+        if certain or not active.suspected:
+            state.health.failed(choice.upstream, certain, now)
         if isinstance(state.policy, placement.PrefixPlacement):
             if certain:
                 state.policy.belief.forget(choice.upstream)
@@ -459,6 +549,20 @@
         return _refused(entry, outcomes.Code.POISON, message)
 
 
+def _placement_request(
+    active: _Active, exclude: frozenset[ids.UpstreamId]
+) -> members.PlacementRequest:
+    entry = active.entry
+    return members.PlacementRequest(
+        entry.request,
+        entry.prompt,
+        active.account.service_class,
+        exclude,
+        entry.weights,
+        entry.model,
+    )
+
+
 def _patience_s(
     spec: configuration.Pool, account: configuration.Account, entry: entries.Entry
 ) -> float:
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -1,13 +1,16 @@
 """One attempt at a request on one upstream connection."""
 
+import abc
 import collections.abc
 import dataclasses
 import math
+from typing import TypeVar
 
 import msgspec
 import structlog
 import trio
 
+from cicadapier._internal.decisions import entries
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
 from cicadapier._internal.protocols import answers
@@ -23,6 +26,8 @@
 
 _log = structlog.get_logger()
 
+_Read = TypeVar("_Read")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
@@ -68,6 +73,33 @@
         self.outcome = outcome
 
 
+class AttemptSupersededError(Exception):
+    """The attempt was given up for another one that has its place.
+
+    Attributes:
+        superseded: That one.
+    """
+
+    def __init__(self, superseded: entries.Superseded) -> None:
+        super().__init__(superseded.reason)
+        self.superseded = superseded
+
+
+class Silence(abc.ABC):
+    """Judges an answer that shows no progress.
+
+    Silence alone is no reason to end an answer: it may only go on elsewhere.
+    """
+
+    @abc.abstractmethod
+    def limit_s(self, attempt: "Attempt") -> float:
+        """Returns after how long without progress it is judged, infinite for never."""
+
+    @abc.abstractmethod
+    async def judge(self, attempt: "Attempt") -> entries.Superseded | None:
+        """Returns the attempt that takes over, or None where this one stands."""
+
+
 class Attempt:
     """One attempt; owns its connection from `start` to `finish` or `abandon`.
 
@@ -77,9 +109,15 @@
         sent: Whether any byte was handed to the transport, so that the request may have run.
     """
 
-    def __init__(self, connections: connections_service.ConnectionsService, call: Call) -> None:
+    def __init__(
+        self,
+        connections: connections_service.ConnectionsService,
+        call: Call,
+        silence: Silence | None = None,
+    ) -> None:
         self._connections = connections
         self._call = call
+        self._silence = silence
         self._conn: http_client.ClientConnection | None = None
         self.head: http_client.ResponseHead | None = None
         self.facts = answers.AnswerFacts()
@@ -101,6 +139,7 @@
 
         Raises:
             AttemptFailedError: There is no answer that belongs to the request.
+            AttemptSupersededError: Another attempt takes over.
         """
         call = self._call
         try:
@@ -115,7 +154,7 @@
         try:
             self.sent = True
             await self._send(self._conn)
-            self.head = await self._conn.receive_head(call.first_s)
+            self.head = await self._patiently(self._conn.receive_head, call.first_s)
         except exceptions.ProtocolError as exc:
             raise AttemptFailedError(await self._no_answer(exc)) from exc
         self.facts = call.spelling.read_answer(self.head)
@@ -135,37 +174,47 @@
         if self._conn:
             self._connections.watch(self._conn)
 
-    async def receive(
-        self, timeout_s: float, offset: int, check_after_s: float = math.inf
-    ) -> bytes | None:
+    async def receive(self, timeout_s: float, offset: int) -> bytes | None:
         """Returns the next part of the answer's body, or None at its end.
 
         Args:
             timeout_s: Time limit for progress.
             offset: Tokens relayed so far, for the outcome of a failure.
-            check_after_s: Silence after which it is checked whether the upstream can be reached;
-                one that can is waited for.
 
         Raises:
             AttemptFailedError: The answer broke off.
+            AttemptSupersededError: Another attempt takes over.
         """
         assert self._conn
+        try:
+            return await self._patiently(self._conn.receive_data, timeout_s)
+        except exceptions.ProtocolError as exc:
+            crashed = await self._crashed(exc)
+            raise AttemptFailedError(outcomes.Broken(_describe(exc), offset, crashed)) from exc
+
+    async def _patiently(
+        self,
+        read: collections.abc.Callable[[float], collections.abc.Awaitable[_Read]],
+        timeout_s: float,
+    ) -> _Read:
+        """Reads, and has silences judged until the time limit."""
         deadline = trio.current_time() + timeout_s
         while True:
             left_s = deadline - trio.current_time()
+            limit_s = self._silence.limit_s(self) if self._silence else math.inf
             try:
-                return await self._conn.receive_data(min(left_s, check_after_s))
-            except exceptions.SilentConnectionError as exc:
-                if check_after_s < left_s and await self._is_reachable():
-                    continue
-                lost = check_after_s < left_s
+                return await read(min(left_s, limit_s))
+            except exceptions.SilentConnectionError:
+                if limit_s >= left_s:
+                    raise
+            assert self._silence
+            superseded = await self._silence.judge(self)
+            if superseded is not None:
                 await self.abandon(suspect=True)
-                raise AttemptFailedError(outcomes.Broken(_describe(exc), offset, lost)) from exc
-            except exceptions.ProtocolError as exc:
-                crashed = await self._crashed(exc)
-                raise AttemptFailedError(outcomes.Broken(_describe(exc), offset, crashed)) from exc
+                raise AttemptSupersededError(superseded)
 
-    async def _is_reachable(self) -> bool:
+    async def is_reachable(self) -> bool:
+        """Returns whether a connection to the upstream can be made."""
         try:
             conn = await self._connections.open(self._call.address, CRASH_CHECK_S)
         except exceptions.ConnectError:
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -3,7 +3,6 @@
 import dataclasses
 import functools
 import http
-import math
 
 import trio
 
@@ -22,6 +21,8 @@
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import forwarded_log
 from cicadapier._internal.services import forwarded_plan
+from cicadapier._internal.services import forwarded_progress
+from cicadapier._internal.services import forwarded_silence
 from cicadapier._internal.services import telemetry_service
 from cicadapier._internal.services import traffic_messages
 
@@ -29,12 +30,6 @@
 MIN_LEFT_S = 0.01
 MAX_ANSWER_BYTES = 16_777_216
 CHANGED_RETRY_S = 0.05
-# An upstream that shows no progress for so long is left for another one, where that is allowed.
-SILENT_OBJECTIVES = 2.0
-MIN_SILENT_S = 0.5
-SILENT_GAPS = 1.2
-# After so many longest pauses without an event, whether the upstream can still be reached.
-CHECK_GAPS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,12 +65,11 @@
         self._attempt: attempts.Attempt | None = None
         self._answer: _Answer | None = None
         self._failure: _Answer | None = None
-        self._last_event = plan.asked.resume_after
-        self._relayed = 0
         self._first_at: float | None = None
-        self._progress_at = trio.current_time()
-        self._placed: entries.Placed | None = None
-        self._weights_changed = False
+        self._progress = forwarded_progress.Progress(plan.asked.resume_after)
+        self._silence = forwarded_silence.ForwardedSilence(
+            self._services, plan, self._sequence, self._progress
+        )
         self._ended = "caller_left"
 
     async def run(self) -> None:
@@ -91,7 +85,7 @@
             if scope.cancelled_caught:
                 self._end_refused(self._deadline_refusal())
         finally:
-            forwarded_log.request_ended(self._plan, self._placed, self._summary())
+            forwarded_log.request_ended(self._plan, self._progress.placed, self._summary())
 
     async def _serve(self) -> None:
         placed = await self._services.enter(self._plan.entry)
@@ -144,20 +138,19 @@
             code = outcomes.Code.DEADLINE
         return outcomes.Refusal(code, "no answer in the time that was left", effect)
 
-    async def _try(self, placed: entries.Placed) -> outcomes.AttemptOutcome:
-        self._placed = placed
+    async def _try(self, placed: entries.Placed) -> outcomes.AttemptOutcome | entries.Superseded:
+        self._progress.begin(placed)
         upstream = placed.choice.estimate.upstream
         registration = self._around.directory.find(upstream)
         if registration is None:
             return outcomes.NotSent("the upstream is gone")
         call = self._call(placed, registration.address)
-        attempt = attempts.Attempt(self._services.connections, call)
+        attempt = attempts.Attempt(self._services.connections, call, self._silence)
         self._attempt = attempt
-        outcome: outcomes.AttemptOutcome = outcomes.NotSent("not sent")
-        self._progress_at = trio.current_time()
+        outcome: outcomes.AttemptOutcome | entries.Superseded = outcomes.NotSent("not sent")
         try:
             head = await attempt.start(functools.partial(self._check, placed))
-            self._progress_at = trio.current_time()
+            self._progress.moved()
             if self._is_stream(attempt, head):
                 outcome = await self._relay(attempt, head)
             elif self._responder.started:
@@ -165,7 +158,9 @@
             else:
                 outcome = await self._take_whole(attempt, head)
         except attempts.AttemptFailedError as exc:
-            outcome = self._with_backup(exc.outcome, placed)
+            outcome = self._with_backup(exc.outcome)
+        except attempts.AttemptSupersededError as exc:
+            outcome = exc.superseded
         finally:
             await attempt.abandon()
             if attempt.head is not None:
@@ -175,18 +170,11 @@
             forwarded_log.attempt_failed(self._plan, placed, outcome, self._summary())
         return outcome
 
-    def _with_backup(
-        self, outcome: outcomes.AttemptOutcome, placed: entries.Placed
-    ) -> outcomes.AttemptOutcome:
-        """Returns an outcome that says whether the run may go on from its backup.
-
-        A run without an event may be what made its upstream crash, and one whose weights have
-        changed has a backup that no weights fit.
-        """
+    def _with_backup(self, outcome: outcomes.AttemptOutcome) -> outcomes.AttemptOutcome:
+        """Returns an outcome that says whether the run may go on from its backup."""
         if not isinstance(outcome, outcomes.Broken) or not outcome.crashed:
             return outcome
-        good = placed.backup is not None and self._relayed > 0 and not self._weights_changed
-        return dataclasses.replace(outcome, continuable=good)
+        return dataclasses.replace(outcome, continuable=self._progress.backup is not None)
 
     def _call(self, placed: entries.Placed, address: ids.Address) -> attempts.Call:
         asked = self._plan.asked
@@ -199,7 +187,7 @@
             # Weights are part of the scope, so that no part of others is ever found.
             f"{scope}/{placed.weights or ''}" if scope else "",
             placed.weights,
-            self._last_event,
+            self._progress.last_event,
             self._import_from(placed),
             self._keep(placed),
             self._address_of(placed.backup),
@@ -213,7 +201,7 @@
             head,
             asked.raw.body,
             min(CONNECT_S, left_s),
-            self._first_limit_s(left_s),
+            left_s,
             self._around.spelling,
             placed.choice.estimate.upstream,
             placed.weights,
@@ -239,22 +227,11 @@
             return None
         return self._plan.admission.current.keep_address
 
-    def _first_limit_s(self, left_s: float) -> float:
-        if not self._may_go_elsewhere():
-            return left_s
-        objective_s = self._plan.admission.route.objective_s
-        return min(left_s, max(MIN_SILENT_S, SILENT_OBJECTIVES * objective_s))
-
-    def _gap_limit_s(self) -> float:
-        left_s = self._plan.deadline - trio.current_time()
-        if not self._may_go_elsewhere():
-            return left_s
-        if self._relayed == 0:
-            return self._first_limit_s(left_s)
-        return min(left_s, max(MIN_SILENT_S, SILENT_GAPS * self._plan.admission.route.gap_s))
+    def _left_s(self) -> float:
+        return self._plan.deadline - trio.current_time()
 
     def _may_go_elsewhere(self) -> bool:
-        if not self._repeatable or self._sequence.runs + 1 >= self._sequence.max_runs:
+        if not self._sequence.may_run_elsewhere(0):
             return False
         return self._sequence.may_try_again(trio.current_time())
 
@@ -283,14 +260,14 @@
     ) -> outcomes.AttemptOutcome:
         parts = []
         size = 0
-        while (part := await attempt.receive(self._gap_limit_s(), 0)) is not None:
+        while (part := await attempt.receive(self._left_s(), 0)) is not None:
             size += len(part)
             if size > MAX_ANSWER_BYTES:
                 raise attempts.AttemptFailedError(
                     outcomes.Broken("the answer is too large", 0, crashed=False)
                 )
             parts.append(part)
-            self._progress_at = trio.current_time()
+            self._progress.moved()
         await attempt.finish()
         if not attempt.facts.genuine:
             return outcomes.SentNoAnswer("the answer is not the upstream's", crashed=False)
@@ -308,9 +285,9 @@
     ) -> outcomes.AttemptOutcome:
         splitter = event_stream.Splitter()
         while (part := await self._receive(attempt)) is not None:
-            self._progress_at = trio.current_time()
+            self._progress.moved()
             events = splitter.feed(part)
-            good = self._in_order(events)
+            good = self._progress.in_order(events, self._around.spelling)
             if good:
                 await self._send(attempt, head, b"".join(event.raw for event in good))
             if len(good) < len(events) or splitter.overlong:
@@ -324,30 +301,8 @@
         return outcomes.Complete(head.status)
 
     async def _receive(self, attempt: attempts.Attempt) -> bytes | None:
-        """Returns the next part of a stream, None at its end.
-
-        Raises:
-            AttemptFailedError: It broke off, or its upstream was lost without a word.
-        """
-        check_after_s = math.inf
-        if self._relayed and self._placed and self._placed.backup is not None:
-            check_after_s = CHECK_GAPS * self._plan.admission.route.gap_s
-        return await attempt.receive(self._gap_limit_s(), self._relayed, check_after_s)
-
-    def _in_order(self, events: list[event_stream.Event]) -> list[event_stream.Event]:
-        """Returns the events up to the first that does not follow, and counts them as relayed."""
-        good = []
-        for event in events:
-            if event.number is None:
-                break
-            if self._last_event is not None and event.number != self._last_event + 1:
-                break
-            self._last_event = event.number
-            self._relayed += 1
-            told = self._around.spelling.event_weights(event.raw)
-            self._weights_changed = self._weights_changed or told is not None
-            good.append(event)
-        return good
+        """Returns the next part of a stream, None at its end."""
+        return await attempt.receive(self._left_s(), self._progress.relayed)
 
     async def _send(
         self, attempt: attempts.Attempt, head: http_client.ResponseHead, data: bytes
@@ -363,8 +318,8 @@
         headers = self._around.spelling.answer_headers(head)
         await self._responder.start(head.status, headers, data)
         self._note_first()
-        assert self._placed
-        estimate = self._placed.choice.estimate
+        assert self._progress.placed
+        estimate = self._progress.placed.choice.estimate
         cached = sum(self._plan.entry.prompt.sizes[: estimate.cached_pieces])
         first = members.FirstToken(attempt.incarnation, cached)
         self._services.first_token(self._plan.entry.request, first)
@@ -377,7 +332,9 @@
         )
 
     def _broken(self, reason: str) -> attempts.AttemptFailedError:
-        return attempts.AttemptFailedError(outcomes.Broken(reason, self._relayed, crashed=False))
+        return attempts.AttemptFailedError(
+            outcomes.Broken(reason, self._progress.relayed, crashed=False)
+        )
 
     def _tell(self, placed: entries.Placed, attempt: attempts.Attempt) -> None:
         """Passes on what the upstream has told of itself with its answer."""
@@ -401,9 +358,9 @@
         return forwarded_log.Summary(
             self._ended,
             self._sequence.attempts,
-            self._relayed,
+            self._progress.relayed,
             self._first_at,
             self._around.configuration.proof_age_s,
             self._services.budget.left(plan.pool, now),
-            now - self._progress_at,
+            now - self._progress.moved_at,
         )
--- a/src/cicadapier/_internal/services/forwarded_log.py
+++ b/src/cicadapier/_internal/services/forwarded_log.py
@@ -38,7 +38,7 @@
 def attempt_failed(
     plan: forwarded_plan.Plan,
     placed: entries.Placed,
-    outcome: outcomes.AttemptOutcome,
+    outcome: outcomes.AttemptOutcome | entries.Superseded,
     summary: Summary,
 ) -> None:
     """Logs an attempt that did not bring a whole answer."""
@@ -61,6 +61,20 @@
     )
 
 
+def attempt_stands(
+    plan: forwarded_plan.Plan, placed: entries.Placed, repeats_left: float, silent_s: float
+) -> None:
+    """Logs an attempt without progress that is not given up."""
+    _log.info(
+        "attempt_stands",
+        request=plan.asked.request,
+        upstream=placed.choice.estimate.upstream,
+        repeats_left=round(repeats_left, 1),
+        silent_ms=round(silent_s * 1000),
+        left_ms=round((plan.deadline - trio.current_time()) * 1000),
+    )
+
+
 def request_ended(
     plan: forwarded_plan.Plan, placed: entries.Placed | None, summary: Summary
 ) -> None:
--- /dev/null
+++ b/src/cicadapier/_internal/services/model_progress.py
@@ -0,0 +1,54 @@
+"""How far the answer of a model has come, and what follows where it does not begin."""
+
+import math
+
+from cicadapier._internal.decisions import entries
+from cicadapier._internal.decisions import retries
+from cicadapier._internal.models import ids
+from cicadapier._internal.services import attempts
+from cicadapier._internal.services import request_context
+
+
+class Progress:
+    """How far the answer has come, over all attempts.
+
+    Attributes:
+        offset: Tokens of the answer that the caller has.
+        cached_tokens: Tokens found cached by the attempt that answers.
+        last_at: Time of the last token.
+        finished: Whether the last token has come.
+        weights: Weights version that answers, as far as the answer names it.
+    """
+
+    def __init__(self) -> None:
+        self.offset = 0
+        self.cached_tokens: int | None = None
+        self.last_at: float | None = None
+        self.finished = False
+        self.weights: bytes | None = None
+
+
+class FirstTokenSilence(attempts.Silence):
+    """Leaves an upstream that is late beyond its estimate, where another one takes over."""
+
+    def __init__(
+        self,
+        services: request_context.Services,
+        request: ids.RequestId,
+        sequence: retries.AttemptSequence,
+        progress: Progress,
+        limit_s: float,
+    ) -> None:
+        self._services = services
+        self._request = request
+        self._sequence = sequence
+        self._progress = progress
+        self._limit_s = limit_s
+
+    def limit_s(self, attempt: attempts.Attempt) -> float:
+        """See `attempts.Silence.limit_s`."""
+        return self._limit_s if attempt.head is None else math.inf
+
+    async def judge(self, attempt: attempts.Attempt) -> entries.Superseded | None:
+        """See `attempts.Silence.judge`."""
+        return await self._services.succeed(self._request, self._sequence, self._progress.offset)
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -19,6 +19,7 @@
 from cicadapier._internal.protocols import http_server
 from cicadapier._internal.services import attempts
 from cicadapier._internal.services import exceptions
+from cicadapier._internal.services import model_progress
 from cicadapier._internal.services import request_context
 from cicadapier._internal.services import telemetry_service
 
@@ -43,25 +44,6 @@
     entry: entries.Entry
 
 
-class _Progress:
-    """How far the answer has come, over all attempts.
-
-    Attributes:
-        offset: Tokens of the answer that the caller has.
-        cached_tokens: Tokens found cached by the attempt that answers.
-        last_at: Time of the last token.
-        finished: Whether the last token has come.
-        weights: Weights version that answers, as far as the answer names it.
-    """
-
-    def __init__(self) -> None:
-        self.offset = 0
-        self.cached_tokens: int | None = None
-        self.last_at: float | None = None
-        self.finished = False
-        self.weights: bytes | None = None
-
-
 class ModelRequests:
     """Handles model requests."""
 
@@ -136,22 +118,22 @@
         self._context = context
         self._plan = plan
         self._responder = responder
-        self._progress = _Progress()
+        self._progress = model_progress.Progress()
         self._must_tell_offset = False
         self._chunks = 0
+        nature = retries.Nature(repeatable=True, resumable=True)
+        self._sequence = retries.AttemptSequence(nature, services.budget, plan.pool_id)
 
     async def run(self, placed: entries.Placed) -> bool:
         """Runs attempts; returns whether the request may have cost an upstream anything."""
-        nature = retries.Nature(repeatable=True, resumable=True)
-        sequence = retries.AttemptSequence(nature, self._services.budget, self._plan.pool_id)
         refusal = await self._services.run_attempts(
-            self._context.request, sequence, placed, self._attempt
+            self._context.request, self._sequence, placed, self._attempt
         )
         if refusal is None:
             self._measure_end()
             return True
         await self._refuse(refusal)
-        return sequence.maybe_ran
+        return self._sequence.maybe_ran
 
     async def _refuse(self, refusal: outcomes.Refusal) -> None:
         if not self._responder.started:
@@ -161,8 +143,12 @@
         await self._responder.send_part(request_context.refusal_event(refusal))
         await self._responder.finish()
 
-    async def _attempt(self, placed: entries.Placed) -> outcomes.AttemptOutcome:
-        attempt = attempts.Attempt(self._services.connections, self._call(placed))
+    async def _attempt(
+        self, placed: entries.Placed
+    ) -> outcomes.AttemptOutcome | entries.Superseded:
+        attempt = attempts.Attempt(
+            self._services.connections, self._call(placed), self._silence(placed)
+        )
         try:
             head = await attempt.start()
             if head.status != http.HTTPStatus.OK:
@@ -175,18 +161,28 @@
             return outcomes.Complete(head.status)
         except attempts.AttemptFailedError as exc:
             return exc.outcome
+        except attempts.AttemptSupersededError as exc:
+            return exc.superseded
         finally:
             await attempt.abandon()
 
+    def _silence(self, placed: entries.Placed) -> model_progress.FirstTokenSilence:
+        expected_s = placed.choice.estimate.total_s * ESTIMATE_FACTOR
+        limit_s = MIN_FIRST_TOKEN_S + expected_s + self._whole_s()
+        return model_progress.FirstTokenSilence(
+            self._services, self._context.request, self._sequence, self._progress, limit_s
+        )
+
+    def _whole_s(self) -> float:
+        """Returns what an answer in one piece takes beyond its first token."""
+        if self._plan.req.stream:
+            return 0.0
+        return self._plan.entry.output_tokens * self._plan.pool.timeouts.between_tokens_s
+
     def _call(self, placed: entries.Placed) -> attempts.Call:
         estimate = placed.choice.estimate
         pool = self._plan.pool
         spec = pool.upstreams[estimate.upstream]
-        expected_s = estimate.total_s * ESTIMATE_FACTOR
-        first_s = min(pool.timeouts.first_token_s, MIN_FIRST_TOKEN_S + expected_s)
-        if not self._plan.req.stream:
-            # The answer comes in one piece, after its last token.
-            first_s += self._plan.entry.output_tokens * pool.timeouts.between_tokens_s
         body = dict(self._plan.req.body)
         body["cache_salt"] = self._plan.salt
         if self._context.spec.service_class is configuration.ServiceClass.BATCH:
@@ -211,7 +207,7 @@
             head,
             msgspec.json.encode(body),
             pool.timeouts.connect_s,
-            first_s,
+            pool.timeouts.first_token_s + self._whole_s(),
         )
 
     def _keep_address(self) -> str:
--- a/src/cicadapier/_internal/services/request_context.py
+++ b/src/cicadapier/_internal/services/request_context.py
@@ -29,7 +29,8 @@
 from cicadapier._internal.services import upstreams_service
 
 MakeAttempt = collections.abc.Callable[
-    [entries.Placed], collections.abc.Awaitable[outcomes.AttemptOutcome]
+    [entries.Placed],
+    collections.abc.Awaitable[outcomes.AttemptOutcome | entries.Superseded],
 ]
 
 
@@ -110,6 +111,43 @@
         decision = await reply.get()
         return decision.refusal if isinstance(decision, entries.Refused) else decision
 
+    async def succeed(
+        self,
+        request: ids.RequestId,
+        sequence: retries.AttemptSequence,
+        offset: int,
+        lost: bool = False,
+    ) -> entries.Superseded | None:
+        """Claims the repeat and the place for which a silent attempt may be given up.
+
+        Args:
+            request: The request.
+            sequence: Its attempts.
+            offset: Tokens of the answer that the caller has.
+            lost: Whether its upstream cannot be reached, so that the run goes on from its backup.
+
+        Returns:
+            None where there is none; the attempt then stands.
+        """
+        if not sequence.claim(offset, trio.current_time(), continues=lost):
+            self.traffic.mailbox.offer(traffic_messages.Silent(request))
+            return None
+        placed = await self._supersede(request, lost)
+        if placed is None:
+            sequence.disclaim()
+            return None
+        return entries.Superseded("the upstream made no progress in time", offset, placed)
+
+    async def _supersede(self, request: ids.RequestId, lost: bool) -> entries.Placed | None:
+        reply: mailbox.Reply[entries.Successor | None] = mailbox.Reply()
+        self.traffic.mailbox.send(traffic_messages.Supersede(request, lost, reply))
+        successor = await reply.get()
+        if successor is None:
+            return None
+        if successor.crash:
+            await self.peers.announce_crash(successor.crash)
+        return successor.placed
+
     async def attempt_ended(self, request: ids.RequestId, outcome: outcomes.AttemptOutcome) -> None:
         """Reports an attempt; new evidence of a crash reaches the peers before this returns."""
         reply: mailbox.Reply[poison.Crash | None] = mailbox.Reply()
@@ -139,6 +177,11 @@
         """
         while True:
             outcome = await attempt(placed)
+            if isinstance(outcome, entries.Superseded):
+                sequence.superseded(outcome.offset)
+                self.telemetry.retried(type(outcome).__name__)
+                placed = outcome.placed
+                continue
             # Noted before anything else: the request's time may end during the report.
             step = sequence.ended(outcome, trio.current_time())
             await self.attempt_ended(request, outcome)
--- a/src/cicadapier/_internal/services/traffic_messages.py
+++ b/src/cicadapier/_internal/services/traffic_messages.py
@@ -40,6 +40,28 @@
     continues: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Supersede:
+    """Asks where a request goes on, so that its present attempt may be given up.
+
+    Attributes:
+        request: Its id.
+        lost: Whether its upstream cannot be reached, so that the run goes on from its backup.
+        reply: Gets the place, None where there is no other.
+    """
+
+    request: ids.RequestId
+    lost: bool
+    reply: "mailbox.Reply[entries.Successor | None]"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Silent:
+    """The present attempt at a request shows no progress, and is waited for."""
+
+    request: ids.RequestId
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FirstToken:
     """The answer to a request has begun."""
@@ -284,6 +306,8 @@
 Message = (
     Enter
     | Again
+    | Supersede
+    | Silent
     | FirstToken
     | AttemptEnded
     | Leave
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -55,6 +55,8 @@
         self._handlers: dict[type, collections.abc.Callable[..., None]] = {
             traffic_messages.Enter: self._enter,
             traffic_messages.Again: self._again,
+            traffic_messages.Supersede: self._supersede,
+            traffic_messages.Silent: self._silent,
             traffic_messages.FirstToken: self._first_token,
             traffic_messages.AttemptEnded: self._attempt_ended,
             traffic_messages.Leave: self._leave,
@@ -108,6 +110,15 @@
         if decision is not None:
             self._decide([decision], now)
 
+    def _supersede(self, message: traffic_messages.Supersede, now: float) -> None:
+        successor = self._traffic.supersede(message.request, message.lost, now)
+        if successor is not None:
+            self._tell(self._outgoing.count(self._traffic, successor.placed, now))
+        message.reply.set(successor)
+
+    def _silent(self, message: traffic_messages.Silent, now: float) -> None:
+        self._traffic.silent(message.request, now)
+
     def _decide(self, decisions: list[entries.Decision], now: float) -> None:
         for decision in decisions:
             if isinstance(decision, entries.Placed):
--- a/tests/_internal/services/test_model_requests.py
+++ b/tests/_internal/services/test_model_requests.py
@@ -108,6 +108,18 @@
 
         support.in_world(check, deployment=support.SMALL)
 
+    def test_an_answer_later_than_estimated_is_not_given_up_without_a_repeat(self):
+        async def check(made):
+            made.inject(faults.FaultKind.LATE, faults.ANY, 1e9, 4.0)
+            for router in made.routers.values():
+                no_repeats = settings.RetryBudget(share=0.0, slack=0.0)
+                router.router.callers.models._services.budget.set_terms(no_repeats)
+            reply = await support.Caller(made).complete(LONG, 5)
+            self.assertEqual(reply.outcome, "complete")
+            self.assertEqual(reply.text, engine_text.answer(LONG.encode(), 5))
+
+        support.in_world(check, deployment=support.SMALL)
+
     def test_all_engines_down_is_refused_as_not_run(self):
         async def check(made):
             made.inject(faults.FaultKind.CRASH, faults.ANY, 1e9, 1e9)
--- a/tests/_internal/services/test_silent_answers.py
+++ b/tests/_internal/services/test_silent_answers.py
@@ -13,12 +13,12 @@
 LONG = {"path": "/long/x", "output_tokens": 200}  # A stream whose run is backed up.
 
 
-async def ask_many(made, count, **options):
+async def ask_many(made, count):
     """Returns what callers get that ask at the same moment."""
     replies = []
 
     async def ask(number):
-        replies.append(await made.ask(request=f"q{number}", **options))
+        replies.append(await made.ask(request=f"q{number}", time_left_ms=5000))
 
     async with trio.open_nursery() as nursery:
         for number in range(count):
