Let a silent run stand until its successor has answered

Cause, of the same class: the run was closed for a successor that could still be refused. Now the second attempt runs beside the silent one, which is closed once the other has begun its answer. A run with a backup, which may not be at two engines, is given up only where it may still be sent.

--- a/src/cicadapier/_internal/decisions/entries.py
+++ b/src/cicadapier/_internal/decisions/entries.py
@@ -79,7 +79,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Superseded:
-    """An attempt was given up for another one, which has its place and its repeat.
+    """An attempt has given way to another one.
 
     Attributes:
         reason: Why.
--- /dev/null
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -0,0 +1,349 @@
+"""Places the attempts of active requests, and takes in how they end."""
+
+import collections.abc
+
+from cicadapier._internal.decisions import active as actives
+from cicadapier._internal.decisions import backups
+from cicadapier._internal.decisions import entries
+from cicadapier._internal.decisions import health
+from cicadapier._internal.decisions import members
+from cicadapier._internal.decisions import named_weights
+from cicadapier._internal.decisions import observations
+from cicadapier._internal.decisions import placement
+from cicadapier._internal.decisions import poison as poisons
+from cicadapier._internal.decisions import pool_weights
+from cicadapier._internal.decisions import prefix
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import outcomes
+
+Pools = collections.abc.Mapping[ids.PoolId, observations.PoolState]
+
+
+class Placer:
+    """Places attempts.
+
+    Attributes:
+        poison: Requests that crash upstreams.
+        named: Newest weights that were named for each model.
+        active: Requests that have entered and not left.
+    """
+
+    def __init__(
+        self,
+        failure_domain: ids.FailureDomainId,
+        pools: Pools,
+        named: named_weights.NamedWeights,
+    ) -> None:
+        self.poison = poisons.PoisonGuard()
+        self.named = named
+        self.active: dict[ids.RequestId, actives.Active] = {}
+        self._domain = failure_domain
+        self._pools = pools
+
+    def refresh(self, state: observations.PoolState, entry: entries.Entry, now: float) -> bool:
+        """Works out which upstreams a request may use now; returns whether there are any."""
+        pool_weights.compare(state, self.named, entry.model, now)
+        usable = False
+        for upstream, member in state.policy.members.items():
+            member.eligible = state.health.state(upstream, now) is health.UpstreamState.ACTIVE
+            member.loading = now < member.loading_until
+            member.load.forget_told(now)
+            usable = usable or member.usable
+        return usable
+
+    def place(
+        self, state: observations.PoolState, active: actives.Active, now: float
+    ) -> entries.Decision:
+        """Places the next attempt at a request; `refresh` comes before."""
+        entry = active.entry
+        choice = self._choose(state, active, active.tried, now)
+        if choice is None and active.tried and not self.poison.is_suspect(entry.fingerprint, now):
+            # Every upstream failed once; one that has recovered may be tried again.
+            choice = self._choose(state, active, (), now)
+        if choice is None:
+            message = f"no upstream of {entry.pool} can take this request now"
+            return refused(entry, outcomes.Code.NO_UPSTREAM, message, retry_after_s=1.0)
+        active.attempt = self._attempt_at(state, active, choice, now)
+        backup = self._back_up(state, active)
+        return _placed(state, active, active.attempt, choice, now, backup)
+
+    def relieve(self, request: ids.RequestId, now: float) -> entries.Placed | None:
+        """Places an attempt beside the present one, which is silent, to take over from it.
+
+        Returns:
+            None where there is no upstream that it has not been sent to.
+        """
+        active, state = self._find(request)
+        if active is None or state is None or active.attempt is None or active.relief:
+            return None
+        self._suspect(state, active.attempt, now)
+        if self.poison.is_held(active.entry.fingerprint, now):
+            return None
+        self.refresh(state, active.entry, now)
+        exclude = {*active.tried, active.attempt.choice.upstream}
+        choice = self._choose(state, active, exclude, now)
+        if choice is None:
+            return None
+        active.relief = self._attempt_at(state, active, choice, now)
+        return _placed(state, active, active.relief, choice, now)
+
+    def relief_ended(
+        self,
+        request: ids.RequestId,
+        outcome: outcomes.AttemptOutcome | None,
+        now: float,
+    ) -> poisons.Crash | None:
+        """Takes the end of a relief that did not take over.
+
+        Args:
+            request: The request.
+            outcome: How it ended, None where the former attempt went on before it was answered.
+            now: Present time.
+        """
+        active, state = self._find(request)
+        if active is None or state is None or active.relief is None:
+            return None
+        relief, active.relief = active.relief, None
+        return self._attempt_over(state, active, relief, outcome, now)
+
+    def relief_won(
+        self, request: ids.RequestId, former: outcomes.AttemptOutcome, now: float
+    ) -> poisons.Crash | None:
+        """Has the relief of a request take over from the former attempt, which ended as given."""
+        active, state = self._find(request)
+        if active is None or state is None or active.relief is None:
+            return None
+        attempt, active.attempt, active.relief = active.attempt, active.relief, None
+        return self._attempt_over(state, active, attempt, former, now) if attempt else None
+
+    def take_over(self, request: ids.RequestId, now: float) -> entries.Successor | None:
+        """Has a run go on from its backup, as its upstream cannot be reached.
+
+        Returns:
+            None where it cannot; the attempt then stands.
+        """
+        active, state = self._find(request)
+        if active is None or state is None or active.attempt is None:
+            return None
+        lost = active.attempt
+        self._suspect(state, lost, now)
+        decision = self.continue_run(active, now)
+        if isinstance(decision, entries.Refused):
+            return None
+        outcome = outcomes.Broken("the upstream cannot be reached", 0, crashed=True)
+        crash = self._attempt_over(state, active, lost, outcome, now)
+        return entries.Successor(decision, crash)
+
+    def continue_run(self, active: actives.Active, now: float) -> entries.Decision:
+        """Places a run whose engine is lost where its backup is, or refuses that."""
+        entry = active.entry
+        backup = active.backup
+        state = self._pools.get(entry.pool)
+        if state is None or backup is None:
+            return refused(entry, outcomes.Code.NO_UPSTREAM, "the run has no backup")
+        self.refresh(state, entry, now)
+        if not backups.may_continue(state.policy.members, backup):
+            message = f"the backup of the run at {backup.upstream} cannot be used"
+            return refused(entry, outcomes.Code.NO_UPSTREAM, message)
+        return self._place_at_backup(state, active, backup, now)
+
+    def silent(self, request: ids.RequestId, now: float) -> None:
+        """Counts that the present attempt at a request shows no progress."""
+        active, state = self._find(request)
+        if active and state and active.attempt:
+            self._suspect(state, active.attempt, now)
+
+    def attempt_ended(
+        self, request: ids.RequestId, outcome: outcomes.AttemptOutcome, now: float
+    ) -> poisons.Crash | None:
+        """Takes the outcome of the present attempt at a request.
+
+        Returns:
+            New evidence against the request, which the other routers must learn of.
+        """
+        active, state = self._find(request)
+        if active is None or active.attempt is None:
+            return None
+        attempt, active.attempt = active.attempt, None
+        return self._attempt_over(state, active, attempt, outcome, now) if state else None
+
+    def suspect_upstreams(self, now: float) -> frozenset[ids.UpstreamId]:
+        """Returns the upstreams that run a suspect request now."""
+        return frozenset(
+            attempt.choice.upstream
+            for active in self.active.values()
+            if self.poison.is_suspect(active.entry.fingerprint, now)
+            for attempt in active.attempts
+        )
+
+    def must_wait_alone(
+        self, state: observations.PoolState, active: actives.Active, now: float
+    ) -> bool:
+        """Returns whether a suspect has to wait for an upstream without another suspect."""
+        if not self.poison.is_suspect(active.entry.fingerprint, now):
+            return False
+        usable = set(state.policy.usable(active.tried))
+        return bool(usable) and usable <= self.suspect_upstreams(now)
+
+    def _find(
+        self, request: ids.RequestId
+    ) -> tuple[actives.Active | None, observations.PoolState | None]:
+        active = self.active.get(request)
+        return active, self._pools.get(active.entry.pool) if active else None
+
+    def _suspect(self, state: observations.PoolState, attempt: actives.Attempt, now: float) -> None:
+        """Counts the silence of an attempt against its upstream, once."""
+        if not attempt.suspected:
+            state.health.failed(attempt.choice.upstream, False, now)
+        attempt.suspected = True
+
+    def _choose(
+        self,
+        state: observations.PoolState,
+        active: actives.Active,
+        exclude: collections.abc.Iterable[ids.UpstreamId],
+        now: float,
+    ) -> members.Choice | None:
+        excluded = frozenset(exclude)
+        if self.poison.is_suspect(active.entry.fingerprint, now):
+            # Two suspects on one upstream could not be told apart after the next crash.
+            excluded |= self.suspect_upstreams(now)
+        return state.policy.choose(active.placement_request(excluded), now)
+
+    def _attempt_at(
+        self,
+        state: observations.PoolState,
+        active: actives.Active,
+        choice: members.Choice,
+        now: float,
+    ) -> actives.Attempt:
+        state.policy.sent(active.placement_request(), choice.estimate, now)
+        incarnation = state.health.incarnation(choice.estimate.upstream)
+        return actives.Attempt(choice.estimate, incarnation)
+
+    def _place_at_backup(
+        self,
+        state: observations.PoolState,
+        active: actives.Active,
+        backup: backups.Backup,
+        now: float,
+    ) -> entries.Placed:
+        entry = active.entry
+        distance_s = state.policy.members[backup.upstream].distance_s
+        estimate = members.Estimate(
+            backup.upstream, len(entry.prompt.pieces), 0, 0.0, 0.0, distance_s, distance_s
+        )
+        req = members.PlacementRequest(
+            entry.request, prefix.EMPTY, active.account.service_class, model=entry.model
+        )
+        active.attempt = actives.Attempt(estimate, backup.incarnation)
+        state.policy.sent(req, estimate, now)
+        choice = members.Choice(estimate, "holds a backup of the run")
+        return entries.Placed(
+            entry.request,
+            choice,
+            backup.incarnation,
+            now - active.entered_at,
+            backup.weights.version,
+            self._back_up(state, active),
+            continues=True,
+        )
+
+    def _back_up(
+        self, state: observations.PoolState, active: actives.Active
+    ) -> ids.UpstreamId | None:
+        """Chooses where the run that has just been placed is backed up."""
+        entry = active.entry
+        active.backup = None
+        if entry.backed_up and entry.model is not None and active.attempt:
+            primary = active.attempt.choice.upstream
+            active.backup = backups.choose(state.policy.members, primary, entry.model, self._domain)
+        return active.backup.upstream if active.backup else None
+
+    def _attempt_over(
+        self,
+        state: observations.PoolState,
+        active: actives.Active,
+        attempt: actives.Attempt,
+        outcome: outcomes.AttemptOutcome | None,
+        now: float,
+    ) -> poisons.Crash | None:
+        upstream = attempt.choice.upstream
+        state.policy.finished(upstream)
+        if outcome is None:
+            _forget_pieces(state, active, upstream)
+            return None
+        if isinstance(outcome, outcomes.Complete):
+            state.health.answered(upstream)
+            self.poison.completed(active.entry.fingerprint)
+            return None
+        if not (isinstance(outcome, outcomes.RefusedBeforeRunning) and outcome.other_weights):
+            active.tried.add(upstream)
+        return self._count_failure(state, active, attempt, outcome, now)
+
+    def _count_failure(
+        self,
+        state: observations.PoolState,
+        active: actives.Active,
+        attempt: actives.Attempt,
+        outcome: outcomes.AttemptOutcome,
+        now: float,
+    ) -> poisons.Crash | None:
+        if isinstance(outcome, outcomes.RefusedBeforeRunning):
+            return None
+        crashed = False
+        if isinstance(outcome, outcomes.SentNoAnswer | outcomes.Broken):
+            crashed = outcome.crashed
+        certain = crashed or isinstance(outcome, outcomes.NotSent)
+        upstream = attempt.choice.upstream
+        if certain or not attempt.suspected:
+            state.health.failed(upstream, certain, now)
+        if not certain:
+            _forget_pieces(state, active, upstream)
+        elif isinstance(state.policy, placement.PrefixPlacement):
+            state.policy.belief.forget(upstream)
+        if not crashed:
+            return None
+        crash = poisons.Crash(active.entry.fingerprint, upstream, attempt.incarnation)
+        return crash if self.poison.crashed(crash, now) else None
+
+
+def held(entry: entries.Entry) -> entries.Refused:
+    """Refuses a request that crashes upstreams."""
+    message = (
+        "this request was running on two upstreams as they crashed; "
+        "it is held back and was not run again"
+    )
+    return refused(entry, outcomes.Code.POISON, message)
+
+
+def refused(
+    entry: entries.Entry, code: outcomes.Code, message: str, retry_after_s: float | None = None
+) -> entries.Refused:
+    """Refuses a request as not run."""
+    refusal = outcomes.Refusal(code, message, outcomes.Effect.NOT_RUN, retry_after_s)
+    return entries.Refused(entry.request, refusal)
+
+
+def _placed(
+    state: observations.PoolState,
+    active: actives.Active,
+    attempt: actives.Attempt,
+    choice: members.Choice,
+    now: float,
+    backup: ids.UpstreamId | None = None,
+) -> entries.Placed:
+    entry = active.entry
+    weights = None
+    if entry.model is not None:
+        weights = state.policy.members[choice.estimate.upstream].versions.get(entry.model)
+    waited_s = now - active.entered_at
+    return entries.Placed(entry.request, choice, attempt.incarnation, waited_s, weights, backup)
+
+
+def _forget_pieces(
+    state: observations.PoolState, active: actives.Active, upstream: ids.UpstreamId
+) -> None:
+    """Drops the belief that an upstream has what an attempt would have left there."""
+    if isinstance(state.policy, placement.PrefixPlacement):
+        state.policy.belief.abandoned(upstream, active.entry.prompt.pieces)
--- a/src/cicadapier/_internal/decisions/retries.py
+++ b/src/cicadapier/_internal/decisions/retries.py
@@ -188,6 +188,21 @@
         """Gives back a claimed repeat that cannot be sent."""
         self._budget.give_back(self._pool)
 
+    def relief_ended(self, outcome: outcomes.AttemptOutcome | None) -> None:
+        """Takes the end of a claimed attempt that does not take over.
+
+        Args:
+            outcome: How it ended, None where it was not needed any more.
+        """
+        if isinstance(outcome, outcomes.NotSent):
+            self.disclaim()
+            return
+        self._attempts += 1
+        self._arrived = True
+        if not isinstance(outcome, outcomes.RefusedBeforeRunning):
+            self._runs += 1
+            self._maybe_ran = True
+
     def superseded(self, offset: int) -> None:
         """Notes that an attempt was given up for the one that was claimed."""
         self._attempts += 1
--- a/src/cicadapier/_internal/experiments/replay.py
+++ b/src/cicadapier/_internal/experiments/replay.py
@@ -313,7 +313,7 @@
     def _finished(self, running: _Running, event: engine_model.Finished) -> None:
         running.record.finished(event.at, event.mean_step_s)
         router = running.router.traffic
-        router.attempt_ended(event.request, outcomes.Complete(200), self.now)
+        router.attempts.attempt_ended(event.request, outcomes.Complete(200), self.now)
         router.leave(event.request, ran=True)
         del self._running[event.request]
 
@@ -325,7 +325,7 @@
         crashed = running.upstream in self._down
         running.upstream = None
         outcome = outcomes.SentNoAnswer("lost", crashed)
-        running.router.traffic.attempt_ended(request, outcome, self.now)
+        running.router.traffic.attempts.attempt_ended(request, outcome, self.now)
         running.record.retries += 1
         if running.router.traffic.entry(request) is None:
             running.record.refused(None, self.now)
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import math
+from typing import Generic
 from typing import TypeVar
 
 import msgspec
@@ -73,16 +74,31 @@
         self.outcome = outcome
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Takeover:
+    """Where a request goes on in place of a silent attempt.
+
+    Attributes:
+        placed: Its place.
+        attempt: An attempt whose answer has begun there, None where it is yet to be made.
+    """
+
+    placed: entries.Placed
+    attempt: "Attempt | None"
+
+
 class AttemptSupersededError(Exception):
-    """The attempt was given up for another one that has its place.
+    """The attempt has given way to another one.
 
     Attributes:
-        superseded: That one.
+        takeover: That one.
+        former: How this attempt ended.
     """
 
-    def __init__(self, superseded: entries.Superseded) -> None:
-        super().__init__(superseded.reason)
-        self.superseded = superseded
+    def __init__(self, takeover: Takeover, former: outcomes.AttemptOutcome) -> None:
+        super().__init__(getattr(former, "reason", ""))
+        self.takeover = takeover
+        self.former = former
 
 
 class Silence(abc.ABC):
@@ -96,8 +112,28 @@
         """Returns after how long without progress it is judged, infinite for never."""
 
     @abc.abstractmethod
-    async def judge(self, attempt: "Attempt") -> entries.Superseded | None:
-        """Returns the attempt that takes over, or None where this one stands."""
+    async def judge(self, attempt: "Attempt") -> Takeover | None:
+        """Returns what takes over, or None where the attempt stands.
+
+        It is cancelled where the attempt shows progress meanwhile.
+        """
+
+
+@dataclasses.dataclass
+class _Race(Generic[_Read]):
+    """A silent read and what may take over from it.
+
+    Attributes:
+        data: What was read.
+        failure: Why nothing was.
+        takeover: What takes over.
+        judging: Whether a judgement is under way.
+    """
+
+    data: list[_Read] = dataclasses.field(default_factory=list)
+    failure: exceptions.ProtocolError | None = None
+    takeover: Takeover | None = None
+    judging: bool = False
 
 
 class Attempt:
@@ -107,6 +143,7 @@
         head: Start of the answer, once it has come.
         facts: What it says beside the answer itself.
         sent: Whether any byte was handed to the transport, so that the request may have run.
+        silence: Judges it while it shows no progress; None has it waited for.
     """
 
     def __init__(
@@ -117,7 +154,7 @@
     ) -> None:
         self._connections = connections
         self._call = call
-        self._silence = silence
+        self.silence = silence
         self._conn: http_client.ClientConnection | None = None
         self.head: http_client.ResponseHead | None = None
         self.facts = answers.AnswerFacts()
@@ -187,7 +224,7 @@
         """
         assert self._conn
         try:
-            return await self._patiently(self._conn.receive_data, timeout_s)
+            return await self._patiently(self._conn.receive_data, timeout_s, offset)
         except exceptions.ProtocolError as exc:
             crashed = await self._crashed(exc)
             raise AttemptFailedError(outcomes.Broken(_describe(exc), offset, crashed)) from exc
@@ -196,22 +233,56 @@
         self,
         read: collections.abc.Callable[[float], collections.abc.Awaitable[_Read]],
         timeout_s: float,
+        offset: int | None = None,
     ) -> _Read:
-        """Reads, and has silences judged until the time limit."""
+        """Reads, and has a silence judged while it lasts."""
         deadline = trio.current_time() + timeout_s
-        while True:
-            left_s = deadline - trio.current_time()
-            limit_s = self._silence.limit_s(self) if self._silence else math.inf
+        limit_s = self.silence.limit_s(self) if self.silence else math.inf
+        if limit_s >= timeout_s:
+            return await read(timeout_s)
+        try:
+            return await read(limit_s)
+        except exceptions.SilentConnectionError:
+            pass
+        race: _Race[_Read] = _Race()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._have_judged, race, limit_s, nursery.cancel_scope)
             try:
-                return await read(min(left_s, limit_s))
-            except exceptions.SilentConnectionError:
-                if limit_s >= left_s:
-                    raise
-            assert self._silence
-            superseded = await self._silence.judge(self)
-            if superseded is not None:
-                await self.abandon(suspect=True)
-                raise AttemptSupersededError(superseded)
+                race.data.append(await read(deadline - trio.current_time()))
+            except exceptions.ProtocolError as exc:
+                race.failure = exc
+            if race.data or not race.judging:
+                nursery.cancel_scope.cancel()
+        if race.takeover is not None:
+            former = await self._give_way(race.failure, offset)
+            raise AttemptSupersededError(race.takeover, former)
+        if race.failure is not None:
+            raise race.failure
+        return race.data[0]
+
+    async def _have_judged(
+        self, race: _Race[_Read], pause_s: float, scope: trio.CancelScope
+    ) -> None:
+        """Has a silence judged again and again, until something takes over."""
+        assert self.silence
+        while race.takeover is None and race.failure is None:
+            race.judging = True
+            race.takeover = await self.silence.judge(self)
+            race.judging = False
+            if race.takeover is None and race.failure is None:
+                await trio.sleep(pause_s)
+        scope.cancel()
+
+    async def _give_way(
+        self, failure: exceptions.ProtocolError | None, offset: int | None
+    ) -> outcomes.AttemptOutcome:
+        """Ends this attempt for another one, and returns its outcome."""
+        silent = exceptions.SilentConnectionError("no progress")
+        exc = failure or silent
+        crashed = await self._crashed(exc)
+        if offset is None:
+            return outcomes.SentNoAnswer(_describe(exc), crashed)
+        return outcomes.Broken(_describe(exc), offset, crashed)
 
     async def is_reachable(self) -> bool:
         """Returns whether a connection to the upstream can be made."""
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -68,8 +68,14 @@
         self._first_at: float | None = None
         self._progress = forwarded_progress.Progress(plan.asked.resume_after)
         self._silence = forwarded_silence.ForwardedSilence(
-            self._services, plan, self._sequence, self._progress
+            self._services,
+            plan,
+            self._sequence,
+            self._progress,
+            self._begin_relief,
+            self._may_send,
         )
+        self._successor: attempts.Attempt | None = None
         self._ended = "caller_left"
 
     async def run(self) -> None:
@@ -85,6 +91,8 @@
             if scope.cancelled_caught:
                 self._end_refused(self._deadline_refusal())
         finally:
+            if self._successor:
+                await self._successor.abandon()
             forwarded_log.request_ended(self._plan, self._progress.placed, self._summary())
 
     async def _serve(self) -> None:
@@ -140,16 +148,15 @@
 
     async def _try(self, placed: entries.Placed) -> outcomes.AttemptOutcome | entries.Superseded:
         self._progress.begin(placed)
-        upstream = placed.choice.estimate.upstream
-        registration = self._around.directory.find(upstream)
-        if registration is None:
+        attempt = self._adopt() or self._make_attempt(placed)
+        if attempt is None:
             return outcomes.NotSent("the upstream is gone")
-        call = self._call(placed, registration.address)
-        attempt = attempts.Attempt(self._services.connections, call, self._silence)
+        attempt.silence = self._silence
         self._attempt = attempt
         outcome: outcomes.AttemptOutcome | entries.Superseded = outcomes.NotSent("not sent")
         try:
-            head = await attempt.start(functools.partial(self._check, placed))
+            check = functools.partial(self._check, placed)
+            head = attempt.head or await attempt.start(check)
             self._progress.moved()
             if self._is_stream(attempt, head):
                 outcome = await self._relay(attempt, head)
@@ -160,7 +167,7 @@
         except attempts.AttemptFailedError as exc:
             outcome = self._with_backup(exc.outcome)
         except attempts.AttemptSupersededError as exc:
-            outcome = exc.superseded
+            outcome = await self._give_way(exc)
         finally:
             await attempt.abandon()
             if attempt.head is not None:
@@ -170,6 +177,48 @@
             forwarded_log.attempt_failed(self._plan, placed, outcome, self._summary())
         return outcome
 
+    def _make_attempt(self, placed: entries.Placed) -> attempts.Attempt | None:
+        registration = self._around.directory.find(placed.choice.estimate.upstream)
+        if registration is None:
+            return None
+        call = self._call(placed, registration.address)
+        return attempts.Attempt(self._services.connections, call)
+
+    def _adopt(self) -> attempts.Attempt | None:
+        attempt, self._successor = self._successor, None
+        return attempt
+
+    async def _give_way(self, exc: attempts.AttemptSupersededError) -> entries.Superseded:
+        self._successor = exc.takeover.attempt
+        if self._successor:
+            await self._services.relief_won(self._plan.entry.request, exc.former)
+        return entries.Superseded(str(exc), self._progress.relayed, exc.takeover.placed)
+
+    async def _begin_relief(self, placed: entries.Placed) -> attempts.Attempt:
+        """See `relief.Relief.begin`."""
+        attempt = self._make_attempt(placed)
+        if attempt is None:
+            raise attempts.AttemptFailedError(outcomes.NotSent("the upstream is gone"))
+        good = False
+        try:
+            head = await attempt.start(functools.partial(self._check, placed))
+            good = self._is_good(attempt, head)
+        finally:
+            if not good:
+                await attempt.abandon()
+            if attempt.head is not None:
+                self._tell(placed, attempt)
+        if not good:
+            reason = f"the upstream failed with status {head.status}"
+            raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
+        return attempt
+
+    def _is_good(self, attempt: attempts.Attempt, head: http_client.ResponseHead) -> bool:
+        """Returns whether an answer is one to go on with in place of a silent one."""
+        if self._plan.admission.route.kind is configuration.RouteKind.STREAM:
+            return self._is_stream(attempt, head)
+        return attempt.facts.genuine and head.status < http.HTTPStatus.INTERNAL_SERVER_ERROR
+
     def _with_backup(self, outcome: outcomes.AttemptOutcome) -> outcomes.AttemptOutcome:
         """Returns an outcome that says whether the run may go on from its backup."""
         if not isinstance(outcome, outcomes.Broken) or not outcome.crashed:
@@ -235,8 +284,22 @@
             return False
         return self._sequence.may_try_again(trio.current_time())
 
+    def _may_send(self) -> bool:
+        """Returns whether the request may be sent once more now."""
+        try:
+            self._check_admission()
+        except exceptions.RefusedError:
+            return False
+        return True
+
     def _check(self, placed: entries.Placed) -> None:
         """Makes sure, in the step that sends, that what was decided before still holds."""
+        self._check_admission()
+        upstream = placed.choice.estimate.upstream
+        if not self._around.directory.may_send(upstream, placed.incarnation):
+            raise attempts.AttemptFailedError(outcomes.NotSent("the upstream is leaving"))
+
+    def _check_admission(self) -> None:
         if self._plan.deadline - trio.current_time() < MIN_LEFT_S:
             raise exceptions.RefusedError(self._deadline_refusal())
         admission = self._around.admit(self._plan.asked)
@@ -247,9 +310,6 @@
             raise exceptions.RefusedError(
                 outcomes.Refusal(outcomes.Code.NO_UPSTREAM, message, retry_after_s=CHANGED_RETRY_S)
             )
-        upstream = placed.choice.estimate.upstream
-        if not self._around.directory.may_send(upstream, placed.incarnation):
-            raise attempts.AttemptFailedError(outcomes.NotSent("the upstream is leaving"))
 
     def _is_stream(self, attempt: attempts.Attempt, head: http_client.ResponseHead) -> bool:
         streams = self._plan.admission.route.kind is configuration.RouteKind.STREAM
--- a/src/cicadapier/_internal/services/forwarded_silence.py
+++ b/src/cicadapier/_internal/services/forwarded_silence.py
@@ -1,5 +1,6 @@
 """What follows where the answer to a forwarded request shows no progress."""
 
+import collections.abc
 import math
 
 import trio
@@ -10,18 +11,21 @@
 from cicadapier._internal.services import forwarded_log
 from cicadapier._internal.services import forwarded_plan
 from cicadapier._internal.services import forwarded_progress
+from cicadapier._internal.services import relief
 from cicadapier._internal.services import request_context
 
-# An upstream that shows no progress for so long is left for another one, where that is allowed.
+# An upstream that shows no progress for so long is relieved by another one, where that is allowed.
 SILENT_OBJECTIVES = 2.0
 MIN_SILENT_S = 0.5
 SILENT_GAPS = 1.2
 # After so many longest pauses without an event, whether the upstream can still be reached.
 CHECK_GAPS = 1.0
 
+Begin = collections.abc.Callable[[entries.Placed], collections.abc.Awaitable[attempts.Attempt]]
 
-class ForwardedSilence(attempts.Silence):
-    """Leaves a silent upstream once the request has its place and its repeat elsewhere."""
+
+class ForwardedSilence(relief.Relief):
+    """Has another upstream answer, or a backup go on where the upstream cannot be reached."""
 
     def __init__(
         self,
@@ -29,11 +33,14 @@
         plan: forwarded_plan.Plan,
         sequence: retries.AttemptSequence,
         progress: forwarded_progress.Progress,
+        begin: Begin,
+        may_send: collections.abc.Callable[[], bool],
     ) -> None:
-        self._services = services
+        super().__init__(services, plan.entry.request, sequence)
         self._plan = plan
-        self._sequence = sequence
         self._progress = progress
+        self._begin = begin
+        self._may_send = may_send
 
     def limit_s(self, attempt: attempts.Attempt) -> float:
         """See `attempts.Silence.limit_s`."""
@@ -46,17 +53,36 @@
             return max(MIN_SILENT_S, SILENT_GAPS * route.gap_s)
         return max(MIN_SILENT_S, SILENT_OBJECTIVES * route.objective_s)
 
-    async def judge(self, attempt: attempts.Attempt) -> entries.Superseded | None:
+    async def begin(self, placed: entries.Placed) -> attempts.Attempt:
+        """See `relief.Relief.begin`."""
+        return await self._begin(placed)
+
+    async def judge(self, attempt: attempts.Attempt) -> attempts.Takeover | None:
         """See `attempts.Silence.judge`."""
-        lost = self._progress.backup is not None
-        if lost and await attempt.is_reachable():
+        if self._progress.backup is None:
+            takeover = await self.relieve(self._progress.relayed)
+        elif await attempt.is_reachable():
             return None
-        superseded = await self._services.succeed(
-            self._plan.entry.request, self._sequence, self._progress.relayed, lost
-        )
-        if superseded is None:
+        else:
+            takeover = await self._go_on_from_backup()
+        if takeover is None:
             self._note_stands()
-        return superseded
+        return takeover
+
+    async def _go_on_from_backup(self) -> attempts.Takeover | None:
+        """Gives up a run, which two upstreams must not work on, once its backup may go on."""
+        if not self._may_send():
+            return None
+        now = trio.current_time()
+        if not self._sequence.claim(self._progress.relayed, now, continues=True):
+            return None
+        placed = None
+        with relief.settling():
+            placed = await self._services.take_over(self._request)
+        if placed is None:
+            self._sequence.disclaim()
+            return None
+        return attempts.Takeover(placed, None)
 
     def _note_stands(self) -> None:
         self._services.telemetry.event("silent_attempt_stands")
--- a/src/cicadapier/_internal/services/model_progress.py
+++ b/src/cicadapier/_internal/services/model_progress.py
@@ -1,13 +1,17 @@
 """How far the answer of a model has come, and what follows where it does not begin."""
 
+import collections.abc
 import math
 
 from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import retries
 from cicadapier._internal.models import ids
 from cicadapier._internal.services import attempts
+from cicadapier._internal.services import relief
 from cicadapier._internal.services import request_context
 
+Begin = collections.abc.Callable[[entries.Placed], collections.abc.Awaitable[attempts.Attempt]]
+
 
 class Progress:
     """How far the answer has come, over all attempts.
@@ -28,8 +32,12 @@
         self.weights: bytes | None = None
 
 
-class FirstTokenSilence(attempts.Silence):
-    """Leaves an upstream that is late beyond its estimate, where another one takes over."""
+class FirstTokenSilence(relief.Relief):
+    """Relieves an upstream that is late beyond its estimate.
+
+    Attributes:
+        late_s: After how long without an answer the present attempt is late.
+    """
 
     def __init__(
         self,
@@ -37,18 +45,21 @@
         request: ids.RequestId,
         sequence: retries.AttemptSequence,
         progress: Progress,
-        limit_s: float,
+        begin: Begin,
     ) -> None:
-        self._services = services
-        self._request = request
-        self._sequence = sequence
+        super().__init__(services, request, sequence)
+        self.late_s = math.inf
         self._progress = progress
-        self._limit_s = limit_s
+        self._begin = begin
 
     def limit_s(self, attempt: attempts.Attempt) -> float:
         """See `attempts.Silence.limit_s`."""
-        return self._limit_s if attempt.head is None else math.inf
+        return self.late_s if attempt.head is None else math.inf
+
+    async def begin(self, placed: entries.Placed) -> attempts.Attempt:
+        """See `relief.Relief.begin`."""
+        return await self._begin(placed)
 
-    async def judge(self, attempt: attempts.Attempt) -> entries.Superseded | None:
+    async def judge(self, attempt: attempts.Attempt) -> attempts.Takeover | None:
         """See `attempts.Silence.judge`."""
-        return await self._services.succeed(self._request, self._sequence, self._progress.offset)
+        return await self.relieve(self._progress.offset)
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -69,6 +69,7 @@
         try:
             ran = await relay.run(placed)
         finally:
+            await relay.close()
             self._services.leave(context.request, ran)
             self._services.telemetry.record(
                 telemetry_service.Histogram.QUEUE_WAIT, placed.queued_s, context.attributes
@@ -123,6 +124,10 @@
         self._chunks = 0
         nature = retries.Nature(repeatable=True, resumable=True)
         self._sequence = retries.AttemptSequence(nature, services.budget, plan.pool_id)
+        self._silence = model_progress.FirstTokenSilence(
+            services, context.request, self._sequence, self._progress, self._begin_relief
+        )
+        self._successor: attempts.Attempt | None = None
 
     async def run(self, placed: entries.Placed) -> bool:
         """Runs attempts; returns whether the request may have cost an upstream anything."""
@@ -135,6 +140,11 @@
         await self._refuse(refusal)
         return self._sequence.maybe_ran
 
+    async def close(self) -> None:
+        """Ends what is left of the attempts."""
+        if self._successor:
+            await self._successor.abandon()
+
     async def _refuse(self, refusal: outcomes.Refusal) -> None:
         if not self._responder.started:
             raise exceptions.RefusedError(refusal)
@@ -146,11 +156,12 @@
     async def _attempt(
         self, placed: entries.Placed
     ) -> outcomes.AttemptOutcome | entries.Superseded:
-        attempt = attempts.Attempt(
-            self._services.connections, self._call(placed), self._silence(placed)
-        )
+        attempt = self._adopt() or self._make_attempt(placed)
+        expected_s = placed.choice.estimate.total_s * ESTIMATE_FACTOR
+        self._silence.late_s = MIN_FIRST_TOKEN_S + expected_s + self._whole_s()
+        attempt.silence = self._silence
         try:
-            head = await attempt.start()
+            head = attempt.head or await attempt.start()
             if head.status != http.HTTPStatus.OK:
                 return await self._relay_error(attempt, head)
             self._check_weights(head)
@@ -162,16 +173,41 @@
         except attempts.AttemptFailedError as exc:
             return exc.outcome
         except attempts.AttemptSupersededError as exc:
-            return exc.superseded
+            return await self._give_way(exc)
         finally:
             await attempt.abandon()
 
-    def _silence(self, placed: entries.Placed) -> model_progress.FirstTokenSilence:
-        expected_s = placed.choice.estimate.total_s * ESTIMATE_FACTOR
-        limit_s = MIN_FIRST_TOKEN_S + expected_s + self._whole_s()
-        return model_progress.FirstTokenSilence(
-            self._services, self._context.request, self._sequence, self._progress, limit_s
-        )
+    def _make_attempt(self, placed: entries.Placed) -> attempts.Attempt:
+        return attempts.Attempt(self._services.connections, self._call(placed))
+
+    def _adopt(self) -> attempts.Attempt | None:
+        attempt, self._successor = self._successor, None
+        return attempt
+
+    async def _give_way(self, exc: attempts.AttemptSupersededError) -> entries.Superseded:
+        self._successor = exc.takeover.attempt
+        await self._services.relief_won(self._context.request, exc.former)
+        return entries.Superseded(str(exc), self._progress.offset, exc.takeover.placed)
+
+    async def _begin_relief(self, placed: entries.Placed) -> attempts.Attempt:
+        """See `relief.Relief.begin`."""
+        attempt = self._make_attempt(placed)
+        good = False
+        try:
+            head = await attempt.start()
+            good = head.status == http.HTTPStatus.OK and self._fits(head)
+        finally:
+            if not good:
+                await attempt.abandon()
+        if not good:
+            reason = f"the upstream answered with status {head.status}"
+            raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
+        return attempt
+
+    def _fits(self, head: http_client.ResponseHead) -> bool:
+        """Returns whether an answer has the weights that the answer began with, if it has."""
+        named = head.header(headers.WEIGHTS_VERSION)
+        return not self._progress.offset or named == self._progress.weights
 
     def _whole_s(self) -> float:
         """Returns what an answer in one piece takes beyond its first token."""
@@ -216,11 +252,10 @@
 
     def _check_weights(self, head: http_client.ResponseHead) -> None:
         """Refuses to continue an answer with other weights than it began with."""
-        named = head.header(headers.WEIGHTS_VERSION)
-        if self._progress.offset and named != self._progress.weights:
+        if not self._fits(head):
             reason = "the upstream has other weights than the answer began with"
             raise _broken(reason, self._progress.offset)
-        self._progress.weights = named
+        self._progress.weights = head.header(headers.WEIGHTS_VERSION)
 
     async def _relay_error(
         self, attempt: attempts.Attempt, head: http_client.ResponseHead
--- /dev/null
+++ b/src/cicadapier/_internal/services/relief.py
@@ -0,0 +1,95 @@
+"""Lets another upstream take over from a silent one, once it has answered.
+
+Silence proves little: an engine may pause, or read a long prompt, and go on. So the silent attempt
+stands until another one has its answer; whichever answers first goes on.
+"""
+
+import abc
+
+import structlog
+import trio
+
+from cicadapier._internal.decisions import entries
+from cicadapier._internal.decisions import retries
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import outcomes
+from cicadapier._internal.services import attempts
+from cicadapier._internal.services import exceptions
+from cicadapier._internal.services import request_context
+
+# The services of one router answer each other at once, unless they have stopped.
+SETTLE_S = 1.0
+
+_log = structlog.get_logger()
+
+
+class Relief(attempts.Silence):
+    """Begins an attempt beside a silent one, where the request may run once more."""
+
+    def __init__(
+        self,
+        services: request_context.Services,
+        request: ids.RequestId,
+        sequence: retries.AttemptSequence,
+    ) -> None:
+        self._services = services
+        self._request = request
+        self._sequence = sequence
+
+    @abc.abstractmethod
+    async def begin(self, placed: entries.Placed) -> attempts.Attempt:
+        """Makes an attempt and returns it once its answer has begun.
+
+        Raises:
+            AttemptFailedError: There is no answer that the request could go on with.
+            RefusedError: The request may not be sent any more.
+        """
+
+    async def relieve(self, offset: int) -> attempts.Takeover | None:
+        """Returns an attempt that takes over, or None where the silent one stands.
+
+        Args:
+            offset: Tokens of the answer that the caller has.
+        """
+        if not self._sequence.claim(offset, trio.current_time()):
+            self._services.silent(self._request)
+            return None
+        placed = None
+        with settling():
+            placed = await self._services.relieve(self._request)
+        if placed is None:
+            self._sequence.disclaim()
+            return None
+        return await self._begin_at(placed)
+
+    async def _begin_at(self, placed: entries.Placed) -> attempts.Takeover | None:
+        outcome: outcomes.AttemptOutcome | None = None
+        taken = None
+        try:
+            taken = attempts.Takeover(placed, await self.begin(placed))
+        except attempts.AttemptFailedError as exc:
+            outcome = exc.outcome
+        except exceptions.RefusedError as exc:
+            outcome = outcomes.NotSent(exc.refusal.message)
+        finally:
+            if taken is None:
+                await self._ended(placed, outcome)
+        return taken
+
+    async def _ended(self, placed: entries.Placed, outcome: outcomes.AttemptOutcome | None) -> None:
+        """Reports a relief that does not take over, None where it was not needed any more."""
+        self._sequence.relief_ended(outcome)
+        _log.info(
+            "relief_ended",
+            request=self._request,
+            upstream=placed.choice.estimate.upstream,
+            outcome=type(outcome).__name__ if outcome else "not needed",
+            reason=getattr(outcome, "reason", ""),
+        )
+        with settling():
+            await self._services.relief_ended(self._request, outcome)
+
+
+def settling() -> trio.CancelScope:
+    """Returns a scope in which a place is taken or given back, also where nobody needs it now."""
+    return trio.CancelScope(shield=True, deadline=trio.current_time() + SETTLE_S)
--- a/src/cicadapier/_internal/services/request_context.py
+++ b/src/cicadapier/_internal/services/request_context.py
@@ -111,51 +111,58 @@
         decision = await reply.get()
         return decision.refusal if isinstance(decision, entries.Refused) else decision
 
-    async def succeed(
-        self,
-        request: ids.RequestId,
-        sequence: retries.AttemptSequence,
-        offset: int,
-        lost: bool = False,
-    ) -> entries.Superseded | None:
-        """Claims the repeat and the place for which a silent attempt may be given up.
-
-        Args:
-            request: The request.
-            sequence: Its attempts.
-            offset: Tokens of the answer that the caller has.
-            lost: Whether its upstream cannot be reached, so that the run goes on from its backup.
+    async def relieve(self, request: ids.RequestId) -> entries.Placed | None:
+        """Places an attempt that may take over from the present one, which is silent.
 
         Returns:
-            None where there is none; the attempt then stands.
+            None where there is no other upstream.
         """
-        if not sequence.claim(offset, trio.current_time(), continues=lost):
-            self.traffic.mailbox.offer(traffic_messages.Silent(request))
-            return None
-        placed = await self._supersede(request, lost)
-        if placed is None:
-            sequence.disclaim()
-            return None
-        return entries.Superseded("the upstream made no progress in time", offset, placed)
+        reply: mailbox.Reply[entries.Placed | None] = mailbox.Reply()
+        self.traffic.mailbox.send(traffic_messages.Relieve(request, reply))
+        return await reply.get()
+
+    async def relief_ended(
+        self, request: ids.RequestId, outcome: outcomes.AttemptOutcome | None
+    ) -> None:
+        """Reports a relief that did not take over, None where it was not needed any more."""
+        reply: mailbox.Reply[poison.Crash | None] = mailbox.Reply()
+        self.traffic.mailbox.send(traffic_messages.ReliefEnded(request, reply, outcome=outcome))
+        await self._announce(await reply.get())
+
+    async def relief_won(self, request: ids.RequestId, former: outcomes.AttemptOutcome) -> None:
+        """Reports that a relief takes over from an attempt that ended as given."""
+        reply: mailbox.Reply[poison.Crash | None] = mailbox.Reply()
+        self.traffic.mailbox.send(traffic_messages.ReliefEnded(request, reply, former=former))
+        await self._announce(await reply.get())
 
-    async def _supersede(self, request: ids.RequestId, lost: bool) -> entries.Placed | None:
+    async def take_over(self, request: ids.RequestId) -> entries.Placed | None:
+        """Has a run go on from its backup, as its upstream cannot be reached.
+
+        Returns:
+            None where it cannot; its attempt then stands.
+        """
         reply: mailbox.Reply[entries.Successor | None] = mailbox.Reply()
-        self.traffic.mailbox.send(traffic_messages.Supersede(request, lost, reply))
+        self.traffic.mailbox.send(traffic_messages.TakeOver(request, reply))
         successor = await reply.get()
         if successor is None:
             return None
-        if successor.crash:
-            await self.peers.announce_crash(successor.crash)
+        await self._announce(successor.crash)
         return successor.placed
 
+    def silent(self, request: ids.RequestId) -> None:
+        """Reports that the present attempt at a request shows no progress."""
+        self.traffic.mailbox.offer(traffic_messages.Silent(request))
+
+    async def _announce(self, crash: poison.Crash | None) -> None:
+        if crash:
+            # The caller's repeat may reach another router as soon as it has our answer.
+            await self.peers.announce_crash(crash)
+
     async def attempt_ended(self, request: ids.RequestId, outcome: outcomes.AttemptOutcome) -> None:
         """Reports an attempt; new evidence of a crash reaches the peers before this returns."""
         reply: mailbox.Reply[poison.Crash | None] = mailbox.Reply()
         self.traffic.mailbox.send(traffic_messages.AttemptEnded(request, outcome, reply))
-        crash = await reply.get()
-        if crash:
-            # The caller's repeat may reach another router as soon as it has our answer.
-            await self.peers.announce_crash(crash)
+        await self._announce(await reply.get())
 
     async def run_attempts(
         self,
--- a/src/cicadapier/_internal/services/traffic_messages.py
+++ b/src/cicadapier/_internal/services/traffic_messages.py
@@ -41,17 +41,45 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Supersede:
-    """Asks where a request goes on, so that its present attempt may be given up.
+class Relieve:
+    """Asks where an attempt can take over from the present one, which is silent.
 
     Attributes:
         request: Its id.
-        lost: Whether its upstream cannot be reached, so that the run goes on from its backup.
         reply: Gets the place, None where there is no other.
     """
 
     request: ids.RequestId
-    lost: bool
+    reply: "mailbox.Reply[entries.Placed | None]"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReliefEnded:
+    """A relief took over, or ended without that; the reply carries new evidence of a crash.
+
+    Attributes:
+        request: Its id.
+        reply: Gets the evidence, if any.
+        former: How the attempt ended from which it took over, None where it did not.
+        outcome: How the relief ended otherwise, None where it was not needed any more.
+    """
+
+    request: ids.RequestId
+    reply: "mailbox.Reply[poison.Crash | None]"
+    former: outcomes.AttemptOutcome | None = None
+    outcome: outcomes.AttemptOutcome | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TakeOver:
+    """Has a run go on from its backup, as its upstream cannot be reached.
+
+    Attributes:
+        request: Its id.
+        reply: Gets the place, None where it cannot go on.
+    """
+
+    request: ids.RequestId
     reply: "mailbox.Reply[entries.Successor | None]"
 
 
@@ -306,7 +334,9 @@
 Message = (
     Enter
     | Again
-    | Supersede
+    | Relieve
+    | ReliefEnded
+    | TakeOver
     | Silent
     | FirstToken
     | AttemptEnded
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -55,7 +55,9 @@
         self._handlers: dict[type, collections.abc.Callable[..., None]] = {
             traffic_messages.Enter: self._enter,
             traffic_messages.Again: self._again,
-            traffic_messages.Supersede: self._supersede,
+            traffic_messages.Relieve: self._relieve,
+            traffic_messages.ReliefEnded: self._relief_ended,
+            traffic_messages.TakeOver: self._take_over,
             traffic_messages.Silent: self._silent,
             traffic_messages.FirstToken: self._first_token,
             traffic_messages.AttemptEnded: self._attempt_ended,
@@ -110,14 +112,27 @@
         if decision is not None:
             self._decide([decision], now)
 
-    def _supersede(self, message: traffic_messages.Supersede, now: float) -> None:
-        successor = self._traffic.supersede(message.request, message.lost, now)
+    def _take_over(self, message: traffic_messages.TakeOver, now: float) -> None:
+        successor = self._traffic.attempts.take_over(message.request, now)
         if successor is not None:
             self._tell(self._outgoing.count(self._traffic, successor.placed, now))
         message.reply.set(successor)
 
+    def _relieve(self, message: traffic_messages.Relieve, now: float) -> None:
+        placed = self._traffic.attempts.relieve(message.request, now)
+        if placed is not None:
+            self._tell(self._outgoing.count(self._traffic, placed, now))
+        message.reply.set(placed)
+
+    def _relief_ended(self, message: traffic_messages.ReliefEnded, now: float) -> None:
+        attempts = self._traffic.attempts
+        if message.former is not None:
+            message.reply.set(attempts.relief_won(message.request, message.former, now))
+        else:
+            message.reply.set(attempts.relief_ended(message.request, message.outcome, now))
+
     def _silent(self, message: traffic_messages.Silent, now: float) -> None:
-        self._traffic.silent(message.request, now)
+        self._traffic.attempts.silent(message.request, now)
 
     def _decide(self, decisions: list[entries.Decision], now: float) -> None:
         for decision in decisions:
@@ -139,7 +154,9 @@
             exports.mailbox.offer(export)
 
     def _attempt_ended(self, message: traffic_messages.AttemptEnded, now: float) -> None:
-        message.reply.set(self._traffic.attempt_ended(message.request, message.outcome, now))
+        message.reply.set(
+            self._traffic.attempts.attempt_ended(message.request, message.outcome, now)
+        )
 
     def _leave(self, message: traffic_messages.Leave, now: float) -> None:
         self._waiting.pop(message.request, None)
--- a/src/cicadapier/_internal/standins/users_upstream.py
+++ b/src/cicadapier/_internal/standins/users_upstream.py
@@ -20,6 +20,7 @@
 EVENT_S = 0.01
 LOAD_S = 0.5
 STALL_S = 2.5
+BEGIN_S = 3.0
 _LIMITS = settings.CallerLimits(body_bytes=67_108_864, idle_timeout_s=3600.0)
 
 
@@ -36,6 +37,7 @@
     ENDS_WITHIN_AN_EVENT = "ends_within_an_event"
     SKIPS_AN_EVENT = "skips_an_event"
     STALLS = "stalls"
+    BEGINS_LATE = "begins_late"
     FAILS_TO_RESUME = "fails_to_resume"
     LOSES_ANSWERS = "loses_answers"
     ORDERS_LATE = "orders_late"
@@ -227,6 +229,8 @@
     async def _misbehave(self) -> None:
         if UpstreamFault.SILENT in self.faults:
             await trio.sleep_forever()
+        if UpstreamFault.BEGINS_LATE in self.faults:
+            await trio.sleep(BEGIN_S)
         if UpstreamFault.LOSES_ANSWERS in self.faults:
             raise exceptions.ConnectionLostError("answer lost")
 
--- a/tests/_internal/services/test_silent_answers.py
+++ b/tests/_internal/services/test_silent_answers.py
@@ -6,6 +6,7 @@
 
 from cicadapier._internal.models import settings
 from cicadapier._internal.standins import users_upstream
+from cicadapier._internal.standins import users_world
 from tests import forwarding_world
 
 Fault = users_upstream.UpstreamFault
@@ -96,5 +97,87 @@
         forwarding_world.in_world(check)
 
 
+class ReliefTest(unittest.TestCase):
+    """Runs given up for another one that was then refused, or never answered."""
+
+    async def _ask_and(self, made, change, after_s=0.2):
+        """Returns what a caller gets whose engine pauses, after a change meanwhile."""
+        replies = []
+
+        async def ask():
+            replies.append(await made.ask(request="q", time_left_ms=5000))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(after_s)
+            change(made.upstreams[made.runs_of("q")[0].upstream])
+        return replies[0]
+
+    def _strike_others(self, made, engine, fault):
+        for upstream in made.upstreams.values():
+            if upstream is not engine:
+                upstream.faults = {fault}
+
+    def _check(self, change, runs):
+        async def check(made):
+            forwarding_world.strike(made, "engine", Fault.STALLS)
+            reply = await self._ask_and(made, lambda engine: change(made, engine))
+            self.assertFalse(reply.broken)
+            self.assertEqual(reply.numbers, WHOLE)
+            self.assertEqual(len(made.runs_of("q")), runs)
+            await trio.sleep(0.1)
+            decisions = made.routers[0].kernel.find("traffic")._traffic
+            self.assertEqual(decisions.active_requests, 0)
+            for member in decisions.pools["engines"].policy.members.values():
+                self.assertEqual(member.load.in_flight, 0)
+
+        forwarding_world.in_world(check)
+
+    def test_a_stream_is_not_broken_for_a_run_that_a_revoked_key_forbids(self):
+        def revoke(made, engine):
+            made.keys["press"] = ["key-2"]
+            made.configure(users_world.routes())
+
+        self._check(revoke, runs=1)
+
+    def test_a_stream_is_not_broken_for_engines_that_turn_it_away(self):
+        def fill(made, engine):
+            self._strike_others(made, engine, Fault.SHEDS)
+
+        self._check(fill, runs=1)
+
+    def test_a_stream_that_goes_on_is_not_left_for_an_engine_that_is_silent_too(self):
+        def silence(made, engine):
+            self._strike_others(made, engine, Fault.SILENT)
+
+        self._check(silence, runs=2)
+
+    def test_a_stream_that_is_lost_goes_on_at_the_engine_that_was_asked_meanwhile(self):
+        def delay(made, engine):
+            self._strike_others(made, engine, Fault.BEGINS_LATE)
+            made.end_later(engine.entry.upstream, 1.5)
+
+        self._check(delay, runs=2)
+
+    def test_a_stream_with_a_backup_is_not_broken_for_a_run_that_a_revoked_key_forbids(self):
+        async def check(made):
+            forwarding_world.strike(made, "engine", Fault.STALLS)
+            replies = []
+
+            async def ask():
+                replies.append(await made.ask(request="q", time_left_ms=5000, **LONG))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await trio.sleep(0.2)
+                made.network.hide(made.upstreams[made.runs_of("q")[0].upstream].entry.address)
+                made.keys["press"] = ["key-2"]
+                made.configure(users_world.routes())
+            self.assertFalse(replies[0].broken)
+            self.assertEqual(replies[0].numbers, WHOLE)
+
+        forwarding_world.in_world(check)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -72,6 +72,10 @@
         options = {"model": users_world.MODEL, "parts": "aa:600,bb:300", **options}
         return await self.send("POST", "lm", path, body, **options)
 
+    def end_later(self, name, after_s):
+        """Ends an upstream after a while."""
+        self._scopes[name].deadline = trio.current_time() + after_s
+
     async def ready(self, router=0):
         """Returns what the balancer is told."""
         address = self.routers[router].readiness.address
