Hold planned changes against requests in each phase

Sixteen changes (configuration, settings, stop, store, directory) while a request is read, is under way without an event, streams, pauses or takes long, and on a kept connection.

--- a/src/cicadapier/_internal/platform/far_side.py
+++ b/src/cicadapier/_internal/platform/far_side.py
@@ -11,6 +11,7 @@
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import directory
 from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
 from cicadapier._internal.platform import wire_headers
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import http_server
@@ -135,12 +136,16 @@
             }
             for account, spec in content.accounts.items()
         ],
-        "limits": {
-            "max_header_bytes": 16_384,
-            "max_body_bytes": 4_194_304,
-            "header_timeout_ms": 3000,
-            "idle_timeout_ms": 15_000,
-        },
+        "limits": _show_limits(content.caller_limits or settings.CallerLimits()),
+    }
+
+
+def _show_limits(limits: settings.CallerLimits) -> dict[str, Any]:
+    return {
+        "max_header_bytes": limits.header_bytes,
+        "max_body_bytes": limits.body_bytes,
+        "header_timeout_ms": limits.header_timeout_s * 1000,
+        "idle_timeout_ms": limits.idle_timeout_s * 1000,
     }
 
 
--- a/src/cicadapier/_internal/standins/users_upstream.py
+++ b/src/cicadapier/_internal/standins/users_upstream.py
@@ -98,6 +98,8 @@
         orders: Orders that it was given, with the time of each.
         events: Events of each stream.
         event_s: Time between two events.
+        first_s: Time to the first event, beside that.
+        work_s: Time that an answer other than a stream takes.
     """
 
     def __init__(
@@ -114,6 +116,8 @@
         self.arrivals: list[Arrival] = []
         self.events = 6
         self.event_s = EVENT_S
+        self.first_s = 0.0
+        self.work_s = 0.0
         self.ended: collections.Counter[str] = collections.Counter()
         self.entry = entry
         self._accepted = 0
@@ -193,6 +197,7 @@
         if self._model is not None:
             await self._stream(req, responder, request)
             return
+        await trio.sleep(self.work_s)
         headers = far_side.answer_headers(request)
         if UpstreamFault.UNPROVED in self.faults:
             headers = [item for item in headers if item[0] != wire_headers.PROOF]
@@ -245,6 +250,7 @@
         if backup_to:
             self._backups.weights[backup_to, request] = self.weights
         await responder.start(http.HTTPStatus.OK, headers)
+        await trio.sleep(self.first_s)
         for number in range(first, self.events + 1):
             await trio.sleep(self.event_s)
             if UpstreamFault.STALLS in self.faults and number == first + 2:
--- a/src/cicadapier/_internal/standins/users_world.py
+++ b/src/cicadapier/_internal/standins/users_world.py
@@ -29,6 +29,9 @@
 ACCOUNT = ids.AccountId("press")
 APART = ids.AccountId("apart")
 KEYS = {ACCOUNT: ["key-1", "key-2"], APART: ["key-3"]}
+CALLER_LIMITS = settings.CallerLimits(
+    body_bytes=4_194_304, header_timeout_s=3.0, idle_timeout_s=15.0
+)
 SLOTS = 8
 DRAIN_S = 7.7
 _SHAPES = documents.DocumentFormat()
@@ -59,6 +62,12 @@
     }
 
 
+def engine_pool() -> configuration.Pool:
+    """Returns a pool of model engines."""
+    models = {MODEL: configuration.Model("")}
+    return configuration.Pool(configuration.PoolKind.MODEL, models=models, run_backups=True)
+
+
 class UsersWorld:
     """Everything that runs.
 
@@ -70,6 +79,9 @@
         routers: Routers by index.
         doors: The store as each of them meets it.
         keys: Keys of each account.
+        accounts: Accounts that are declared.
+        pools: Pools that are declared.
+        caller_limits: Bounds on callers that are declared.
     """
 
     def __init__(
@@ -87,6 +99,15 @@
         self.routers: dict[int, forwarding_assembly.ForwardingRouter] = {}
         self.doors: dict[int, users_store.StoreDoor] = {}
         self.keys = {account: list(keys) for account, keys in KEYS.items()}
+        self.accounts = {
+            ACCOUNT: configuration.Account(),
+            APART: configuration.Account(isolated=True),
+        }
+        self.pools = {
+            ENGINES: engine_pool(),
+            DESK: configuration.Pool(configuration.PoolKind.SERVICE),
+        }
+        self.caller_limits = CALLER_LIMITS
         self._make_peers = make_peers
         self._clock = clock
         self._seed = seed
@@ -117,18 +138,9 @@
     ) -> None:
         """Writes a configuration as operators do."""
         self._number = number or self._number + 1
-        accounts = {
-            ACCOUNT: configuration.Account(),
-            APART: configuration.Account(isolated=True),
-        }
-        models = {MODEL: configuration.Model("")}
-        pools = {
-            ENGINES: configuration.Pool(
-                configuration.PoolKind.MODEL, models=models, run_backups=True
-            ),
-            DESK: configuration.Pool(configuration.PoolKind.SERVICE),
-        }
-        content = configuration.Configuration(accounts, pools, declared)
+        content = configuration.Configuration(
+            self.accounts, self.pools, declared, self.caller_limits
+        )
         current = configuration.NumberedConfiguration(ids.ConfigNumber(self._number), content)
         self.store.put(
             _SHAPES.configuration_kind,
--- /dev/null
+++ b/tests/_internal/services/test_changes_under_way.py
@@ -0,0 +1,333 @@
+"""Planned changes end no request that is under way."""
+
+import contextlib
+import dataclasses
+import unittest
+
+import trio
+
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
+from cicadapier._internal.platform import far_side
+from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.standins import users_store
+from cicadapier._internal.standins import users_upstream
+from cicadapier._internal.standins import users_world
+from tests import forwarding_world
+
+Fault = users_upstream.UpstreamFault
+StoreFault = users_store.StoreFault
+PROMISE = 503
+NOT_ALLOWED = (401, 404)
+WHOLE = [1, 2, 3, 4, 5, 6]
+SPARE = ids.PoolId("spare")
+SPARE_DESK = ids.PoolId("spare-desk")
+PLACES = 3 * users_world.SLOTS
+BRIEF_S = 0.1
+REFUSED_S = 1.5
+
+
+def reroute(made, **changes):
+    """Declares all routes with changes."""
+    found = users_world.routes()
+    made.configure({name: dataclasses.replace(route, **changes) for name, route in found.items()})
+
+
+async def move_routes(made, keep_pools=True):
+    """Sends the routes of engines to other engines, and those of the desk to another desk."""
+    made.pools[SPARE] = users_world.engine_pool()
+    made.pools[SPARE_DESK] = configuration.Pool(configuration.PoolKind.SERVICE)
+    await made.add_upstream("spare-0", SPARE, users_world.MODEL)
+    await made.add_upstream("spare-desk-0", SPARE_DESK, None)
+    moved = {users_world.ENGINES: SPARE, users_world.DESK: SPARE_DESK}
+    if not keep_pools:
+        for pool in moved:
+            del made.pools[pool]
+    found = users_world.routes()
+    for name, route in found.items():
+        shares = [configuration.PoolShare(moved[share.pool]) for share in route.pools]
+        found[name] = dataclasses.replace(route, pools=shares)
+    made.configure(found)
+
+
+async def remove_pools(made):
+    """Moves the routes and takes their former pools away."""
+    await move_routes(made, keep_pools=False)
+
+
+async def drop_routes(made):
+    """Takes all routes away."""
+    made.configure({})
+
+
+async def revoke_keys(made):
+    """Takes the keys of the account away."""
+    made.keys[users_world.ACCOUNT].clear()
+    made.configure(users_world.routes())
+
+
+async def remove_account(made):
+    """Takes the account away."""
+    del made.accounts[users_world.ACCOUNT]
+    made.configure(users_world.routes())
+
+
+async def add_account(made):
+    """Adds an account."""
+    made.accounts[ids.AccountId("new")] = configuration.Account()
+    made.configure(users_world.routes())
+
+
+async def raise_timeouts(made):
+    """Lets requests take longer."""
+    reroute(made, timeout_s=20.0)
+
+
+async def lower_timeouts(made):
+    """Lets requests take less time."""
+    reroute(made, timeout_s=0.2, gap_s=0.1, objective_s=0.1)
+
+
+async def make_idle_limit_short(made):
+    """Lets idle connections live for a shorter time."""
+    made.caller_limits = dataclasses.replace(made.caller_limits, idle_timeout_s=1.0)
+    made.configure(users_world.routes())
+
+
+async def make_routes_public(made):
+    """Lets callers without a key in."""
+    reroute(made, public=True)
+
+
+async def reload_settings(made):
+    """Does what SIGHUP does."""
+    for router in made.routers.values():
+        cfg = router.callers._settings
+        terms = dataclasses.replace(cfg.forwarding, retries=settings.RetryBudget(0.05, 5.0))
+        router.kernel.reload(dataclasses.replace(cfg, forwarding=terms))
+
+
+async def stop_routers(made):
+    """Does what SIGTERM does."""
+    for router in made.routers.values():
+        router.kernel.stop()
+
+
+async def lose_store(made):
+    """Takes the store away."""
+    made.store.faults.add(StoreFault.SILENT)
+
+
+async def forget_history(made):
+    """Has everything listed anew."""
+    made.store.forget_history()
+    made.configure(users_world.routes())
+
+
+async def retire_upstreams(made):
+    """Says that all upstreams are leaving."""
+    for name in list(made.upstreams):
+        made.retire(name)
+
+
+async def unregister_upstreams(made):
+    """Takes all upstreams out of the directory."""
+    for name in list(made.upstreams):
+        made.unregister(name)
+
+
+CHANGES = (
+    move_routes,
+    remove_pools,
+    drop_routes,
+    revoke_keys,
+    remove_account,
+    add_account,
+    raise_timeouts,
+    lower_timeouts,
+    make_idle_limit_short,
+    make_routes_public,
+    reload_settings,
+    stop_routers,
+    lose_store,
+    forget_history,
+    retire_upstreams,
+    unregister_upstreams,
+)
+
+ROUTES = (("lm", "/ask/x"), ("lm", "/long/x"), ("desk", "/look/x"), ("desk", "/order/x"))
+
+
+class Caller:
+    """A caller with one connection that it keeps."""
+
+    def __init__(self, made):
+        self._made = made
+        self._conn = None
+        self._rest = b""
+
+    async def connect(self):
+        address = self._made.routers[0].callers.address
+        stream = await self._made.network.connect(address, 1.0)
+        self._conn = http_client.ClientConnection(stream, address)
+
+    async def connect_if_closed(self):
+        """Opens another connection where the router has closed the idle one."""
+        if self._conn.stale:
+            await self.connect()
+
+    async def begin(self, host, path, request="q", time_left_ms=4000, size=9):
+        """Sends a request without the end of its body."""
+        options = {}
+        if host == "lm":
+            options = {"model": users_world.MODEL, "parts": f"aa:600,{request}:9"}
+        found = far_side.request_headers(
+            ids.RequestId(request), host, "key-1", time_left_ms, output_tokens=200, **options
+        )
+        found.append((b"content-length", b"%d" % size))
+        lines = [f"POST {path} HTTP/1.1".encode(), *(k + b": " + v for k, v in found)]
+        data = b"\r\n".join(lines) + b"\r\n\r\n" + b"x" * size
+        self._rest = data[-size // 2 :]
+        await self._send(data[: -size // 2])
+
+    async def send_rest(self):
+        await self._send(self._rest)
+
+    async def _send(self, data):
+        # A connection that the router has closed shows as one without an answer.
+        with contextlib.suppress(trio.BrokenResourceError):
+            await self._conn._stream.send_all(data)
+
+    async def ask(self, host, path, request="q", **options):
+        """Sends a request and returns its answer."""
+        await self.begin(host, path, request, **options)
+        await self.send_rest()
+        return await self.receive()
+
+    async def receive(self):
+        """Returns the answer, with status 0 where the connection ends before it."""
+        self._conn._h11 = http_client.h11.Connection(http_client.h11.CLIENT)
+        told = http_client.h11.Request(method="POST", target="/", headers=[(b"host", b"a")])
+        self._conn._h11.send(told)
+        self._conn._h11.send(http_client.h11.EndOfMessage())
+        try:
+            return await forwarding_world.receive(self._conn)
+        except exceptions.ProtocolError:
+            return forwarding_world.Reply(0, {}, b"", True)
+
+
+def faults_found(made, host, reply, allowed, took_s):
+    """Returns what is wrong with an answer, if anything."""
+    if reply.broken:
+        return [f"broke off after {reply.numbers} and {took_s:.2f} s"]
+    if reply.status == 200 and host == "lm":
+        return [] if reply.numbers == WHOLE else [f"complete with {reply.numbers}"]
+    if reply.status == 200:
+        return [] if reply.body == b"answer to xxxxxxxxx" else [f"got {reply.body!r}"]
+    if reply.status not in allowed:
+        return [f"got {reply.status}"]
+    if made.runs_of("q"):
+        return [f"got {reply.status} and has run"]
+    return [] if took_s < REFUSED_S else [f"refused after {took_s:.2f} s"]
+
+
+class PhasesTest(unittest.TestCase):
+    """Each change in each phase of a request."""
+
+    def _check_all(self, phase, allowed=(), routes=ROUTES, changes=CHANGES):
+        found = []
+        for change in changes:
+            for host, path in routes:
+
+                async def check(made, change=change, host=host, path=path):
+                    caller = Caller(made)
+                    await caller.connect()
+                    began_at = trio.current_time()
+                    reply = await phase(made, caller, host, path, change)
+                    took_s = trio.current_time() - began_at
+                    for fault in faults_found(made, host, reply, allowed, took_s):
+                        found.append(f"{change.__name__} {path}: {fault}")
+
+                forwarding_world.in_world(check)
+        self.assertEqual(found, [])
+
+    def test_a_request_that_is_being_read_is_answered_or_refused(self):
+        async def reading(made, caller, host, path, change):
+            await caller.begin(host, path)
+            await change(made)
+            await trio.sleep(BRIEF_S)
+            await caller.send_rest()
+            return await caller.receive()
+
+        self._check_all(reading, (PROMISE, *NOT_ALLOWED))
+
+    def test_a_request_under_way_without_an_event_is_answered(self):
+        async def under_way(made, caller, host, path, change):
+            for upstream in made.upstreams.values():
+                upstream.first_s = upstream.work_s = 0.7
+            await caller.begin(host, path)
+            await caller.send_rest()
+            await trio.sleep(BRIEF_S)
+            self.assertTrue(made.runs_of("q"))
+            await change(made)
+            return await caller.receive()
+
+        self._check_all(under_way)
+
+    def test_a_stream_under_way_goes_on_to_its_end(self):
+        async def streaming(made, caller, host, path, change):
+            for upstream in made.upstreams.values():
+                upstream.event_s = 0.3
+            await caller.begin(host, path)
+            await caller.send_rest()
+            await trio.sleep(0.7)
+            await change(made)
+            return await caller.receive()
+
+        self._check_all(streaming, routes=ROUTES[:2])
+
+    def test_a_kept_connection_takes_the_next_request(self):
+        async def kept(made, caller, host, path, change):
+            first = await caller.ask(host, path, "first")
+            self.assertEqual(first.status, 200)
+            await change(made)
+            await trio.sleep(0.7)
+            await caller.connect_if_closed()
+            return await caller.ask(host, path)
+
+        self._check_all(kept, (PROMISE, *NOT_ALLOWED))
+
+    def test_a_stream_that_pauses_goes_on_to_its_end(self):
+        async def pausing(made, caller, host, path, change):
+            await caller.begin(host, path)
+            for upstream in made.upstreams.values():
+                upstream.faults.add(Fault.STALLS)
+            await caller.send_rest()
+            await trio.sleep(BRIEF_S)
+            self.assertEqual(len(made.runs_of("q")), 1)
+            await change(made)
+            for upstream in made.upstreams.values():
+                upstream.faults.discard(Fault.STALLS)
+            return await caller.receive()
+
+        self._check_all(pausing, routes=ROUTES[:2])
+
+    def test_a_lookup_that_takes_long_is_answered(self):
+        async def slow(made, caller, host, path, change):
+            for upstream in made.upstreams.values():
+                upstream.work_s = 1.5
+            await caller.begin(host, path)
+            await caller.send_rest()
+            await trio.sleep(BRIEF_S)
+            await change(made)
+            for upstream in made.upstreams.values():
+                upstream.work_s = 0.0
+            return await caller.receive()
+
+        self._check_all(slow, routes=ROUTES[2:])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -94,14 +94,15 @@
         conn = http_client.ClientConnection(stream, address)
         try:
             await conn.send(head, body)
-            return await _receive(conn)
+            return await receive(conn)
         except exceptions.ProtocolError:
             return Reply(0, {}, b"", True)
         finally:
             await conn.close()
 
 
-async def _receive(conn):
+async def receive(conn):
+    """Returns the answer that arrives on a connection."""
     head = await conn.receive_head(LIMIT_S)
     named = {k.decode(): v.decode("latin-1") for k, v in head.headers}
     parts = []
