Keep a pool that is taken away until its last request has ended

Callers whose request waited in the queue of a pool as the configuration took that pool away (or changed its kind) heard nothing until their time was over: 2.57 s after they came, where others are refused within their patience. Cause: the pool's state, with its queue, was deleted under the requests that had entered it, and a run there could go on nowhere else. Now it stays, admits nothing new and goes with its last request; a pool of another kind takes its queue over. Ruled out: moved routes whose pools stay: these were refused in time before.

--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -84,15 +84,16 @@
     def configure(self, cfg: configuration.NumberedConfiguration, now: float) -> None:
         """Takes over a configuration."""
         self._cfg = cfg
-        for pool_id in [p for p in self.pools if p not in cfg.content.pools]:
+        # A pool that is no longer declared stays until the last of its requests has ended.
+        used = {active.entry.pool for active in self.attempts.active.values()}
+        for pool_id in self.pools.keys() - cfg.content.pools.keys() - used:
             del self.pools[pool_id]
         for pool_id, spec in cfg.content.pools.items():
             state = self.pools.get(pool_id)
             if state is None or state.spec.kind is not spec.kind:
                 policy = self._make_policy(spec, self._domain, now)
-                state = observations.PoolState(
-                    spec, policy, health.UpstreamHealth(), fairqueue.FairQueue()
-                )
+                queue = state.queue if state else fairqueue.FairQueue()
+                state = observations.PoolState(spec, policy, health.UpstreamHealth(), queue)
                 self.pools[pool_id] = state
                 state.register()
                 continue
@@ -106,7 +107,7 @@
         """Admits a request; returns None where it has to wait for a slot."""
         account = self._cfg.content.accounts.get(entry.account, entry.terms)
         state = self.pools.get(entry.pool)
-        if account is None or state is None:
+        if account is None or state is None or entry.pool not in self._cfg.content.pools:
             return placer.refused(entry, outcomes.Code.NOT_FOUND, "the account or pool is gone")
         if self.poison.is_held(entry.fingerprint, now):
             return placer.held(entry)
--- a/tests/_internal/decisions/test_traffic.py
+++ b/tests/_internal/decisions/test_traffic.py
@@ -37,6 +37,12 @@
     return made
 
 
+def declare(made, pools):
+    """Declares other pools."""
+    content = configuration.Configuration({ACCOUNT: configuration.Account()}, pools)
+    made.configure(configuration.NumberedConfiguration(ids.ConfigNumber(2), content), 1.0)
+
+
 def model_entry(name, patience_s=None):
     return entries.Entry(
         ids.RequestId(name),
@@ -65,6 +71,39 @@
     return made
 
 
+class ChangedPoolsTest(unittest.TestCase):
+    """Requests of a pool that is declared no more, or otherwise."""
+
+    def _fill(self):
+        made = make_traffic(upstreams=1, slots=1)
+        self.assertIsInstance(made.enter(entry("runs"), 0.0), entries.Placed)
+        self.assertIsNone(made.enter(entry("waits"), 0.0))
+        return made
+
+    def test_a_request_that_waits_as_its_pool_is_taken_away_is_decided(self):
+        made = self._fill()
+        declare(made, {})
+        made.leave(ids.RequestId("runs"), True)
+        decided = [decision.request for decision in made.poll(1.1)]
+        self.assertEqual(decided, ["waits"])
+
+    def test_a_request_that_waits_as_its_pool_changes_its_kind_is_decided(self):
+        made = self._fill()
+        spec = made.pools[DESK].spec
+        declare(made, {DESK: dataclasses.replace(spec, kind=configuration.PoolKind.MODEL)})
+        decided = [decision.request for decision in made.poll(1.1)]
+        self.assertEqual(decided, ["waits"])
+
+    def test_a_pool_that_is_taken_away_admits_nothing_and_goes_with_its_last_request(self):
+        made = self._fill()
+        declare(made, {})
+        self.assertIsInstance(made.enter(entry("late"), 1.0), entries.Refused)
+        made.leave(ids.RequestId("waits"), False)
+        made.leave(ids.RequestId("runs"), True)
+        declare(made, {})
+        self.assertEqual(made.pools, {})
+
+
 class OutdatedWeightsTest(unittest.TestCase):
     def _load(self, made, version):
         for upstream in made.pools[MODELS].policy.members:
--- a/tests/_internal/services/test_changes_under_way.py
+++ b/tests/_internal/services/test_changes_under_way.py
@@ -263,6 +263,31 @@
 
         self._check_all(reading, (PROMISE, *NOT_ALLOWED))
 
+    def test_a_request_that_waits_for_a_place_is_answered_or_refused(self):
+        async def queued(made, caller, host, path, change):
+            async with trio.open_nursery() as nursery:
+                await self._fill(made, nursery, host, path)
+                await caller.begin(host, path, time_left_ms=2500)
+                await caller.send_rest()
+                await trio.sleep(BRIEF_S / 2)
+                await change(made)
+                reply = await caller.receive()
+                nursery.cancel_scope.cancel()
+            return reply
+
+        self._check_all(queued, (PROMISE, *NOT_ALLOWED))
+
+    async def _fill(self, made, nursery, host, path):
+        """Takes every place for a moment."""
+        for upstream in made.upstreams.values():
+            upstream.event_s = 0.06
+            upstream.work_s = 0.3
+        for number in range(PLACES):
+            holder = Caller(made)
+            await holder.connect()
+            nursery.start_soon(holder.ask, host, path, f"holder-{number}")
+        await trio.sleep(BRIEF_S / 2)
+
     def test_a_request_under_way_without_an_event_is_answered(self):
         async def under_way(made, caller, host, path, change):
             for upstream in made.upstreams.values():
