Let an answer that a run has begun be ended by another run, whatever has changed

Callers saw a stream cut in the middle, or the failure of one upstream as the answer to a lookup, with most of their time left, where the first run had failed and the configuration had changed meanwhile: routes moved, dropped or made public, keys or accounts taken away, or the proof of the keys lapsed. Cause: the check before each send asks the configuration in force, also before a second run. A refusal there is no longer truthful: it can only break the answer. Now it is asked until something has run; a run beside a silent one is checked as before, as the silent one may still end the answer. Ruled out: that a key is used after its bound. A request that comes after the proof has lapsed is still refused (same test); one that came before was sent before the bound.

--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -201,7 +201,7 @@
             raise attempts.AttemptFailedError(outcomes.NotSent("the upstream is gone"))
         good = False
         try:
-            head = await attempt.start(functools.partial(self._check, placed))
+            head = await attempt.start(functools.partial(self._check_relief, placed))
             good = self._is_good(attempt, head)
         finally:
             if not good:
@@ -287,6 +287,7 @@
     def _may_send(self) -> bool:
         """Returns whether the request may be sent once more now."""
         try:
+            self._check_time()
             self._check_admission()
         except exceptions.RefusedError:
             return False
@@ -294,14 +295,23 @@
 
     def _check(self, placed: entries.Placed) -> None:
         """Makes sure, in the step that sends, that what was decided before still holds."""
+        self._check_time()
+        if not self._sequence.maybe_ran:
+            # An answer that a run has begun is ended by another run alone.
+            self._check_admission()
+        self._check_upstream(placed)
+
+    def _check_relief(self, placed: entries.Placed) -> None:
+        """Makes sure of the same for a run beside one that may still end the answer."""
+        self._check_time()
         self._check_admission()
-        upstream = placed.choice.estimate.upstream
-        if not self._around.directory.may_send(upstream, placed.incarnation):
-            raise attempts.AttemptFailedError(outcomes.NotSent("the upstream is leaving"))
+        self._check_upstream(placed)
 
-    def _check_admission(self) -> None:
-        if self._plan.deadline - trio.current_time() < MIN_LEFT_S:
+    def _check_time(self) -> None:
+        if self._left_s() < MIN_LEFT_S:
             raise exceptions.RefusedError(self._deadline_refusal())
+
+    def _check_admission(self) -> None:
         admission = self._around.admit(self._plan.asked)
         serves = {share.pool for share in admission.route.pools}
         same = admission.account == self._plan.admission.account and self._plan.pool in serves
@@ -311,6 +321,11 @@
                 outcomes.Refusal(outcomes.Code.NO_UPSTREAM, message, retry_after_s=CHANGED_RETRY_S)
             )
 
+    def _check_upstream(self, placed: entries.Placed) -> None:
+        upstream = placed.choice.estimate.upstream
+        if not self._around.directory.may_send(upstream, placed.incarnation):
+            raise attempts.AttemptFailedError(outcomes.NotSent("the upstream is leaving"))
+
     def _is_stream(self, attempt: attempts.Attempt, head: http_client.ResponseHead) -> bool:
         streams = self._plan.admission.route.kind is configuration.RouteKind.STREAM
         return streams and head.status == http.HTTPStatus.OK and attempt.facts.genuine
--- a/tests/_internal/services/test_changes_under_way.py
+++ b/tests/_internal/services/test_changes_under_way.py
@@ -156,7 +156,7 @@
     retire_upstreams,
     unregister_upstreams,
 )
-
+CHANGES_OF_ROUTES = CHANGES[:-2]  # All but those that leave no upstream.
 ROUTES = (("lm", "/ask/x"), ("lm", "/long/x"), ("desk", "/look/x"), ("desk", "/order/x"))
 
 
@@ -353,6 +353,41 @@
 
         self._check_all(slow, routes=ROUTES[2:])
 
+    async def _run_again(self, made, caller, host, path, change):
+        """Has the first run fail after a change, and all others succeed."""
+        for upstream in made.upstreams.values():
+            upstream.event_s, upstream.work_s = 0.1, 0.3
+        await caller.begin(host, path)
+        await caller.send_rest()
+        await trio.sleep(BRIEF_S)
+        first = made.upstreams[made.runs_of("q")[0].upstream]
+        first.faults.update((Fault.BREAKS_OFF, Fault.FAILS))
+        await change(made)
+        return await caller.receive()
+
+    def test_a_stream_that_is_run_again_goes_on_to_its_end(self):
+        self._check_all(self._run_again, routes=ROUTES[:1], changes=CHANGES_OF_ROUTES)
+
+    def test_a_lookup_that_is_run_again_is_answered(self):
+        self._check_all(self._run_again, routes=ROUTES[2:3], changes=CHANGES_OF_ROUTES)
+
+    def test_a_stream_that_is_run_again_needs_no_newer_proof_of_its_key(self):
+        async def check(made):
+            caller = Caller(made)
+            await caller.connect()
+            await lose_store(made)
+            proof = made.routers[0].configuration
+            while proof.proof_age_s < 3.85:
+                await trio.sleep(0.01)
+            reply = await self._run_again(made, caller, "lm", "/ask/x", lose_store)
+            self.assertEqual((reply.broken, reply.numbers), (False, WHOLE))
+            self.assertEqual(len(made.runs_of("q")), 2)
+            self.assertFalse(proof.is_proved)
+            refused = await made.ask(request="later")
+            self.assertEqual((refused.status, made.runs_of("later")), (PROMISE, []))
+
+        forwarding_world.in_world(check)
+
 
 if __name__ == "__main__":
     unittest.main()
