Answer a request that was read before a stopping router closes its connection

Callers that sent their next request before the answer before it had ended got a closed connection for it, though the router had read it whole, where the router was stopping. Cause: after each answer a stopping router closes the connection, without looking whether the next request has been read already by the task that watches for the caller's leaving. Now such a request is answered first, and `connection: close` is announced with the last answer.

--- a/src/cicadapier/_internal/protocols/http_server.py
+++ b/src/cicadapier/_internal/protocols/http_server.py
@@ -113,7 +113,8 @@
     def _head(self, status: int, headers: http_client.Headers) -> bytes:
         self.started = True
         reason = http.HTTPStatus(status).phrase if status in _PHRASES else ""
-        if self._handler and not self._handler.accepting:
+        # A request that has been read already is answered on this connection.
+        if self._handler and not self._handler.accepting and not _has_next(self._h11):
             headers = [*headers, (b"connection", b"close")]
         response = h11.Response(status_code=status, headers=headers, reason=reason)
         return self._h11.send(response) or b""
@@ -128,6 +129,12 @@
 _PHRASES = frozenset(int(status) for status in http.HTTPStatus)
 
 
+def _has_next(conn: h11.Connection) -> bool:
+    """Returns whether anything of the next request has been read."""
+    data, _ = conn.trailing_data
+    return bool(data)
+
+
 class Handler(abc.ABC):
     """Answers requests."""
 
@@ -193,7 +200,9 @@
         if req is None:
             return False
         await self._handle(req, responder)
-        return not self._broken and self._h11.our_state is h11.DONE and self._handler.accepting
+        if self._broken or self._h11.our_state is not h11.DONE:
+            return False
+        return self._handler.accepting or _has_next(self._h11)
 
     async def _handle(self, req: Request, responder: Responder) -> None:
         async with trio.open_nursery() as nursery:
--- a/tests/_internal/services/test_changes_under_way.py
+++ b/tests/_internal/services/test_changes_under_way.py
@@ -324,6 +324,24 @@
 
         self._check_all(kept, (PROMISE, *NOT_ALLOWED))
 
+    def test_a_request_that_was_read_before_the_answer_before_it_ended_is_answered(self):
+        async def pipelined(made, caller, host, path, change):
+            for upstream in made.upstreams.values():
+                upstream.event_s = upstream.work_s = 0.2
+            await caller.begin(host, path, "first")
+            await caller.send_rest()
+            await trio.sleep(BRIEF_S)
+            for upstream in made.upstreams.values():
+                upstream.event_s, upstream.work_s = 0.01, 0.0
+            await change(made)
+            await caller.begin(host, path)
+            await caller.send_rest()
+            first = await caller.receive()
+            self.assertEqual((first.status, first.broken), (200, False))
+            return await caller.receive()
+
+        self._check_all(pipelined, (PROMISE, *NOT_ALLOWED))
+
     def test_a_stream_that_pauses_goes_on_to_its_end(self):
         async def pausing(made, caller, host, path, change):
             await caller.begin(host, path)
