Hold callers to the bounds in force, not to those of their connection's first second

Callers on kept connections had a proper request refused with 413 or 431, or their idle connection closed under the next request, where the configuration had raised the bounds since the connection was accepted. Cause: the bounds were read once, at the accept. Now each request is read under those in force as it begins, and an idle connection is closed only when both the bound of its first idle moment and that in force are over. The bound on a head is held by the connection itself, since the parser's cannot be changed; chunk heads and trailers fall under it as before. Evidence: the raised bounds fail before on the listener alone (body, head, idle) and from end to end; lowered ones and the refusal of too large heads held before and hold.

--- a/src/cicadapier/_internal/protocols/http_server.py
+++ b/src/cicadapier/_internal/protocols/http_server.py
@@ -5,6 +5,7 @@
 import dataclasses
 import http
 import math
+import sys
 
 import h11
 import msgspec
@@ -18,6 +19,8 @@
 
 _log = structlog.get_logger()
 
+ReadLimits = collections.abc.Callable[[], settings.CallerLimits]
+
 READ_BYTES = 65_536
 _LINGER_BYTES = 1_048_576
 _LINGER_S = 1.0
@@ -114,7 +117,7 @@
         self.started = True
         reason = http.HTTPStatus(status).phrase if status in _PHRASES else ""
         # A request that has been read already is answered on this connection.
-        if self._handler and not self._handler.accepting and not _has_next(self._h11):
+        if self._handler and not self._handler.accepting and _unparsed(self._h11) == 0:
             headers = [*headers, (b"connection", b"close")]
         response = h11.Response(status_code=status, headers=headers, reason=reason)
         return self._h11.send(response) or b""
@@ -129,10 +132,10 @@
 _PHRASES = frozenset(int(status) for status in http.HTTPStatus)
 
 
-def _has_next(conn: h11.Connection) -> bool:
-    """Returns whether anything of the next request has been read."""
+def _unparsed(conn: h11.Connection) -> int:
+    """Returns how many bytes have been read of what comes next."""
     data, _ = conn.trailing_data
-    return bool(data)
+    return len(data)
 
 
 class Handler(abc.ABC):
@@ -168,14 +171,16 @@
         self,
         stream: trio.abc.Stream,
         handler: Handler,
-        limits: settings.CallerLimits,
+        read_limits: ReadLimits,
     ) -> None:
         self._stream = stream
         self._handler = handler
-        self._limits = limits
+        self._read_limits = read_limits
+        self._limits = read_limits()
         self._broken = False
         self._began_at = 0.0
-        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        # The bound may change while the connection lives, so `_parse` holds it instead.
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
 
     async def serve(self) -> None:
         """Answers requests until either end closes the connection."""
@@ -202,7 +207,7 @@
         await self._handle(req, responder)
         if self._broken or self._h11.our_state is not h11.DONE:
             return False
-        return self._handler.accepting or _has_next(self._h11)
+        return self._handler.accepting or _unparsed(self._h11) > 0
 
     async def _handle(self, req: Request, responder: Responder) -> None:
         async with trio.open_nursery() as nursery:
@@ -234,24 +239,35 @@
 
     async def _read_request(self) -> Request | None:
         self._began_at = trio.current_time()
-        idle_deadline = self._began_at + self._limits.idle_timeout_s
+        self._limits = self._read_limits()
         header_deadline = math.inf
         while True:
             event = self._parse()
             if event is h11.NEED_DATA:
-                deadline = min(idle_deadline, header_deadline)
+                deadline = min(self._idle_deadline(), header_deadline)
                 if not await self._fill(deadline):
                     if header_deadline < math.inf:
                         raise _slow("headers")
+                    if self._may_idle_on():
+                        continue
                     return None
                 if header_deadline == math.inf:
                     self._began_at = trio.current_time()
+                    self._limits = self._read_limits()
                     header_deadline = self._began_at + self._limits.header_timeout_s
             elif isinstance(event, h11.Request):
                 return await self._read_body(event)
             else:
                 return None
 
+    def _idle_deadline(self) -> float:
+        return self._began_at + self._limits.idle_timeout_s
+
+    def _may_idle_on(self) -> bool:
+        """Returns whether the bounds have changed and now let the connection idle for longer."""
+        self._limits = self._read_limits()
+        return trio.current_time() < self._idle_deadline()
+
     async def _read_body(self, head: h11.Request) -> Request:
         headers = list(head.headers)
         self._check_head(headers)
@@ -301,12 +317,13 @@
 
     def _parse(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         try:
-            return self._h11.next_event()
+            event = self._h11.next_event()
         except h11.RemoteProtocolError as exc:
-            if exc.error_status_hint == http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
-                raise self._headers_too_large() from exc
             kind = exceptions.BadRequestKind.MALFORMED
             raise exceptions.BadRequestError(kind, f"malformed HTTP: {exc}") from exc
+        if event is h11.NEED_DATA and _unparsed(self._h11) > self._limits.header_bytes:
+            raise self._headers_too_large()
+        return event
 
     async def _fill(self, deadline: float) -> bool:
         """Reads once; returns False where the deadline passed first."""
@@ -345,18 +362,18 @@
         self,
         serve: "collections.abc.Callable[..., collections.abc.Awaitable[None]]",
         handler: Handler,
-        limits: "settings.CallerLimits | collections.abc.Callable[[], settings.CallerLimits]",
+        limits: settings.CallerLimits | ReadLimits,
     ) -> None:
         """Sets up a listener.
 
         Args:
             serve: Accepts streams on an address.
             handler: Answers requests.
-            limits: Bounds on callers, or what returns them for each new connection.
+            limits: Bounds on callers, or what returns those in force.
         """
         self._serve = serve
         self._handler = handler
-        self._limits = limits
+        self._read_limits = limits if callable(limits) else lambda: limits
         self._open = 0
 
     async def run(self, address: ids.Address, task_status: "trio.TaskStatus[ids.Address]") -> None:
@@ -364,12 +381,11 @@
         await self._serve(address, self._accept, task_status=task_status)
 
     async def _accept(self, stream: trio.abc.Stream) -> None:
-        limits = self._limits() if callable(self._limits) else self._limits
-        if self._open >= limits.connections:
+        if self._open >= self._read_limits().connections:
             await trio.aclose_forcefully(stream)
             return
         self._open += 1
         try:
-            await ServerConnection(stream, self._handler, limits).serve()
+            await ServerConnection(stream, self._handler, self._read_limits).serve()
         finally:
             self._open -= 1
--- a/src/cicadapier/_internal/services/listening_service.py
+++ b/src/cicadapier/_internal/services/listening_service.py
@@ -35,7 +35,7 @@
         return self.address
 
     def caller_limits(self) -> settings.CallerLimits:
-        """Returns the bounds for a new connection."""
+        """Returns the bounds on callers that are in force."""
         return self._settings.caller_limits
 
     async def listen(self, nursery: trio.Nursery) -> None:
--- a/tests/_internal/protocols/test_http_server.py
+++ b/tests/_internal/protocols/test_http_server.py
@@ -1,5 +1,6 @@
 """Bounds of the HTTP listener."""
 
+import dataclasses
 import unittest
 
 import trio
@@ -24,8 +25,8 @@
     def _serve(self, check, **limits):
         async def main():
             network = faulty_network.MemoryNetwork()
-            bounds = settings.CallerLimits(**limits)
-            listener = http_server.Listener(network.serve, _Hello(), bounds)
+            self._limits = settings.CallerLimits(**limits)
+            listener = http_server.Listener(network.serve, _Hello(), lambda: self._limits)
             async with trio.open_nursery() as nursery:
                 address = await nursery.start(listener.run, ids.Address("127.0.0.1:0"))
 
@@ -38,10 +39,15 @@
 
         support.run(main)
 
+    def _change(self, **limits):
+        self._limits = dataclasses.replace(self._limits, **limits)
+
     async def _get(self, conn, path="/", body=b""):
         await conn.send(http_client.RequestHead("POST", path, []), body)
         head = await conn.receive_head(5.0)
-        return head.status, await conn.receive_body(5.0)
+        body = await conn.receive_body(5.0)
+        conn.make_reusable()
+        return head.status, body
 
     def test_connections_beyond_the_bound_are_closed(self):
         async def check(connect):
@@ -72,6 +78,47 @@
 
         self._serve(check, idle_timeout_s=7.0)
 
+    def test_an_idle_connection_lives_for_as_long_as_a_raised_bound_allows(self):
+        async def check(connect):
+            conn = await connect()
+            await self._get(conn)
+            self._change(idle_timeout_s=20.0)
+            await trio.sleep(15.0)
+            self.assertEqual((await self._get(conn))[0], 200)
+
+        self._serve(check, idle_timeout_s=7.0)
+
+    def test_an_idle_connection_is_not_closed_early_by_a_lowered_bound(self):
+        async def check(connect):
+            conn = await connect()
+            await self._get(conn)
+            await trio.sleep(0.1)
+            self._change(idle_timeout_s=1.0)
+            await trio.sleep(5.0)
+            self.assertEqual((await self._get(conn))[0], 200)
+
+        self._serve(check, idle_timeout_s=7.0)
+
+    def test_a_kept_connection_takes_requests_that_raised_bounds_allow(self):
+        async def check(connect):
+            conn = await connect()
+            await self._get(conn)
+            self._change(body_bytes=8192, header_bytes=16_384)
+            self.assertEqual((await self._get(conn, body=b"x" * 4096))[0], 200)
+            self.assertEqual((await self._get(conn, "/" + "x" * 9000))[0], 200)
+
+        self._serve(check, body_bytes=1024, header_bytes=1024)
+
+    def test_headers_beyond_the_bound_are_refused(self):
+        async def check(connect):
+            for request in (b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 2048, b"x" * 2048):
+                conn = await connect()
+                await conn._stream.send_all(request)
+                answer = await conn._stream.receive_some()
+                self.assertTrue(answer.startswith(b"HTTP/1.1 431"), answer)
+
+        self._serve(check, header_bytes=1024)
+
     def test_a_bug_costs_one_connection(self):
         async def check(connect):
             with self.assertRaises(exceptions.ConnectionLostError):
--- a/tests/_internal/services/test_changes_under_way.py
+++ b/tests/_internal/services/test_changes_under_way.py
@@ -324,6 +324,22 @@
 
         self._check_all(kept, (PROMISE, *NOT_ALLOWED))
 
+    def test_a_kept_connection_takes_what_raised_bounds_allow(self):
+        async def check(made):
+            caller = Caller(made)
+            await caller.connect()
+            self.assertEqual((await caller.ask("desk", "/look/x", "first")).status, 200)
+            limits = made.caller_limits
+            made.caller_limits = dataclasses.replace(
+                limits, body_bytes=2 * limits.body_bytes, idle_timeout_s=60.0
+            )
+            made.configure(users_world.routes())
+            await trio.sleep(48.0)
+            reply = await caller.ask("desk", "/look/x", size=limits.body_bytes + 1)
+            self.assertEqual((reply.status, reply.broken), (200, False))
+
+        forwarding_world.in_world(check)
+
     def test_a_request_that_was_read_before_the_answer_before_it_ended_is_answered(self):
         async def pipelined(made, caller, host, path, change):
             for upstream in made.upstreams.values():
