Tell callers without an answer that a stopping router has come to its end

Callers whose request a stopping router had read, and that had no answer as its grace time ran out, got a closed connection: an order sent 6.0 s after SIGTERM that an upstream still works on, a stream without a first event, and one that only waited for a place and could have been promised not to have run. Cause: the end of the drain cancelled them with the services. Now the waits end 0.2 s before that: 504 where the request may have run, 503 as not run where it waited. Answers that have begun go on until the end as before. Evidence: three tests with a connection closed without an answer before. Ruled out: requests that come once the router has drained; these were refused before and are.

--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -77,6 +77,12 @@
         )
         self._successor: attempts.Attempt | None = None
         self._ended = "caller_left"
+        self._scope = trio.CancelScope(deadline=plan.deadline)
+
+    def end_wait(self) -> None:
+        """Ends the request now, as at its deadline, unless its answer has begun."""
+        if not self._responder.started:
+            self._scope.cancel()
 
     async def run(self) -> None:
         """Answers the request.
@@ -86,9 +92,9 @@
             ConnectionLostError: The answer broke off.
         """
         try:
-            with trio.move_on_at(self._plan.deadline) as scope:
+            with self._scope:
                 await self._serve()
-            if scope.cancelled_caught:
+            if self._scope.cancelled_caught:
                 self._end_refused(self._deadline_refusal())
         finally:
             if self._successor:
--- a/src/cicadapier/_internal/services/forwarded_requests.py
+++ b/src/cicadapier/_internal/services/forwarded_requests.py
@@ -72,6 +72,7 @@
         self._cluster = cluster
         self._secret = secret
         self._numbers = itertools.count()
+        self._open: set[forwarded_exchange.Exchange] = set()
 
     async def handle(
         self, req: http_server.Request, responder: http_server.Responder, ending: Ending
@@ -92,8 +93,7 @@
             plan = self._plan(asked)
             _require_time(plan, ending)
             self._services.budget.set_routers(len(self._cluster.routers()))
-            exchange = forwarded_exchange.Exchange(self._surroundings(), plan, responder)
-            await exchange.run()
+            await self._exchange(plan, responder)
         except exceptions.RefusedError as exc:
             refusal = _bounded(exc.refusal, asked)
             _log.info(
@@ -109,6 +109,19 @@
             )
             raise exceptions.RefusedError(refusal) from exc
 
+    async def _exchange(self, plan: forwarded_plan.Plan, responder: http_server.Responder) -> None:
+        exchange = forwarded_exchange.Exchange(self._surroundings(), plan, responder)
+        self._open.add(exchange)
+        try:
+            await exchange.run()
+        finally:
+            self._open.remove(exchange)
+
+    def end_waits(self) -> None:
+        """Ends all requests whose answer has not begun, truthfully."""
+        for exchange in self._open:
+            exchange.end_wait()
+
     def _surroundings(self) -> forwarded_plan.Surroundings:
         return forwarded_plan.Surroundings(
             self._services, self._spelling, self._directory, self._configuration, self.admit
--- a/src/cicadapier/_internal/services/forwarding_service.py
+++ b/src/cicadapier/_internal/services/forwarding_service.py
@@ -26,6 +26,7 @@
 # After the signal; the balancer has left by then, and a stream may last for the rest of the grace.
 LAST_STREAM_S = 2.7
 END_MARGIN_S = 0.6
+LAST_ANSWER_S = 0.2  # Before the end; what has no answer by then is told so.
 _READY = "ready"
 
 _log = structlog.get_logger()
@@ -127,13 +128,18 @@
         await responder.send_json(request_context.refusal_body(refusal), status, extra)
 
     async def drain(self) -> None:
-        """Serves until the balancer has left and every open request is answered."""
+        """Serves until the balancer has left and every open request is answered.
+
+        What has no answer as the time runs out is told so, since the end would cut it.
+        """
         began_at = trio.current_time()
         self._draining = True
         self._last_stream_at = began_at + LAST_STREAM_S
         self._stop_at = began_at + self._terms.grace_s - END_MARGIN_S
         _log.info("draining", open=self._open)
         while not self._may_stop(began_at):
+            if self._requests and trio.current_time() >= self._stop_at - LAST_ANSWER_S:
+                self._requests.end_waits()
             await trio.sleep(request_listener.DRAIN_POLL_S)
         self._drained = True
         _log.info("drained", open=self._open, took_s=round(trio.current_time() - began_at, 2))
--- a/tests/_internal/services/test_changes_under_way.py
+++ b/tests/_internal/services/test_changes_under_way.py
@@ -423,5 +423,61 @@
         forwarding_world.in_world(check)
 
 
+class StopTest(unittest.TestCase):
+    """What is still open as a router that stops comes to its end."""
+
+    def _ask_before_the_end(self, host, path, after_s, prepare, holders=1):
+        """Asks a stopping router that is kept busy; returns the answer and the runs."""
+        found = []
+
+        async def check(made):
+            reroute(made, timeout_s=30.0, objective_s=30.0)
+            await trio.sleep(BRIEF_S)
+            prepare(made)
+            async with trio.open_nursery() as nursery:
+                for number in range(holders):
+                    caller = Caller(made)
+                    await caller.connect()
+                    await caller.begin(host, path, f"holder-{number}", time_left_ms=30_000)
+                    await caller.send_rest()
+                    nursery.start_soon(caller.receive)
+                await trio.sleep(BRIEF_S)
+                await stop_routers(made)
+                await trio.sleep(after_s)
+                caller = Caller(made)
+                await caller.connect()
+                reply = await caller.ask(host, path, time_left_ms=30_000)
+                nursery.cancel_scope.cancel()
+            found.extend((reply.status, reply.broken, len(made.runs_of("q"))))
+
+        forwarding_world.in_world(check)
+        return tuple(found)
+
+    def test_a_request_that_runs_as_the_router_ends_is_told_so(self):
+        def slow(made):
+            for upstream in made.upstreams.values():
+                upstream.work_s = 25.0
+
+        found = self._ask_before_the_end("desk", "/order/x", 6.0, slow)
+        self.assertEqual(found, (504, False, 1))
+
+    def test_a_stream_without_an_event_as_the_router_ends_is_told_so(self):
+        def slow(made):
+            for upstream in made.upstreams.values():
+                upstream.first_s = 20.0
+
+        found = self._ask_before_the_end("lm", "/long/x", 2.5, slow)
+        self.assertEqual(found, (504, False, 1))
+
+    def test_a_request_that_waits_as_the_router_ends_is_refused_as_not_run(self):
+        def slow(made):
+            for upstream in made.upstreams.values():
+                upstream.work_s = 25.0
+
+        places = 2 * users_world.SLOTS
+        found = self._ask_before_the_end("desk", "/order/x", 5.0, slow, places)
+        self.assertEqual(found, (PROMISE, False, 0))
+
+
 if __name__ == "__main__":
     unittest.main()
