Send what may run once on a new connection

Cause: forwarded calls that may run once only took kept connections, which docs/decisions/once-only.md rules out; whatever is sent on a forgotten one is reset, and may have run for all the router knows. Ruled out: crashes; every one of the upstreams took a new connection at once (crashed false).

--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -217,6 +217,7 @@
             self._around.spelling,
             placed.choice.estimate.upstream,
             placed.weights,
+            fresh=not self._repeatable,
         )
 
     def _import_from(self, placed: entries.Placed) -> ids.Address | None:
