Send a repeat on a new connection

What callers saw: lookups and resumable streams ended as upstream_failed (502) at once: the repeat went to the kept connection of another upstream, which had been forgotten too, and no more runs were allowed. Cause: repeats took kept connections. A request that has one run left has none to lose on finding out.

--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -205,7 +205,8 @@
             self._around.spelling,
             placed.choice.estimate.upstream,
             placed.weights,
-            fresh=not self._repeatable,
+            # A repeat may be the last run allowed, so it gets no connection that may be dead.
+            fresh=not self._repeatable or self._sequence.attempts > 0,
         )
 
     def _import_from(self, placed: entries.Placed) -> ids.Address | None:
--- a/tests/_internal/services/test_kept_connections.py
+++ b/tests/_internal/services/test_kept_connections.py
@@ -87,6 +87,16 @@
 
         forwarding_world.in_world(check)
 
+    def test_a_lookup_is_sent_again_where_its_connection_was_dropped(self):
+        async def check(made):
+            upstreams = _Forgetful(made)
+            for number in range(6):
+                reply = await made.send("GET", "desk", "/look/1", request=f"q{number}")
+                self.assertEqual(reply.status, 200)
+                upstreams.forget()
+
+        forwarding_world.in_world(check)
+
     def test_what_may_be_repeated_uses_kept_connections(self):
         async def check(made):
             upstreams = _Forgetful(made)
