Count only a refused connection as an upstream's crash

Cause: an upstream that was silent, or did not answer a connection within 0.3 s, counted as crashed. Beside it: an upstream that cannot be reached is still left out for a while, and a run still goes on from its backup; both ask for that alone now (unreachable), which attempt_failed prints.

--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -197,7 +197,8 @@
             return None
         self._suspect(state, active, now)
         before = dataclasses.replace(active)
-        outcome = outcomes.Broken("no progress", 0, crashed=lost)
+        # What runs on an upstream that goes silent need not have made it so.
+        outcome = outcomes.Broken("no progress", 0, crashed=False, unreachable=lost)
         if lost:
             decision = self.continue_run(request, now)
         else:
@@ -524,10 +525,10 @@
     ) -> poison.Crash | None:
         if isinstance(outcome, outcomes.RefusedBeforeRunning):
             return None
-        crashed = False
+        crashed = unreachable = False
         if isinstance(outcome, outcomes.SentNoAnswer | outcomes.Broken):
-            crashed = outcome.crashed
-        certain = crashed or isinstance(outcome, outcomes.NotSent)
+            crashed, unreachable = outcome.crashed, outcome.unreachable
+        certain = crashed or unreachable or isinstance(outcome, outcomes.NotSent)
         if certain or not active.suspected:
             state.health.failed(choice.upstream, certain, now)
         if isinstance(state.policy, placement.PrefixPlacement):
--- a/src/cicadapier/_internal/models/outcomes.py
+++ b/src/cicadapier/_internal/models/outcomes.py
@@ -127,10 +127,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SentNoAnswer:
-    """The request was sent, wholly or in part, and no answer to it came."""
+    """The request was sent, wholly or in part, and no answer to it came.
+
+    Attributes:
+        crashed: Whether the upstream went down, which may be the request's doing.
+        unreachable: Whether no connection to it can be made, which may be the network's.
+    """
 
     reason: str
     crashed: bool
+    unreachable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,14 +145,16 @@
 
     Attributes:
         offset: Tokens that were relayed to the caller.
-        crashed: Whether the upstream is down, or cannot be reached.
+        crashed: Whether the upstream went down, which may be the request's doing.
         continuable: Whether the run may go on from a backup of its memory.
+        unreachable: Whether no connection to it can be made, which may be the network's.
     """
 
     reason: str
     offset: int
     crashed: bool
     continuable: bool = False
+    unreachable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/protocols/exceptions.py
+++ b/src/cicadapier/_internal/protocols/exceptions.py
@@ -11,6 +11,10 @@
     """No connection could be made, so nothing was sent."""
 
 
+class ConnectRefusedError(ConnectError):
+    """The address answered that nothing listens there."""
+
+
 class ConnectionLostError(ProtocolError):
     """The other end closed or reset the connection."""
 
--- a/src/cicadapier/_internal/protocols/transport.py
+++ b/src/cicadapier/_internal/protocols/transport.py
@@ -46,7 +46,8 @@
         """Opens a stream.
 
         Raises:
-            ConnectError: The address refuses or does not answer in time.
+            ConnectRefusedError: The address answers that nothing listens there.
+            ConnectError: It does not answer in time, or cannot be reached.
         """
 
     @abc.abstractmethod
@@ -77,6 +78,8 @@
                 _watch_for_silence(stream)
                 return stream
             except OSError as exc:
+                if _is_refusal(exc):
+                    raise exceptions.ConnectRefusedError(f"{address}: refused") from exc
                 raise exceptions.ConnectError(f"{address}: {exc}") from exc
         raise exceptions.ConnectError(f"{address}: no answer within {timeout_s} s")
 
@@ -98,6 +101,14 @@
         await trio.serve_listeners(handler, accepting)
 
 
+def _is_refusal(error: OSError) -> bool:
+    """Returns whether each address of a host has refused, as the causes of trio's error tell."""
+    causes = error.__cause__
+    if not isinstance(causes, ExceptionGroup):
+        return False
+    return all(isinstance(cause, ConnectionRefusedError) for cause in causes.exceptions)
+
+
 def _watch_for_silence(stream: trio.SocketStream) -> None:
     """Lets the kernel end a connection whose other end has vanished."""
     stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -100,6 +100,19 @@
         """Returns the attempt that takes over, or None where this one stands."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Condition:
+    """What an upstream is found to be in after a connection to it was lost.
+
+    Attributes:
+        crashed: Whether it went down.
+        unreachable: Whether no connection to it can be made.
+    """
+
+    crashed: bool = False
+    unreachable: bool = False
+
+
 class Attempt:
     """One attempt; owns its connection from `start` to `finish` or `abandon`.
 
@@ -189,8 +202,11 @@
         try:
             return await self._patiently(self._conn.receive_data, timeout_s)
         except exceptions.ProtocolError as exc:
-            crashed = await self._crashed(exc)
-            raise AttemptFailedError(outcomes.Broken(_describe(exc), offset, crashed)) from exc
+            found = await self._examine(exc)
+            broken = outcomes.Broken(
+                _describe(exc), offset, found.crashed, unreachable=found.unreachable
+            )
+            raise AttemptFailedError(broken) from exc
 
     async def _patiently(
         self,
@@ -255,27 +271,35 @@
             raise
 
     async def _no_answer(self, exc: exceptions.ProtocolError) -> outcomes.SentNoAnswer:
-        return outcomes.SentNoAnswer(_describe(exc), await self._crashed(exc))
+        found = await self._examine(exc)
+        return outcomes.SentNoAnswer(_describe(exc), found.crashed, found.unreachable)
 
-    async def _crashed(self, exc: exceptions.ProtocolError) -> bool:
-        """Asks the upstream whether it has crashed, since a lost connection proves little."""
+    async def _examine(self, exc: exceptions.ProtocolError) -> _Condition:
+        """Asks how the upstream is, since a lost connection proves little."""
         await self.abandon(suspect=True)
         if not isinstance(exc, exceptions.ConnectionLostError):
-            return False
+            return _Condition()
         try:
             conn = await self._connections.open(self._call.address, CRASH_CHECK_S)
+        except exceptions.ConnectRefusedError:
+            return _Condition(crashed=True, unreachable=True)
         except exceptions.ConnectError:
-            return True
+            return _Condition(unreachable=True)
+        try:
+            return _Condition(crashed=await self._has_restarted(conn))
+        finally:
+            await conn.close()
+
+    async def _has_restarted(self, conn: http_client.ClientConnection) -> bool:
+        """Returns whether another incarnation answers than the one that was sent to."""
         probe = self._call.spelling.incarnation_probe()
+        if probe is None:
+            return False
         try:
-            if probe is None:
-                return False
             _, body = await connections_service.exchange(conn, probe, b"", CRASH_CHECK_S)
             current = msgspec.json.decode(body, type=upstream_bodies.Load).incarnation
         except (exceptions.ProtocolError, msgspec.MsgspecError):
             return False
-        finally:
-            await conn.close()
         known = self._call.incarnation
         return bool(current and known and current != known)
 
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -172,7 +172,7 @@
 
     def _with_backup(self, outcome: outcomes.AttemptOutcome) -> outcomes.AttemptOutcome:
         """Returns an outcome that says whether the run may go on from its backup."""
-        if not isinstance(outcome, outcomes.Broken) or not outcome.crashed:
+        if not isinstance(outcome, outcomes.Broken) or not outcome.unreachable:
             return outcome
         return dataclasses.replace(outcome, continuable=self._progress.backup is not None)
 
--- a/src/cicadapier/_internal/services/forwarded_log.py
+++ b/src/cicadapier/_internal/services/forwarded_log.py
@@ -54,6 +54,7 @@
         backup=placed.backup,
         continuable=getattr(outcome, "continuable", False),
         crashed=getattr(outcome, "crashed", False),
+        unreachable=getattr(outcome, "unreachable", False),
         attempts=summary.attempts + 1,
         repeats_left=round(summary.repeats_left, 1),
         silent_ms=round(summary.silent_s * 1000),
--- a/src/cicadapier/_internal/standins/faulty_network.py
+++ b/src/cicadapier/_internal/standins/faulty_network.py
@@ -175,7 +175,7 @@
         await trio.sleep(self._latency_s * (1 + self._rng.random()))
         found = self._handlers.get(address)
         if found is None:
-            raise exceptions.ConnectError(f"{address}: connection refused")
+            raise exceptions.ConnectRefusedError(f"{address}: refused")
         handler, nursery = found
         near, far = trio.testing.memory_stream_pair()
         ends = _Ends()
--- a/tests/_internal/services/test_attempts.py
+++ b/tests/_internal/services/test_attempts.py
@@ -1,4 +1,4 @@
-"""Attempts at upstreams that answer before they have read the whole request."""
+"""Attempts at upstreams that answer early, and what a lost connection says of one."""
 
 import unittest
 
@@ -8,6 +8,7 @@
 from cicadapier._internal.models import outcomes
 from cicadapier._internal.platform import far_side
 from cicadapier._internal.platform import requests
+from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import transport
 from cicadapier._internal.services import attempts
@@ -42,11 +43,16 @@
 
 
 class _Network(transport.Network):
-    def __init__(self, answer):
+    """Connects once, and then fails as it is told to."""
+
+    def __init__(self, answer, failure=None):
         self.streams = []
         self._answer = answer
+        self._failure = failure
 
     async def connect(self, address, timeout_s):
+        if self.streams and self._failure:
+            raise self._failure
         self.streams.append(_Stream(self._answer))
         return self.streams[-1]
 
@@ -59,10 +65,10 @@
     return b"\r\n".join([*lines, b"content-length: 0", b"", b""])
 
 
-class EarlyAnswerTest(unittest.TestCase):
-    def _try(self, raw):
+class _AttemptTest(unittest.TestCase):
+    def _try(self, raw, failure=None):
         """Makes one attempt; returns its outcome or the status, and the streams that it used."""
-        network = _Network(raw)
+        network = _Network(raw, failure)
         found = []
 
         async def main():
@@ -92,6 +98,8 @@
         support.run(main)
         return found[0], network.streams
 
+
+class EarlyAnswerTest(_AttemptTest):
     def test_an_early_refusal_is_the_upstreams_word_that_it_has_not_run(self):
         outcome, streams = self._try(answer(503, far_side.not_run_headers()))
         self.assertIsInstance(outcome, outcomes.RefusedBeforeRunning)
@@ -107,5 +115,22 @@
         self.assertIsInstance(outcome, outcomes.SentNoAnswer)
 
 
+class LostConnectionTest(_AttemptTest):
+    def test_an_upstream_that_refuses_connections_has_crashed(self):
+        outcome, _ = self._try(b"", exceptions.ConnectRefusedError("refused"))
+        self.assertTrue(outcome.crashed)
+        self.assertTrue(outcome.unreachable)
+
+    def test_an_upstream_that_cannot_be_reached_is_not_said_to_have_crashed(self):
+        outcome, _ = self._try(b"", exceptions.ConnectError("no answer"))
+        self.assertFalse(outcome.crashed)
+        self.assertTrue(outcome.unreachable)
+
+    def test_an_upstream_that_takes_connections_is_neither(self):
+        outcome, _ = self._try(b"")
+        self.assertFalse(outcome.crashed)
+        self.assertFalse(outcome.unreachable)
+
+
 if __name__ == "__main__":
     unittest.main()
