--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -130,7 +130,9 @@
         decision = self.continue_run(active, now)
         if isinstance(decision, entries.Refused):
             return None
-        outcome = outcomes.Broken("the upstream cannot be reached", 0, crashed=True)
+        # What runs on an upstream that goes silent need not have made it so.
+        reason = "the upstream cannot be reached"
+        outcome = outcomes.Broken(reason, 0, crashed=False, unreachable=True)
         crash = self._attempt_over(state, active, lost, outcome, now)
         return entries.Successor(decision, crash)
 
@@ -291,10 +293,10 @@
     ) -> poisons.Crash | None:
         if isinstance(outcome, outcomes.RefusedBeforeRunning):
             return None
-        crashed = False
+        crashed = unreachable = False
         if isinstance(outcome, outcomes.SentNoAnswer | outcomes.Broken):
-            crashed = outcome.crashed
-        certain = crashed or isinstance(outcome, outcomes.NotSent)
+            crashed, unreachable = outcome.crashed, outcome.unreachable
+        certain = crashed or unreachable or isinstance(outcome, outcomes.NotSent)
         upstream = attempt.choice.upstream
         if certain or not attempt.suspected:
             state.health.failed(upstream, certain, now)
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -227,7 +227,7 @@
 
     def _with_backup(self, outcome: outcomes.AttemptOutcome) -> outcomes.AttemptOutcome:
         """Returns an outcome that says whether the run may go on from its backup."""
-        if not isinstance(outcome, outcomes.Broken) or not outcome.crashed:
+        if not isinstance(outcome, outcomes.Broken) or not outcome.unreachable:
             return outcome
         return dataclasses.replace(outcome, continuable=self._progress.backup is not None)
 
@@ -260,6 +260,8 @@
             self._around.spelling,
             placed.choice.estimate.upstream,
             placed.weights,
+            # A repeat may be the last run allowed, so it gets no connection that may be dead.
+            fresh=not self._repeatable or self._sequence.attempts > 0,
         )
 
     def _import_from(self, placed: entries.Placed) -> ids.Address | None:
