Give a run up for its backup only once the backup's engine is reached

What callers saw: a long stream that runs once broke off (outcome_unknown, 522 ms after its begin with 4,478 ms left) while its engine was well, where this router could reach neither that engine nor the one that holds the backup, as behind a cut link.

Cause: `ForwardedSilence` gave the run up on the strength of one connection that could not be made, and only then made the one to the backup's engine; a run that may not repeat has no other way on.

Ruled out: the place and the repeat, which were taken before; the connection was the one thing that was not.

The connection is now made and held first, its engine's registration looked up in the same step, and the attempt that goes on uses that connection.

--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -80,11 +80,11 @@
 
     Attributes:
         placed: Its place.
-        attempt: An attempt whose answer has begun there, None where it is yet to be made.
+        attempt: An attempt there, whose answer has begun or that has a connection at least.
     """
 
     placed: entries.Placed
-    attempt: "Attempt | None"
+    attempt: "Attempt"
 
 
 class AttemptSupersededError(Exception):
@@ -151,11 +151,21 @@
         connections: connections_service.ConnectionsService,
         call: Call,
         silence: Silence | None = None,
+        conn: http_client.ClientConnection | None = None,
     ) -> None:
+        """Creates an attempt.
+
+        Args:
+            connections: Connections to upstreams.
+            call: What is sent.
+            silence: See `silence`.
+            conn: A new connection to the upstream, which the attempt then owns; None has it make
+                one as it starts.
+        """
         self._connections = connections
         self._call = call
         self.silence = silence
-        self._conn: http_client.ClientConnection | None = None
+        self._conn = conn
         self.head: http_client.ResponseHead | None = None
         self.facts = answers.AnswerFacts()
         self.sent = False
@@ -179,13 +189,7 @@
             AttemptSupersededError: Another attempt takes over.
         """
         call = self._call
-        try:
-            if call.fresh:
-                self._conn = await self._connections.open(call.address, call.connect_s)
-            else:
-                self._conn = await self._connections.acquire(call.address, call.connect_s)
-        except exceptions.ConnectError as exc:
-            raise AttemptFailedError(outcomes.NotSent(str(exc))) from exc
+        self._conn = self._conn or await self._connect()
         if check:
             await self._run_check(check)
         try:
@@ -199,6 +203,15 @@
         await self._check_refusal(self.head)
         return self.head
 
+    async def _connect(self) -> http_client.ClientConnection:
+        call = self._call
+        try:
+            if call.fresh:
+                return await self._connections.open(call.address, call.connect_s)
+            return await self._connections.acquire(call.address, call.connect_s)
+        except exceptions.ConnectError as exc:
+            raise AttemptFailedError(outcomes.NotSent(str(exc))) from exc
+
     async def _send(self, conn: http_client.ClientConnection) -> None:
         try:
             await conn.send(self._call.head, self._call.body)
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -74,6 +74,8 @@
             self._progress,
             self._begin_relief,
             self._may_send,
+            self._reach_backup,
+            self._continue_run,
         )
         self._successor: attempts.Attempt | None = None
         self._ended = "caller_left"
@@ -190,7 +192,7 @@
 
     async def _give_way(self, exc: attempts.AttemptSupersededError) -> entries.Superseded:
         self._successor = exc.takeover.attempt
-        if self._successor:
+        if self._successor.head is not None:
             await self._services.relief_won(self._plan.entry.request, exc.former)
         return entries.Superseded(str(exc), self._progress.relayed, exc.takeover.placed)
 
@@ -213,6 +215,23 @@
             raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
         return attempt
 
+    async def _reach_backup(self, upstream: ids.UpstreamId) -> forwarded_silence.Reached | None:
+        """Returns a connection to where a run may go on, None where it may not be sent there."""
+        found = self._around.directory.find(upstream)
+        if found is None or found.leaving:
+            return None
+        try:
+            conn = await self._services.connections.open(found.address, CONNECT_S)
+        except protocol_exceptions.ConnectError:
+            return None
+        return forwarded_silence.Reached(found.address, conn)
+
+    def _continue_run(
+        self, placed: entries.Placed, reached: forwarded_silence.Reached
+    ) -> attempts.Attempt:
+        call = self._call(placed, reached.address)
+        return attempts.Attempt(self._services.connections, call, conn=reached.conn)
+
     def _is_good(self, attempt: attempts.Attempt, head: http_client.ResponseHead) -> bool:
         """Returns whether an answer is one to go on with in place of a silent one."""
         if self._plan.admission.route.kind is configuration.RouteKind.STREAM:
--- a/src/cicadapier/_internal/services/forwarded_silence.py
+++ b/src/cicadapier/_internal/services/forwarded_silence.py
@@ -1,12 +1,15 @@
 """What follows where the answer to a forwarded request shows no progress."""
 
 import collections.abc
+import dataclasses
 import math
 
 import trio
 
 from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import retries
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import http_client
 from cicadapier._internal.services import attempts
 from cicadapier._internal.services import forwarded_log
 from cicadapier._internal.services import forwarded_plan
@@ -24,6 +27,23 @@
 Begin = collections.abc.Callable[[entries.Placed], collections.abc.Awaitable[attempts.Attempt]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reached:
+    """An upstream where a run may go on.
+
+    Attributes:
+        address: Its address.
+        conn: New connection to it.
+    """
+
+    address: ids.Address
+    conn: http_client.ClientConnection
+
+
+Reach = collections.abc.Callable[[ids.UpstreamId], collections.abc.Awaitable[Reached | None]]
+Continue = collections.abc.Callable[[entries.Placed, Reached], attempts.Attempt]
+
+
 class ForwardedSilence(relief.Relief):
     """Has another upstream answer, or a backup go on where the upstream cannot be reached."""
 
@@ -35,12 +55,16 @@
         progress: forwarded_progress.Progress,
         begin: Begin,
         may_send: collections.abc.Callable[[], bool],
+        reach: Reach,
+        go_on: Continue,
     ) -> None:
         super().__init__(services, plan.entry.request, sequence)
         self._plan = plan
         self._progress = progress
         self._begin = begin
         self._may_send = may_send
+        self._reach = reach
+        self._continue = go_on
 
     def limit_s(self, attempt: attempts.Attempt) -> float:
         """See `attempts.Silence.limit_s`."""
@@ -59,18 +83,31 @@
 
     async def judge(self, attempt: attempts.Attempt) -> attempts.Takeover | None:
         """See `attempts.Silence.judge`."""
-        if self._progress.backup is None:
+        backup = self._progress.backup
+        if backup is None:
             takeover = await self.relieve(self._progress.relayed)
         elif await attempt.is_reachable():
             return None
         else:
-            takeover = await self._go_on_from_backup()
+            takeover = await self._go_on_from_backup(backup)
         if takeover is None:
             self._note_stands()
         return takeover
 
-    async def _go_on_from_backup(self) -> attempts.Takeover | None:
+    async def _go_on_from_backup(self, backup: ids.UpstreamId) -> attempts.Takeover | None:
         """Gives up a run, which two upstreams must not work on, once its backup may go on."""
+        reached = await self._reach(backup)
+        if reached is None:
+            return None
+        takeover = None
+        try:
+            takeover = await self._take_over(reached)
+        finally:
+            if takeover is None:
+                await reached.conn.close()
+        return takeover
+
+    async def _take_over(self, reached: Reached) -> attempts.Takeover | None:
         if not self._may_send():
             return None
         now = trio.current_time()
@@ -82,7 +119,7 @@
         if placed is None:
             self._sequence.disclaim()
             return None
-        return attempts.Takeover(placed, None)
+        return attempts.Takeover(placed, self._continue(placed, reached))
 
     def _note_stands(self) -> None:
         self._services.telemetry.event("silent_attempt_stands")
