--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -258,20 +258,36 @@
         except exceptions.SilentConnectionError:
             pass
         race: _Race[_Read] = _Race()
+        former = None
+        try:
+            await self._run_race(race, read, limit_s, deadline)
+            if race.takeover is not None:
+                former = await self._give_way(race.failure, offset)
+        finally:
+            if race.takeover is not None and former is None:
+                await race.takeover.attempt.abandon()
+        if race.takeover is not None and former is not None:
+            raise AttemptSupersededError(race.takeover, former)
+        if race.failure is not None:
+            raise race.failure
+        return race.data[0]
+
+    async def _run_race(
+        self,
+        race: _Race[_Read],
+        read: collections.abc.Callable[[float], collections.abc.Awaitable[_Read]],
+        pause_s: float,
+        deadline: float,
+    ) -> None:
+        """Reads on while the silence is judged, until either ends the other."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._have_judged, race, limit_s, nursery.cancel_scope)
+            nursery.start_soon(self._have_judged, race, pause_s, nursery.cancel_scope)
             try:
                 race.data.append(await read(deadline - trio.current_time()))
             except exceptions.ProtocolError as exc:
                 race.failure = exc
             if race.data or not race.judging:
                 nursery.cancel_scope.cancel()
-        if race.takeover is not None:
-            former = await self._give_way(race.failure, offset)
-            raise AttemptSupersededError(race.takeover, former)
-        if race.failure is not None:
-            raise race.failure
-        return race.data[0]
 
     async def _have_judged(
         self, race: _Race[_Read], pause_s: float, scope: trio.CancelScope
--- a/tests/_internal/services/test_takeovers.py
+++ b/tests/_internal/services/test_takeovers.py
@@ -3,9 +3,17 @@
 import unittest
 
 import trio
+import trio.testing
 
+from cicadapier._internal.models import ids
+from cicadapier._internal.platform import requests
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import transport
+from cicadapier._internal.services import attempts
+from cicadapier._internal.services import connections_service
 from cicadapier._internal.standins import users_upstream
 from tests import forwarding_world
+from tests import support
 
 Fault = users_upstream.UpstreamFault
 WHOLE = [1, 2, 3, 4, 5, 6]
@@ -42,5 +50,77 @@
         forwarding_world.in_world(check)
 
 
+class _SilentNetwork(transport.Network):
+    """Upstreams that take requests and never answer."""
+
+    def __init__(self):
+        self.accepted = []
+
+    async def connect(self, address, timeout_s):
+        near, far = trio.testing.memory_stream_pair()
+        self.accepted.append(far)
+        return near
+
+    async def serve(self, address, handler, task_status=trio.TASK_STATUS_IGNORED):
+        raise NotImplementedError
+
+
+class _Successor:
+    """An attempt whose answer has begun."""
+
+    def __init__(self):
+        self.abandoned = False
+
+    async def abandon(self):
+        self.abandoned = True
+
+
+class _LeavingCaller(attempts.Silence):
+    """Finds a successor in the moment in which the caller leaves."""
+
+    def __init__(self, successor, scope):
+        self._successor = successor
+        self._scope = scope
+
+    def limit_s(self, attempt):
+        return 0.5
+
+    async def judge(self, attempt):
+        self._scope.cancel()
+        return attempts.Takeover(None, self._successor)
+
+
+class LeavingCallerTest(unittest.TestCase):
+    def test_an_attempt_that_takes_over_ends_with_a_caller_that_leaves_meanwhile(self):
+        successor = _Successor()
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                service = connections_service.ConnectionsService(_SilentNetwork())
+                nursery.start_soon(service.run, None, trio.TASK_STATUS_IGNORED)
+                call = attempts.Call(
+                    ids.RequestId("q"),
+                    ids.Address("10.0.0.1:80"),
+                    ids.Incarnation(""),
+                    http_client.RequestHead("POST", "/ask/", []),
+                    b"",
+                    1.0,
+                    5.0,
+                    requests.RequestFormat(),
+                )
+                with trio.CancelScope() as scope:
+                    silence = _LeavingCaller(successor, scope)
+                    attempt = attempts.Attempt(service, call, silence)
+                    try:
+                        await attempt.start()
+                    finally:
+                        await attempt.abandon()
+                self.assertTrue(scope.cancelled_caught)
+                nursery.cancel_scope.cancel()
+
+        support.run(main)
+        self.assertTrue(successor.abandoned)
+
+
 if __name__ == "__main__":
     unittest.main()
