Keep a second attempt where the first engine merely turns the request away

What callers saw: upstream_failed, although another engine was at work on the request and would have answered in time: an engine that had been silent beyond twice the objective, as one that loads weights or whose queue is long, turned away what had not begun (503, not run). Its answer ended the second attempt, which had the last repeat of the budget; there was none for a third.

Cause: any head counted as the answer to go on with. That it is a refusal was read only after the second attempt had been closed.

Evidence: both tests fail on the code before (502 after 2.0 s with 3.0 s left). Ruled out: an answer of the engine's own (500): it is the caller's answer where nothing else follows.

The refusal is now read within the race, so that it is a failure of the first attempt like a lost connection, and the second one is its repeat. Such a first attempt has not run, and no longer counts against the runs that the route allows.

Tests: test_a_second_attempt_is_not_dropped_for_an_engine_that_turns_the_request_away, test_an_engine_that_turns_the_request_away_during_a_second_attempt_has_not_run_it.

--- a/src/cicadapier/_internal/decisions/entries.py
+++ b/src/cicadapier/_internal/decisions/entries.py
@@ -83,11 +83,13 @@
 
     Attributes:
         reason: Why.
+        former: How it ended.
         offset: Tokens that were relayed to the caller.
         placed: Where the request goes on.
     """
 
     reason: str
+    former: outcomes.AttemptOutcome
     offset: int
     placed: Placed
 
--- a/src/cicadapier/_internal/decisions/retries.py
+++ b/src/cicadapier/_internal/decisions/retries.py
@@ -203,12 +203,13 @@
             self._runs += 1
             self._maybe_ran = True
 
-    def superseded(self, offset: int) -> None:
-        """Notes that an attempt was given up for the one that was claimed."""
+    def superseded(self, former: outcomes.AttemptOutcome, offset: int) -> None:
+        """Notes that an attempt, which ended as given, has another one claimed in its place."""
         self._attempts += 1
-        self._runs += 1
         self._arrived = True
-        self._maybe_ran = True
+        if not isinstance(former, outcomes.RefusedBeforeRunning):
+            self._runs += 1
+            self._maybe_ran = True
         self._offset = max(self._offset, offset)
 
     def no_upstream(self) -> outcomes.Refusal:
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -131,7 +131,7 @@
     """
 
     data: list[_Read] = dataclasses.field(default_factory=list)
-    failure: exceptions.ProtocolError | None = None
+    failure: exceptions.ProtocolError | AttemptFailedError | None = None
     takeover: Takeover | None = None
     judging: bool = False
 
@@ -195,10 +195,15 @@
         try:
             self.sent = True
             await self._send(self._conn)
-            self.head = await self._patiently(self._conn.receive_head, call.first_s)
+            return await self._patiently(self._receive_answer, call.first_s)
         except exceptions.ProtocolError as exc:
             raise AttemptFailedError(await self._no_answer(exc)) from exc
-        self.facts = call.spelling.read_answer(self.head)
+
+    async def _receive_answer(self, timeout_s: float) -> http_client.ResponseHead:
+        """Waits for the start of an answer that is not the word that the request was not run."""
+        assert self._conn
+        self.head = await self._conn.receive_head(timeout_s)
+        self.facts = self._call.spelling.read_answer(self.head)
         await self._check_identity()
         await self._check_refusal(self.head)
         return self.head
@@ -284,7 +289,7 @@
             nursery.start_soon(self._have_judged, race, pause_s, nursery.cancel_scope)
             try:
                 race.data.append(await read(deadline - trio.current_time()))
-            except exceptions.ProtocolError as exc:
+            except (exceptions.ProtocolError, AttemptFailedError) as exc:
                 race.failure = exc
             if race.data or not race.judging:
                 nursery.cancel_scope.cancel()
@@ -303,9 +308,11 @@
         scope.cancel()
 
     async def _give_way(
-        self, failure: exceptions.ProtocolError | None, offset: int | None
+        self, failure: exceptions.ProtocolError | AttemptFailedError | None, offset: int | None
     ) -> outcomes.AttemptOutcome:
         """Ends this attempt for another one, and returns its outcome."""
+        if isinstance(failure, AttemptFailedError):
+            return failure.outcome
         silent = exceptions.SilentConnectionError("no progress")
         exc = failure or silent
         crashed = await self._crashed(exc)
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -194,7 +194,7 @@
         self._successor = exc.takeover.attempt
         if self._successor.head is not None:
             await self._services.relief_won(self._plan.entry.request, exc.former)
-        return entries.Superseded(str(exc), self._progress.relayed, exc.takeover.placed)
+        return entries.Superseded(str(exc), exc.former, self._progress.relayed, exc.takeover.placed)
 
     async def _begin_relief(self, placed: entries.Placed) -> attempts.Attempt:
         """See `relief.Relief.begin`."""
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -187,7 +187,7 @@
     async def _give_way(self, exc: attempts.AttemptSupersededError) -> entries.Superseded:
         self._successor = exc.takeover.attempt
         await self._services.relief_won(self._context.request, exc.former)
-        return entries.Superseded(str(exc), self._progress.offset, exc.takeover.placed)
+        return entries.Superseded(str(exc), exc.former, self._progress.offset, exc.takeover.placed)
 
     async def _begin_relief(self, placed: entries.Placed) -> attempts.Attempt:
         """See `relief.Relief.begin`."""
--- a/src/cicadapier/_internal/services/request_context.py
+++ b/src/cicadapier/_internal/services/request_context.py
@@ -185,7 +185,7 @@
         while True:
             outcome = await attempt(placed)
             if isinstance(outcome, entries.Superseded):
-                sequence.superseded(outcome.offset)
+                sequence.superseded(outcome.former, outcome.offset)
                 self.telemetry.retried(type(outcome).__name__)
                 placed = outcome.placed
                 continue
--- a/src/cicadapier/_internal/standins/users_upstream.py
+++ b/src/cicadapier/_internal/standins/users_upstream.py
@@ -21,6 +21,7 @@
 LOAD_S = 0.5
 STALL_S = 2.5
 BEGIN_S = 3.0
+QUEUE_S = 2.0
 _LIMITS = settings.CallerLimits(body_bytes=67_108_864, idle_timeout_s=3600.0)
 
 
@@ -28,6 +29,7 @@
     """What the upstream does wrong."""
 
     SHEDS = "sheds"
+    SHEDS_LATE = "sheds_late"
     SILENT = "silent"
     FAILS = "fails"
     UNPROVED = "unproved"
@@ -174,7 +176,7 @@
     async def _serve(self, req: http_server.Request, responder: http_server.Responder) -> None:
         arrived = _text(req, wire_headers.REQUEST_ID)
         self.arrivals.append(Arrival(trio.current_time(), arrived))
-        refusal = self._refusal(req)
+        refusal = await self._queue(req)
         if refusal:
             other = self.weights if refusal == http.HTTPStatus.MISDIRECTED_REQUEST else None
             await responder.send_whole(refusal, far_side.not_run_headers(other), b"")
@@ -206,6 +208,14 @@
         await responder.send_whole(status, headers, b"answer to " + req.body)
         self.ended[request] += 1
 
+    async def _queue(self, req: http_server.Request) -> int:
+        """Returns the status with which a request is turned away, 0 where it begins to run."""
+        refusal = self._refusal(req)
+        if not refusal and UpstreamFault.SHEDS_LATE in self.faults:
+            await trio.sleep(QUEUE_S)
+            return http.HTTPStatus.SERVICE_UNAVAILABLE
+        return refusal
+
     def _refusal(self, req: http_server.Request) -> int:
         if UpstreamFault.SHEDS in self.faults or trio.current_time() < self._loading_until:
             return http.HTTPStatus.SERVICE_UNAVAILABLE
--- a/tests/_internal/services/test_takeovers.py
+++ b/tests/_internal/services/test_takeovers.py
@@ -1,11 +1,13 @@
 """A run is given up for what has been taken, and what takes over is never dropped for nothing."""
 
 import unittest
+from unittest import mock
 
 import trio
 import trio.testing
 
 from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
 from cicadapier._internal.platform import requests
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import transport
@@ -30,7 +32,8 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(ask)
         await trio.sleep(after_s)
-        change(made.upstreams[made.runs_of("q")[0].upstream])
+        reached = (u for u in made.upstreams.values() if u.arrivals)
+        change(next(reached))
     return replies[0]
 
 
@@ -50,6 +53,40 @@
         forwarding_world.in_world(check)
 
 
+class ReliefTest(unittest.TestCase):
+    def test_a_second_attempt_is_not_dropped_for_an_engine_that_turns_the_request_away(self):
+        async def check(made):
+            def delay(engine):
+                for upstream in made.upstreams.values():
+                    if upstream is not engine:
+                        upstream.faults = {Fault.BEGINS_LATE}
+
+            forwarding_world.strike(made, "engine", Fault.SHEDS_LATE)
+            made.routers[0].callers._services.budget.set_terms(
+                settings.RetryBudget(share=0.0, slack=1.5)
+            )
+            reply = await ask_and(made, delay)
+            self.assertEqual(reply.status, 200)
+            self.assertEqual(reply.numbers, WHOLE)
+
+        forwarding_world.in_world(check)
+
+    def test_an_engine_that_turns_the_request_away_during_a_second_attempt_has_not_run_it(self):
+        async def check(made):
+            def delay(engine):
+                for upstream in made.upstreams.values():
+                    if upstream is not engine:
+                        upstream.faults = {Fault.BEGINS_LATE, Fault.BREAKS_OFF}
+
+            forwarding_world.strike(made, "engine", Fault.SHEDS_LATE)
+            with mock.patch.object(users_upstream, "BEGIN_S", 1.0):
+                reply = await ask_and(made, delay)
+            self.assertEqual(reply.numbers, [1, 2, 3, 4])
+            self.assertEqual(len(made.runs_of("q")), 2)
+
+        forwarding_world.in_world(check)
+
+
 class _SilentNetwork(transport.Network):
     """Upstreams that take requests and never answer."""
 
