Learn registrations that change together in one answer

Callers saw: nothing.

| kind | call | what it returned for | calls | |---|---|---|---| | servers | watch | an entry that changed, mostly by a load of weights | 154 | | servers | watch | nothing for 2.5 s | 14 | | servers | watch | entries removed | 7 | | routers' own | watch | the order lease: renewed, or its note changed | 82 | | routers' own | watch | nothing for 2.5 s | 13 | | routers' own | watch | another router's registration | 2 | | configuration | watch | nothing for 1 s (the proof of freshness) | 56 | | configuration | watch | a configuration | 3 | | versions | watch | nothing for 2.5 s | 21 | | versions | watch | newly named weights | 5 | | all four | list | the start | 4 | | routers' own | writes of the lease, registration | | 5 |

Each change of any of 48 entries woke each router. A change by itself is known at once, one amid others so much later at most. The changes of one answer are published once.

Tests: DirectoryCallsTest (the count fails before; a change alone at once; leaving amid changes).

--- a/src/cicadapier/_internal/assembly/forwarding.py
+++ b/src/cicadapier/_internal/assembly/forwarding.py
@@ -80,7 +80,7 @@
         connections_service.ConnectionsService(wiring.connect),
         traffic_service.TrafficService(cfg.failure_domain, terms.weights_ms / 1000),
         configuration,
-        directory_service.DirectoryService(shapes, clock, rng),
+        directory_service.DirectoryService(shapes, terms.drain_ms / 1000, clock, rng),
         peers,
         cluster_service.ClusterService(cfg, wiring.generation, clock, rng),
         orders,
--- a/src/cicadapier/_internal/models/settings.py
+++ b/src/cicadapier/_internal/models/settings.py
@@ -105,6 +105,7 @@
         grace_s: Time from SIGTERM to SIGKILL.
         revoke_ms: Time within which a key that was taken away is refused by every router.
         order_lease_ms: Least time between orders of two routers to one upstream.
+        drain_ms: Time within which no router sends anything new to an upstream that leaves.
         weights_ms: Time within which requests run on newly named weights alone.
         retries: Bound on repeated sends.
         engines: What the platform does not tell of its engines.
@@ -114,6 +115,7 @@
     grace_s: float = checked.field(8.0, above=0)
     revoke_ms: float = checked.field(5000.0, above=0)
     order_lease_ms: float = checked.field(3000.0, above=0)
+    drain_ms: float = checked.field(2000.0, above=0)
     weights_ms: float = checked.field(8000.0, above=0)
     retries: RetryBudget = checked.field(factory=RetryBudget)
     engines: EngineTerms = checked.field(factory=EngineTerms)
--- a/src/cicadapier/_internal/services/cluster_service.py
+++ b/src/cicadapier/_internal/services/cluster_service.py
@@ -19,7 +19,7 @@
 
 KIND = "cicadapier-routers"
 ROUTER_PREFIX = "router-"
-WATCH_S = 2.5
+PACE = watching.Pace(wait_s=2.5)
 REGISTER_PAUSE_S = 0.5
 FORGET_AFTER_S = 60.0
 SWEEP_S = 10.0
@@ -65,7 +65,7 @@
         """See `service.Service.run`."""
         self._platform = kernel.find(names.PLATFORM)
         self._peers = kernel.find(names.PEERS)
-        watch = watching.Watch(self.platform, KIND, WATCH_S, self, self._clock, self._rng)
+        watch = watching.Watch(self.platform, KIND, PACE, self, self._clock, self._rng)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch.run)
             nursery.start_soon(self._register)
--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -20,6 +20,8 @@
 from cicadapier._internal.services import watching
 
 WATCH_S = 2.5
+# Share of the bound on work for upstreams that leave by which changes may be known later.
+GATHER_SHARE = 0.4
 
 _log = structlog.get_logger()
 
@@ -32,10 +34,12 @@
     def __init__(
         self,
         documents: declarations.DeclarationFormat,
+        leave_s: float,
         clock: watching.Clock,
         rng: random.Random,
     ) -> None:
         self._documents = documents
+        self._pace = watching.Pace(WATCH_S, leave_s * GATHER_SHARE)
         self._clock = clock
         self._rng = rng
         self._directory = directory.Directory()
@@ -51,7 +55,7 @@
         self._telemetry = kernel.find(names.TELEMETRY)
         kind = self._documents.directory_kind
         platform = kernel.find(names.PLATFORM)
-        watch = watching.Watch(platform, kind, WATCH_S, self, self._clock, self._rng)
+        watch = watching.Watch(platform, kind, self._pace, self, self._clock, self._rng)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._expire)
             nursery.start_soon(watch.run)
@@ -83,7 +87,6 @@
         entries = [self._read(item) for item in objects]
         self._directory.listed(entries, self._clock())
         _log.info("directory_listed", entries=len(entries))
-        self._publish()
 
     def changed(self, change: store_format.Change) -> None:
         """See `watching.Follower.changed`."""
@@ -97,6 +100,9 @@
             self._directory.changed(entry)
             if isinstance(entry, directory_models.Registration):
                 _log.info("upstream_registered", **_describe(entry))
+
+    def settled(self) -> None:
+        """See `watching.Follower.settled`."""
         self._publish()
 
     def _read(self, item: store_format.StoredObject) -> directory_models.Entry:
--- a/src/cicadapier/_internal/services/watched_configuration.py
+++ b/src/cicadapier/_internal/services/watched_configuration.py
@@ -17,7 +17,7 @@
 from cicadapier._internal.services import watching
 
 # Each answer proves that the configuration was the newest when it was asked for.
-WATCH_S = 1.0
+PACE = watching.Pace(wait_s=1.0)
 # Share of the bound on keys that were taken away after which they are refused for lack of proof.
 PROOF_SHARE = 0.8
 
@@ -55,7 +55,7 @@
         self._kernel = kernel
         kind = self._documents.configuration_kind
         platform = kernel.find(names.PLATFORM)
-        watch = watching.Watch(platform, kind, WATCH_S, self, self._clock, self._rng)
+        watch = watching.Watch(platform, kind, PACE, self, self._clock, self._rng)
         started.started()
         await watch.run()
 
--- a/src/cicadapier/_internal/services/watching.py
+++ b/src/cicadapier/_internal/services/watching.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections.abc
+import dataclasses
 import random
 
 import structlog
@@ -19,6 +20,20 @@
 Clock = collections.abc.Callable[[], float]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How often a kind is asked for.
+
+    Attributes:
+        wait_s: Time that a question waits for a change.
+        gather_s: Pause after an answer with changes, so that the next ones come in one answer.
+            Changes are known so much later at most.
+    """
+
+    wait_s: float
+    gather_s: float = 0.0
+
+
 class Follower(abc.ABC):
     """Takes what is learnt of one kind."""
 
@@ -30,6 +45,10 @@
     def changed(self, change: store_format.Change) -> None:
         """Takes over a change."""
 
+    def settled(self) -> None:
+        """Notes that everything that an answer says has been taken over."""
+        return
+
     def answered(self, asked_at: float) -> None:
         """Records an answer, before what it says is taken over.
 
@@ -55,7 +74,7 @@
         self,
         platform: platform_service.PlatformService,
         kind: str,
-        wait_s: float,
+        pace: Pace,
         follower: Follower,
         clock: Clock,
         rng: random.Random,
@@ -63,7 +82,7 @@
         self.kind = kind
         self.reachable = False
         self._platform = platform
-        self._wait_s = wait_s
+        self._pace = pace
         self._follower = follower
         self._clock = clock
         self._rng = rng
@@ -75,8 +94,10 @@
         while True:
             asked_at = self._clock()
             try:
-                await self._ask(asked_at)
+                changed = await self._ask(asked_at)
                 self._note(True, "")
+                if changed:
+                    await trio.sleep(self._pace.gather_s)
             except exceptions.HistoryGoneError:
                 _log.info("watch_history_gone", kind=self.kind, version=self._version)
                 self._version = None
@@ -88,18 +109,22 @@
                 self._note(False, str(exc))
                 await self._pause()
 
-    async def _ask(self, asked_at: float) -> None:
+    async def _ask(self, asked_at: float) -> bool:
+        """Asks once; returns whether a watch showed changes."""
         if self._version is None:
             listing = await self._platform.list_all(self.kind)
             self._version = listing.version
             self._follower.answered(asked_at)
             self._follower.listed(listing.objects)
-            return
-        changes = await self._platform.watch(self.kind, self._version, self._wait_s)
+            self._follower.settled()
+            return False
+        changes = await self._platform.watch(self.kind, self._version, self._pace.wait_s)
         self._version = changes.version
         self._follower.answered(asked_at)
         for change in changes.changes:
             self._follower.changed(change)
+        self._follower.settled()
+        return bool(changes.changes)
 
     def _note(self, reachable: bool, reason: str) -> None:
         self._failures = 0 if reachable else self._failures + 1
--- a/src/cicadapier/_internal/standins/users_store.py
+++ b/src/cicadapier/_internal/standins/users_store.py
@@ -75,6 +75,7 @@
         faults: What it does wrong now to all callers.
         rates: Calls that it takes in a second.
         calls: Calls by method.
+        reads: Reads, watches among them, by kind.
         turned_away: Calls that came too fast.
         revision: Revision of the newest change.
     """
@@ -83,6 +84,7 @@
         self.faults: set[StoreFault] = set()
         self.rates = Rates()
         self.calls: collections.Counter[str] = collections.Counter()
+        self.reads: collections.Counter[str] = collections.Counter()
         self.turned_away = 0
         self.revision = 1
         self._network = network
@@ -166,6 +168,7 @@
             return
         asked = far_side.read_store_question(req)
         if req.method == "GET":
+            self.reads[asked.kind] += 1
             await self._read(asked, responder, own_faults)
             return
         if self._is_late():
--- /dev/null
+++ b/tests/_internal/services/test_watching.py
@@ -0,0 +1,67 @@
+"""How often a router asks the platform's store, and how late it knows of a change at most."""
+
+import dataclasses
+import unittest
+
+import trio
+
+from cicadapier._internal.platform import documents
+from tests import forwarding_world
+
+DIRECTORY = documents.DocumentFormat.directory_kind
+DRAIN_S = 2.0
+CHANGE_EVERY_S = 0.1
+
+
+async def _change_on(made):
+    """Lets an upstream's registration change again and again, as new weights do."""
+    entry = made.upstreams["engine-0"].entry
+    slots = entry.slots
+    while True:
+        slots = 2 * entry.slots - slots + 1
+        made.register(dataclasses.replace(entry, slots=slots))
+        await trio.sleep(CHANGE_EVERY_S)
+
+
+class DirectoryCallsTest(unittest.TestCase):
+    def test_many_registrations_that_change_are_learnt_in_few_answers(self):
+        async def check(made):
+            before = made.store.reads[DIRECTORY]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_change_on, made)
+                await trio.sleep(8.0)
+                nursery.cancel_scope.cancel()
+            self.assertLessEqual(made.store.reads[DIRECTORY] - before, 11)
+
+        forwarding_world.in_world(check)
+
+    def test_a_change_by_itself_is_known_at_once(self):
+        async def check(made):
+            made.retire("desk-0")
+            await trio.sleep(0.05)
+            for number in range(4):
+                await made.send("GET", "desk", "/look/", request=f"q{number}")
+            self.assertEqual({run.upstream for run in made.runs}, {"desk-1"})
+
+        forwarding_world.in_world(check)
+
+    def test_an_upstream_that_leaves_amid_changes_gets_nothing_new_well_within_the_bound(self):
+        async def check(made):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_change_on, made)
+                for name in ("desk-0", "engine-1"):
+                    await trio.sleep(0.33)
+                    made.retire(name)
+                await trio.sleep(DRAIN_S / 2)
+                for number in range(8):
+                    await made.send("GET", "desk", "/look/", request=f"q{number}")
+                    await made.ask(request=f"s{number}", parts=f"p{number}:500,z:9")
+                nursery.cancel_scope.cancel()
+            used = {run.upstream for run in made.runs}
+            self.assertEqual(used, {"desk-1", "engine-0", "engine-2"})
+
+        forwarding_world.in_world(check)
+
+
+if __name__ == "__main__":
+    unittest.main()
