Watch the routers' own objects with answers that may be old

Callers saw: nothing.

Cause: a watch at the full price where what is old does no harm. The lease is written under its version. So that a lease needs no fresh watch: a refused write takes over the object that the refusal tells, and a write without an answer is settled by one fresh read. An old answer never takes the watch's version back.

Ruled out: pausing between questions (engines' loads would be told up to a second later); old answers for names of weights (their age would be judged too young) and for registrations (a bound on leaving).

Tests: RoutersCallsTest (no fresh read in three rollouts; 4 routers); three cases of WeightsTest with a stand-in store whose old answers are 3 s behind: rollouts in time under one order-giver, also where every answer to a write is lost, and a takeover that keeps its distance.

--- a/src/cicadapier/_internal/platform/far_side.py
+++ b/src/cicadapier/_internal/platform/far_side.py
@@ -36,6 +36,7 @@
         after: Name to list from.
         watch: Revision to watch from, None for a plain read.
         wait_s: Time that a watch waits.
+        stale: Whether the answer may be old.
         revision: Revision that a write expects, None for any.
         spec: Content that a write brings.
     """
@@ -45,6 +46,7 @@
     after: str
     watch: int | None
     wait_s: float
+    stale: bool
     revision: int | None
     spec: Any
 
@@ -62,6 +64,7 @@
         query.get("after", ""),
         int(query["watch"]) if "watch" in query else None,
         float(query.get("wait_ms", "0")) / 1000,
+        query.get("allow_stale") == "1",
         int(revision) if revision is not None else None,
         body.get("spec"),
     )
--- a/src/cicadapier/_internal/platform/objects.py
+++ b/src/cicadapier/_internal/platform/objects.py
@@ -22,9 +22,11 @@
         query = f"?after={urllib.parse.quote(after, safe='')}" if after else ""
         return store_format.Call("GET", f"{_ROOT}/{kind}{query}")
 
-    def watch(self, kind: str, version: str, wait_s: float) -> store_format.Call:
+    def watch(
+        self, kind: str, version: str, wait_s: float, stale: bool = False
+    ) -> store_format.Call:
         """See `StoreFormat.watch`."""
-        query = f"watch={version}&wait_ms={round(wait_s * 1000)}"
+        query = f"watch={version}&wait_ms={round(wait_s * 1000)}{'&allow_stale=1' if stale else ''}"
         return store_format.Call("GET", f"{_ROOT}/{kind}?{query}")
 
     def create(self, kind: str, name: str, spec: object) -> store_format.Call:
@@ -60,7 +62,8 @@
             store_format.Change(self.read_object(event.object), event.deleted)
             for event in found.events
         )
-        return store_format.Changes(changes, str(found.as_of))
+        # An answer that may be old can be older than the question's own version.
+        return store_format.Changes(changes, str(max(found.as_of, int(version))))
 
 
 class _Metadata(msgspec.Struct):
--- a/src/cicadapier/_internal/protocols/native_store_format.py
+++ b/src/cicadapier/_internal/protocols/native_store_format.py
@@ -20,7 +20,9 @@
         """See `StoreFormat.page`; the whole list comes at once."""
         return store_format.Call("GET", f"{ROOT}/{kind}")
 
-    def watch(self, kind: str, version: str, wait_s: float) -> store_format.Call:
+    def watch(
+        self, kind: str, version: str, wait_s: float, stale: bool = False
+    ) -> store_format.Call:
         """See `StoreFormat.watch`; the changes come when the time is over."""
         query = f"watch=1&resourceVersion={version}&timeoutSeconds={wait_s:.3f}"
         return store_format.Call("GET", f"{ROOT}/{kind}?{query}")
--- a/src/cicadapier/_internal/protocols/store_format.py
+++ b/src/cicadapier/_internal/protocols/store_format.py
@@ -87,8 +87,15 @@
         """Returns the call that lists a kind from after a name on."""
 
     @abc.abstractmethod
-    def watch(self, kind: str, version: str, wait_s: float) -> Call:
-        """Returns the call that waits for changes after a version."""
+    def watch(self, kind: str, version: str, wait_s: float, stale: bool = False) -> Call:
+        """Returns the call that waits for changes after a version.
+
+        Args:
+            kind: The kind.
+            version: The version.
+            wait_s: Longest wait.
+            stale: Whether the answer may be seconds old, where that is cheaper.
+        """
 
     @abc.abstractmethod
     def create(self, kind: str, name: str, spec: object) -> Call:
--- a/src/cicadapier/_internal/services/cluster_service.py
+++ b/src/cicadapier/_internal/services/cluster_service.py
@@ -19,7 +19,9 @@
 
 KIND = "cicadapier-routers"
 ROUTER_PREFIX = "router-"
-PACE = watching.Pace(wait_s=2.5)
+# What is old here does no harm: the lease is written under its version, and a write that meets
+# another one is told what it met. The rest are hints.
+PACE = watching.Pace(wait_s=2.5, stale=True)
 REGISTER_PAUSE_S = 0.5
 FORGET_AFTER_S = 60.0
 SWEEP_S = 10.0
@@ -151,7 +153,7 @@
         written = await self.platform.create(KIND, name, spec)
         if isinstance(written, platform_service.NotWritten):
             # An earlier process on this VM, or an unanswered write of this one, was here.
-            known = await self.platform.get(KIND, name)
+            known = written.object or await self.platform.get(KIND, name)
             if known is None:
                 return False
             if known.spec == spec:
--- a/src/cicadapier/_internal/services/order_lease.py
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -130,11 +130,23 @@
         try:
             await self._write(proposal)
         except exceptions.ServiceError as exc:
-            # Whether a lost write took effect shows in the watch.
             _log.info("lease_write_unanswered", pool=self.pool, reason=str(exc))
-            return False
+            await self._look()
+            return self._pending is None
         return True
 
+    async def _look(self) -> None:
+        """Reads whether a write without an answer took effect; the watch may be behind."""
+        with trio.move_on_after(self._patience.limit_s):
+            try:
+                found = await self._cluster.platform.get(cluster_service.KIND, self._name)
+            except exceptions.ServiceError as exc:
+                _log.info("lease_not_read", pool=self.pool, reason=str(exc))
+                return
+            if found:
+                self._cluster.put(found)
+                self._settle()
+
     async def _write(self, proposal: leases.LeaseObject) -> None:
         found = self._cluster.find(self._name)
         pending = _Pending(proposal, self._clock())
@@ -145,6 +157,8 @@
         if isinstance(written, platform_service.NotWritten):
             self._pending = None
             self._lease.lost()
+            if written.object:
+                self._cluster.put(written.object)
             _log.info("lease_refused", pool=self.pool, fencing=proposal.fencing)
             return
         if self._pending is pending:
--- a/src/cicadapier/_internal/services/platform_service.py
+++ b/src/cicadapier/_internal/services/platform_service.py
@@ -34,7 +34,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotWritten:
-    """A conditional write met another version or an object of the same name."""
+    """A conditional write met another version or an object of the same name.
+
+    Attributes:
+        object: What was met, where the answer tells it.
+    """
+
+    object: store_format.StoredObject | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,15 +113,23 @@
             if not after:
                 return Listing(tuple(objects), version)
 
-    async def watch(self, kind: str, version: str, wait_s: float) -> store_format.Changes:
+    async def watch(
+        self, kind: str, version: str, wait_s: float, stale: bool = False
+    ) -> store_format.Changes:
         """Waits for changes of a kind after a version, for a time at most.
 
+        Args:
+            kind: The kind.
+            version: The version.
+            wait_s: The time.
+            stale: Whether the answer may be seconds old, where that is cheaper.
+
         Raises:
             PlatformUnavailableError: No answer.
             HistoryGoneError: The changes since that version are no longer known.
             PlatformRefusedError: Any other status.
         """
-        call = self._spelling.watch(kind, version, wait_s)
+        call = self._spelling.watch(kind, version, wait_s, stale)
         status, answer = await self._answer(call, wait_s + WATCH_MARGIN_S)
         if status == http.HTTPStatus.GONE:
             raise exceptions.HistoryGoneError(kind)
@@ -246,7 +260,12 @@
     def _result(self, status: int, body: Any) -> Written | NotWritten:
         if status in (http.HTTPStatus.OK, http.HTTPStatus.CREATED):
             return Written(self._read(body))
-        return NotWritten()
+        if status != http.HTTPStatus.CONFLICT:
+            return NotWritten()
+        try:
+            return NotWritten(self._spelling.read_object(body))
+        except _UNREADABLE:
+            return NotWritten()
 
 
 _UNREADABLE = (msgspec.MsgspecError, KeyError, TypeError, AttributeError, ValueError)
--- a/src/cicadapier/_internal/services/watching.py
+++ b/src/cicadapier/_internal/services/watching.py
@@ -28,10 +28,12 @@
         wait_s: Time that a question waits for a change.
         gather_s: Pause after an answer with changes, so that the next ones come in one answer.
             Changes are known so much later at most.
+        stale: Whether answers may be seconds old, where that is cheaper.
     """
 
     wait_s: float
     gather_s: float = 0.0
+    stale: bool = False
 
 
 class Follower(abc.ABC):
@@ -118,7 +120,8 @@
             self._follower.listed(listing.objects)
             self._follower.settled()
             return False
-        changes = await self._platform.watch(self.kind, self._version, self._pace.wait_s)
+        pace = self._pace
+        changes = await self._platform.watch(self.kind, self._version, pace.wait_s, pace.stale)
         self._version = changes.version
         self._follower.answered(asked_at)
         for change in changes.changes:
--- a/src/cicadapier/_internal/standins/users_store.py
+++ b/src/cicadapier/_internal/standins/users_store.py
@@ -19,6 +19,7 @@
 PAGE_ITEMS = 50
 ANSWER_S = 0.004
 SLOW_ANSWER_S = 0.2
+STALE_S = 3.0
 LATE_WRITE_S = 2.0
 TIMELY_EVERY = 3  # Of the writes, where most are late.
 _WATCH_POLL_S = 0.005
@@ -35,6 +36,7 @@
     WRITES_LATE = "writes_late"
     MOST_WRITES_LATE = "most_writes_late"
     SLOW = "slow"
+    STALE = "stale"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,6 +44,7 @@
     revision: int
     kind: str
     change: store_format.Change
+    at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,7 +78,8 @@
         faults: What it does wrong now to all callers.
         rates: Calls that it takes in a second.
         calls: Calls by method.
-        reads: Reads, watches among them, by kind.
+        reads: Reads, watches among them, by kind, that must be fresh.
+        stale_reads: Those that may be old.
         turned_away: Calls that came too fast.
         revision: Revision of the newest change.
     """
@@ -85,6 +89,7 @@
         self.rates = Rates()
         self.calls: collections.Counter[str] = collections.Counter()
         self.reads: collections.Counter[str] = collections.Counter()
+        self.stale_reads: collections.Counter[str] = collections.Counter()
         self.turned_away = 0
         self.revision = 1
         self._network = network
@@ -162,13 +167,13 @@
         await self._misbehave(responder, own_faults)
         if responder.started:
             return
-        if self._is_too_fast(req.method != "GET"):
+        asked = far_side.read_store_question(req)
+        if not asked.stale and self._is_too_fast(req.method != "GET"):
             self.turned_away += 1
             await responder.send_json({}, http.HTTPStatus.TOO_MANY_REQUESTS)
             return
-        asked = far_side.read_store_question(req)
         if req.method == "GET":
-            self.reads[asked.kind] += 1
+            (self.stale_reads if asked.stale else self.reads)[asked.kind] += 1
             await self._read(asked, responder, own_faults)
             return
         if self._is_late():
@@ -243,16 +248,23 @@
             await self._misbehave(responder, own_faults)
             if responder.started:
                 return
+            shown = self._shown_revision(asked.stale)
             found = [
                 event.change
                 for event in self._events
-                if event.kind == asked.kind and event.revision > asked.watch
+                if event.kind == asked.kind and asked.watch < event.revision <= shown
             ]
             if found or trio.current_time() >= deadline:
-                await responder.send_json(far_side.show_changes(found, self.revision))
+                await responder.send_json(far_side.show_changes(found, shown))
                 return
             await trio.sleep(_WATCH_POLL_S)
 
+    def _shown_revision(self, stale: bool) -> int:
+        if not stale or StoreFault.STALE not in self.faults:
+            return self.revision
+        until = trio.current_time() - STALE_S
+        return max((e.revision for e in self._events if e.at <= until), default=self._oldest)
+
     async def _write_late(self, method: str, asked: far_side.StoreQuestion) -> None:
         await trio.sleep(LATE_WRITE_S)
         self._write(method, asked)
@@ -276,4 +288,4 @@
 
     def _record(self, kind: str, item: store_format.StoredObject, deleted: bool) -> None:
         change = store_format.Change(item, deleted)
-        self._events.append(_Event(self.revision, kind, change))
+        self._events.append(_Event(self.revision, kind, change, trio.current_time()))
--- a/tests/_internal/services/test_watching.py
+++ b/tests/_internal/services/test_watching.py
@@ -6,6 +6,7 @@
 import trio
 
 from cicadapier._internal.platform import documents
+from cicadapier._internal.services import cluster_service
 from tests import forwarding_world
 
 DIRECTORY = documents.DocumentFormat.directory_kind
@@ -63,5 +64,18 @@
         forwarding_world.in_world(check)
 
 
+class RoutersCallsTest(unittest.TestCase):
+    def test_the_order_lease_costs_the_routers_no_fresh_reads(self):
+        async def check(made):
+            before = made.store.reads[cluster_service.KIND]
+            for version in (2, 3, 4):
+                made.name_weights(version)
+                await trio.sleep(4.0)
+            self.assertEqual(made.store.reads[cluster_service.KIND] - before, 0)
+            self.assertGreater(made.store.stale_reads[cluster_service.KIND], 0)
+
+        forwarding_world.in_world(check, routers=4)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/_internal/services/test_weights_service.py
+++ b/tests/_internal/services/test_weights_service.py
@@ -95,6 +95,45 @@
 
         forwarding_world.in_world(check, routers=2)
 
+    def test_a_watch_that_is_seconds_behind_delays_no_rollout_and_brings_no_second_order_giver(
+        self,
+    ):
+        async def check(made):
+            made.store.faults.add(StoreFault.STALE)
+            for version in (2, 3, 4):
+                made.name_weights(version)
+                await trio.sleep(4.0)
+                self._check_weights(made, version)
+            holders = {order.holder for u in made.upstreams.values() for _, order in u.orders}
+            self.assertEqual(len(holders), 1)
+
+        forwarding_world.in_world(check, routers=3)
+
+    def test_lost_answers_and_a_watch_that_is_seconds_behind_delay_a_rollout_little(self):
+        async def check(made):
+            made.store.faults.update({StoreFault.STALE, StoreFault.LOSES_ANSWERS})
+            made.name_weights(2)
+            await trio.sleep(8.0)
+            self._check_weights(made, 2)
+            self._check_holders(made)
+
+        forwarding_world.in_world(check, routers=2)
+
+    def test_a_takeover_keeps_its_distance_where_the_watch_is_seconds_behind(self):
+        async def check(made):
+            made.store.faults.add(StoreFault.STALE)
+            made.name_weights(2)
+            await trio.sleep(1.0)
+            given = [o for u in made.upstreams.values() for o in u.orders]
+            holder = given[0][1].holder
+            made.end(holder)
+            made.name_weights(3)
+            await trio.sleep(20.0)
+            self._check_holders(made)
+            self._check_weights(made, 3)
+
+        forwarding_world.in_world(check, routers=3)
+
     def test_a_store_that_turns_slow_amid_a_rollout_delays_it_little(self):
         async def check(made):
             made.name_weights(2)
