Ask for a fresh answer after a lost history

A copy of the store that is behind may not know the history that a watch goes on from.

Now the first watch after a lost history or a silence wants a fresh answer: 10 fresh reads at most.

Ruled out: a pause after a lost history (it would delay registrations and configuration too).

Test: test_old_answers_that_know_no_history_bring_no_storm_of_lists, which fails before.

--- a/src/cicadapier/_internal/services/watching.py
+++ b/src/cicadapier/_internal/services/watching.py
@@ -31,7 +31,8 @@
         wait_s: Time that a question waits for a change.
         gather_s: Pause after an answer with changes, so that the next ones come in one answer.
             Changes are known so much later at most.
-        stale: Whether answers may be seconds old, where that is cheaper.
+        stale: Whether answers may be seconds old, where that is cheaper. The first one after a
+            silence or a lost history may not.
     """
 
     wait_s: float
@@ -94,6 +95,7 @@
         self._version: str | None = None
         self._failures = 0
         self._returned_at = -math.inf
+        self._doubted = False
 
     async def run(self) -> None:
         """Follows until it is cancelled."""
@@ -107,11 +109,13 @@
             except exceptions.HistoryGoneError:
                 _log.info("watch_history_gone", kind=self.kind, version=self._version)
                 self._version = None
+                self._doubted = True
             except (
                 exceptions.PlatformUnavailableError,
                 exceptions.PlatformRefusedError,
             ) as exc:
                 self._follower.unanswered()
+                self._doubted = True
                 self._note(False, str(exc))
                 await self._pause()
 
@@ -127,8 +131,10 @@
         pace = self._pace
         # After a silence, what is known has to be proved again before anything is waited for.
         wait_s = 0.0 if self._failures else pace.wait_s
-        changes = await self._platform.watch(self.kind, self._version, wait_s, pace.stale)
+        stale = pace.stale and not self._doubted
+        changes = await self._platform.watch(self.kind, self._version, wait_s, stale)
         self._version = changes.version
+        self._doubted = False
         self._follower.answered(asked_at)
         for change in changes.changes:
             self._follower.changed(change)
--- a/src/cicadapier/_internal/standins/users_store.py
+++ b/src/cicadapier/_internal/standins/users_store.py
@@ -37,6 +37,7 @@
     MOST_WRITES_LATE = "most_writes_late"
     SLOW = "slow"
     STALE = "stale"
+    STALE_FORGETS = "stale_forgets"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -242,7 +243,8 @@
         assert asked.watch is not None
         deadline = trio.current_time() + asked.wait_s
         while True:
-            if asked.watch < self._oldest:
+            forgets = asked.stale and StoreFault.STALE_FORGETS in self.faults
+            if forgets or asked.watch < self._oldest:
                 await responder.send_json({}, http.HTTPStatus.GONE)
                 return
             await self._misbehave(responder, own_faults)
--- a/tests/_internal/services/test_watching.py
+++ b/tests/_internal/services/test_watching.py
@@ -79,6 +79,16 @@
 
         forwarding_world.in_world(check, routers=4)
 
+    def test_old_answers_that_know_no_history_bring_no_storm_of_lists(self):
+        async def check(made):
+            made.store.faults.add(StoreFault.STALE_FORGETS)
+            before = made.store.reads[cluster_service.KIND]
+            await trio.sleep(10.0)
+            self.assertLessEqual(made.store.reads[cluster_service.KIND] - before, 10)
+            self.assertLessEqual(made.store.stale_reads[cluster_service.KIND], 6)
+
+        forwarding_world.in_world(check)
+
 
 class SilenceTest(unittest.TestCase):
     def test_a_quiet_store_is_asked_seldom(self):
