Tell the routers of a failure domain at once what was sent where, in a large fleet

Cause: beyond 8 routers none told another what it had sent. Each of 23 knew 1/23 of the loads, caches and hotness; an answer's word on its engine's load is believed for 0.3 s, and a router hears of each engine about once in 7 s. Routers place 99 % of their prompts in their own failure domain, so 7 or 8 of them share 15 engines. Ruled out: patience in the routers' own queue (no request waited there); the interactive and batch lanes (all forwarded requests are interactive, the two kinds run in the same engines). Change: routers of one domain, where they are fewer than 16, exchange what they have sent as they send it, at most 30 exchanges a second each. A message that tells no work no longer sets the baseline of its sender's counts.

--- a/src/cicadapier/_internal/decisions/cadence.py
+++ b/src/cicadapier/_internal/decisions/cadence.py
@@ -2,7 +2,9 @@
 
 A small fleet tells everything to everybody at once. In a large one a router's share of the control
 traffic stays the same however many routers there are, so rounds are rarer and news that only
-some routers can use is left out.
+some routers can use is left out. Routers of one failure domain place on the same upstreams,
+those of their own domain, so a few of them tell each other at once what they have sent in a fleet
+of any size.
 """
 
 import collections.abc
@@ -17,6 +19,9 @@
 SPARSE_ROUND_S = 0.5
 SMALL_FANOUT = 3
 LARGE_FANOUT = 1
+NEAR_ROUTERS = 16
+NEAR_EXCHANGES_PER_S = 30.0
+NEAR_MEMORY_S = 1.5
 PLATFORM_READERS = 2
 READER_POLL_S = 0.5
 OTHER_POLL_S = 15.0
@@ -57,6 +62,27 @@
     return Rounds(LARGE_ROUND_S, LARGE_FANOUT, urgent=False, direct=False)
 
 
+def tells_near(told: Rounds, domain: collections.abc.Sized) -> bool:
+    """Returns whether a router tells those of its failure domain at once what it has sent.
+
+    Args:
+        told: The rounds of the whole fleet, in which that may be told anyway.
+        domain: The other reachable routers of its failure domain.
+    """
+    return not told.direct and 0 < len(domain) < NEAR_ROUTERS
+
+
+def near_period_s(domain: collections.abc.Sized) -> float:
+    """Returns the least time between two rounds within a failure domain.
+
+    A router's share of the traffic stays the same however many there are.
+
+    Args:
+        domain: The other reachable routers of the failure domain.
+    """
+    return len(domain) / NEAR_EXCHANGES_PER_S
+
+
 def platform_poll_s(own: ids.VmId, domain: collections.abc.Iterable[ids.VmId]) -> float:
     """Returns how often a router reads the platform.
 
--- a/src/cicadapier/_internal/decisions/peer_news.py
+++ b/src/cicadapier/_internal/decisions/peer_news.py
@@ -155,12 +155,13 @@
         self._use[news.sender.vm] = (now, news.use)
         known = self._sends.get(news.sender)
         sends: list[SentWork] = []
-        if known is None:
-            # What was sent before this router listened is in the upstreams' own reports.
-            known = self._sends.setdefault(news.sender, {})
-        else:
+        if known is not None:
             sends = [_added(known.get(work.upstream), work) for work in news.sends]
-        known.update({work.upstream: work for work in news.sends})
+            known.update({work.upstream: work for work in news.sends})
+        elif news.sends:
+            # What was sent before this router listened is in the upstreams' own reports. Some
+            # messages tell no work at all, and count as none.
+            self._sends[news.sender] = {work.upstream: work for work in news.sends}
         seen = self._placed.get(news.sender, 0)
         placed = [item for item in news.placed if item.number > seen]
         if placed:
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 import random
 
 import structlog
@@ -62,6 +63,9 @@
         self._kernel: service.Kernel | None = None
         self._reachable: frozenset[ids.VmId] = frozenset()
         self._domain_routers: frozenset[ids.VmId] = frozenset()
+        self._near_news = trio.Event()
+        self._near: tuple[ids.Address, ...] = ()
+        self._telling: set[ids.Address] = set()
 
     @property
     def listening(self) -> ids.Address | None:
@@ -86,6 +90,7 @@
                 )
             )
             started.started()
+            nursery.start_soon(self._tell_near)
             while True:
                 await self._round(nursery)
                 await self._pause()
@@ -98,6 +103,7 @@
                 without the news otherwise.
         """
         self._news.set()
+        self._near_news.set()
         if urgent:
             self._urgent.set()
 
@@ -140,7 +146,8 @@
     def exchange(self, digest: peer_codec.Digest) -> peer_codec.Digest:
         """See `peer_transport.PeerHandler.exchange`."""
         self._merge(digest)
-        return self._digest
+        # What comes between the rounds asks for nothing.
+        return self._digest if digest.heartbeats else self._bare_digest()
 
     def document(self, above: ids.ConfigNumber) -> tuple[ids.ConfigNumber, bytes] | None:
         """See `peer_transport.PeerHandler.document`."""
@@ -176,11 +183,47 @@
         self._publish_use(now)
         self._log_changes(now)
 
-    async def _refresh_digest(self) -> None:
-        assert self._traffic and self._configuration
+    async def _tell_near(self) -> None:
+        """Tells the routers of the own failure domain what this one has sent, as it sends it."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await self._near_news.wait()
+                self._near_news = trio.Event()
+                if cadence.tells_near(self._rounds(), self._near):
+                    digest = await self._near_digest()
+                    # A peer that has not answered yet hears of it in a later round.
+                    for address in set(self._near) - self._telling:
+                        nursery.start_soon(self._tell, address, digest)
+                await trio.sleep(max(MIN_ROUND_S, cadence.near_period_s(self._near)))
+
+    async def _tell(self, address: ids.Address, digest: peer_codec.Digest) -> None:
+        self._telling.add(address)
+        try:
+            await self._exchange_with(address, digest)
+        finally:
+            self._telling.discard(address)
+
+    async def _near_digest(self) -> peer_codec.Digest:
+        found = await self._take_digest()
+        since = trio.current_time() - cadence.NEAR_MEMORY_S
+        placed = tuple(item for item in found.placed if item.at >= since)
+        return dataclasses.replace(self._bare_digest(), sends=found.sends, placed=placed)
+
+    def _bare_digest(self) -> peer_codec.Digest:
+        """Returns a digest without what the rounds of the whole fleet tell."""
+        assert self._configuration
+        number = self._configuration.current.number
+        return peer_codec.Digest(self._cfg.vm, self._generation, number)
+
+    async def _take_digest(self) -> traffic_messages.Digest:
+        assert self._traffic
         reply: mailbox.Reply[traffic_messages.Digest] = mailbox.Reply()
         self._traffic.mailbox.send(traffic_messages.TakeDigest(reply))
-        found = await reply.get()
+        return await reply.get()
+
+    async def _refresh_digest(self) -> None:
+        assert self._configuration
+        found = await self._take_digest()
         now = trio.current_time()
         # In a large fleet few of the peers place on the same upstreams, and a sample of the use
         # of an account says nothing of the whole.
@@ -200,9 +243,11 @@
             placed if direct else (),
         )
 
-    async def _exchange_with(self, address: ids.Address) -> None:
+    async def _exchange_with(
+        self, address: ids.Address, digest: peer_codec.Digest | None = None
+    ) -> None:
         try:
-            answer = await self._transport.exchange(address, self._digest)
+            answer = await self._transport.exchange(address, digest or self._digest)
         except exceptions.ProtocolError:
             return
         self._merge(answer)
@@ -257,11 +302,9 @@
     def _log_changes(self, now: float) -> None:
         heard = self.members.reachable(now)
         reachable = frozenset(heartbeat.vm for heartbeat in heard)
-        self._domain_routers = frozenset(
-            heartbeat.vm
-            for heartbeat in heard
-            if heartbeat.failure_domain == self._cfg.failure_domain
-        )
+        domain = [h for h in heard if h.failure_domain == self._cfg.failure_domain]
+        self._domain_routers = frozenset(heartbeat.vm for heartbeat in domain)
+        self._near = tuple(heartbeat.address for heartbeat in domain)
         for vm in sorted(reachable - self._reachable):
             _log.info("peer_reachable", peer=vm)
         for vm in sorted(self._reachable - reachable):
--- a/tests/_internal/decisions/test_cadence.py
+++ b/tests/_internal/decisions/test_cadence.py
@@ -41,6 +41,18 @@
         self.assertEqual(cadence.rounds(100), cadence.rounds(1500))
         self.assertTrue(cadence.rounds(4).urgent)
 
+    def test_few_routers_of_a_domain_tell_each_other_in_a_large_fleet(self):
+        large = cadence.sparse_rounds(23)
+        self.assertTrue(cadence.tells_near(large, names(7)))
+        self.assertFalse(cadence.tells_near(large, names(0)))
+        self.assertFalse(cadence.tells_near(large, names(100)))
+        self.assertFalse(cadence.tells_near(cadence.sparse_rounds(4), names(2)))
+
+    def test_routers_of_a_domain_exchange_no_more_where_they_are_more(self):
+        for count in (1, 7, 15):
+            per_s = count / cadence.near_period_s(names(count))
+            self.assertAlmostEqual(per_s, cadence.NEAR_EXCHANGES_PER_S)
+
 
 class ParserTest(unittest.TestCase):
     def test_parsing_step_by_step_equals_parsing_anew(self):
--- /dev/null
+++ b/tests/_internal/decisions/test_peer_news.py
@@ -0,0 +1,133 @@
+"""What routers learn of each other's placements."""
+
+import random
+import unittest
+
+from cicadapier._internal.decisions import cadence
+from cicadapier._internal.decisions import entries
+from cicadapier._internal.decisions import peer_news
+from cicadapier._internal.decisions import prefix
+from cicadapier._internal.decisions import traffic
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+
+MODELS = ids.PoolId("models")
+MODEL = ids.ModelId("quill")
+ACCOUNT = ids.AccountId("press")
+HERE = ids.FailureDomainId("here")
+ENGINES = 15
+ROUTERS = 7
+SLOTS = 16
+TOKENS_PER_S = 45_000.0
+TOKENS = 9_000
+SUBJECT_TOKENS = 3_800
+SUBJECTS = 270
+REQUESTS_PER_S = 27.0
+REQUESTS = 800
+
+
+def _pool():
+    found = {
+        ids.UpstreamId(f"engine-{i}"): configuration.Upstream(
+            ids.Address("10.0.0.1:80"), HERE, max_in_flight=SLOTS
+        )
+        for i in range(ENGINES)
+    }
+    return configuration.Pool(
+        configuration.PoolKind.MODEL,
+        found,
+        models={MODEL: configuration.Model("")},
+        prefill_tokens_per_s=TOKENS_PER_S,
+    )
+
+
+class _Router:
+    """Decisions of one router and what it tells."""
+
+    def __init__(self, number):
+        self.sender = peer_news.Sender(ids.VmId(f"vm-{number}"), 1)
+        self.outgoing = peer_news.Outgoing()
+        self.incoming = peer_news.Incoming()
+        self.traffic = traffic.Traffic(HERE)
+        content = configuration.Configuration({ACCOUNT: configuration.Account()}, {MODELS: _pool()})
+        cfg = configuration.NumberedConfiguration(ids.ConfigNumber(1), content)
+        self.traffic.configure(cfg, 0.0)
+        belief = self.traffic.pools[MODELS].policy.belief
+        for upstream in self.traffic.pools[MODELS].policy.members:
+            belief.observe_incarnation(upstream, ids.Incarnation("1"))
+
+    def place(self, number, now):
+        subject = prefix.Part(f"subject-{number * 7 % SUBJECTS}", SUBJECT_TOKENS)
+        own = prefix.Part(f"own-{number}", TOKENS - SUBJECT_TOKENS)
+        prompt = prefix.chain(ids.PieceId(b"root".ljust(16)), (subject, own), TOKENS)
+        name = f"r{number}"
+        entry = entries.Entry(
+            ids.RequestId(name), ACCOUNT, MODELS, prompt, 50, ids.Fingerprint(name), model=MODEL
+        )
+        placed = self.traffic.enter(entry, now)
+        self.outgoing.count(self.traffic, placed, now)
+        return placed.choice.estimate.upstream
+
+    def hear(self, other, now):
+        placed = tuple(other.outgoing.placed)
+        news = peer_news.News(other.sender, other.outgoing.sends(), placed, {})
+        learned = self.incoming.merge(news, now)
+        seen = self.traffic.observations
+        for work in learned.sends:
+            seen.peer_sent(work.pool, work.upstream, work.tokens, work.interactive_tokens, now)
+        for item in learned.placed:
+            seen.peer_placed(item.pool, item.upstream, item.pieces, now)
+
+
+def _tell(routers, told_at, now):
+    """Has each router that has news tell it, at most once a period."""
+    for sender in routers:
+        fresh = sender.outgoing.placed and sender.outgoing.placed[-1].at > told_at[sender]
+        if not fresh or now < told_at[sender] + cadence.near_period_s(routers[1:]):
+            continue
+        told_at[sender] = now
+        for receiver in routers:
+            if receiver is not sender:
+                receiver.hear(sender, now)
+
+
+def _share_behind_others(told):
+    """Returns the share of prompts that wait at an engine while another one reads none."""
+    routers = [_Router(number) for number in range(ROUTERS)]
+    told_at = dict.fromkeys(routers, -1.0)
+    ends = dict.fromkeys(routers[0].traffic.pools[MODELS].policy.members, 0.0)
+    rng = random.Random(5)
+    behind = 0
+    for number in range(REQUESTS):
+        now = number / REQUESTS_PER_S
+        chosen = rng.choice(routers).place(number, now)
+        behind += ends[chosen] > now and min(ends.values()) <= now
+        ends[chosen] = max(ends[chosen], now) + TOKENS / TOKENS_PER_S
+        for router in routers:
+            router.traffic.leave(ids.RequestId(f"r{number - 5}"), ran=True)
+        if told:
+            _tell(routers, told_at, now)
+    return behind / REQUESTS
+
+
+class LoadOfOneDomainTest(unittest.TestCase):
+    def test_half_as_many_prompts_wait_behind_others_once_routers_tell_each_other(self):
+        self.assertGreater(_share_behind_others(told=False), 0.25)
+        self.assertLess(_share_behind_others(told=True), 0.2)
+
+
+class MessagesTest(unittest.TestCase):
+    def setUp(self):
+        self.incoming = peer_news.Incoming()
+        self.sender = peer_news.Sender(ids.VmId("vm"), 1)
+
+    def _merge(self, *tokens):
+        work = tuple(peer_news.SentWork(MODELS, ids.UpstreamId("e"), t, t) for t in tokens)
+        news = peer_news.News(self.sender, work, (), {})
+        return [item.tokens for item in self.incoming.merge(news, 1.0).sends]
+
+    def test_work_of_before_is_no_news_after_a_message_that_told_none(self):
+        self._merge()
+        self.assertEqual(self._merge(90_000.0), [])
+        self.assertEqual(self._merge(), [])
+        self.assertEqual(self._merge(95_000.0), [5_000.0])
