--- a/tests/_internal/services/test_silent_answers.py
+++ b/tests/_internal/services/test_silent_answers.py
@@ -178,6 +178,45 @@
 
         forwarding_world.in_world(check)
 
+    def test_a_relief_that_was_turned_away_keeps_no_place(self):
+        async def check(made):
+            made.upstreams["engine-1"].faults.add(Fault.SHEDS)
+            made.upstreams["engine-2"].faults.add(Fault.SHEDS)
+            made.upstreams["engine-0"].faults.add(Fault.STALLS)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(made.ask)
+                await trio.sleep(1.5)
+                decisions = made.routers[0].kernel.find("traffic")._traffic
+                found = decisions.pools["engines"].policy.members
+                taken = {name: member.load.in_flight for name, member in found.items()}
+                self.assertEqual(taken, {"engine-0": 1, "engine-1": 0, "engine-2": 0})
+
+        forwarding_world.in_world(check)
+
+
+class OnceTest(unittest.TestCase):
+    """What may run once has no second run beside a silent one."""
+
+    def test_an_order_and_a_stream_that_may_not_be_resumed_run_once(self):
+        async def check(made):
+            for upstream in made.upstreams.values():
+                upstream.faults.add(Fault.SILENT)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._order, made)
+                nursery.start_soon(self._stream, made)
+            self.assertEqual(len(made.runs_of("order")), 1)
+            self.assertEqual(len(made.runs_of("stream")), 1)
+
+        forwarding_world.in_world(check)
+
+    async def _order(self, made):
+        reply = await made.send("POST", "desk", "/order/1", request="order")
+        self.assertEqual(reply.status, 504)
+
+    async def _stream(self, made):
+        reply = await made.ask("/long/x", request="stream")
+        self.assertEqual(reply.status, 504)
+
 
 if __name__ == "__main__":
     unittest.main()
