Let the fuzz change the configuration while streams run and engines pause

Why it had not seen the lost answers: its streams lasted 60 ms, so that no change met one under way; its only changes were revoked keys; budgets were never small; and the oracle took any broken stream and any 502 as truthful. Now routes move, split, go and come back, timeouts and limits change, budgets shrink under way, streams last for up to 1.8 s and engines pause for 2.5 s. The oracle fails an answer that a router ended at an upstream that was well, with time left and with no other run of the request under way or to follow. A machine of planned changes alone runs beside the one with failures.

The check of the orders' holders went over all pools as one; there was one. With a second pool each has a lease and a holder of its own, so the check goes pool by pool, as strict for each; convergence is demanded of both pools.

--- a/src/cicadapier/_internal/standins/users_upstream.py
+++ b/src/cicadapier/_internal/standins/users_upstream.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import http
+import math
 
 import trio
 
@@ -45,6 +46,10 @@
     ORDERS_LATE = "orders_late"
 
 
+class _BrokenOffError(exceptions.ConnectionLostError):
+    """The upstream itself closes the connection."""
+
+
 @dataclasses.dataclass
 class Backups:
     """Memory of runs that upstreams hold for others.
@@ -61,7 +66,7 @@
             del self.weights[key]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Run:
     """A request that began to run.
 
@@ -72,6 +77,8 @@
         headers: Its headers by name.
         target: Its path and query.
         body: Its body.
+        at: Time at which it began.
+        ended_at: Time at which it ended, infinite until then.
     """
 
     request: str
@@ -80,6 +87,8 @@
     headers: dict[str, str]
     target: str
     body: bytes
+    at: float
+    ended_at: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,11 +99,21 @@
     request: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cut:
+    """A run whose connection was closed by the router."""
+
+    at: float
+    request: str
+
+
 class UsersUpstream(http_server.Handler):
     """An upstream.
 
     Attributes:
         arrivals: Requests that reached it.
+        cuts: Runs that a router closed.
+        ended_itself: Whether its process has ended.
         faults: What it does wrong now.
         weights: Weights version that it serves.
         orders: Orders that it was given, with the time of each.
@@ -116,6 +135,8 @@
         self.weights = 1
         self.orders: list[tuple[float, rollout.Order]] = []
         self.arrivals: list[Arrival] = []
+        self.cuts: list[Cut] = []
+        self.ended_itself = False
         self.events = 6
         self.event_s = EVENT_S
         self.first_s = 0.0
@@ -187,9 +208,23 @@
             return
         request = _text(req, wire_headers.REQUEST_ID)
         named = {k.decode(): v.decode("latin-1") for k, v in req.headers}
-        self._runs.append(
-            Run(request, self.entry.upstream, self.weights, named, req.target, req.body)
-        )
+        now = trio.current_time()
+        run = Run(request, self.entry.upstream, self.weights, named, req.target, req.body, now)
+        self._runs.append(run)
+        try:
+            await self._run(req, responder, request)
+        except _BrokenOffError:
+            raise
+        except (trio.Cancelled, exceptions.ConnectionLostError):
+            if not self.ended_itself:
+                self.cuts.append(Cut(trio.current_time(), request))
+            raise
+        finally:
+            run.ended_at = trio.current_time()
+
+    async def _run(
+        self, req: http_server.Request, responder: http_server.Responder, request: str
+    ) -> None:
         await self._misbehave()
         resumes = req.header(wire_headers.LAST_EVENT_ID) is not None
         if resumes and UpstreamFault.FAILS_TO_RESUME in self.faults:
@@ -200,6 +235,8 @@
             await self._stream(req, responder, request)
             return
         await trio.sleep(self.work_s)
+        if UpstreamFault.STALLS in self.faults:
+            await trio.sleep(STALL_S)
         headers = far_side.answer_headers(request)
         if UpstreamFault.UNPROVED in self.faults:
             headers = [item for item in headers if item[0] != wire_headers.PROOF]
@@ -247,7 +284,7 @@
         if UpstreamFault.BEGINS_LATE in self.faults:
             await trio.sleep(BEGIN_S)
         if UpstreamFault.LOSES_ANSWERS in self.faults:
-            raise exceptions.ConnectionLostError("answer lost")
+            raise _BrokenOffError("answer lost")
 
     async def _stream(
         self, req: http_server.Request, responder: http_server.Responder, request: str
@@ -267,7 +304,7 @@
                 await trio.sleep(STALL_S)
             if UpstreamFault.BREAKS_OFF in self.faults and number == first + 2:
                 await responder.send_part(b"id: %d\nda" % number)
-                raise exceptions.ConnectionLostError("broke off")
+                raise _BrokenOffError("broke off")
             if UpstreamFault.ENDS_WITHIN_AN_EVENT in self.faults and number == first + 2:
                 await responder.send_part(b"id: %d\nda" % number)
                 break
--- a/src/cicadapier/_internal/standins/users_world.py
+++ b/src/cicadapier/_internal/standins/users_world.py
@@ -190,6 +190,8 @@
 
     def end(self, name: str) -> None:
         """Ends an upstream or a router without a word; what it registered stays."""
+        if name in self.upstreams:
+            self.upstreams[name].ended_itself = True
         self._scopes[name].cancel()
 
     async def start_router(self, index: int) -> forwarding_assembly.ForwardingRouter:
--- a/tests/forwarding_fuzzing.py
+++ b/tests/forwarding_fuzzing.py
@@ -6,7 +6,10 @@
 
 import trio
 
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
 from cicadapier._internal.models import settings
+from cicadapier._internal.standins import users_upstream
 from cicadapier._internal.standins import users_world
 from tests import forwarding_world
 
@@ -17,9 +20,69 @@
 ONCE = ("order", "long")
 STREAMS = ("ask", "long")
 EVENTS = 6
+TIME_LEFT_S = 3.0
+MARGIN_S = 0.1
+HARMLESS = (
+    users_upstream.UpstreamFault.STALLS,
+    users_upstream.UpstreamFault.BEGINS_LATE,
+    users_upstream.UpstreamFault.ORDERS_LATE,
+)
+SPARE = ids.PoolId("spare")
+ENGINE_POOLS = (users_world.ENGINES, SPARE)
 GONE_AFTER_S = 3.0
 
 
+def _restore(made):
+    made.caller_limits = users_world.CALLER_LIMITS
+    return users_world.routes()
+
+
+def _move(made):
+    """Sends the routes of the engines to other engines."""
+    found = users_world.routes()
+    for name in STREAMS:
+        found[name] = dataclasses.replace(found[name], pools=[configuration.PoolShare(SPARE)])
+    return found
+
+
+def _split(made):
+    """Sends half of the engines' requests to other engines."""
+    found = users_world.routes()
+    for name in STREAMS:
+        shares = [*found[name].pools, configuration.PoolShare(SPARE)]
+        found[name] = dataclasses.replace(found[name], pools=shares)
+    return found
+
+
+def _drop(made):
+    found = users_world.routes()
+    for name in STREAMS:
+        del found[name]
+    return found
+
+
+def _change_timeouts(made):
+    return {
+        name: dataclasses.replace(route, timeout_s=2 * route.timeout_s, objective_s=0.3, gap_s=0.4)
+        for name, route in users_world.routes().items()
+    }
+
+
+def _change_limits(made):
+    made.caller_limits = dataclasses.replace(made.caller_limits, idle_timeout_s=2.0)
+    return users_world.routes()
+
+
+CHANGES = {
+    "restore": _restore,
+    "move": _move,
+    "split": _split,
+    "drop": _drop,
+    "timeouts": _change_timeouts,
+    "limits": _change_limits,
+}
+
+
 @dataclasses.dataclass
 class Sent:
     """A request of the program and what its caller got."""
@@ -28,6 +91,7 @@
     route: str
     key: str
     at: float
+    router: int
     reply: forwarding_world.Reply | None = None
 
 
@@ -39,10 +103,13 @@
         self.sent = []
         self.revoked = {}
         self.version = 1
+        self.unwell = collections.defaultdict(list)
+        self.ends = collections.defaultdict(list)
+        self._declared = users_world.routes()
         self._nursery = nursery
 
     def send(self, router, route, key, part):
-        sent = Sent(f"q{len(self.sent)}", route, key, trio.current_time())
+        sent = Sent(f"q{len(self.sent)}", route, key, trio.current_time(), router)
         self.sent.append(sent)
         self._nursery.start_soon(self._send, router, sent, part)
 
@@ -54,7 +121,7 @@
         keys = self.made.keys[users_world.ACCOUNT]
         if key in keys:
             keys.remove(key)
-            self.made.configure(users_world.routes())
+            self.made.configure(self._declared)
             self.revoked[key] = trio.current_time()
 
     def strike(self, faults, fault, seconds):
@@ -62,6 +129,38 @@
         faults.add(fault)
         self._nursery.start_soon(self._heal, faults, fault, seconds)
 
+    def strike_upstream(self, name, fault, seconds):
+        """Adds a fault to an upstream for a time."""
+        if fault not in HARMLESS:
+            now = trio.current_time()
+            self.unwell[name].append((now, now + seconds))
+        self.strike(self.made.upstreams[name].faults, fault, seconds)
+
+    def pause_engines(self, seconds):
+        """Has streams that are under way or begin now pause for longer than a longest pause."""
+        for name, upstream in self.made.upstreams.items():
+            if name.startswith("engine"):
+                self.strike(upstream.faults, users_upstream.UpstreamFault.STALLS, seconds)
+
+    def slow_down(self, event_s):
+        """Changes the time between two events of a stream."""
+        for upstream in self.made.upstreams.values():
+            upstream.event_s = event_s
+
+    def limit_repeats(self, slack):
+        """Changes the retry budget of all routers, as their settings do."""
+        for router in self.made.routers.values():
+            cfg = router.callers._settings
+            terms = dataclasses.replace(
+                cfg.forwarding, retries=settings.RetryBudget(share=0.0, slack=slack)
+            )
+            router.kernel.reload(dataclasses.replace(cfg, forwarding=terms))
+
+    def change(self, name):
+        """Puts another configuration in force."""
+        self._declared = CHANGES[name](self.made)
+        self.made.configure(self._declared)
+
     def crash(self, name):
         """Ends an upstream; its registration lapses later."""
         self.made.end(name)
@@ -71,6 +170,7 @@
         if graceful:
             self.made.routers[index].kernel.stop()
             await trio.sleep(users_world.DRAIN_S)
+        self.ends[index].append(trio.current_time())
         self.made.end(f"vm-{index}")
         await trio.sleep(0.1)
         await self.made.start_router(index)
@@ -122,6 +222,7 @@
         *_once(program),
         *_truthful(program),
         *_whole(program),
+        *_given_up(program),
         *_weights(program),
         *_holders(program),
         *_revoked(program),
@@ -171,6 +272,35 @@
     return found
 
 
+def _given_up(program):
+    """Finds answers that a router ended though the upstream was well and time was left."""
+    return [
+        f"{sent.request} of {sent.route} was given up at {name} {cut.at - sent.at:.2f} s after it"
+        f" was sent, and got {sent.reply.status} {sent.reply.numbers}"
+        for sent in program.sent
+        if sent.reply and (sent.reply.broken or sent.reply.status != 200)
+        for name, upstream in program.made.upstreams.items()
+        for cut in upstream.cuts
+        if cut.request == sent.request
+        and cut.at < sent.at + TIME_LEFT_S - MARGIN_S
+        and not _was_unwell(program, name, sent.at, cut.at)
+        and not any(sent.at <= at <= cut.at + MARGIN_S for at in program.ends[sent.router])
+        and not _goes_on(program, name, cut)
+    ]
+
+
+def _goes_on(program, name, cut):
+    """Returns whether another run of the request was under way at the cut or followed it."""
+    return any(
+        run.at >= cut.at or (run.upstream != name and run.ended_at > cut.at)
+        for run in program.made.runs_of(cut.request)
+    )
+
+
+def _was_unwell(program, name, since, until):
+    return any(began <= until and since <= ended for began, ended in program.unwell[name])
+
+
 def _weights(program):
     return [
         f"{run.request} ran on weights {run.weights} with {run.headers['x-cache-salt']}"
@@ -181,9 +311,15 @@
 
 
 def _holders(program):
+    """Checks the orders to each pool, which has a holder of its own."""
+    return [found for pool in ENGINE_POOLS for found in _holders_of(program, pool)]
+
+
+def _holders_of(program, pool):
     orders = sorted(
         (at, order.holder, order.fencing)
         for upstream in program.made.upstreams.values()
+        if upstream.entry.pool == pool
         for at, order in upstream.orders
     )
     return [
@@ -231,7 +367,7 @@
     living = [
         upstream
         for name, upstream in program.made.upstreams.items()
-        if name.startswith("engine") and program.made.store.find("servers", name)
+        if upstream.entry.pool in ENGINE_POOLS and program.made.store.find("servers", name)
     ]
     return [
         f"{upstream.entry.upstream} serves weights {upstream.weights}, named {program.version}"
--- a/tests/test_forwarding_fuzz.py
+++ b/tests/test_forwarding_fuzz.py
@@ -10,6 +10,7 @@
 
 from cicadapier._internal.standins import users_store
 from cicadapier._internal.standins import users_upstream
+from cicadapier._internal.standins import users_world
 from tests import forwarding_fuzzing
 from tests import forwarding_world
 from tests import support
@@ -28,8 +29,11 @@
 _UPSTREAMS = [f"engine-{i}" for i in range(ENGINES)] + ["desk-0", "desk-1"]
 
 
-class ForwardingMachine(stateful.RuleBasedStateMachine):
-    """Rules write a program; it runs as a whole on a paused clock when the machine ends."""
+class ChangingMachine(stateful.RuleBasedStateMachine):
+    """Planned changes alone, on upstreams that are well and pause.
+
+    Rules write a program; it runs as a whole on a paused clock when the machine ends.
+    """
 
     def __init__(self):
         super().__init__()
@@ -37,15 +41,46 @@
 
     @stateful.rule(
         router=_ROUTER,
-        route=st.sampled_from(["look", "order", "ask", "long", "long"]),
+        route=st.sampled_from(["look", "order", "ask", "ask", "long", "long"]),
         key=st.sampled_from(["key-1", "key-2"]),
         part=st.sampled_from("abc"),
-        count=st.integers(1, 6),
+        count=st.integers(1, 12),
     )
     def send(self, router, route, key, part, count):
         for _ in range(count):
             self.steps.append(lambda program: program.send(router, route, key, part))
 
+    @stateful.rule(seconds=_SECONDS)
+    def pause_engines(self, seconds):
+        self.steps.append(lambda program: program.pause_engines(seconds))
+
+    @stateful.rule(event_s=st.sampled_from([0.01, 0.1, 0.3]))
+    def slow_down(self, event_s):
+        self.steps.append(lambda program: program.slow_down(event_s))
+
+    @stateful.rule(slack=st.sampled_from([0.0, 4.0, 8.0]))
+    def limit_repeats(self, slack):
+        self.steps.append(lambda program: program.limit_repeats(slack))
+
+    @stateful.rule(name=st.sampled_from(list(forwarding_fuzzing.CHANGES)))
+    def change(self, name):
+        self.steps.append(lambda program: program.change(name))
+
+    @stateful.rule(
+        router=_ROUTER,
+        slack=st.sampled_from([4.0, 8.0]),
+        count=st.integers(3, 12),
+        name=st.sampled_from(list(forwarding_fuzzing.CHANGES)),
+        after_s=st.sampled_from([0.1, 0.5, 0.7]),
+    )
+    def change_amid_pauses(self, router, slack, count, name, after_s):
+        self.limit_repeats(slack)
+        self.pause_engines(2.0)
+        self.send(router, "ask", "key-1", "a", count)
+        self.wait(after_s)
+        self.change(name)
+        self.wait(0.5)
+
     @stateful.rule()
     def name_weights(self):
         self.steps.append(lambda program: program.name_weights())
@@ -54,6 +89,19 @@
     def revoke(self, key):
         self.steps.append(lambda program: program.revoke(key))
 
+    @stateful.rule(seconds=st.sampled_from([0.03, 0.1, 0.5, 2.0, 5.0]))
+    def wait(self, seconds):
+        self.steps.append(lambda program: trio.sleep(seconds))
+
+    def teardown(self):
+        if self.steps:
+            found = run_program(self.steps)
+            assert not found, "\n".join(found)
+
+
+class ForwardingMachine(ChangingMachine):
+    """The same with the failures of the store, the upstreams and the routers."""
+
     @stateful.rule(fault=st.sampled_from(list(users_store.StoreFault)), seconds=_SECONDS)
     def strike_store(self, fault, seconds):
         self.steps.append(lambda p: p.strike(p.made.store.faults, fault, seconds))
@@ -70,7 +118,7 @@
         seconds=_SECONDS,
     )
     def strike_upstream(self, name, fault, seconds):
-        self.steps.append(lambda p: p.strike(p.made.upstreams[name].faults, fault, seconds))
+        self.steps.append(lambda p: p.strike_upstream(name, fault, seconds))
 
     @stateful.rule()
     def forget_history(self):
@@ -84,15 +132,6 @@
     def restart(self, router, graceful):
         self.steps.append(lambda program: program.restart(router, graceful))
 
-    @stateful.rule(seconds=st.sampled_from([0.03, 0.1, 0.5, 2.0, 5.0]))
-    def wait(self, seconds):
-        self.steps.append(lambda program: trio.sleep(seconds))
-
-    def teardown(self):
-        if self.steps:
-            found = run_program(self.steps)
-            assert not found, "\n".join(found)
-
 
 def run_program(steps):
     """Runs steps in a new world and returns the promises that were broken."""
@@ -100,8 +139,10 @@
 
     async def main():
         made = forwarding_world.World()
+        made.pools[forwarding_fuzzing.SPARE] = users_world.engine_pool()
         async with trio.open_nursery() as outer:
             await made.start(outer, routers=ROUTERS, engines=ENGINES)
+            await made.add_upstream("spare-0", forwarding_fuzzing.SPARE, users_world.MODEL)
             await trio.sleep(forwarding_world.SETTLE_S)
             async with trio.open_nursery() as nursery:
                 program = forwarding_fuzzing.Program(made, nursery)
@@ -117,18 +158,21 @@
     return found
 
 
-ForwardingMachine.TestCase.settings = hypothesis.settings(
-    max_examples=EXAMPLES,
-    stateful_step_count=STEPS,
-    deadline=None,
-    database=None,
-    derandomize=not SEED,
-    phases=PHASES,
-    suppress_health_check=list(hypothesis.HealthCheck),
-)
-ForwardingTest = ForwardingMachine.TestCase
-if SEED:
-    ForwardingTest = hypothesis.seed(int(SEED))(ForwardingTest)
+def _test_case(machine):
+    machine.TestCase.settings = hypothesis.settings(
+        max_examples=EXAMPLES,
+        stateful_step_count=STEPS,
+        deadline=None,
+        database=None,
+        derandomize=not SEED,
+        phases=PHASES,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    return hypothesis.seed(int(SEED))(machine.TestCase) if SEED else machine.TestCase
+
+
+ChangingTest = _test_case(ChangingMachine)
+ForwardingTest = _test_case(ForwardingMachine)
 
 
 if __name__ == "__main__":
