--- a/tests/_internal/protocols/test_http_server.py
+++ b/tests/_internal/protocols/test_http_server.py
@@ -82,6 +82,7 @@
         async def check(connect):
             conn = await connect()
             await self._get(conn)
+            await trio.sleep(0.1)
             self._change(idle_timeout_s=20.0)
             await trio.sleep(15.0)
             self.assertEqual((await self._get(conn))[0], 200)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -16,6 +16,7 @@
 SERVICES = "tests._internal.services"
 FORWARDING = f"{SERVICES}.test_forwarding_service"
 EXCHANGE = f"{SERVICES}.test_forwarded_exchange"
+CHANGES = f"{SERVICES}.test_changes_under_way"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -376,6 +377,34 @@
         "if False:",
         f"{SERVICES}.test_weights_service",
     ),
+    Mutant(
+        "ask the configuration before a second run",
+        "services/forwarded_exchange.py",
+        "if not self._sequence.maybe_ran:\n            # An",
+        "if True:\n            # An",
+        f"{CHANGES}.PhasesTest.test_a_stream_that_is_run_again_goes_on_to_its_end",
+    ),
+    Mutant(
+        "drop a pool under its requests",
+        "decisions/traffic.py",
+        "cfg.content.pools.keys() - used",
+        "cfg.content.pools.keys()",
+        f"{DECISIONS}.test_traffic.ChangedPoolsTest",
+    ),
+    Mutant(
+        "keep the bounds of a connection's start",
+        "protocols/http_server.py",
+        "        self._limits = self._read_limits()\n        return",
+        "        return",
+        "tests._internal.protocols.test_http_server",
+    ),
+    Mutant(
+        "cut what has no answer as the router ends",
+        "services/forwarding_service.py",
+        "self._requests.end_waits()",
+        "pass",
+        f"{CHANGES}.StopTest",
+    ),
 ]
 
 
