Take an engine for lost after three connections without an answer

What callers saw: streams with a backup left engines that were well and went on answering others, and most ended incomplete or late: the backup had to be found, and the rest made again. A lost packet of a connection is sent again only after a second, so one lost packet was one lost engine. Engines that were reached had answered others within seconds. A refusal still decides at once.

--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -21,6 +21,7 @@
 from cicadapier._internal.services import connections_service
 
 CRASH_CHECK_S = 0.3
+REACH_TRIES = 3
 REFUSAL_BODY_S = 0.2
 MAX_REFUSAL_BYTES = 65_536
 NOT_RUN_STATUSES = frozenset((429, 503))
@@ -296,13 +297,21 @@
         return await self._broken(exc, offset)
 
     async def is_reachable(self) -> bool:
-        """Returns whether a connection to the upstream can be made."""
-        try:
-            conn = await self._connections.open(self._call.address, CRASH_CHECK_S)
-        except exceptions.ConnectError:
-            return False
-        await conn.close()
-        return True
+        """Returns whether a connection to the upstream can be made.
+
+        A lost packet is sent again only after a second, so one connection that gets no answer
+        proves little; a refusal proves enough.
+        """
+        for _ in range(REACH_TRIES):
+            try:
+                conn = await self._connections.open(self._call.address, CRASH_CHECK_S)
+            except exceptions.ConnectRefusedError:
+                return False
+            except exceptions.ConnectError:
+                continue
+            await conn.close()
+            return True
+        return False
 
     async def finish(self) -> None:
         """Returns the connection to the pool after a whole answer."""
--- a/tests/_internal/services/test_unreachable_engines.py
+++ b/tests/_internal/services/test_unreachable_engines.py
@@ -71,6 +71,18 @@
 
         forwarding_world.in_world(check)
 
+    def test_a_run_is_not_given_up_for_packets_that_were_lost_while_its_engine_was_checked(self):
+        async def check(made):
+            links = _Links(made)
+            forwarding_world.strike(made, "engine", Fault.STALLS)
+            reply = await _ask_under(made, links, 2, 1, "q")
+            self.assertEqual(set(links.lost.values()), {0})
+            self.assertFalse(reply.broken)
+            self.assertEqual(reply.numbers, [1, 2, 3, 4, 5, 6])
+            self.assertEqual(len(made.runs_of("q")), 1)
+
+        forwarding_world.in_world(check)
+
 
 if __name__ == "__main__":
     unittest.main()
