Count a second attempt that was never sent neither as a run nor as a repeat

What callers saw: a stream that had run at one engine alone broke off (stream_broken) with 4.0 s left, on a route that allows two: while a connection for a second attempt was being made, the first engine went on, and then broke off.

Cause: an attempt that was not needed any more counted as one that may have run, also where nothing had been sent, and its repeat was not given back.

Ruled out: the budget (7.6 repeats were left).

Whoever relieves now makes the attempt itself, and so knows whether it was sent.

Test: test_a_second_attempt_that_was_never_sent_is_no_run.

--- a/src/cicadapier/_internal/decisions/retries.py
+++ b/src/cicadapier/_internal/decisions/retries.py
@@ -189,14 +189,11 @@
         self._budget.give_back(self._pool)
 
     def relief_ended(self, outcome: outcomes.AttemptOutcome | None) -> None:
-        """Takes the end of a claimed attempt that does not take over.
+        """Takes the end of a claimed attempt that was sent and does not take over.
 
         Args:
             outcome: How it ended, None where it was not needed any more.
         """
-        if isinstance(outcome, outcomes.NotSent):
-            self.disclaim()
-            return
         self._attempts += 1
         self._arrived = True
         if not isinstance(outcome, outcomes.RefusedBeforeRunning):
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -23,6 +23,7 @@
 from cicadapier._internal.services import forwarded_plan
 from cicadapier._internal.services import forwarded_progress
 from cicadapier._internal.services import forwarded_silence
+from cicadapier._internal.services import relief
 from cicadapier._internal.services import telemetry_service
 from cicadapier._internal.services import traffic_messages
 
@@ -72,7 +73,7 @@
             plan,
             self._sequence,
             self._progress,
-            self._begin_relief,
+            relief.Starter(self._make_attempt, self._begin_relief),
             self._may_send,
             self._reach_backup,
             self._continue_run,
@@ -202,11 +203,8 @@
             await self._services.relief_won(self._plan.entry.request, exc.former)
         return entries.Superseded(str(exc), exc.former, self._progress.relayed, exc.takeover.placed)
 
-    async def _begin_relief(self, placed: entries.Placed) -> attempts.Attempt:
-        """See `relief.Relief.begin`."""
-        attempt = self._make_attempt(placed)
-        if attempt is None:
-            raise attempts.AttemptFailedError(outcomes.NotSent("the upstream is gone"))
+    async def _begin_relief(self, placed: entries.Placed, attempt: attempts.Attempt) -> None:
+        """See `relief.Starter.begin`."""
         good = False
         try:
             head = await attempt.start(functools.partial(self._check_relief, placed))
@@ -219,7 +217,6 @@
         if not good:
             reason = f"the upstream failed with status {head.status}"
             raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
-        return attempt
 
     async def _reach_backup(self, upstream: ids.UpstreamId) -> forwarded_silence.Reached | None:
         """Returns a connection to where a run may go on, None where it may not be sent there."""
--- a/src/cicadapier/_internal/services/forwarded_silence.py
+++ b/src/cicadapier/_internal/services/forwarded_silence.py
@@ -24,8 +24,6 @@
 # After so many longest pauses without an event, whether the upstream can still be reached.
 CHECK_GAPS = 1.0
 
-Begin = collections.abc.Callable[[entries.Placed], collections.abc.Awaitable[attempts.Attempt]]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reached:
@@ -53,15 +51,14 @@
         plan: forwarded_plan.Plan,
         sequence: retries.AttemptSequence,
         progress: forwarded_progress.Progress,
-        begin: Begin,
+        starter: relief.Starter,
         may_send: collections.abc.Callable[[], bool],
         reach: Reach,
         go_on: Continue,
     ) -> None:
-        super().__init__(services, plan.entry.request, sequence)
+        super().__init__(services, plan.entry.request, sequence, starter)
         self._plan = plan
         self._progress = progress
-        self._begin = begin
         self._may_send = may_send
         self._reach = reach
         self._continue = go_on
@@ -77,10 +74,6 @@
             return max(MIN_SILENT_S, SILENT_GAPS * route.gap_s)
         return max(MIN_SILENT_S, SILENT_OBJECTIVES * route.objective_s)
 
-    async def begin(self, placed: entries.Placed) -> attempts.Attempt:
-        """See `relief.Relief.begin`."""
-        return await self._begin(placed)
-
     async def judge(self, attempt: attempts.Attempt) -> attempts.Takeover | None:
         """See `attempts.Silence.judge`."""
         backup = self._progress.backup
--- a/src/cicadapier/_internal/services/model_progress.py
+++ b/src/cicadapier/_internal/services/model_progress.py
@@ -1,17 +1,13 @@
 """How far the answer of a model has come, and what follows where it does not begin."""
 
-import collections.abc
 import math
 
-from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import retries
 from cicadapier._internal.models import ids
 from cicadapier._internal.services import attempts
 from cicadapier._internal.services import relief
 from cicadapier._internal.services import request_context
 
-Begin = collections.abc.Callable[[entries.Placed], collections.abc.Awaitable[attempts.Attempt]]
-
 
 class Progress:
     """How far the answer has come, over all attempts.
@@ -45,21 +41,16 @@
         request: ids.RequestId,
         sequence: retries.AttemptSequence,
         progress: Progress,
-        begin: Begin,
+        starter: relief.Starter,
     ) -> None:
-        super().__init__(services, request, sequence)
+        super().__init__(services, request, sequence, starter)
         self.late_s = math.inf
         self._progress = progress
-        self._begin = begin
 
     def limit_s(self, attempt: attempts.Attempt) -> float:
         """See `attempts.Silence.limit_s`."""
         return self.late_s if attempt.head is None else math.inf
 
-    async def begin(self, placed: entries.Placed) -> attempts.Attempt:
-        """See `relief.Relief.begin`."""
-        return await self._begin(placed)
-
     async def judge(self, attempt: attempts.Attempt) -> attempts.Takeover | None:
         """See `attempts.Silence.judge`."""
         return await self.relieve(self._progress.offset)
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -20,6 +20,7 @@
 from cicadapier._internal.services import attempts
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import model_progress
+from cicadapier._internal.services import relief
 from cicadapier._internal.services import request_context
 from cicadapier._internal.services import telemetry_service
 
@@ -124,8 +125,9 @@
         self._chunks = 0
         nature = retries.Nature(repeatable=True, resumable=True)
         self._sequence = retries.AttemptSequence(nature, services.budget, plan.pool_id)
+        starter = relief.Starter(self._make_attempt, self._begin_relief)
         self._silence = model_progress.FirstTokenSilence(
-            services, context.request, self._sequence, self._progress, self._begin_relief
+            services, context.request, self._sequence, self._progress, starter
         )
         self._successor: attempts.Attempt | None = None
 
@@ -189,9 +191,8 @@
         await self._services.relief_won(self._context.request, exc.former)
         return entries.Superseded(str(exc), exc.former, self._progress.offset, exc.takeover.placed)
 
-    async def _begin_relief(self, placed: entries.Placed) -> attempts.Attempt:
-        """See `relief.Relief.begin`."""
-        attempt = self._make_attempt(placed)
+    async def _begin_relief(self, placed: entries.Placed, attempt: attempts.Attempt) -> None:
+        """See `relief.Starter.begin`."""
         good = False
         try:
             head = await attempt.start()
@@ -202,7 +203,6 @@
         if not good:
             reason = f"the upstream answered with status {head.status}"
             raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
-        return attempt
 
     def _fits(self, head: http_client.ResponseHead) -> bool:
         """Returns whether an answer has the weights that the answer began with, if it has."""
--- a/src/cicadapier/_internal/services/relief.py
+++ b/src/cicadapier/_internal/services/relief.py
@@ -4,7 +4,8 @@
 stands until another one has its answer; whichever answers first goes on.
 """
 
-import abc
+import collections.abc
+import dataclasses
 
 import structlog
 import trio
@@ -23,6 +24,23 @@
 _log = structlog.get_logger()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Starter:
+    """Starts attempts at one request.
+
+    Attributes:
+        make: Returns an attempt, None where its upstream is gone.
+        begin: Has an attempt begin its answer. Raises `AttemptFailedError` where there is none
+            that the request could go on with, `RefusedError` where it may not be sent any more;
+            the attempt is then ended.
+    """
+
+    make: collections.abc.Callable[[entries.Placed], attempts.Attempt | None]
+    begin: collections.abc.Callable[
+        [entries.Placed, attempts.Attempt], collections.abc.Awaitable[None]
+    ]
+
+
 class Relief(attempts.Silence):
     """Begins an attempt beside a silent one, where the request may run once more."""
 
@@ -31,19 +49,12 @@
         services: request_context.Services,
         request: ids.RequestId,
         sequence: retries.AttemptSequence,
+        starter: Starter,
     ) -> None:
         self._services = services
         self._request = request
         self._sequence = sequence
-
-    @abc.abstractmethod
-    async def begin(self, placed: entries.Placed) -> attempts.Attempt:
-        """Makes an attempt and returns it once its answer has begun.
-
-        Raises:
-            AttemptFailedError: There is no answer that the request could go on with.
-            RefusedError: The request may not be sent any more.
-        """
+        self._starter = starter
 
     async def relieve(self, offset: int) -> attempts.Takeover | None:
         """Returns an attempt that takes over, or None where the silent one stands.
@@ -63,28 +74,39 @@
         return await self._begin_at(placed)
 
     async def _begin_at(self, placed: entries.Placed) -> attempts.Takeover | None:
+        attempt = self._starter.make(placed)
+        if attempt is None:
+            await self._ended(placed, outcomes.NotSent("the upstream is gone"), sent=False)
+            return None
         outcome: outcomes.AttemptOutcome | None = None
         taken = None
         try:
-            taken = attempts.Takeover(placed, await self.begin(placed))
+            await self._starter.begin(placed, attempt)
+            taken = attempts.Takeover(placed, attempt)
         except attempts.AttemptFailedError as exc:
             outcome = exc.outcome
         except exceptions.RefusedError as exc:
             outcome = outcomes.NotSent(exc.refusal.message)
         finally:
             if taken is None:
-                await self._ended(placed, outcome)
+                await self._ended(placed, outcome, attempt.sent)
         return taken
 
-    async def _ended(self, placed: entries.Placed, outcome: outcomes.AttemptOutcome | None) -> None:
+    async def _ended(
+        self, placed: entries.Placed, outcome: outcomes.AttemptOutcome | None, sent: bool
+    ) -> None:
         """Reports a relief that does not take over, None where it was not needed any more."""
-        self._sequence.relief_ended(outcome)
+        if sent:
+            self._sequence.relief_ended(outcome)
+        else:
+            self._sequence.disclaim()
         _log.info(
             "relief_ended",
             request=self._request,
             upstream=placed.choice.estimate.upstream,
             outcome=type(outcome).__name__ if outcome else "not needed",
             reason=getattr(outcome, "reason", ""),
+            sent=sent,
         )
         with settling():
             await self._services.relief_ended(self._request, outcome)
--- a/tests/_internal/services/test_takeovers.py
+++ b/tests/_internal/services/test_takeovers.py
@@ -86,6 +86,33 @@
 
         forwarding_world.in_world(check)
 
+    def test_a_second_attempt_that_was_never_sent_is_no_run(self):
+        async def check(made):
+            forwarding_world.strike(made, "engine", Fault.STALLS)
+            forwarding_world.strike(made, "engine", Fault.BREAKS_OFF)
+            network = made.network
+            connect = network.connect
+            until = trio.current_time() + 1.0
+
+            async def slowly(address, timeout_s):
+                if trio.current_time() > until - 0.8:
+                    await trio.sleep(max(0.0, until - trio.current_time()))
+                return await connect(address, timeout_s)
+
+            def cut(engine):
+                network.connect = slowly
+                for upstream in made.upstreams.values():
+                    if upstream is not engine:
+                        upstream.faults.clear()
+
+            with mock.patch.object(users_upstream, "STALL_S", 0.8):
+                reply = await ask_and(made, cut)
+            self.assertFalse(reply.broken)
+            self.assertEqual(reply.numbers, WHOLE)
+            self.assertEqual(len(made.runs_of("q")), 2)
+
+        forwarding_world.in_world(check)
+
 
 class _SilentNetwork(transport.Network):
     """Upstreams that take requests and never answer."""
