Keep an answer whose report the decisions cannot take

What callers saw: a call that must run once had run and was answered, and its caller got 503 with the effect not_run, which has it sent again; a stream that merely paused was broken off.

Cause: where the mailbox of the traffic decisions is full, the report of an attempt, and the question for a second one, failed the request, and such a failure counts as a refusal before anything was sent. That holds for the first message of a request alone.

Ruled out: the first message, `enter`, whose refusal is true.

A report that is lost is now logged and changes nothing of what has happened; a question that cannot be asked is answered as one without another upstream; and a place whose end was not reported is given back as the next one is taken.

Tests: LaggingDecisionsTest in test_takeovers.py.

--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -63,6 +63,9 @@
         if choice is None:
             message = f"no upstream of {entry.pool} can take this request now"
             return refused(entry, outcomes.Code.NO_UPSTREAM, message, retry_after_s=1.0)
+        if active.attempt is not None:
+            # Its end was not reported.
+            state.policy.finished(active.attempt.choice.upstream)
         active.attempt = self._attempt_at(state, active, choice, now)
         backup = self._back_up(state, active)
         return _placed(state, active, active.attempt, choice, now, backup)
--- a/src/cicadapier/_internal/services/request_context.py
+++ b/src/cicadapier/_internal/services/request_context.py
@@ -4,12 +4,14 @@
 import dataclasses
 
 import msgspec
+import structlog
 import trio
 
 from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import members
 from cicadapier._internal.decisions import poison
 from cicadapier._internal.decisions import retries
+from cicadapier._internal.kernel import exceptions as kernel_exceptions
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import configuration
@@ -33,6 +35,8 @@
     collections.abc.Awaitable[outcomes.AttemptOutcome | entries.Superseded],
 ]
 
+_log = structlog.get_logger()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Context:
@@ -107,7 +111,8 @@
         A refusal is for the caller to judge.
         """
         reply: mailbox.Reply[entries.Decision] = mailbox.Reply()
-        self.traffic.mailbox.send(traffic_messages.Again(request, reply, continues))
+        if not self.traffic.mailbox.offer(traffic_messages.Again(request, reply, continues)):
+            return outcomes.Refusal(outcomes.Code.OVERLOADED, "this router is overrun")
         decision = await reply.get()
         return decision.refusal if isinstance(decision, entries.Refused) else decision
 
@@ -118,22 +123,20 @@
             None where there is no other upstream.
         """
         reply: mailbox.Reply[entries.Placed | None] = mailbox.Reply()
-        self.traffic.mailbox.send(traffic_messages.Relieve(request, reply))
-        return await reply.get()
+        taken = self.traffic.mailbox.offer(traffic_messages.Relieve(request, reply))
+        return await reply.get() if taken else None
 
     async def relief_ended(
         self, request: ids.RequestId, outcome: outcomes.AttemptOutcome | None
     ) -> None:
         """Reports a relief that did not take over, None where it was not needed any more."""
         reply: mailbox.Reply[poison.Crash | None] = mailbox.Reply()
-        self.traffic.mailbox.send(traffic_messages.ReliefEnded(request, reply, outcome=outcome))
-        await self._announce(await reply.get())
+        await self._report(traffic_messages.ReliefEnded(request, reply, outcome=outcome))
 
     async def relief_won(self, request: ids.RequestId, former: outcomes.AttemptOutcome) -> None:
         """Reports that a relief takes over from an attempt that ended as given."""
         reply: mailbox.Reply[poison.Crash | None] = mailbox.Reply()
-        self.traffic.mailbox.send(traffic_messages.ReliefEnded(request, reply, former=former))
-        await self._announce(await reply.get())
+        await self._report(traffic_messages.ReliefEnded(request, reply, former=former))
 
     async def take_over(self, request: ids.RequestId) -> entries.Placed | None:
         """Has a run go on from its backup, as its upstream cannot be reached.
@@ -142,8 +145,8 @@
             None where it cannot; its attempt then stands.
         """
         reply: mailbox.Reply[entries.Successor | None] = mailbox.Reply()
-        self.traffic.mailbox.send(traffic_messages.TakeOver(request, reply))
-        successor = await reply.get()
+        taken = self.traffic.mailbox.offer(traffic_messages.TakeOver(request, reply))
+        successor = await reply.get() if taken else None
         if successor is None:
             return None
         await self._announce(successor.crash)
@@ -153,6 +156,16 @@
         """Reports that the present attempt at a request shows no progress."""
         self.traffic.mailbox.offer(traffic_messages.Silent(request))
 
+    async def _report(
+        self, message: traffic_messages.AttemptEnded | traffic_messages.ReliefEnded
+    ) -> None:
+        """Reports what has happened; a report that is lost changes nothing of that."""
+        try:
+            self.traffic.mailbox.send(message)
+            await self._announce(await message.reply.get())
+        except kernel_exceptions.KernelError as exc:
+            _log.warning("attempt_not_reported", request=message.request, reason=str(exc))
+
     async def _announce(self, crash: poison.Crash | None) -> None:
         if crash:
             # The caller's repeat may reach another router as soon as it has our answer.
@@ -161,8 +174,7 @@
     async def attempt_ended(self, request: ids.RequestId, outcome: outcomes.AttemptOutcome) -> None:
         """Reports an attempt; new evidence of a crash reaches the peers before this returns."""
         reply: mailbox.Reply[poison.Crash | None] = mailbox.Reply()
-        self.traffic.mailbox.send(traffic_messages.AttemptEnded(request, outcome, reply))
-        await self._announce(await reply.get())
+        await self._report(traffic_messages.AttemptEnded(request, outcome, reply))
 
     async def run_attempts(
         self,
--- a/tests/_internal/services/test_takeovers.py
+++ b/tests/_internal/services/test_takeovers.py
@@ -6,6 +6,7 @@
 import trio
 import trio.testing
 
+from cicadapier._internal.kernel import exceptions as kernel_exceptions
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import settings
 from cicadapier._internal.platform import requests
@@ -13,6 +14,7 @@
 from cicadapier._internal.protocols import transport
 from cicadapier._internal.services import attempts
 from cicadapier._internal.services import connections_service
+from cicadapier._internal.services import traffic_messages
 from cicadapier._internal.standins import users_upstream
 from tests import forwarding_world
 from tests import support
@@ -114,6 +116,62 @@
         forwarding_world.in_world(check)
 
 
+class LaggingDecisionsTest(unittest.TestCase):
+    """The service that decides about requests takes no more messages for a while."""
+
+    def _fill(self, made, *kinds):
+        box = made.routers[0].kernel.find("traffic").mailbox
+        send = box.send
+
+        def full(message):
+            if isinstance(message, kinds):
+                raise kernel_exceptions.MailboxFullError(type(message).__name__)
+            send(message)
+
+        box.send = full
+
+    def test_an_answer_whose_report_cannot_be_taken_reaches_its_caller(self):
+        async def check(made):
+            self._fill(made, traffic_messages.AttemptEnded)
+            reply = await made.send("POST", "desk", "/order/x", b"once", request="q")
+            self.assertEqual(len(made.runs_of("q")), 1)
+            self.assertEqual((reply.status, reply.body), (200, b"answer to once"))
+
+        forwarding_world.in_world(check)
+
+    def test_a_call_that_may_have_run_is_not_refused_as_not_run(self):
+        async def check(made):
+            forwarding_world.strike(made, "desk", Fault.LOSES_ANSWERS)
+            self._fill(made, traffic_messages.AttemptEnded, traffic_messages.Again)
+            for path in ("/order/x", "/look/x"):
+                reply = await made.send("POST", "desk", path, b"once")
+                self.assertEqual(reply.status, 502)
+
+        forwarding_world.in_world(check)
+
+    def test_a_place_whose_end_cannot_be_reported_is_given_back(self):
+        async def check(made):
+            forwarding_world.strike(made, "desk", Fault.LOSES_ANSWERS)
+            self._fill(made, traffic_messages.AttemptEnded)
+            await made.send("POST", "desk", "/look/x", b"twice", request="q")
+            self.assertEqual(len(made.runs_of("q")), 2)
+            await trio.sleep(0.1)
+            decisions = made.routers[0].kernel.find("traffic")._traffic
+            for member in decisions.pools["desk"].policy.members.values():
+                self.assertEqual(member.load.in_flight, 0)
+
+        forwarding_world.in_world(check)
+
+    def test_a_silent_stream_stands_where_no_second_attempt_can_be_asked_for(self):
+        async def check(made):
+            forwarding_world.strike(made, "engine", Fault.STALLS)
+            self._fill(made, traffic_messages.Relieve, traffic_messages.TakeOver)
+            reply = await made.ask(request="q", time_left_ms=5000)
+            self.assertEqual((reply.broken, reply.numbers), (False, WHOLE))
+
+        forwarding_world.in_world(check)
+
+
 class _SilentNetwork(transport.Network):
     """Upstreams that take requests and never answer."""
 
