Do not take an engine for lost because a second attempt might not be sent to it

What callers saw: engines that were well got no requests for 1 s and longer (up to 15 s when it came again), and lost what was known of their caches, where the second attempt of a silent request was forbidden: its key had been taken away, or the configuration was not proved.

Cause: the refusal was reported as an attempt that could not reach its engine, which is certain evidence that the engine is down.

Ruled out: first attempts and retries; their refusals end the request and blame no engine.

Test: test_an_engine_is_not_taken_for_lost_as_a_request_may_not_be_sent_to_it.

--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -100,7 +100,7 @@
 
         Args:
             request: The request.
-            outcome: How it ended, None where the former attempt went on before it was answered.
+            outcome: How it ended, None where it was not needed any more or might not be sent.
             now: Present time.
         """
         active, state = self._find(request)
--- a/src/cicadapier/_internal/services/relief.py
+++ b/src/cicadapier/_internal/services/relief.py
@@ -76,42 +76,53 @@
     async def _begin_at(self, placed: entries.Placed) -> attempts.Takeover | None:
         attempt = self._starter.make(placed)
         if attempt is None:
-            await self._ended(placed, outcomes.NotSent("the upstream is gone"), sent=False)
+            gone = outcomes.NotSent("the upstream is gone")
+            _log_end(self._request, placed, gone, gone.reason)
+            await self._ended(gone, sent=False)
             return None
         outcome: outcomes.AttemptOutcome | None = None
+        reason = "not needed"
         taken = None
         try:
             await self._starter.begin(placed, attempt)
             taken = attempts.Takeover(placed, attempt)
         except attempts.AttemptFailedError as exc:
             outcome = exc.outcome
+            reason = str(exc)
         except exceptions.RefusedError as exc:
-            outcome = outcomes.NotSent(exc.refusal.message)
+            # This says nothing of the upstream.
+            reason = str(exc)
         finally:
             if taken is None:
-                await self._ended(placed, outcome, attempt.sent)
+                _log_end(self._request, placed, outcome, reason)
+                await self._ended(outcome, attempt.sent)
         return taken
 
-    async def _ended(
-        self, placed: entries.Placed, outcome: outcomes.AttemptOutcome | None, sent: bool
-    ) -> None:
-        """Reports a relief that does not take over, None where it was not needed any more."""
+    async def _ended(self, outcome: outcomes.AttemptOutcome | None, sent: bool) -> None:
+        """Reports a relief that does not take over, None where its upstream is not to blame."""
         if sent:
             self._sequence.relief_ended(outcome)
         else:
             self._sequence.disclaim()
-        _log.info(
-            "relief_ended",
-            request=self._request,
-            upstream=placed.choice.estimate.upstream,
-            outcome=type(outcome).__name__ if outcome else "not needed",
-            reason=getattr(outcome, "reason", ""),
-            sent=sent,
-        )
         with settling():
             await self._services.relief_ended(self._request, outcome)
 
 
+def _log_end(
+    request: ids.RequestId,
+    placed: entries.Placed,
+    outcome: outcomes.AttemptOutcome | None,
+    reason: str,
+) -> None:
+    _log.info(
+        "relief_ended",
+        request=request,
+        upstream=placed.choice.estimate.upstream,
+        outcome=type(outcome).__name__ if outcome else "none",
+        reason=reason,
+    )
+
+
 def settling() -> trio.CancelScope:
     """Returns a scope in which a place is taken or given back, also where nobody needs it now."""
     return trio.CancelScope(shield=True, deadline=trio.current_time() + SETTLE_S)
--- a/tests/_internal/services/test_takeovers.py
+++ b/tests/_internal/services/test_takeovers.py
@@ -6,6 +6,7 @@
 import trio
 import trio.testing
 
+from cicadapier._internal.decisions import health
 from cicadapier._internal.kernel import exceptions as kernel_exceptions
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import settings
@@ -16,6 +17,7 @@
 from cicadapier._internal.services import connections_service
 from cicadapier._internal.services import traffic_messages
 from cicadapier._internal.standins import users_upstream
+from cicadapier._internal.standins import users_world
 from tests import forwarding_world
 from tests import support
 
@@ -116,6 +118,25 @@
         forwarding_world.in_world(check)
 
 
+class InnocentEngineTest(unittest.TestCase):
+    def test_an_engine_is_not_taken_for_lost_as_a_request_may_not_be_sent_to_it(self):
+        async def check(made):
+            def revoke(engine):
+                made.keys["press"] = ["key-2"]
+                made.configure(users_world.routes())
+
+            forwarding_world.strike(made, "engine", Fault.STALLS)
+            with mock.patch.object(users_upstream, "STALL_S", 0.8):
+                reply = await ask_and(made, revoke)
+            self.assertEqual(reply.numbers, WHOLE)
+            decisions = made.routers[0].kernel.find("traffic")._traffic
+            for name in decisions.pools["engines"].policy.members:
+                state = decisions.upstream_state("engines", name, trio.current_time())
+                self.assertIs(state, health.UpstreamState.ACTIVE)
+
+        forwarding_world.in_world(check)
+
+
 class LaggingDecisionsTest(unittest.TestCase):
     """The service that decides about requests takes no more messages for a while."""
 
