Judge a second attempt like a first one once the first one has failed

What callers saw: deadline_exceeded, although engines that were well and a repeat were there: the first engine turned the request away (or broke off) while a second attempt was under way at an engine that is silent for good. Nothing relieved that one.

Cause: the failed request waited for its second attempt without a bound of its own, since only the present attempt is judged by its silence.

Ruled out: the budget and the runs that the route allows; an engine that turns a request away has not run it.

As the first attempt fails, a second one that was sent whole takes its place at once, and is relieved in its turn. One that is still connecting, or whose answer has just come, is waited for as before.

Test: test_a_silent_second_attempt_is_relieved_as_well_once_the_first_one_has_ended.

--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -81,7 +81,7 @@
 
     Attributes:
         placed: Its place.
-        attempt: An attempt there, whose answer has begun or that has a connection at least.
+        attempt: An attempt there, which has a connection at least.
     """
 
     placed: entries.Placed
@@ -119,6 +119,10 @@
         It is cancelled where the attempt shows progress meanwhile.
         """
 
+    def hand_over(self) -> None:
+        """Notes that the attempt has failed: what may take over need not be answered first."""
+        return
+
 
 @dataclasses.dataclass
 class _Race(Generic[_Read]):
@@ -157,6 +161,7 @@
         head: Start of the answer, once it has come.
         facts: What it says beside the answer itself.
         sent: Whether any byte was handed to the transport, so that the request may have run.
+        asked: Whether the whole request was.
         silence: Judges it while it shows no progress; None has it waited for.
     """
 
@@ -183,16 +188,22 @@
         self.head: http_client.ResponseHead | None = None
         self.facts = answers.AnswerFacts()
         self.sent = False
+        self.asked = False
 
     @property
     def incarnation(self) -> ids.Incarnation:
         """Incarnation that answers, as far as the answer names it."""
         return self.facts.incarnation or self._call.incarnation
 
+    @property
+    def waits(self) -> bool:
+        """Whether the request was sent and nothing of an answer has come."""
+        return self.asked and self.head is None and self._conn is not None
+
     async def start(
         self, check: collections.abc.Callable[[], None] | None = None
     ) -> http_client.ResponseHead:
-        """Sends the request and waits for the start of the answer.
+        """Sends the request, unless it was, and waits for the start of the answer.
 
         Args:
             check: Called in the same step that hands the first byte to the transport; what it
@@ -202,14 +213,13 @@
             AttemptFailedError: There is no answer that belongs to the request.
             AttemptSupersededError: Another attempt takes over.
         """
-        call = self._call
-        self._conn = self._conn or await self._connect()
-        if check:
-            await self._run_check(check)
+        if not self.asked:
+            self._conn = self._conn or await self._connect()
+            if check:
+                await self._run_check(check)
         try:
-            self.sent = True
-            await self._send(self._conn)
-            return await self._patiently(self._receive_answer, call.first_s)
+            await self._send()
+            return await self._patiently(self._receive_answer, self._call.first_s)
         except exceptions.ProtocolError as exc:
             raise AttemptFailedError(await self._no_answer(exc)) from exc
 
@@ -231,12 +241,17 @@
         except exceptions.ConnectError as exc:
             raise AttemptFailedError(outcomes.NotSent(str(exc))) from exc
 
-    async def _send(self, conn: http_client.ClientConnection) -> None:
+    async def _send(self) -> None:
+        if self.asked:
+            return
+        assert self._conn
+        self.sent = True
         try:
-            await conn.send(self._call.head, self._call.body)
+            await self._conn.send(self._call.head, self._call.body)
         except exceptions.ConnectionLostError as exc:
             # The upstream may have answered before it had read the whole request.
             _log.info("request_not_read_whole", request=self._call.request, reason=str(exc))
+        self.asked = True
 
     def watch(self) -> None:
         """Has the reads of a long answer watched from outside, which costs them less."""
@@ -304,6 +319,8 @@
                 race.data.append(await read(deadline - trio.current_time()))
             except (exceptions.ProtocolError, AttemptFailedError) as exc:
                 race.failure = exc
+                assert self.silence
+                self.silence.hand_over()
             if race.data or not race.judging:
                 nursery.cancel_scope.cancel()
 
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -199,22 +199,18 @@
 
     async def _give_way(self, exc: attempts.AttemptSupersededError) -> entries.Superseded:
         self._successor = exc.takeover.attempt
-        if self._successor.head is not None:
+        if self._successor.asked:
             await self._services.relief_won(self._plan.entry.request, exc.former)
         return entries.Superseded(str(exc), exc.former, self._progress.relayed, exc.takeover.placed)
 
     async def _begin_relief(self, placed: entries.Placed, attempt: attempts.Attempt) -> None:
         """See `relief.Starter.begin`."""
-        good = False
         try:
             head = await attempt.start(functools.partial(self._check_relief, placed))
-            good = self._is_good(attempt, head)
         finally:
-            if not good:
-                await attempt.abandon()
             if attempt.head is not None:
                 self._tell(placed, attempt)
-        if not good:
+        if not self._is_good(attempt, head):
             reason = f"the upstream failed with status {head.status}"
             raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
 
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -193,14 +193,8 @@
 
     async def _begin_relief(self, placed: entries.Placed, attempt: attempts.Attempt) -> None:
         """See `relief.Starter.begin`."""
-        good = False
-        try:
-            head = await attempt.start()
-            good = head.status == http.HTTPStatus.OK and self._fits(head)
-        finally:
-            if not good:
-                await attempt.abandon()
-        if not good:
+        head = await attempt.start()
+        if head.status != http.HTTPStatus.OK or not self._fits(head):
             reason = f"the upstream answered with status {head.status}"
             raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
 
--- a/src/cicadapier/_internal/services/relief.py
+++ b/src/cicadapier/_internal/services/relief.py
@@ -31,8 +31,7 @@
     Attributes:
         make: Returns an attempt, None where its upstream is gone.
         begin: Has an attempt begin its answer. Raises `AttemptFailedError` where there is none
-            that the request could go on with, `RefusedError` where it may not be sent any more;
-            the attempt is then ended.
+            that the request could go on with, `RefusedError` where it may not be sent any more.
     """
 
     make: collections.abc.Callable[[entries.Placed], attempts.Attempt | None]
@@ -55,6 +54,8 @@
         self._request = request
         self._sequence = sequence
         self._starter = starter
+        self._under_way: attempts.Attempt | None = None
+        self._waiting = trio.CancelScope()
 
     async def relieve(self, offset: int) -> attempts.Takeover | None:
         """Returns an attempt that takes over, or None where the silent one stands.
@@ -73,6 +74,12 @@
             return None
         return await self._begin_at(placed)
 
+    def hand_over(self) -> None:
+        """See `attempts.Silence.hand_over`."""
+        if self._under_way is not None and self._under_way.waits:
+            # It is judged by its own silence from now on.
+            self._waiting.cancel()
+
     async def _begin_at(self, placed: entries.Placed) -> attempts.Takeover | None:
         attempt = self._starter.make(placed)
         if attempt is None:
@@ -84,7 +91,7 @@
         reason = "not needed"
         taken = None
         try:
-            await self._starter.begin(placed, attempt)
+            await self._wait(placed, attempt)
             taken = attempts.Takeover(placed, attempt)
         except attempts.AttemptFailedError as exc:
             outcome = exc.outcome
@@ -94,10 +101,23 @@
             reason = str(exc)
         finally:
             if taken is None:
+                await attempt.abandon()
                 _log_end(self._request, placed, outcome, reason)
                 await self._ended(outcome, attempt.sent)
         return taken
 
+    async def _wait(self, placed: entries.Placed, attempt: attempts.Attempt) -> None:
+        """Waits for the answer of an attempt, or until the former one has failed."""
+        self._under_way = attempt
+        try:
+            with trio.CancelScope() as self._waiting:
+                await self._starter.begin(placed, attempt)
+        finally:
+            self._under_way = None
+        if self._waiting.cancelled_caught and not attempt.waits:
+            reason = "the answer failed as it was to take over"
+            raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
+
     async def _ended(self, outcome: outcomes.AttemptOutcome | None, sent: bool) -> None:
         """Reports a relief that does not take over, None where its upstream is not to blame."""
         if sent:
--- a/tests/_internal/services/test_takeovers.py
+++ b/tests/_internal/services/test_takeovers.py
@@ -90,6 +90,27 @@
 
         forwarding_world.in_world(check)
 
+    def test_a_silent_second_attempt_is_relieved_as_well_once_the_first_one_has_ended(self):
+        async def check(made):
+            def silence(engine):
+                others = [u for u in made.upstreams.values() if u is not engine]
+                for upstream in others:
+                    upstream.faults = {Fault.SILENT}
+
+            async def mend():
+                await trio.sleep(2.5)
+                for upstream in made.upstreams.values():
+                    upstream.faults.clear()
+
+            forwarding_world.strike(made, "engine", Fault.SHEDS_LATE)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(mend)
+                reply = await ask_and(made, silence)
+            self.assertEqual((reply.status, reply.numbers), (200, WHOLE))
+            self.assertEqual(len(made.runs_of("q")), 2)
+
+        forwarding_world.in_world(check)
+
     def test_a_second_attempt_that_was_never_sent_is_no_run(self):
         async def check(made):
             forwarding_world.strike(made, "engine", Fault.STALLS)
