Send a call to an upstream that joined while the call waited

What callers saw: on the own interface, internal_error ("may have run") for a request that had been sent nowhere, where the configuration had brought a new upstream while the request waited for its claim, a slot or a retry. A once-only call's claim then stays unknown for good, so that its caller can never have it run under that key.

Cause: the request was placed by the configuration in force, and the address was looked up in the one that was in force as it came (KeyError).

Evidence: the test fails on the code before. Found by reading; forwarded requests look the address up in the directory, and are not concerned.

The place now carries its address.

Test: test_a_call_reaches_an_upstream_that_joined_while_it_waited.

--- a/src/cicadapier/_internal/decisions/entries.py
+++ b/src/cicadapier/_internal/decisions/entries.py
@@ -48,6 +48,7 @@
     Attributes:
         request: Its id.
         choice: The upstream and why.
+        address: Address of the upstream.
         incarnation: Last known incarnation of the upstream.
         queued_s: Time that the request waited for a slot.
         weights: Weights version that the upstream is believed to serve, where it tells it.
@@ -57,6 +58,7 @@
 
     request: ids.RequestId
     choice: members.Choice
+    address: ids.Address
     incarnation: ids.Incarnation
     queued_s: float
     weights: str | None = None
--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -247,6 +247,7 @@
         return entries.Placed(
             entry.request,
             choice,
+            state.policy.members[backup.upstream].spec.address,
             backup.incarnation,
             now - active.entered_at,
             backup.weights.version,
@@ -339,11 +340,17 @@
     backup: ids.UpstreamId | None = None,
 ) -> entries.Placed:
     entry = active.entry
-    weights = None
-    if entry.model is not None:
-        weights = state.policy.members[choice.estimate.upstream].versions.get(entry.model)
-    waited_s = now - active.entered_at
-    return entries.Placed(entry.request, choice, attempt.incarnation, waited_s, weights, backup)
+    member = state.policy.members[choice.estimate.upstream]
+    weights = member.versions.get(entry.model) if entry.model is not None else None
+    return entries.Placed(
+        entry.request,
+        choice,
+        member.spec.address,
+        attempt.incarnation,
+        now - active.entered_at,
+        weights,
+        backup,
+    )
 
 
 def _forget_pieces(
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -210,9 +210,7 @@
         return self._plan.entry.output_tokens * self._plan.pool.timeouts.between_tokens_s
 
     def _call(self, placed: entries.Placed) -> attempts.Call:
-        estimate = placed.choice.estimate
         pool = self._plan.pool
-        spec = pool.upstreams[estimate.upstream]
         body = dict(self._plan.req.body)
         body["cache_salt"] = self._plan.salt
         if self._context.spec.service_class is configuration.ServiceClass.BATCH:
@@ -232,7 +230,7 @@
         )
         return attempts.Call(
             self._context.request,
-            spec.address,
+            placed.address,
             placed.incarnation,
             head,
             msgspec.json.encode(body),
--- a/src/cicadapier/_internal/services/service_calls.py
+++ b/src/cicadapier/_internal/services/service_calls.py
@@ -204,7 +204,7 @@
         extra = [*kept, (headers.REQUEST_ID, context.request.encode())]
         call = attempts.Call(
             context.request,
-            plan.pool.upstreams[upstream].address,
+            placed.address,
             placed.incarnation,
             http_client.RequestHead(req.method, plan.target, extra),
             req.body,
--- a/tests/_internal/services/test_service_calls.py
+++ b/tests/_internal/services/test_service_calls.py
@@ -1,5 +1,6 @@
 """Calls to plain services: at most once, and truthful about it."""
 
+import dataclasses
 import unittest
 
 import trio
@@ -158,6 +159,33 @@
         support.in_world(check, deployment=support.SMALL)
 
 
+def _rename_upstreams(made, pool_id):
+    """Lets a router place requests at upstreams that joined after it had read them."""
+    for running in made.routers.values():
+        kernel = running.router.kernel
+        current = kernel.find("configuration").current
+        pool = current.content.pools[pool_id]
+        upstreams = {f"{name}-new": spec for name, spec in pool.upstreams.items()}
+        pools = {**current.content.pools, pool_id: dataclasses.replace(pool, upstreams=upstreams)}
+        content = dataclasses.replace(current.content, pools=pools)
+        later = dataclasses.replace(current, content=content)
+        kernel.find("traffic")._traffic.configure(later, trio.current_time())
+
+
+class JoiningUpstreamTest(unittest.TestCase):
+    def test_a_call_reaches_an_upstream_that_joined_while_it_waited(self):
+        async def check(made):
+            _rename_upstreams(made, made.plan.deployment.service_pool)
+            reply = await support.Caller(made).order(b"two copies", "k1")
+            self.assertEqual((reply.status, reply.outcome), (200, "complete"))
+            self.assertEqual(made.ledger.runs(b"two copies"), 1)
+            _rename_upstreams(made, made.plan.deployment.model_pool)
+            reply = await support.Caller(made).complete("a line")
+            self.assertEqual(reply.outcome, "complete")
+
+        support.in_world(check, deployment=support.SMALL)
+
+
 class RepeatableTest(unittest.TestCase):
     def test_lookup_is_repeated_elsewhere_after_a_crash(self):
         async def check(made):
