Share backups among the engines that are equal for them

What callers saw: most streams whose engine was lost ended incomplete, though they had a backup. Cause: among engines of which no load is known the first by name was chosen, by all routers, so that one engine decided over most lost runs: whatever keeps it from going on with one keeps it from all. Suspected, not shown: that the one engine was loading weights, which drops what it holds.

--- a/src/cicadapier/_internal/decisions/backups.py
+++ b/src/cicadapier/_internal/decisions/backups.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import dataclasses
+import hashlib
 
 from cicadapier._internal.decisions import members
 from cicadapier._internal.models import ids
@@ -40,29 +41,36 @@
 
 
 def choose(
-    found: Members, primary: ids.UpstreamId, model: ids.ModelId, here: ids.FailureDomainId
+    found: Members,
+    primary: ids.UpstreamId,
+    model: ids.ModelId,
+    here: ids.FailureDomainId,
+    request: ids.RequestId,
 ) -> Backup | None:
     """Returns where to back up a run, or None where nothing fits.
 
     The backup survives the loss of the primary's failure domain where that is possible, and is
-    near this router, which a cut between failure domains then does not part from it.
+    near this router, which a cut between failure domains then does not part from it. Upstreams
+    that are equal for it share the backups of all runs, as one that loads weights drops its own.
 
     Args:
         found: The upstreams of the pool.
         primary: Upstream that will run the request.
         model: Model that it names.
         here: Failure domain of this router.
+        request: The request that runs.
     """
     first = found[primary]
     version = first.versions.get(model)
     if version is None:
         return None
 
-    def rank(upstream: ids.UpstreamId) -> tuple[bool, bool, int, ids.UpstreamId]:
+    def rank(upstream: ids.UpstreamId) -> tuple[bool, bool, int, bytes]:
         spec = found[upstream].spec
         together = spec.failure_domain == first.spec.failure_domain
         away = spec.failure_domain != here
-        return together, away, found[upstream].load.running(), upstream
+        turn = hashlib.blake2b(f"{request}/{upstream}".encode(), digest_size=8).digest()
+        return together, away, found[upstream].load.running(), turn
 
     fitting = [
         upstream
--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -259,7 +259,9 @@
         active.backup = None
         if entry.backed_up and entry.model is not None and active.attempt:
             primary = active.attempt.choice.upstream
-            active.backup = backups.choose(state.policy.members, primary, entry.model, self._domain)
+            active.backup = backups.choose(
+                state.policy.members, primary, entry.model, self._domain, entry.request
+            )
         return active.backup.upstream if active.backup else None
 
     def _attempt_over(
--- a/tests/_internal/decisions/test_backups.py
+++ b/tests/_internal/decisions/test_backups.py
@@ -1,5 +1,6 @@
 """Where runs are backed up, and when they go on from there."""
 
+import collections
 import dataclasses
 import unittest
 
@@ -33,8 +34,9 @@
 
 
 class ChooseTest(unittest.TestCase):
-    def _chosen(self, found, here=EAST):
-        backup = backups.choose(found, ids.UpstreamId("first"), MODEL, here)
+    def _chosen(self, found, here=EAST, request="q"):
+        first = ids.UpstreamId("first")
+        backup = backups.choose(found, first, MODEL, here, ids.RequestId(request))
         return backup.upstream if backup else None
 
     def test_another_failure_domain_than_the_first_ones(self):
@@ -55,6 +57,14 @@
         )
         self.assertEqual(self._chosen(found), "c")
 
+    def test_the_backups_of_many_runs_are_not_all_at_one_of_equals(self):
+        found = engines(first=engine("first", EAST))
+        found.update(engines(**{f"e{number}": engine(f"e{number}", WEST) for number in range(10)}))
+        chosen = [self._chosen(found, request=f"q{number}") for number in range(200)]
+        held = collections.Counter(chosen)
+        self.assertEqual(len(held), 10)
+        self.assertLess(max(held.values()), 60)
+
     def test_the_same_failure_domain_is_better_than_none(self):
         found = engines(first=engine("first", EAST), b=engine("b", EAST))
         self.assertEqual(self._chosen(found), "b")
@@ -71,7 +81,8 @@
 class ContinueTest(unittest.TestCase):
     def setUp(self):
         self.found = engines(first=engine("first", EAST), other=engine("other", WEST))
-        self.backup = backups.choose(self.found, ids.UpstreamId("first"), MODEL, EAST)
+        first, request = ids.UpstreamId("first"), ids.RequestId("q")
+        self.backup = backups.choose(self.found, first, MODEL, EAST, request)
 
     def test_goes_on_whether_or_not_the_first_engine_is_still_listed(self):
         self.assertTrue(backups.may_continue(self.found, self.backup))
