--- a/src/cicadapier/_internal/platform/far_side.py
+++ b/src/cicadapier/_internal/platform/far_side.py
@@ -11,6 +11,7 @@
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import directory
 from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
 from cicadapier._internal.platform import wire_headers
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import http_server
@@ -36,6 +37,7 @@
         after: Name to list from.
         watch: Revision to watch from, None for a plain read.
         wait_s: Time that a watch waits.
+        stale: Whether the answer may be old.
         revision: Revision that a write expects, None for any.
         spec: Content that a write brings.
     """
@@ -45,6 +47,7 @@
     after: str
     watch: int | None
     wait_s: float
+    stale: bool
     revision: int | None
     spec: Any
 
@@ -62,6 +65,7 @@
         query.get("after", ""),
         int(query["watch"]) if "watch" in query else None,
         float(query.get("wait_ms", "0")) / 1000,
+        query.get("allow_stale") == "1",
         int(revision) if revision is not None else None,
         body.get("spec"),
     )
@@ -135,12 +139,16 @@
             }
             for account, spec in content.accounts.items()
         ],
-        "limits": {
-            "max_header_bytes": 16_384,
-            "max_body_bytes": 4_194_304,
-            "header_timeout_ms": 3000,
-            "idle_timeout_ms": 15_000,
-        },
+        "limits": _show_limits(content.caller_limits or settings.CallerLimits()),
+    }
+
+
+def _show_limits(limits: settings.CallerLimits) -> dict[str, Any]:
+    return {
+        "max_header_bytes": limits.header_bytes,
+        "max_body_bytes": limits.body_bytes,
+        "header_timeout_ms": limits.header_timeout_s * 1000,
+        "idle_timeout_ms": limits.idle_timeout_s * 1000,
     }
 
 
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -81,11 +81,11 @@
 
     Attributes:
         placed: Its place.
-        attempt: An attempt whose answer has begun there, None where it is yet to be made.
+        attempt: An attempt there, whose answer has begun or that has a connection at least.
     """
 
     placed: entries.Placed
-    attempt: "Attempt | None"
+    attempt: "Attempt"
 
 
 class AttemptSupersededError(Exception):
@@ -132,7 +132,7 @@
     """
 
     data: list[_Read] = dataclasses.field(default_factory=list)
-    failure: exceptions.ProtocolError | None = None
+    failure: exceptions.ProtocolError | AttemptFailedError | None = None
     takeover: Takeover | None = None
     judging: bool = False
 
@@ -165,11 +165,21 @@
         connections: connections_service.ConnectionsService,
         call: Call,
         silence: Silence | None = None,
+        conn: http_client.ClientConnection | None = None,
     ) -> None:
+        """Creates an attempt.
+
+        Args:
+            connections: Connections to upstreams.
+            call: What is sent.
+            silence: See `silence`.
+            conn: A new connection to the upstream, which the attempt then owns; None has it make
+                one as it starts.
+        """
         self._connections = connections
         self._call = call
         self.silence = silence
-        self._conn: http_client.ClientConnection | None = None
+        self._conn = conn
         self.head: http_client.ResponseHead | None = None
         self.facts = answers.AnswerFacts()
         self.sent = False
@@ -193,26 +203,34 @@
             AttemptSupersededError: Another attempt takes over.
         """
         call = self._call
-        try:
-            if call.fresh:
-                self._conn = await self._connections.open(call.address, call.connect_s)
-            else:
-                self._conn = await self._connections.acquire(call.address, call.connect_s)
-        except exceptions.ConnectError as exc:
-            raise AttemptFailedError(outcomes.NotSent(str(exc))) from exc
+        self._conn = self._conn or await self._connect()
         if check:
             await self._run_check(check)
         try:
             self.sent = True
             await self._send(self._conn)
-            self.head = await self._patiently(self._conn.receive_head, call.first_s)
+            return await self._patiently(self._receive_answer, call.first_s)
         except exceptions.ProtocolError as exc:
             raise AttemptFailedError(await self._no_answer(exc)) from exc
-        self.facts = call.spelling.read_answer(self.head)
+
+    async def _receive_answer(self, timeout_s: float) -> http_client.ResponseHead:
+        """Waits for the start of an answer that is not the word that the request was not run."""
+        assert self._conn
+        self.head = await self._conn.receive_head(timeout_s)
+        self.facts = self._call.spelling.read_answer(self.head)
         await self._check_identity()
         await self._check_refusal(self.head)
         return self.head
 
+    async def _connect(self) -> http_client.ClientConnection:
+        call = self._call
+        try:
+            if call.fresh:
+                return await self._connections.open(call.address, call.connect_s)
+            return await self._connections.acquire(call.address, call.connect_s)
+        except exceptions.ConnectError as exc:
+            raise AttemptFailedError(outcomes.NotSent(str(exc))) from exc
+
     async def _send(self, conn: http_client.ClientConnection) -> None:
         try:
             await conn.send(self._call.head, self._call.body)
@@ -258,20 +276,36 @@
         except exceptions.SilentConnectionError:
             pass
         race: _Race[_Read] = _Race()
+        former = None
+        try:
+            await self._run_race(race, read, limit_s, deadline)
+            if race.takeover is not None:
+                former = await self._give_way(race.failure, offset)
+        finally:
+            if race.takeover is not None and former is None:
+                await race.takeover.attempt.abandon()
+        if race.takeover is not None and former is not None:
+            raise AttemptSupersededError(race.takeover, former)
+        if race.failure is not None:
+            raise race.failure
+        return race.data[0]
+
+    async def _run_race(
+        self,
+        race: _Race[_Read],
+        read: collections.abc.Callable[[float], collections.abc.Awaitable[_Read]],
+        pause_s: float,
+        deadline: float,
+    ) -> None:
+        """Reads on while the silence is judged, until either ends the other."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._have_judged, race, limit_s, nursery.cancel_scope)
+            nursery.start_soon(self._have_judged, race, pause_s, nursery.cancel_scope)
             try:
                 race.data.append(await read(deadline - trio.current_time()))
-            except exceptions.ProtocolError as exc:
+            except (exceptions.ProtocolError, AttemptFailedError) as exc:
                 race.failure = exc
             if race.data or not race.judging:
                 nursery.cancel_scope.cancel()
-        if race.takeover is not None:
-            former = await self._give_way(race.failure, offset)
-            raise AttemptSupersededError(race.takeover, former)
-        if race.failure is not None:
-            raise race.failure
-        return race.data[0]
 
     async def _have_judged(
         self, race: _Race[_Read], pause_s: float, scope: trio.CancelScope
@@ -287,9 +321,11 @@
         scope.cancel()
 
     async def _give_way(
-        self, failure: exceptions.ProtocolError | None, offset: int | None
+        self, failure: exceptions.ProtocolError | AttemptFailedError | None, offset: int | None
     ) -> outcomes.AttemptOutcome:
         """Ends this attempt for another one, and returns its outcome."""
+        if isinstance(failure, AttemptFailedError):
+            return failure.outcome
         silent = exceptions.SilentConnectionError("no progress")
         exc = failure or silent
         if offset is None:
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -74,9 +74,17 @@
             self._progress,
             self._begin_relief,
             self._may_send,
+            self._reach_backup,
+            self._continue_run,
         )
         self._successor: attempts.Attempt | None = None
         self._ended = "caller_left"
+        self._scope = trio.CancelScope(deadline=plan.deadline)
+
+    def end_wait(self) -> None:
+        """Ends the request now, as at its deadline, unless its answer has begun."""
+        if not self._responder.started:
+            self._scope.cancel()
 
     async def run(self) -> None:
         """Answers the request.
@@ -86,9 +94,9 @@
             ConnectionLostError: The answer broke off.
         """
         try:
-            with trio.move_on_at(self._plan.deadline) as scope:
+            with self._scope:
                 await self._serve()
-            if scope.cancelled_caught:
+            if self._scope.cancelled_caught:
                 self._end_refused(self._deadline_refusal())
         finally:
             if self._successor:
@@ -190,9 +198,9 @@
 
     async def _give_way(self, exc: attempts.AttemptSupersededError) -> entries.Superseded:
         self._successor = exc.takeover.attempt
-        if self._successor:
+        if self._successor.head is not None:
             await self._services.relief_won(self._plan.entry.request, exc.former)
-        return entries.Superseded(str(exc), self._progress.relayed, exc.takeover.placed)
+        return entries.Superseded(str(exc), exc.former, self._progress.relayed, exc.takeover.placed)
 
     async def _begin_relief(self, placed: entries.Placed) -> attempts.Attempt:
         """See `relief.Relief.begin`."""
@@ -201,7 +209,7 @@
             raise attempts.AttemptFailedError(outcomes.NotSent("the upstream is gone"))
         good = False
         try:
-            head = await attempt.start(functools.partial(self._check, placed))
+            head = await attempt.start(functools.partial(self._check_relief, placed))
             good = self._is_good(attempt, head)
         finally:
             if not good:
@@ -213,6 +221,23 @@
             raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
         return attempt
 
+    async def _reach_backup(self, upstream: ids.UpstreamId) -> forwarded_silence.Reached | None:
+        """Returns a connection to where a run may go on, None where it may not be sent there."""
+        found = self._around.directory.find(upstream)
+        if found is None or found.leaving:
+            return None
+        try:
+            conn = await self._services.connections.open(found.address, CONNECT_S)
+        except protocol_exceptions.ConnectError:
+            return None
+        return forwarded_silence.Reached(found.address, conn)
+
+    def _continue_run(
+        self, placed: entries.Placed, reached: forwarded_silence.Reached
+    ) -> attempts.Attempt:
+        call = self._call(placed, reached.address)
+        return attempts.Attempt(self._services.connections, call, conn=reached.conn)
+
     def _is_good(self, attempt: attempts.Attempt, head: http_client.ResponseHead) -> bool:
         """Returns whether an answer is one to go on with in place of a silent one."""
         if self._plan.admission.route.kind is configuration.RouteKind.STREAM:
@@ -289,6 +314,7 @@
     def _may_send(self) -> bool:
         """Returns whether the request may be sent once more now."""
         try:
+            self._check_time()
             self._check_admission()
         except exceptions.RefusedError:
             return False
@@ -296,14 +322,23 @@
 
     def _check(self, placed: entries.Placed) -> None:
         """Makes sure, in the step that sends, that what was decided before still holds."""
+        self._check_time()
+        if not self._sequence.maybe_ran:
+            # An answer that a run has begun is ended by another run alone.
+            self._check_admission()
+        self._check_upstream(placed)
+
+    def _check_relief(self, placed: entries.Placed) -> None:
+        """Makes sure of the same for a run beside one that may still end the answer."""
+        self._check_time()
         self._check_admission()
-        upstream = placed.choice.estimate.upstream
-        if not self._around.directory.may_send(upstream, placed.incarnation):
-            raise attempts.AttemptFailedError(outcomes.NotSent("the upstream is leaving"))
+        self._check_upstream(placed)
 
-    def _check_admission(self) -> None:
-        if self._plan.deadline - trio.current_time() < MIN_LEFT_S:
+    def _check_time(self) -> None:
+        if self._left_s() < MIN_LEFT_S:
             raise exceptions.RefusedError(self._deadline_refusal())
+
+    def _check_admission(self) -> None:
         admission = self._around.admit(self._plan.asked)
         serves = {share.pool for share in admission.route.pools}
         same = admission.account == self._plan.admission.account and self._plan.pool in serves
@@ -313,6 +348,11 @@
                 outcomes.Refusal(outcomes.Code.NO_UPSTREAM, message, retry_after_s=CHANGED_RETRY_S)
             )
 
+    def _check_upstream(self, placed: entries.Placed) -> None:
+        upstream = placed.choice.estimate.upstream
+        if not self._around.directory.may_send(upstream, placed.incarnation):
+            raise attempts.AttemptFailedError(outcomes.NotSent("the upstream is leaving"))
+
     def _is_stream(self, attempt: attempts.Attempt, head: http_client.ResponseHead) -> bool:
         streams = self._plan.admission.route.kind is configuration.RouteKind.STREAM
         return streams and head.status == http.HTTPStatus.OK and attempt.facts.genuine
--- a/src/cicadapier/_internal/services/platform_service.py
+++ b/src/cicadapier/_internal/services/platform_service.py
@@ -21,7 +21,8 @@
 MAX_IDLE = 8
 MAX_IDLE_S = 4.0
 MAX_ANSWER_BYTES = 16_777_216
-WATCH_MARGIN_S = 0.7  # Beyond its waiting time a watch that is not answered has gone silent.
+WATCH_MARGIN_S = 0.5  # Beyond its waiting time a watch that is not answered has gone silent.
+WATCH_LEAST_S = 1.0  # The same for one that hardly waits.
 _NEUTRAL = (http.HTTPStatus.NOT_FOUND, http.HTTPStatus.CONFLICT)
 
 
@@ -34,7 +35,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotWritten:
-    """A conditional write met another version or an object of the same name."""
+    """A conditional write met another version or an object of the same name.
+
+    Attributes:
+        object: What was met, where the answer tells it.
+    """
+
+    object: store_format.StoredObject | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,6 +73,7 @@
         self._rng = rng
         self._spelling = spelling
         self._idle: list[http_client.ClientConnection] = []
+        self._watches: set[trio.CancelScope] = set()
 
     @property
     def configured(self) -> bool:
@@ -107,16 +115,32 @@
             if not after:
                 return Listing(tuple(objects), version)
 
-    async def watch(self, kind: str, version: str, wait_s: float) -> store_format.Changes:
+    async def watch(
+        self, kind: str, version: str, wait_s: float, stale: bool = False
+    ) -> store_format.Changes:
         """Waits for changes of a kind after a version, for a time at most.
 
+        Args:
+            kind: The kind.
+            version: The version.
+            wait_s: The time.
+            stale: Whether the answer may be seconds old, where that is cheaper.
+
         Raises:
             PlatformUnavailableError: No answer.
             HistoryGoneError: The changes since that version are no longer known.
             PlatformRefusedError: Any other status.
         """
-        call = self._spelling.watch(kind, version, wait_s)
-        status, answer = await self._answer(call, wait_s + WATCH_MARGIN_S)
+        call = self._spelling.watch(kind, version, wait_s, stale)
+        limit_s = max(WATCH_LEAST_S, wait_s + WATCH_MARGIN_S)
+        with trio.CancelScope() as scope:
+            self._watches.add(scope)
+            try:
+                status, answer = await self._answer(call, limit_s)
+            finally:
+                self._watches.discard(scope)
+        if scope.cancelled_caught:
+            raise exceptions.PlatformUnavailableError("another call was not answered")
         if status == http.HTTPStatus.GONE:
             raise exceptions.HistoryGoneError(kind)
         if status != http.HTTPStatus.OK:
@@ -176,6 +200,7 @@
         except protocol_exceptions.ProtocolError as exc:
             raise exceptions.PlatformUnavailableError(str(exc) or type(exc).__name__) from exc
         except trio.TooSlowError as exc:
+            self._end_watches()
             message = f"no answer within {timeout_s} s"
             raise exceptions.PlatformUnavailableError(message) from exc
         if status >= 500:
@@ -223,6 +248,11 @@
         for conn in idle:
             await conn.close()
 
+    def _end_watches(self) -> None:
+        # Connections mostly go silent together, and a watch would wait long for its own.
+        for scope in self._watches:
+            scope.cancel()
+
     def _headers(self, has_body: bool) -> http_client.Headers:
         found = []
         if has_body:
@@ -246,7 +276,12 @@
     def _result(self, status: int, body: Any) -> Written | NotWritten:
         if status in (http.HTTPStatus.OK, http.HTTPStatus.CREATED):
             return Written(self._read(body))
-        return NotWritten()
+        if status != http.HTTPStatus.CONFLICT:
+            return NotWritten()
+        try:
+            return NotWritten(self._spelling.read_object(body))
+        except _UNREADABLE:
+            return NotWritten()
 
 
 _UNREADABLE = (msgspec.MsgspecError, KeyError, TypeError, AttributeError, ValueError)
--- a/src/cicadapier/_internal/services/watching.py
+++ b/src/cicadapier/_internal/services/watching.py
@@ -2,6 +2,8 @@
 
 import abc
 import collections.abc
+import dataclasses
+import math
 import random
 
 import structlog
@@ -13,12 +15,31 @@
 
 MIN_PAUSE_S = 0.1
 MAX_PAUSE_S = 0.8
+# What lapsed while the store was away comes back within two seconds of its return.
+RETURN_S = 2.5
 
 _log = structlog.get_logger()
 
 Clock = collections.abc.Callable[[], float]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How often a kind is asked for.
+
+    Attributes:
+        wait_s: Time that a question waits for a change.
+        gather_s: Pause after an answer with changes, so that the next ones come in one answer.
+            Changes are known so much later at most.
+        stale: Whether answers may be seconds old, where that is cheaper. The first one after a
+            silence or a lost history may not.
+    """
+
+    wait_s: float
+    gather_s: float = 0.0
+    stale: bool = False
+
+
 class Follower(abc.ABC):
     """Takes what is learnt of one kind."""
 
@@ -30,6 +51,10 @@
     def changed(self, change: store_format.Change) -> None:
         """Takes over a change."""
 
+    def settled(self) -> None:
+        """Notes that everything that an answer says has been taken over."""
+        return
+
     def answered(self, asked_at: float) -> None:
         """Records an answer, before what it says is taken over.
 
@@ -55,7 +80,7 @@
         self,
         platform: platform_service.PlatformService,
         kind: str,
-        wait_s: float,
+        pace: Pace,
         follower: Follower,
         clock: Clock,
         rng: random.Random,
@@ -63,45 +88,62 @@
         self.kind = kind
         self.reachable = False
         self._platform = platform
-        self._wait_s = wait_s
+        self._pace = pace
         self._follower = follower
         self._clock = clock
         self._rng = rng
         self._version: str | None = None
         self._failures = 0
+        self._returned_at = -math.inf
+        self._doubted = False
 
     async def run(self) -> None:
         """Follows until it is cancelled."""
         while True:
             asked_at = self._clock()
             try:
-                await self._ask(asked_at)
+                changed = await self._ask(asked_at)
                 self._note(True, "")
+                if changed and self._clock() - self._returned_at >= RETURN_S:
+                    await trio.sleep(self._pace.gather_s)
             except exceptions.HistoryGoneError:
                 _log.info("watch_history_gone", kind=self.kind, version=self._version)
                 self._version = None
+                self._doubted = True
             except (
                 exceptions.PlatformUnavailableError,
                 exceptions.PlatformRefusedError,
             ) as exc:
                 self._follower.unanswered()
+                self._doubted = True
                 self._note(False, str(exc))
                 await self._pause()
 
-    async def _ask(self, asked_at: float) -> None:
+    async def _ask(self, asked_at: float) -> bool:
+        """Asks once; returns whether a watch showed changes."""
         if self._version is None:
             listing = await self._platform.list_all(self.kind)
             self._version = listing.version
             self._follower.answered(asked_at)
             self._follower.listed(listing.objects)
-            return
-        changes = await self._platform.watch(self.kind, self._version, self._wait_s)
+            self._follower.settled()
+            return False
+        pace = self._pace
+        # After a silence, what is known has to be proved again before anything is waited for.
+        wait_s = 0.0 if self._failures else pace.wait_s
+        stale = pace.stale and not self._doubted
+        changes = await self._platform.watch(self.kind, self._version, wait_s, stale)
         self._version = changes.version
+        self._doubted = False
         self._follower.answered(asked_at)
         for change in changes.changes:
             self._follower.changed(change)
+        self._follower.settled()
+        return bool(changes.changes)
 
     def _note(self, reachable: bool, reason: str) -> None:
+        if reachable and self._failures:
+            self._returned_at = self._clock()
         self._failures = 0 if reachable else self._failures + 1
         if reachable != self.reachable:
             event = "store_regained" if reachable else "store_lost"
--- a/src/cicadapier/_internal/standins/users_upstream.py
+++ b/src/cicadapier/_internal/standins/users_upstream.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import http
+import math
 
 import trio
 
@@ -21,6 +22,7 @@
 LOAD_S = 0.5
 STALL_S = 2.5
 BEGIN_S = 3.0
+QUEUE_S = 2.0
 _LIMITS = settings.CallerLimits(body_bytes=67_108_864, idle_timeout_s=3600.0)
 
 
@@ -28,6 +30,7 @@
     """What the upstream does wrong."""
 
     SHEDS = "sheds"
+    SHEDS_LATE = "sheds_late"
     SILENT = "silent"
     FAILS = "fails"
     UNPROVED = "unproved"
@@ -43,6 +46,10 @@
     ORDERS_LATE = "orders_late"
 
 
+class _BrokenOffError(exceptions.ConnectionLostError):
+    """The upstream itself closes the connection."""
+
+
 @dataclasses.dataclass
 class Backups:
     """Memory of runs that upstreams hold for others.
@@ -59,7 +66,7 @@
             del self.weights[key]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Run:
     """A request that began to run.
 
@@ -70,6 +77,8 @@
         headers: Its headers by name.
         target: Its path and query.
         body: Its body.
+        at: Time at which it began.
+        ended_at: Time at which it ended, infinite until then.
     """
 
     request: str
@@ -78,6 +87,8 @@
     headers: dict[str, str]
     target: str
     body: bytes
+    at: float
+    ended_at: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,16 +99,28 @@
     request: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cut:
+    """A run whose connection was closed by the router."""
+
+    at: float
+    request: str
+
+
 class UsersUpstream(http_server.Handler):
     """An upstream.
 
     Attributes:
         arrivals: Requests that reached it.
+        cuts: Runs that a router closed.
+        ended_itself: Whether its process has ended.
         faults: What it does wrong now.
         weights: Weights version that it serves.
         orders: Orders that it was given, with the time of each.
         events: Events of each stream.
         event_s: Time between two events.
+        first_s: Time to the first event, beside that.
+        work_s: Time that an answer other than a stream takes.
     """
 
     def __init__(
@@ -112,8 +135,12 @@
         self.weights = 1
         self.orders: list[tuple[float, rollout.Order]] = []
         self.arrivals: list[Arrival] = []
+        self.cuts: list[Cut] = []
+        self.ended_itself = False
         self.events = 6
         self.event_s = EVENT_S
+        self.first_s = 0.0
+        self.work_s = 0.0
         self.ended: collections.Counter[str] = collections.Counter()
         self.entry = entry
         self._accepted = 0
@@ -174,16 +201,30 @@
     async def _serve(self, req: http_server.Request, responder: http_server.Responder) -> None:
         arrived = _text(req, wire_headers.REQUEST_ID)
         self.arrivals.append(Arrival(trio.current_time(), arrived))
-        refusal = self._refusal(req)
+        refusal = await self._queue(req)
         if refusal:
             other = self.weights if refusal == http.HTTPStatus.MISDIRECTED_REQUEST else None
             await responder.send_whole(refusal, far_side.not_run_headers(other), b"")
             return
         request = _text(req, wire_headers.REQUEST_ID)
         named = {k.decode(): v.decode("latin-1") for k, v in req.headers}
-        self._runs.append(
-            Run(request, self.entry.upstream, self.weights, named, req.target, req.body)
-        )
+        now = trio.current_time()
+        run = Run(request, self.entry.upstream, self.weights, named, req.target, req.body, now)
+        self._runs.append(run)
+        try:
+            await self._run(req, responder, request)
+        except _BrokenOffError:
+            raise
+        except (trio.Cancelled, exceptions.ConnectionLostError):
+            if not self.ended_itself:
+                self.cuts.append(Cut(trio.current_time(), request))
+            raise
+        finally:
+            run.ended_at = trio.current_time()
+
+    async def _run(
+        self, req: http_server.Request, responder: http_server.Responder, request: str
+    ) -> None:
         await self._misbehave()
         resumes = req.header(wire_headers.LAST_EVENT_ID) is not None
         if resumes and UpstreamFault.FAILS_TO_RESUME in self.faults:
@@ -193,6 +234,9 @@
         if self._model is not None:
             await self._stream(req, responder, request)
             return
+        await trio.sleep(self.work_s)
+        if UpstreamFault.STALLS in self.faults:
+            await trio.sleep(STALL_S)
         headers = far_side.answer_headers(request)
         if UpstreamFault.UNPROVED in self.faults:
             headers = [item for item in headers if item[0] != wire_headers.PROOF]
@@ -206,6 +250,14 @@
         await responder.send_whole(status, headers, b"answer to " + req.body)
         self.ended[request] += 1
 
+    async def _queue(self, req: http_server.Request) -> int:
+        """Returns the status with which a request is turned away, 0 where it begins to run."""
+        refusal = self._refusal(req)
+        if not refusal and UpstreamFault.SHEDS_LATE in self.faults:
+            await trio.sleep(QUEUE_S)
+            return http.HTTPStatus.SERVICE_UNAVAILABLE
+        return refusal
+
     def _refusal(self, req: http_server.Request) -> int:
         if UpstreamFault.SHEDS in self.faults or trio.current_time() < self._loading_until:
             return http.HTTPStatus.SERVICE_UNAVAILABLE
@@ -232,7 +284,7 @@
         if UpstreamFault.BEGINS_LATE in self.faults:
             await trio.sleep(BEGIN_S)
         if UpstreamFault.LOSES_ANSWERS in self.faults:
-            raise exceptions.ConnectionLostError("answer lost")
+            raise _BrokenOffError("answer lost")
 
     async def _stream(
         self, req: http_server.Request, responder: http_server.Responder, request: str
@@ -245,13 +297,14 @@
         if backup_to:
             self._backups.weights[backup_to, request] = self.weights
         await responder.start(http.HTTPStatus.OK, headers)
+        await trio.sleep(self.first_s)
         for number in range(first, self.events + 1):
             await trio.sleep(self.event_s)
             if UpstreamFault.STALLS in self.faults and number == first + 2:
                 await trio.sleep(STALL_S)
             if UpstreamFault.BREAKS_OFF in self.faults and number == first + 2:
                 await responder.send_part(b"id: %d\nda" % number)
-                raise exceptions.ConnectionLostError("broke off")
+                raise _BrokenOffError("broke off")
             if UpstreamFault.ENDS_WITHIN_AN_EVENT in self.faults and number == first + 2:
                 await responder.send_part(b"id: %d\nda" % number)
                 break
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -16,6 +16,7 @@
 SERVICES = "tests._internal.services"
 FORWARDING = f"{SERVICES}.test_forwarding_service"
 EXCHANGE = f"{SERVICES}.test_forwarded_exchange"
+CHANGES = f"{SERVICES}.test_changes_under_way"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -259,8 +260,8 @@
     ),
     Mutant(
         "relay events out of order",
-        "services/forwarded_exchange.py",
-        "if self._last_event is not None and event.number != self._last_event + 1:",
+        "services/forwarded_progress.py",
+        "if self.last_event is not None and event.number != self.last_event + 1:",
         "if False:",
         f"{EXCHANGE}.WholeAnswersTest",
     ),
@@ -323,22 +324,22 @@
     Mutant(
         "go on with a run beside an engine that can be reached",
         "services/forwarded_exchange.py",
-        "if not isinstance(outcome, outcomes.Broken) or not outcome.crashed:",
+        "if not isinstance(outcome, outcomes.Broken) or not outcome.unreachable:",
         "if not isinstance(outcome, outcomes.Broken):",
         f"{EXCHANGE}.LostEngineTest",
     ),
     Mutant(
         "go on with a run that may have made its engine crash",
-        "services/forwarded_exchange.py",
-        "placed.backup is not None and self._relayed > 0 and",
-        "placed.backup is not None and",
+        "services/forwarded_progress.py",
+        "self.placed is None or not self.relayed or self.weights_changed",
+        "self.placed is None or self.weights_changed",
         f"{EXCHANGE}.LostEngineTest",
     ),
     Mutant(
         "go on with a run whose weights have changed",
-        "services/forwarded_exchange.py",
-        "self._relayed > 0 and not self._weights_changed",
-        "self._relayed > 0",
+        "services/forwarded_progress.py",
+        "self.placed is None or not self.relayed or self.weights_changed",
+        "self.placed is None or not self.relayed",
         f"{EXCHANGE}.LostEngineTest",
     ),
     Mutant(
@@ -364,11 +365,39 @@
     ),
     Mutant(
         "admit by a comparison of weights that is out of date",
-        "decisions/traffic.py",
+        "decisions/placer.py",
         "pool_weights.compare(state, self.named, entry.model, now)",
         "pass",
         f"{DECISIONS}.test_traffic",
     ),
+    Mutant(
+        "begin another run beside a silent one that may run once",
+        "decisions/retries.py",
+        "return self._nature.repeatable and exact and left",
+        "return exact and left",
+        f"{SERVICES}.test_silent_answers.OnceTest",
+    ),
+    Mutant(
+        "begin another run beside a silent one without a repeat",
+        "decisions/retries.py",
+        "return self._attempts + 1 < MAX_ATTEMPTS and self._budget.spend(self._pool, now)",
+        "return self._attempts + 1 < MAX_ATTEMPTS",
+        f"{SERVICES}.test_silent_answers",
+    ),
+    Mutant(
+        "begin the run that relieves a silent one where that is",
+        "decisions/placer.py",
+        "exclude = {*active.tried, active.attempt.choice.upstream}",
+        "exclude = {*active.tried}",
+        f"{SERVICES}.test_silent_answers",
+    ),
+    Mutant(
+        "lose the place of a relief that is not needed",
+        "services/relief.py",
+        "if taken is None:",
+        "if False:",
+        f"{SERVICES}.test_silent_answers",
+    ),
     Mutant(
         "take no notice of a lease write that the watch shows",
         "services/order_lease.py",
@@ -376,6 +405,34 @@
         "if False:",
         f"{SERVICES}.test_weights_service",
     ),
+    Mutant(
+        "ask the configuration before a second run",
+        "services/forwarded_exchange.py",
+        "if not self._sequence.maybe_ran:\n            # An",
+        "if True:\n            # An",
+        f"{CHANGES}.PhasesTest.test_a_stream_that_is_run_again_goes_on_to_its_end",
+    ),
+    Mutant(
+        "drop a pool under its requests",
+        "decisions/traffic.py",
+        "cfg.content.pools.keys() - used",
+        "cfg.content.pools.keys()",
+        f"{DECISIONS}.test_traffic.ChangedPoolsTest",
+    ),
+    Mutant(
+        "keep the bounds of a connection's start",
+        "protocols/http_server.py",
+        "        self._limits = self._read_limits()\n        return",
+        "        return",
+        "tests._internal.protocols.test_http_server",
+    ),
+    Mutant(
+        "cut what has no answer as the router ends",
+        "services/forwarding_service.py",
+        "self._requests.end_waits()",
+        "pass",
+        f"{CHANGES}.StopTest",
+    ),
 ]
 
 
