Fetch missing parts from the engine that used them just now, from the keep else

Cause: placement counts on parts that another engine holds, but the request always named the keep as their source. A keep of 1.6 million tokens is overwritten in about 2.6 s by 617,000 tokens read a second, and a part that engines have cached is not saved there again, so it ages while it is in use. Ruled out: fetches that came too late or found no room (0 and 0). Change: the source is the holder that used the parts last, and it is taken before the keep where that was within 2 s.

--- a/src/cicadapier/_internal/decisions/belief.py
+++ b/src/cicadapier/_internal/decisions/belief.py
@@ -8,6 +8,7 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 
 from cicadapier._internal.models import ids
 
@@ -72,6 +73,12 @@
                 lengths[upstream] = depth + 1
         return lengths
 
+    def idle_s(self, upstream: ids.UpstreamId, piece: ids.PieceId, now: float) -> float:
+        """Returns for how long an upstream has not used a piece, infinite where it lacks it."""
+        cache = self._caches.get(upstream)
+        at = cache.touched.get(piece) if cache else None
+        return math.inf if at is None else now - at
+
     def observe_incarnation(self, upstream: ids.UpstreamId, incarnation: ids.Incarnation) -> bool:
         """Voids the entries of an earlier incarnation; returns whether it is a new one."""
         cache = self._caches.get(upstream)
--- a/src/cicadapier/_internal/decisions/members.py
+++ b/src/cicadapier/_internal/decisions/members.py
@@ -3,6 +3,7 @@
 import abc
 import collections.abc
 import dataclasses
+import math
 
 from cicadapier._internal.decisions import load
 from cicadapier._internal.decisions import prefix
@@ -12,6 +13,7 @@
 
 LOCAL_DISTANCE_S = 0.0002
 REMOTE_DISTANCE_S = 0.002
+SURE_S = 2.0  # A piece that was used no longer ago is still where it was.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,6 +58,7 @@
         distance_s: Network distance.
         cost_s: What the choice minimizes.
         source: Upstream that the imported pieces come from, None for the keep.
+        source_idle_s: Time for which that upstream has not used them.
     """
 
     upstream: ids.UpstreamId
@@ -66,6 +69,12 @@
     distance_s: float
     cost_s: float
     source: ids.UpstreamId | None = None
+    source_idle_s: float = math.inf
+
+    @property
+    def sure_source(self) -> ids.UpstreamId | None:
+        """Upstream that has hardly evicted the imported pieces yet, None without any."""
+        return self.source if self.source_idle_s <= SURE_S else None
 
     @property
     def total_s(self) -> float:
--- a/src/cicadapier/_internal/decisions/placement.py
+++ b/src/cicadapier/_internal/decisions/placement.py
@@ -297,17 +297,35 @@
         self, view: "_View", upstream: ids.UpstreamId, member: members.Member
     ) -> members.Estimate:
         cached = view.cached.get(upstream, 0)
+        reachable = view.reachable(upstream, member)
+        source, idle_s = self._source_of(view, upstream, member, reachable)
         return members.Estimate(
             upstream,
             cached,
-            max(0, view.reachable(upstream, member) - cached),
+            max(0, reachable - cached),
             self._queue_s(view, member) if self._features.load else 0.0,
             view.prefill_s(upstream, member) / min(1.0, member.spec.weight),
             member.distance_s,
             view.idle_cost_s(upstream, member) + self._queue_cost_s(view, upstream, member),
-            view.source(upstream, member, self.members),
+            source,
+            idle_s,
         )
 
+    def _source_of(
+        self, view: "_View", upstream: ids.UpstreamId, member: members.Member, reachable: int
+    ) -> tuple[ids.UpstreamId | None, float]:
+        """Returns where missing pieces come from, and for how long they have not been used there.
+
+        The holder that used them last is the least likely to have evicted them.
+        """
+        found = view.sources(upstream, member, self.members)
+        if not found:
+            return None, math.inf
+        piece = view.req.prompt.pieces[reachable - 1]
+        idle = {holder: self.belief.idle_s(holder, piece, view.now) for holder in found}
+        best = min(found, key=lambda holder: (idle[holder], holder))
+        return best, idle[best]
+
 
 @dataclasses.dataclass(slots=True)
 class _Source:
@@ -362,21 +380,21 @@
         source = self._source(upstream, member)
         return max(self._kept, source.depth if source else 0)
 
-    def source(
+    def sources(
         self,
         upstream: ids.UpstreamId,
         member: members.Member,
         others: collections.abc.Mapping[ids.UpstreamId, members.Member],
-    ) -> ids.UpstreamId | None:
-        """Returns the upstream that a candidate would import from, one nearby if there is any."""
+    ) -> list[ids.UpstreamId]:
+        """Returns the upstreams that a candidate may import from, those nearby if there are any."""
         source = self._source(upstream, member)
         if source is None or source.depth < self._kept:
-            return None
+            return []
         if source.depth <= self.cached.get(upstream, 0):
-            return None
+            return []
         domain = member.spec.failure_domain
         near = [u for u in source.holders if others[u].spec.failure_domain == domain]
-        return (near or source.holders)[0]
+        return near or source.holders
 
     def prefill_s(self, upstream: ids.UpstreamId, member: members.Member) -> float:
         """Returns the time to compute or import what a candidate lacks."""
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -286,13 +286,15 @@
     def _import_from(self, placed: entries.Placed) -> ids.Address | None:
         """Returns where the upstream may find parts that it lacks, or that were evicted there.
 
-        An engine forgets parts within seconds, so a keep is the surer source where there is one.
+        An engine forgets parts within seconds, as a busy keep does. One that has used them just
+        now has them.
         """
         keep = self._keep(placed)
-        source = placed.choice.estimate.source
-        if keep is not None or source is None or placed.weights is None:
+        estimate = placed.choice.estimate
+        source = estimate.source if keep is None else estimate.sure_source
+        if placed.weights is None:
             return keep
-        return self._address_of(source)
+        return self._address_of(source) or keep
 
     def _address_of(self, upstream: ids.UpstreamId | None) -> ids.Address | None:
         found = self._around.directory.find(upstream) if upstream else None
--- a/tests/_internal/decisions/test_placement.py
+++ b/tests/_internal/decisions/test_placement.py
@@ -1,5 +1,6 @@
 """Choice of the upstream."""
 
+import dataclasses
 import unittest
 
 from cicadapier._internal.decisions import members
@@ -37,6 +38,31 @@
     return policy
 
 
+class SourceTest(unittest.TestCase):
+    """Pieces that a candidate lacks come from who has hardly evicted them."""
+
+    def setUp(self):
+        self.policy = make()
+        self.policy.pool = dataclasses.replace(self.policy.pool, import_tokens_per_s=400_000.0)
+        self.pieces = chain("p", 3)
+        self.policy.belief.sent(ids.UpstreamId("u0"), self.pieces, 0.0)
+        self.policy.belief.sent(ids.UpstreamId("u1"), self.pieces, 4.0)
+
+    def _estimate(self, now):
+        req = request(self.pieces, model=ids.ModelId("m"))
+        return next(e for e in self.policy.estimates(req, now) if e.upstream == "u2")
+
+    def test_the_holder_that_used_them_last_is_the_source(self):
+        self.assertEqual(self._estimate(5.0).source, "u1")
+        self.policy.belief.sent(ids.UpstreamId("u0"), self.pieces, 5.0)
+        self.assertEqual(self._estimate(6.0).source, "u0")
+
+    def test_a_source_is_sure_only_for_a_short_time(self):
+        self.assertEqual(self._estimate(4.0 + members.SURE_S).sure_source, "u1")
+        late = self._estimate(4.1 + members.SURE_S)
+        self.assertEqual((late.source, late.sure_source), ("u1", None))
+
+
 class PlacementTest(unittest.TestCase):
     def test_routers_without_knowledge_choose_alike(self):
         for number in range(20):
