Relieve a silent attempt on a new connection, and split the calls and the examination off

A second attempt is as good as the last run that a route allows, so it gets no kept connection that may be dead; the rule for repeats counted only attempts that had ended (its test failed: the kept one was used). Moves without a change: forwarded_calls.py out of forwarded_exchange.py, upstream_condition.py out of attempts.py.

--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -7,7 +7,6 @@
 from typing import Generic
 from typing import TypeVar
 
-import msgspec
 import structlog
 import trio
 
@@ -17,11 +16,9 @@
 from cicadapier._internal.protocols import answers
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import http_client
-from cicadapier._internal.protocols import upstream_bodies
 from cicadapier._internal.services import connections_service
+from cicadapier._internal.services import upstream_condition
 
-CRASH_CHECK_S = 0.3
-REACH_TRIES = 3
 REFUSAL_BODY_S = 0.2
 MAX_REFUSAL_BYTES = 65_536
 NOT_RUN_STATUSES = frozenset((429, 503))
@@ -141,19 +138,6 @@
     judging: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Condition:
-    """What an upstream is found to be in after a connection to it was lost.
-
-    Attributes:
-        crashed: Whether it went down.
-        unreachable: Whether no connection to it can be made.
-    """
-
-    crashed: bool = False
-    unreachable: bool = False
-
-
 class Attempt:
     """One attempt; owns its connection from `start` to `finish` or `abandon`.
 
@@ -183,6 +167,9 @@
         """
         self._connections = connections
         self._call = call
+        self._upstream = upstream_condition.Examiner(
+            connections, call.address, call.incarnation, call.spelling
+        )
         self.silence = silence
         self._conn = conn
         self.head: http_client.ResponseHead | None = None
@@ -350,21 +337,8 @@
         return await self._broken(exc, offset)
 
     async def is_reachable(self) -> bool:
-        """Returns whether a connection to the upstream can be made.
-
-        A lost packet is sent again only after a second, so one connection that gets no answer
-        proves little; a refusal proves enough.
-        """
-        for _ in range(REACH_TRIES):
-            try:
-                conn = await self._connections.open(self._call.address, CRASH_CHECK_S)
-            except exceptions.ConnectRefusedError:
-                return False
-            except exceptions.ConnectError:
-                continue
-            await conn.close()
-            return True
-        return False
+        """Returns whether a connection to the upstream can be made."""
+        return await self._upstream.is_reachable()
 
     async def finish(self) -> None:
         """Returns the connection to the pool after a whole answer."""
@@ -406,34 +380,12 @@
         found = await self._examine(exc)
         return outcomes.Broken(_describe(exc), offset, found.crashed, unreachable=found.unreachable)
 
-    async def _examine(self, exc: exceptions.ProtocolError) -> _Condition:
+    async def _examine(self, exc: exceptions.ProtocolError) -> upstream_condition.Condition:
         """Asks how the upstream is, since a lost connection proves little."""
         await self.abandon(suspect=True)
         if not isinstance(exc, exceptions.ConnectionLostError):
-            return _Condition()
-        try:
-            conn = await self._connections.open(self._call.address, CRASH_CHECK_S)
-        except exceptions.ConnectRefusedError:
-            return _Condition(crashed=True, unreachable=True)
-        except exceptions.ConnectError:
-            return _Condition(unreachable=True)
-        try:
-            return _Condition(crashed=await self._has_restarted(conn))
-        finally:
-            await conn.close()
-
-    async def _has_restarted(self, conn: http_client.ClientConnection) -> bool:
-        """Returns whether another incarnation answers than the one that was sent to."""
-        probe = self._call.spelling.incarnation_probe()
-        if probe is None:
-            return False
-        try:
-            _, body = await connections_service.exchange(conn, probe, b"", CRASH_CHECK_S)
-            current = msgspec.json.decode(body, type=upstream_bodies.Load).incarnation
-        except (exceptions.ProtocolError, msgspec.MsgspecError):
-            return False
-        known = self._call.incarnation
-        return bool(current and known and current != known)
+            return upstream_condition.Condition()
+        return await self._upstream.examine()
 
     async def _check_identity(self) -> None:
         named = self.facts.request
--- /dev/null
+++ b/src/cicadapier/_internal/services/forwarded_calls.py
@@ -0,0 +1,87 @@
+"""What the attempts at a forwarded request send."""
+
+import trio
+
+from cicadapier._internal.decisions import entries
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import forwarding
+from cicadapier._internal.services import attempts
+from cicadapier._internal.services import forwarded_plan
+from cicadapier._internal.services import forwarded_progress
+
+CONNECT_S = 0.4
+
+
+class Calls:
+    """Makes the calls of one request."""
+
+    def __init__(
+        self,
+        around: forwarded_plan.Surroundings,
+        plan: forwarded_plan.Plan,
+        progress: forwarded_progress.Progress,
+    ) -> None:
+        self._around = around
+        self._plan = plan
+        self._progress = progress
+
+    def make(self, placed: entries.Placed, address: ids.Address, fresh: bool) -> attempts.Call:
+        """Returns what one attempt sends.
+
+        Args:
+            placed: Where.
+            address: Address of that upstream.
+            fresh: Whether to use a new connection.
+        """
+        asked = self._plan.asked
+        left_s = self._plan.deadline - trio.current_time()
+        scope = self._plan.scope
+        directions = forwarding.Directions(
+            placed.choice.estimate.upstream,
+            self._plan.admission.account,
+            left_s,
+            # Weights are part of the scope, so that no part of others is ever found.
+            f"{scope}/{placed.weights or ''}" if scope else "",
+            placed.weights,
+            self._progress.last_event,
+            self._import_from(placed),
+            self._keep(placed),
+            self._address_of(placed.backup),
+            address if placed.continues else None,
+        )
+        head = self._around.spelling.request_head(asked, directions)
+        return attempts.Call(
+            asked.request,
+            address,
+            placed.incarnation,
+            head,
+            asked.raw.body,
+            min(CONNECT_S, left_s),
+            left_s,
+            self._around.spelling,
+            placed.choice.estimate.upstream,
+            placed.weights,
+            fresh=fresh,
+        )
+
+    def _import_from(self, placed: entries.Placed) -> ids.Address | None:
+        """Returns where the upstream may find parts that it lacks, or that were evicted there.
+
+        An engine forgets parts within seconds, as a busy keep does. One that has used them just
+        now has them.
+        """
+        keep = self._keep(placed)
+        estimate = placed.choice.estimate
+        source = estimate.source if keep is None else estimate.sure_source
+        if placed.weights is None:
+            return keep
+        return self._address_of(source) or keep
+
+    def _address_of(self, upstream: ids.UpstreamId | None) -> ids.Address | None:
+        found = self._around.directory.find(upstream) if upstream else None
+        return found.address if found else None
+
+    def _keep(self, placed: entries.Placed) -> ids.Address | None:
+        if not self._plan.entry.prompt.pieces or placed.weights is None:
+            return None
+        return self._plan.admission.current.keep_address
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -14,11 +14,11 @@
 from cicadapier._internal.models import outcomes
 from cicadapier._internal.protocols import event_stream
 from cicadapier._internal.protocols import exceptions as protocol_exceptions
-from cicadapier._internal.protocols import forwarding
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import http_server
 from cicadapier._internal.services import attempts
 from cicadapier._internal.services import exceptions
+from cicadapier._internal.services import forwarded_calls
 from cicadapier._internal.services import forwarded_log
 from cicadapier._internal.services import forwarded_plan
 from cicadapier._internal.services import forwarded_progress
@@ -27,7 +27,6 @@
 from cicadapier._internal.services import telemetry_service
 from cicadapier._internal.services import traffic_messages
 
-CONNECT_S = 0.4
 MIN_LEFT_S = 0.01
 MAX_ANSWER_BYTES = 16_777_216
 CHANGED_RETRY_S = 0.05
@@ -68,6 +67,7 @@
         self._failure: _Answer | None = None
         self._first_at: float | None = None
         self._progress = forwarded_progress.Progress(plan.asked.resume_after)
+        self._calls = forwarded_calls.Calls(around, plan, self._progress)
         self._silence = forwarded_silence.ForwardedSilence(
             self._services,
             plan,
@@ -190,9 +190,17 @@
         registration = self._around.directory.find(placed.choice.estimate.upstream)
         if registration is None:
             return None
-        call = self._call(placed, registration.address)
+        call = self._calls.make(placed, registration.address, self._needs_fresh())
         return attempts.Attempt(self._services.connections, call)
 
+    def _needs_fresh(self) -> bool:
+        """Returns whether an attempt gets a new connection.
+
+        A repeat may be the last run allowed, so it gets no connection that may be dead.
+        """
+        first = self._sequence.attempts == 0 and self._attempt is None
+        return not self._repeatable or not first
+
     def _adopt(self) -> attempts.Attempt | None:
         attempt, self._successor = self._successor, None
         return attempt
@@ -220,7 +228,7 @@
         if found is None or found.leaving:
             return None
         try:
-            conn = await self._services.connections.open(found.address, CONNECT_S)
+            conn = await self._services.connections.open(found.address, forwarded_calls.CONNECT_S)
         except protocol_exceptions.ConnectError:
             return None
         return forwarded_silence.Reached(found.address, conn)
@@ -228,7 +236,7 @@
     def _continue_run(
         self, placed: entries.Placed, reached: forwarded_silence.Reached
     ) -> attempts.Attempt:
-        call = self._call(placed, reached.address)
+        call = self._calls.make(placed, reached.address, fresh=True)
         return attempts.Attempt(self._services.connections, call, conn=reached.conn)
 
     def _is_good(self, attempt: attempts.Attempt, head: http_client.ResponseHead) -> bool:
@@ -243,61 +251,6 @@
             return outcome
         return dataclasses.replace(outcome, continuable=self._progress.backup is not None)
 
-    def _call(self, placed: entries.Placed, address: ids.Address) -> attempts.Call:
-        asked = self._plan.asked
-        left_s = self._plan.deadline - trio.current_time()
-        scope = self._plan.scope
-        directions = forwarding.Directions(
-            placed.choice.estimate.upstream,
-            self._plan.admission.account,
-            left_s,
-            # Weights are part of the scope, so that no part of others is ever found.
-            f"{scope}/{placed.weights or ''}" if scope else "",
-            placed.weights,
-            self._progress.last_event,
-            self._import_from(placed),
-            self._keep(placed),
-            self._address_of(placed.backup),
-            address if placed.continues else None,
-        )
-        head = self._around.spelling.request_head(asked, directions)
-        return attempts.Call(
-            asked.request,
-            address,
-            placed.incarnation,
-            head,
-            asked.raw.body,
-            min(CONNECT_S, left_s),
-            left_s,
-            self._around.spelling,
-            placed.choice.estimate.upstream,
-            placed.weights,
-            # A repeat may be the last run allowed, so it gets no connection that may be dead.
-            fresh=not self._repeatable or self._sequence.attempts > 0,
-        )
-
-    def _import_from(self, placed: entries.Placed) -> ids.Address | None:
-        """Returns where the upstream may find parts that it lacks, or that were evicted there.
-
-        An engine forgets parts within seconds, as a busy keep does. One that has used them just
-        now has them.
-        """
-        keep = self._keep(placed)
-        estimate = placed.choice.estimate
-        source = estimate.source if keep is None else estimate.sure_source
-        if placed.weights is None:
-            return keep
-        return self._address_of(source) or keep
-
-    def _address_of(self, upstream: ids.UpstreamId | None) -> ids.Address | None:
-        found = self._around.directory.find(upstream) if upstream else None
-        return found.address if found else None
-
-    def _keep(self, placed: entries.Placed) -> ids.Address | None:
-        if not self._plan.entry.prompt.pieces or placed.weights is None:
-            return None
-        return self._plan.admission.current.keep_address
-
     def _left_s(self) -> float:
         return self._plan.deadline - trio.current_time()
 
--- /dev/null
+++ b/src/cicadapier/_internal/services/upstream_condition.py
@@ -0,0 +1,92 @@
+"""How an upstream is found to be after a connection to it was lost, or went silent."""
+
+import dataclasses
+
+import msgspec
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import answers
+from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import upstream_bodies
+from cicadapier._internal.services import connections_service
+
+CHECK_S = 0.3
+# A lost packet is sent again only after a second, so one try without an answer proves little.
+REACH_TRIES = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Condition:
+    """What an upstream is found to be in.
+
+    Attributes:
+        crashed: Whether it went down.
+        unreachable: Whether no connection to it can be made.
+    """
+
+    crashed: bool = False
+    unreachable: bool = False
+
+
+class Examiner:
+    """Finds out how one upstream is."""
+
+    def __init__(
+        self,
+        connections: connections_service.ConnectionsService,
+        address: ids.Address,
+        incarnation: ids.Incarnation,
+        spelling: answers.AnswerFormat,
+    ) -> None:
+        """Creates an examiner.
+
+        Args:
+            connections: Connections to upstreams.
+            address: Address of the upstream.
+            incarnation: Its last known incarnation, empty where none is known.
+            spelling: Spelling of its answers.
+        """
+        self._connections = connections
+        self._address = address
+        self._incarnation = incarnation
+        self._spelling = spelling
+
+    async def is_reachable(self) -> bool:
+        """Returns whether a connection can be made; a refusal decides at once."""
+        for _ in range(REACH_TRIES):
+            try:
+                conn = await self._connections.open(self._address, CHECK_S)
+            except exceptions.ConnectRefusedError:
+                return False
+            except exceptions.ConnectError:
+                continue
+            await conn.close()
+            return True
+        return False
+
+    async def examine(self) -> Condition:
+        """Returns how the upstream is after a connection to it was lost."""
+        try:
+            conn = await self._connections.open(self._address, CHECK_S)
+        except exceptions.ConnectRefusedError:
+            return Condition(crashed=True, unreachable=True)
+        except exceptions.ConnectError:
+            return Condition(unreachable=True)
+        try:
+            return Condition(crashed=await self._has_restarted(conn))
+        finally:
+            await conn.close()
+
+    async def _has_restarted(self, conn: http_client.ClientConnection) -> bool:
+        """Returns whether another incarnation answers than the one that was sent to."""
+        probe = self._spelling.incarnation_probe()
+        if probe is None:
+            return False
+        try:
+            _, body = await connections_service.exchange(conn, probe, b"", CHECK_S)
+            current = msgspec.json.decode(body, type=upstream_bodies.Load).incarnation
+        except (exceptions.ProtocolError, msgspec.MsgspecError):
+            return False
+        known = self._incarnation
+        return bool(current and known and current != known)
--- a/tests/_internal/services/test_kept_connections.py
+++ b/tests/_internal/services/test_kept_connections.py
@@ -5,6 +5,7 @@
 import trio
 
 from cicadapier._internal.protocols import transport
+from cicadapier._internal.standins import users_upstream
 from tests import forwarding_world
 
 LONG = {"path": "/long/x", "output_tokens": 200}  # A stream that may run once only.
@@ -97,6 +98,21 @@
 
         forwarding_world.in_world(check)
 
+    def test_a_silent_stream_is_relieved_on_a_new_connection(self):
+        async def check(made):
+            upstreams = _Forgetful(made)
+            for number in range(6):
+                await made.ask(request=f"q{number}")
+            forwarding_world.strike(made, "engine", users_upstream.UpstreamFault.STALLS)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(made.ask)
+                await trio.sleep(0.3)
+                kept = len(upstreams.streams)
+                await trio.sleep(0.7)
+                self.assertEqual(len(upstreams.streams), kept + 1)
+
+        forwarding_world.in_world(check)
+
     def test_what_may_be_repeated_uses_kept_connections(self):
         async def check(made):
             upstreams = _Forgetful(made)
