Let the test of a relief's connection keep one for each engine

As it stood it passed without the change too: all requests before had gone to one engine, so that the others had no kept connection. It fails without the change now (3 != 4).

--- a/tests/_internal/services/test_kept_connections.py
+++ b/tests/_internal/services/test_kept_connections.py
@@ -101,8 +101,9 @@
     def test_a_silent_stream_is_relieved_on_a_new_connection(self):
         async def check(made):
             upstreams = _Forgetful(made)
-            for number in range(6):
-                await made.ask(request=f"q{number}")
+            for number in range(12):
+                await made.ask(request=f"q{number}", parts=f"p{number}:500,z:9")
+            self.assertEqual(len(upstreams.streams), 3)  # One that is kept for each engine.
             forwarding_world.strike(made, "engine", users_upstream.UpstreamFault.STALLS)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(made.ask)
