Take an upstream's own word that it leaves, or wants nothing for a while

What callers saw: nothing yet; the wire is new (Server-Leaving: 1 in any answer, Retry-After with a 503). Cause: leaving was known from the directory alone, which a router that is cut from the store does not see, and a 503 with Retry-After was an ordinary refusal, after which the same router sent more to the same upstream. Now decisions/withdrawals.py holds both; the directory's answer to 'may this still be sent' includes them in the step that sends, backups and orders among them. What an answer's head says is taken as it comes, no longer when the answer ends (loads told by long streams were stale by the length of the stream). Peers are told with the next digests. After a pause one request at a time finds out whether the upstream is back; ends of pauses are spread over a tenth of their length. Tests fail on the former code: requests go on reaching a desk that says it leaves, and one that asked for 3 s.

--- a/src/cicadapier/_internal/decisions/directory.py
+++ b/src/cicadapier/_internal/decisions/directory.py
@@ -7,6 +7,7 @@
 import collections.abc
 import dataclasses
 
+from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import directory
 from cicadapier._internal.models import ids
@@ -25,9 +26,15 @@
 
 
 class Directory:
-    """The registered upstreams by id."""
+    """The registered upstreams by id.
+
+    Attributes:
+        withdrawals: What the upstreams themselves say; it holds also against their entries.
+        unreadable: Entries that could not be read.
+    """
 
     def __init__(self) -> None:
+        self.withdrawals = withdrawals.Withdrawals()
         self._entries: dict[ids.UpstreamId, directory.Registration] = {}
         self._lapsed: dict[ids.UpstreamId, _Lapsed] = {}
         self._away = False
@@ -47,6 +54,7 @@
     def listed(self, entries: collections.abc.Iterable[directory.Entry], now: float) -> None:
         """Takes over the whole list."""
         found = self._readable(entries)
+        self.withdrawals.keep_only(found.keys() | self._entries.keys())
         for upstream in [u for u in self._entries if u not in found]:
             self._remove(upstream, now)
         for registration in found.values():
@@ -75,11 +83,20 @@
     def find(self, upstream: ids.UpstreamId) -> directory.Registration | None:
         """Returns the registration of an upstream that may be used."""
         lapsed = self._lapsed.get(upstream)
-        return lapsed.registration if lapsed else self._entries.get(upstream)
+        found = lapsed.registration if lapsed else self._entries.get(upstream)
+        return self._as_told(found) if found else None
+
+    def may_send(self, upstream: ids.UpstreamId, incarnation: ids.Incarnation, now: float) -> bool:
+        """Returns whether an upstream still takes requests that were meant for an incarnation."""
+        found = self.find(upstream)
+        if found is None or found.leaving or found.incarnation != incarnation:
+            return False
+        return not self.withdrawals.is_paused(upstream, now)
 
     def registrations(self) -> list[directory.Registration]:
         """Returns all registrations that may be used, leaving ones among them."""
-        return [*self._entries.values(), *(item.registration for item in self._lapsed.values())]
+        lapsed = [item.registration for item in self._lapsed.values()]
+        return [self._as_told(item) for item in [*self._entries.values(), *lapsed]]
 
     def pools(
         self, declared: collections.abc.Mapping[ids.PoolId, configuration.Pool]
@@ -95,6 +112,12 @@
             for pool_id, pool in declared.items()
         }
 
+    def _as_told(self, item: directory.Registration) -> directory.Registration:
+        """Returns a registration with what the upstream says of itself."""
+        if item.leaving or not self.withdrawals.is_leaving(item.upstream, item.incarnation):
+            return item
+        return dataclasses.replace(item, leaving=True)
+
     def _readable(
         self, entries: collections.abc.Iterable[directory.Entry]
     ) -> dict[ids.UpstreamId, directory.Registration]:
@@ -112,7 +135,10 @@
 
     def _remove(self, upstream: ids.UpstreamId, now: float) -> None:
         registration = self._entries.pop(upstream, None)
-        if registration is None or registration.leaving or self._back_at is None:
+        if registration is None:
+            return
+        leaving = self._as_told(registration).leaving
+        if leaving or self._back_at is None:
             return
         until = self._back_at + RETURN_GRACE_S
         if now < until:
--- a/src/cicadapier/_internal/decisions/members.py
+++ b/src/cicadapier/_internal/decisions/members.py
@@ -117,6 +117,8 @@
         loading: Whether it is about to load weights or does so.
         loading_until: Time after which `loading` is no longer believed.
         penalty_s: What choosing it costs beside time, in seconds of it.
+        paused_until: Time until which it wants no work.
+        returning: Whether it has not answered since its last pause.
     """
 
     spec: configuration.Upstream
@@ -128,6 +130,8 @@
     loading: bool = False
     loading_until: float = 0.0
     penalty_s: float = 0.0
+    paused_until: float = 0.0
+    returning: bool = False
 
     def serves(self, weights: "Weights | None") -> bool:
         """Returns whether it may answer with these weights; unknown weights count as the same."""
@@ -135,6 +139,21 @@
             return True
         return self.versions.get(weights.model, weights.version) == weights.version
 
+    def pause(self, until: float) -> None:
+        """Records that it wants no work until a time; a longer pause stands."""
+        self.paused_until = max(self.paused_until, until)
+        self.returning = True
+
+    def answered(self) -> None:
+        """Records that it has begun an answer, and so takes work again."""
+        self.returning = False
+
+    def is_willing(self, now: float) -> bool:
+        """Returns whether it wants work; after a pause, one request at a time finds that out."""
+        if now < self.paused_until:
+            return False
+        return not self.returning or self.load.in_flight == 0
+
     @property
     def usable(self) -> bool:
         """Whether it may get new work."""
--- a/src/cicadapier/_internal/decisions/observations.py
+++ b/src/cicadapier/_internal/decisions/observations.py
@@ -101,6 +101,12 @@
         if state:
             state.policy.members[upstream].loading_until = until
 
+    def paused(self, pool: ids.PoolId, upstream: ids.UpstreamId, until: float) -> None:
+        """Records that an upstream wants no work until a time."""
+        state = self._find(pool, upstream)
+        if state:
+            state.policy.members[upstream].pause(until)
+
     def probe_failed(
         self, pool: ids.PoolId, upstream: ids.UpstreamId, certain: bool, now: float
     ) -> None:
--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -16,6 +16,8 @@
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
 
+UNKNOWN_RETURN_S = 1.0
+
 Pools = collections.abc.Mapping[ids.PoolId, observations.PoolState]
 
 
@@ -45,7 +47,8 @@
         pool_weights.compare(state, self.named, entry.model, now)
         usable = False
         for upstream, member in state.policy.members.items():
-            member.eligible = state.health.state(upstream, now) is health.UpstreamState.ACTIVE
+            active = state.health.state(upstream, now) is health.UpstreamState.ACTIVE
+            member.eligible = active and member.is_willing(now)
             member.loading = now < member.loading_until
             member.load.forget_told(now)
             usable = usable or member.usable
@@ -62,7 +65,8 @@
             choice = self._choose(state, active, (), now)
         if choice is None:
             message = f"no upstream of {entry.pool} can take this request now"
-            return refused(entry, outcomes.Code.NO_UPSTREAM, message, retry_after_s=1.0)
+            back_s = back_after_s(state, now)
+            return refused(entry, outcomes.Code.NO_UPSTREAM, message, retry_after_s=back_s)
         if active.attempt is not None:
             # Its end was not reported.
             state.policy.finished(active.attempt.choice.upstream)
@@ -283,6 +287,8 @@
             return None
         if isinstance(outcome, outcomes.Complete):
             state.health.answered(upstream)
+            if upstream in state.policy.members:
+                state.policy.members[upstream].answered()
             self.poison.completed(active.entry.fingerprint)
             return None
         if not (isinstance(outcome, outcomes.RefusedBeforeRunning) and outcome.other_weights):
@@ -316,6 +322,16 @@
         return crash if self.poison.crashed(crash, now) else None
 
 
+def back_after_s(state: observations.PoolState, now: float) -> float:
+    """Returns when an upstream of a pool may take work again, where none does now."""
+    pauses = [
+        member.paused_until - now
+        for member in state.policy.members.values()
+        if member.paused_until > now and not member.spec.leaving
+    ]
+    return min([*pauses, UNKNOWN_RETURN_S])
+
+
 def held(entry: entries.Entry) -> entries.Refused:
     """Refuses a request that crashes upstreams."""
     message = (
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -113,7 +113,8 @@
             return placer.held(entry)
         if not self.attempts.refresh(state, entry, now):
             message = f"no upstream of {entry.pool} can take requests now"
-            return placer.refused(entry, outcomes.Code.NO_UPSTREAM, message, retry_after_s=1.0)
+            back_s = placer.back_after_s(state, now)
+            return placer.refused(entry, outcomes.Code.NO_UPSTREAM, message, retry_after_s=back_s)
         if len(self.attempts.active) >= MAX_QUEUED:
             message = "this router runs as many requests as it can"
             return placer.refused(entry, outcomes.Code.OVERLOADED, message, retry_after_s=1.0)
@@ -197,6 +198,8 @@
         choice = active.attempt.choice
         upstream = choice.upstream
         state.health.answered(upstream, first.incarnation)
+        if upstream in state.policy.members:
+            state.policy.members[upstream].answered()
         pieces = state.policy.first_token(choice, active.entry.prompt, first, now)
         return entries.Export(active.entry.pool, upstream, pieces) if pieces else None
 
--- a/src/cicadapier/_internal/platform/engine_calls.py
+++ b/src/cicadapier/_internal/platform/engine_calls.py
@@ -77,6 +77,10 @@
             }
         )
 
+    def is_leaving(self, head: http_client.ResponseHead) -> bool:
+        """See `EngineFormat.is_leaving`."""
+        return wire_headers.is_leaving(head)
+
     def read_reply(self, head: http_client.ResponseHead) -> rollout.Reply:
         """See `EngineFormat.read_reply`."""
         try:
--- a/src/cicadapier/_internal/platform/requests.py
+++ b/src/cicadapier/_internal/platform/requests.py
@@ -97,6 +97,8 @@
             weights=weights.decode("latin-1").strip() if weights else None,
             load=_load(head.header(wire_headers.LOAD)),
             idle_s=_idle_s(head.header(wire_headers.KEEP_ALIVE)),
+            leaving=wire_headers.is_leaving(head),
+            pause=_pause(head),
         )
 
     def event_weights(self, event: bytes) -> str | None:
@@ -181,6 +183,13 @@
     return answers.ReportedLoad(running, waiting, slots)
 
 
+def _pause(head: http_client.ResponseHead) -> answers.Pause | None:
+    raw = head.header(wire_headers.RETRY_AFTER)
+    if raw is None or head.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+        return None
+    return answers.Pause(_number(raw.decode("latin-1").strip()))
+
+
 def _idle_s(raw: bytes | None) -> float | None:
     for item in (raw or b"").decode("latin-1").split(","):
         name, _, value = item.strip().partition("=")
--- a/src/cicadapier/_internal/platform/wire_headers.py
+++ b/src/cicadapier/_internal/platform/wire_headers.py
@@ -1,5 +1,7 @@
 """Names of the platform's headers, in lower case, and what they hold."""
 
+from cicadapier._internal.protocols import http_client
+
 REQUEST_ID = b"x-request-id"
 # Milliseconds that are left, not a point in time.
 TIME_LEFT_MS = b"x-deadline-ms"
@@ -19,6 +21,8 @@
 PROOF = b"x-server-stamp"
 NOT_RUN = b"x-not-executed"
 UPSTREAM = b"x-instance-id"
+# Says with every answer that the upstream takes no new work any more.
+LEAVING = b"server-leaving"
 # Running, waiting and slots, separated by commas.
 LOAD = b"x-server-load"
 # A single weights version, although its name is in the plural.
@@ -61,3 +65,9 @@
         CONTINUE_FROM,
     )
 )
+
+
+def is_leaving(head: http_client.ResponseHead) -> bool:
+    """Returns whether an upstream says with an answer that it is leaving."""
+    value = head.header(LEAVING)
+    return value is not None and value.strip() not in (b"", b"0")
--- a/src/cicadapier/_internal/protocols/answers.py
+++ b/src/cicadapier/_internal/protocols/answers.py
@@ -23,6 +23,17 @@
     slots: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pause:
+    """Wish of an upstream for no more work for a while.
+
+    Attributes:
+        asked_s: Time that it asks for, None where that cannot be read.
+    """
+
+    asked_s: float | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerFacts:
     """What the head of an answer says beside the answer itself.
@@ -38,6 +49,8 @@
         weights: Weights version that it names.
         load: Load that it tells.
         idle_s: Time for which the upstream keeps an idle connection.
+        leaving: Whether it says that it is leaving.
+        pause: What it says of the time for which it wants no work.
     """
 
     request: ids.RequestId | None = None
@@ -49,6 +62,8 @@
     weights: str | None = None
     load: ReportedLoad | None = None
     idle_s: float | None = None
+    leaving: bool = False
+    pause: Pause | None = None
 
 
 class AnswerFormat(abc.ABC):
--- a/src/cicadapier/_internal/protocols/engines.py
+++ b/src/cicadapier/_internal/protocols/engines.py
@@ -26,6 +26,10 @@
     def order_body(self, order: rollout.Order) -> bytes:
         """Returns the body of an order."""
 
+    @abc.abstractmethod
+    def is_leaving(self, head: http_client.ResponseHead) -> bool:
+        """Returns whether an engine says with an answer that it is leaving."""
+
     @abc.abstractmethod
     def read_reply(self, head: http_client.ResponseHead) -> rollout.Reply:
         """Reads the answer to an order."""
--- a/src/cicadapier/_internal/protocols/peer_codec.py
+++ b/src/cicadapier/_internal/protocols/peer_codec.py
@@ -7,6 +7,7 @@
 from cicadapier._internal.decisions import membership
 from cicadapier._internal.decisions import peer_news
 from cicadapier._internal.decisions import poison
+from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import peers_pb2
 
@@ -15,6 +16,7 @@
 MAX_SENDS = 2048
 MAX_CRASHES = 128
 MAX_KEPT_PIECES = 4096
+MAX_WITHDRAWALS = 256
 PIECE_BYTES = 16
 
 
@@ -32,6 +34,7 @@
         crashes: Newest evidence against requests.
         kept: Newest exports to keeps.
         placed: Newest prompts that it has sent.
+        withdrawn: Upstreams that have said that they are leaving.
     """
 
     sender: ids.VmId
@@ -43,6 +46,7 @@
     crashes: tuple[poison.Crash, ...] = ()
     kept: tuple[peer_news.KeptPieces, ...] = ()
     placed: tuple[peer_news.PlacedPieces, ...] = ()
+    withdrawn: tuple[withdrawals.Withdrawal, ...] = ()
 
 
 def encode(digest: Digest) -> peers_pb2.Digest:
@@ -78,6 +82,10 @@
             )
             for p in digest.placed[-peer_news.MAX_PLACED :]
         ],
+        withdrawals=[
+            peers_pb2.Withdrawal(upstream=w.upstream, incarnation=w.incarnation)
+            for w in digest.withdrawn[-MAX_WITHDRAWALS:]
+        ],
     )
 
 
@@ -108,6 +116,10 @@
         ),
         tuple(_decode_kept(k) for k in message.kept),
         tuple(_decode_placed(p) for p in message.placed[: peer_news.MAX_PLACED]),
+        tuple(
+            withdrawals.Withdrawal(ids.UpstreamId(w.upstream), ids.Incarnation(w.incarnation))
+            for w in message.withdrawals[:MAX_WITHDRAWALS]
+        ),
     )
 
 
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -155,6 +155,7 @@
         call: Call,
         silence: Silence | None = None,
         conn: http_client.ClientConnection | None = None,
+        told: collections.abc.Callable[[answers.AnswerFacts], None] | None = None,
     ) -> None:
         """Creates an attempt.
 
@@ -164,6 +165,7 @@
             silence: See `silence`.
             conn: A new connection to the upstream, which the attempt then owns; None has it make
                 one as it starts.
+            told: Takes what the head of any answer says, as it comes.
         """
         self._connections = connections
         self._call = call
@@ -172,6 +174,7 @@
         )
         self.silence = silence
         self._conn = conn
+        self._told = told
         self.head: http_client.ResponseHead | None = None
         self.facts = answers.AnswerFacts()
         self.sent = False
@@ -215,6 +218,8 @@
         assert self._conn
         self.head = await self._conn.receive_head(timeout_s)
         self.facts = self._call.spelling.read_answer(self.head)
+        if self._told:
+            self._told(self.facts)
         await self._check_identity()
         await self._check_refusal(self.head)
         return self.head
--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -7,6 +7,7 @@
 import trio
 
 from cicadapier._internal.decisions import directory
+from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import directory as directory_models
 from cicadapier._internal.models import ids
@@ -47,12 +48,14 @@
         self._configuration: configuration_source.ConfigurationSource | None = None
         self._traffic: traffic_service.TrafficService | None = None
         self._telemetry: telemetry_service.TelemetryService | None = None
+        self._peers: traffic_service.NewsSink | None = None
 
     async def run(self, kernel: service.Kernel, started: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
         self._configuration = kernel.find(names.CONFIGURATION)
         self._traffic = kernel.find(names.TRAFFIC)
         self._telemetry = kernel.find(names.TELEMETRY)
+        self._peers = kernel.find(names.PEERS)
         kind = self._documents.directory_kind
         platform = kernel.find(names.PLATFORM)
         watch = watching.Watch(platform, kind, self._pace, self, self._clock, self._rng)
@@ -71,8 +74,52 @@
 
     def may_send(self, upstream: ids.UpstreamId, incarnation: ids.Incarnation) -> bool:
         """Returns whether an upstream still takes requests that were meant for an incarnation."""
-        found = self._directory.find(upstream)
-        return found is not None and not found.leaving and found.incarnation == incarnation
+        return self._directory.may_send(upstream, incarnation, self._clock())
+
+    def is_paused(self, upstream: ids.UpstreamId) -> bool:
+        """Returns whether an upstream wants nothing now."""
+        return self._directory.withdrawals.is_paused(upstream, self._clock())
+
+    def withdrawn(self) -> tuple[withdrawals.Withdrawal, ...]:
+        """Returns the upstreams that have said that they are leaving."""
+        return self._directory.withdrawals.leaving()
+
+    def leaving_told(self, withdrawal: withdrawals.Withdrawal, source: str) -> None:
+        """Takes an upstream's own word that it is leaving.
+
+        Args:
+            withdrawal: Which start of which upstream.
+            source: Who heard it, for the log.
+        """
+        if not self._directory.withdrawals.leave(withdrawal):
+            return
+        _log.info(
+            "upstream_leaving",
+            upstream=withdrawal.upstream,
+            incarnation=withdrawal.incarnation,
+            source=source,
+        )
+        self._publish()
+        if self._peers:
+            self._peers.placed(urgent=True)
+
+    def pause_told(self, pool: ids.PoolId, upstream: ids.UpstreamId, asked_s: float | None) -> None:
+        """Takes an upstream's own word that it wants nothing for a while.
+
+        Args:
+            pool: Its pool.
+            upstream: The upstream.
+            asked_s: Time that it asks for, None where that cannot be read.
+        """
+        length_s = withdrawals.pause_s(asked_s)
+        if length_s != asked_s and self._telemetry:
+            self._telemetry.event("pause_out_of_bounds")
+        _log.info("upstream_paused", upstream=upstream, asked_s=asked_s, length_s=length_s)
+        length_s *= 1 + withdrawals.RETURN_SPREAD * self._rng.random()
+        self._directory.withdrawals.pause(upstream, self._clock() + length_s)
+        if self._traffic:
+            until = trio.current_time() + length_s
+            self._traffic.mailbox.offer(traffic_messages.Paused(pool, upstream, until))
 
     def answered(self, asked_at: float) -> None:
         """See `watching.Follower.answered`."""
--- a/src/cicadapier/_internal/services/engine_orders.py
+++ b/src/cicadapier/_internal/services/engine_orders.py
@@ -7,6 +7,7 @@
 import trio
 
 from cicadapier._internal.decisions import rollout
+from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import engines
 from cicadapier._internal.protocols import exceptions as protocol_exceptions
@@ -63,10 +64,14 @@
             address = self._address(engine)
             if address is None:
                 return rollout.Step.GIVE_UP
+            if self._directory.is_paused(engine.upstream):
+                step = ordering.unreachable(self._clock())
+                await trio.sleep(LOOK_S)
+                continue
             if step is rollout.Step.ORDER:
                 step = await self._order(target, engine, address, ordering, fence)
                 continue
-            report = await self._report(target, address)
+            report = await self._report(target, engine, address)
             now = self._clock()
             step = ordering.reported(report, now) if report else ordering.unreachable(now)
             if step is rollout.Step.LOOK:
@@ -79,19 +84,27 @@
             return None
         return found.address
 
-    async def _report(self, target: Target, address: ids.Address) -> rollout.Report | None:
+    def _note_leaving(self, engine: rollout.Engine, head: http_client.ResponseHead) -> None:
+        if self._calls.is_leaving(head):
+            withdrawal = withdrawals.Withdrawal(engine.upstream, engine.incarnation)
+            self._directory.leaving_told(withdrawal, "report")
+
+    async def _report(
+        self, target: Target, engine: rollout.Engine, address: ids.Address
+    ) -> rollout.Report | None:
         try:
             conn = await self._connections.acquire(address, CALL_S)
         except protocol_exceptions.ProtocolError as exc:
             _log.info("report_missing", address=address, reason=str(exc))
             return None
         try:
-            _, body = await connections_service.exchange(conn, self._calls.report(), b"", CALL_S)
+            head, body = await connections_service.exchange(conn, self._calls.report(), b"", CALL_S)
         except protocol_exceptions.ProtocolError as exc:
             _log.info("report_missing", address=address, reason=str(exc))
             await self._connections.discard(address, conn)
             return None
         await self._connections.release(address, conn)
+        self._note_leaving(engine, head)
         return self._calls.read_report(body, target.model)
 
     async def _order(
@@ -129,6 +142,7 @@
         reason = ""
         try:
             answer, _ = await connections_service.exchange(conn, head, body, CALL_S)
+            self._note_leaving(engine, answer)
             reply = self._calls.read_reply(answer)
         except protocol_exceptions.ProtocolError as exc:
             reply = rollout.Reply.NONE
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -9,9 +9,11 @@
 from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import members
 from cicadapier._internal.decisions import retries
+from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
+from cicadapier._internal.protocols import answers
 from cicadapier._internal.protocols import event_stream
 from cicadapier._internal.protocols import exceptions as protocol_exceptions
 from cicadapier._internal.protocols import http_client
@@ -179,8 +181,6 @@
             outcome = await self._give_way(exc)
         finally:
             await attempt.abandon()
-            if attempt.head is not None:
-                self._tell(placed, attempt)
         self._attempt = None
         if not isinstance(outcome, outcomes.Complete):
             forwarded_log.attempt_failed(self._plan, placed, outcome, self._summary())
@@ -191,7 +191,8 @@
         if registration is None:
             return None
         call = self._calls.make(placed, registration.address, self._needs_fresh())
-        return attempts.Attempt(self._services.connections, call)
+        told = functools.partial(self._tell, placed)
+        return attempts.Attempt(self._services.connections, call, told=told)
 
     def _needs_fresh(self) -> bool:
         """Returns whether an attempt gets a new connection.
@@ -213,11 +214,7 @@
 
     async def _begin_relief(self, placed: entries.Placed, attempt: attempts.Attempt) -> None:
         """See `relief.Starter.begin`."""
-        try:
-            head = await attempt.start(functools.partial(self._check_relief, placed))
-        finally:
-            if attempt.head is not None:
-                self._tell(placed, attempt)
+        head = await attempt.start(functools.partial(self._check_relief, placed))
         if not self._is_good(attempt, head):
             reason = f"the upstream failed with status {head.status}"
             raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
@@ -237,7 +234,8 @@
         self, placed: entries.Placed, reached: forwarded_silence.Reached
     ) -> attempts.Attempt:
         call = self._calls.make(placed, reached.address, fresh=True)
-        return attempts.Attempt(self._services.connections, call, conn=reached.conn)
+        told = functools.partial(self._tell, placed)
+        return attempts.Attempt(self._services.connections, call, conn=reached.conn, told=told)
 
     def _is_good(self, attempt: attempts.Attempt, head: http_client.ResponseHead) -> bool:
         """Returns whether an answer is one to go on with in place of a silent one."""
@@ -386,18 +384,23 @@
             outcomes.Broken(reason, self._progress.relayed, crashed=False)
         )
 
-    def _tell(self, placed: entries.Placed, attempt: attempts.Attempt) -> None:
-        """Passes on what the upstream has told of itself with its answer."""
-        facts = attempt.facts
-        if facts.upstream not in (None, placed.choice.estimate.upstream):
+    def _tell(self, placed: entries.Placed, facts: answers.AnswerFacts) -> None:
+        """Passes on what the upstream has told of itself with an answer, as it comes."""
+        upstream = placed.choice.estimate.upstream
+        if facts.upstream not in (None, upstream):
             return
+        if facts.leaving:
+            withdrawal = withdrawals.Withdrawal(upstream, placed.incarnation)
+            self._around.directory.leaving_told(withdrawal, "answer")
+        if facts.pause is not None:
+            pool = self._plan.pool
+            self._around.directory.pause_told(pool, upstream, facts.pause.asked_s)
         weights = None
         if facts.weights is not None and self._plan.entry.model is not None:
             weights = members.Weights(self._plan.entry.model, facts.weights)
         running = facts.load.running + facts.load.waiting if facts.load else None
         if weights is None and running is None:
             return
-        upstream = placed.choice.estimate.upstream
         self._services.traffic.mailbox.offer(
             traffic_messages.AnswerTold(self._plan.pool, upstream, running, weights)
         )
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import random
+from typing import Protocol
 
 import structlog
 import trio
@@ -12,6 +13,7 @@
 from cicadapier._internal.decisions import membership
 from cicadapier._internal.decisions import peer_news
 from cicadapier._internal.decisions import poison
+from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import ids
@@ -29,6 +31,17 @@
 ANNOUNCE_TIMEOUT_S = 0.5
 MAX_KEPT_PIECES = 256
 
+
+class WithdrawalView(Protocol):
+    """The service that knows which upstreams have said that they are leaving."""
+
+    def withdrawn(self) -> tuple[withdrawals.Withdrawal, ...]:
+        """Returns them."""
+
+    def leaving_told(self, withdrawal: withdrawals.Withdrawal, source: str) -> None:
+        """Takes what another router has heard."""
+
+
 _log = structlog.get_logger()
 
 
@@ -61,6 +74,7 @@
         self._urgent = trio.Event()
         self._kept: collections.deque[peer_news.KeptPieces] = collections.deque(maxlen=8)
         self._kernel: service.Kernel | None = None
+        self._upstreams: WithdrawalView | None = None
         self._reachable: frozenset[ids.VmId] = frozenset()
         self._domain_routers: frozenset[ids.VmId] = frozenset()
         self._near_news = trio.Event()
@@ -80,6 +94,7 @@
         """See `service.Service.run`."""
         self._kernel = kernel
         self._traffic = kernel.find(names.TRAFFIC)
+        self._upstreams = kernel.find(names.UPSTREAMS)
         self._configuration = kernel.find(names.CONFIGURATION)
         async with trio.open_nursery() as nursery:
             address = await nursery.start(self._transport.serve, self._cfg.listen.peers, self)
@@ -213,7 +228,12 @@
         """Returns a digest without what the rounds of the whole fleet tell."""
         assert self._configuration
         number = self._configuration.current.number
-        return peer_codec.Digest(self._cfg.vm, self._generation, number)
+        return peer_codec.Digest(
+            self._cfg.vm, self._generation, number, withdrawn=self._withdrawn()
+        )
+
+    def _withdrawn(self) -> tuple[withdrawals.Withdrawal, ...]:
+        return self._upstreams.withdrawn() if self._upstreams else ()
 
     async def _take_digest(self) -> traffic_messages.Digest:
         assert self._traffic
@@ -241,6 +261,7 @@
             found.crashes,
             tuple(self._kept),
             placed if direct else (),
+            self._withdrawn(),
         )
 
     async def _exchange_with(
@@ -290,6 +311,9 @@
             )
         if digest.crashes:
             self._traffic.mailbox.offer(traffic_messages.PeerCrashes(digest.crashes))
+        for withdrawal in digest.withdrawn:
+            if self._upstreams:
+                self._upstreams.leaving_told(withdrawal, digest.sender)
         for kept in digest.kept:
             self._traffic.mailbox.offer(traffic_messages.Kept(kept.pool, kept.pieces))
 
--- a/src/cicadapier/_internal/services/request_context.py
+++ b/src/cicadapier/_internal/services/request_context.py
@@ -230,6 +230,9 @@
 ) -> outcomes.Refusal:
     if decision.code is outcomes.Code.POISON and sequence.maybe_ran:
         return dataclasses.replace(decision, effect=outcomes.Effect.FAILED)
+    if not sequence.maybe_ran and decision.code is outcomes.Code.NO_UPSTREAM:
+        # It knows when an upstream is back.
+        return decision
     return sequence.no_upstream()
 
 
--- a/src/cicadapier/_internal/services/traffic_messages.py
+++ b/src/cicadapier/_internal/services/traffic_messages.py
@@ -151,6 +151,15 @@
     weights: members.Weights | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Paused:
+    """An upstream wants no work until a time of trio's clock."""
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    until: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WeightsNamed:
     """Operators have named a weights version.
@@ -347,6 +356,7 @@
     | WeightsNamed
     | WeightsTold
     | Loading
+    | Paused
     | GetEngines
     | ProbeFailed
     | CacheChanged
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -68,6 +68,7 @@
             traffic_messages.WeightsNamed: self._weights_named,
             traffic_messages.WeightsTold: self._weights_told,
             traffic_messages.Loading: self._loading,
+            traffic_messages.Paused: self._paused,
             traffic_messages.GetEngines: self._get_engines,
             traffic_messages.ProbeFailed: self._probe_failed,
             traffic_messages.CacheChanged: self._cache_changed,
@@ -207,6 +208,9 @@
     def _loading(self, message: traffic_messages.Loading, now: float) -> None:
         self._traffic.observations.loading(message.pool, message.upstream, message.until)
 
+    def _paused(self, message: traffic_messages.Paused, now: float) -> None:
+        self._traffic.observations.paused(message.pool, message.upstream, message.until)
+
     def _get_engines(self, message: traffic_messages.GetEngines, now: float) -> None:
         message.reply.set(self._traffic.engines(message.pool, message.model, now))
 
--- a/src/cicadapier/_internal/services/upstreams_service.py
+++ b/src/cicadapier/_internal/services/upstreams_service.py
@@ -12,6 +12,7 @@
 from cicadapier._internal.decisions import cadence
 from cicadapier._internal.decisions import load
 from cicadapier._internal.decisions import observations
+from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import configuration
@@ -86,6 +87,14 @@
                     self._reconcile(current.content, routers, nursery)
                 await trio.sleep(RECONCILE_S)
 
+    def withdrawn(self) -> tuple[withdrawals.Withdrawal, ...]:
+        """Returns nothing: each router reads in the load reports which upstreams are leaving."""
+        return ()
+
+    def leaving_told(self, withdrawal: withdrawals.Withdrawal, source: str) -> None:
+        """Ignores what others have heard; see `withdrawn`."""
+        return
+
     def serving_version(self, pool: configuration.Pool, model: ids.ModelId) -> str:
         """Returns the weights version to ask for: the declared one once any engine has it.
 
--- a/src/cicadapier/_internal/standins/users_upstream.py
+++ b/src/cicadapier/_internal/standins/users_upstream.py
@@ -15,6 +15,7 @@
 from cicadapier._internal.platform import far_side
 from cicadapier._internal.platform import wire_headers
 from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import http_server
 from cicadapier._internal.protocols import transport
 
@@ -44,6 +45,7 @@
     FAILS_TO_RESUME = "fails_to_resume"
     LOSES_ANSWERS = "loses_answers"
     ORDERS_LATE = "orders_late"
+    SAYS_LEAVING = "says_leaving"
 
 
 class _BrokenOffError(exceptions.ConnectionLostError):
@@ -121,6 +123,7 @@
         event_s: Time between two events.
         first_s: Time to the first event, beside that.
         work_s: Time that an answer other than a stream takes.
+        retry_after: Value with which it turns every request away, None to take them.
     """
 
     def __init__(
@@ -141,6 +144,7 @@
         self.event_s = EVENT_S
         self.first_s = 0.0
         self.work_s = 0.0
+        self.retry_after: bytes | None = None
         self.ended: collections.Counter[str] = collections.Counter()
         self.entry = entry
         self._accepted = 0
@@ -204,7 +208,8 @@
         refusal = await self._queue(req)
         if refusal:
             other = self.weights if refusal == http.HTTPStatus.MISDIRECTED_REQUEST else None
-            await responder.send_whole(refusal, far_side.not_run_headers(other), b"")
+            headers = [*far_side.not_run_headers(other), *self._told()]
+            await responder.send_whole(refusal, headers, b"")
             return
         request = _text(req, wire_headers.REQUEST_ID)
         named = {k.decode(): v.decode("latin-1") for k, v in req.headers}
@@ -222,6 +227,15 @@
         finally:
             run.ended_at = trio.current_time()
 
+    def _told(self) -> http_client.Headers:
+        """Returns what it says of the work that it wants."""
+        found: http_client.Headers = []
+        if UpstreamFault.SAYS_LEAVING in self.faults:
+            found.append((wire_headers.LEAVING, b"1"))
+        if self.retry_after is not None:
+            found.append((wire_headers.RETRY_AFTER, self.retry_after))
+        return found
+
     async def _run(
         self, req: http_server.Request, responder: http_server.Responder, request: str
     ) -> None:
@@ -229,7 +243,8 @@
         resumes = req.header(wire_headers.LAST_EVENT_ID) is not None
         if resumes and UpstreamFault.FAILS_TO_RESUME in self.faults:
             status = http.HTTPStatus.INTERNAL_SERVER_ERROR
-            await responder.send_whole(status, far_side.answer_headers(request), b"failed")
+            headers = [*far_side.answer_headers(request), *self._told()]
+            await responder.send_whole(status, headers, b"failed")
             return
         if self._model is not None:
             await self._stream(req, responder, request)
@@ -237,7 +252,7 @@
         await trio.sleep(self.work_s)
         if UpstreamFault.STALLS in self.faults:
             await trio.sleep(STALL_S)
-        headers = far_side.answer_headers(request)
+        headers = [*far_side.answer_headers(request), *self._told()]
         if UpstreamFault.UNPROVED in self.faults:
             headers = [item for item in headers if item[0] != wire_headers.PROOF]
         if UpstreamFault.ENCODED in self.faults:
@@ -259,7 +274,8 @@
         return refusal
 
     def _refusal(self, req: http_server.Request) -> int:
-        if UpstreamFault.SHEDS in self.faults or trio.current_time() < self._loading_until:
+        sheds = UpstreamFault.SHEDS in self.faults or self.retry_after is not None
+        if sheds or trio.current_time() < self._loading_until:
             return http.HTTPStatus.SERVICE_UNAVAILABLE
         expected = _text(req, wire_headers.EXPECTED_UPSTREAM)
         if expected and expected != self.entry.upstream:
@@ -291,7 +307,7 @@
     ) -> None:
         first = int(_text(req, wire_headers.LAST_EVENT_ID) or "0") + 1
         weights = self.weights
-        headers = far_side.answer_headers(request, self.weights)
+        headers = [*far_side.answer_headers(request, self.weights), *self._told()]
         headers.append((b"content-type", b"text/event-stream"))
         backup_to = _text(req, wire_headers.BACKUP_TO)
         if backup_to:
