Send an engine no more than its memory bears

Cause: the router filled slots (64), and memory (104,030 tokens, about 25 to 30 of these requests) ends first. The crowd inside the engines is preempted, reads its prompts again and keeps itself up after the engines are back; reliefs of 'silent' attempts added to it. Change: decisions/room.py. An engine gets what its memory (declared in the configuration) bears, by this router's own requests and those of others that the engine tells of; the rest waits in the fair queue and is refused within its patience. A silent attempt is relieved only where an engine has room. What an answer tells of others is believed for as long as requests for that pool stay, not for 0.3 s. Plain services keep their 0.3 s, as their requests are short.

--- a/src/cicadapier/_internal/decisions/active.py
+++ b/src/cicadapier/_internal/decisions/active.py
@@ -16,11 +16,13 @@
     Attributes:
         choice: Where it is.
         incarnation: Incarnation that was known of that upstream.
+        began_at: When it was placed.
         suspected: Whether its silence was counted against its upstream.
     """
 
     choice: members.Estimate
     incarnation: ids.Incarnation
+    began_at: float
     suspected: bool = False
 
 
@@ -63,4 +65,5 @@
             exclude,
             entry.weights,
             entry.model,
+            entry.memory_tokens,
         )
--- a/src/cicadapier/_internal/decisions/entries.py
+++ b/src/cicadapier/_internal/decisions/entries.py
@@ -40,6 +40,11 @@
     terms: configuration.Account | None = None
     backed_up: bool = False
 
+    @property
+    def memory_tokens(self) -> int:
+        """Memory that it takes while it runs."""
+        return self.prompt.total_tokens + self.output_tokens
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placed:
--- a/src/cicadapier/_internal/decisions/load.py
+++ b/src/cicadapier/_internal/decisions/load.py
@@ -2,13 +2,12 @@
 
 import collections
 import dataclasses
-import itertools
+import math
 
 from cicadapier._internal.decisions import limits
 from cicadapier._internal.models import configuration
 
 SEND_LOG_S = 10.0
-TOLD_S = 0.3
 RATE_WINDOW_S = 10.0
 
 
@@ -89,6 +88,9 @@
         self._running_since_report = 0
         self._reports = False
         self._told_at = now
+        self._others_told = 0
+        self._others = 0
+        self._peer_sends: collections.deque[float] = collections.deque()
         self._lane = _Lane(now)
         self._sends: collections.deque[_Send] = collections.deque()
         self._batch_squares = limits.DecayingRate(RATE_WINDOW_S)
@@ -113,8 +115,14 @@
 
     def running(self) -> int:
         """Returns the requests believed to run there, from all routers."""
+        if not self._reports:
+            return self.in_flight + self._others
         return max(self.in_flight, self._reported_running + self._running_since_report)
 
+    def others(self) -> int:
+        """Returns the requests of other routers believed to run there."""
+        return max(0, self.running() - self.in_flight)
+
     def sent(self, tokens: float, service_class: configuration.ServiceClass, now: float) -> None:
         """Records a request that this router or a peer has sent."""
         self._drain(now)
@@ -130,6 +138,14 @@
         while self._sends and self._sends[0].at < now - SEND_LOG_S:
             self._sends.popleft()
 
+    def sent_by_peer(
+        self, tokens: float, service_class: configuration.ServiceClass, now: float
+    ) -> None:
+        """Records a request that a peer has sent."""
+        self.sent(tokens, service_class, now)
+        self._peer_sends.append(now)
+        self._others += 1
+
     def ended(self) -> None:
         """Records the end of a request that this router had sent."""
         self.in_flight = max(0, self.in_flight - 1)
@@ -157,25 +173,27 @@
 
     def running_told(self, running: int, now: float) -> None:
         """Takes over the requests that the upstream says with an answer, from all routers."""
-        self._reported_running = running
-        self._running_since_report = 0
+        self._others_told = max(0, running - self.in_flight)
         self._told_at = now
+        self._peer_sends.clear()
+        self._others = self._others_told
 
-    def forget_told(self, now: float) -> None:
-        """Drops what an answer told too long ago, and what peers have sent since.
+    def forget_told(self, now: float, after_s: float) -> None:
+        """Takes off what has probably ended since an answer told of it, from half the time on.
 
         Answers come only while requests are sent, and peers tell no ends. An upstream that was
         last heard of as full would else get none any more, and never be heard of again. One that
         reports its load is heard of all the same.
+
+        Args:
+            now: Present time.
+            after_s: Time after which all that was told of has ended.
         """
-        if not self._reports and now - self._told_at > TOLD_S:
-            self._told_at = now
-            self._reported_running = 0
-            self._running_since_report = self._sent_since(now - TOLD_S)
-
-    def _sent_since(self, at: float) -> int:
-        recent = itertools.takewhile(lambda send: send.at >= at, reversed(self._sends))
-        return sum(1 for _ in recent)
+        while self._peer_sends and now - self._peer_sends[0] > after_s:
+            self._peer_sends.popleft()
+        ended_share = (now - self._told_at) / after_s
+        left_share = min(1.0, max(0.0, 2 - 2 * ended_share))
+        self._others = math.ceil(self._others_told * left_share) + len(self._peer_sends)
 
     def _drain(self, now: float) -> None:
         if now > self._lane.at:
--- a/src/cicadapier/_internal/decisions/members.py
+++ b/src/cicadapier/_internal/decisions/members.py
@@ -8,6 +8,7 @@
 from cicadapier._internal.decisions import load
 from cicadapier._internal.decisions import prefix
 from cicadapier._internal.decisions import rendezvous
+from cicadapier._internal.decisions import room
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 
@@ -35,6 +36,7 @@
         exclude: Upstreams that must not be chosen.
         weights: Weights that the pieces belong to.
         model: Model that it names; pieces move only between upstreams with the same weights of it.
+        memory_tokens: Memory that it takes while it runs.
     """
 
     request: ids.RequestId
@@ -43,6 +45,7 @@
     exclude: frozenset[ids.UpstreamId] = frozenset()
     weights: Weights | None = None
     model: ids.ModelId | None = None
+    memory_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,6 +122,7 @@
         penalty_s: What choosing it costs beside time, in seconds of it.
         paused_until: Time until which it wants no work.
         returning: Whether it has not answered since its last pause.
+        memory: Its memory.
     """
 
     spec: configuration.Upstream
@@ -132,6 +136,7 @@
     penalty_s: float = 0.0
     paused_until: float = 0.0
     returning: bool = False
+    memory: room.MemoryRoom = dataclasses.field(default_factory=room.MemoryRoom)
 
     def serves(self, weights: "Weights | None") -> bool:
         """Returns whether it may answer with these weights; unknown weights count as the same."""
@@ -183,6 +188,7 @@
     Attributes:
         members: The upstreams.
         order: Their deterministic order for any key.
+        typical: What its requests take on average.
     """
 
     def __init__(
@@ -192,6 +198,7 @@
         self.failure_domain = failure_domain
         self.members: dict[ids.UpstreamId, Member] = {}
         self.order = rendezvous.Order([])
+        self.typical = room.TypicalRequest()
         self.update(pool, now)
 
     def update(self, pool: configuration.Pool, now: float) -> None:
@@ -246,14 +253,24 @@
         member = self.members.get(choice.upstream)
         if member:
             member.load.in_flight += 1
+            member.memory.sent(req.memory_tokens)
+            self.typical.sent(req.memory_tokens)
             tokens = req.prompt.uncached_tokens(choice.cached_pieces + choice.imported_pieces)
             member.load.sent(tokens, req.service_class, now)
 
-    def finished(self, upstream: ids.UpstreamId) -> None:
-        """Records the end of an attempt, whatever its outcome."""
+    def finished(self, upstream: ids.UpstreamId, memory_tokens: int, stayed_s: float) -> None:
+        """Records the end of an attempt, whatever its outcome.
+
+        Args:
+            upstream: Where it was.
+            memory_tokens: Memory that it took there.
+            stayed_s: Time for which it was there.
+        """
+        self.typical.ended(stayed_s)
         member = self.members.get(upstream)
         if member:
             member.load.ended()
+            member.memory.ended(memory_tokens)
 
     def first_token(
         self, choice: Estimate, prompt: prefix.Prompt, first: FirstToken, now: float
@@ -267,10 +284,25 @@
         """Returns the upstreams that may get new work."""
         return [u for u, m in self.members.items() if m.usable and u not in exclude]
 
-    def free_slots(self) -> int:
-        """Returns how many more requests the usable upstreams may run."""
-        return sum(
-            max(0, member.spec.max_in_flight - member.load.running())
-            for member in self.members.values()
-            if member.usable
-        )
+    def with_room(
+        self, memory_tokens: int, exclude: collections.abc.Container[ids.UpstreamId] = ()
+    ) -> list[ids.UpstreamId]:
+        """Returns the usable upstreams that bear one more request.
+
+        Args:
+            memory_tokens: Memory that it takes while it runs.
+            exclude: Upstreams that do not count.
+        """
+        return [u for u in self.usable(exclude) if self._bears(self.members[u], memory_tokens)]
+
+    def has_room(self, memory_tokens: int) -> bool:
+        """Returns whether any usable upstream bears one more request."""
+        return any(m.usable and self._bears(m, memory_tokens) for m in self.members.values())
+
+    def _bears(self, member: Member, memory_tokens: int) -> bool:
+        if member.load.running() >= member.spec.max_in_flight:
+            return False
+        capacity = self.pool.memory_tokens
+        others = member.load.others()
+        mean_tokens = self.typical.memory_tokens
+        return member.memory.fits(memory_tokens, capacity, others, mean_tokens)
--- a/src/cicadapier/_internal/decisions/observations.py
+++ b/src/cicadapier/_internal/decisions/observations.py
@@ -163,10 +163,10 @@
         member_load = state.policy.members[upstream].load
         if interactive_tokens > 0:
             interactive = configuration.ServiceClass.INTERACTIVE
-            member_load.sent(interactive_tokens, interactive, now)
+            member_load.sent_by_peer(interactive_tokens, interactive, now)
         if tokens > interactive_tokens:
             batch = configuration.ServiceClass.BATCH
-            member_load.sent(tokens - interactive_tokens, batch, now)
+            member_load.sent_by_peer(tokens - interactive_tokens, batch, now)
 
     def peer_placed(
         self,
--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -50,7 +50,7 @@
             active = state.health.state(upstream, now) is health.UpstreamState.ACTIVE
             member.eligible = active and member.is_willing(now)
             member.loading = now < member.loading_until
-            member.load.forget_told(now)
+            member.load.forget_told(now, state.policy.typical.all_ended_s)
             usable = usable or member.usable
         return usable
 
@@ -69,7 +69,7 @@
             return refused(entry, outcomes.Code.NO_UPSTREAM, message, retry_after_s=back_s)
         if active.attempt is not None:
             # Its end was not reported.
-            state.policy.finished(active.attempt.choice.upstream)
+            finish(state, active, active.attempt, now)
         active.attempt = self._attempt_at(state, active, choice, now)
         backup = self._back_up(state, active)
         return _placed(state, active, active.attempt, choice, now, backup)
@@ -88,6 +88,9 @@
             return None
         self.refresh(state, active.entry, now)
         exclude = {*active.tried, active.attempt.choice.upstream}
+        if not state.policy.with_room(active.entry.memory_tokens, exclude):
+            # One more run would delay those that are under way.
+            return None
         choice = self._choose(state, active, exclude, now)
         if choice is None:
             return None
@@ -217,6 +220,10 @@
         if self.poison.is_suspect(active.entry.fingerprint, now):
             # Two suspects on one upstream could not be told apart after the next crash.
             excluded |= self.suspect_upstreams(now)
+        usable = set(state.policy.usable(excluded))
+        with_room = set(state.policy.with_room(active.entry.memory_tokens, excluded))
+        if with_room:
+            excluded |= usable - with_room
         return state.policy.choose(active.placement_request(excluded), now)
 
     def _attempt_at(
@@ -228,7 +235,7 @@
     ) -> actives.Attempt:
         state.policy.sent(active.placement_request(), choice.estimate, now)
         incarnation = state.health.incarnation(choice.estimate.upstream)
-        return actives.Attempt(choice.estimate, incarnation)
+        return actives.Attempt(choice.estimate, incarnation, now)
 
     def _place_at_backup(
         self,
@@ -243,9 +250,13 @@
             backup.upstream, len(entry.prompt.pieces), 0, 0.0, 0.0, distance_s, distance_s
         )
         req = members.PlacementRequest(
-            entry.request, prefix.EMPTY, active.account.service_class, model=entry.model
+            entry.request,
+            prefix.EMPTY,
+            active.account.service_class,
+            model=entry.model,
+            memory_tokens=entry.memory_tokens,
         )
-        active.attempt = actives.Attempt(estimate, backup.incarnation)
+        active.attempt = actives.Attempt(estimate, backup.incarnation, now)
         state.policy.sent(req, estimate, now)
         choice = members.Choice(estimate, "holds a backup of the run")
         return entries.Placed(
@@ -281,7 +292,7 @@
         now: float,
     ) -> poisons.Crash | None:
         upstream = attempt.choice.upstream
-        state.policy.finished(upstream)
+        finish(state, active, attempt, now)
         if outcome is None:
             _forget_pieces(state, active, upstream)
             return None
@@ -371,6 +382,14 @@
     )
 
 
+def finish(
+    state: observations.PoolState, active: actives.Active, attempt: actives.Attempt, now: float
+) -> None:
+    """Takes an attempt off its upstream."""
+    stayed_s = now - attempt.began_at
+    state.policy.finished(attempt.choice.upstream, active.entry.memory_tokens, stayed_s)
+
+
 def _forget_pieces(
     state: observations.PoolState, active: actives.Active, upstream: ids.UpstreamId
 ) -> None:
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -123,7 +123,7 @@
             # Waiting would be in vain: the caller learns it now and not at its deadline.
             message = f"the queue is {wait_s:.1f} s long"
             return placer.refused(entry, outcomes.Code.OVERLOADED, message, retry_after_s=wait_s)
-        cost = entry.prompt.total_tokens + entry.output_tokens
+        cost = entry.memory_tokens
         verdict = self.limits.admit(entry.account, account, cost, now)
         if isinstance(verdict, limits.Exceeded):
             message = f"the account's limit of {verdict.limit} is reached"
@@ -132,7 +132,7 @@
             )
         active = actives.Active(entry, account, now)
         self.attempts.active[entry.request] = active
-        if len(state.queue) or state.policy.free_slots() <= 0:
+        if len(state.queue) or not state.policy.has_room(entry.memory_tokens):
             self._enqueue(state, active, now)
             return None
         return self.attempts.place(state, active, now)
@@ -160,12 +160,13 @@
         """Returns where a run whose engine is lost goes on, or refuses that."""
         return self.attempts.continue_run(self.attempts.active[request], now)
 
-    def leave(self, request: ids.RequestId, ran: bool) -> None:
+    def leave(self, request: ids.RequestId, ran: bool, now: float) -> None:
         """Ends a request.
 
         Args:
             request: Its id.
             ran: Whether it cost an upstream anything; else its cost is given back.
+            now: Present time.
         """
         active = self.attempts.active.pop(request, None)
         self._alone.pop(request, None)
@@ -175,10 +176,10 @@
         if state:
             state.queue.remove(request)
             for attempt in active.attempts:
-                state.policy.finished(attempt.choice.upstream)
+                placer.finish(state, active, attempt, now)
         self.limits.release(active.entry.account)
         if not ran:
-            cost = active.entry.prompt.total_tokens + active.entry.output_tokens
+            cost = active.entry.memory_tokens
             self.limits.refund(active.entry.account, cost)
 
     def first_token(
@@ -255,7 +256,7 @@
                 entry.account,
                 active.account.service_class,
                 active.account.weight,
-                entry.prompt.total_tokens + entry.output_tokens,
+                entry.memory_tokens,
                 now + _patience_s(state.spec, active.account, entry),
             )
         )
@@ -264,10 +265,8 @@
         decisions: list[entries.Decision] = []
         while ticket := state.queue.peek():
             active = self.attempts.active[ticket.request]
-            if (
-                not self.attempts.refresh(state, active.entry, now)
-                or state.policy.free_slots() <= 0
-            ):
+            usable = self.attempts.refresh(state, active.entry, now)
+            if not usable or not state.policy.has_room(active.entry.memory_tokens):
                 break
             state.queue.pop(now)
             decisions.append(self.attempts.place(state, active, now))
--- a/src/cicadapier/_internal/experiments/replay.py
+++ b/src/cicadapier/_internal/experiments/replay.py
@@ -234,7 +234,7 @@
         running = self._running[decision.request]
         if isinstance(decision, entries.Refused):
             running.record.refused(decision.refusal, self.now)
-            running.router.traffic.leave(decision.request, ran=False)
+            running.router.traffic.leave(decision.request, ran=False, now=self.now)
             del self._running[decision.request]
             return
         if running.router.outgoing.count(running.router.traffic, decision, self.now):
@@ -314,7 +314,7 @@
         running.record.finished(event.at, event.mean_step_s)
         router = running.router.traffic
         router.attempts.attempt_ended(event.request, outcomes.Complete(200), self.now)
-        router.leave(event.request, ran=True)
+        router.leave(event.request, ran=True, now=self.now)
         del self._running[event.request]
 
     def _lost(self, request: ids.RequestId, upstream: ids.UpstreamId) -> None:
--- a/src/cicadapier/_internal/models/configuration.py
+++ b/src/cicadapier/_internal/models/configuration.py
@@ -148,6 +148,8 @@
         remote_cost_s: What an upstream of another failure domain costs at least beside its own
             time, since a cut between the two ends what runs there.
         run_backups: Whether its upstreams back up the memory of a run at another one.
+        memory_tokens: Tokens that one of its upstreams holds for running requests and cached
+            pieces together, 0 where that is unknown.
     """
 
     kind: PoolKind
@@ -164,6 +166,7 @@
     reports_load: bool = True
     remote_cost_s: float = checked.field(0.0, minimum=0)
     run_backups: bool = False
+    memory_tokens: int = checked.field(0, minimum=0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/platform/documents.py
+++ b/src/cicadapier/_internal/platform/documents.py
@@ -50,6 +50,7 @@
 
 class _Engine(msgspec.Struct):
     slots: int = 1
+    kv_capacity_tokens: int = 0
     models: list[_Model] = []
     kv_token_bytes: float = 0.0  # Memory of one token's keys and values.
     link_mbps: float = 0.0  # Megabits a second between engines.
@@ -201,6 +202,7 @@
         import_tokens_per_s=import_rate,
         remote_cost_s=terms.remote_cost_ms / 1000,
         run_backups=engine.backups,
+        memory_tokens=max(0, engine.kv_capacity_tokens),
     )
 
 
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -161,7 +161,7 @@
 
     def _leave(self, message: traffic_messages.Leave, now: float) -> None:
         self._waiting.pop(message.request, None)
-        self._traffic.leave(message.request, message.ran)
+        self._traffic.leave(message.request, message.ran, now)
         if self._traffic.has_queued():
             self._decide(self._traffic.poll(now), now)
 
--- a/tests/_internal/decisions/test_peer_news.py
+++ b/tests/_internal/decisions/test_peer_news.py
@@ -104,7 +104,7 @@
         behind += ends[chosen] > now and min(ends.values()) <= now
         ends[chosen] = max(ends[chosen], now) + TOKENS / TOKENS_PER_S
         for router in routers:
-            router.traffic.leave(ids.RequestId(f"r{number - 5}"), ran=True)
+            router.traffic.leave(ids.RequestId(f"r{number - 5}"), True, now)
         if told:
             _tell(routers, told_at, now)
     return behind / REQUESTS
--- /dev/null
+++ b/tests/_internal/decisions/test_room.py
@@ -0,0 +1,133 @@
+"""Loads under which the memory of engines ends before their slots."""
+
+import unittest
+
+from cicadapier._internal.decisions import entries
+from cicadapier._internal.decisions import prefix
+from cicadapier._internal.decisions import room
+from cicadapier._internal.decisions import traffic
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import outcomes
+
+MODELS = ids.PoolId("models")
+MODEL = ids.ModelId("quill")
+ACCOUNT = ids.AccountId("press")
+HERE = ids.FailureDomainId("here")
+MEMORY_TOKENS = 100_000
+LONG_TOKENS = 9_000
+SLOTS = 64
+ENGINES = 4
+PATIENCE_S = 0.3
+
+
+def make_traffic(engines=ENGINES, slots=SLOTS):
+    made = traffic.Traffic(HERE)
+    found = {
+        ids.UpstreamId(f"engine-{i}"): configuration.Upstream(
+            ids.Address("10.0.0.1:80"), HERE, max_in_flight=slots
+        )
+        for i in range(engines)
+    }
+    pool = configuration.Pool(
+        configuration.PoolKind.MODEL,
+        found,
+        models={MODEL: configuration.Model("")},
+        prefill_tokens_per_s=40_000.0,
+        memory_tokens=MEMORY_TOKENS,
+    )
+    content = configuration.Configuration({ACCOUNT: configuration.Account()}, {MODELS: pool})
+    made.configure(configuration.NumberedConfiguration(ids.ConfigNumber(1), content), 0.0)
+    return made
+
+
+def entry(number, tokens=LONG_TOKENS):
+    name = f"r{number}"
+    prompt = prefix.chain(ids.PieceId(b"root"), (prefix.Part(name, tokens - 10),), tokens - 10)
+    return entries.Entry(
+        ids.RequestId(name),
+        ACCOUNT,
+        MODELS,
+        prompt,
+        10,
+        ids.Fingerprint(name),
+        model=MODEL,
+        patience_s=PATIENCE_S,
+    )
+
+
+def running(made):
+    """Returns the memory that this router has its requests take at each engine."""
+    taken = dict.fromkeys(made.pools[MODELS].policy.members, 0)
+    for active in made.attempts.active.values():
+        for attempt in active.attempts:
+            taken[attempt.choice.upstream] += active.entry.memory_tokens
+    return taken
+
+
+class BurstTest(unittest.TestCase):
+    """Far more long prompts at once than the engines' memory holds."""
+
+    def test_no_engine_gets_more_than_its_memory_bears(self):
+        made = make_traffic()
+        for number in range(100):
+            made.enter(entry(number), 0.001 * number)
+        bound = room.RUNNING_SHARE * MEMORY_TOKENS
+        self.assertTrue(all(0 < taken <= bound for taken in running(made).values()))
+
+    def test_what_does_not_fit_waits_and_is_refused_as_not_run_within_its_patience(self):
+        made = make_traffic()
+        for number in range(100):
+            made.enter(entry(number), 0.0)
+        refused = [d for d in made.poll(PATIENCE_S) if isinstance(d, entries.Refused)]
+        sent = sum(1 for active in made.attempts.active.values() if active.attempt)
+        self.assertEqual(len(refused), 100 - sent)
+        for decision in refused:
+            self.assertIs(decision.refusal.effect, outcomes.Effect.NOT_RUN)
+            self.assertIsNotNone(decision.refusal.retry_after_s)
+
+    def test_what_waits_is_sent_as_memory_becomes_free(self):
+        made = make_traffic(engines=1)
+        placed = [made.enter(entry(number), 0.0) for number in range(20)]
+        first = next(decision for decision in placed if decision)
+        self.assertEqual(made.poll(0.1), [])
+        made.attempts.attempt_ended(first.request, outcomes.Complete(200), 0.1)
+        made.leave(first.request, True, 0.1)
+        self.assertEqual(len(made.poll(0.1)), 1)
+
+    def test_requests_of_other_routers_take_memory_too(self):
+        made = make_traffic()
+        made.enter(entry(0), 0.0)
+        made.attempts.attempt_ended(ids.RequestId("r0"), outcomes.Complete(200), 0.1)
+        made.leave(ids.RequestId("r0"), True, 0.1)
+        for upstream in made.pools[MODELS].policy.members:
+            made.observations.load_told(MODELS, upstream, 9, 0.1)
+        self.assertIsNone(made.enter(entry(1), 0.1))
+
+    def test_a_request_larger_than_the_share_runs_alone(self):
+        made = make_traffic(engines=1)
+        self.assertIsInstance(made.enter(entry(0, tokens=90_000), 0.0), entries.Placed)
+        self.assertIsNone(made.enter(entry(1, tokens=100), 0.0))
+
+    def test_a_silent_attempt_is_not_relieved_where_that_would_delay_others(self):
+        made = make_traffic(engines=2)
+        for number in range(100):
+            made.enter(entry(number), 0.0)
+        self.assertIsNone(made.attempts.relieve(ids.RequestId("r0"), 0.2))
+        self.assertEqual(max(running(made).values()), 8 * LONG_TOKENS)
+
+
+class TypicalRequestTest(unittest.TestCase):
+    def test_what_was_told_is_believed_for_as_long_as_requests_stay(self):
+        typical = room.TypicalRequest()
+        self.assertAlmostEqual(typical.all_ended_s, room.MIN_ALL_ENDED_S)
+        for _ in range(200):
+            typical.ended(0.7)
+        self.assertAlmostEqual(typical.all_ended_s, 2.1, places=2)
+        for _ in range(200):
+            typical.ended(9.0)
+        self.assertEqual(typical.all_ended_s, room.MAX_ALL_ENDED_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/_internal/decisions/test_traffic.py
+++ b/tests/_internal/decisions/test_traffic.py
@@ -4,8 +4,8 @@
 import unittest
 
 from cicadapier._internal.decisions import entries
-from cicadapier._internal.decisions import load
 from cicadapier._internal.decisions import prefix
+from cicadapier._internal.decisions import room
 from cicadapier._internal.decisions import traffic
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
@@ -83,7 +83,7 @@
     def test_a_request_that_waits_as_its_pool_is_taken_away_is_decided(self):
         made = self._fill()
         declare(made, {})
-        made.leave(ids.RequestId("runs"), True)
+        made.leave(ids.RequestId("runs"), True, 1.0)
         decided = [decision.request for decision in made.poll(1.1)]
         self.assertEqual(decided, ["waits"])
 
@@ -98,8 +98,8 @@
         made = self._fill()
         declare(made, {})
         self.assertIsInstance(made.enter(entry("late"), 1.0), entries.Refused)
-        made.leave(ids.RequestId("waits"), False)
-        made.leave(ids.RequestId("runs"), True)
+        made.leave(ids.RequestId("waits"), False, 1.0)
+        made.leave(ids.RequestId("runs"), True, 1.0)
         declare(made, {})
         self.assertEqual(made.pools, {})
 
@@ -140,7 +140,7 @@
         placed = [made.enter(model_entry(name), 1.0) for name in ("a", "b")]
         self.assertIsNone(made.enter(model_entry("c", patience_s=WEIGHTS_S), 1.0))
         for decision in placed:
-            made.leave(decision.request, ran=True)
+            made.leave(decision.request, True, 1.0)
         self.assertEqual(made.poll(WEIGHTS_S), [])
         self._load(made, "4")
         decisions = made.poll(WEIGHTS_S + 0.1)
@@ -174,14 +174,14 @@
     def test_a_pool_that_was_full_when_last_heard_of_is_tried_again(self):
         made = make_traffic()
         self._tell_full(made, 1.0)
-        later = 1.0 + load.TOLD_S + 0.01
+        later = 1.0 + room.MIN_ALL_ENDED_S + 0.01
         self.assertIsInstance(made.enter(entry("a"), later), entries.Placed)
 
     def test_a_waiting_request_is_sent_once_the_news_is_old(self):
         made = make_traffic()
         self._tell_full(made, 1.0)
         self.assertIsNone(made.enter(entry("a"), 1.1))
-        decisions = made.poll(1.0 + load.TOLD_S + 0.01)
+        decisions = made.poll(1.0 + room.MIN_ALL_ENDED_S + 0.01)
         self.assertIsInstance(decisions[0], entries.Placed)
 
     def test_what_peers_alone_send_does_not_fill_an_upstream_for_good(self):
@@ -190,7 +190,7 @@
         for number in range(10):
             made.observations.peer_sent(DESK, desk, 1.0, 1.0, 0.1 * number)
         self.assertIsNone(made.enter(entry("at once"), 1.0))
-        made.leave(ids.RequestId("at once"), ran=False)
+        made.leave(ids.RequestId("at once"), False, 1.0)
         self.assertIsInstance(made.enter(entry("later"), 5.0), entries.Placed)
 
     def test_what_peers_send_after_old_news_does_not_fill_an_upstream_for_good(self):
@@ -198,7 +198,7 @@
         desk = ids.UpstreamId("desk-0")
         made.observations.load_told(DESK, desk, 2, 0.0)
         made.enter(entry("forgets"), 1.0)
-        made.leave(ids.RequestId("forgets"), ran=False)
+        made.leave(ids.RequestId("forgets"), False, 1.0)
         for _ in range(10):
             made.observations.peer_sent(DESK, desk, 1.0, 1.0, 1.1)
         self.assertIsInstance(made.enter(entry("later"), 5.0), entries.Placed)
