End answers that bring bytes and never get on

What callers saw (own interface; shown by the tests, which fail on the former code): a stream whose engine sent a byte now and then, and no token, never ended, as each byte began the interval anew; an event without an end grew in memory without bound, and was searched from its start with each part; whole answers of models had no bound at all; the body of a refusal could hold its request for as long as a byte came every 0.2 s. Interim answers were read until the request's time ended.

--- a/src/cicadapier/_internal/protocols/completions.py
+++ b/src/cicadapier/_internal/protocols/completions.py
@@ -16,6 +16,7 @@
 EVENT_STREAM = b"text/event-stream"
 _PREFIX = b"data: "
 _SEPARATOR = b"\n\n"
+MAX_EVENT_BYTES = 1_048_576
 
 
 class Endpoint(enum.Enum):
@@ -159,16 +160,22 @@
     """Splits a server-sent event stream into its events, each with its closing blank line."""
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest = bytearray()
+
+    @property
+    def overlong(self) -> bool:
+        """Whether the event under way is longer than any that is relayed."""
+        return len(self._rest) > MAX_EVENT_BYTES
 
     def feed(self, data: bytes) -> list[bytes]:
         """Takes a part of the stream and returns the whole events in it."""
-        buffered = self._rest + data
-        if not buffered.endswith(_SEPARATOR):
-            *events, self._rest = buffered.split(_SEPARATOR)
-        else:
-            events = buffered.split(_SEPARATOR)[:-1]
-            self._rest = b""
+        if _SEPARATOR not in self._rest[-1:] + data:
+            # Searching all of it again with each part would make a long event very dear.
+            self._rest += data
+            return []
+        buffered = bytes(self._rest) + data
+        *events, rest = buffered.split(_SEPARATOR)
+        self._rest = bytearray(rest)
         return [event + _SEPARATOR for event in events]
 
 
--- a/src/cicadapier/_internal/protocols/event_stream.py
+++ b/src/cicadapier/_internal/protocols/event_stream.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 _ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+_LONGEST_END = max(len(mark) for mark in _ENDS)
 _ID = b"id:"
 MAX_EVENT_BYTES = 1_048_576
 
@@ -28,20 +29,25 @@
     """Cuts a byte stream into events."""
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest = bytearray()
+        self._searched = 0
 
     @property
     def rest(self) -> bytes:
         """Bytes after the last whole event."""
-        return self._rest
+        return bytes(self._rest)
 
     def feed(self, data: bytes) -> list[Event]:
         """Takes bytes and returns the events that they complete."""
         self._rest += data
         events = []
         while (end := self._find_end()) > 0:
-            raw, self._rest = self._rest[:end], self._rest[end:]
+            raw = bytes(self._rest[:end])
+            del self._rest[:end]
+            self._searched = 0
             events.append(Event(raw, _number(raw)))
+        # Searching all of it again with each part would make a long event very dear.
+        self._searched = max(0, len(self._rest) - _LONGEST_END + 1)
         return events
 
     @property
@@ -50,8 +56,8 @@
         return len(self._rest) > MAX_EVENT_BYTES
 
     def _find_end(self) -> int:
-        ends = [index + len(mark) for mark in _ENDS if (index := self._rest.find(mark)) >= 0]
-        return min(ends, default=0)
+        found = [(self._rest.find(mark, self._searched), mark) for mark in _ENDS]
+        return min((index + len(mark) for index, mark in found if index >= 0), default=0)
 
 
 def _number(raw: bytes) -> int | None:
--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -12,6 +12,7 @@
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
+MAX_INTERIM_ANSWERS = 32
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -140,12 +141,13 @@
             MalformedMessageError: The answer is not HTTP.
         """
         deadline = trio.current_time() + timeout_s
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS):
             event = await self._next_event(deadline)
             if isinstance(event, h11.Response):
                 return ResponseHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise exceptions.ConnectionLostError("closed before the answer")
+        raise exceptions.MalformedMessageError("interim answers without an end")
 
     async def receive_data(self, timeout_s: float) -> bytes | None:
         """Waits for a part of the body; returns None at its end.
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections.abc
+import contextlib
 import dataclasses
 import math
 from typing import Generic
@@ -11,6 +12,7 @@
 import trio
 
 from cicadapier._internal.decisions import entries
+from cicadapier._internal.decisions import pace
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
 from cicadapier._internal.protocols import answers
@@ -267,6 +269,30 @@
         except exceptions.ProtocolError as exc:
             raise AttemptFailedError(await self._broken(exc, offset)) from exc
 
+    async def receive_whole(self, limit_s: float, whole_s: float = math.inf) -> bytes:
+        """Returns the rest of the answer's body, for answers that are held whole.
+
+        Args:
+            limit_s: Time limit for progress.
+            whole_s: Time limit for all of it.
+
+        Raises:
+            AttemptFailedError: The answer broke off, did not get on or is too large.
+            AttemptSupersededError: Another attempt takes over.
+        """
+        now = trio.current_time()
+        deadline = now + whole_s
+        body = pace.body_pace(limit_s, now)
+        parts = []
+        while (part := await self.receive(min(body.left_s(now), deadline - now), 0)) is not None:
+            now = trio.current_time()
+            if body.came(len(part), now) is pace.Verdict.TOO_LARGE:
+                await self.abandon()
+                reason = f"the answer exceeds {pace.MAX_ANSWER_BYTES} bytes"
+                raise AttemptFailedError(outcomes.Broken(reason, 0, crashed=False))
+            parts.append(part)
+        return b"".join(parts)
+
     async def _patiently(
         self,
         read: collections.abc.Callable[[float], collections.abc.Awaitable[_Read]],
@@ -421,12 +447,11 @@
     async def _drop_refusal(self) -> None:
         """Reads the rest of a refusal, so that its connection can be used again."""
         assert self._conn
-        try:
+        whole = False
+        with trio.move_on_after(REFUSAL_BODY_S), contextlib.suppress(exceptions.ProtocolError):
             await self._conn.receive_body(REFUSAL_BODY_S, MAX_REFUSAL_BYTES)
-        except exceptions.ProtocolError:
-            await self.abandon()
-            return
-        await self.finish()
+            whole = True
+        await (self.finish() if whole else self.abandon())
 
 
 def _describe(exc: exceptions.ProtocolError) -> str:
--- a/src/cicadapier/_internal/services/connections_service.py
+++ b/src/cicadapier/_internal/services/connections_service.py
@@ -22,6 +22,7 @@
 MAX_AGE_S = 120.0
 SWEEP_S = 1.0
 WATCH_S = 0.2
+MAX_SMALL_ANSWER_BYTES = 1_048_576  # Of answers to the router's own questions.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -162,9 +163,10 @@
     async def _sweep(self) -> None:
         now = trio.current_time()
         for address, idle in list(self._idle.items()):
-            stale = [conn for conn in idle if _idle_too_long(conn, now)]
-            self._idle[address] = [conn for conn in idle if not _idle_too_long(conn, now)]
-            for conn in stale:
+            # One that brings bytes while nothing was asked belongs to no request any more.
+            over = [conn for conn in idle if conn.stale or _idle_too_long(conn, now)]
+            self._idle[address] = [conn for conn in idle if conn not in over]
+            for conn in over:
                 await conn.close()
             if not self._idle[address]:
                 del self._idle[address]
@@ -189,5 +191,5 @@
     with trio.move_on_after(timeout_s):
         await conn.send(head, body)
         answer = await conn.receive_head(timeout_s)
-        return answer, await conn.receive_body(timeout_s)
+        return answer, await conn.receive_body(timeout_s, MAX_SMALL_ANSWER_BYTES)
     raise exceptions.SilentConnectionError(f"no answer within {timeout_s} s")
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -30,7 +30,6 @@
 from cicadapier._internal.services import traffic_messages
 
 MIN_LEFT_S = 0.01
-MAX_ANSWER_BYTES = 16_777_216
 CHANGED_RETRY_S = 0.05
 
 
@@ -306,21 +305,12 @@
     async def _take_whole(
         self, attempt: attempts.Attempt, head: http_client.ResponseHead
     ) -> outcomes.AttemptOutcome:
-        parts = []
-        size = 0
-        while (part := await attempt.receive(self._left_s(), 0)) is not None:
-            size += len(part)
-            if size > MAX_ANSWER_BYTES:
-                raise attempts.AttemptFailedError(
-                    outcomes.Broken("the answer is too large", 0, crashed=False)
-                )
-            parts.append(part)
-            self._progress.moved()
+        body = await attempt.receive_whole(self._left_s(), self._left_s())
         await attempt.finish()
         if not attempt.facts.genuine:
             return outcomes.SentNoAnswer("the answer is not the upstream's", crashed=False)
         headers = self._around.spelling.answer_headers(head)
-        answer = _Answer(head.status, headers, b"".join(parts))
+        answer = _Answer(head.status, headers, body)
         if head.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR and self._may_go_elsewhere():
             self._failure = answer
             reason = f"the upstream failed with status {head.status}"
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -8,6 +8,7 @@
 
 from cicadapier._internal.decisions import entries
 from cicadapier._internal.decisions import members
+from cicadapier._internal.decisions import pace
 from cicadapier._internal.decisions import prefix
 from cicadapier._internal.decisions import retries
 from cicadapier._internal.models import configuration
@@ -252,10 +253,7 @@
     async def _relay_error(
         self, attempt: attempts.Attempt, head: http_client.ResponseHead
     ) -> outcomes.AttemptOutcome:
-        timeout_s = self._plan.pool.timeouts.between_tokens_s
-        body = b""
-        while (part := await attempt.receive(timeout_s, self._progress.offset)) is not None:
-            body += part
+        body = await attempt.receive_whole(self._plan.pool.timeouts.between_tokens_s)
         await attempt.finish()
         if head.status >= 500 or self._responder.started:
             reason = f"the upstream answered with status {head.status}"
@@ -267,11 +265,9 @@
         return outcomes.Complete(head.status)
 
     async def _relay_whole(self, attempt: attempts.Attempt, placed: entries.Placed) -> None:
-        timeout_s = self._plan.pool.timeouts.between_tokens_s
-        parts = []
-        while (part := await attempt.receive(timeout_s, 0)) is not None:
-            parts.append(part)
-        body = b"".join(parts)
+        timeouts = self._plan.pool.timeouts
+        whole_s = timeouts.first_token_s + self._whole_s()
+        body = await attempt.receive_whole(timeouts.between_tokens_s, whole_s)
         chunk = self._read(body)
         if not chunk.finished or chunk.error is not None:
             raise _broken("the answer has no end", 0)
@@ -282,25 +278,34 @@
         await self._responder.send_whole(http.HTTPStatus.OK, extra, body)
 
     async def _relay_stream(self, attempt: attempts.Attempt, placed: entries.Placed) -> None:
-        timeout_s = self._plan.pool.timeouts.between_tokens_s
+        now = trio.current_time()
+        stream = pace.stream_pace(self._plan.pool.timeouts.between_tokens_s, now)
         splitter = completions.EventSplitter()
         done = False
         self._must_tell_offset = self._progress.offset > 0
         attempt.watch()
-        while (part := await attempt.receive(timeout_s, self._progress.offset)) is not None:
+        while (part := await self._receive(attempt, stream)) is not None:
             relayed: list[bytes] = []
+            events = splitter.feed(part)
+            stream.came(len(events), trio.current_time())
             try:
-                done = self._observe_events(attempt, splitter.feed(part), relayed) or done
+                done = self._observe_events(attempt, events, relayed) or done
             finally:
                 # What has been counted must reach the caller, also where the next event is bad.
                 if relayed:
                     await self._send(b"".join(relayed), placed)
+            if splitter.overlong:
+                raise _broken("an event has no end", self._progress.offset)
         if not done or not self._progress.finished:
             raise _broken("the answer has no end", self._progress.offset)
         await attempt.finish()
         await self._responder.send_part(completions.DONE)
         await self._responder.finish()
 
+    async def _receive(self, attempt: attempts.Attempt, stream: pace.StreamPace) -> bytes | None:
+        left_s = stream.left_s(trio.current_time())
+        return await attempt.receive(left_s, self._progress.offset)
+
     def _observe_events(
         self, attempt: attempts.Attempt, events: list[bytes], relayed: list[bytes]
     ) -> bool:
--- a/src/cicadapier/_internal/services/platform_service.py
+++ b/src/cicadapier/_internal/services/platform_service.py
@@ -8,6 +8,7 @@
 import msgspec
 import trio
 
+from cicadapier._internal.decisions import pace
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import settings
 from cicadapier._internal.protocols import exceptions as protocol_exceptions
@@ -20,7 +21,6 @@
 
 MAX_IDLE = 8
 MAX_IDLE_S = 4.0
-MAX_ANSWER_BYTES = 16_777_216
 WATCH_MARGIN_S = 0.5  # Beyond its waiting time a watch that is not answered has gone silent.
 WATCH_LEAST_S = 1.0  # The same for one that hardly waits.
 _NEUTRAL = (http.HTTPStatus.NOT_FOUND, http.HTTPStatus.CONFLICT)
@@ -216,7 +216,7 @@
         try:
             await conn.send(head, body)
             answer = await conn.receive_head(timeout_s)
-            content = await conn.receive_body(timeout_s, MAX_ANSWER_BYTES)
+            content = await conn.receive_body(timeout_s, pace.MAX_ANSWER_BYTES)
             done = conn.make_reusable()
             return answer.status, content
         finally:
--- a/src/cicadapier/_internal/services/service_calls.py
+++ b/src/cicadapier/_internal/services/service_calls.py
@@ -25,7 +25,6 @@
 
 _log = structlog.get_logger()
 
-MAX_ANSWER_BYTES = 16_777_216
 MAX_KEY_BYTES = 255
 _DROPPED = headers.HOP_BY_HOP | {headers.AUTHORIZATION, headers.REQUEST_ID}
 _ANSWER_DROPPED = headers.HOP_BY_HOP | {headers.REQUEST_ID}
@@ -215,7 +214,7 @@
         attempt = attempts.Attempt(self._services.connections, call)
         try:
             head = await attempt.start()
-            body = await _read_body(attempt, timeouts.between_tokens_s)
+            body = await attempt.receive_whole(timeouts.between_tokens_s)
             await attempt.finish()
             kept = http_client.end_to_end(head.headers, _ANSWER_DROPPED)
             return _Answer(head.status, kept, body, upstream)
@@ -244,18 +243,6 @@
     return _Plan(pool_id, pool, target, repeatable, key)
 
 
-async def _read_body(attempt: attempts.Attempt, timeout_s: float) -> bytes:
-    parts = []
-    size = 0
-    while (part := await attempt.receive(timeout_s, 0)) is not None:
-        size += len(part)
-        if size > MAX_ANSWER_BYTES:
-            reason = f"the answer exceeds {MAX_ANSWER_BYTES} bytes"
-            raise attempts.AttemptFailedError(outcomes.Broken(reason, 0, crashed=False))
-        parts.append(part)
-    return b"".join(parts)
-
-
 async def _send(
     responder: http_server.Responder, context: request_context.Context, answer: _Answer
 ) -> None:
--- a/src/cicadapier/_internal/services/upstreams_service.py
+++ b/src/cicadapier/_internal/services/upstreams_service.py
@@ -242,7 +242,10 @@
             await conn.receive_head(PROBE_TIMEOUT_S)
             splitter = completions.EventSplitter()
             while (part := await conn.receive_data(EVENTS_SILENCE_S)) is not None:
-                for event in splitter.feed(part):
+                events = splitter.feed(part)
+                if splitter.overlong:
+                    return
+                for event in events:
                     if not await self._apply(target, event):
                         # What the gap hides is in the next snapshot.
                         return
--- a/src/cicadapier/_internal/standins/engine_server.py
+++ b/src/cicadapier/_internal/standins/engine_server.py
@@ -27,6 +27,7 @@
 
 BYTES_PER_TOKEN = 4
 MAX_QUEUED = 256
+DRIBBLE_S = 0.3
 EVENT_POLL_S = 0.1
 MAX_JSON_DEPTH = 64
 KEEP_TIMEOUT_S = 1.0
@@ -234,6 +235,9 @@
         head = [(headers.CONTENT_TYPE, completions.EVENT_STREAM), *self._identity(generation)]
         await responder.start(200, head)
         async for start, end in self._spans(generation):
+            while self.board.find(faults.FaultKind.DRIBBLE, self.upstream):
+                await responder.send_part(b":")
+                await trio.sleep(DRIBBLE_S)
             await responder.send_part(self._chunk(generation, start, end))
         self._note_finished(generation)
         await responder.send_part(completions.DONE)
--- a/src/cicadapier/_internal/standins/faults.py
+++ b/src/cicadapier/_internal/standins/faults.py
@@ -13,6 +13,7 @@
 
     CRASH = "crash"
     PAUSE = "pause"
+    DRIBBLE = "dribble"
     SLOW = "slow"
     SILENT = "silent"
     EVENTS_LATE = "events-late"
@@ -31,6 +32,7 @@
 KIND_HELP = {
     FaultKind.CRASH: "upstream TARGET loses everything and comes back empty",
     FaultKind.PAUSE: "upstream TARGET stops making progress",
+    FaultKind.DRIBBLE: "streams of TARGET bring a byte now and then and no token",
     FaultKind.SLOW: "upstream TARGET runs at 1/amount of its speed (default 10)",
     FaultKind.SILENT: "open connections to TARGET go silent; new ones work",
     FaultKind.EVENTS_LATE: "cache events of TARGET come amount seconds late (default 10)",
--- a/tests/_internal/services/test_model_requests.py
+++ b/tests/_internal/services/test_model_requests.py
@@ -90,6 +90,12 @@
         self.assertEqual(reply.outcome, "complete")
         self.assertEqual(reply.text, engine_text.answer(LONG.encode(), 60))
 
+    def test_a_stream_that_brings_a_byte_now_and_then_goes_on_elsewhere(self):
+        _, reply = self._stream_with_fault(faults.FaultKind.DRIBBLE, 1.0)
+        self.assertEqual(reply.outcome, "complete")
+        self.assertEqual(reply.text, engine_text.answer(LONG.encode(), 60))
+        self.assertLess(self.ended_at - self.struck_at, 5.0 + 60 * 0.03)
+
     def test_silent_connection_is_replaced_within_five_seconds(self):
         _, reply = self._stream_with_fault(faults.FaultKind.SILENT, 1.0)
         self.assertEqual(reply.text, engine_text.answer(LONG.encode(), 60))
