Tell the routers of a failure domain of any size, in datagrams

What was wrong: cadence.tells_near ended at 16 other routers, so a failure domain of 17 told nobody what it had sent, and one more router in a domain of 16 would have ended it there. One exchange over gRPC costs 3.4 ms at both ends, at up to 20 a second and router. Change: near news go out in single datagrams on the peers' port, tagged with the shared secret, without an answer: at most 8 every 0.2 s, by turns where a domain has more routers. Placements are told for three turns, as datagrams may be lost.

--- a/src/cicadapier/_internal/decisions/cadence.py
+++ b/src/cicadapier/_internal/decisions/cadence.py
@@ -3,13 +3,14 @@
 A small fleet tells everything to everybody at once. In a large one a router's share of the control
 traffic stays the same however many routers there are, so rounds are rarer and news that only
 some routers can use is left out. Routers of one failure domain place on the same upstreams,
-those of their own domain, so a few of them tell each other at once what they have sent in a fleet
-of any size.
+those of their own domain, so they tell each other what they have sent in a fleet of any size: a
+few of them at once, many of them by turns.
 """
 
 import collections.abc
 import dataclasses
 import hashlib
+import math
 
 from cicadapier._internal.models import ids
 
@@ -19,9 +20,10 @@
 SPARSE_ROUND_S = 0.5
 SMALL_FANOUT = 3
 LARGE_FANOUT = 1
-NEAR_ROUTERS = 16
-NEAR_EXCHANGES_PER_S = 20.0
-NEAR_MEMORY_S = 1.5
+NEAR_ROUND_S = 0.2
+NEAR_FANOUT = 8  # Routers of the own failure domain that are told in one round.
+MIN_NEAR_MEMORY_S = 1.5
+NEAR_MEMORY_TURNS = 3  # Datagrams may be lost, so each placement is told in a few turns.
 PLATFORM_READERS = 2
 READER_POLL_S = 0.5
 OTHER_POLL_S = 15.0
@@ -69,18 +71,48 @@
         told: The rounds of the whole fleet, in which that may be told anyway.
         domain: The other reachable routers of its failure domain.
     """
-    return not told.direct and 0 < len(domain) < NEAR_ROUTERS
+    return not told.direct and len(domain) > 0
 
 
 def near_period_s(domain: collections.abc.Sized) -> float:
-    """Returns the least time between two rounds within a failure domain.
+    """Returns the time in which all routers of a failure domain are told.
 
     A router's share of the traffic stays the same however many there are.
 
     Args:
         domain: The other reachable routers of the failure domain.
     """
-    return len(domain) / NEAR_EXCHANGES_PER_S
+    return NEAR_ROUND_S * math.ceil(len(domain) / NEAR_FANOUT)
+
+
+def near_memory_s(domain: collections.abc.Sized) -> float:
+    """Returns for how long a placement is told within a failure domain."""
+    return max(MIN_NEAR_MEMORY_S, NEAR_MEMORY_TURNS * near_period_s(domain))
+
+
+class NearTurns:
+    """Which routers of the own failure domain are told in the next round."""
+
+    def __init__(self) -> None:
+        self._turn = 0
+        self._left = 0
+
+    @property
+    def pending(self) -> bool:
+        """Whether some routers have not been told the last news."""
+        return self._left > 0
+
+    def news(self, domain: collections.abc.Sized) -> None:
+        """Notes that there is something to tell to all of them."""
+        self._left = len(domain)
+
+    def next(self, domain: collections.abc.Sequence[ids.Address]) -> list[ids.Address]:
+        """Returns the routers that are told now."""
+        count = min(NEAR_FANOUT, self._left, len(domain))
+        self._left = max(0, min(self._left, len(domain)) - count)
+        found = [domain[(self._turn + step) % len(domain)] for step in range(count)]
+        self._turn = (self._turn + count) % len(domain) if domain else 0
+        return found
 
 
 def platform_poll_s(own: ids.VmId, domain: collections.abc.Iterable[ids.VmId]) -> float:
--- a/src/cicadapier/_internal/experiments/slopes.py
+++ b/src/cicadapier/_internal/experiments/slopes.py
@@ -22,6 +22,7 @@
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import peer_codec
+from cicadapier._internal.protocols import peer_datagrams
 from cicadapier._internal.protocols import peer_transport
 
 ROUNDS = 200
@@ -64,6 +65,7 @@
     for size in (0, 64, 256):
         yield _digest(size)
     yield _exchange()
+    yield _datagram()
 
 
 def _measured(build: collections.abc.Callable[[], object]) -> tuple[object, int]:
@@ -237,10 +239,24 @@
     def exchange(self, digest: peer_codec.Digest) -> peer_codec.Digest:
         return digest
 
+    def told(self, digest: peer_codec.Digest) -> None:
+        return
+
     def document(self, above: ids.ConfigNumber) -> None:
         return None
 
 
+def _datagram() -> Point:
+    """Returns the cost of one datagram, both ends together, without the kernel's part."""
+    codec = peer_datagrams.DatagramCodec("s")
+    digest = _news(16)
+
+    def round_trip(_: int) -> None:
+        codec.decode(codec.encode(digest))
+
+    return Point("datagram, both ends", 16, "entries", _cost_us(round_trip), 0, _size_of(digest))
+
+
 def _exchange() -> Point:
     """Returns the cost of one exchange over gRPC, both ends together."""
     digest = _news(16)
--- /dev/null
+++ b/src/cicadapier/_internal/protocols/peer_datagrams.py
@@ -0,0 +1,109 @@
+"""Digests in single datagrams, for hints that may be lost.
+
+A datagram costs a small part of a call, has no answer and keeps no connection, so that what one
+router tells its neighbours stays cheap however many there are.
+"""
+
+import collections.abc
+import dataclasses
+import hashlib
+import hmac
+
+import google.protobuf.message
+import structlog
+import trio
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
+from cicadapier._internal.protocols import peer_codec
+from cicadapier._internal.protocols import peers_pb2
+
+MAX_DATAGRAM_BYTES = 8_192
+_READ_BYTES = 65_536
+_TAG_BYTES = 16
+_MAX_KEY_BYTES = 64
+
+_log = structlog.get_logger()
+
+
+class DatagramCodec:
+    """Wire form of a datagram: a tag that proves the shared secret, then the digest."""
+
+    def __init__(self, secret: str) -> None:
+        self._key = secret.encode()[:_MAX_KEY_BYTES]
+
+    def encode(self, digest: peer_codec.Digest) -> bytes:
+        """Returns a datagram; the oldest placements are left out where it would be too long."""
+        placed = digest.placed
+        while True:
+            part = dataclasses.replace(digest, placed=placed)
+            content: bytes = peer_codec.encode(part).SerializeToString()
+            if len(content) + _TAG_BYTES <= MAX_DATAGRAM_BYTES or not placed:
+                return self._tag(content) + content
+            placed = placed[-(len(placed) // 2) :] if len(placed) > 1 else ()
+
+    def decode(self, data: bytes) -> peer_codec.Digest | None:
+        """Returns the digest, None where it is unreadable or not from a router of this fleet."""
+        tag, content = data[:_TAG_BYTES], data[_TAG_BYTES:]
+        if not hmac.compare_digest(tag, self._tag(content)):
+            return None
+        try:
+            return peer_codec.decode(peers_pb2.Digest.FromString(content))
+        except google.protobuf.message.DecodeError:
+            return None
+
+    def _tag(self, content: bytes) -> bytes:
+        return hashlib.blake2b(content, digest_size=_TAG_BYTES, key=self._key).digest()
+
+
+class DatagramSocket:
+    """Sends and receives datagrams on one address."""
+
+    def __init__(self, secret: str) -> None:
+        self._codec = DatagramCodec(secret)
+        self._socket: trio.socket.SocketType | None = None
+
+    async def serve(
+        self,
+        address: ids.Address,
+        take: collections.abc.Callable[[peer_codec.Digest], None],
+        task_status: "trio.TaskStatus[None]" = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Passes on what comes until it is cancelled."""
+        with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as found:
+            await found.bind(settings.split_address(address))
+            self._socket = found
+            task_status.started()
+            try:
+                while True:
+                    await self._receive(found, take)
+            finally:
+                self._socket = None
+
+    async def _receive(
+        self,
+        found: trio.socket.SocketType,
+        take: collections.abc.Callable[[peer_codec.Digest], None],
+    ) -> None:
+        try:
+            data, sender = await found.recvfrom(_READ_BYTES)
+        except OSError as exc:
+            # The error of an earlier send, such as an unreachable peer.
+            _log.debug("datagram_error", reason=str(exc))
+            return
+        digest = self._codec.decode(data)
+        if digest is None:
+            _log.debug("datagram_unreadable", sender=sender, size=len(data))
+            return
+        take(digest)
+
+    async def send(self, addresses: list[ids.Address], digest: peer_codec.Digest) -> None:
+        """Sends a digest to some routers; it may be lost."""
+        if self._socket is None:
+            return
+        data = self._codec.encode(digest)
+        for address in addresses:
+            try:
+                await self._socket.sendto(data, settings.split_address(address))
+            except OSError as exc:
+                _log.debug("datagram_not_sent", peer=address, reason=str(exc))
--- a/src/cicadapier/_internal/protocols/peer_transport.py
+++ b/src/cicadapier/_internal/protocols/peer_transport.py
@@ -1,4 +1,4 @@
-"""Transport of messages between routers: gRPC in production, direct calls in tests."""
+"""Transport of messages between routers: gRPC and datagrams, direct calls in tests."""
 
 import abc
 from collections.abc import Awaitable
@@ -21,6 +21,7 @@
 from cicadapier._internal.models import settings
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import peer_codec
+from cicadapier._internal.protocols import peer_datagrams
 from cicadapier._internal.protocols import peers_grpc
 from cicadapier._internal.protocols import peers_pb2
 
@@ -49,6 +50,10 @@
     def exchange(self, digest: peer_codec.Digest) -> peer_codec.Digest:
         """Takes a digest and returns the own one."""
 
+    @abc.abstractmethod
+    def told(self, digest: peer_codec.Digest) -> None:
+        """Takes a digest that wants no answer."""
+
     @abc.abstractmethod
     def document(self, above: ids.ConfigNumber) -> tuple[ids.ConfigNumber, bytes] | None:
         """Returns number and content of the configuration where it is above a number."""
@@ -74,6 +79,10 @@
             ProtocolError: The peer did not answer in time.
         """
 
+    @abc.abstractmethod
+    async def tell(self, addresses: list[ids.Address], digest: peer_codec.Digest) -> None:
+        """Sends a digest to some routers; it has no answer and may be lost."""
+
     @abc.abstractmethod
     async def fetch(
         self, address: ids.Address, above: ids.ConfigNumber
@@ -131,10 +140,14 @@
 
 
 class GrpcTransport(PeerTransport):
-    """gRPC over TCP. Its asyncio code runs in the loop that `serve` opens on trio."""
+    """gRPC over TCP, and datagrams on the same port.
+
+    The asyncio code of gRPC runs in the loop that `serve` opens on trio.
+    """
 
     def __init__(self, secret: str) -> None:
         self._secret = secret
+        self._datagrams = peer_datagrams.DatagramSocket(secret)
         self._metadata = {_SECRET_KEY: secret} if secret else {}
         self._channels: dict[ids.Address, grpclib.client.Channel] = {}
         self._loop: trio_asyncio.BaseTrioEventLoop | None = None
@@ -153,9 +166,11 @@
             server = grpclib.server.Server([_GrpcPeers(handler, self._secret)])
             host, port = settings.split_address(address)
             await trio_asyncio.aio_as_trio(server.start)(host, port)
-            task_status.started(_bound_address(server))
+            bound = _bound_address(server)
             try:
-                await trio.sleep_forever()
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(self._datagrams.serve, bound, handler.told)
+                    task_status.started(bound)
             finally:
                 self._loop = None
                 server.close()
@@ -172,6 +187,10 @@
 
         return peer_codec.decode(await self._run(address, call, EXCHANGE_TIMEOUT_S))
 
+    async def tell(self, addresses: list[ids.Address], digest: peer_codec.Digest) -> None:
+        """See `PeerTransport.tell`."""
+        await self._datagrams.send(addresses, digest)
+
     async def fetch(
         self, address: ids.Address, above: ids.ConfigNumber
     ) -> tuple[ids.ConfigNumber, bytes] | None:
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -2,7 +2,6 @@
 
 import collections
 import collections.abc
-import dataclasses
 import random
 from typing import Protocol
 
@@ -79,7 +78,6 @@
         self._domain_routers: frozenset[ids.VmId] = frozenset()
         self._near_news = trio.Event()
         self._near: tuple[ids.Address, ...] = ()
-        self._telling: set[ids.Address] = set()
 
     @property
     def listening(self) -> ids.Address | None:
@@ -161,8 +159,11 @@
     def exchange(self, digest: peer_codec.Digest) -> peer_codec.Digest:
         """See `peer_transport.PeerHandler.exchange`."""
         self._merge(digest)
-        # What comes between the rounds asks for nothing.
-        return self._digest if digest.heartbeats else self._bare_digest()
+        return self._digest
+
+    def told(self, digest: peer_codec.Digest) -> None:
+        """See `peer_transport.PeerHandler.told`."""
+        self._merge(digest)
 
     def document(self, above: ids.ConfigNumber) -> tuple[ids.ConfigNumber, bytes] | None:
         """See `peer_transport.PeerHandler.document`."""
@@ -200,36 +201,32 @@
 
     async def _tell_near(self) -> None:
         """Tells the routers of the own failure domain what this one has sent, as it sends it."""
-        async with trio.open_nursery() as nursery:
-            while True:
+        turns = cadence.NearTurns()
+        while True:
+            if not turns.pending:
                 await self._near_news.wait()
+            if self._near_news.is_set():
                 self._near_news = trio.Event()
-                if cadence.tells_near(self._rounds(), self._near):
-                    digest = await self._near_digest()
-                    # A peer that has not answered yet hears of it in a later round.
-                    for address in set(self._near) - self._telling:
-                        nursery.start_soon(self._tell, address, digest)
-                await trio.sleep(max(MIN_ROUND_S, cadence.near_period_s(self._near)))
-
-    async def _tell(self, address: ids.Address, digest: peer_codec.Digest) -> None:
-        self._telling.add(address)
-        try:
-            await self._exchange_with(address, digest)
-        finally:
-            self._telling.discard(address)
+                turns.news(self._near)
+            if cadence.tells_near(self._rounds(), self._near):
+                await self._transport.tell(turns.next(self._near), await self._near_digest())
+            else:
+                turns.news(())
+            await trio.sleep(cadence.NEAR_ROUND_S)
 
     async def _near_digest(self) -> peer_codec.Digest:
-        found = await self._take_digest()
-        since = trio.current_time() - cadence.NEAR_MEMORY_S
-        placed = tuple(item for item in found.placed if item.at >= since)
-        return dataclasses.replace(self._bare_digest(), sends=found.sends, placed=placed)
-
-    def _bare_digest(self) -> peer_codec.Digest:
         """Returns a digest without what the rounds of the whole fleet tell."""
         assert self._configuration
-        number = self._configuration.current.number
+        found = await self._take_digest()
+        since = trio.current_time() - cadence.near_memory_s(self._near)
+        placed = tuple(item for item in found.placed if item.at >= since)
         return peer_codec.Digest(
-            self._cfg.vm, self._generation, number, withdrawn=self._withdrawn()
+            self._cfg.vm,
+            self._generation,
+            self._configuration.current.number,
+            sends=found.sends,
+            placed=placed,
+            withdrawn=self._withdrawn(),
         )
 
     def _withdrawn(self) -> tuple[withdrawals.Withdrawal, ...]:
@@ -264,11 +261,9 @@
             self._withdrawn(),
         )
 
-    async def _exchange_with(
-        self, address: ids.Address, digest: peer_codec.Digest | None = None
-    ) -> None:
+    async def _exchange_with(self, address: ids.Address) -> None:
         try:
-            answer = await self._transport.exchange(address, digest or self._digest)
+            answer = await self._transport.exchange(address, self._digest)
         except exceptions.ProtocolError:
             return
         self._merge(answer)
--- a/src/cicadapier/_internal/standins/world.py
+++ b/src/cicadapier/_internal/standins/world.py
@@ -343,6 +343,11 @@
         await self._check(address)
         return await self._inner.exchange(address, digest)
 
+    async def tell(self, addresses: list[ids.Address], digest: peer_codec.Digest) -> None:
+        """See `peer_transport.PeerTransport.tell`."""
+        reached = [address for address in addresses if not self._is_parted(address)]
+        await self._inner.tell(reached, digest)
+
     async def fetch(
         self, address: ids.Address, above: ids.ConfigNumber
     ) -> tuple[ids.ConfigNumber, bytes] | None:
@@ -350,9 +355,12 @@
         await self._check(address)
         return await self._inner.fetch(address, above)
 
-    async def _check(self, address: ids.Address) -> None:
+    def _is_parted(self, address: ids.Address) -> bool:
         domain = self._world.places.domains.get(address, self._domain)
-        if self._world.board.parted(self._domain, domain):
+        return self._world.board.parted(self._domain, domain)
+
+    async def _check(self, address: ids.Address) -> None:
+        if self._is_parted(address):
             await trio.sleep(peer_transport.EXCHANGE_TIMEOUT_S)
             raise protocol_exceptions.ConnectError(f"{address}: no answer")
 
--- a/tests/_internal/services/test_tcp.py
+++ b/tests/_internal/services/test_tcp.py
@@ -17,6 +17,7 @@
 import trustme
 
 from cicadapier._internal.cli import status_codes
+from cicadapier._internal.decisions import peer_news
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import settings
 from cicadapier._internal.protocols import peer_codec
@@ -277,9 +278,15 @@
 
 
 class _Handler(peer_transport.PeerHandler):
+    def __init__(self):
+        self.heard = []
+
     def exchange(self, digest):
         return peer_codec.Digest(ids.VmId("b"), 1, ids.ConfigNumber(7))
 
+    def told(self, digest):
+        self.heard.append(digest)
+
     def document(self, above):
         return (ids.ConfigNumber(7), b"x" * 600_000) if above < 7 else None
 
@@ -304,6 +311,34 @@
 
         trio.run(main)
 
+    def test_a_datagram_reaches_routers_of_the_fleet_alone(self):
+        async def main():
+            server = peer_transport.GrpcTransport("secret")
+            friend = peer_transport.GrpcTransport("secret")
+            stranger = peer_transport.GrpcTransport("guess")
+            handler = _Handler()
+            loopback = ids.Address("127.0.0.1:0")
+            placed = tuple(
+                peer_news.PlacedPieces(
+                    number, ids.PoolId("p"), ids.UpstreamId("u"), (ids.PieceId(b"x" * 16),) * 40
+                )
+                for number in range(1, 65)
+            )
+            mine = peer_codec.Digest(ids.VmId("a"), 1, ids.ConfigNumber(0), placed=placed)
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(server.serve, loopback, handler)
+                for other in (friend, stranger):
+                    await nursery.start(other.serve, loopback, _Handler())
+                    await other.tell([address], mine)
+                await trio.sleep(0.2)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(len(handler.heard), 1)
+            # The oldest placements give way where not all fit into a datagram.
+            self.assertEqual(handler.heard[0].placed[-1].number, 64)
+            self.assertLess(len(handler.heard[0].placed), 64)
+
+        trio.run(main)
+
     async def _run(self):
         server = peer_transport.GrpcTransport("secret")
         stranger = peer_transport.GrpcTransport("guess")
--- a/tests/support.py
+++ b/tests/support.py
@@ -66,6 +66,11 @@
         answer = handler.exchange(peer_codec.decode(_over_the_wire(digest)))
         return peer_codec.decode(_over_the_wire(answer))
 
+    async def tell(self, addresses, digest):
+        for address in addresses:
+            if address in self.handlers:
+                self.handlers[address].told(peer_codec.decode(_over_the_wire(digest)))
+
     async def fetch(self, address, above):
         await trio.sleep(0.001)
         return self._find(address).document(above)
