Take engines that are not heard of for as full as the others

Cause: in the time of one request a router hears of few engines, and took all others for empty, so each router always found one with room. Change: where an engine has told nothing for a while, the mean of what others told takes its place; it falls while nothing is heard, since a router that takes all for full hears of none.

--- a/src/cicadapier/_internal/decisions/load.py
+++ b/src/cicadapier/_internal/decisions/load.py
@@ -178,7 +178,7 @@
         self._peer_sends.clear()
         self._others = self._others_told
 
-    def forget_told(self, now: float, after_s: float) -> None:
+    def forget_told(self, now: float, after_s: float, typical_others: float = 0.0) -> None:
         """Takes off what has probably ended since an answer told of it, from half the time on.
 
         Answers come only while requests are sent, and peers tell no ends. An upstream that was
@@ -188,12 +188,14 @@
         Args:
             now: Present time.
             after_s: Time after which all that was told of has ended.
+            typical_others: Requests of other routers that take its place.
         """
         while self._peer_sends and now - self._peer_sends[0] > after_s:
             self._peer_sends.popleft()
         ended_share = (now - self._told_at) / after_s
         left_share = min(1.0, max(0.0, 2 - 2 * ended_share))
-        self._others = math.ceil(self._others_told * left_share) + len(self._peer_sends)
+        unheard = max(typical_others * (1 - left_share), len(self._peer_sends))
+        self._others = math.ceil(self._others_told * left_share + unheard)
 
     def _drain(self, now: float) -> None:
         if now > self._lane.at:
--- a/src/cicadapier/_internal/decisions/observations.py
+++ b/src/cicadapier/_internal/decisions/observations.py
@@ -85,7 +85,9 @@
         """Takes the number of requests that an upstream tells with an answer."""
         state = self._find(pool, upstream)
         if state:
-            state.policy.members[upstream].load.running_told(running, now)
+            found = state.policy.members[upstream].load
+            found.running_told(running, now)
+            state.policy.typical.told(found.others(), now)
 
     def weights_told(
         self, pool: ids.PoolId, upstream: ids.UpstreamId, model: ids.ModelId, version: str
--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -46,11 +46,13 @@
         """Works out which upstreams a request may use now; returns whether there are any."""
         pool_weights.compare(state, self.named, entry.model, now)
         usable = False
+        typical = state.policy.typical
+        others = typical.others(now) if state.spec.memory_tokens else 0.0
         for upstream, member in state.policy.members.items():
             active = state.health.state(upstream, now) is health.UpstreamState.ACTIVE
             member.eligible = active and member.is_willing(now)
             member.loading = now < member.loading_until
-            member.load.forget_told(now, state.policy.typical.all_ended_s)
+            member.load.forget_told(now, typical.all_ended_s, others)
             usable = usable or member.usable
         return usable
 
--- a/src/cicadapier/_internal/decisions/room.py
+++ b/src/cicadapier/_internal/decisions/room.py
@@ -6,6 +6,8 @@
 does not fit stays with the router, which orders it, and refuses in time what cannot be served.
 """
 
+import math
+
 # Share of an engine's memory that running requests may take; the rest keeps shared prefixes.
 RUNNING_SHARE = 0.75
 FIRST_STAY_S = 0.1
@@ -13,6 +15,7 @@
 MAX_ALL_ENDED_S = 3.0
 _STAYS = 3
 _MEAN_WEIGHT = 0.05  # Of one more request in the mean.
+_TOLD_WEIGHT = 0.1
 
 
 class TypicalRequest:
@@ -26,6 +29,8 @@
     def __init__(self) -> None:
         self.memory_tokens = 0.0
         self.stay_s = FIRST_STAY_S
+        self._others = 0.0
+        self._told_at = -math.inf
 
     def sent(self, tokens: int) -> None:
         """Counts a request that is sent."""
@@ -37,6 +42,20 @@
         """Counts the end of a request."""
         self.stay_s += _MEAN_WEIGHT * (stayed_s - self.stay_s)
 
+    def told(self, others: int, now: float) -> None:
+        """Counts requests of other routers that an upstream tells of."""
+        self._others += _TOLD_WEIGHT * (others - self._others)
+        self._told_at = now
+
+    def others(self, now: float) -> float:
+        """Returns how many requests of other routers an upstream has on average.
+
+        In a large fleet a router hears of few upstreams in the time of one request, and of each
+        by chance. It falls while nothing is heard, since a router that takes every upstream for
+        full sends nothing and so hears nothing.
+        """
+        return self._others * math.exp2((self._told_at - now) / self.all_ended_s)
+
     @property
     def all_ended_s(self) -> float:
         """Time after which the requests that run at some moment have ended."""
--- a/tests/_internal/decisions/test_room.py
+++ b/tests/_internal/decisions/test_room.py
@@ -104,6 +104,21 @@
             made.observations.load_told(MODELS, upstream, 9, 0.1)
         self.assertIsNone(made.enter(entry(1), 0.1))
 
+    def test_engines_that_are_not_heard_of_count_as_full_as_the_others(self):
+        made = make_traffic()
+        first, *_ = made.pools[MODELS].policy.members
+        for number in range(40):
+            now = 0.01 * number
+            made.enter(entry(number), now)
+            made.attempts.attempt_ended(ids.RequestId(f"r{number}"), outcomes.Complete(200), now)
+            made.leave(ids.RequestId(f"r{number}"), True, now)
+            made.observations.load_told(MODELS, first, 20, now)
+        later = 0.4 + room.MAX_ALL_ENDED_S / 10
+        self.assertIsNone(made.enter(entry(40), later))
+        self.assertEqual(len(made.poll(later + PATIENCE_S)), 1)
+        # A router that takes all for full hears of none, and so tries again after a while.
+        self.assertIsInstance(made.enter(entry(41), 30.0), entries.Placed)
+
     def test_a_request_larger_than_the_share_runs_alone(self):
         made = make_traffic(engines=1)
         self.assertIsInstance(made.enter(entry(0, tokens=90_000), 0.0), entries.Placed)
