Withdraw an attempt before it could begin on weights that are too old

Cause: since silent attempts stand, nothing ended one that waits past the bound of its weights. Change: each placement says until when the request may begin on the weights there; an attempt without a head by then is closed, which takes it out of the engine's queue, and is followed as any lost attempt: a stream that may run again goes on elsewhere, another one is told the truth. tests/_internal/services/test_old_weights.py fails on the former code (200).

--- a/src/cicadapier/_internal/decisions/entries.py
+++ b/src/cicadapier/_internal/decisions/entries.py
@@ -1,6 +1,7 @@
 """What enters the traffic decisions and what they answer."""
 
 import dataclasses
+import math
 
 from cicadapier._internal.decisions import members
 from cicadapier._internal.decisions import poison
@@ -59,6 +60,7 @@
         weights: Weights version that the upstream is believed to serve, where it tells it.
         backup: Upstream that is to back up the run's memory, if any.
         continues: Whether the run goes on from the backup that the upstream holds.
+        begin_by: Time until which it may begin on these weights.
     """
 
     request: ids.RequestId
@@ -69,6 +71,7 @@
     weights: str | None = None
     backup: ids.UpstreamId | None = None
     continues: bool = False
+    begin_by: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/decisions/named_weights.py
+++ b/src/cicadapier/_internal/decisions/named_weights.py
@@ -76,6 +76,14 @@
             return math.inf
         return self._barred_after_s - (now - newer_at)
 
+    def begin_by(self, model: ids.ModelId, version: str | None, now: float) -> float:
+        """Returns until when a request that is sent now may begin on a version.
+
+        Newer weights that are named while it waits leave it at least that long.
+        """
+        newer_at = self._newer_named_at(model, version)
+        return (now if newer_at is None else newer_at) + self._begin_within_s
+
     def _newer_named_at(self, model: ids.ModelId, version: str | None) -> float | None:
         """Returns when the first version newer than this one was named, None without any."""
         known = self._named.get(model)
--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -1,6 +1,7 @@
 """Places the attempts of active requests, and takes in how they end."""
 
 import collections.abc
+import math
 
 from cicadapier._internal.decisions import active as actives
 from cicadapier._internal.decisions import backups
@@ -74,7 +75,7 @@
             finish(state, active, active.attempt, now)
         active.attempt = self._attempt_at(state, active, choice, now)
         backup = self._back_up(state, active)
-        return _placed(state, active, active.attempt, choice, now, backup)
+        return self._placed(state, active, active.attempt, choice, now, backup)
 
     def relieve(self, request: ids.RequestId, now: float) -> entries.Placed | None:
         """Places an attempt beside the present one, which is silent, to take over from it.
@@ -97,7 +98,7 @@
         if choice is None:
             return None
         active.relief = self._attempt_at(state, active, choice, now)
-        return _placed(state, active, active.relief, choice, now)
+        return self._placed(state, active, active.relief, choice, now)
 
     def relief_ended(
         self,
@@ -239,6 +240,33 @@
         incarnation = state.health.incarnation(choice.estimate.upstream)
         return actives.Attempt(choice.estimate, incarnation, now)
 
+    def _placed(
+        self,
+        state: observations.PoolState,
+        active: actives.Active,
+        attempt: actives.Attempt,
+        choice: members.Choice,
+        now: float,
+        backup: ids.UpstreamId | None = None,
+    ) -> entries.Placed:
+        entry = active.entry
+        member = state.policy.members[choice.estimate.upstream]
+        weights = None
+        begin_by = math.inf
+        if entry.model is not None:
+            weights = member.versions.get(entry.model)
+            begin_by = self.named.begin_by(entry.model, weights, now)
+        return entries.Placed(
+            entry.request,
+            choice,
+            member.spec.address,
+            attempt.incarnation,
+            now - active.entered_at,
+            weights,
+            backup,
+            begin_by=begin_by,
+        )
+
     def _place_at_backup(
         self,
         state: observations.PoolState,
@@ -362,28 +390,6 @@
     return entries.Refused(entry.request, refusal)
 
 
-def _placed(
-    state: observations.PoolState,
-    active: actives.Active,
-    attempt: actives.Attempt,
-    choice: members.Choice,
-    now: float,
-    backup: ids.UpstreamId | None = None,
-) -> entries.Placed:
-    entry = active.entry
-    member = state.policy.members[choice.estimate.upstream]
-    weights = member.versions.get(entry.model) if entry.model is not None else None
-    return entries.Placed(
-        entry.request,
-        choice,
-        member.spec.address,
-        attempt.incarnation,
-        now - active.entered_at,
-        weights,
-        backup,
-    )
-
-
 def finish(
     state: observations.PoolState, active: actives.Active, attempt: actives.Attempt, now: float
 ) -> None:
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -1,5 +1,6 @@
 """One forwarded request on its way: attempts, checks before each send, and the relay."""
 
+import collections.abc
 import dataclasses
 import functools
 import http
@@ -166,7 +167,7 @@
         outcome: outcomes.AttemptOutcome | entries.Superseded = outcomes.NotSent("not sent")
         try:
             check = functools.partial(self._check, placed)
-            head = attempt.head or await attempt.start(check)
+            head = attempt.head or await self._start(placed, attempt, check)
             self._progress.moved()
             if self._is_stream(attempt, head):
                 outcome = await self._relay(attempt, head)
@@ -185,6 +186,20 @@
             forwarded_log.attempt_failed(self._plan, placed, outcome, self._summary())
         return outcome
 
+    async def _start(
+        self,
+        placed: entries.Placed,
+        attempt: attempts.Attempt,
+        check: collections.abc.Callable[[], None],
+    ) -> http_client.ResponseHead:
+        """Has an attempt begin its answer, as long as it may begin on the upstream's weights."""
+        with trio.move_on_at(placed.begin_by):
+            return await attempt.start(check)
+        reason = "the weights became too old to begin on"
+        if attempt.sent:
+            raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
+        raise attempts.AttemptFailedError(outcomes.NotSent(reason))
+
     def _make_attempt(self, placed: entries.Placed) -> attempts.Attempt | None:
         registration = self._around.directory.find(placed.choice.estimate.upstream)
         if registration is None:
@@ -213,7 +228,7 @@
 
     async def _begin_relief(self, placed: entries.Placed, attempt: attempts.Attempt) -> None:
         """See `relief.Starter.begin`."""
-        head = await attempt.start(functools.partial(self._check_relief, placed))
+        head = await self._start(placed, attempt, functools.partial(self._check_relief, placed))
         if not self._is_good(attempt, head):
             reason = f"the upstream failed with status {head.status}"
             raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
--- /dev/null
+++ b/tests/_internal/services/test_old_weights.py
@@ -0,0 +1,60 @@
+"""Requests that wait at an engine whose weights become too old to begin on."""
+
+import unittest
+
+import trio
+
+from cicadapier._internal.decisions import rollout
+from cicadapier._internal.standins import users_upstream
+from tests import forwarding_world
+
+LIMIT_S = 8.0  # Default of `forwarding.weights_ms`.
+
+
+def refuse_orders(made):
+    """Has no engine load weights."""
+    for name, upstream in made.upstreams.items():
+        if name.startswith("engine"):
+            upstream._take_order = lambda order: rollout.Reply.REFUSED
+
+
+class OldWeightsTest(unittest.TestCase):
+    def test_an_attempt_that_has_not_begun_is_withdrawn_before_the_bound(self):
+        for path in ("/ask/x", "/long/x"):
+            with self.subTest(path):
+
+                async def check(made, path=path):
+                    refuse_orders(made)
+                    forwarding_world.strike(
+                        made, "engine", users_upstream.UpstreamFault.BEGINS_LATE
+                    )
+                    named_at = trio.current_time()
+                    made.name_weights(2)
+                    await trio.sleep(6.0)
+                    reply = await made.ask(path, request="q", time_left_ms=5000)
+                    ended_at = trio.current_time()
+                    self.assertNotEqual(reply.status, 200)
+                    self.assertTrue(made.runs_of("q"))
+                    self.assertLess(ended_at - named_at, LIMIT_S)
+                    await trio.sleep(0.1)
+                    for run in made.runs_of("q"):
+                        self.assertLess(run.ended_at - named_at, LIMIT_S)
+
+                forwarding_world.in_world(check)
+
+    def test_an_answer_that_has_begun_goes_on(self):
+        async def check(made):
+            refuse_orders(made)
+            for name, upstream in made.upstreams.items():
+                if name.startswith("engine"):
+                    upstream.event_s = 0.6
+            made.name_weights(2)
+            await trio.sleep(6.0)
+            reply = await made.ask("/long/x", request="q", time_left_ms=5000)
+            self.assertEqual((reply.status, reply.broken, len(reply.numbers)), (200, False, 6))
+
+        forwarding_world.in_world(check)
+
+
+if __name__ == "__main__":
+    unittest.main()
