Forecast the queue from waits, and spread the returns of refused callers

Cause: the interval between two requests taken from the queue counted the time in which nothing waited, up to 2 s, and stood until the next one; any waiting request then refused all that followed. Change: an interval is counted from the time at which the request began to wait, also where it waited in vain, and is forgotten after 2 s; decisions/returns.py spreads the returns over half of the time by the request.

--- a/src/cicadapier/_internal/decisions/fairqueue.py
+++ b/src/cicadapier/_internal/decisions/fairqueue.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import heapq
+import math
 
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
@@ -27,6 +28,7 @@
         weight: Weight of the account.
         cost: Expected work in tokens.
         deadline: Time after which waiting is in vain.
+        joined_at: Time at which it began to wait.
     """
 
     request: ids.RequestId
@@ -35,6 +37,7 @@
     weight: float
     cost: float
     deadline: float
+    joined_at: float = 0.0
 
 
 @dataclasses.dataclass(order=True, slots=True)
@@ -77,8 +80,9 @@
         self._waiting: dict[ids.RequestId, Ticket] = {}
         self._numbers = 0
         self._since_batch = 0
-        self._interval_s: float | None = None
-        self._last_pop: float | None = None
+        self._interval_s = 0.0
+        self._observed_at = -math.inf
+        self._last_pop = -math.inf
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -109,7 +113,8 @@
         self._count_turn(queue)
         ticket = queue.pop()
         del self._waiting[ticket.request]
-        self._observe_pop(now)
+        self._observe(ticket, now)
+        self._last_pop = now
         return ticket
 
     def shed(self, now: float) -> list[Ticket]:
@@ -118,15 +123,16 @@
         late.sort(key=lambda ticket: ticket.deadline)
         for ticket in late:
             self.remove(ticket.request)
+            self._observe(ticket, now)
         return late
 
     def next_deadline(self) -> float | None:
         """Returns the earliest deadline of the waiting requests."""
         return min((ticket.deadline for ticket in self._waiting.values()), default=None)
 
-    def expected_wait_s(self, service_class: configuration.ServiceClass) -> float:
+    def expected_wait_s(self, service_class: configuration.ServiceClass, now: float) -> float:
         """Returns how long a new request of a class would wait at the present rate."""
-        if self._interval_s is None:
+        if now - self._observed_at > _RATE_WINDOW_S:
             return 0.0
         if service_class is configuration.ServiceClass.BATCH:
             ahead = len(self._waiting)
@@ -134,12 +140,13 @@
             ahead = sum(1 for t in self._waiting.values() if t.service_class is service_class)
         return ahead * self._interval_s
 
-    def _observe_pop(self, now: float) -> None:
-        if self._last_pop is not None and self._waiting:
-            gap = min(_RATE_WINDOW_S, now - self._last_pop)
-            known = self._interval_s
-            self._interval_s = gap if known is None else known + _RATE_SMOOTHING * (gap - known)
-        self._last_pop = now
+    def _observe(self, ticket: Ticket, now: float) -> None:
+        """Takes the time for which the queue has not moved while a request waited in it."""
+        gap_s = now - max(self._last_pop, ticket.joined_at)
+        fresh = now - self._observed_at <= _RATE_WINDOW_S
+        known_s = self._interval_s if fresh else gap_s
+        self._interval_s = known_s + _RATE_SMOOTHING * (gap_s - known_s)
+        self._observed_at = now
 
     def _next_queue(self) -> _ClassQueue | None:
         """Returns the queue whose turn it is, None where nothing waits."""
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -18,6 +18,7 @@
 from cicadapier._internal.decisions import placement
 from cicadapier._internal.decisions import placer
 from cicadapier._internal.decisions import pool_weights
+from cicadapier._internal.decisions import returns
 from cicadapier._internal.decisions import rollout
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
@@ -118,11 +119,12 @@
         if len(self.attempts.active) >= MAX_QUEUED:
             message = "this router runs as many requests as it can"
             return placer.refused(entry, outcomes.Code.OVERLOADED, message, retry_after_s=1.0)
-        wait_s = state.queue.expected_wait_s(account.service_class)
+        wait_s = state.queue.expected_wait_s(account.service_class, now)
         if len(state.queue) and wait_s > _patience_s(state.spec, account, entry):
             # Waiting would be in vain: the caller learns it now and not at its deadline.
             message = f"the queue is {wait_s:.1f} s long"
-            return placer.refused(entry, outcomes.Code.OVERLOADED, message, retry_after_s=wait_s)
+            back_s = returns.come_back_s(wait_s, entry.request)
+            return placer.refused(entry, outcomes.Code.OVERLOADED, message, retry_after_s=back_s)
         cost = entry.memory_tokens
         verdict = self.limits.admit(entry.account, account, cost, now)
         if isinstance(verdict, limits.Exceeded):
@@ -211,8 +213,10 @@
             for ticket in state.queue.shed(now):
                 message = f"no slot of {pool_id} became free in time"
                 entry = self.attempts.active[ticket.request].entry
+                wait_s = state.queue.expected_wait_s(ticket.service_class, now)
+                back_s = returns.come_back_s(wait_s, entry.request)
                 decisions.append(
-                    placer.refused(entry, outcomes.Code.OVERLOADED, message, retry_after_s=1.0)
+                    placer.refused(entry, outcomes.Code.OVERLOADED, message, retry_after_s=back_s)
                 )
             decisions.extend(self._serve_queue(state, now))
         decisions.extend(self._serve_alone(now))
@@ -258,6 +262,7 @@
                 active.account.weight,
                 entry.memory_tokens,
                 now + _patience_s(state.spec, active.account, entry),
+                now,
             )
         )
 
--- a/tests/_internal/decisions/test_limits_and_queues.py
+++ b/tests/_internal/decisions/test_limits_and_queues.py
@@ -80,9 +80,11 @@
         self.assertIsInstance(own.admit(ACCOUNT, account, 1, 0.0), limits.Permitted)
 
 
-def ticket(name, account="a", kind=INTERACTIVE, weight=1.0, cost=1.0, deadline=100.0):
+def ticket(
+    name, account="a", kind=INTERACTIVE, weight=1.0, cost=1.0, deadline=100.0, joined_at=0.0
+):
     return fairqueue.Ticket(
-        ids.RequestId(name), ids.AccountId(account), kind, weight, cost, deadline
+        ids.RequestId(name), ids.AccountId(account), kind, weight, cost, deadline, joined_at
     )
 
 
@@ -119,6 +121,25 @@
         self.assertEqual(queue.pop(5.0).request, "third")
         self.assertIsNone(queue.pop(5.0))
 
+    def test_a_pause_without_any_waiting_says_nothing_of_the_next_wait(self):
+        queue = fairqueue.FairQueue()
+        for number in range(5):
+            at = 10.0 * number
+            queue.push(ticket(f"r{number}", joined_at=at))
+            queue.push(ticket(f"s{number}", joined_at=at))
+            queue.pop(at + 0.1)
+            queue.pop(at + 0.2)
+        queue.push(ticket("next", joined_at=41.0))
+        self.assertAlmostEqual(queue.expected_wait_s(INTERACTIVE, 41.0), 0.1, delta=0.01)
+
+    def test_requests_that_waited_in_vain_tell_the_next_ones(self):
+        queue = fairqueue.FairQueue()
+        queue.push(ticket("late", deadline=0.5, joined_at=0.0))
+        queue.push(ticket("waits", deadline=9.0, joined_at=0.0))
+        queue.shed(0.5)
+        self.assertAlmostEqual(queue.expected_wait_s(INTERACTIVE, 0.5), 0.5)
+        self.assertEqual(queue.expected_wait_s(INTERACTIVE, 30.0), 0.0)
+
     @hypothesis.settings(derandomize=True, database=None, deadline=None)
     @hypothesis.given(
         st.lists(st.tuples(st.sampled_from("pxr"), st.integers(0, 9), st.booleans()), max_size=60)
--- a/tests/_internal/decisions/test_room.py
+++ b/tests/_internal/decisions/test_room.py
@@ -86,6 +86,15 @@
             self.assertIs(decision.refusal.effect, outcomes.Effect.NOT_RUN)
             self.assertIsNotNone(decision.refusal.retry_after_s)
 
+    def test_callers_that_are_refused_together_do_not_come_back_together(self):
+        made = make_traffic()
+        for number in range(200):
+            made.enter(entry(number), 0.0)
+        refused = [d for d in made.poll(PATIENCE_S) if isinstance(d, entries.Refused)]
+        returns_s = sorted(decision.refusal.retry_after_s for decision in refused)
+        self.assertGreater(len(set(returns_s)), 0.9 * len(returns_s))
+        self.assertGreater(returns_s[-1], 1.4 * returns_s[0])
+
     def test_what_waits_is_sent_as_memory_becomes_free(self):
         made = make_traffic(engines=1)
         placed = [made.enter(entry(number), 0.0) for number in range(20)]
