--- a/src/cicadapier/_internal/decisions/placement.py
+++ b/src/cicadapier/_internal/decisions/placement.py
@@ -13,6 +13,7 @@
 from cicadapier._internal.decisions import belief
 from cicadapier._internal.decisions import hotness
 from cicadapier._internal.decisions import members
+from cicadapier._internal.decisions import placement_view
 from cicadapier._internal.decisions import prefix
 from cicadapier._internal.decisions import rendezvous
 from cicadapier._internal.models import configuration
@@ -193,11 +194,11 @@
             return 0
         return self.kept.prefix_length(prompt.pieces)
 
-    def _view(self, req: members.PlacementRequest, now: float) -> "_View":
+    def _view(self, req: members.PlacementRequest, now: float) -> placement_view.View:
         cached: dict[ids.UpstreamId, int] = {}
         if self._features.belief:
             cached = self.belief.cached_pieces(req.prompt.pieces, now)
-        return _View(
+        return placement_view.View(
             req,
             now,
             cached,
@@ -212,9 +213,9 @@
         self,
         req: members.PlacementRequest,
         cached: collections.abc.Mapping[ids.UpstreamId, int],
-    ) -> "dict[str | None, _Source]":
+    ) -> "dict[str | None, placement_view.Source]":
         """Returns who holds most of the prompt, for each weights version that is served."""
-        found: dict[str | None, _Source] = {}
+        found: dict[str | None, placement_view.Source] = {}
         if self.pool.import_tokens_per_s <= 0 or req.model is None:
             return found
         for upstream, depth in cached.items():
@@ -224,20 +225,22 @@
             version = member.versions.get(req.model)
             known = found.get(version)
             if known is None or depth > known.depth:
-                found[version] = _Source(depth, [upstream])
+                found[version] = placement_view.Source(depth, [upstream])
             elif depth == known.depth:
                 known.holders.append(upstream)
         return found
 
-    def _costs(self, prompt: prefix.Prompt, now: float, kept: int) -> "_Costs":
-        return _Costs(self._prefill_s(prompt, kept), self._burden_s(prompt, kept, now))
+    def _costs(self, prompt: prefix.Prompt, now: float, kept: int) -> placement_view.Costs:
+        return placement_view.Costs(
+            self._prefill_s(prompt, kept), self._burden_s(prompt, kept, now)
+        )
 
     def _import_s(self, tokens: int) -> float:
         """Returns the time to import a piece."""
         pool = self.pool
         return tokens / (pool.import_tokens_per_s or pool.prefill_tokens_per_s * IMPORT_SPEEDUP)
 
-    def _by_promise(self, view: "_View") -> list[ids.UpstreamId]:
+    def _by_promise(self, view: placement_view.View) -> list[ids.UpstreamId]:
         """Returns the candidates with those first that have most of the prefix cached."""
         if not view.cached:
             return view.order
@@ -273,7 +276,7 @@
         return burden_s
 
     def _queue_cost_s(
-        self, view: "_View", upstream: ids.UpstreamId, member: members.Member
+        self, view: placement_view.View, upstream: ids.UpstreamId, member: members.Member
     ) -> float:
         """Returns what the work that an upstream has already adds to the cost."""
         cost_s = self._queue_s(view, member) if self._features.load else 0.0
@@ -283,7 +286,7 @@
         prefill_s = view.prefill_s(upstream, member)
         return cost_s + member.load.interactive_rate(view.now) * prefill_s * prefill_s / 2
 
-    def _queue_s(self, view: "_View", member: members.Member) -> float:
+    def _queue_s(self, view: placement_view.View, member: members.Member) -> float:
         load = member.load
         backlog = load.backlog_tokens(view.req.service_class, view.now)
         queue_s = backlog / (view.rate * min(1.0, member.spec.weight))
@@ -294,7 +297,7 @@
         return queue_s
 
     def _estimate(
-        self, view: "_View", upstream: ids.UpstreamId, member: members.Member
+        self, view: placement_view.View, upstream: ids.UpstreamId, member: members.Member
     ) -> members.Estimate:
         cached = view.cached.get(upstream, 0)
         reachable = view.reachable(upstream, member)
@@ -312,7 +315,11 @@
         )
 
     def _source_of(
-        self, view: "_View", upstream: ids.UpstreamId, member: members.Member, reachable: int
+        self,
+        view: placement_view.View,
+        upstream: ids.UpstreamId,
+        member: members.Member,
+        reachable: int,
     ) -> tuple[ids.UpstreamId | None, float]:
         """Returns where missing pieces come from, and for how long they have not been used there.
 
@@ -327,107 +334,6 @@
         return best, idle[best]
 
 
-@dataclasses.dataclass(slots=True)
-class _Source:
-    """Upstreams with the longest cached prefix among those with the same weights."""
-
-    depth: int
-    holders: list[ids.UpstreamId]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Costs:
-    """Costs of what is missing, by the number of pieces that a candidate has.
-
-    Attributes:
-        prefill_s: Time to compute or import it.
-        burden_s: What that costs other requests.
-    """
-
-    prefill_s: list[float]
-    burden_s: list[float]
-
-
-class _View:
-    """What one decision sees, computed once for all candidates."""
-
-    def __init__(
-        self,
-        req: members.PlacementRequest,
-        now: float,
-        cached: dict[ids.UpstreamId, int],
-        order: list[ids.UpstreamId],
-        kept: int,
-        sources: dict[str | None, _Source],
-        costs: collections.abc.Callable[[int], _Costs],
-        rate: float,
-    ) -> None:
-        self.req = req
-        self.interactive = req.service_class is configuration.ServiceClass.INTERACTIVE
-        self.now = now
-        self.cached = cached
-        self.order = order
-        self.rate = rate
-        self._kept = kept
-        self._sources = sources
-        self._make_costs = costs
-        self._costs: dict[int, _Costs] = {}
-        depths = [source.depth for source in sources.values()]
-        self._most = max([kept, *depths])
-
-    def reachable(self, upstream: ids.UpstreamId, member: members.Member) -> int:
-        """Returns how many pieces a candidate could import, those that it has among them."""
-        source = self._source(upstream, member)
-        return max(self._kept, source.depth if source else 0)
-
-    def sources(
-        self,
-        upstream: ids.UpstreamId,
-        member: members.Member,
-        others: collections.abc.Mapping[ids.UpstreamId, members.Member],
-    ) -> list[ids.UpstreamId]:
-        """Returns the upstreams that a candidate may import from, those nearby if there are any."""
-        source = self._source(upstream, member)
-        if source is None or source.depth < self._kept:
-            return []
-        if source.depth <= self.cached.get(upstream, 0):
-            return []
-        domain = member.spec.failure_domain
-        near = [u for u in source.holders if others[u].spec.failure_domain == domain]
-        return near or source.holders
-
-    def prefill_s(self, upstream: ids.UpstreamId, member: members.Member) -> float:
-        """Returns the time to compute or import what a candidate lacks."""
-        costs = self._costs_with(self.reachable(upstream, member))
-        return costs.prefill_s[self.cached.get(upstream, 0)]
-
-    def least_cost_s(self, upstream: ids.UpstreamId) -> float:
-        """Returns a lower bound on the cost of a candidate, from its cached prefix alone."""
-        cached = self.cached.get(upstream, 0)
-        costs = self._costs_with(self._most)
-        return costs.prefill_s[cached] + costs.burden_s[cached]
-
-    def idle_cost_s(self, upstream: ids.UpstreamId, member: members.Member) -> float:
-        """Returns the cost of a candidate that had nothing else to do."""
-        cached = self.cached.get(upstream, 0)
-        share = min(1.0, member.spec.weight)
-        costs = self._costs_with(self.reachable(upstream, member))
-        work_s = costs.prefill_s[cached] / share + costs.burden_s[cached]
-        return work_s + member.distance_s + member.penalty_s
-
-    def _source(self, upstream: ids.UpstreamId, member: members.Member) -> _Source | None:
-        if self.req.model is None:
-            return None
-        return self._sources.get(member.versions.get(self.req.model))
-
-    def _costs_with(self, kept: int) -> _Costs:
-        found = self._costs.get(kept)
-        if found is None:
-            found = self._make_costs(kept)
-            self._costs[kept] = found
-        return found
-
-
 class PlainPlacement(members.Policy):
     """Placement for plain services: fewest requests in flight, nearest first."""
 
--- /dev/null
+++ b/src/cicadapier/_internal/decisions/placement_view.py
@@ -0,0 +1,109 @@
+"""What one decision on placement sees, computed once for all candidates."""
+
+import collections.abc
+import dataclasses
+
+from cicadapier._internal.decisions import members
+from cicadapier._internal.models import configuration
+from cicadapier._internal.models import ids
+
+
+@dataclasses.dataclass(slots=True)
+class Source:
+    """Upstreams with the longest cached prefix among those with the same weights."""
+
+    depth: int
+    holders: list[ids.UpstreamId]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Costs:
+    """Costs of what is missing, by the number of pieces that a candidate has.
+
+    Attributes:
+        prefill_s: Time to compute or import it.
+        burden_s: What that costs other requests.
+    """
+
+    prefill_s: list[float]
+    burden_s: list[float]
+
+
+class View:
+    """What one decision sees, computed once for all candidates."""
+
+    def __init__(
+        self,
+        req: members.PlacementRequest,
+        now: float,
+        cached: dict[ids.UpstreamId, int],
+        order: list[ids.UpstreamId],
+        kept: int,
+        sources: dict[str | None, Source],
+        costs: collections.abc.Callable[[int], Costs],
+        rate: float,
+    ) -> None:
+        self.req = req
+        self.interactive = req.service_class is configuration.ServiceClass.INTERACTIVE
+        self.now = now
+        self.cached = cached
+        self.order = order
+        self.rate = rate
+        self._kept = kept
+        self._sources = sources
+        self._make_costs = costs
+        self._costs: dict[int, Costs] = {}
+        depths = [source.depth for source in sources.values()]
+        self._most = max([kept, *depths])
+
+    def reachable(self, upstream: ids.UpstreamId, member: members.Member) -> int:
+        """Returns how many pieces a candidate could import, those that it has among them."""
+        source = self._source(upstream, member)
+        return max(self._kept, source.depth if source else 0)
+
+    def sources(
+        self,
+        upstream: ids.UpstreamId,
+        member: members.Member,
+        others: collections.abc.Mapping[ids.UpstreamId, members.Member],
+    ) -> list[ids.UpstreamId]:
+        """Returns the upstreams that a candidate may import from, those nearby if there are any."""
+        source = self._source(upstream, member)
+        if source is None or source.depth < self._kept:
+            return []
+        if source.depth <= self.cached.get(upstream, 0):
+            return []
+        domain = member.spec.failure_domain
+        near = [u for u in source.holders if others[u].spec.failure_domain == domain]
+        return near or source.holders
+
+    def prefill_s(self, upstream: ids.UpstreamId, member: members.Member) -> float:
+        """Returns the time to compute or import what a candidate lacks."""
+        costs = self._costs_with(self.reachable(upstream, member))
+        return costs.prefill_s[self.cached.get(upstream, 0)]
+
+    def least_cost_s(self, upstream: ids.UpstreamId) -> float:
+        """Returns a lower bound on the cost of a candidate, from its cached prefix alone."""
+        cached = self.cached.get(upstream, 0)
+        costs = self._costs_with(self._most)
+        return costs.prefill_s[cached] + costs.burden_s[cached]
+
+    def idle_cost_s(self, upstream: ids.UpstreamId, member: members.Member) -> float:
+        """Returns the cost of a candidate that had nothing else to do."""
+        cached = self.cached.get(upstream, 0)
+        share = min(1.0, member.spec.weight)
+        costs = self._costs_with(self.reachable(upstream, member))
+        work_s = costs.prefill_s[cached] / share + costs.burden_s[cached]
+        return work_s + member.distance_s + member.penalty_s
+
+    def _source(self, upstream: ids.UpstreamId, member: members.Member) -> Source | None:
+        if self.req.model is None:
+            return None
+        return self._sources.get(member.versions.get(self.req.model))
+
+    def _costs_with(self, kept: int) -> Costs:
+        found = self._costs.get(kept)
+        if found is None:
+            found = self._make_costs(kept)
+            self._costs[kept] = found
+        return found
