Keep each start of an upstream that is told to leave

Found in reading: one start was kept for each upstream, so late news from a peer of a former start replaced that the present one leaves, and two peers with different news would have published the directory by turns. The new test fails on the former code. Datagrams are hints: a router whose port for them is taken now starts without them, with a warning.

--- a/src/cicadapier/_internal/decisions/withdrawals.py
+++ b/src/cicadapier/_internal/decisions/withdrawals.py
@@ -13,6 +13,7 @@
 
 DEFAULT_PAUSE_S = 1.0  # Where the upstream's own time cannot be read.
 MAX_PAUSE_S = 60.0  # A longer one is more likely a fault than a wish.
+MAX_WITHDRAWALS = 128
 # Pauses that end together for many routers end spread over this share of their length.
 RETURN_SPREAD = 0.1
 
@@ -40,23 +41,26 @@
     """The pauses and withdrawals that this router knows of."""
 
     def __init__(self) -> None:
-        self._leaving: dict[ids.UpstreamId, ids.Incarnation] = {}
+        # Oldest first. Several starts of one upstream may be told of, in any order.
+        self._leaving: dict[Withdrawal, None] = {}
         self._paused_until: dict[ids.UpstreamId, float] = {}
 
     def leave(self, withdrawal: Withdrawal) -> bool:
         """Records that an upstream is leaving; returns whether that is news."""
-        if self.is_leaving(withdrawal.upstream, withdrawal.incarnation):
+        if withdrawal in self._leaving:
             return False
-        self._leaving[withdrawal.upstream] = withdrawal.incarnation
+        self._leaving[withdrawal] = None
+        while len(self._leaving) > MAX_WITHDRAWALS:
+            del self._leaving[next(iter(self._leaving))]
         return True
 
     def is_leaving(self, upstream: ids.UpstreamId, incarnation: ids.Incarnation) -> bool:
         """Returns whether this start of an upstream is leaving."""
-        return self._leaving.get(upstream) == incarnation
+        return Withdrawal(upstream, incarnation) in self._leaving
 
     def leaving(self) -> tuple[Withdrawal, ...]:
         """Returns all withdrawals."""
-        return tuple(Withdrawal(u, incarnation) for u, incarnation in self._leaving.items())
+        return tuple(self._leaving)
 
     def pause(self, upstream: ids.UpstreamId, until: float) -> None:
         """Records that an upstream wants nothing until a time; a longer pause stands."""
@@ -68,7 +72,7 @@
 
     def keep_only(self, upstreams: collections.abc.Set[ids.UpstreamId]) -> None:
         """Drops all upstreams but these."""
-        for upstream in self._leaving.keys() - upstreams:
-            del self._leaving[upstream]
+        for withdrawal in [w for w in self._leaving if w.upstream not in upstreams]:
+            del self._leaving[withdrawal]
         for upstream in self._paused_until.keys() - upstreams:
             del self._paused_until[upstream]
--- a/src/cicadapier/_internal/protocols/peer_codec.py
+++ b/src/cicadapier/_internal/protocols/peer_codec.py
@@ -16,7 +16,6 @@
 MAX_SENDS = 2048
 MAX_CRASHES = 128
 MAX_KEPT_PIECES = 4096
-MAX_WITHDRAWALS = 256
 PIECE_BYTES = 16
 
 
@@ -84,7 +83,7 @@
         ],
         withdrawals=[
             peers_pb2.Withdrawal(upstream=w.upstream, incarnation=w.incarnation)
-            for w in digest.withdrawn[-MAX_WITHDRAWALS:]
+            for w in digest.withdrawn[-withdrawals.MAX_WITHDRAWALS :]
         ],
     )
 
@@ -118,7 +117,7 @@
         tuple(_decode_placed(p) for p in message.placed[: peer_news.MAX_PLACED]),
         tuple(
             withdrawals.Withdrawal(ids.UpstreamId(w.upstream), ids.Incarnation(w.incarnation))
-            for w in message.withdrawals[:MAX_WITHDRAWALS]
+            for w in message.withdrawals[: withdrawals.MAX_WITHDRAWALS]
         ),
     )
 
--- a/src/cicadapier/_internal/protocols/peer_datagrams.py
+++ b/src/cicadapier/_internal/protocols/peer_datagrams.py
@@ -71,7 +71,13 @@
     ) -> None:
         """Passes on what comes until it is cancelled."""
         with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as found:
-            await found.bind(settings.split_address(address))
+            try:
+                await found.bind(settings.split_address(address))
+            except OSError as exc:
+                # What goes by datagram is a hint; all else goes on without it.
+                _log.warning("datagrams_not_bound", address=address, reason=str(exc))
+                task_status.started()
+                return
             self._socket = found
             task_status.started()
             try:
--- a/tests/_internal/decisions/test_withdrawals.py
+++ b/tests/_internal/decisions/test_withdrawals.py
@@ -63,6 +63,20 @@
         self.assertTrue(self.directory.may_send(ENGINE, SECOND, 0.0))
         self.assertFalse(self.directory.may_send(ENGINE, FIRST, 0.0))
 
+    def test_late_news_of_a_former_start_does_not_undo_that_this_one_leaves(self):
+        self.directory.changed(registration(SECOND))
+        self.leave(SECOND)
+        self.leave(FIRST)
+        self.assertFalse(self.directory.may_send(ENGINE, SECOND, 0.0))
+        self.assertFalse(self.leave(SECOND))
+
+    def test_what_is_known_of_starts_is_bounded(self):
+        for number in range(1000):
+            self.leave(ids.Incarnation(f"engine-0@{number}"))
+        known = self.directory.withdrawals.leaving()
+        self.assertEqual(len(known), withdrawals.MAX_WITHDRAWALS)
+        self.assertEqual(known[-1].incarnation, "engine-0@999")
+
     def test_one_that_said_so_is_not_kept_when_its_entry_lapses_after_an_outage(self):
         self.leave()
         self.directory.store_lost()
