Tell callers when the first upstream is back, also where that is later than a second

Where all upstreams of a pool want nothing, the time to come back was cut at 1 s, so that callers came back in vain. Found by a planted bug: 'send to an upstream that wants nothing' survived, as the check in the step that sends holds as well; the choice now has a test of its own.

--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -365,11 +365,11 @@
 
 def back_after_s(state: observations.PoolState, now: float) -> float:
     """Returns when an upstream of a pool may take work again, where none does now."""
-    pauses = [
-        member.paused_until - now
-        for member in state.policy.members.values()
-        if member.paused_until > now and not member.spec.leaving
-    ]
+    staying = [member for member in state.policy.members.values() if not member.spec.leaving]
+    pauses = [member.paused_until - now for member in staying if member.paused_until > now]
+    if pauses and len(pauses) == len(staying):
+        return min(pauses)
+    # What keeps the others away may end before any pause.
     return min([*pauses, UNKNOWN_RETURN_S])
 
 
--- a/tests/_internal/decisions/test_traffic.py
+++ b/tests/_internal/decisions/test_traffic.py
@@ -211,5 +211,26 @@
         self.assertIsNone(made.enter(entry("c"), 5.0))
 
 
+class PausedTest(unittest.TestCase):
+    """Upstreams that want nothing for a while."""
+
+    def test_one_that_wants_nothing_is_not_chosen_until_its_time_is_over(self):
+        made = make_traffic(upstreams=2)
+        paused = ids.UpstreamId("desk-0")
+        made.observations.paused(DESK, paused, 5.0)
+        chosen = [made.enter(entry(f"r{n}"), 4.9).choice.estimate.upstream for n in range(4)]
+        self.assertNotIn(paused, chosen)
+        chosen = [made.enter(entry(f"s{n}"), 5.0).choice.estimate.upstream for n in range(4)]
+        self.assertEqual(chosen.count(paused), 1)
+
+    def test_where_all_want_nothing_the_refusal_says_when_the_first_is_back(self):
+        made = make_traffic(upstreams=2)
+        made.observations.paused(DESK, ids.UpstreamId("desk-0"), 9.0)
+        made.observations.paused(DESK, ids.UpstreamId("desk-1"), 5.0)
+        decision = made.enter(entry("r"), 1.0)
+        self.assertIsInstance(decision, entries.Refused)
+        self.assertEqual(decision.refusal.retry_after_s, 4.0)
+
+
 if __name__ == "__main__":
     unittest.main()
