--- /dev/null
+++ b/tests/planted_bug.py
@@ -0,0 +1,20 @@
+"""What a planted bug is, and the tests that most of them name."""
+
+import dataclasses
+
+DECISIONS = "tests._internal.decisions"
+SERVICES = "tests._internal.services"
+FORWARDING = f"{SERVICES}.test_forwarding_service"
+EXCHANGE = f"{SERVICES}.test_forwarded_exchange"
+CHANGES = f"{SERVICES}.test_changes_under_way"
+
+
+@dataclasses.dataclass(frozen=True)
+class Mutant:
+    """A bug and the tests that must catch it."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+    tests: str
