Say in ordinary terms that routers back off, and make the pace of answers simpler

Read as a newcomer: docstrings spoke of what upstreams 'want'; the field says back off. decisions/pace.py had two classes with one method twice, two factories and a verdict of two values; one class and one that counts bytes remain. No behaviour changes.

--- a/src/cicadapier/_internal/decisions/members.py
+++ b/src/cicadapier/_internal/decisions/members.py
@@ -120,7 +120,7 @@
         loading: Whether it is about to load weights or does so.
         loading_until: Time after which `loading` is no longer believed.
         penalty_s: What choosing it costs beside time, in seconds of it.
-        paused_until: Time until which it wants no work.
+        paused_until: Time until which it has asked to get no requests.
         returning: Whether it has not answered since its last pause.
         memory: Its memory.
     """
@@ -145,7 +145,7 @@
         return self.versions.get(weights.model, weights.version) == weights.version
 
     def pause(self, until: float) -> None:
-        """Records that it wants no work until a time; a longer pause stands."""
+        """Backs off from it until a time; a longer pause stands."""
         self.paused_until = max(self.paused_until, until)
         self.returning = True
 
@@ -154,7 +154,7 @@
         self.returning = False
 
     def is_willing(self, now: float) -> bool:
-        """Returns whether it wants work; after a pause, one request at a time finds that out."""
+        """Returns whether it takes requests; after a pause, one at a time finds that out."""
         if now < self.paused_until:
             return False
         return not self.returning or self.load.in_flight == 0
--- a/src/cicadapier/_internal/decisions/observations.py
+++ b/src/cicadapier/_internal/decisions/observations.py
@@ -104,7 +104,7 @@
             state.policy.members[upstream].loading_until = until
 
     def paused(self, pool: ids.PoolId, upstream: ids.UpstreamId, until: float) -> None:
-        """Records that an upstream wants no work until a time."""
+        """Records that an upstream has asked to get no requests until a time."""
         state = self._find(pool, upstream)
         if state:
             state.policy.members[upstream].pause(until)
--- a/src/cicadapier/_internal/decisions/withdrawals.py
+++ b/src/cicadapier/_internal/decisions/withdrawals.py
@@ -1,4 +1,4 @@
-"""What upstreams say of the work that they want: none for a while, or none any more.
+"""Upstreams that have asked routers to back off, or have said that they are leaving.
 
 It answers planned stops and engines that turn work away: an answer says so before the directory
 does, and also while the directory cannot be read. A pause ends by itself; a withdrawal ends only
@@ -12,7 +12,7 @@
 from cicadapier._internal.models import ids
 
 DEFAULT_PAUSE_S = 1.0  # Where the upstream's own time cannot be read.
-MAX_PAUSE_S = 60.0  # A longer one is more likely a fault than a wish.
+MAX_PAUSE_S = 60.0  # A longer one is more likely a fault.
 MAX_WITHDRAWALS = 128
 # Pauses that end together for many routers end spread over this share of their length.
 RETURN_SPREAD = 0.1
@@ -63,11 +63,11 @@
         return tuple(self._leaving)
 
     def pause(self, upstream: ids.UpstreamId, until: float) -> None:
-        """Records that an upstream wants nothing until a time; a longer pause stands."""
+        """Backs off from an upstream until a time; a longer pause stands."""
         self._paused_until[upstream] = max(until, self._paused_until.get(upstream, -math.inf))
 
     def is_paused(self, upstream: ids.UpstreamId, now: float) -> bool:
-        """Returns whether an upstream wants nothing now."""
+        """Returns whether routers are to back off from an upstream now."""
         return now < self._paused_until.get(upstream, -math.inf)
 
     def keep_only(self, upstreams: collections.abc.Set[ids.UpstreamId]) -> None:
--- a/src/cicadapier/_internal/protocols/answers.py
+++ b/src/cicadapier/_internal/protocols/answers.py
@@ -25,7 +25,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pause:
-    """Wish of an upstream for no more work for a while.
+    """Request of an upstream to back off for a while.
 
     Attributes:
         asked_s: Time that it asks for, None where that cannot be read.
@@ -50,7 +50,7 @@
         load: Load that it tells.
         idle_s: Time for which the upstream keeps an idle connection.
         leaving: Whether it says that it is leaving.
-        pause: What it says of the time for which it wants no work.
+        pause: Time for which it asks to get no requests, where it turned this one away.
     """
 
     request: ids.RequestId | None = None
--- a/src/cicadapier/_internal/protocols/peer_transport.py
+++ b/src/cicadapier/_internal/protocols/peer_transport.py
@@ -52,7 +52,7 @@
 
     @abc.abstractmethod
     def told(self, digest: peer_codec.Digest) -> None:
-        """Takes a digest that wants no answer."""
+        """Takes a digest that has no answer."""
 
     @abc.abstractmethod
     def document(self, above: ids.ConfigNumber) -> tuple[ids.ConfigNumber, bytes] | None:
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -282,11 +282,12 @@
         """
         now = trio.current_time()
         deadline = now + whole_s
-        body = pace.body_pace(limit_s, now)
+        body = pace.BodyPace(limit_s, now)
         parts = []
         while (part := await self.receive(min(body.left_s(now), deadline - now), 0)) is not None:
             now = trio.current_time()
-            if body.came(len(part), now) is pace.Verdict.TOO_LARGE:
+            body.received(len(part), now)
+            if body.too_large:
                 await self.abandon()
                 reason = f"the answer exceeds {pace.MAX_ANSWER_BYTES} bytes"
                 raise AttemptFailedError(outcomes.Broken(reason, 0, crashed=False))
--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -77,7 +77,7 @@
         return self._directory.may_send(upstream, incarnation, self._clock())
 
     def is_paused(self, upstream: ids.UpstreamId) -> bool:
-        """Returns whether an upstream wants nothing now."""
+        """Returns whether routers are to back off from an upstream now."""
         return self._directory.withdrawals.is_paused(upstream, self._clock())
 
     def withdrawn(self) -> tuple[withdrawals.Withdrawal, ...]:
@@ -85,7 +85,7 @@
         return self._directory.withdrawals.leaving()
 
     def leaving_told(self, withdrawal: withdrawals.Withdrawal, source: str) -> None:
-        """Takes an upstream's own word that it is leaving.
+        """Takes it that an upstream has said with an answer that it is leaving.
 
         Args:
             withdrawal: Which start of which upstream.
@@ -104,7 +104,7 @@
             self._peers.placed(urgent=True)
 
     def pause_told(self, pool: ids.PoolId, upstream: ids.UpstreamId, asked_s: float | None) -> None:
-        """Takes an upstream's own word that it wants nothing for a while.
+        """Backs off from an upstream that turned a request away and asked for that.
 
         Args:
             pool: Its pool.
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -279,7 +279,7 @@
 
     async def _relay_stream(self, attempt: attempts.Attempt, placed: entries.Placed) -> None:
         now = trio.current_time()
-        stream = pace.stream_pace(self._plan.pool.timeouts.between_tokens_s, now)
+        stream = pace.Pace(self._plan.pool.timeouts.between_tokens_s, now)
         splitter = completions.EventSplitter()
         done = False
         self._must_tell_offset = self._progress.offset > 0
@@ -287,7 +287,8 @@
         while (part := await self._receive(attempt, stream)) is not None:
             relayed: list[bytes] = []
             events = splitter.feed(part)
-            stream.came(len(events), trio.current_time())
+            if events:
+                stream.progressed(trio.current_time())
             try:
                 done = self._observe_events(attempt, events, relayed) or done
             finally:
@@ -302,7 +303,7 @@
         await self._responder.send_part(completions.DONE)
         await self._responder.finish()
 
-    async def _receive(self, attempt: attempts.Attempt, stream: pace.StreamPace) -> bytes | None:
+    async def _receive(self, attempt: attempts.Attempt, stream: pace.Pace) -> bytes | None:
         left_s = stream.left_s(trio.current_time())
         return await attempt.receive(left_s, self._progress.offset)
 
--- a/src/cicadapier/_internal/services/traffic_messages.py
+++ b/src/cicadapier/_internal/services/traffic_messages.py
@@ -153,7 +153,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Paused:
-    """An upstream wants no work until a time of trio's clock."""
+    """An upstream gets no requests until a time of trio's clock, as it has asked."""
 
     pool: ids.PoolId
     upstream: ids.UpstreamId
--- a/src/cicadapier/_internal/standins/users_upstream.py
+++ b/src/cicadapier/_internal/standins/users_upstream.py
@@ -228,7 +228,7 @@
             run.ended_at = trio.current_time()
 
     def _told(self) -> http_client.Headers:
-        """Returns what it says of the work that it wants."""
+        """Returns the headers that say that it leaves or is to be left alone."""
         found: http_client.Headers = []
         if UpstreamFault.SAYS_LEAVING in self.faults:
             found.append((wire_headers.LEAVING, b"1"))
--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -273,7 +273,7 @@
     planted_bug.Mutant(
         "count a byte now and then as progress",
         "decisions/pace.py",
-        "if self._since >= MIN_PROGRESS_BYTES:",
+        "if self._since_progress >= MIN_PROGRESS_BYTES:",
         "if True:",
         f"{planted_bug.DECISIONS}.test_pace",
     ),
