Take a peer's news as one message, and look at weights seldom while none are lacking

The orders asked for the engines ten times a second with nothing to order. Now a digest is one message, a message that is there already is taken without a time limit, and where no engine lacks the named weights a round comes every 0.5 s, or as weights are named or shared objects change.

--- a/src/cicadapier/_internal/kernel/mailbox.py
+++ b/src/cicadapier/_internal/kernel/mailbox.py
@@ -70,7 +70,8 @@
 
     async def receive_until(self, deadline: float) -> _M | None:
         """Waits for the next message, at most until a time of trio's clock."""
-        if math.isinf(deadline):
+        if math.isinf(deadline) or self._receive.statistics().current_buffer_used:
+            # What is there already needs no time limit, which would cost more than the rest.
             return await self.receive()
         with trio.move_on_at(deadline):
             return await self.receive()
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -294,16 +294,8 @@
             digest.use,
         )
         learned = self._incoming.merge(news, now)
-        for work in learned.sends:
-            self._traffic.mailbox.offer(
-                traffic_messages.PeerSends(
-                    work.pool, work.upstream, work.tokens, work.interactive_tokens
-                )
-            )
-        for placed in learned.placed:
-            self._traffic.mailbox.offer(
-                traffic_messages.PeerPlaced(placed.pool, placed.upstream, placed.pieces)
-            )
+        if learned.sends or learned.placed:
+            self._traffic.mailbox.offer(traffic_messages.PeerNews(learned))
         if digest.crashes:
             self._traffic.mailbox.offer(traffic_messages.PeerCrashes(digest.crashes))
         for withdrawal in digest.withdrawn:
--- a/src/cicadapier/_internal/services/traffic_messages.py
+++ b/src/cicadapier/_internal/services/traffic_messages.py
@@ -243,22 +243,10 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PeerSends:
-    """Work that another router has sent to an upstream since its last message."""
+class PeerNews:
+    """What another router has sent to upstreams since its last message."""
 
-    pool: ids.PoolId
-    upstream: ids.UpstreamId
-    tokens: float
-    interactive_tokens: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerPlaced:
-    """Another router has sent a prompt with these pieces to an upstream."""
-
-    pool: ids.PoolId
-    upstream: ids.UpstreamId
-    pieces: tuple[ids.PieceId, ...]
+    learned: peer_news.Learned
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -362,8 +350,7 @@
     | CacheChanged
     | CacheSnapshot
     | Listed
-    | PeerSends
-    | PeerPlaced
+    | PeerNews
     | PeerUse
     | PeerCrashes
     | Kept
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -74,8 +74,7 @@
             traffic_messages.CacheChanged: self._cache_changed,
             traffic_messages.CacheSnapshot: self._cache_snapshot,
             traffic_messages.Listed: self._listed,
-            traffic_messages.PeerSends: self._peer_sends,
-            traffic_messages.PeerPlaced: self._peer_placed,
+            traffic_messages.PeerNews: self._peer_news,
             traffic_messages.PeerUse: self._peer_use,
             traffic_messages.PeerCrashes: self._peer_crashes,
             traffic_messages.Kept: self._kept,
@@ -249,13 +248,12 @@
         self._traffic.observations.listed(message.pool, message.upstream, message.leaving)
         self._log_state(message.pool, message.upstream, now)
 
-    def _peer_sends(self, message: traffic_messages.PeerSends, now: float) -> None:
-        self._traffic.observations.peer_sent(
-            message.pool, message.upstream, message.tokens, message.interactive_tokens, now
-        )
-
-    def _peer_placed(self, message: traffic_messages.PeerPlaced, now: float) -> None:
-        self._traffic.observations.peer_placed(message.pool, message.upstream, message.pieces, now)
+    def _peer_news(self, message: traffic_messages.PeerNews, now: float) -> None:
+        seen = self._traffic.observations
+        for work in message.learned.sends:
+            seen.peer_sent(work.pool, work.upstream, work.tokens, work.interactive_tokens, now)
+        for placed in message.learned.placed:
+            seen.peer_placed(placed.pool, placed.upstream, placed.pieces, now)
 
     def _peer_use(self, message: traffic_messages.PeerUse, now: float) -> None:
         self._traffic.limits.set_routers(message.routers)
--- a/src/cicadapier/_internal/services/weights_service.py
+++ b/src/cicadapier/_internal/services/weights_service.py
@@ -35,6 +35,7 @@
 
 PACE = watching.Pace(wait_s=5.0)
 ROUND_S = 0.1
+IDLE_ROUND_S = 0.5  # Where no engine lacks the named weights.
 ANNOUNCED_S = 0.04  # Time that the others need to hear that an engine is about to load.
 LOADING_BELIEVED_S = 6.0
 VALID_S = 1.6
@@ -98,6 +99,7 @@
         self._heard = False
         self._heard_at = -math.inf
         self._named_at = 0.0
+        self._named_event = trio.Event()
         self._named: dict[ids.ModelId, int] = {}
         self._pools: dict[ids.PoolId, _Pool] = {}
         self._cluster: cluster_service.ClusterService | None = None
@@ -124,10 +126,19 @@
             nursery.start_soon(watch.run)
             started.started()
             while True:
+                self._named_event = trio.Event()
                 for target in self._targets():
                     await self._round(target, nursery, kernel.stopping)
-                with trio.move_on_after(ROUND_S):
-                    await self.cluster.changed_event.wait()
+                await self._pause()
+
+    async def _pause(self) -> None:
+        """Waits until weights are named, shared objects change, or it is time for a round."""
+        idle = all(state.behind_since is None for state in self._pools.values())
+        async with trio.open_nursery() as nursery:
+            for event in (self._named_event, self.cluster.changed_event):
+                nursery.start_soon(_cancel_at, event, nursery.cancel_scope)
+            await trio.sleep(IDLE_ROUND_S if idle else ROUND_S)
+            nursery.cancel_scope.cancel()
 
     async def drain(self) -> None:
         """Gives up the leases, so that others need not wait for their ends."""
@@ -171,6 +182,7 @@
         if found.version <= self._named.get(found.model, 0):
             return
         self._named[found.model] = found.version
+        self._named_event.set()
         assert self._traffic
         age_s = self._clock() - self._named_at
         self._traffic.mailbox.send(traffic_messages.WeightsNamed(found.model, found.version, age_s))
@@ -318,3 +330,8 @@
 
     def _fence(self, state: _Pool) -> int | None:
         return None if self._released else state.lease.fencing_number()
+
+
+async def _cancel_at(event: trio.Event, scope: trio.CancelScope) -> None:
+    await event.wait()
+    scope.cancel()
