--- a/src/cicadapier/_internal/platform/engine_calls.py
+++ b/src/cicadapier/_internal/platform/engine_calls.py
@@ -7,6 +7,7 @@
 from cicadapier._internal.decisions import rollout
 from cicadapier._internal.models import ids
 from cicadapier._internal.platform import wire_headers
+from cicadapier._internal.protocols import answers
 from cicadapier._internal.protocols import engines
 from cicadapier._internal.protocols import http_client
 
@@ -81,6 +82,10 @@
         """See `EngineFormat.is_leaving`."""
         return wire_headers.is_leaving(head)
 
+    def rate_limit(self, head: http_client.ResponseHead) -> answers.RateLimit | None:
+        """See `EngineFormat.rate_limit`."""
+        return wire_headers.rate_limit(head)
+
     def read_reply(self, head: http_client.ResponseHead) -> rollout.Reply:
         """See `EngineFormat.read_reply`."""
         try:
--- a/src/cicadapier/_internal/platform/requests.py
+++ b/src/cicadapier/_internal/platform/requests.py
@@ -99,6 +99,7 @@
             idle_s=_idle_s(head.header(wire_headers.KEEP_ALIVE)),
             leaving=wire_headers.is_leaving(head),
             pause=_pause(head),
+            rate_limit=wire_headers.rate_limit(head),
         )
 
     def event_weights(self, event: bytes) -> str | None:
--- a/src/cicadapier/_internal/platform/wire_headers.py
+++ b/src/cicadapier/_internal/platform/wire_headers.py
@@ -1,5 +1,8 @@
 """Names of the platform's headers, in lower case, and what they hold."""
 
+import math
+
+from cicadapier._internal.protocols import answers
 from cicadapier._internal.protocols import http_client
 
 REQUEST_ID = b"x-request-id"
@@ -23,6 +26,8 @@
 UPSTREAM = b"x-instance-id"
 # Says with every answer that the upstream takes no new work any more.
 LEAVING = b"server-leaving"
+# Requests a second, a decimal number, that the upstream takes from all routers together.
+RATE_LIMIT = b"server-limit"
 # Running, waiting and slots, separated by commas.
 LOAD = b"x-server-load"
 # A single weights version, although its name is in the plural.
@@ -67,6 +72,17 @@
 )
 
 
+def rate_limit(head: http_client.ResponseHead) -> answers.RateLimit | None:
+    """Returns the rate limit that an upstream names with an answer, None where it names none."""
+    value = head.header(RATE_LIMIT)
+    if value is None:
+        return None
+    try:
+        return answers.RateLimit(float(value))
+    except ValueError:
+        return answers.RateLimit(math.nan)
+
+
 def is_leaving(head: http_client.ResponseHead) -> bool:
     """Returns whether an upstream says with an answer that it is leaving."""
     value = head.header(LEAVING)
--- a/src/cicadapier/_internal/protocols/answers.py
+++ b/src/cicadapier/_internal/protocols/answers.py
@@ -34,6 +34,17 @@
     asked_s: float | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimit:
+    """Requests that an upstream takes from all routers together.
+
+    Attributes:
+        per_s: Requests a second, NaN where they cannot be read.
+    """
+
+    per_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerFacts:
     """What the head of an answer says beside the answer itself.
@@ -51,6 +62,7 @@
         idle_s: Time for which the upstream keeps an idle connection.
         leaving: Whether it says that it is leaving.
         pause: Time for which it asks to get no requests, where it turned this one away.
+        rate_limit: Rate limit that it names, None where it names none.
     """
 
     request: ids.RequestId | None = None
@@ -64,6 +76,7 @@
     idle_s: float | None = None
     leaving: bool = False
     pause: Pause | None = None
+    rate_limit: RateLimit | None = None
 
 
 class AnswerFormat(abc.ABC):
--- a/src/cicadapier/_internal/protocols/engines.py
+++ b/src/cicadapier/_internal/protocols/engines.py
@@ -4,6 +4,7 @@
 
 from cicadapier._internal.decisions import rollout
 from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import answers
 from cicadapier._internal.protocols import http_client
 
 
@@ -30,6 +31,10 @@
     def is_leaving(self, head: http_client.ResponseHead) -> bool:
         """Returns whether an engine says with an answer that it is leaving."""
 
+    @abc.abstractmethod
+    def rate_limit(self, head: http_client.ResponseHead) -> answers.RateLimit | None:
+        """Returns the rate limit that an engine names with an answer, if any."""
+
     @abc.abstractmethod
     def read_reply(self, head: http_client.ResponseHead) -> rollout.Reply:
         """Reads the answer to an order."""
--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -7,10 +7,12 @@
 import trio
 
 from cicadapier._internal.decisions import directory
+from cicadapier._internal.decisions import rate_limits
 from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import directory as directory_models
 from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import answers
 from cicadapier._internal.protocols import declarations
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import configuration_source
@@ -44,6 +46,7 @@
         self._clock = clock
         self._rng = rng
         self._directory = directory.Directory()
+        self._limits = rate_limits.NamedLimits()
         self._expiry_changed = trio.Event()
         self._configuration: configuration_source.ConfigurationSource | None = None
         self._traffic: traffic_service.TrafficService | None = None
@@ -103,6 +106,42 @@
         if self._peers:
             self._peers.placed(urgent=True)
 
+    def limit_told(
+        self,
+        upstream: ids.UpstreamId,
+        incarnation: ids.Incarnation,
+        named: answers.RateLimit | None,
+        source: str,
+    ) -> None:
+        """Takes what an answer says of the rate that an upstream takes from all routers.
+
+        Args:
+            upstream: The upstream.
+            incarnation: Which start of it.
+            named: The limit, None where the answer names none.
+            source: What was answered, for the log.
+        """
+        if named is None:
+            if self._limits.lifted(upstream):
+                _log.info("rate_limit_lifted", upstream=upstream, source=source)
+            return
+        if not rate_limits.is_readable(named.per_s):
+            _log.info("rate_limit_unreadable", upstream=upstream, source=source)
+            return
+        if self._limits.named(upstream, incarnation, named.per_s, self._clock()):
+            _log.info(
+                "rate_limit_named",
+                upstream=upstream,
+                incarnation=incarnation,
+                per_s=named.per_s,
+                source=source,
+            )
+
+    def sending(self, upstream: ids.UpstreamId, kind: str) -> None:
+        """Counts what is sent to an upstream that names a rate limit."""
+        if self._limits.find(upstream) and self._telemetry:
+            self._telemetry.limited_send(upstream, kind)
+
     def pause_told(self, pool: ids.PoolId, upstream: ids.UpstreamId, asked_s: float | None) -> None:
         """Backs off from an upstream that turned a request away and asked for that.
 
--- a/src/cicadapier/_internal/services/engine_orders.py
+++ b/src/cicadapier/_internal/services/engine_orders.py
@@ -84,10 +84,14 @@
             return None
         return found.address
 
-    def _note_leaving(self, engine: rollout.Engine, head: http_client.ResponseHead) -> None:
+    def _take_word(self, engine: rollout.Engine, head: http_client.ResponseHead) -> None:
+        """Takes what an engine says of itself with an answer."""
         if self._calls.is_leaving(head):
             withdrawal = withdrawals.Withdrawal(engine.upstream, engine.incarnation)
             self._directory.leaving_told(withdrawal, "report")
+        limit = self._calls.rate_limit(head)
+        if limit is not None:
+            self._directory.limit_told(engine.upstream, engine.incarnation, limit, "report")
 
     async def _report(
         self, target: Target, engine: rollout.Engine, address: ids.Address
@@ -97,6 +101,7 @@
         except protocol_exceptions.ProtocolError as exc:
             _log.info("report_missing", address=address, reason=str(exc))
             return None
+        self._directory.sending(engine.upstream, "report")
         try:
             head, body = await connections_service.exchange(conn, self._calls.report(), b"", CALL_S)
         except protocol_exceptions.ProtocolError as exc:
@@ -104,7 +109,7 @@
             await self._connections.discard(address, conn)
             return None
         await self._connections.release(address, conn)
-        self._note_leaving(engine, head)
+        self._take_word(engine, head)
         return self._calls.read_report(body, target.model)
 
     async def _order(
@@ -140,9 +145,10 @@
         head = self._calls.order_head(engine.upstream)
         body = self._calls.order_body(order)
         reason = ""
+        self._directory.sending(engine.upstream, "order")
         try:
             answer, _ = await connections_service.exchange(conn, head, body, CALL_S)
-            self._note_leaving(engine, answer)
+            self._take_word(engine, answer)
             reply = self._calls.read_reply(answer)
         except protocol_exceptions.ProtocolError as exc:
             reply = rollout.Reply.NONE
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -312,6 +312,7 @@
         upstream = placed.choice.estimate.upstream
         if not self._around.directory.may_send(upstream, placed.incarnation):
             raise attempts.AttemptFailedError(outcomes.NotSent("the upstream is leaving"))
+        self._around.directory.sending(upstream, "attempt")
 
     def _is_stream(self, attempt: attempts.Attempt, head: http_client.ResponseHead) -> bool:
         streams = self._plan.admission.route.kind is configuration.RouteKind.STREAM
@@ -400,6 +401,10 @@
         if facts.pause is not None:
             pool = self._plan.pool
             self._around.directory.pause_told(pool, upstream, facts.pause.asked_s)
+        if facts.rate_limit is not None or (facts.genuine and not facts.not_run):
+            # What is not the upstream's own answer need not repeat the limit.
+            limit = facts.rate_limit
+            self._around.directory.limit_told(upstream, placed.incarnation, limit, "answer")
         weights = None
         if facts.weights is not None and self._plan.entry.model is not None:
             weights = members.Weights(self._plan.entry.model, facts.weights)
--- a/src/cicadapier/_internal/services/telemetry_service.py
+++ b/src/cicadapier/_internal/services/telemetry_service.py
@@ -75,6 +75,7 @@
         self._refusals = meter.create_counter("cicadapier_refusals")
         self._retries = meter.create_counter("cicadapier_retries")
         self._events = meter.create_counter("cicadapier_events")
+        self._limited_sends = meter.create_counter("cicadapier_limited_sends")
 
     async def run(self, kernel: service.Kernel, started: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
@@ -114,6 +115,10 @@
         """Counts an internal event."""
         self._events.add(1, {"kind": kind})
 
+    def limited_send(self, upstream: ids.UpstreamId, kind: str) -> None:
+        """Counts a request to an upstream that names a rate limit, by what it is for."""
+        self._limited_sends.add(1, {"upstream": upstream, "kind": kind})
+
     def exposition(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
--- a/src/cicadapier/_internal/standins/users_upstream.py
+++ b/src/cicadapier/_internal/standins/users_upstream.py
@@ -124,6 +124,7 @@
         first_s: Time to the first event, beside that.
         work_s: Time that an answer other than a stream takes.
         retry_after: Value with which it turns every request away, None to take them.
+        rate_limit: Rate limit that it names in all answers, None to name none.
     """
 
     def __init__(
@@ -145,6 +146,7 @@
         self.first_s = 0.0
         self.work_s = 0.0
         self.retry_after: bytes | None = None
+        self.rate_limit: bytes | None = None
         self.ended: collections.Counter[str] = collections.Counter()
         self.entry = entry
         self._accepted = 0
@@ -167,7 +169,8 @@
     async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
         """See `http_server.Handler.handle`."""
         if req.path == far_side.REPORT_PATH:
-            await responder.send_json(far_side.show_report(self._report(), self._model or ""))
+            shown = far_side.show_report(self._report(), self._model or "")
+            await responder.send_json(shown, headers=self._told())
         elif req.path == far_side.ORDER_PATH:
             await self._order(req, responder)
         else:
@@ -185,7 +188,7 @@
             self._nursery.start_soon(self._order_late, order)
             await trio.sleep_forever()
         reply = self._take_order(order)
-        await responder.send_json({}, far_side.reply_status(reply))
+        await responder.send_json({}, far_side.reply_status(reply), self._told())
 
     async def _order_late(self, order: rollout.Order) -> None:
         await trio.sleep(2.0)
@@ -228,12 +231,14 @@
             run.ended_at = trio.current_time()
 
     def _told(self) -> http_client.Headers:
-        """Returns the headers that say that it leaves or is to be left alone."""
+        """Returns the headers that say what it wants of routers."""
         found: http_client.Headers = []
         if UpstreamFault.SAYS_LEAVING in self.faults:
             found.append((wire_headers.LEAVING, b"1"))
         if self.retry_after is not None:
             found.append((wire_headers.RETRY_AFTER, self.retry_after))
+        if self.rate_limit is not None:
+            found.append((wire_headers.RATE_LIMIT, self.rate_limit))
         return found
 
     async def _run(
