--- a/src/cicadapier/_internal/standins/users_upstream.py
+++ b/src/cicadapier/_internal/standins/users_upstream.py
@@ -114,6 +114,7 @@
 
     Attributes:
         arrivals: Requests that reached it.
+        calls_at: Times at which anything reached it, reports and orders included.
         cuts: Runs that a router closed.
         ended_itself: Whether its process has ended.
         faults: What it does wrong now.
@@ -139,6 +140,7 @@
         self.weights = 1
         self.orders: list[tuple[float, rollout.Order]] = []
         self.arrivals: list[Arrival] = []
+        self.calls_at: list[float] = []
         self.cuts: list[Cut] = []
         self.ended_itself = False
         self.events = 6
@@ -168,6 +170,7 @@
 
     async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
         """See `http_server.Handler.handle`."""
+        self.calls_at.append(trio.current_time())
         if req.path == far_side.REPORT_PATH:
             shown = far_side.show_report(self._report(), self._model or "")
             await responder.send_json(shown, headers=self._told())
