Do not refuse an account that asks for little for the queue of one that asks for much

What callers saw: with a queue that one account had filled, requests of all accounts were refused alike, although the fair queue would have let the others go first; of a plain service all requests cost nothing, so that the queue was in the order of arrival. Cause: the expected wait counted everybody in the queue. It now counts those that go before the account's next request, and a request without tokens costs one unit. Test: failed before (test_an_account_that_asks_for_little_...); the two former tests of the expected wait name the account that waits, with the same bounds.

--- a/src/cicadapier/_internal/decisions/fairqueue.py
+++ b/src/cicadapier/_internal/decisions/fairqueue.py
@@ -5,6 +5,7 @@
 starved.
 """
 
+import collections.abc
 import dataclasses
 import heapq
 import math
@@ -58,6 +59,13 @@
         self.finish_tags[ticket.account] = start + ticket.cost / ticket.weight
         heapq.heappush(self.heap, _Entry(start, number, ticket))
 
+    def ahead_of(
+        self, account: ids.AccountId, waiting: collections.abc.Container[ids.RequestId]
+    ) -> int:
+        """Returns how many requests go before a new one of an account."""
+        start = max(self.virtual_time, self.finish_tags.get(account, 0.0))
+        return sum(1 for e in self.heap if e.start_tag <= start and e.ticket.request in waiting)
+
     def first(self) -> Ticket:
         return self.heap[0].ticket
 
@@ -130,14 +138,19 @@
         """Returns the earliest deadline of the waiting requests."""
         return min((ticket.deadline for ticket in self._waiting.values()), default=None)
 
-    def expected_wait_s(self, service_class: configuration.ServiceClass, now: float) -> float:
-        """Returns how long a new request of a class would wait at the present rate."""
+    def expected_wait_s(
+        self, service_class: configuration.ServiceClass, account: ids.AccountId, now: float
+    ) -> float:
+        """Returns how long a new request would wait at the present rate.
+
+        An account that asks for less than its share does not wait behind those that ask for more.
+        """
         if now - self._observed_at > _RATE_WINDOW_S:
             return 0.0
+        ahead = self._queues[service_class].ahead_of(account, self._waiting)
         if service_class is configuration.ServiceClass.BATCH:
-            ahead = len(self._waiting)
-        else:
-            ahead = sum(1 for t in self._waiting.values() if t.service_class is service_class)
+            interactive = configuration.ServiceClass.INTERACTIVE
+            ahead += sum(1 for t in self._waiting.values() if t.service_class is interactive)
         return ahead * self._interval_s
 
     def _observe(self, ticket: Ticket, now: float) -> None:
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -26,6 +26,7 @@
 
 MAX_QUEUED = 10_000
 MAX_ALONE_S = 1.5
+REQUEST_COST = 1  # In a queue, of a request without tokens.
 
 
 PolicyFactory = collections.abc.Callable[
@@ -119,7 +120,7 @@
         if len(self.attempts.active) >= MAX_QUEUED:
             message = "this router runs as many requests as it can"
             return placer.refused(entry, outcomes.Code.OVERLOADED, message, retry_after_s=1.0)
-        wait_s = state.queue.expected_wait_s(account.service_class, now)
+        wait_s = state.queue.expected_wait_s(account.service_class, entry.account, now)
         if len(state.queue) and wait_s > _patience_s(state.spec, account, entry):
             # Waiting would be in vain: the caller learns it now and not at its deadline.
             message = f"the queue is {wait_s:.1f} s long"
@@ -213,7 +214,7 @@
             for ticket in state.queue.shed(now):
                 message = f"no slot of {pool_id} became free in time"
                 entry = self.attempts.active[ticket.request].entry
-                wait_s = state.queue.expected_wait_s(ticket.service_class, now)
+                wait_s = state.queue.expected_wait_s(ticket.service_class, entry.account, now)
                 back_s = returns.come_back_s(wait_s, entry.request)
                 decisions.append(
                     placer.refused(entry, outcomes.Code.OVERLOADED, message, retry_after_s=back_s)
@@ -260,7 +261,7 @@
                 entry.account,
                 active.account.service_class,
                 active.account.weight,
-                entry.memory_tokens,
+                entry.memory_tokens or REQUEST_COST,
                 now + _patience_s(state.spec, active.account, entry),
                 now,
             )
--- a/tests/_internal/decisions/test_limits_and_queues.py
+++ b/tests/_internal/decisions/test_limits_and_queues.py
@@ -130,15 +130,28 @@
             queue.pop(at + 0.1)
             queue.pop(at + 0.2)
         queue.push(ticket("next", joined_at=41.0))
-        self.assertAlmostEqual(queue.expected_wait_s(INTERACTIVE, 41.0), 0.1, delta=0.01)
+        self.assertAlmostEqual(
+            queue.expected_wait_s(INTERACTIVE, ids.AccountId("a"), 41.0), 0.1, delta=0.01
+        )
 
     def test_requests_that_waited_in_vain_tell_the_next_ones(self):
         queue = fairqueue.FairQueue()
         queue.push(ticket("late", deadline=0.5, joined_at=0.0))
         queue.push(ticket("waits", deadline=9.0, joined_at=0.0))
         queue.shed(0.5)
-        self.assertAlmostEqual(queue.expected_wait_s(INTERACTIVE, 0.5), 0.5)
-        self.assertEqual(queue.expected_wait_s(INTERACTIVE, 30.0), 0.0)
+        self.assertAlmostEqual(queue.expected_wait_s(INTERACTIVE, ids.AccountId("a"), 0.5), 0.5)
+        self.assertEqual(queue.expected_wait_s(INTERACTIVE, ids.AccountId("a"), 30.0), 0.0)
+
+    def test_an_account_that_asks_for_little_does_not_wait_behind_one_that_asks_for_much(self):
+        queue = fairqueue.FairQueue()
+        for number in range(8):
+            queue.push(ticket(f"r{number}", joined_at=0.0))
+        for at in (0.1, 0.2, 0.3):
+            queue.pop(at)
+        much_s = queue.expected_wait_s(INTERACTIVE, ids.AccountId("a"), 0.3)
+        little_s = queue.expected_wait_s(INTERACTIVE, ids.AccountId("b"), 0.3)
+        self.assertAlmostEqual(much_s, 0.5, delta=0.01)
+        self.assertLess(little_s, 0.11)
 
     @hypothesis.settings(derandomize=True, database=None, deadline=None)
     @hypothesis.given(
