--- a/src/cicadapier/_internal/assembly/forwarding.py
+++ b/src/cicadapier/_internal/assembly/forwarding.py
@@ -18,6 +18,7 @@
 from cicadapier._internal.services import peers_service
 from cicadapier._internal.services import platform_service
 from cicadapier._internal.services import probes_service
+from cicadapier._internal.services import quotas_service
 from cicadapier._internal.services import telemetry_service
 from cicadapier._internal.services import traffic_service
 from cicadapier._internal.services import watched_configuration
@@ -83,6 +84,7 @@
         directory_service.DirectoryService(shapes, terms.drain_ms / 1000, clock, rng),
         peers,
         cluster_service.ClusterService(cfg, wiring.generation, clock, rng),
+        quotas_service.QuotasService(cfg.vm),
         orders,
         probes_service.MetricsService(cfg, wiring.listen, tokens),
         readiness,
--- a/src/cicadapier/_internal/decisions/backups.py
+++ b/src/cicadapier/_internal/decisions/backups.py
@@ -75,7 +75,10 @@
     fitting = [
         upstream
         for upstream, member in found.items()
-        if upstream != primary and member.usable and member.versions.get(model) == version
+        if upstream != primary
+        and member.usable
+        and member.grants is None  # The run could not go on there at once.
+        and member.versions.get(model) == version
     ]
     if not fitting:
         return None
--- a/src/cicadapier/_internal/decisions/entries.py
+++ b/src/cicadapier/_internal/decisions/entries.py
@@ -61,6 +61,7 @@
         backup: Upstream that is to back up the run's memory, if any.
         continues: Whether the run goes on from the backup that the upstream holds.
         begin_by: Time until which it may begin on these weights.
+        granted: Whether it may be sent to an upstream that limits the requests of all routers.
     """
 
     request: ids.RequestId
@@ -72,6 +73,7 @@
     backup: ids.UpstreamId | None = None
     continues: bool = False
     begin_by: float = math.inf
+    granted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/decisions/limits.py
+++ b/src/cicadapier/_internal/decisions/limits.py
@@ -19,11 +19,17 @@
 class TokenBucket:
     """Token bucket whose rate may change at any time."""
 
-    def __init__(self, rate_per_s: float, now: float) -> None:
+    def __init__(self, rate_per_s: float, now: float, burst_s: float = BURST_S) -> None:
+        """Creates a full bucket that holds what a time brings, and one at least."""
         self._rate = rate_per_s
-        self._level = max(1.0, rate_per_s * BURST_S)
+        self._burst_s = burst_s
+        self._level = self._capacity()
         self._at = now
 
+    def empty(self) -> None:
+        """Takes all that is there."""
+        self._level = min(0.0, self._level)
+
     def set_rate(self, rate_per_s: float, now: float) -> None:
         """Changes the rate from now on."""
         self._refill(now)
@@ -50,7 +56,7 @@
         self._level = min(self._capacity(), self._level + cost)
 
     def _capacity(self) -> float:
-        return max(1.0, self._rate * BURST_S)
+        return max(1.0, self._rate * self._burst_s)
 
     def _refill(self, now: float) -> None:
         elapsed = max(0.0, now - self._at)
--- a/src/cicadapier/_internal/decisions/members.py
+++ b/src/cicadapier/_internal/decisions/members.py
@@ -7,6 +7,7 @@
 
 from cicadapier._internal.decisions import load
 from cicadapier._internal.decisions import prefix
+from cicadapier._internal.decisions import quotas
 from cicadapier._internal.decisions import rendezvous
 from cicadapier._internal.decisions import room
 from cicadapier._internal.models import configuration
@@ -14,6 +15,7 @@
 
 LOCAL_DISTANCE_S = 0.0002
 REMOTE_DISTANCE_S = 0.002
+CONTROL_KEPT_S = 0.5
 SURE_S = 2.0  # A piece that was used no longer ago is still where it was.
 
 
@@ -123,6 +125,9 @@
         paused_until: Time until which it has asked to get no requests.
         returning: Whether it has not answered since its last pause.
         memory: Its memory.
+        grants: Grants for it, None where it does not limit the requests of all routers.
+        withheld: Whether it does and there is no grant.
+        control_until: Time until which one grant is kept for a report or an order.
     """
 
     spec: configuration.Upstream
@@ -137,6 +142,9 @@
     paused_until: float = 0.0
     returning: bool = False
     memory: room.MemoryRoom = dataclasses.field(default_factory=room.MemoryRoom)
+    grants: quotas.Grants | None = None
+    withheld: bool = False
+    control_until: float = 0.0
 
     def serves(self, weights: "Weights | None") -> bool:
         """Returns whether it may answer with these weights; unknown weights count as the same."""
@@ -149,6 +157,39 @@
         self.paused_until = max(self.paused_until, until)
         self.returning = True
 
+    def limit(self, limited: bool, now: float, back_at: float) -> None:
+        """Takes it that it limits the requests of all routers, or does so no more.
+
+        Args:
+            limited: Whether it does.
+            now: Present time.
+            back_at: Time from which on it is sent to without grants.
+        """
+        if limited:
+            self.grants = self.grants or quotas.Grants()
+        elif self.grants is not None:
+            self.grants = None
+            if back_at > now:
+                self.pause(back_at)
+
+    def use_for_control(self, now: float) -> bool:
+        """Uses a grant for a report or an order; returns whether it may be sent.
+
+        Where it may not, the next grant is kept for it for a while.
+        """
+        if self.grants is None:
+            return True
+        used = self.grants.use(now)
+        self.control_until = 0.0 if used else now + CONTROL_KEPT_S
+        return used
+
+    def lacks_grant(self, now: float) -> bool:
+        """Returns whether requests of callers need a grant that is not there."""
+        if self.grants is None:
+            return False
+        kept = int(now < self.control_until)
+        return self.grants.held(now) <= kept
+
     def answered(self) -> None:
         """Records that it has begun an answer, and so takes work again."""
         self.returning = False
@@ -162,6 +203,15 @@
     @property
     def usable(self) -> bool:
         """Whether it may get new work."""
+        return not self.withheld and self._lacks_nothing
+
+    @property
+    def awaits_grant(self) -> bool:
+        """Whether it might get new work if there were a grant."""
+        return self.withheld and self._lacks_nothing
+
+    @property
+    def _lacks_nothing(self) -> bool:
         if self.barred or self.loading or self.spec.leaving:
             return False
         return self.eligible and self.spec.weight > 0
@@ -252,6 +302,8 @@
         """Records that a request was sent by a choice."""
         member = self.members.get(choice.upstream)
         if member:
+            if member.grants is not None:
+                member.grants.use(now)
             member.load.in_flight += 1
             member.memory.sent(req.memory_tokens)
             self.typical.sent(req.memory_tokens)
--- a/src/cicadapier/_internal/decisions/observations.py
+++ b/src/cicadapier/_internal/decisions/observations.py
@@ -9,6 +9,7 @@
 from cicadapier._internal.decisions import belief
 from cicadapier._internal.decisions import fairqueue
 from cicadapier._internal.decisions import health
+from cicadapier._internal.decisions import limits
 from cicadapier._internal.decisions import load
 from cicadapier._internal.decisions import members
 from cicadapier._internal.decisions import placement
@@ -18,12 +19,21 @@
 
 @dataclasses.dataclass(slots=True)
 class PoolState:
-    """State of one pool."""
+    """State of one pool.
+
+    Attributes:
+        spec: Its declaration.
+        policy: Its upstreams and the choice between them.
+        health: Their health.
+        queue: Requests that wait.
+        asked: Requests that callers have sent to this router for it.
+    """
 
     spec: configuration.Pool
     policy: members.Policy
     health: health.UpstreamHealth
     queue: fairqueue.FairQueue
+    asked: limits.DecayingRate = dataclasses.field(default_factory=limits.DecayingRate)
 
     def register(self) -> None:
         """Takes over the incarnations that the directory shows."""
@@ -52,10 +62,15 @@
 
 
 class Observations:
-    """Takes in what is observed of upstreams."""
+    """Takes in what is observed of upstreams.
+
+    Attributes:
+        limited_pools: Pools with upstreams that have limited the requests of all routers.
+    """
 
     def __init__(self, pools: dict[ids.PoolId, PoolState]) -> None:
         self._pools = pools
+        self.limited_pools: set[ids.PoolId] = set()
 
     def load_reported(
         self,
@@ -109,6 +124,29 @@
         if state:
             state.policy.members[upstream].pause(until)
 
+    def limited(
+        self, pool: ids.PoolId, upstream: ids.UpstreamId, on: bool, now: float, back_at: float
+    ) -> None:
+        """Records whether an upstream limits the requests of all routers."""
+        state = self._find(pool, upstream)
+        if state is None:
+            return
+        state.policy.members[upstream].limit(on, now, back_at)
+        if on:
+            self.limited_pools.add(pool)
+
+    def granted(self, pool: ids.PoolId, upstream: ids.UpstreamId, count: int, until: float) -> None:
+        """Adds grants for an upstream, to be used until a time."""
+        state = self._find(pool, upstream)
+        grants = state.policy.members[upstream].grants if state else None
+        if grants is not None:
+            grants.add(count, until)
+
+    def use_grant(self, pool: ids.PoolId, upstream: ids.UpstreamId, now: float) -> bool:
+        """Uses a grant for a report or an order; returns whether it may be sent."""
+        state = self._find(pool, upstream)
+        return state is None or state.policy.members[upstream].use_for_control(now)
+
     def probe_failed(
         self, pool: ids.PoolId, upstream: ids.UpstreamId, certain: bool, now: float
     ) -> None:
--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -53,6 +53,7 @@
             active = state.health.state(upstream, now) is health.UpstreamState.ACTIVE
             member.eligible = active and member.is_willing(now)
             member.loading = now < member.loading_until
+            member.withheld = member.lacks_grant(now)
             member.load.forget_told(now, typical.all_ended_s, others)
             usable = usable or member.usable
         return usable
@@ -265,6 +266,7 @@
             weights,
             backup,
             begin_by=begin_by,
+            granted=member.grants is not None,
         )
 
     def _place_at_backup(
@@ -298,6 +300,7 @@
             backup.weights.version,
             self._back_up(state, active),
             continues=True,
+            granted=state.policy.members[backup.upstream].grants is not None,
         )
 
     def _back_up(
@@ -332,6 +335,9 @@
                 state.policy.members[upstream].answered()
             self.poison.completed(active.entry.fingerprint)
             return None
+        if isinstance(outcome, outcomes.NotSent) and outcome.withheld:
+            _forget_pieces(state, active, upstream)
+            return None
         if not (isinstance(outcome, outcomes.RefusedBeforeRunning) and outcome.other_weights):
             active.tried.add(upstream)
         return self._count_failure(state, active, attempt, outcome, now)
@@ -363,6 +369,11 @@
         return crash if self.poison.crashed(crash, now) else None
 
 
+def awaits_grant(state: observations.PoolState) -> bool:
+    """Returns whether any upstream of a pool lacks nothing but a grant."""
+    return any(member.awaits_grant for member in state.policy.members.values())
+
+
 def back_after_s(state: observations.PoolState, now: float) -> float:
     """Returns when an upstream of a pool may take work again, where none does now."""
     staying = [member for member in state.policy.members.values() if not member.spec.leaving]
--- a/src/cicadapier/_internal/decisions/rate_limits.py
+++ b/src/cicadapier/_internal/decisions/rate_limits.py
@@ -1,54 +1,130 @@
-"""Rate limits that upstreams name for all routers together."""
+"""Rate limits that upstreams name for all routers together.
 
+It answers upstreams in need: they name the requests a second that they take from all routers,
+with every answer, for as long as that holds. The newest word wins, whoever heard it.
+"""
+
+import collections.abc
 import dataclasses
 import math
 
 from cicadapier._internal.models import ids
 
+TOLD_S = 10.0  # Peers are told for so long what this router itself has heard.
+# An upstream that names less, or nothing at all, still has to be asked now and then, because only
+# its answers tell that the limit is over.
+MIN_PER_S = 0.2
+RETURN_SPREAD_S = 1.0  # Routers take up an upstream whose limit is over within this time.
+MAX_TOLD = 64
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NamedLimit:
-    """A limit that one start of an upstream has named.
+    """What one start of an upstream has said of its limit.
+
+    Attributes:
+        upstream: The upstream.
+        incarnation: Its start.
+        per_s: Requests a second that it takes from all routers together, None for any number.
+        heard_at: Time at which it said so.
+        own: Whether this router has heard it itself.
+    """
+
+    upstream: ids.UpstreamId
+    incarnation: ids.Incarnation
+    per_s: float | None
+    heard_at: float
+    own: bool = True
+
+    @property
+    def granted_per_s(self) -> float:
+        """Requests a second that the routers may send together."""
+        return math.inf if self.per_s is None else max(MIN_PER_S, self.per_s)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToldLimit:
+    """What one router tells another of an upstream's limit.
 
     Attributes:
-        incarnation: That start.
-        per_s: Requests a second that it takes from all routers together.
-        since: Time at which this router first heard of a limit.
+        upstream: The upstream.
+        incarnation: Its start.
+        per_s: Requests a second that it takes from all routers together, None for any number.
+        age_s: Time since it said so.
     """
 
+    upstream: ids.UpstreamId
     incarnation: ids.Incarnation
-    per_s: float
-    since: float
+    per_s: float | None
+    age_s: float
+
+    def heard(self, now: float) -> NamedLimit:
+        """Returns it as the router knows it that has been told."""
+        age_s = self.age_s if self.age_s >= 0 else math.inf
+        return NamedLimit(self.upstream, self.incarnation, self.per_s, now - age_s, own=False)
+
 
+def told(limit: NamedLimit, now: float) -> ToldLimit:
+    """Returns what another router is told of a limit."""
+    age_s = max(0.0, now - limit.heard_at)
+    return ToldLimit(limit.upstream, limit.incarnation, limit.per_s, age_s)
 
-def is_readable(per_s: float) -> bool:
-    """Returns whether a rate is one that an upstream can mean."""
-    return math.isfinite(per_s) and per_s >= 0
+
+def least(raw: collections.abc.Iterable[str]) -> float | None:
+    """Returns the least of the rates that an answer names, None where none can be read."""
+    rates = [rate for item in raw if (rate := _rate(item)) is not None]
+    return min(rates, default=None)
 
 
 class NamedLimits:
-    """The limits that are in force, as far as this router has heard of them."""
+    """The newest that this router knows of each upstream's limit."""
 
     def __init__(self) -> None:
         self._limits: dict[ids.UpstreamId, NamedLimit] = {}
 
     def find(self, upstream: ids.UpstreamId) -> NamedLimit | None:
-        """Returns the limit of an upstream, None where it names none."""
+        """Returns the limit that an upstream has in force, None where it has none."""
+        found = self._limits.get(upstream)
+        return found if found and found.per_s is not None else None
+
+    def newest(self, upstream: ids.UpstreamId) -> NamedLimit | None:
+        """Returns what was heard last of an upstream's limit, also that it is over."""
         return self._limits.get(upstream)
 
-    def named(
-        self, upstream: ids.UpstreamId, incarnation: ids.Incarnation, per_s: float, now: float
-    ) -> bool:
-        """Takes a limit that an upstream has named; returns whether that is news."""
-        known = self._limits.get(upstream)
-        if known is not None and known.incarnation == incarnation:
-            if known.per_s == per_s:
-                return False
-            self._limits[upstream] = dataclasses.replace(known, per_s=per_s)
+    def in_force(self) -> list[NamedLimit]:
+        """Returns all limits that are in force."""
+        return [limit for limit in self._limits.values() if limit.per_s is not None]
+
+    def heard(self, limit: NamedLimit) -> bool:
+        """Takes what an upstream has said; returns whether another limit is in force now."""
+        known = self._limits.get(limit.upstream)
+        if known is None and limit.per_s is None:
+            return False
+        if known is not None and known.heard_at > limit.heard_at:
+            return False
+        self._limits[limit.upstream] = limit
+        if known is None or known.incarnation != limit.incarnation:
             return True
-        self._limits[upstream] = NamedLimit(incarnation, per_s, now)
-        return True
+        return known.per_s != limit.per_s
+
+    def told(self, now: float) -> tuple[ToldLimit, ...]:
+        """Returns what the peers are to be told, newest first.
+
+        What others have told is not passed on: on each hop it would look younger than it is.
+        """
+        recent = [x for x in self._limits.values() if x.own and now - x.heard_at < TOLD_S]
+        recent.sort(key=lambda limit: limit.heard_at, reverse=True)
+        return tuple(told(limit, now) for limit in recent[:MAX_TOLD])
+
+    def keep_only(self, upstreams: collections.abc.Container[ids.UpstreamId]) -> None:
+        """Drops all upstreams but these."""
+        for upstream in [u for u in self._limits if u not in upstreams]:
+            del self._limits[upstream]
+
 
-    def lifted(self, upstream: ids.UpstreamId) -> bool:
-        """Takes it that an upstream names no limit any more; returns whether that is news."""
-        return self._limits.pop(upstream, None) is not None
+def _rate(raw: str) -> float | None:
+    try:
+        rate = float(raw)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -18,6 +18,8 @@
 from cicadapier._internal.decisions import placement
 from cicadapier._internal.decisions import placer
 from cicadapier._internal.decisions import pool_weights
+from cicadapier._internal.decisions import quota_demand
+from cicadapier._internal.decisions import quotas
 from cicadapier._internal.decisions import returns
 from cicadapier._internal.decisions import rollout
 from cicadapier._internal.models import configuration
@@ -111,9 +113,11 @@
         state = self.pools.get(entry.pool)
         if account is None or state is None or entry.pool not in self._cfg.content.pools:
             return placer.refused(entry, outcomes.Code.NOT_FOUND, "the account or pool is gone")
+        state.asked.add(1.0, now)
         if self.poison.is_held(entry.fingerprint, now):
             return placer.held(entry)
-        if not self.attempts.refresh(state, entry, now):
+        usable = self.attempts.refresh(state, entry, now)
+        if not usable and not placer.awaits_grant(state):
             message = f"no upstream of {entry.pool} can take requests now"
             back_s = placer.back_after_s(state, now)
             return placer.refused(entry, outcomes.Code.NO_UPSTREAM, message, retry_after_s=back_s)
@@ -153,7 +157,10 @@
             return placer.refused(active.entry, outcomes.Code.NO_UPSTREAM, "the pool is gone")
         if self.poison.is_held(active.entry.fingerprint, now):
             return placer.held(active.entry)
-        self.attempts.refresh(state, active.entry, now)
+        usable = self.attempts.refresh(state, active.entry, now)
+        if not usable and placer.awaits_grant(state):
+            self._enqueue(state, active, now)
+            return None
         if self.attempts.must_wait_alone(state, active, now):
             self._alone[request] = now + MAX_ALONE_S
             return None
@@ -240,6 +247,17 @@
             return None
         return entries.Explained(choice, tuple(state.policy.estimates(req, now)))
 
+    def grants_wanted(self, now: float) -> dict[ids.UpstreamId, quotas.Demand]:
+        """Returns what is wanted for each limited upstream beside what is held."""
+        found: dict[ids.UpstreamId, quotas.Demand] = {}
+        for pool_id in list(self.observations.limited_pools):
+            state = self.pools.get(pool_id)
+            wanted = quota_demand.demands(state, now) if state else {}
+            if not wanted:
+                self.observations.limited_pools.discard(pool_id)
+            found.update(wanted)
+        return found
+
     def upstream_state(
         self, pool: ids.PoolId, upstream: ids.UpstreamId, now: float
     ) -> health.UpstreamState:
--- a/src/cicadapier/_internal/experiments/slopes.py
+++ b/src/cicadapier/_internal/experiments/slopes.py
@@ -239,7 +239,7 @@
     def exchange(self, digest: peer_codec.Digest) -> peer_codec.Digest:
         return digest
 
-    def told(self, digest: peer_codec.Digest) -> None:
+    def told(self, message: peer_codec.Message) -> None:
         return
 
     def document(self, above: ids.ConfigNumber) -> None:
--- a/src/cicadapier/_internal/models/outcomes.py
+++ b/src/cicadapier/_internal/models/outcomes.py
@@ -105,9 +105,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotSent:
-    """No byte of the request reached the upstream."""
+    """No byte of the request reached the upstream.
+
+    Attributes:
+        reason: Why.
+        withheld: Whether only this router held it back, which says nothing of the upstream.
+    """
 
     reason: str
+    withheld: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/platform/wire_headers.py
+++ b/src/cicadapier/_internal/platform/wire_headers.py
@@ -1,7 +1,6 @@
 """Names of the platform's headers, in lower case, and what they hold."""
 
-import math
-
+from cicadapier._internal.decisions import rate_limits
 from cicadapier._internal.protocols import answers
 from cicadapier._internal.protocols import http_client
 
@@ -74,13 +73,10 @@
 
 def rate_limit(head: http_client.ResponseHead) -> answers.RateLimit | None:
     """Returns the rate limit that an upstream names with an answer, None where it names none."""
-    value = head.header(RATE_LIMIT)
-    if value is None:
+    named = [value for name, value in head.headers if name == RATE_LIMIT]
+    if not named:
         return None
-    try:
-        return answers.RateLimit(float(value))
-    except ValueError:
-        return answers.RateLimit(math.nan)
+    return answers.RateLimit(rate_limits.least(b",".join(named).decode("latin-1").split(",")))
 
 
 def is_leaving(head: http_client.ResponseHead) -> bool:
--- a/src/cicadapier/_internal/protocols/answers.py
+++ b/src/cicadapier/_internal/protocols/answers.py
@@ -39,10 +39,10 @@
     """Requests that an upstream takes from all routers together.
 
     Attributes:
-        per_s: Requests a second, NaN where they cannot be read.
+        per_s: Requests a second, None where they cannot be read.
     """
 
-    per_s: float
+    per_s: float | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/protocols/peer_codec.py
+++ b/src/cicadapier/_internal/protocols/peer_codec.py
@@ -7,9 +7,12 @@
 from cicadapier._internal.decisions import membership
 from cicadapier._internal.decisions import peer_news
 from cicadapier._internal.decisions import poison
+from cicadapier._internal.decisions import quotas
+from cicadapier._internal.decisions import rate_limits
 from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import peers_pb2
+from cicadapier._internal.protocols import quota_codec
 
 MAX_HEARTBEATS = 64
 MAX_ACCOUNTS = 512
@@ -34,6 +37,7 @@
         kept: Newest exports to keeps.
         placed: Newest prompts that it has sent.
         withdrawn: Upstreams that have said that they are leaving.
+        limits: Rate limits that upstreams have named.
     """
 
     sender: ids.VmId
@@ -46,6 +50,7 @@
     kept: tuple[peer_news.KeptPieces, ...] = ()
     placed: tuple[peer_news.PlacedPieces, ...] = ()
     withdrawn: tuple[withdrawals.Withdrawal, ...] = ()
+    limits: tuple[rate_limits.ToldLimit, ...] = ()
 
 
 def encode(digest: Digest) -> peers_pb2.Digest:
@@ -85,6 +90,9 @@
             peers_pb2.Withdrawal(upstream=w.upstream, incarnation=w.incarnation)
             for w in digest.withdrawn[-withdrawals.MAX_WITHDRAWALS :]
         ],
+        rate_limits=[
+            quota_codec.encode_limit(limit) for limit in digest.limits[: rate_limits.MAX_TOLD]
+        ],
     )
 
 
@@ -119,9 +127,32 @@
             withdrawals.Withdrawal(ids.UpstreamId(w.upstream), ids.Incarnation(w.incarnation))
             for w in message.withdrawals[: withdrawals.MAX_WITHDRAWALS]
         ),
+        tuple(quota_codec.decode_limit(x) for x in message.rate_limits[: rate_limits.MAX_TOLD]),
     )
 
 
+Message = Digest | quotas.Request | quotas.Grant
+
+
+def encode_message(message: Message) -> peers_pb2.Datagram:
+    """Returns the wire form of what goes without a connection."""
+    if isinstance(message, quotas.Request):
+        return peers_pb2.Datagram(grant_request=quota_codec.encode_request(message))
+    if isinstance(message, quotas.Grant):
+        return peers_pb2.Datagram(grant=quota_codec.encode_grant(message))
+    return peers_pb2.Datagram(digest=encode(message))
+
+
+def decode_message(message: peers_pb2.Datagram) -> Message | None:
+    """Returns the value of a wire message, None where it is of no known kind."""
+    kind = message.WhichOneof("content")
+    if kind == "grant_request":
+        return quota_codec.decode_request(message.grant_request)
+    if kind == "grant":
+        return quota_codec.decode_grant(message.grant)
+    return decode(message.digest) if kind == "digest" else None
+
+
 def _encode_heartbeat(heartbeat: membership.Heartbeat) -> peers_pb2.Heartbeat:
     return peers_pb2.Heartbeat(
         vm=heartbeat.vm,
--- a/src/cicadapier/_internal/protocols/peer_datagrams.py
+++ b/src/cicadapier/_internal/protocols/peer_datagrams.py
@@ -1,7 +1,7 @@
-"""Digests in single datagrams, for hints that may be lost.
+"""Messages in single datagrams, which may be lost.
 
-A datagram costs a small part of a call, has no answer and keeps no connection, so that what one
-router tells its neighbours stays cheap however many there are.
+A datagram costs a small part of a call and keeps no connection, so that what one router tells its
+neighbours stays cheap however many there are.
 """
 
 import collections.abc
@@ -27,28 +27,29 @@
 
 
 class DatagramCodec:
-    """Wire form of a datagram: a tag that proves the shared secret, then the digest."""
+    """Wire form of a datagram: a tag that proves the shared secret, then the message."""
 
     def __init__(self, secret: str) -> None:
         self._key = secret.encode()[:_MAX_KEY_BYTES]
 
-    def encode(self, digest: peer_codec.Digest) -> bytes:
+    def encode(self, message: peer_codec.Message) -> bytes:
         """Returns a datagram; the oldest placements are left out where it would be too long."""
-        placed = digest.placed
-        while True:
-            part = dataclasses.replace(digest, placed=placed)
-            content: bytes = peer_codec.encode(part).SerializeToString()
-            if len(content) + _TAG_BYTES <= MAX_DATAGRAM_BYTES or not placed:
-                return self._tag(content) + content
-            placed = placed[-(len(placed) // 2) :] if len(placed) > 1 else ()
-
-    def decode(self, data: bytes) -> peer_codec.Digest | None:
-        """Returns the digest, None where it is unreadable or not from a router of this fleet."""
+        content: bytes = peer_codec.encode_message(message).SerializeToString()
+        while len(content) + _TAG_BYTES > MAX_DATAGRAM_BYTES:
+            if not isinstance(message, peer_codec.Digest) or not message.placed:
+                break
+            fewer = message.placed[(len(message.placed) + 1) // 2 :]
+            message = dataclasses.replace(message, placed=fewer)
+            content = peer_codec.encode_message(message).SerializeToString()
+        return self._tag(content) + content
+
+    def decode(self, data: bytes) -> peer_codec.Message | None:
+        """Returns the message, None where it is unreadable or not from a router of this fleet."""
         tag, content = data[:_TAG_BYTES], data[_TAG_BYTES:]
         if not hmac.compare_digest(tag, self._tag(content)):
             return None
         try:
-            return peer_codec.decode(peers_pb2.Digest.FromString(content))
+            return peer_codec.decode_message(peers_pb2.Datagram.FromString(content))
         except google.protobuf.message.DecodeError:
             return None
 
@@ -66,7 +67,7 @@
     async def serve(
         self,
         address: ids.Address,
-        take: collections.abc.Callable[[peer_codec.Digest], None],
+        take: collections.abc.Callable[[peer_codec.Message], None],
         task_status: "trio.TaskStatus[None]" = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Passes on what comes until it is cancelled."""
@@ -89,7 +90,7 @@
     async def _receive(
         self,
         found: trio.socket.SocketType,
-        take: collections.abc.Callable[[peer_codec.Digest], None],
+        take: collections.abc.Callable[[peer_codec.Message], None],
     ) -> None:
         try:
             data, sender = await found.recvfrom(_READ_BYTES)
@@ -97,17 +98,17 @@
             # The error of an earlier send, such as an unreachable peer.
             _log.debug("datagram_error", reason=str(exc))
             return
-        digest = self._codec.decode(data)
-        if digest is None:
+        message = self._codec.decode(data)
+        if message is None:
             _log.debug("datagram_unreadable", sender=sender, size=len(data))
             return
-        take(digest)
+        take(message)
 
-    async def send(self, addresses: list[ids.Address], digest: peer_codec.Digest) -> None:
-        """Sends a digest to some routers; it may be lost."""
+    async def send(self, addresses: list[ids.Address], message: peer_codec.Message) -> None:
+        """Sends a message to some routers; it may be lost."""
         if self._socket is None:
             return
-        data = self._codec.encode(digest)
+        data = self._codec.encode(message)
         for address in addresses:
             try:
                 await self._socket.sendto(data, settings.split_address(address))
--- a/src/cicadapier/_internal/protocols/peer_transport.py
+++ b/src/cicadapier/_internal/protocols/peer_transport.py
@@ -51,8 +51,8 @@
         """Takes a digest and returns the own one."""
 
     @abc.abstractmethod
-    def told(self, digest: peer_codec.Digest) -> None:
-        """Takes a digest that has no answer."""
+    def told(self, message: peer_codec.Message) -> None:
+        """Takes a message that came without a connection."""
 
     @abc.abstractmethod
     def document(self, above: ids.ConfigNumber) -> tuple[ids.ConfigNumber, bytes] | None:
@@ -80,8 +80,8 @@
         """
 
     @abc.abstractmethod
-    async def tell(self, addresses: list[ids.Address], digest: peer_codec.Digest) -> None:
-        """Sends a digest to some routers; it has no answer and may be lost."""
+    async def tell(self, addresses: list[ids.Address], message: peer_codec.Message) -> None:
+        """Sends a message to some routers; it may be lost."""
 
     @abc.abstractmethod
     async def fetch(
@@ -187,9 +187,9 @@
 
         return peer_codec.decode(await self._run(address, call, EXCHANGE_TIMEOUT_S))
 
-    async def tell(self, addresses: list[ids.Address], digest: peer_codec.Digest) -> None:
+    async def tell(self, addresses: list[ids.Address], message: peer_codec.Message) -> None:
         """See `PeerTransport.tell`."""
-        await self._datagrams.send(addresses, digest)
+        await self._datagrams.send(addresses, message)
 
     async def fetch(
         self, address: ids.Address, above: ids.ConfigNumber
--- /dev/null
+++ b/src/cicadapier/_internal/protocols/quota_codec.py
@@ -0,0 +1,79 @@
+"""Wire form of what routers tell each other of the rate limits of upstreams."""
+
+from cicadapier._internal.decisions import quotas
+from cicadapier._internal.decisions import rate_limits
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import peers_pb2
+
+MAX_WANTED = 256
+MAX_GRANTS = 1024  # Of one kind, for one upstream.
+
+
+def encode_limit(limit: rate_limits.ToldLimit) -> peers_pb2.RateLimit:
+    """Returns the wire form of a limit."""
+    return peers_pb2.RateLimit(
+        upstream=limit.upstream,
+        incarnation=limit.incarnation,
+        per_s=limit.per_s or 0.0,
+        lifted=limit.per_s is None,
+        age_s=limit.age_s,
+    )
+
+
+def decode_limit(message: peers_pb2.RateLimit) -> rate_limits.ToldLimit:
+    """Returns the value of a limit."""
+    return rate_limits.ToldLimit(
+        ids.UpstreamId(message.upstream),
+        ids.Incarnation(message.incarnation),
+        None if message.lifted else message.per_s,
+        message.age_s,
+    )
+
+
+def encode_request(request: quotas.Request) -> peers_pb2.GrantRequest:
+    """Returns the wire form of a request for grants, cut to the bounds."""
+    return peers_pb2.GrantRequest(
+        sender=request.sender,
+        reply_to=request.reply_to,
+        wanted=[_encode_wanted(item) for item in request.wanted[:MAX_WANTED]],
+    )
+
+
+def decode_request(message: peers_pb2.GrantRequest) -> quotas.Request:
+    """Returns the value of a request for grants; what exceeds the bounds is ignored."""
+    return quotas.Request(
+        ids.VmId(message.sender),
+        ids.Address(message.reply_to),
+        tuple(_decode_wanted(item) for item in message.wanted[:MAX_WANTED]),
+    )
+
+
+def encode_grant(grant: quotas.Grant) -> peers_pb2.Grant:
+    """Returns the wire form of a grant."""
+    return peers_pb2.Grant(
+        issuer=grant.issuer, limit=encode_limit(grant.limit), count=min(grant.count, MAX_GRANTS)
+    )
+
+
+def decode_grant(message: peers_pb2.Grant) -> quotas.Grant:
+    """Returns the value of a grant."""
+    count = min(message.count, MAX_GRANTS)
+    return quotas.Grant(ids.VmId(message.issuer), decode_limit(message.limit), count)
+
+
+def _encode_wanted(item: quotas.Wanted) -> peers_pb2.WantedGrants:
+    return peers_pb2.WantedGrants(
+        limit=encode_limit(item.limit),
+        control=min(item.demand.control, MAX_GRANTS),
+        waiting=min(item.demand.waiting, MAX_GRANTS),
+        spare=min(item.demand.spare, MAX_GRANTS),
+    )
+
+
+def _decode_wanted(message: peers_pb2.WantedGrants) -> quotas.Wanted:
+    demand = quotas.Demand(
+        min(message.control, MAX_GRANTS),
+        min(message.waiting, MAX_GRANTS),
+        min(message.spare, MAX_GRANTS),
+    )
+    return quotas.Wanted(decode_limit(message.limit), demand)
--- a/src/cicadapier/_internal/services/cluster_service.py
+++ b/src/cicadapier/_internal/services/cluster_service.py
@@ -59,6 +59,7 @@
         self._rng = rng
         self._objects: dict[str, store_format.StoredObject] = {}
         self._seen_at: dict[str, float] = {}
+        self._addresses: dict[ids.VmId, ids.Address] = {}
         self._platform: platform_service.PlatformService | None = None
         self._peers: peers_service.PeersService | None = None
         self.changed_event = trio.Event()
@@ -93,6 +94,13 @@
         }
         return sorted(found | {self._vm})
 
+    def addresses(self) -> dict[ids.VmId, ids.Address]:
+        """Returns the peer addresses of all routers that the store has shown, none before that.
+
+        All routers that reach the store see the same, also those that cannot reach each other.
+        """
+        return self._addresses
+
     def put(self, item: store_format.StoredObject) -> None:
         """Takes over an object that this router has just written."""
         known = self._objects.get(item.name)
@@ -130,10 +138,11 @@
     def _notify(self) -> None:
         self.changed_event.set()
         self.changed_event = trio.Event()
+        found = [_read(item.spec) for item in self._objects.values()]
+        self._addresses = {ids.VmId(e.vm): ids.Address(e.address) for e in found if e}
         if self._peers:
-            found = [_read(item.spec) for item in self._objects.values()]
-            addresses = [ids.Address(e.address) for e in found if e and e.vm != self._vm]
-            self._peers.set_seeds(addresses)
+            others = [a for vm, a in self._addresses.items() if vm != self._vm]
+            self._peers.set_seeds(others)
 
     async def _register(self) -> None:
         assert self._peers
--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from typing import Protocol
 
 import structlog
 import trio
@@ -29,6 +30,13 @@
 _log = structlog.get_logger()
 
 
+class QuotaSink(Protocol):
+    """The service that asks for grants and issues them."""
+
+    def limit_changed(self, upstream: ids.UpstreamId) -> None:
+        """Notes that another limit of an upstream is in force, or none any more."""
+
+
 class DirectoryService(service.Service, watching.Follower):
     """Follows the directory and tells the traffic decisions of every change."""
 
@@ -47,6 +55,8 @@
         self._rng = rng
         self._directory = directory.Directory()
         self._limits = rate_limits.NamedLimits()
+        self._unreadable_limits: set[ids.UpstreamId] = set()
+        self._quotas: QuotaSink | None = None
         self._expiry_changed = trio.Event()
         self._configuration: configuration_source.ConfigurationSource | None = None
         self._traffic: traffic_service.TrafficService | None = None
@@ -59,6 +69,7 @@
         self._traffic = kernel.find(names.TRAFFIC)
         self._telemetry = kernel.find(names.TELEMETRY)
         self._peers = kernel.find(names.PEERS)
+        self._quotas = kernel.find(names.QUOTAS)
         kind = self._documents.directory_kind
         platform = kernel.find(names.PLATFORM)
         watch = watching.Watch(platform, kind, self._pace, self, self._clock, self._rng)
@@ -106,7 +117,28 @@
         if self._peers:
             self._peers.placed(urgent=True)
 
-    def limit_told(
+    def limit(self, upstream: ids.UpstreamId) -> rate_limits.NamedLimit | None:
+        """Returns the rate limit that an upstream has in force, None where it has none."""
+        return self._limits.find(upstream)
+
+    def newest_limit(self, upstream: ids.UpstreamId) -> rate_limits.NamedLimit | None:
+        """Returns what was heard last of an upstream's limit, also that it is over."""
+        return self._limits.newest(upstream)
+
+    def told_limit(self, limit: rate_limits.NamedLimit) -> rate_limits.ToldLimit:
+        """Returns what another router is told of a limit."""
+        return rate_limits.told(limit, self._clock())
+
+    def told_limits(self) -> tuple[rate_limits.ToldLimit, ...]:
+        """Returns what the peers are to be told of limits."""
+        return self._limits.told(self._clock())
+
+    def is_limited(self, upstream: ids.UpstreamId, incarnation: ids.Incarnation) -> bool:
+        """Returns whether a start of an upstream gets requests with a grant only."""
+        limit = self._limits.find(upstream)
+        return limit is not None and limit.incarnation == incarnation
+
+    def limit_named(
         self,
         upstream: ids.UpstreamId,
         incarnation: ids.Incarnation,
@@ -121,21 +153,47 @@
             named: The limit, None where the answer names none.
             source: What was answered, for the log.
         """
-        if named is None:
-            if self._limits.lifted(upstream):
-                _log.info("rate_limit_lifted", upstream=upstream, source=source)
+        if named is not None and named.per_s is None:
+            if self._telemetry:
+                self._telemetry.event("rate_limit_unreadable")
+            if upstream not in self._unreadable_limits:
+                self._unreadable_limits.add(upstream)
+                _log.info("rate_limit_unreadable", upstream=upstream, source=source)
             return
-        if not rate_limits.is_readable(named.per_s):
-            _log.info("rate_limit_unreadable", upstream=upstream, source=source)
+        per_s = named.per_s if named else None
+        limit = rate_limits.NamedLimit(upstream, incarnation, per_s, self._clock())
+        self._take_limit(limit, source)
+
+    def limit_heard(self, told: rate_limits.ToldLimit, source: str) -> None:
+        """Takes what another router has told of an upstream's limit."""
+        self._take_limit(told.heard(self._clock()), source)
+
+    def _take_limit(self, limit: rate_limits.NamedLimit, source: str) -> None:
+        if not self._limits.heard(limit):
             return
-        if self._limits.named(upstream, incarnation, named.per_s, self._clock()):
-            _log.info(
-                "rate_limit_named",
-                upstream=upstream,
-                incarnation=incarnation,
-                per_s=named.per_s,
-                source=source,
-            )
+        _log.info(
+            "rate_limit_lifted" if limit.per_s is None else "rate_limit_named",
+            upstream=limit.upstream,
+            incarnation=limit.incarnation,
+            per_s=limit.per_s,
+            source=source,
+        )
+        self._tell_limit(limit)
+        if self._quotas:
+            self._quotas.limit_changed(limit.upstream)
+        if self._peers and limit.own:
+            self._peers.placed(urgent=True)
+
+    def _tell_limit(self, limit: rate_limits.NamedLimit) -> None:
+        """Tells the traffic decisions of a limit."""
+        found = self._directory.find(limit.upstream)
+        if found is None or found.incarnation != limit.incarnation or self._traffic is None:
+            return
+        back_at = trio.current_time() + rate_limits.RETURN_SPREAD_S * self._rng.random()
+        on = limit.per_s is not None
+        self._traffic.mailbox.offer(
+            traffic_messages.Limited(found.pool, limit.upstream, on, back_at)
+        )
 
     def sending(self, upstream: ids.UpstreamId, kind: str) -> None:
         """Counts what is sent to an upstream that names a rate limit."""
@@ -208,6 +266,10 @@
         content = dataclasses.replace(current.content, pools=pools)
         joined = dataclasses.replace(current, content=content)
         self._traffic.mailbox.send(traffic_messages.ConfigurationChanged(joined))
+        self._limits.keep_only({item.upstream for item in self._directory.registrations()})
+        for limit in self._limits.in_force():
+            # An upstream that has just been added to its pool is not known there as limited.
+            self._tell_limit(limit)
 
     async def _expire(self) -> None:
         while True:
--- a/src/cicadapier/_internal/services/engine_orders.py
+++ b/src/cicadapier/_internal/services/engine_orders.py
@@ -8,16 +8,21 @@
 
 from cicadapier._internal.decisions import rollout
 from cicadapier._internal.decisions import withdrawals
+from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import engines
 from cicadapier._internal.protocols import exceptions as protocol_exceptions
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.services import connections_service
 from cicadapier._internal.services import directory_service
+from cicadapier._internal.services import traffic_messages
+from cicadapier._internal.services import traffic_service
 from cicadapier._internal.services import watching
 
 CALL_S = 0.6
 LOOK_S = 0.2
+GRANT_WAIT_S = 2.0
+GRANT_POLL_S = 0.1
 
 _log = structlog.get_logger()
 
@@ -42,12 +47,14 @@
         calls: engines.EngineFormat,
         connections: connections_service.ConnectionsService,
         directory: directory_service.DirectoryService,
+        traffic: traffic_service.TrafficService,
         clock: watching.Clock,
     ) -> None:
         self._vm = vm
         self._calls = calls
         self._connections = connections
         self._directory = directory
+        self._traffic = traffic
         self._clock = clock
 
     async def bring(self, target: Target, engine: rollout.Engine, fence: Fence) -> rollout.Step:
@@ -68,6 +75,9 @@
                 step = ordering.unreachable(self._clock())
                 await trio.sleep(LOOK_S)
                 continue
+            if not await self._may_call(target.pool, engine):
+                step = ordering.unreachable(self._clock())
+                continue
             if step is rollout.Step.ORDER:
                 step = await self._order(target, engine, address, ordering, fence)
                 continue
@@ -78,6 +88,19 @@
                 await trio.sleep(LOOK_S)
         return step
 
+    async def _may_call(self, pool: ids.PoolId, engine: rollout.Engine) -> bool:
+        """Waits for a grant where an engine limits the calls of all routers."""
+        deadline = trio.current_time() + GRANT_WAIT_S
+        while self._directory.is_limited(engine.upstream, engine.incarnation):
+            reply: mailbox.Reply[bool] = mailbox.Reply()
+            self._traffic.mailbox.send(traffic_messages.UseGrant(pool, engine.upstream, reply))
+            if await reply.get():
+                return True
+            if trio.current_time() >= deadline:
+                return False
+            await trio.sleep(GRANT_POLL_S)
+        return True
+
     def _address(self, engine: rollout.Engine) -> ids.Address | None:
         found = self._directory.find(engine.upstream)
         if found is None or found.incarnation != engine.incarnation:
@@ -91,7 +114,7 @@
             self._directory.leaving_told(withdrawal, "report")
         limit = self._calls.rate_limit(head)
         if limit is not None:
-            self._directory.limit_told(engine.upstream, engine.incarnation, limit, "report")
+            self._directory.limit_named(engine.upstream, engine.incarnation, limit, "report")
 
     async def _report(
         self, target: Target, engine: rollout.Engine, address: ids.Address
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import random
+from typing import Any
 from typing import Protocol
 
 import structlog
@@ -12,6 +13,7 @@
 from cicadapier._internal.decisions import membership
 from cicadapier._internal.decisions import peer_news
 from cicadapier._internal.decisions import poison
+from cicadapier._internal.decisions import rate_limits
 from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import service
@@ -31,14 +33,26 @@
 MAX_KEPT_PIECES = 256
 
 
-class WithdrawalView(Protocol):
-    """The service that knows which upstreams have said that they are leaving."""
+class QuotaSink(Protocol):
+    """The service that asks for grants and issues them."""
+
+    mailbox: mailbox.Mailbox[Any]
+
+
+class UpstreamNews(Protocol):
+    """The service that knows what upstreams have said of themselves."""
 
     def withdrawn(self) -> tuple[withdrawals.Withdrawal, ...]:
-        """Returns them."""
+        """Returns the upstreams that have said that they are leaving."""
 
     def leaving_told(self, withdrawal: withdrawals.Withdrawal, source: str) -> None:
-        """Takes what another router has heard."""
+        """Takes it that another router has heard that an upstream is leaving."""
+
+    def told_limits(self) -> tuple[rate_limits.ToldLimit, ...]:
+        """Returns the rate limits that upstreams have named."""
+
+    def limit_heard(self, told: rate_limits.ToldLimit, source: str) -> None:
+        """Takes the rate limit that another router has heard an upstream name."""
 
 
 _log = structlog.get_logger()
@@ -73,7 +87,8 @@
         self._urgent = trio.Event()
         self._kept: collections.deque[peer_news.KeptPieces] = collections.deque(maxlen=8)
         self._kernel: service.Kernel | None = None
-        self._upstreams: WithdrawalView | None = None
+        self._upstreams: UpstreamNews | None = None
+        self._quotas: QuotaSink | None = None
         self._reachable: frozenset[ids.VmId] = frozenset()
         self._domain_routers: frozenset[ids.VmId] = frozenset()
         self._near_news = trio.Event()
@@ -161,9 +176,20 @@
         self._merge(digest)
         return self._digest
 
-    def told(self, digest: peer_codec.Digest) -> None:
+    def told(self, message: peer_codec.Message) -> None:
         """See `peer_transport.PeerHandler.told`."""
-        self._merge(digest)
+        if isinstance(message, peer_codec.Digest):
+            self._merge(message)
+        elif self._quotas:
+            self._quotas.mailbox.offer(message)
+
+    async def tell(self, addresses: list[ids.Address], message: peer_codec.Message) -> None:
+        """Sends a message to some routers; it may be lost."""
+        await self._transport.tell(addresses, message)
+
+    def set_quotas(self, quotas: QuotaSink) -> None:
+        """Names the service that takes the peers' messages about grants."""
+        self._quotas = quotas
 
     def document(self, above: ids.ConfigNumber) -> tuple[ids.ConfigNumber, bytes] | None:
         """See `peer_transport.PeerHandler.document`."""
@@ -227,11 +253,15 @@
             sends=found.sends,
             placed=placed,
             withdrawn=self._withdrawn(),
+            limits=self._limits(),
         )
 
     def _withdrawn(self) -> tuple[withdrawals.Withdrawal, ...]:
         return self._upstreams.withdrawn() if self._upstreams else ()
 
+    def _limits(self) -> tuple[rate_limits.ToldLimit, ...]:
+        return self._upstreams.told_limits() if self._upstreams else ()
+
     async def _take_digest(self) -> traffic_messages.Digest:
         assert self._traffic
         reply: mailbox.Reply[traffic_messages.Digest] = mailbox.Reply()
@@ -259,6 +289,7 @@
             tuple(self._kept),
             placed if direct else (),
             self._withdrawn(),
+            self._limits(),
         )
 
     async def _exchange_with(self, address: ids.Address) -> None:
@@ -301,6 +332,9 @@
         for withdrawal in digest.withdrawn:
             if self._upstreams:
                 self._upstreams.leaving_told(withdrawal, digest.sender)
+        for limit in digest.limits:
+            if self._upstreams:
+                self._upstreams.limit_heard(limit, digest.sender)
         for kept in digest.kept:
             self._traffic.mailbox.offer(traffic_messages.Kept(kept.pool, kept.pieces))
 
--- /dev/null
+++ b/src/cicadapier/_internal/services/quotas_service.py
@@ -0,0 +1,193 @@
+"""Grants for upstreams that limit the requests of all routers together: asked for and issued."""
+
+import collections
+import dataclasses
+import math
+
+import structlog
+import trio
+
+from cicadapier._internal.decisions import quotas
+from cicadapier._internal.decisions import rate_limits
+from cicadapier._internal.kernel import mailbox
+from cicadapier._internal.kernel import service
+from cicadapier._internal.models import ids
+from cicadapier._internal.services import cluster_service
+from cicadapier._internal.services import directory_service
+from cicadapier._internal.services import names
+from cicadapier._internal.services import peers_service
+from cicadapier._internal.services import traffic_messages
+from cicadapier._internal.services import traffic_service
+
+MIN_PAUSE_S = 0.005  # Grants that become due within this time go out together.
+
+_log = structlog.get_logger()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantsWanted:
+    """What this router wants for each limited upstream beside what it holds."""
+
+    demands: dict[ids.UpstreamId, quotas.Demand]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitChanged:
+    """Another limit of an upstream is in force, or none any more."""
+
+    upstream: ids.UpstreamId
+
+
+Message = GrantsWanted | LimitChanged | quotas.Request | quotas.Grant
+
+
+class QuotasService(service.Service):
+    """Asks the issuers for grants, and issues those that are this router's part."""
+
+    name = names.QUOTAS
+
+    def __init__(self, vm: ids.VmId) -> None:
+        self.mailbox: mailbox.Mailbox[Message] = mailbox.Mailbox()
+        self._vm = vm
+        self._issuer = quotas.Issuer()
+        self._demands: dict[ids.UpstreamId, quotas.Demand] = {}
+        self._askers: dict[ids.UpstreamId, quotas.Asker] = {}
+        self._addresses: dict[ids.VmId, ids.Address] = {}
+        self._asked_at = -math.inf
+
+    def wanted(self, demands: dict[ids.UpstreamId, quotas.Demand]) -> None:
+        """Takes what this router wants for each limited upstream beside what it holds."""
+        self.mailbox.offer(GrantsWanted(demands))
+
+    def limit_changed(self, upstream: ids.UpstreamId) -> None:
+        """Notes that another limit of an upstream is in force, or none any more."""
+        self.mailbox.offer(LimitChanged(upstream))
+
+    async def run(self, kernel: service.Kernel, started: "trio.TaskStatus[None]") -> None:
+        """See `service.Service.run`."""
+        self._cluster: cluster_service.ClusterService = kernel.find(names.CLUSTER)
+        self._directory: directory_service.DirectoryService = kernel.find(names.UPSTREAMS)
+        self._peers: peers_service.PeersService = kernel.find(names.PEERS)
+        self._traffic: traffic_service.TrafficService = kernel.find(names.TRAFFIC)
+        self._peers.set_quotas(self)
+        started.started()
+        while True:
+            message = await self.mailbox.receive_until(self._next_at(trio.current_time()))
+            now = trio.current_time()
+            if isinstance(message, GrantsWanted):
+                self._demands = message.demands
+            elif isinstance(message, LimitChanged):
+                await self._limit_changed(message.upstream, now)
+            elif isinstance(message, quotas.Request):
+                await self._requested(message, now)
+            elif isinstance(message, quotas.Grant):
+                self._granted(message, now)
+            await self._ask(now)
+            await self._issue(now)
+
+    def _next_at(self, now: float) -> float:
+        found = self._issuer.next_at(now)
+        if any(demand.total for demand in self._demands.values()):
+            found = min(found, self._asked_at + self._refresh_s)
+        return max(found, now + MIN_PAUSE_S)
+
+    @property
+    def _refresh_s(self) -> float:
+        return quotas.refresh_s(len(self._cluster.addresses()))
+
+    def _issuers(self, limit: rate_limits.NamedLimit) -> list[ids.VmId]:
+        """Returns the routers that issue grants for an upstream, all routers alike."""
+        ranked = quotas.ranked(limit.upstream, self._cluster.addresses())
+        return ranked[: quotas.issuer_count(limit.granted_per_s)]
+
+    async def _ask(self, now: float) -> None:
+        """Asks the issuers for what is wanted and has not been asked of them."""
+        requests: dict[ids.VmId, list[quotas.Wanted]] = collections.defaultdict(list)
+        for upstream, demand in self._demands.items():
+            limit = self._directory.limit(upstream)
+            if limit is None:
+                self._askers.pop(upstream, None)
+                continue
+            asker = self._askers.setdefault(upstream, quotas.Asker(self._vm))
+            asked = asker.ask(self._issuers(limit), demand, now, self._refresh_s)
+            for issuer, part in asked.items():
+                told = self._directory.told_limit(limit)
+                requests[issuer].append(quotas.Wanted(told, part))
+        self._asked_at = now
+        for issuer, wanted in requests.items():
+            await self._send_request(issuer, wanted, now)
+
+    async def _send_request(
+        self, issuer: ids.VmId, wanted: list[quotas.Wanted], now: float
+    ) -> None:
+        request = quotas.Request(self._vm, self._peers.address, tuple(wanted))
+        if issuer == self._vm:
+            await self._requested(request, now)
+            return
+        address = self._cluster.addresses().get(issuer)
+        if address is not None:
+            await self._peers.tell([address], request)
+
+    async def _requested(self, request: quotas.Request, now: float) -> None:
+        """Takes what a router wants, where this one issues grants for it."""
+        for item in request.wanted:
+            upstream = item.limit.upstream
+            self._directory.limit_heard(item.limit, request.sender)
+            limit = self._directory.limit(upstream)
+            if limit is None:
+                await self._tell_lifted(upstream, [request.reply_to])
+                continue
+            chosen = self._issuers(limit)
+            if self._vm not in chosen:
+                _log.debug("grants_not_issued_here", upstream=upstream, peer=request.sender)
+                continue
+            self._addresses[request.sender] = request.reply_to
+            part_per_s = limit.granted_per_s / len(chosen)
+            kept_s = self._refresh_s * quotas.KEPT_REFRESHES
+            self._issuer.wanted(request.sender, upstream, item.demand, part_per_s, now, kept_s)
+
+    def _granted(self, grant: quotas.Grant, now: float) -> None:
+        upstream = grant.limit.upstream
+        self._directory.limit_heard(grant.limit, grant.issuer)
+        asker = self._askers.get(upstream)
+        registration = self._directory.find(upstream)
+        if not grant.count or asker is None or registration is None:
+            return
+        asker.granted(grant.issuer, grant.count)
+        until = now + quotas.GRANT_S
+        self._traffic.mailbox.offer(
+            traffic_messages.Granted(registration.pool, upstream, grant.count, until)
+        )
+
+    async def _issue(self, now: float) -> None:
+        for issued in self._issuer.issue(now):
+            limit = self._directory.limit(issued.upstream)
+            if limit is None:
+                continue
+            grant = quotas.Grant(self._vm, self._directory.told_limit(limit), issued.count)
+            if issued.vm == self._vm:
+                self._granted(grant, now)
+            else:
+                await self._peers.tell([self._addresses[issued.vm]], grant)
+
+    async def _limit_changed(self, upstream: ids.UpstreamId, now: float) -> None:
+        limit = self._directory.limit(upstream)
+        if limit is not None:
+            part_per_s = limit.granted_per_s / max(1, len(self._issuers(limit)))
+            self._issuer.limited(upstream, part_per_s, now)
+            return
+        waiting = [vm for vm in self._issuer.waiting(upstream) if vm != self._vm]
+        self._issuer.forget(upstream)
+        self._askers.pop(upstream, None)
+        addresses = self._cluster.addresses()
+        issuers = [vm for vm in quotas.ranked(upstream, addresses) if vm != self._vm]
+        told = {self._addresses[vm] for vm in waiting} | {addresses[vm] for vm in issuers}
+        await self._tell_lifted(upstream, sorted(told))
+
+    async def _tell_lifted(self, upstream: ids.UpstreamId, addresses: list[ids.Address]) -> None:
+        """Tells routers that an upstream names no limit any more."""
+        newest = self._directory.newest_limit(upstream)
+        if newest is None:
+            return
+        grant = quotas.Grant(self._vm, self._directory.told_limit(newest), 0)
+        await self._peers.tell(addresses, grant)
--- a/src/cicadapier/_internal/services/traffic_messages.py
+++ b/src/cicadapier/_internal/services/traffic_messages.py
@@ -160,6 +160,49 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limited:
+    """An upstream limits the requests of all routers, or does so no more.
+
+    Attributes:
+        pool: Its pool.
+        upstream: The upstream.
+        on: Whether it does.
+        back_at: Time of trio's clock from which on it is sent to without grants.
+    """
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    on: bool
+    back_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Granted:
+    """Requests that this router may send to a limited upstream.
+
+    Attributes:
+        pool: Its pool.
+        upstream: The upstream.
+        count: Number of requests.
+        until: Time of trio's clock until which they may be sent.
+    """
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    count: int
+    until: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UseGrant:
+    """Asks whether a report or an order may be sent to an upstream now."""
+
+    pool: ids.PoolId
+    upstream: ids.UpstreamId
+    reply: "mailbox.Reply[bool]"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WeightsNamed:
     """Operators have named a weights version.
@@ -345,6 +388,9 @@
     | WeightsTold
     | Loading
     | Paused
+    | Limited
+    | Granted
+    | UseGrant
     | GetEngines
     | ProbeFailed
     | CacheChanged
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -12,6 +12,7 @@
 from cicadapier._internal.decisions import observations
 from cicadapier._internal.decisions import peer_news
 from cicadapier._internal.decisions import placement
+from cicadapier._internal.decisions import quotas
 from cicadapier._internal.decisions import traffic
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import service
@@ -40,6 +41,13 @@
         """Notes that there is something to tell, at once where it is urgent."""
 
 
+class QuotaSink(Protocol):
+    """The service that asks for grants."""
+
+    def wanted(self, demands: dict[ids.UpstreamId, quotas.Demand]) -> None:
+        """Takes what is wanted for each limited upstream."""
+
+
 class TrafficService(service.Service):
     """Owns the traffic decisions; every change of them is a message."""
 
@@ -51,6 +59,7 @@
         self._kernel: service.Kernel | None = None
         self._waiting: dict[ids.RequestId, mailbox.Reply[entries.Decision]] = {}
         self._outgoing = peer_news.Outgoing()
+        self._demands: dict[ids.UpstreamId, quotas.Demand] = {}
         self._states: dict[ids.UpstreamId, health.UpstreamState] = {}
         self._handlers: dict[type, collections.abc.Callable[..., None]] = {
             traffic_messages.Enter: self._enter,
@@ -69,6 +78,9 @@
             traffic_messages.WeightsTold: self._weights_told,
             traffic_messages.Loading: self._loading,
             traffic_messages.Paused: self._paused,
+            traffic_messages.Limited: self._limited,
+            traffic_messages.Granted: self._granted,
+            traffic_messages.UseGrant: self._use_grant,
             traffic_messages.GetEngines: self._get_engines,
             traffic_messages.ProbeFailed: self._probe_failed,
             traffic_messages.CacheChanged: self._cache_changed,
@@ -96,6 +108,7 @@
                 self._handlers[type(message)](message, now)
             if self._waiting:
                 self._decide(self._traffic.poll(now), now)
+            self._want_grants(now)
 
     def _enter(self, message: traffic_messages.Enter, now: float) -> None:
         decision = self._traffic.enter(message.entry, now)
@@ -210,6 +223,27 @@
     def _paused(self, message: traffic_messages.Paused, now: float) -> None:
         self._traffic.observations.paused(message.pool, message.upstream, message.until)
 
+    def _limited(self, message: traffic_messages.Limited, now: float) -> None:
+        told = self._traffic.observations
+        told.limited(message.pool, message.upstream, message.on, now, message.back_at)
+
+    def _granted(self, message: traffic_messages.Granted, now: float) -> None:
+        told = self._traffic.observations
+        told.granted(message.pool, message.upstream, message.count, message.until)
+
+    def _use_grant(self, message: traffic_messages.UseGrant, now: float) -> None:
+        used = self._traffic.observations.use_grant(message.pool, message.upstream, now)
+        message.reply.set(used)
+
+    def _want_grants(self, now: float) -> None:
+        """Tells the service that asks for grants what is wanted, where that has changed."""
+        demands = self._traffic.grants_wanted(now)
+        if demands == self._demands or self._kernel is None:
+            return
+        self._demands = demands
+        sink: QuotaSink = self._kernel.find(names.QUOTAS)
+        sink.wanted(demands)
+
     def _get_engines(self, message: traffic_messages.GetEngines, now: float) -> None:
         message.reply.set(self._traffic.engines(message.pool, message.model, now))
 
--- a/src/cicadapier/_internal/services/upstreams_service.py
+++ b/src/cicadapier/_internal/services/upstreams_service.py
@@ -12,6 +12,7 @@
 from cicadapier._internal.decisions import cadence
 from cicadapier._internal.decisions import load
 from cicadapier._internal.decisions import observations
+from cicadapier._internal.decisions import rate_limits
 from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import service
@@ -91,6 +92,13 @@
         """Returns nothing: each router reads in the load reports which upstreams are leaving."""
         return ()
 
+    def told_limits(self) -> tuple[rate_limits.ToldLimit, ...]:
+        """Returns nothing: the upstreams of the own interface name no limits."""
+        return ()
+
+    def limit_heard(self, told: rate_limits.ToldLimit, source: str) -> None:
+        """Ignores what others have heard; see `told_limits`."""
+
     def leaving_told(self, withdrawal: withdrawals.Withdrawal, source: str) -> None:
         """Ignores what others have heard; see `withdrawn`."""
         return
--- a/src/cicadapier/_internal/services/weights_service.py
+++ b/src/cicadapier/_internal/services/weights_service.py
@@ -117,6 +117,7 @@
             self._calls,
             kernel.find(names.CONNECTIONS),
             kernel.find(names.UPSTREAMS),
+            self._traffic,
             self._clock,
         )
         kind = self._documents.weights_kind
--- a/src/cicadapier/_internal/standins/world.py
+++ b/src/cicadapier/_internal/standins/world.py
@@ -343,10 +343,10 @@
         await self._check(address)
         return await self._inner.exchange(address, digest)
 
-    async def tell(self, addresses: list[ids.Address], digest: peer_codec.Digest) -> None:
+    async def tell(self, addresses: list[ids.Address], message: peer_codec.Message) -> None:
         """See `peer_transport.PeerTransport.tell`."""
         reached = [address for address in addresses if not self._is_parted(address)]
-        await self._inner.tell(reached, digest)
+        await self._inner.tell(reached, message)
 
     async def fetch(
         self, address: ids.Address, above: ids.ConfigNumber
--- a/tests/_internal/services/test_named_rate_limits.py
+++ b/tests/_internal/services/test_named_rate_limits.py
@@ -1,12 +1,20 @@
 """Rate limits that upstreams name in their answers, for all routers together."""
 
+import dataclasses
 import unittest
 
 from structlog import testing
 import trio
 
+from cicadapier._internal.decisions import health
+from cicadapier._internal.kernel import mailbox
+from cicadapier._internal.models import ids
+from cicadapier._internal.services import traffic_messages
+from cicadapier._internal.standins import users_upstream
 from tests import forwarding_world
 
+Fault = users_upstream.UpstreamFault
+
 WINDOW_S = 4.0
 KNOWN_AFTER_S = 3.0  # From then on the limit is kept over all routers together.
 SHARE = 1.5  # Part of the limit that is never exceeded within a window.
@@ -59,8 +67,9 @@
     def test_the_log_tells_when_a_limit_is_named_changed_and_lifted(self):
         async def check(made):
             desk = made.upstreams["desk-0"]
-            for limit in (b"4", b"4", b"2.5", b"soon", None, None):
+            for limit in (b"4", b"4", b"2.5", b"soon", b"soon", None, None):
                 desk.rate_limit = limit
+                await trio.sleep(1.0)
                 await made.send("GET", "desk", "/look/1")
 
         with testing.capture_logs() as lines:
@@ -119,6 +128,227 @@
 
         forwarding_world.in_world(check, routers=4)
 
+    def test_a_router_that_has_forgotten_the_limit_is_bound_again_at_its_first_answer(self):
+        async def check(made):
+            await trio.sleep(3.0)
+            desk = made.upstreams["desk-0"]
+            desk.rate_limit = b"2"
+            named_at = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask_steadily, made, 0, 5, 12)
+                nursery.start_soon(ask_steadily, made, 1, 5, 12)
+                await trio.sleep(5.0)
+                made.end("vm-2")
+                await trio.sleep(0.5)
+                await made.start_router(2)
+                await trio.sleep(0.5)
+                nursery.start_soon(ask_steadily, made, 2, 5, 6)
+            self.assert_kept(desk, 2, named_at)
+
+        forwarding_world.in_world(check, routers=3)
+
+    def test_routers_that_cannot_reach_each_other_stay_under_the_sum(self):
+        async def check(made):
+            await trio.sleep(3.0)
+            desk = made.upstreams["desk-0"]
+            desk.rate_limit = b"2"
+            named_at = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask_all, made, 5, 12)
+                await trio.sleep(4.0)
+                made.part_peers()
+            self.assert_kept(desk, 2, named_at)
+
+        forwarding_world.in_world(check, routers=4)
+
+    def test_two_dozen_routers_keep_the_limit_and_use_it(self):
+        async def check(made):
+            await trio.sleep(3.0)
+            desk = made.upstreams["desk-0"]
+            desk.rate_limit = b"3"
+            named_at = trio.current_time()
+            await ask_all(made, per_s=1, for_s=12)
+            self.assert_kept(desk, 3, named_at)
+            used = sum(1 for at in desk.calls_at if at >= named_at + KNOWN_AFTER_S)
+            self.assertGreaterEqual(used, 0.5 * 3 * 9)
+
+        forwarding_world.in_world(check, routers=24)
+
+
+class PoolInNeedTest(unittest.TestCase):
+    """All upstreams of a service name a limit."""
+
+    def test_callers_get_what_the_limits_sum_up_to_and_the_others_learn_at_once(self):
+        async def check(made):
+            await trio.sleep(3.0)
+            for name in ("desk-0", "desk-1"):
+                made.upstreams[name].rate_limit = b"4"
+            began_at = trio.current_time()
+            replies = await ask_all(made, per_s=10, for_s=10)
+            for name in ("desk-0", "desk-1"):
+                times = made.upstreams[name].calls_at
+                allowed = SHARE * 4 * WINDOW_S + SLACK
+                self.assertLessEqual(most_in_a_window(times, began_at + KNOWN_AFTER_S), allowed)
+            served = [reply for reply in replies if reply.status == 200]
+            self.assertGreaterEqual(len(served), 0.6 * 8 * 10)
+            refused = [reply for reply in replies if reply.status != 200]
+            self.assertEqual({reply.status for reply in refused}, {503})
+            for reply in refused:
+                self.assertGreater(float(reply.headers["retry-after"]), 0.0)
+            # Nobody waits longer than half of the objective of 0.4 s for a grant.
+            self.assertLess(max(reply.took_s for reply in refused), 0.25)
+
+        forwarding_world.in_world(check, routers=2)
+
+    def test_no_account_starves(self):
+        async def check(made):
+            await trio.sleep(3.0)
+            for name in ("desk-0", "desk-1"):
+                made.upstreams[name].rate_limit = b"4"
+            counts = {"key-1": 0, "key-3": 0}
+
+            async def one(key):
+                reply = await made.send("GET", "desk", "/look/1", key=key)
+                counts[key] += reply.status == 200
+
+            async with trio.open_nursery() as nursery:
+                for number in range(300):
+                    # One account asks nine times as often as the other one.
+                    nursery.start_soon(one, "key-3" if number % 10 == 0 else "key-1")
+                    await trio.sleep(0.04)
+            self.assertGreaterEqual(counts["key-3"], 0.4 * 30)
+
+        forwarding_world.in_world(check)
+
+
+class EndOfLimitTest(unittest.TestCase):
+    def check_return(self, limit, wait_s):
+        async def check(made):
+            await trio.sleep(3.0)
+            desk = made.upstreams["desk-0"]
+            desk.work_s = 0.1
+            made.upstreams["desk-1"].work_s = 0.1
+            desk.rate_limit = limit
+            await ask_all(made, per_s=5, for_s=6)
+            desk.rate_limit = None
+            lifted_at = trio.current_time()
+            await ask_all(made, per_s=5, for_s=wait_s)
+            # All routers have taken it up again, and not in the same moment.
+            late = [at for at in desk.calls_at if at > lifted_at]
+            self.assertGreater(len(late), 20)
+            first = late[0]
+            for step in range(int(wait_s * 10)):
+                start = first + step / 10
+                self.assertLessEqual(sum(1 for at in late if start <= at < start + 0.1), 8)
+
+        forwarding_world.in_world(check, routers=4)
+
+    def test_the_limit_ends_with_the_answers_that_name_none(self):
+        self.check_return(b"2", 5)
+
+    def test_an_upstream_that_wanted_nothing_is_asked_again(self):
+        self.check_return(b"0", 9)
+
+    def test_the_next_start_of_an_upstream_has_no_limit(self):
+        async def check(made):
+            desk = made.upstreams["desk-0"]
+            desk.rate_limit = b"0"
+            await ask_all(made, per_s=10, for_s=2)
+            desk.rate_limit = None
+            entry = dataclasses.replace(desk.entry, incarnation=ids.Incarnation("desk-0@2"))
+            made.register(entry)
+            await trio.sleep(1.0)
+            born_at = trio.current_time()
+            await ask_all(made, per_s=10, for_s=2)
+            self.assertGreater(sum(1 for at in desk.calls_at if at > born_at), 5)
+
+        forwarding_world.in_world(check)
+
+    def test_garbled_answers_end_no_limit(self):
+        async def check(made):
+            await trio.sleep(3.0)
+            desk = made.upstreams["desk-0"]
+            desk.rate_limit = b"2"
+            await ask_all(made, per_s=5, for_s=5)
+            desk.rate_limit = None
+            desk.faults.add(Fault.UNPROVED)
+            bad_at = trio.current_time()
+            await ask_all(made, per_s=5, for_s=6)
+            allowed = SHARE * 2 * WINDOW_S + SLACK
+            self.assertLessEqual(most_in_a_window(desk.calls_at, bad_at), allowed)
+
+        forwarding_world.in_world(check, routers=2)
+
+
+class MomentOfLearningTest(unittest.TestCase):
+    def test_what_was_placed_before_the_limit_was_known_is_held_back(self):
+        async def check(made):
+            desk = made.upstreams["desk-0"]
+            desk.rate_limit = b"1"
+            for name in ("desk-0", "desk-1"):
+                made.upstreams[name].work_s = 0.2
+            replies = []
+
+            async def one():
+                replies.append(await made.send("GET", "desk", "/look/1"))
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(40):
+                    nursery.start_soon(one)
+            told_at = min(at for at in desk.calls_at) + 0.2
+            self.assertLessEqual(sum(1 for at in desk.calls_at if at > told_at + 0.5), 2)
+            self.assertLessEqual({reply.status for reply in replies}, {200, 503})
+
+        forwarding_world.in_world(check)
+
+    def test_a_limit_in_a_refusal_counts(self):
+        async def check(made):
+            await trio.sleep(3.0)
+            desk = made.upstreams["desk-0"]
+            desk.rate_limit = b"1"
+            desk.faults.add(Fault.SHEDS)
+            told_at = trio.current_time()
+            replies = await ask_all(made, per_s=5, for_s=8)
+            late = [at for at in desk.calls_at if at > told_at + 0.5]
+            self.assertLessEqual(most_in_a_window(late, told_at), SHARE * WINDOW_S + SLACK)
+            self.assertEqual({reply.status for reply in replies}, {200})
+
+        forwarding_world.in_world(check, routers=2)
+
+    def test_the_peers_are_told_before_they_ask(self):
+        async def check(made):
+            await trio.sleep(3.0)
+            desk = made.upstreams["desk-0"]
+            desk.rate_limit = b"0"
+            while not desk.arrivals:
+                await made.send("GET", "desk", "/look/1", router=0)
+            await trio.sleep(1.5)
+            told_at = trio.current_time()
+            for _ in range(20):
+                await made.send("GET", "desk", "/look/1", router=1)
+            self.assertLessEqual(sum(1 for at in desk.calls_at if at > told_at), 1)
+
+        forwarding_world.in_world(check, routers=2)
+
+    def test_a_limited_engine_holds_no_backups_and_looks_well(self):
+        async def check(made):
+            await trio.sleep(3.0)
+            engine = made.upstreams["engine-0"]
+            engine.rate_limit = b"0"
+            await ask_all(made, per_s=10, for_s=4, kind="ask")
+            limited_at = trio.current_time()
+            for number in range(20):
+                await made.ask("/long/x", b"%d" % number, output_tokens=500)
+            backups = [run.headers.get("x-kv-backup") for run in made.runs if run.at > limited_at]
+            self.assertTrue(any(backups))
+            self.assertNotIn(engine.entry.address, backups)
+            reply = mailbox.Reply()
+            made.routers[0].kernel.find("traffic").mailbox.send(traffic_messages.GetStatus(reply))
+            states = {item.upstream: item.state for item in (await reply.get()).upstreams}
+            self.assertEqual(states["engine-0"], health.UpstreamState.ACTIVE)
+
+        forwarding_world.in_world(check)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -25,6 +25,7 @@
     headers: dict[str, str]
     body: bytes
     broken: bool = False
+    took_s: float = 0.0
 
     @property
     def numbers(self):
@@ -39,6 +40,7 @@
         handlers = {}
         network = faulty_network.MemoryNetwork(seed)
         super().__init__(network, lambda: support.MemoryPeers(handlers), trio.current_time, seed)
+        self._peer_handlers = handlers
         self._requests = 0
 
     async def send(
@@ -60,18 +62,25 @@
         self._requests += 1
         request = f"r{self._requests}" if request is None else request
         address = self.routers[router].callers.address
+        began_at = trio.current_time()
         headers = far_side.request_headers(
             ids.RequestId(request), host, key, time_left_ms, model, parts, output_tokens
         )
-        return await self._exchange(
+        reply = await self._exchange(
             address, http_client.RequestHead(method, path, [*headers, *extra]), body
         )
+        reply.took_s = trio.current_time() - began_at
+        return reply
 
     async def ask(self, path="/ask/x", body=b"prompt", **options):
         """Asks the model for a stream."""
         options = {"model": users_world.MODEL, "parts": "aa:600,bb:300", **options}
         return await self.send("POST", "lm", path, body, **options)
 
+    def part_peers(self):
+        """Cuts the routers off from each other for good."""
+        self._peer_handlers.clear()
+
     def end_later(self, name, after_s):
         """Ends an upstream after a while."""
         self._scopes[name].deadline = trio.current_time() + after_s
--- a/tests/support.py
+++ b/tests/support.py
@@ -55,7 +55,7 @@
             task_status.started(address)
             await trio.sleep_forever()
         finally:
-            del self.handlers[address]
+            self.handlers.pop(address, None)
 
     def _is_used(self, port):
         return ids.Address(f"127.0.0.1:{port}") in self.handlers
@@ -66,10 +66,12 @@
         answer = handler.exchange(peer_codec.decode(_over_the_wire(digest)))
         return peer_codec.decode(_over_the_wire(answer))
 
-    async def tell(self, addresses, digest):
+    async def tell(self, addresses, message):
+        data = peer_codec.encode_message(message).SerializeToString()
         for address in addresses:
             if address in self.handlers:
-                self.handlers[address].told(peer_codec.decode(_over_the_wire(digest)))
+                received = peer_codec.decode_message(peers_pb2.Datagram.FromString(data))
+                self.handlers[address].told(received)
 
     async def fetch(self, address, above):
         await trio.sleep(0.001)
