--- a/tests/forwarding_fuzzing.py
+++ b/tests/forwarding_fuzzing.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import itertools
+import math
 
 import trio
 
@@ -22,6 +23,10 @@
 EVENTS = 6
 TIME_LEFT_S = 3.0
 MARGIN_S = 0.1
+LIMIT_KNOWN_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_SHARE = 1.5
+LIMIT_SLACK = 5
 HARMLESS = (
     users_upstream.UpstreamFault.STALLS,
     users_upstream.UpstreamFault.BEGINS_LATE,
@@ -95,6 +100,16 @@
     reply: forwarding_world.Reply | None = None
 
 
+@dataclasses.dataclass
+class Limited:
+    """A time in which an upstream named a rate limit."""
+
+    name: str
+    per_s: float
+    since: float
+    until: float = math.inf
+
+
 class Program:
     """Runs steps against a world and keeps what happened."""
 
@@ -105,6 +120,8 @@
         self.version = 1
         self.unwell = collections.defaultdict(list)
         self.ends = collections.defaultdict(list)
+        self.limited = []
+        self.struck = collections.defaultdict(list)
         self._declared = users_world.routes()
         self._nursery = nursery
 
@@ -113,6 +130,14 @@
         self.sent.append(sent)
         self._nursery.start_soon(self._send, router, sent, part)
 
+    def send_steadily(self, router, route, per_s, seconds):
+        self._nursery.start_soon(self._send_steadily, router, route, per_s, seconds)
+
+    async def _send_steadily(self, router, route, per_s, seconds):
+        for number in range(per_s * seconds):
+            self.send(router, route, "key-1", f"s{number % 4}")
+            await trio.sleep(1 / per_s)
+
     def name_weights(self):
         self.version += 1
         self.made.name_weights(self.version)
@@ -131,11 +156,26 @@
 
     def strike_upstream(self, name, fault, seconds):
         """Adds a fault to an upstream for a time."""
+        now = trio.current_time()
+        self.struck[name].append((now, now + seconds))
         if fault not in HARMLESS:
-            now = trio.current_time()
             self.unwell[name].append((now, now + seconds))
         self.strike(self.made.upstreams[name].faults, fault, seconds)
 
+    def limit_upstream(self, name, per_s, seconds):
+        """Has an upstream name a rate limit with all answers for a time."""
+        upstream = self.made.upstreams[name]
+        if upstream.rate_limit is not None:
+            return
+        upstream.rate_limit = b"%.1f" % per_s
+        self.limited.append(Limited(name, per_s, trio.current_time()))
+        self._nursery.start_soon(self._lift, self.limited[-1], seconds)
+
+    async def _lift(self, limited, seconds):
+        await trio.sleep(seconds)
+        self.made.upstreams[limited.name].rate_limit = None
+        limited.until = trio.current_time()
+
     def pause_engines(self, seconds):
         """Has streams that are under way or begin now pause for longer than a longest pause."""
         for name, upstream in self.made.upstreams.items():
@@ -227,6 +267,7 @@
         *_holders(program),
         *_revoked(program),
         *_budget(program),
+        *_limits(program),
         *_converged(program),
     ]
 
@@ -363,6 +404,32 @@
     return found[:1]
 
 
+def _limits(program):
+    """Upstreams that name a rate limit get no more than that from all routers together.
+
+    A router that has started again is bound from its first answer on, and answers that are lost or
+    late name nothing.
+    """
+    found = []
+    ends = [at for times in program.ends.values() for at in times]
+    for limited in program.limited:
+        allowed = LIMIT_SHARE * limited.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        times = [
+            at
+            for at in program.made.upstreams[limited.name].calls_at
+            if limited.since + LIMIT_KNOWN_S <= at < limited.until
+        ]
+        for start in times:
+            window = [at for at in times if start <= at < start + LIMIT_WINDOW_S]
+            excused = any(start - LIMIT_KNOWN_S <= at < window[-1] for at in ends)
+            for since, until in program.struck[limited.name]:
+                excused = excused or (since < window[-1] and until > limited.since)
+            if len(window) > allowed and not excused:
+                found.append(f"{limited} got {len(window)} in {LIMIT_WINDOW_S} s from {start:.3f}")
+                break
+    return found
+
+
 def _converged(program):
     living = [
         upstream
--- a/tests/test_forwarding_fuzz.py
+++ b/tests/test_forwarding_fuzz.py
@@ -81,6 +81,23 @@
         self.change(name)
         self.wait(0.5)
 
+    @stateful.rule(
+        name=st.sampled_from(_UPSTREAMS),
+        per_s=st.sampled_from([0.0, 0.5, 2.0, 6.0]),
+        seconds=st.sampled_from([2.0, 8.0, 14.0]),
+    )
+    def limit_upstream(self, name, per_s, seconds):
+        self.steps.append(lambda program: program.limit_upstream(name, per_s, seconds))
+
+    @stateful.rule(
+        router=_ROUTER,
+        route=st.sampled_from(["look", "ask"]),
+        per_s=st.sampled_from([5, 15]),
+        seconds=st.sampled_from([2, 6]),
+    )
+    def send_steadily(self, router, route, per_s, seconds):
+        self.steps.append(lambda p: p.send_steadily(router, route, per_s, seconds))
+
     @stateful.rule()
     def name_weights(self):
         self.steps.append(lambda program: program.name_weights())
