--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -266,7 +266,9 @@
         content = dataclasses.replace(current.content, pools=pools)
         joined = dataclasses.replace(current, content=content)
         self._traffic.mailbox.send(traffic_messages.ConfigurationChanged(joined))
-        self._limits.keep_only({item.upstream for item in self._directory.registrations()})
+        registered = {item.upstream for item in self._directory.registrations()}
+        self._limits.keep_only(registered)
+        self._unreadable_limits &= registered
         for limit in self._limits.in_force():
             # An upstream that has just been added to its pool is not known there as limited.
             self._tell_limit(limit)
--- a/src/cicadapier/_internal/services/quotas_service.py
+++ b/src/cicadapier/_internal/services/quotas_service.py
@@ -163,6 +163,8 @@
         for issued in self._issuer.issue(now):
             limit = self._directory.limit(issued.upstream)
             if limit is None:
+                # The upstream is gone.
+                self._issuer.forget(issued.upstream)
                 continue
             grant = quotas.Grant(self._vm, self._directory.told_limit(limit), issued.count)
             if issued.vm == self._vm:
--- a/tests/_internal/decisions/test_limits_and_queues.py
+++ b/tests/_internal/decisions/test_limits_and_queues.py
@@ -88,6 +88,26 @@
     )
 
 
+class ManyRoutersTest(unittest.TestCase):
+    def admitted(self, routers):
+        """Returns how many requests all routers together admit within a second."""
+        spec = configuration.Account(limits=configuration.Limits(10.0, 1e9, 1_000))
+        total = 0
+        for _ in range(routers):
+            found = limits.AccountLimits()
+            found.set_routers(routers)
+            for step in range(10):
+                verdict = found.admit(ACCOUNT, spec, 1.0, step / 10)
+                total += isinstance(verdict, limits.Permitted)
+        return total
+
+    def test_four_routers_keep_the_limit_of_an_account(self):
+        self.assertLessEqual(self.admitted(4), 2 * 10)
+
+    def test_three_hundred_routers_keep_the_limit_of_an_account(self):
+        self.assertLessEqual(self.admitted(300), 2 * 10)
+
+
 class FairQueueTest(unittest.TestCase):
     def test_accounts_share_by_weight(self):
         queue = fairqueue.FairQueue()
