--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -2,21 +2,19 @@
 
 import dataclasses
 import random
-from typing import Protocol
 
 import structlog
 import trio
 
 from cicadapier._internal.decisions import directory
-from cicadapier._internal.decisions import rate_limits
 from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import directory as directory_models
 from cicadapier._internal.models import ids
-from cicadapier._internal.protocols import answers
 from cicadapier._internal.protocols import declarations
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import configuration_source
+from cicadapier._internal.services import known_limits
 from cicadapier._internal.services import names
 from cicadapier._internal.services import telemetry_service
 from cicadapier._internal.services import traffic_messages
@@ -30,15 +28,12 @@
 _log = structlog.get_logger()
 
 
-class QuotaSink(Protocol):
-    """The service that asks for grants and issues them."""
-
-    def limit_changed(self, upstream: ids.UpstreamId) -> None:
-        """Notes that another limit of an upstream is in force, or none any more."""
-
-
 class DirectoryService(service.Service, watching.Follower):
-    """Follows the directory and tells the traffic decisions of every change."""
+    """Follows the directory and tells the traffic decisions of every change.
+
+    Attributes:
+        limits: Rate limits that upstreams have named.
+    """
 
     name = names.UPSTREAMS
 
@@ -54,9 +49,7 @@
         self._clock = clock
         self._rng = rng
         self._directory = directory.Directory()
-        self._limits = rate_limits.NamedLimits()
-        self._unreadable_limits: set[ids.UpstreamId] = set()
-        self._quotas: QuotaSink | None = None
+        self.limits = known_limits.KnownLimits(self.find, clock, rng)
         self._expiry_changed = trio.Event()
         self._configuration: configuration_source.ConfigurationSource | None = None
         self._traffic: traffic_service.TrafficService | None = None
@@ -69,7 +62,7 @@
         self._traffic = kernel.find(names.TRAFFIC)
         self._telemetry = kernel.find(names.TELEMETRY)
         self._peers = kernel.find(names.PEERS)
-        self._quotas = kernel.find(names.QUOTAS)
+        self.limits.connect(self._traffic, self._telemetry, kernel.find(names.QUOTAS), self._peers)
         kind = self._documents.directory_kind
         platform = kernel.find(names.PLATFORM)
         watch = watching.Watch(platform, kind, self._pace, self, self._clock, self._rng)
@@ -117,89 +110,6 @@
         if self._peers:
             self._peers.placed(urgent=True)
 
-    def limit(self, upstream: ids.UpstreamId) -> rate_limits.NamedLimit | None:
-        """Returns the rate limit that an upstream has in force, None where it has none."""
-        return self._limits.find(upstream)
-
-    def newest_limit(self, upstream: ids.UpstreamId) -> rate_limits.NamedLimit | None:
-        """Returns what was heard last of an upstream's limit, also that it is over."""
-        return self._limits.newest(upstream)
-
-    def told_limit(self, limit: rate_limits.NamedLimit) -> rate_limits.ToldLimit:
-        """Returns what another router is told of a limit."""
-        return rate_limits.told(limit, self._clock())
-
-    def told_limits(self) -> tuple[rate_limits.ToldLimit, ...]:
-        """Returns what the peers are to be told of limits."""
-        return self._limits.told(self._clock())
-
-    def is_limited(self, upstream: ids.UpstreamId, incarnation: ids.Incarnation) -> bool:
-        """Returns whether a start of an upstream gets requests with a grant only."""
-        limit = self._limits.find(upstream)
-        return limit is not None and limit.incarnation == incarnation
-
-    def limit_named(
-        self,
-        upstream: ids.UpstreamId,
-        incarnation: ids.Incarnation,
-        named: answers.RateLimit | None,
-        source: str,
-    ) -> None:
-        """Takes what an answer says of the rate that an upstream takes from all routers.
-
-        Args:
-            upstream: The upstream.
-            incarnation: Which start of it.
-            named: The limit, None where the answer names none.
-            source: What was answered, for the log.
-        """
-        if named is not None and named.per_s is None:
-            if self._telemetry:
-                self._telemetry.event("rate_limit_unreadable")
-            if upstream not in self._unreadable_limits:
-                self._unreadable_limits.add(upstream)
-                _log.info("rate_limit_unreadable", upstream=upstream, source=source)
-            return
-        per_s = named.per_s if named else None
-        limit = rate_limits.NamedLimit(upstream, incarnation, per_s, self._clock())
-        self._take_limit(limit, source)
-
-    def limit_heard(self, told: rate_limits.ToldLimit, source: str) -> None:
-        """Takes what another router has told of an upstream's limit."""
-        self._take_limit(told.heard(self._clock()), source)
-
-    def _take_limit(self, limit: rate_limits.NamedLimit, source: str) -> None:
-        if not self._limits.heard(limit):
-            return
-        _log.info(
-            "rate_limit_lifted" if limit.per_s is None else "rate_limit_named",
-            upstream=limit.upstream,
-            incarnation=limit.incarnation,
-            per_s=limit.per_s,
-            source=source,
-        )
-        self._tell_limit(limit)
-        if self._quotas:
-            self._quotas.limit_changed(limit.upstream)
-        if self._peers and limit.own:
-            self._peers.placed(urgent=True)
-
-    def _tell_limit(self, limit: rate_limits.NamedLimit) -> None:
-        """Tells the traffic decisions of a limit."""
-        found = self._directory.find(limit.upstream)
-        if found is None or found.incarnation != limit.incarnation or self._traffic is None:
-            return
-        back_at = trio.current_time() + rate_limits.RETURN_SPREAD_S * self._rng.random()
-        on = limit.per_s is not None
-        self._traffic.mailbox.offer(
-            traffic_messages.Limited(found.pool, limit.upstream, on, back_at)
-        )
-
-    def sending(self, upstream: ids.UpstreamId, kind: str) -> None:
-        """Counts what is sent to an upstream that names a rate limit."""
-        if self._limits.find(upstream) and self._telemetry:
-            self._telemetry.limited_send(upstream, kind)
-
     def pause_told(self, pool: ids.PoolId, upstream: ids.UpstreamId, asked_s: float | None) -> None:
         """Backs off from an upstream that turned a request away and asked for that.
 
@@ -266,12 +176,7 @@
         content = dataclasses.replace(current.content, pools=pools)
         joined = dataclasses.replace(current, content=content)
         self._traffic.mailbox.send(traffic_messages.ConfigurationChanged(joined))
-        registered = {item.upstream for item in self._directory.registrations()}
-        self._limits.keep_only(registered)
-        self._unreadable_limits &= registered
-        for limit in self._limits.in_force():
-            # An upstream that has just been added to its pool is not known there as limited.
-            self._tell_limit(limit)
+        self.limits.registered({item.upstream for item in self._directory.registrations()})
 
     async def _expire(self) -> None:
         while True:
--- a/src/cicadapier/_internal/services/engine_orders.py
+++ b/src/cicadapier/_internal/services/engine_orders.py
@@ -91,7 +91,7 @@
     async def _may_call(self, pool: ids.PoolId, engine: rollout.Engine) -> bool:
         """Waits for a grant where an engine limits the calls of all routers."""
         deadline = trio.current_time() + GRANT_WAIT_S
-        while self._directory.is_limited(engine.upstream, engine.incarnation):
+        while self._directory.limits.binds(engine.upstream, engine.incarnation):
             reply: mailbox.Reply[bool] = mailbox.Reply()
             self._traffic.mailbox.send(traffic_messages.UseGrant(pool, engine.upstream, reply))
             if await reply.get():
@@ -114,7 +114,7 @@
             self._directory.leaving_told(withdrawal, "report")
         limit = self._calls.rate_limit(head)
         if limit is not None:
-            self._directory.limit_named(engine.upstream, engine.incarnation, limit, "report")
+            self._directory.limits.named(engine.upstream, engine.incarnation, limit, "report")
 
     async def _report(
         self, target: Target, engine: rollout.Engine, address: ids.Address
@@ -124,7 +124,7 @@
         except protocol_exceptions.ProtocolError as exc:
             _log.info("report_missing", address=address, reason=str(exc))
             return None
-        self._directory.sending(engine.upstream, "report")
+        self._directory.limits.sending(engine.upstream, "report")
         try:
             head, body = await connections_service.exchange(conn, self._calls.report(), b"", CALL_S)
         except protocol_exceptions.ProtocolError as exc:
@@ -168,7 +168,7 @@
         head = self._calls.order_head(engine.upstream)
         body = self._calls.order_body(order)
         reason = ""
-        self._directory.sending(engine.upstream, "order")
+        self._directory.limits.sending(engine.upstream, "order")
         try:
             answer, _ = await connections_service.exchange(conn, head, body, CALL_S)
             self._take_word(engine, answer)
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -312,10 +312,10 @@
         upstream = placed.choice.estimate.upstream
         if not self._around.directory.may_send(upstream, placed.incarnation):
             raise attempts.AttemptFailedError(outcomes.NotSent("the upstream is leaving"))
-        if not placed.granted and self._around.directory.is_limited(upstream, placed.incarnation):
+        if not placed.granted and self._around.directory.limits.binds(upstream, placed.incarnation):
             reason = "the upstream limits the requests of all routers"
             raise attempts.AttemptFailedError(outcomes.NotSent(reason, withheld=True))
-        self._around.directory.sending(upstream, "attempt")
+        self._around.directory.limits.sending(upstream, "attempt")
 
     def _is_stream(self, attempt: attempts.Attempt, head: http_client.ResponseHead) -> bool:
         streams = self._plan.admission.route.kind is configuration.RouteKind.STREAM
@@ -407,7 +407,7 @@
         if facts.rate_limit is not None or (facts.genuine and not facts.not_run):
             # What is not the upstream's own answer need not repeat the limit.
             limit = facts.rate_limit
-            self._around.directory.limit_named(upstream, placed.incarnation, limit, "answer")
+            self._around.directory.limits.named(upstream, placed.incarnation, limit, "answer")
         weights = None
         if facts.weights is not None and self._plan.entry.model is not None:
             weights = members.Weights(self._plan.entry.model, facts.weights)
--- /dev/null
+++ b/src/cicadapier/_internal/services/known_limits.py
@@ -0,0 +1,156 @@
+"""The rate limits that upstreams have named, and who is told when another one is in force."""
+
+import collections.abc
+import random
+from typing import Protocol
+
+import structlog
+import trio
+
+from cicadapier._internal.decisions import rate_limits
+from cicadapier._internal.models import directory
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import answers
+from cicadapier._internal.services import telemetry_service
+from cicadapier._internal.services import traffic_messages
+from cicadapier._internal.services import traffic_service
+from cicadapier._internal.services import watching
+
+_log = structlog.get_logger()
+
+FindUpstream = collections.abc.Callable[[ids.UpstreamId], directory.Registration | None]
+
+
+class QuotaSink(Protocol):
+    """The service that asks for grants and issues them."""
+
+    def limit_changed(self, upstream: ids.UpstreamId) -> None:
+        """Notes that another limit of an upstream is in force, or none any more."""
+
+
+class KnownLimits:
+    """What this router knows of the limits; part of the directory, whose clock it uses."""
+
+    def __init__(self, find: FindUpstream, clock: watching.Clock, rng: random.Random) -> None:
+        """Creates it.
+
+        Args:
+            find: Returns the registration of an upstream.
+            clock: Clock that also counts time for which the machine was suspended.
+            rng: Spreads the return to upstreams whose limit is over.
+        """
+        self._find = find
+        self._clock = clock
+        self._rng = rng
+        self._limits = rate_limits.NamedLimits()
+        self._unreadable: set[ids.UpstreamId] = set()
+        self._traffic: traffic_service.TrafficService | None = None
+        self._telemetry: telemetry_service.TelemetryService | None = None
+        self._quotas: QuotaSink | None = None
+        self._peers: traffic_service.NewsSink | None = None
+
+    def connect(
+        self,
+        traffic: traffic_service.TrafficService,
+        telemetry: telemetry_service.TelemetryService,
+        quotas: QuotaSink,
+        peers: traffic_service.NewsSink,
+    ) -> None:
+        """Names the services that are told."""
+        self._traffic = traffic
+        self._telemetry = telemetry
+        self._quotas = quotas
+        self._peers = peers
+
+    def find(self, upstream: ids.UpstreamId) -> rate_limits.NamedLimit | None:
+        """Returns the limit that an upstream has in force, None where it has none."""
+        return self._limits.find(upstream)
+
+    def newest(self, upstream: ids.UpstreamId) -> rate_limits.NamedLimit | None:
+        """Returns what was heard last of an upstream's limit, also that it is over."""
+        return self._limits.newest(upstream)
+
+    def binds(self, upstream: ids.UpstreamId, incarnation: ids.Incarnation) -> bool:
+        """Returns whether a start of an upstream gets requests with a grant only."""
+        limit = self._limits.find(upstream)
+        return limit is not None and limit.incarnation == incarnation
+
+    def as_told(self, limit: rate_limits.NamedLimit) -> rate_limits.ToldLimit:
+        """Returns what another router is told of a limit."""
+        return rate_limits.told(limit, self._clock())
+
+    def news(self) -> tuple[rate_limits.ToldLimit, ...]:
+        """Returns what the peers are to be told."""
+        return self._limits.told(self._clock())
+
+    def sending(self, upstream: ids.UpstreamId, kind: str) -> None:
+        """Counts what is sent to an upstream that names a limit."""
+        if self._limits.find(upstream) and self._telemetry:
+            self._telemetry.limited_send(upstream, kind)
+
+    def named(
+        self,
+        upstream: ids.UpstreamId,
+        incarnation: ids.Incarnation,
+        limit: answers.RateLimit | None,
+        source: str,
+    ) -> None:
+        """Takes what an answer says of the rate that an upstream takes from all routers.
+
+        Args:
+            upstream: The upstream.
+            incarnation: Which start of it.
+            limit: The limit, None where the answer names none.
+            source: What was answered, for the log.
+        """
+        if limit is not None and limit.per_s is None:
+            self._count_unreadable(upstream, source)
+            return
+        per_s = limit.per_s if limit else None
+        self._take(rate_limits.NamedLimit(upstream, incarnation, per_s, self._clock()), source)
+
+    def heard(self, told: rate_limits.ToldLimit, source: str) -> None:
+        """Takes what another router has told of an upstream's limit."""
+        self._take(told.heard(self._clock()), source)
+
+    def registered(self, upstreams: collections.abc.Set[ids.UpstreamId]) -> None:
+        """Drops all upstreams but these, and tells the traffic decisions of the limits in force.
+
+        An upstream that has just been added to its pool is not known there as limited.
+        """
+        self._limits.keep_only(upstreams)
+        self._unreadable &= upstreams
+        for limit in self._limits.in_force():
+            self._tell_traffic(limit)
+
+    def _count_unreadable(self, upstream: ids.UpstreamId, source: str) -> None:
+        if self._telemetry:
+            self._telemetry.event("rate_limit_unreadable")
+        if upstream not in self._unreadable:
+            self._unreadable.add(upstream)
+            _log.info("rate_limit_unreadable", upstream=upstream, source=source)
+
+    def _take(self, limit: rate_limits.NamedLimit, source: str) -> None:
+        if not self._limits.heard(limit):
+            return
+        _log.info(
+            "rate_limit_lifted" if limit.per_s is None else "rate_limit_named",
+            upstream=limit.upstream,
+            incarnation=limit.incarnation,
+            per_s=limit.per_s,
+            source=source,
+        )
+        self._tell_traffic(limit)
+        if self._quotas:
+            self._quotas.limit_changed(limit.upstream)
+        if self._peers and limit.own:
+            self._peers.placed(urgent=True)
+
+    def _tell_traffic(self, limit: rate_limits.NamedLimit) -> None:
+        found = self._find(limit.upstream)
+        if found is None or found.incarnation != limit.incarnation or self._traffic is None:
+            return
+        back_at = trio.current_time() + rate_limits.RETURN_SPREAD_S * self._rng.random()
+        self._traffic.mailbox.offer(
+            traffic_messages.Limited(found.pool, limit.upstream, limit.per_s is not None, back_at)
+        )
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -39,8 +39,26 @@
     mailbox: mailbox.Mailbox[Any]
 
 
+class LimitNews(Protocol):
+    """What is known of the rate limits that upstreams have named."""
+
+    def news(self) -> tuple[rate_limits.ToldLimit, ...]:
+        """Returns what the peers are to be told."""
+
+    def heard(self, told: rate_limits.ToldLimit, source: str) -> None:
+        """Takes the rate limit that another router has heard an upstream name."""
+
+
 class UpstreamNews(Protocol):
-    """The service that knows what upstreams have said of themselves."""
+    """The service that knows what upstreams have said of themselves.
+
+    Attributes:
+        limits: Rate limits that they have named, None where they name none.
+    """
+
+    @property
+    def limits(self) -> LimitNews | None:
+        """See the class."""
 
     def withdrawn(self) -> tuple[withdrawals.Withdrawal, ...]:
         """Returns the upstreams that have said that they are leaving."""
@@ -48,12 +66,6 @@
     def leaving_told(self, withdrawal: withdrawals.Withdrawal, source: str) -> None:
         """Takes it that another router has heard that an upstream is leaving."""
 
-    def told_limits(self) -> tuple[rate_limits.ToldLimit, ...]:
-        """Returns the rate limits that upstreams have named."""
-
-    def limit_heard(self, told: rate_limits.ToldLimit, source: str) -> None:
-        """Takes the rate limit that another router has heard an upstream name."""
-
 
 _log = structlog.get_logger()
 
@@ -260,7 +272,8 @@
         return self._upstreams.withdrawn() if self._upstreams else ()
 
     def _limits(self) -> tuple[rate_limits.ToldLimit, ...]:
-        return self._upstreams.told_limits() if self._upstreams else ()
+        limits = self._upstreams.limits if self._upstreams else None
+        return limits.news() if limits else ()
 
     async def _take_digest(self) -> traffic_messages.Digest:
         assert self._traffic
@@ -332,9 +345,10 @@
         for withdrawal in digest.withdrawn:
             if self._upstreams:
                 self._upstreams.leaving_told(withdrawal, digest.sender)
-        for limit in digest.limits:
-            if self._upstreams:
-                self._upstreams.limit_heard(limit, digest.sender)
+        limits = self._upstreams.limits if self._upstreams else None
+        if limits:
+            for limit in digest.limits:
+                limits.heard(limit, digest.sender)
         for kept in digest.kept:
             self._traffic.mailbox.offer(traffic_messages.Kept(kept.pool, kept.pieces))
 
--- a/src/cicadapier/_internal/services/quotas_service.py
+++ b/src/cicadapier/_internal/services/quotas_service.py
@@ -104,14 +104,14 @@
         """Asks the issuers for what is wanted and has not been asked of them."""
         requests: dict[ids.VmId, list[quotas.Wanted]] = collections.defaultdict(list)
         for upstream, demand in self._demands.items():
-            limit = self._directory.limit(upstream)
+            limit = self._directory.limits.find(upstream)
             if limit is None:
                 self._askers.pop(upstream, None)
                 continue
             asker = self._askers.setdefault(upstream, quotas.Asker(self._vm))
             asked = asker.ask(self._issuers(limit), demand, now, self._refresh_s)
             for issuer, part in asked.items():
-                told = self._directory.told_limit(limit)
+                told = self._directory.limits.as_told(limit)
                 requests[issuer].append(quotas.Wanted(told, part))
         self._asked_at = now
         for issuer, wanted in requests.items():
@@ -132,8 +132,8 @@
         """Takes what a router wants, where this one issues grants for it."""
         for item in request.wanted:
             upstream = item.limit.upstream
-            self._directory.limit_heard(item.limit, request.sender)
-            limit = self._directory.limit(upstream)
+            self._directory.limits.heard(item.limit, request.sender)
+            limit = self._directory.limits.find(upstream)
             if limit is None:
                 await self._tell_lifted(upstream, [request.reply_to])
                 continue
@@ -148,7 +148,7 @@
 
     def _granted(self, grant: quotas.Grant, now: float) -> None:
         upstream = grant.limit.upstream
-        self._directory.limit_heard(grant.limit, grant.issuer)
+        self._directory.limits.heard(grant.limit, grant.issuer)
         asker = self._askers.get(upstream)
         registration = self._directory.find(upstream)
         if not grant.count or asker is None or registration is None:
@@ -161,19 +161,19 @@
 
     async def _issue(self, now: float) -> None:
         for issued in self._issuer.issue(now):
-            limit = self._directory.limit(issued.upstream)
+            limit = self._directory.limits.find(issued.upstream)
             if limit is None:
                 # The upstream is gone.
                 self._issuer.forget(issued.upstream)
                 continue
-            grant = quotas.Grant(self._vm, self._directory.told_limit(limit), issued.count)
+            grant = quotas.Grant(self._vm, self._directory.limits.as_told(limit), issued.count)
             if issued.vm == self._vm:
                 self._granted(grant, now)
             else:
                 await self._peers.tell([self._addresses[issued.vm]], grant)
 
     async def _limit_changed(self, upstream: ids.UpstreamId, now: float) -> None:
-        limit = self._directory.limit(upstream)
+        limit = self._directory.limits.find(upstream)
         if limit is not None:
             part_per_s = limit.granted_per_s / max(1, len(self._issuers(limit)))
             self._issuer.limited(upstream, part_per_s, now)
@@ -188,8 +188,8 @@
 
     async def _tell_lifted(self, upstream: ids.UpstreamId, addresses: list[ids.Address]) -> None:
         """Tells routers that an upstream names no limit any more."""
-        newest = self._directory.newest_limit(upstream)
+        newest = self._directory.limits.newest(upstream)
         if newest is None:
             return
-        grant = quotas.Grant(self._vm, self._directory.told_limit(newest), 0)
+        grant = quotas.Grant(self._vm, self._directory.limits.as_told(newest), 0)
         await self._peers.tell(addresses, grant)
--- a/src/cicadapier/_internal/services/upstreams_service.py
+++ b/src/cicadapier/_internal/services/upstreams_service.py
@@ -12,7 +12,6 @@
 from cicadapier._internal.decisions import cadence
 from cicadapier._internal.decisions import load
 from cicadapier._internal.decisions import observations
-from cicadapier._internal.decisions import rate_limits
 from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import service
@@ -58,6 +57,7 @@
     """
 
     name = names.UPSTREAMS
+    limits = None  # The upstreams of the own interface name none.
 
     def __init__(self, vm: ids.VmId, rng: random.Random) -> None:
         self._vm = vm
@@ -92,13 +92,6 @@
         """Returns nothing: each router reads in the load reports which upstreams are leaving."""
         return ()
 
-    def told_limits(self) -> tuple[rate_limits.ToldLimit, ...]:
-        """Returns nothing: the upstreams of the own interface name no limits."""
-        return ()
-
-    def limit_heard(self, told: rate_limits.ToldLimit, source: str) -> None:
-        """Ignores what others have heard; see `told_limits`."""
-
     def leaving_told(self, withdrawal: withdrawals.Withdrawal, source: str) -> None:
         """Ignores what others have heard; see `withdrawn`."""
         return
--- a/src/cicadapier/_internal/standins/users_store.py
+++ b/src/cicadapier/_internal/standins/users_store.py
@@ -22,7 +22,7 @@
 STALE_S = 3.0
 LATE_WRITE_S = 2.0
 TIMELY_EVERY = 3  # Of the writes, where most are late.
-_WATCH_POLL_S = 0.005
+_WATCH_POLL_S = 0.05  # Changes are noticed at once, faults within this time.
 _LIMITS = settings.CallerLimits(body_bytes=4_194_304, idle_timeout_s=3600.0)
 
 
@@ -101,6 +101,7 @@
         self._recent: dict[bool, collections.deque[float]] = {
             writes: collections.deque() for writes in (False, True)
         }
+        self._changed = trio.Event()
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status: "trio.TaskStatus[None]" = trio.TASK_STATUS_IGNORED) -> None:
@@ -148,6 +149,7 @@
         """Drops all changes, so that watches from before are told to list again."""
         self._events.clear()
         self._oldest = self.revision
+        self._notify()
 
     async def answer(
         self,
@@ -259,7 +261,8 @@
             if found or trio.current_time() >= deadline:
                 await responder.send_json(far_side.show_changes(found, shown))
                 return
-            await trio.sleep(_WATCH_POLL_S)
+            with trio.move_on_after(_WATCH_POLL_S):
+                await self._changed.wait()
 
     def _shown_revision(self, stale: bool) -> int:
         if not stale or StoreFault.STALE not in self.faults:
@@ -291,3 +294,8 @@
     def _record(self, kind: str, item: store_format.StoredObject, deleted: bool) -> None:
         change = store_format.Change(item, deleted)
         self._events.append(_Event(self.revision, kind, change, trio.current_time()))
+        self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
