--- a/tests/_internal/services/test_named_rate_limits.py
+++ b/tests/_internal/services/test_named_rate_limits.py
@@ -350,5 +350,76 @@
         forwarding_world.in_world(check)
 
 
+class OtherRulesTest(unittest.TestCase):
+    """What holds for all upstreams holds for limited ones."""
+
+    def test_calls_that_may_run_once_run_once_or_are_refused_as_not_run(self):
+        async def check(made):
+            await trio.sleep(3.0)
+            for name in ("desk-0", "desk-1"):
+                made.upstreams[name].rate_limit = b"3"
+            replies = {}
+
+            async def one(request, router):
+                replies[request] = await made.send(
+                    "POST", "desk", "/order/1", request=request, router=router
+                )
+
+            async with trio.open_nursery() as nursery:
+                for number in range(160):
+                    nursery.start_soon(one, f"q{number}", number % 2)
+                    await trio.sleep(0.05)
+            await trio.sleep(5.0)
+            statuses = {reply.status for reply in replies.values()}
+            self.assertEqual(statuses, {200, 503})
+            for request, reply in replies.items():
+                self.assertEqual(len(made.runs_of(request)), int(reply.status == 200))
+
+        forwarding_world.in_world(check, routers=2)
+
+    def test_runs_that_lose_their_engine_do_not_crowd_a_limited_one(self):
+        async def check(made):
+            await trio.sleep(3.0)
+            for name in ("engine-0", "engine-1"):
+                made.upstreams[name].event_s = 0.5
+
+            async def one(number):
+                await made.ask("/long/x", b"%d" % number, output_tokens=500)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(12):
+                    nursery.start_soon(one, number)
+                await trio.sleep(0.3)
+                limited = made.upstreams["engine-1"]
+                limited.rate_limit = b"0"
+                await made.ask(parts="told:10,it:5")
+                await made.ask(parts="told:10,more:5")
+                self.assertTrue(any(run.headers.get("x-kv-backup") for run in made.runs))
+                await trio.sleep(0.6)
+                lost_at = trio.current_time()
+                made.end("engine-0")
+            late = [at for at in limited.calls_at if at > lost_at]
+            self.assertLessEqual(most_in_a_window(late, lost_at), 2)
+
+        forwarding_world.in_world(check, engines=2)
+
+    def test_a_shared_prompt_moves_to_one_other_engine(self):
+        async def check(made):
+            await trio.sleep(3.0)
+            for number in range(6):
+                await made.ask(parts=f"shared:4000,x{number}:20")
+            home = made.runs[-1].upstream
+            made.upstreams[home].rate_limit = b"0"
+            await made.ask(parts="shared:4000,told:20")
+            limited_at = trio.current_time()
+            for number in range(12):
+                await made.ask(parts=f"shared:4000,y{number}:20")
+                await trio.sleep(0.1)
+            used = {run.upstream for run in made.runs if run.at > limited_at}
+            self.assertEqual(len(used - {home}), 1)
+
+        forwarding_world.in_world(check)
+
+
 if __name__ == "__main__":
     unittest.main()
