--- a/src/cicadapier/_internal/decisions/quotas.py
+++ b/src/cicadapier/_internal/decisions/quotas.py
@@ -199,17 +199,7 @@
         self._told[issuer] = self._told.get(issuer, Demand()).granted(count)
 
 
-@dataclasses.dataclass(slots=True)
-class _Waiting:
-    """A router that waits for grants.
-
-    Attributes:
-        demand: What it wants.
-        until: Time after which it has lost interest.
-    """
-
-    demand: Demand
-    until: float
+_Turns = collections.OrderedDict[ids.VmId, int]
 
 
 class _Limited:
@@ -219,26 +209,44 @@
         self.bucket = limits.TokenBucket(per_s, now, BURST_S)
         # Another router may have issued until now, so nothing is there at first.
         self.bucket.empty()
-        self.waiting: collections.OrderedDict[ids.VmId, _Waiting] = collections.OrderedDict()
-
-    def next(self, now: float) -> ids.VmId | None:
-        """Returns the router whose turn it is, None where none waits."""
-        for vm in [vm for vm, item in self.waiting.items() if item.until <= now]:
-            del self.waiting[vm]
-        for lane in ("control", "waiting", "spare"):
-            for vm, item in self.waiting.items():
-                if getattr(item.demand, lane):
-                    return vm
-        return None
-
-    def grant(self, vm: ids.VmId) -> None:
-        """Counts a grant; the router is last in turn from now on."""
+        self._kept_until: dict[ids.VmId, float] = {}
+        # Grants that each router waits for, by urgency; who waits longest is first.
+        self._control: _Turns = collections.OrderedDict()
+        self._waiting: _Turns = collections.OrderedDict()
+        self._spare: _Turns = collections.OrderedDict()
+
+    @property
+    def waiting(self) -> list[ids.VmId]:
+        """The routers that wait."""
+        return list(self._kept_until)
+
+    def want(self, vm: ids.VmId, demand: Demand, until: float) -> None:
+        """Takes what a router wants until a time; it keeps its turn."""
+        self._kept_until[vm] = until
+        _set(self._control, vm, demand.control)
+        _set(self._waiting, vm, demand.waiting)
+        _set(self._spare, vm, demand.spare)
+        if not demand.total:
+            del self._kept_until[vm]
+
+    def expire(self, now: float) -> None:
+        """Drops the routers that have lost interest."""
+        for vm in [vm for vm, until in self._kept_until.items() if until <= now]:
+            self.want(vm, Demand(), now)
+
+    def grant(self) -> ids.VmId | None:
+        """Counts a grant for the router whose turn it is, and returns it; None where none waits."""
+        lane = self._control or self._waiting or self._spare
+        if not lane:
+            return None
+        vm = next(iter(lane))
+        _set(lane, vm, lane[vm] - 1)
+        if vm in lane:
+            lane.move_to_end(vm)
+        elif not any(vm in other for other in (self._control, self._waiting, self._spare)):
+            del self._kept_until[vm]
         self.bucket.take(1.0)
-        item = self.waiting[vm]
-        item.demand = item.demand.granted(1)
-        self.waiting.move_to_end(vm)
-        if not item.demand.total:
-            del self.waiting[vm]
+        return vm
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -285,15 +293,7 @@
         if limited is None:
             limited = self._limited[upstream] = _Limited(per_s, now)
         limited.bucket.set_rate(per_s, now)
-        if not demand.total:
-            limited.waiting.pop(vm, None)
-            return
-        known = limited.waiting.get(vm)
-        if known is None:
-            limited.waiting[vm] = _Waiting(demand, now + kept_s)
-            return
-        known.demand = demand
-        known.until = now + kept_s
+        limited.want(vm, demand, now + kept_s)
 
     def limited(self, upstream: ids.UpstreamId, per_s: float, now: float) -> None:
         """Takes another rate for an upstream for which this router issues."""
@@ -304,7 +304,7 @@
     def waiting(self, upstream: ids.UpstreamId) -> list[ids.VmId]:
         """Returns the routers that wait for grants for an upstream."""
         limited = self._limited.get(upstream)
-        return list(limited.waiting) if limited else []
+        return limited.waiting if limited else []
 
     def forget(self, upstream: ids.UpstreamId) -> None:
         """Issues no more for an upstream."""
@@ -318,11 +318,8 @@
         """Returns the grants that are due now, one entry a router and upstream."""
         counts: collections.Counter[tuple[ids.VmId, ids.UpstreamId]] = collections.Counter()
         for upstream, limited in self._limited.items():
-            while limited.bucket.wait_s(1.0, now) == 0:
-                vm = limited.next(now)
-                if vm is None:
-                    break
-                limited.grant(vm)
+            limited.expire(now)
+            while limited.bucket.wait_s(1.0, now) == 0 and (vm := limited.grant()) is not None:
                 counts[vm, upstream] += 1
         return [Issued(vm, upstream, count) for (vm, upstream), count in counts.items()]
 
@@ -332,6 +329,13 @@
         return now + min(waits, default=math.inf)
 
 
+def _set(turns: "_Turns", vm: ids.VmId, count: int) -> None:
+    if count:
+        turns[vm] = count
+    else:
+        turns.pop(vm, None)
+
+
 def _spread(count: int, parts: int, first: int) -> list[int]:
     """Returns a number in parts that differ by one at most, the larger ones from `first` on."""
     least, rest = divmod(count, parts)
