Work out the issuers once for each set of routers, and tell them only what was heard here

Each look at what is wanted hashed all routers for each limited upstream, and each router that was told that a limit is over told all issuers again. Nothing is decided otherwise. The log says upstream where it said slot.

--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -219,7 +219,7 @@
         decisions: list[entries.Decision] = []
         for pool_id, state in self.pools.items():
             for ticket in state.queue.shed(now):
-                message = f"no slot of {pool_id} became free in time"
+                message = f"no upstream of {pool_id} had room in time"
                 entry = self.attempts.active[ticket.request].entry
                 wait_s = state.queue.expected_wait_s(ticket.service_class, entry.account, now)
                 back_s = returns.come_back_s(wait_s, entry.request)
--- a/src/cicadapier/_internal/services/cluster_service.py
+++ b/src/cicadapier/_internal/services/cluster_service.py
@@ -97,7 +97,8 @@
     def addresses(self) -> dict[ids.VmId, ids.Address]:
         """Returns the peer addresses of all routers that the store has shown, none before that.
 
-        All routers that reach the store see the same, also those that cannot reach each other.
+        It is another mapping after each change. All routers that reach the store see the same,
+        also those that cannot reach each other.
         """
         return self._addresses
 
@@ -139,7 +140,9 @@
         self.changed_event.set()
         self.changed_event = trio.Event()
         found = [_read(item.spec) for item in self._objects.values()]
-        self._addresses = {ids.VmId(e.vm): ids.Address(e.address) for e in found if e}
+        addresses = {ids.VmId(e.vm): ids.Address(e.address) for e in found if e}
+        if addresses != self._addresses:
+            self._addresses = addresses
         if self._peers:
             others = [a for vm, a in self._addresses.items() if vm != self._vm]
             self._peers.set_seeds(others)
--- a/src/cicadapier/_internal/services/quotas_service.py
+++ b/src/cicadapier/_internal/services/quotas_service.py
@@ -52,8 +52,10 @@
         self._issuer = quotas.Issuer()
         self._demands: dict[ids.UpstreamId, quotas.Demand] = {}
         self._askers: dict[ids.UpstreamId, quotas.Asker] = {}
-        self._addresses: dict[ids.VmId, ids.Address] = {}
+        self._reply_to: dict[ids.VmId, ids.Address] = {}
         self._asked_at = -math.inf
+        self._ranked_routers: dict[ids.VmId, ids.Address] | None = None
+        self._known_ranks: dict[ids.UpstreamId, list[ids.VmId]] = {}
 
     def wanted(self, demands: dict[ids.UpstreamId, quotas.Demand]) -> None:
         """Takes what this router wants for each limited upstream beside what it holds."""
@@ -97,8 +99,18 @@
 
     def _issuers(self, limit: rate_limits.NamedLimit) -> list[ids.VmId]:
         """Returns the routers that issue grants for an upstream, all routers alike."""
-        ranked = quotas.ranked(limit.upstream, self._cluster.addresses())
-        return ranked[: quotas.issuer_count(limit.granted_per_s)]
+        return self._ranked(limit.upstream)[: quotas.issuer_count(limit.granted_per_s)]
+
+    def _ranked(self, upstream: ids.UpstreamId) -> list[ids.VmId]:
+        """Returns the routers that may issue grants, worked out once for each set of routers."""
+        routers = self._cluster.addresses()
+        if routers is not self._ranked_routers:
+            self._ranked_routers = routers
+            self._known_ranks.clear()
+        found = self._known_ranks.get(upstream)
+        if found is None:
+            found = self._known_ranks[upstream] = quotas.ranked(upstream, routers)
+        return found
 
     async def _ask(self, now: float) -> None:
         """Asks the issuers for what is wanted and has not been asked of them."""
@@ -141,7 +153,7 @@
             if self._vm not in chosen:
                 _log.debug("grants_not_issued_here", upstream=upstream, peer=request.sender)
                 continue
-            self._addresses[request.sender] = request.reply_to
+            self._reply_to[request.sender] = request.reply_to
             part_per_s = limit.granted_per_s / len(chosen)
             kept_s = self._refresh_s * quotas.KEPT_REFRESHES
             self._issuer.wanted(request.sender, upstream, item.demand, part_per_s, now, kept_s)
@@ -170,7 +182,7 @@
             if issued.vm == self._vm:
                 self._granted(grant, now)
             else:
-                await self._peers.tell([self._addresses[issued.vm]], grant)
+                await self._peers.tell([self._reply_to[issued.vm]], grant)
 
     async def _limit_changed(self, upstream: ids.UpstreamId, now: float) -> None:
         limit = self._directory.limits.find(upstream)
@@ -178,13 +190,18 @@
             part_per_s = limit.granted_per_s / max(1, len(self._issuers(limit)))
             self._issuer.limited(upstream, part_per_s, now)
             return
-        waiting = [vm for vm in self._issuer.waiting(upstream) if vm != self._vm]
+        await self._lifted(upstream)
+
+    async def _lifted(self, upstream: ids.UpstreamId) -> None:
+        """Tells the routers that wait for grants, and the issuers of what was heard here."""
+        told = {self._reply_to[vm] for vm in self._issuer.waiting(upstream)}
+        newest = self._directory.limits.newest(upstream)
+        if newest is not None and newest.own:
+            addresses = self._cluster.addresses()
+            told.update(addresses[vm] for vm in self._ranked(upstream))
         self._issuer.forget(upstream)
         self._askers.pop(upstream, None)
-        addresses = self._cluster.addresses()
-        issuers = [vm for vm in quotas.ranked(upstream, addresses) if vm != self._vm]
-        told = {self._addresses[vm] for vm in waiting} | {addresses[vm] for vm in issuers}
-        await self._tell_lifted(upstream, sorted(told))
+        await self._tell_lifted(upstream, sorted(told - {self._peers.address}))
 
     async def _tell_lifted(self, upstream: ids.UpstreamId, addresses: list[ids.Address]) -> None:
         """Tells routers that an upstream names no limit any more."""
