--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -474,6 +474,7 @@
             self._outcome,
             self._sequence.attempts,
             self._progress.relayed_events,
+            self._progress.attempt_events,
             self._answer_began_at,
             self._dependencies.configuration.proof_age_s,
             self._services.retry_budget.remaining(plan.pool, now),
--- a/src/cicadapier/_internal/services/forwarded_log.py
+++ b/src/cicadapier/_internal/services/forwarded_log.py
@@ -9,6 +9,9 @@
 from cicadapier._internal.models import outcomes
 from cicadapier._internal.services import forwarded_plan
 
+MAX_LOGGED_PARTS = 8
+MAX_LOGGED_NAME = 32  # Callers choose the names of parts, so their length is not bounded.
+
 _log = structlog.get_logger()
 
 
@@ -20,6 +23,7 @@
         outcome: Outcome of the request.
         attempts: Number of attempts that have ended.
         relayed_events: Number of events that were relayed to the caller.
+        attempt_events: Number of those that the current attempt has relayed.
         answer_began_at: Time of trio's clock at which the answer began; None before that.
         proof_age_s: Age of the proof that the configuration is the newest.
         remaining_retries: Retries that the retry budget of the pool still allows.
@@ -29,6 +33,7 @@
     outcome: str
     attempts: int
     relayed_events: int
+    attempt_events: int
     answer_began_at: float | None
     proof_age_s: float
     remaining_retries: float
@@ -51,6 +56,8 @@
         outcome=type(outcome).__name__,
         reason=getattr(outcome, "reason", ""),
         relayed=summary.relayed_events,
+        attempt_events=summary.attempt_events,
+        parts=_shared_parts(plan),
         backup=placed.backup,
         continuable=getattr(outcome, "continuable", False),
         crashed=getattr(outcome, "crashed", False),
@@ -98,6 +105,7 @@
         estimate_ms=round(estimate.total_s * 1000) if estimate else None,
         cached_pieces=estimate.cached_pieces if estimate else None,
         imported_pieces=estimate.imported_pieces if estimate else None,
+        parts=_shared_parts(plan),
         weights=placed.weights if placed else None,
         queued_ms=round(placed.queued_s * 1000) if placed else None,
         first_ms=first_ms,
@@ -108,3 +116,10 @@
         config=plan.admission.cfg.number,
         proof_age_s=round(summary.proof_age_s, 3),
     )
+
+
+def _shared_parts(plan: forwarded_plan.Plan) -> list[str]:
+    """Returns the names of the prompt's parts but the last, which belongs to the request alone."""
+    work = plan.forwarded.work
+    shared = work.parts[:-1] if work else ()
+    return [part.name[:MAX_LOGGED_NAME] for part in shared[:MAX_LOGGED_PARTS]]
--- a/src/cicadapier/_internal/services/forwarded_progress.py
+++ b/src/cicadapier/_internal/services/forwarded_progress.py
@@ -15,6 +15,7 @@
         placed: Placement of the current attempt; None before the first.
         last_event_number: Number of the last event that the caller has; None before the first.
         relayed_events: Number of events that were relayed.
+        attempt_events: Number of events that the current attempt has relayed.
         weights_changed: Whether an event announced other weights.
         last_progress_at: Time of trio's clock of the last progress of the current attempt.
     """
@@ -23,6 +24,7 @@
         self.placed: routing.Placed | None = None
         self.last_event_number = resume_after
         self.relayed_events = 0
+        self.attempt_events = 0
         self.weights_changed = False
         self.last_progress_at = trio.current_time()
 
@@ -41,6 +43,7 @@
     def begin_attempt(self, placed: routing.Placed) -> None:
         """Records the start of an attempt."""
         self.placed = placed
+        self.attempt_events = 0
         self.record_progress()
 
     def record_progress(self) -> None:
@@ -59,6 +62,7 @@
                 break
             self.last_event_number = event.number
             self.relayed_events += 1
+            self.attempt_events += 1
             weights = wire_format.read_event_weights(event.raw)
             self.weights_changed = self.weights_changed or weights is not None
             accepted.append(event)
