--- a/src/cicadapier/_internal/standins/forwarding_deployment.py
+++ b/src/cicadapier/_internal/standins/forwarding_deployment.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 import random
 from typing import Any
 
@@ -33,6 +34,7 @@
     body_bytes=4_194_304, header_timeout_s=3.0, idle_timeout_s=15.0
 )
 SLOTS = 8
+RESTART_S = 2.0  # Time from the crash of an upstream until it is back.
 DRAIN_S = 7.7
 _DOCUMENT_FORMAT = documents.DocumentFormat()
 
@@ -86,6 +88,7 @@
         accounts: Accounts of the next configuration.
         pools: Pools of the next configuration.
         caller_limits: Caller limits of the next configuration.
+        crashes: Time and name of the upstream of each crash, in order.
     """
 
     def __init__(
@@ -118,6 +121,7 @@
         self._scopes: dict[str, trio.CancelScope] = {}
         self._config_number = 1
         self._start_count = 0
+        self.crashes: list[tuple[float, str]] = []
         self._nursery: trio.Nursery | None = None
 
     async def start(
@@ -189,6 +193,7 @@
         upstream = forwarding_upstream.ForwardingUpstream(
             self.network, entry, self.runs, self.backups, model
         )
+        upstream.crash = functools.partial(self.crash, name)
         self.upstreams[name] = upstream
         address = await self._start(name, upstream.run)
         upstream.entry = dataclasses.replace(entry, address=address)
@@ -214,6 +219,24 @@
             self.upstreams[name].has_stopped = True
         self._scopes[name].cancel()
 
+    def crash(self, name: str) -> None:
+        """Stops an upstream abruptly and starts it again as another incarnation."""
+        if self.upstreams[name].has_stopped:
+            return
+        assert self._nursery
+        self.crashes.append((trio.current_time(), name))
+        self.stop(name)
+        self._nursery.start_soon(self._restart_upstream, name)
+
+    async def _restart_upstream(self, name: str) -> None:
+        await trio.sleep(RESTART_S)
+        upstream = self.upstreams[name]
+        incarnation = ids.Incarnation(f"{name}@{1 + len(self.crashes)}")
+        upstream.entry = dataclasses.replace(upstream.entry, incarnation=incarnation)
+        upstream.has_stopped = False
+        await self._start(name, upstream.run)
+        self.register(upstream.entry)
+
     async def start_router(self, index: int) -> forwarding_assembly.ForwardingRouter:
         """Starts a router on the VM with an index."""
         vm = ids.VmId(f"vm-{index}")
--- a/src/cicadapier/_internal/standins/forwarding_upstream.py
+++ b/src/cicadapier/_internal/standins/forwarding_upstream.py
@@ -161,6 +161,8 @@
             accept requests.
         rate_limit: Rate limit that it announces in all answers; None to announce none.
         completed_runs: Number of runs by request that were answered to the end.
+        crash_parts: Names of prompt parts on which it crashes as it begins an answer.
+        crash: Ends its process; needed only with `crash_parts`.
         entry: Registration of the upstream.
     """
 
@@ -186,6 +188,8 @@
         self.retry_after: bytes | None = None
         self.rate_limit: bytes | None = None
         self.completed_runs: collections.Counter[str] = collections.Counter()
+        self.crash_parts: set[str] = set()
+        self.crash: collections.abc.Callable[[], None] | None = None
         self.entry = entry
         self._accepted_orders = 0
         self._loading_until = 0.0
@@ -355,6 +359,13 @@
         if UpstreamFault.LOSES_ANSWERS in self.faults:
             raise _InjectedCloseError("answer lost")
 
+    async def _crash_on_poison(self, req: http_server.Request) -> None:
+        parts = _read_header(req, wire_headers.PROMPT_PARTS).split(",")
+        names = {part.rpartition(":")[0] for part in parts}
+        if self.crash and names & self.crash_parts:
+            self.crash()
+            await trio.sleep_forever()
+
     async def _stream(
         self, req: http_server.Request, responder: http_server.Responder, request: str
     ) -> None:
@@ -369,6 +380,7 @@
         if backup_to:
             self._backups.weights[backup_to, request] = self.weights
         await responder.start(http.HTTPStatus.OK, headers)
+        await self._crash_on_poison(req)
         await trio.sleep(self.first_event_delay_s)
         for number in range(first_number, self.events + 1):
             await trio.sleep(self.event_interval_s)
