Find the prompt part that crashes engines over all routers, and suspect no run that had produced output

Cause: evidence was a digest of the whole request, and no two of these requests are alike, so it never added up; and all that ran on an engine became a suspect, though an engine crashes as it begins an answer (12 of 13 runs lost at the first crash were past it). Ruled out: repeats alone.

--- a/src/cicadapier/_internal/decisions/in_flight.py
+++ b/src/cicadapier/_internal/decisions/in_flight.py
@@ -38,6 +38,7 @@
         hedge: Second attempt beside a silent current one, which it replaces once it is answered.
         backup: Location of the backup of its run, if any.
         failed_upstreams: Upstreams at which attempts have failed.
+        is_trial: Whether it tries a blocked part of its prompt.
     """
 
     request_spec: routing.RequestSpec
@@ -47,6 +48,7 @@
     hedge: Attempt | None = None
     backup: backups.Backup | None = None
     failed_upstreams: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
+    is_trial: bool = False
 
     @property
     def attempts(self) -> list[Attempt]:
--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -1,6 +1,7 @@
 """Placement of the attempts at active requests, and handling of their outcomes."""
 
 import collections.abc
+import http
 import math
 
 from cicadapier._internal.decisions import backups
@@ -63,11 +64,22 @@
         return any_usable
 
     def place(
-        self, state: observations.PoolState, active: in_flight.ActiveRequest, now: float
+        self,
+        state: observations.PoolState,
+        active: in_flight.ActiveRequest,
+        now: float,
+        isolated: bool = True,
     ) -> routing.Decision:
-        """Places the next attempt at a request; call `refresh` first."""
+        """Places the next attempt at a request; call `refresh` first.
+
+        Args:
+            state: State of its pool.
+            active: The request.
+            now: Current time.
+            isolated: Whether a suspect needs an upstream that runs no other suspect.
+        """
         request_spec = active.request_spec
-        choice = self._choose(state, active, active.failed_upstreams, now)
+        choice = self._choose(state, active, active.failed_upstreams, now, isolated)
         if (
             choice is None
             and active.failed_upstreams
@@ -99,7 +111,7 @@
         if active is None or state is None or active.attempt is None or active.hedge:
             return None
         self._count_silence(state, active.attempt, now)
-        if self.poison.is_blocked(active.request_spec.fingerprint, now):
+        if self.poison.find_block(active.request_spec.subject, now):
             return None
         self.refresh(state, active.request_spec, now)
         exclude = {*active.failed_upstreams, active.attempt.estimate.upstream}
@@ -117,7 +129,7 @@
         request: ids.RequestId,
         outcome: outcomes.AttemptOutcome | None,
         now: float,
-    ) -> poison.Crash | None:
+    ) -> poison.Evidence | None:
         """Handles the end of a hedge that did not replace the current attempt.
 
         Args:
@@ -137,7 +149,7 @@
 
     def hedge_won(
         self, request: ids.RequestId, former: outcomes.AttemptOutcome, now: float
-    ) -> poison.Crash | None:
+    ) -> poison.Evidence | None:
         """Replaces the current attempt at a request with its hedge.
 
         Args:
@@ -181,6 +193,8 @@
         state = self._pools.get(request_spec.pool)
         if state is None or backup is None:
             return refuse(request_spec, outcomes.RefusalCode.NO_UPSTREAM, "the run has no backup")
+        if (block := self.poison.find_block(request_spec.subject, now)) is not None:
+            return refuse_blocked(request_spec, block)
         self.refresh(state, request_spec, now)
         if not backups.can_continue(state.policy.members, backup):
             message = f"the backup of the run at {backup.upstream} cannot be used"
@@ -195,7 +209,7 @@
 
     def attempt_ended(
         self, request: ids.RequestId, outcome: outcomes.AttemptOutcome, now: float
-    ) -> poison.Crash | None:
+    ) -> poison.Evidence | None:
         """Handles the outcome of the current attempt at a request.
 
         Returns:
@@ -245,9 +259,10 @@
         active: in_flight.ActiveRequest,
         exclude: collections.abc.Iterable[ids.UpstreamId],
         now: float,
+        isolated: bool = True,
     ) -> members.Choice | None:
         excluded = frozenset(exclude)
-        if self.poison.is_suspect(active.request_spec.fingerprint, now):
+        if isolated and self.poison.is_suspect(active.request_spec.fingerprint, now):
             # A crash of an upstream that runs two suspects cannot be attributed to one of them.
             excluded |= self.suspect_upstreams(now)
         usable = set(state.policy.usable(excluded))
@@ -353,7 +368,7 @@
         attempt: in_flight.Attempt,
         outcome: outcomes.AttemptOutcome | None,
         now: float,
-    ) -> poison.Crash | None:
+    ) -> poison.Evidence | None:
         upstream = attempt.estimate.upstream
         release_capacity(state, active, attempt, now)
         if outcome is None:
@@ -363,7 +378,8 @@
             state.health.record_success(upstream)
             if upstream in state.policy.members:
                 state.policy.members[upstream].record_answer()
-            self.poison.clear(active.request_spec.fingerprint)
+            if outcome.status < http.HTTPStatus.BAD_REQUEST:
+                self.poison.record_output(active.request_spec.subject, now)
             return None
         if isinstance(outcome, outcomes.NotSent) and outcome.withheld:
             _forget_pieces(state, active, upstream)
@@ -379,7 +395,7 @@
         attempt: in_flight.Attempt,
         outcome: outcomes.AttemptOutcome,
         now: float,
-    ) -> poison.Crash | None:
+    ) -> poison.Evidence | None:
         if isinstance(outcome, outcomes.RefusedBeforeRunning):
             return None
         crashed = unreachable = False
@@ -393,10 +409,20 @@
             _forget_pieces(state, active, upstream)
         elif isinstance(state.policy, placement.PrefixPlacement):
             state.policy.cache_index.forget(upstream)
-        if not crashed:
+        is_answering = isinstance(outcome, outcomes.Broken)
+        if not crashed or (isinstance(outcome, outcomes.Broken) and outcome.had_output):
+            # An upstream crashes as it begins an answer, so a run with output is no suspect.
             return None
-        crash = poison.Crash(active.request_spec.fingerprint, upstream, attempt.incarnation)
-        return crash if self.poison.record_crash(crash, now) else None
+        crash = poison.Crash(
+            active.request_spec.fingerprint,
+            upstream,
+            attempt.incarnation,
+            self.poison.choose_parts(active.request_spec.parts),
+            is_answering,
+            now - attempt.started_at,
+        )
+        evidence = poison.Evidence(crash)
+        return evidence if self.poison.record_crash(evidence, now) else None
 
 
 def awaits_grant(state: observations.PoolState) -> bool:
@@ -414,13 +440,18 @@
     return min([*pauses, DEFAULT_RETRY_AFTER_S])
 
 
-def refuse_blocked(request_spec: routing.RequestSpec) -> routing.Refused:
+def refuse_blocked(request_spec: routing.RequestSpec, block: poison.Block) -> routing.Refused:
     """Returns the refusal of a request that crashes upstreams."""
     message = (
         "this request was running on two upstreams when they crashed; "
         "it is blocked and was not run again"
     )
-    return refuse(request_spec, outcomes.RefusalCode.POISON, message)
+    if block.part is not None:
+        message = (
+            f"the part {block.part} of the prompt has crashed {block.crashes} upstreams; "
+            "requests with it are blocked"
+        )
+    return refuse(request_spec, outcomes.RefusalCode.POISON, message, block.retry_after_s)
 
 
 def refuse(
--- a/src/cicadapier/_internal/decisions/prefix.py
+++ b/src/cicadapier/_internal/decisions/prefix.py
@@ -12,6 +12,7 @@
 from cicadapier._internal.models import ids
 
 _DIGEST_BYTES = 16
+_MAX_NAME = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,6 +74,24 @@
     tokens: int
 
 
+def part_id(owner: ids.AccountId, model: ids.ModelId, part: Part) -> ids.PartId:
+    """Returns the id of a part wherever it stands in a prompt.
+
+    Args:
+        owner: Account that shares its parts with no other; empty for all others together.
+        model: The model.
+        part: The part.
+    """
+    return ids.PartId(f"{owner}|{_bounded(model)}|{_bounded(part.name)}")
+
+
+def _bounded(name: str) -> str:
+    """Returns a name that a caller chose, or its hash if it is long."""
+    if len(name) <= _MAX_NAME:
+        return name
+    return hashlib.blake2b(name.encode(), digest_size=_DIGEST_BYTES).hexdigest()
+
+
 def uniform_prompt(pieces: tuple[ids.PieceId, ...], piece_tokens: int, total_tokens: int) -> Prompt:
     """Returns a prompt in which all pieces have the same size."""
     return Prompt(pieces, (piece_tokens,) * len(pieces), total_tokens)
--- a/src/cicadapier/_internal/decisions/routing.py
+++ b/src/cicadapier/_internal/decisions/routing.py
@@ -27,6 +27,7 @@
         max_wait_s: Maximum time in the queue; None for the default of its pool.
         default_account: Settings for a caller without an account; None where it must have one.
         needs_backup: Whether the memory of its run is to be backed up.
+        parts: Shared parts of its prompt, by which it is blocked if one of them crashes upstreams.
     """
 
     request: ids.RequestId
@@ -40,6 +41,12 @@
     max_wait_s: float | None = None
     default_account: configuration.Account | None = None
     needs_backup: bool = False
+    parts: tuple[ids.PartId, ...] = ()
+
+    @property
+    def subject(self) -> poison.Subject:
+        """The request as the poison detector knows it."""
+        return poison.Subject(self.fingerprint, self.parts)
 
     @property
     def memory_tokens(self) -> int:
@@ -87,7 +94,7 @@
     """
 
     placed: Placed
-    crash: poison.Crash | None = None
+    crash: poison.Evidence | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,10 +124,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Explained:
-    """The upstream that would be chosen, and the estimate for each candidate."""
+    """The upstream that would be chosen, and the estimate for each candidate.
+
+    Attributes:
+        choice: The choice.
+        candidates: Estimate for each candidate.
+        blocked: Why the request would be refused all the same; empty if it would run.
+    """
 
     choice: members.Choice
     candidates: tuple[members.Estimate, ...]
+    blocked: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -27,7 +27,7 @@
 from cicadapier._internal.models import outcomes
 
 MAX_ACTIVE_REQUESTS = 10_000
-MAX_ISOLATION_WAIT_S = 1.5  # Longest wait of a suspect for an upstream without another suspect.
+MAX_ISOLATION_WAIT_S = 0.5  # Longest wait of a suspect for an upstream without another suspect.
 TOKENLESS_REQUEST_COST = 1  # Queueing cost of a request without tokens.
 
 
@@ -116,8 +116,10 @@
                 request_spec, outcomes.RefusalCode.NOT_FOUND, "the account or pool no longer exists"
             )
         state.request_rate.add(1.0, now)
-        if self.poison.is_blocked(request_spec.fingerprint, now):
-            return placer.refuse_blocked(request_spec)
+        block = self.poison.find_block(request_spec.subject, now)
+        is_trial = block is not None and self.poison.begin_trial(block, now)
+        if block is not None and not is_trial:
+            return placer.refuse_blocked(request_spec, block)
         usable = self.attempts.refresh(state, request_spec, now)
         if not usable and not placer.awaits_grant(state):
             message = f"no upstream of {request_spec.pool} can accept requests now"
@@ -148,7 +150,7 @@
                 message,
                 retry_after_s=verdict.retry_after_s,
             )
-        active = in_flight.ActiveRequest(request_spec, account, now)
+        active = in_flight.ActiveRequest(request_spec, account, now, is_trial=is_trial)
         self.attempts.active[request_spec.request] = active
         if len(state.queue) or not state.policy.has_capacity(request_spec.memory_tokens):
             self._enqueue(state, active, now)
@@ -159,9 +161,9 @@
         """Chooses another upstream for a request whose attempt has failed.
 
         Returns:
-            The decision, or None if the request has to wait for a grant or for isolation: a suspect
-            runs only on an upstream without another suspect, because a crash with two suspects
-            would not show which of them caused it.
+            The decision, or None if the request has to wait for a grant or for isolation: if
+            possible, a suspect runs on an upstream without another suspect, because a crash with
+            two suspects would not show which of them caused it.
         """
         active = self.attempts.active[request]
         state = self.pools.get(active.request_spec.pool)
@@ -169,8 +171,9 @@
             return placer.refuse(
                 active.request_spec, outcomes.RefusalCode.NO_UPSTREAM, "the pool no longer exists"
             )
-        if self.poison.is_blocked(active.request_spec.fingerprint, now):
-            return placer.refuse_blocked(active.request_spec)
+        block = self.poison.find_block(active.request_spec.subject, now)
+        if block is not None:
+            return placer.refuse_blocked(active.request_spec, block)
         usable = self.attempts.refresh(state, active.request_spec, now)
         if not usable and placer.awaits_grant(state):
             self._enqueue(state, active, now)
@@ -214,6 +217,7 @@
         Returns:
             An export that is worth its cost, if any.
         """
+        self.record_output(request, now)
         active = self.attempts.active.get(request)
         if active is None or active.attempt is None:
             return None
@@ -228,6 +232,12 @@
         pieces = state.policy.record_first_token(estimate, active.request_spec.prompt, first, now)
         return routing.Export(active.request_spec.pool, upstream, pieces) if pieces else None
 
+    def record_output(self, request: ids.RequestId, now: float) -> None:
+        """Records that an attempt at a request has produced output."""
+        active = self.attempts.active.get(request)
+        if active is not None:
+            self.poison.record_output(active.request_spec.subject, now)
+
     def poll(self, now: float) -> list[routing.Decision]:
         """Returns decisions on waiting requests that can now be placed or have timed out."""
         decisions: list[routing.Decision] = []
@@ -268,7 +278,9 @@
         choice = state.policy.choose(req, now)
         if choice is None:
             return None
-        return routing.Explained(choice, tuple(state.policy.estimates(req, now)))
+        block = self.poison.find_block(request_spec.subject, now)
+        blocked = placer.refuse_blocked(request_spec, block).refusal.message if block else ""
+        return routing.Explained(choice, tuple(state.policy.estimates(req, now)), blocked)
 
     def grant_demands(self, now: float) -> dict[ids.UpstreamId, quotas.Demand]:
         """Returns the demand for further grants for each rate-limited upstream."""
@@ -318,6 +330,10 @@
             if not usable or not state.policy.has_capacity(active.request_spec.memory_tokens):
                 break
             state.queue.pop(now)
+            block = self.poison.find_block(active.request_spec.subject, now)
+            if block is not None and not active.is_trial:
+                decisions.append(placer.refuse_blocked(active.request_spec, block))
+                continue
             decisions.append(self.attempts.place(state, active, now))
         return decisions
 
@@ -331,11 +347,10 @@
                 self._isolation_deadlines[request] = deadline
                 continue
             if decision is None:
+                # Rather beside another suspect than not at all.
                 del self._isolation_deadlines[request]
-                message = "no upstream without another suspect became available in time"
-                decision = placer.refuse(
-                    active.request_spec, outcomes.RefusalCode.NO_UPSTREAM, message, 1.0
-                )
+                state = self.pools[active.request_spec.pool]
+                decision = self.attempts.place(state, active, now, isolated=False)
             decisions.append(decision)
         return decisions
 
--- a/src/cicadapier/_internal/models/outcomes.py
+++ b/src/cicadapier/_internal/models/outcomes.py
@@ -166,6 +166,7 @@
         continuable: Whether the run can be continued from a backup of its memory.
         unreachable: Whether no connection to the upstream can be opened, possibly because of the
             network.
+        had_output: Whether this attempt had produced output, and so did not crash its upstream.
     """
 
     reason: str
@@ -173,6 +174,7 @@
     crashed: bool
     continuable: bool = False
     unreachable: bool = False
+    had_output: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -186,6 +188,13 @@
     status: int
 
 
+def mark_output(outcome: "AttemptOutcome", had_output: bool) -> "AttemptOutcome":
+    """Returns the outcome with the fact whether its attempt had produced output."""
+    if not isinstance(outcome, Broken):
+        return outcome
+    return dataclasses.replace(outcome, had_output=had_output)
+
+
 AttemptOutcome = NotSent | RefusedBeforeRunning | SentNoAnswer | Broken | Complete
 
 
--- a/src/cicadapier/_internal/protocols/peer_codec.py
+++ b/src/cicadapier/_internal/protocols/peer_codec.py
@@ -12,6 +12,7 @@
 from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import peers_pb2
+from cicadapier._internal.protocols import poison_codec
 from cicadapier._internal.protocols import quota_codec
 
 # Maximum numbers of entries in the lists of a digest.
@@ -19,6 +20,7 @@
 MAX_ACCOUNTS = 512
 MAX_SENDS = 2048
 MAX_CRASHES = 128
+MAX_SOUND = 64
 MAX_PIECES = 4096  # Pieces beyond this number in one export or placement are ignored.
 PIECE_ID_BYTES = 16
 
@@ -34,11 +36,12 @@
         heartbeats: Heartbeats of the sender and of a sample of the routers that it can reach.
         use: Use of each account through the sender.
         sends: Total work that the sender has sent to each upstream since it started.
-        crashes: Most recent evidence against requests that crash upstreams.
+        crashes: Evidence against requests and prompt parts that crash upstreams.
         exports: Most recent exports of pieces to keeps (external KV stores).
         placed: Most recent prompts that the sender has sent, oldest first.
         withdrawn: Upstreams that have announced that they are leaving.
         limit_notices: Rate limits that upstreams have announced.
+        sound: Suspects that have produced output since a crash.
     """
 
     sender: ids.VmId
@@ -47,11 +50,12 @@
     heartbeats: tuple[membership.Heartbeat, ...] = ()
     use: dict[ids.AccountId, limits.RemoteUse] = dataclasses.field(default_factory=dict)
     sends: tuple[peer_updates.SentWork, ...] = ()
-    crashes: tuple[poison.Crash, ...] = ()
+    crashes: tuple[poison.Evidence, ...] = ()
     exports: tuple[peer_updates.KeptPieces, ...] = ()
     placed: tuple[peer_updates.PlacedPieces, ...] = ()
     withdrawn: tuple[withdrawals.Withdrawal, ...] = ()
     limit_notices: tuple[rate_limits.LimitNotice, ...] = ()
+    sound: tuple[poison.SoundCause, ...] = ()
 
 
 def encode_digest(digest: Digest) -> peers_pb2.Digest:
@@ -76,14 +80,7 @@
             )
             for work in digest.sends[:MAX_SENDS]
         ],
-        crashes=[
-            peers_pb2.Crash(
-                fingerprint=crash.fingerprint,
-                upstream=crash.upstream,
-                incarnation=crash.incarnation,
-            )
-            for crash in digest.crashes[:MAX_CRASHES]
-        ],
+        crashes=[poison_codec.encode_evidence(item) for item in digest.crashes[:MAX_CRASHES]],
         kept=[
             peers_pb2.KeptPieces(pool=export.pool, pieces=export.pieces)
             for export in digest.exports
@@ -105,6 +102,7 @@
             quota_codec.encode_limit_notice(notice)
             for notice in digest.limit_notices[: rate_limits.MAX_NOTICES]
         ],
+        sound=[poison_codec.encode_sound(item) for item in digest.sound[:MAX_SOUND]],
     )
 
 
@@ -128,14 +126,7 @@
             )
             for work in message.sends[:MAX_SENDS]
         ),
-        tuple(
-            poison.Crash(
-                ids.Fingerprint(crash.fingerprint),
-                ids.UpstreamId(crash.upstream),
-                ids.Incarnation(crash.incarnation),
-            )
-            for crash in message.crashes[:MAX_CRASHES]
-        ),
+        tuple(poison_codec.decode_evidence(item) for item in message.crashes[:MAX_CRASHES]),
         tuple(_decode_export(export) for export in message.kept),
         tuple(
             _decode_placement(placement) for placement in message.placed[: peer_updates.MAX_PLACED]
@@ -150,6 +141,7 @@
             quota_codec.decode_limit_notice(limit)
             for limit in message.rate_limits[: rate_limits.MAX_NOTICES]
         ),
+        tuple(poison_codec.decode_sound(item) for item in message.sound[:MAX_SOUND]),
     )
 
 
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -182,7 +182,7 @@
             else:
                 outcome = await self._receive_whole(attempt, head)
         except attempts.AttemptFailedError as exc:
-            outcome = self._mark_continuable(exc.outcome)
+            outcome = self._mark_continuable(self._mark_output(exc.outcome))
         except attempts.AttemptSupersededError as exc:
             outcome = await self._supersede(exc)
         finally:
@@ -230,12 +230,16 @@
         attempt, self._replacement = self._replacement, None
         return attempt
 
+    def _mark_output(self, outcome: outcomes.AttemptOutcome) -> outcomes.AttemptOutcome:
+        return outcomes.mark_output(outcome, self._progress.attempt_events > 0)
+
     async def _supersede(self, exc: attempts.AttemptSupersededError) -> routing.Superseded:
         self._replacement = exc.replacement.attempt
+        former = self._mark_output(exc.former)
         if self._replacement.request_sent:
-            await self._services.report_hedge_won(self._plan.request_spec.request, exc.former)
+            await self._services.report_hedge_won(self._plan.request_spec.request, former)
         return routing.Superseded(
-            str(exc), exc.former, self._progress.relayed_events, exc.replacement.placed
+            str(exc), former, self._progress.relayed_events, exc.replacement.placed
         )
 
     async def _start_hedge(self, placed: routing.Placed, attempt: attempts.Attempt) -> None:
@@ -390,6 +394,7 @@
             events = splitter.feed(part)
             accepted = self._progress.take_in_order(events, self._dependencies.wire_format)
             if accepted:
+                self._report_output(len(accepted))
                 await self._send_data(attempt, head, b"".join(event.raw for event in accepted))
             if len(accepted) < len(events) or splitter.is_overlong:
                 raise self._broken_error(
@@ -403,6 +408,11 @@
         await self._responder.finish()
         return outcomes.Complete(head.status)
 
+    def _report_output(self, accepted_events: int) -> None:
+        """Reports the first events of an attempt that goes on with an answer."""
+        if self._responder.started and self._progress.attempt_events == accepted_events:
+            self._services.report_output(self._plan.request_spec.request)
+
     async def _receive(self, attempt: attempts.Attempt) -> bytes | None:
         """Returns the next part of a stream; None at its end."""
         return await attempt.receive(self._remaining_s(), self._progress.relayed_events)
--- a/src/cicadapier/_internal/services/forwarded_requests.py
+++ b/src/cicadapier/_internal/services/forwarded_requests.py
@@ -35,6 +35,7 @@
 MAX_RETRY_AFTER_SHARE = 1 / 3
 MAX_QUEUE_SHARE = 0.5  # Of the route's objective; a longer wait for a slot is not worthwhile.
 _PUBLIC_ACCOUNT_SPEC = configuration.Account(limits=configuration.Limits(1e9, 1e15, 1_000_000_000))
+MAX_SHARED_PARTS = 64  # Later parts of a prompt are not checked for crashes of upstreams.
 _SHARED_SCOPE = "shared"
 _ISOLATED_SCOPE = "own"
 
@@ -207,6 +208,7 @@
             max_wait_s=min(timeout_s, MAX_QUEUE_SHARE * route.objective_s),
             default_account=_PUBLIC_ACCOUNT_SPEC if admission.account is None else None,
             needs_backup=_is_backed_up(admission, pool_id, forwarded.work),
+            parts=self._shared_parts(admission, forwarded.work),
         )
         attributes = self._services.telemetry.attributes(
             telemetry_service.Caller(request_spec.account, configuration.ServiceClass.INTERACTIVE)
@@ -228,13 +230,30 @@
         work = forwarded.work
         if work is None:
             return prefix.EMPTY_PROMPT, ""
-        account = admission.account
-        spec = admission.cfg.content.accounts[account] if account else None
-        owner = account if account and spec and spec.isolated else ids.AccountId("")
+        owner = _scope_owner(admission)
         root = prefix.root_id(self._secret, prefix.Scope(owner, work.model, "", ""))
         cache_scope = f"{_ISOLATED_SCOPE}/{owner}" if owner else _SHARED_SCOPE
         return prefix.prompt_from_parts(root, work.parts, work.prompt_tokens), cache_scope
 
+    @staticmethod
+    def _shared_parts(
+        admission: forwarded_plan.Admission, work: forwarding.ModelWork | None
+    ) -> tuple[ids.PartId, ...]:
+        """Returns the ids of the prompt's parts but the last, which no other request shares."""
+        if work is None:
+            return ()
+        owner = _scope_owner(admission)
+        return tuple(
+            prefix.part_id(owner, work.model, part) for part in work.parts[:-1][:MAX_SHARED_PARTS]
+        )
+
+
+def _scope_owner(admission: forwarded_plan.Admission) -> ids.AccountId:
+    """Returns the account that shares no part with others, empty if the caller's shares them."""
+    account = admission.account
+    spec = admission.cfg.content.accounts[account] if account else None
+    return account if account and spec and spec.isolated else ids.AccountId("")
+
 
 def _choose_pool(route: configuration.Route, request: ids.RequestId) -> ids.PoolId:
     """Returns one of the route's pools, chosen by a hash of the request id and by their shares."""
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -27,6 +27,7 @@
 
 # Assumed maximum length of the answer if the request sets none.
 DEFAULT_OUTPUT_TOKENS = 256
+MAX_SHARED_PIECES = 64  # Later pieces of a prompt are not checked for crashes of upstreams.
 # A hedge is started after this delay plus a multiple of the estimated time to first token.
 MIN_HEDGE_DELAY_S = 2.0
 HEDGE_ESTIMATE_FACTOR = 4.0
@@ -108,6 +109,7 @@
             req.max_tokens or DEFAULT_OUTPUT_TOKENS,
             prefix.fingerprint(scope, req.prompt),
             members.Weights(req.model, version),
+            parts=tuple(ids.PartId(piece.hex()) for piece in prompt.pieces[:MAX_SHARED_PIECES]),
         )
         return _Plan(req, pool_id, pool, scope, root.hex(), request_spec)
 
@@ -129,6 +131,7 @@
         self._progress = model_progress.Progress()
         self._requires_offset = False
         self._chunk_count = 0
+        self._has_output = False  # Whether the current attempt has produced output.
         policy = retries.RetryPolicy(repeatable=True, resumable=True)
         self._sequence = retries.AttemptSequence(policy, services.retry_budget, plan.pool_id)
         starter = hedging.AttemptStarter(self._make_attempt, self._start_hedge)
@@ -175,6 +178,7 @@
         expected_s = placed.choice.estimate.total_s * HEDGE_ESTIMATE_FACTOR
         self._hedger.hedge_after_s = MIN_HEDGE_DELAY_S + expected_s + self._non_streaming_extra_s()
         attempt.silence_handler = self._hedger
+        self._has_output = False
         try:
             head = attempt.head or await attempt.start()
             if head.status != http.HTTPStatus.OK:
@@ -186,7 +190,7 @@
                 await self._relay_buffered(attempt, placed)
             return outcomes.Complete(head.status)
         except attempts.AttemptFailedError as exc:
-            return exc.outcome
+            return outcomes.mark_output(exc.outcome, self._has_output)
         except attempts.AttemptSupersededError as exc:
             return await self._supersede(exc)
         finally:
@@ -203,10 +207,9 @@
     async def _supersede(self, exc: attempts.AttemptSupersededError) -> routing.Superseded:
         """Stores the attempt that replaces the current one, for the next call of `_run_attempt`."""
         self._replacement = exc.replacement.attempt
-        await self._services.report_hedge_won(self._context.request, exc.former)
-        return routing.Superseded(
-            str(exc), exc.former, self._progress.offset, exc.replacement.placed
-        )
+        former = outcomes.mark_output(exc.former, self._has_output)
+        await self._services.report_hedge_won(self._context.request, former)
+        return routing.Superseded(str(exc), former, self._progress.offset, exc.replacement.placed)
 
     async def _start_hedge(self, placed: routing.Placed, attempt: attempts.Attempt) -> None:
         """See `hedging.AttemptStarter.start`."""
@@ -390,6 +393,9 @@
             raise _broken_error(reason, progress.offset)
         if progress.cached_tokens is None:
             self._report_first_token(attempt, chunk)
+        elif not self._has_output:
+            self._services.report_output(self._context.request)
+        self._has_output = True
         now = trio.current_time()
         self._chunk_count += 1
         if (
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -31,6 +31,7 @@
 IDLE_ROUND_S = 0.5
 ANNOUNCE_TIMEOUT_S = 0.5
 MAX_KEPT_PIECES = 256
+MAX_EXCHANGES = 12  # Peers that are sent an announcement with an exchange each.
 
 
 class QuotaSink(Protocol):
@@ -216,9 +217,17 @@
         assert self._configuration
         return self._configuration.packed_update(since)
 
-    async def announce_crash(self, crash: poison.Crash) -> None:
+    async def announce_crash(self, evidence: poison.Evidence) -> None:
         """Sends a crash to reachable routers; returns once they answer or a timeout expires."""
-        _log.info("crash_evidence", upstream=crash.upstream, source="own")
+        crash = evidence.crash
+        _log.info(
+            "crash_evidence",
+            upstream=crash.upstream,
+            incarnation=crash.incarnation,
+            parts=crash.parts,
+            answering=crash.answering,
+            ran_ms=round(crash.ran_s * 1000),
+        )
         await self._refresh_digest()
         await self._exchange_with_reachable()
 
@@ -232,7 +241,7 @@
         reachable = self._membership.reachable(trio.current_time())
         with trio.move_on_after(ANNOUNCE_TIMEOUT_S):
             async with trio.open_nursery() as nursery:
-                for heartbeat in reachable[: 4 * cadence.SMALL_FANOUT]:
+                for heartbeat in reachable[:MAX_EXCHANGES]:
                     nursery.start_soon(self._exchange_with, heartbeat.address)
 
     async def _round(self, nursery: trio.Nursery) -> None:
@@ -317,6 +326,7 @@
             placed if shares_traffic else (),
             self._withdrawals(),
             self._limit_notices(),
+            traffic.sound,
         )
 
     async def _exchange_with(self, address: ids.Address) -> None:
@@ -354,8 +364,10 @@
         delta = self._update_merger.merge(update, now)
         if delta.sends or delta.placed:
             self._traffic.mailbox.try_send(traffic_messages.PeerTraffic(delta))
-        if digest.crashes:
-            self._traffic.mailbox.try_send(traffic_messages.PeerCrashes(digest.crashes))
+        if digest.crashes or digest.sound:
+            self._traffic.mailbox.try_send(
+                traffic_messages.PeerCrashes(digest.crashes, digest.sound)
+            )
         for withdrawal in digest.withdrawn:
             if self._upstreams:
                 self._upstreams.record_withdrawal(withdrawal, digest.sender)
@@ -383,4 +395,7 @@
         for vm in sorted(self._reachable - reachable):
             _log.info("peer_unreachable", peer=vm)
             self._update_merger.drop_router(vm)
+        if reachable != self._reachable and self._traffic:
+            message = traffic_messages.RoutersChanged(self._cfg.vm, reachable)
+            self._traffic.mailbox.try_send(message)
         self._reachable = reachable
--- a/src/cicadapier/_internal/services/request_context.py
+++ b/src/cicadapier/_internal/services/request_context.py
@@ -149,7 +149,7 @@
             request: Request id.
             outcome: Outcome of the hedge; None if it was no longer needed.
         """
-        reply: mailbox.Reply[poison.Crash | None] = mailbox.Reply()
+        reply: mailbox.Reply[poison.Evidence | None] = mailbox.Reply()
         await self._report(traffic_messages.HedgeEnded(request, reply, outcome=outcome))
 
     async def report_hedge_won(
@@ -161,7 +161,7 @@
             request: Request id.
             former: Outcome of the replaced attempt.
         """
-        reply: mailbox.Reply[poison.Crash | None] = mailbox.Reply()
+        reply: mailbox.Reply[poison.Evidence | None] = mailbox.Reply()
         await self._report(traffic_messages.HedgeEnded(request, reply, former=former))
 
     async def fail_over(self, request: ids.RequestId) -> routing.Placed | None:
@@ -193,16 +193,16 @@
         except kernel_exceptions.KernelError as exc:
             _log.warning("attempt_not_reported", request=message.request, reason=str(exc))
 
-    async def _announce_crash(self, crash: poison.Crash | None) -> None:
-        if crash:
+    async def _announce_crash(self, evidence: poison.Evidence | None) -> None:
+        if evidence:
             # As soon as the caller has the answer, it may repeat the request at another router.
-            await self.peers.announce_crash(crash)
+            await self.peers.announce_crash(evidence)
 
     async def report_attempt_ended(
         self, request: ids.RequestId, outcome: outcomes.AttemptOutcome
     ) -> None:
         """Reports the end of an attempt; sends new crash evidence to the peers before returning."""
-        reply: mailbox.Reply[poison.Crash | None] = mailbox.Reply()
+        reply: mailbox.Reply[poison.Evidence | None] = mailbox.Reply()
         await self._report(traffic_messages.AttemptEnded(request, outcome, reply))
 
     async def run_attempts(
@@ -251,6 +251,10 @@
         """Reports the first token of an answer."""
         self.traffic.mailbox.try_send(traffic_messages.FirstTokenReceived(request, first))
 
+    def report_output(self, request: ids.RequestId) -> None:
+        """Reports the first output of an attempt that goes on with an answer."""
+        self.traffic.mailbox.try_send(traffic_messages.OutputBegan(request))
+
     def report_request_ended(self, request: ids.RequestId, ran: bool) -> None:
         """Reports the end of a request.
 
--- a/src/cicadapier/_internal/services/traffic_messages.py
+++ b/src/cicadapier/_internal/services/traffic_messages.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 
+from cicadapier._internal.decisions import crash_causes
 from cicadapier._internal.decisions import health
 from cicadapier._internal.decisions import limits
 from cicadapier._internal.decisions import load
@@ -68,7 +69,7 @@
     """
 
     request: ids.RequestId
-    reply: "mailbox.Reply[poison.Crash | None]"
+    reply: "mailbox.Reply[poison.Evidence | None]"
     former: outcomes.AttemptOutcome | None = None
     outcome: outcomes.AttemptOutcome | None = None
 
@@ -101,13 +102,20 @@
     first: members.FirstToken
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutputBegan:
+    """An attempt that goes on with the answer to a request has produced output."""
+
+    request: ids.RequestId
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """An attempt has ended; the reply receives new evidence of a crash, or None."""
 
     request: ids.RequestId
     outcome: outcomes.AttemptOutcome
-    reply: "mailbox.Reply[poison.Crash | None]"
+    reply: "mailbox.Reply[poison.Evidence | None]"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -337,9 +345,43 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerCrashes:
-    """Another router has sent evidence against requests that may crash upstreams."""
+    """Another router has sent evidence about requests and parts that may crash upstreams.
+
+    Attributes:
+        crashes: Crashes of upstreams.
+        sound: Suspects that have produced output since.
+    """
+
+    crashes: tuple[poison.Evidence, ...]
+    sound: tuple[poison.SoundCause, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutersChanged:
+    """The set of routers that this one reaches has changed.
 
-    crashes: tuple[poison.Crash, ...]
+    Attributes:
+        vm: VM of this router.
+        routers: VMs of the others.
+    """
+
+    vm: ids.VmId
+    routers: frozenset[ids.VmId]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetBlockedParts:
+    """Requests the verdicts on the prompt parts that are blocked."""
+
+    reply: "mailbox.Reply[list[crash_causes.Verdict]]"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LiftBlock:
+    """An operator lifts the block of a part; the reply receives whether it was blocked."""
+
+    part: ids.PartId
+    reply: "mailbox.Reply[bool]"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -366,13 +408,15 @@
         sends: Total work sent to each upstream since this router started.
         placed: Most recent prompts that this router has sent.
         use: Use of the accounts through this router.
-        crashes: Recent evidence against requests that may crash upstreams.
+        crashes: Evidence against requests and parts that may crash upstreams.
+        sound: Suspects that have produced output since.
     """
 
     sends: tuple[peer_updates.SentWork, ...]
     placed: tuple[peer_updates.PlacedPieces, ...]
     use: dict[ids.AccountId, limits.RemoteUse]
-    crashes: tuple[poison.Crash, ...]
+    crashes: tuple[poison.Evidence, ...]
+    sound: tuple[poison.SoundCause, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -421,6 +465,7 @@
     | FailOver
     | ReportSilence
     | FirstTokenReceived
+    | OutputBegan
     | AttemptEnded
     | RequestEnded
     | ConfigurationChanged
@@ -441,6 +486,9 @@
     | PeerTraffic
     | PeerAccountUse
     | PeerCrashes
+    | RoutersChanged
+    | GetBlockedParts
+    | LiftBlock
     | PiecesExported
     | Explain
     | GetDigest
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -19,12 +19,14 @@
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 from cicadapier._internal.services import names
+from cicadapier._internal.services import telemetry_service
 from cicadapier._internal.services import traffic_messages
 
 _log = structlog.get_logger()
 
 MAX_POLL_INTERVAL_S = 0.25
 MAX_DIGEST_CRASHES = 64
+MAX_DIGEST_SOUND = 32
 MAX_DIGEST_ACCOUNTS = 256
 
 
@@ -75,6 +77,7 @@
             traffic_messages.FailOver: self._fail_over,
             traffic_messages.ReportSilence: self._report_silence,
             traffic_messages.FirstTokenReceived: self._first_token_received,
+            traffic_messages.OutputBegan: self._output_began,
             traffic_messages.AttemptEnded: self._attempt_ended,
             traffic_messages.RequestEnded: self._request_ended,
             traffic_messages.ConfigurationChanged: self._configuration_changed,
@@ -95,6 +98,9 @@
             traffic_messages.PeerTraffic: self._peer_traffic,
             traffic_messages.PeerAccountUse: self._peer_account_use,
             traffic_messages.PeerCrashes: self._peer_crashes,
+            traffic_messages.RoutersChanged: self._routers_changed,
+            traffic_messages.GetBlockedParts: self._get_blocked_parts,
+            traffic_messages.LiftBlock: self._lift_block,
             traffic_messages.PiecesExported: self._pieces_exported,
             traffic_messages.Explain: self._explain,
             traffic_messages.GetDigest: self._get_digest,
@@ -115,6 +121,7 @@
             if self._pending_replies:
                 self._deliver(self._traffic.poll(now), now)
             self._update_demands(now)
+            self._report_blocks(now)
 
     def _admit(self, message: traffic_messages.Admit, now: float) -> None:
         decision = self._traffic.admit(message.request_spec, now)
@@ -175,6 +182,9 @@
             exports: ExportSink = self._kernel.find(names.EXPORTS)
             exports.mailbox.try_send(export)
 
+    def _output_began(self, message: traffic_messages.OutputBegan, now: float) -> None:
+        self._traffic.record_output(message.request, now)
+
     def _attempt_ended(self, message: traffic_messages.AttemptEnded, now: float) -> None:
         message.reply.set(
             self._traffic.attempts.attempt_ended(message.request, message.outcome, now)
@@ -313,9 +323,36 @@
         self._traffic.limits.set_remote_use(message.use)
 
     def _peer_crashes(self, message: traffic_messages.PeerCrashes, now: float) -> None:
-        for crash in message.crashes:
-            if self._traffic.poison.record_crash(crash, now):
-                _log.info("crash_evidence", upstream=crash.upstream, source="peer")
+        for sound in message.sound:
+            self._traffic.poison.record_sound(sound, now)
+        for evidence in message.crashes:
+            self._traffic.poison.record_crash(evidence, now)
+
+    def _routers_changed(self, message: traffic_messages.RoutersChanged, now: float) -> None:
+        self._traffic.poison.set_routers(message.vm, message.routers)
+
+    def _get_blocked_parts(self, message: traffic_messages.GetBlockedParts, now: float) -> None:
+        message.reply.set(self._traffic.poison.verdicts(now))
+
+    def _lift_block(self, message: traffic_messages.LiftBlock, now: float) -> None:
+        message.reply.set(self._traffic.poison.lift(message.part, now))
+
+    def _report_blocks(self, now: float) -> None:
+        """Logs and counts the parts that were blocked or freed."""
+        for change in self._traffic.poison.take_changes(now):
+            event = "part_blocked" if change.blocked else "part_freed"
+            verdict = change.verdict
+            _log.info(
+                event,
+                part=verdict.part,
+                crashes=verdict.crashes,
+                score=round(verdict.score, 2),
+                last_crash_s=round(now - verdict.last_crash_at, 2),
+                ruled_out=verdict.ruled_out,
+            )
+            if self._kernel:
+                telemetry: telemetry_service.TelemetryService = self._kernel.find(names.TELEMETRY)
+                telemetry.count_event(event)
 
     def _pieces_exported(self, message: traffic_messages.PiecesExported, now: float) -> None:
         self._traffic.observations.record_export(message.pool, message.pieces)
@@ -333,7 +370,8 @@
                 self._sent_work.sends(),
                 tuple(self._sent_work.placed),
                 use,
-                tuple(self._traffic.poison.recent_crashes(MAX_DIGEST_CRASHES, now)),
+                tuple(self._traffic.poison.recent_evidence(MAX_DIGEST_CRASHES, now)),
+                tuple(self._traffic.poison.recent_sound(MAX_DIGEST_SOUND, now)),
             )
         )
 
