Announce all requests of a crash to the peers together

Cause: each request of a crash refreshed the digest and exchanged it with up to twelve peers (13 to 28 requests a crash). Now one announcement carries all of them: an exchange with each peer of a small fleet, a datagram with the new evidence alone to each of a large one, where the exchanges reached twelve peers only.

--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -22,6 +22,7 @@
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import peer_codec
 from cicadapier._internal.protocols import peer_transport
+from cicadapier._internal.services import announcer
 from cicadapier._internal.services import configuration_source
 from cicadapier._internal.services import names
 from cicadapier._internal.services import traffic_messages
@@ -32,6 +33,7 @@
 ANNOUNCE_TIMEOUT_S = 0.5
 MAX_KEPT_PIECES = 256
 MAX_EXCHANGES = 12  # Peers that are sent an announcement with an exchange each.
+MAX_ANNOUNCED_CRASHES = 32  # In one datagram.
 
 
 class QuotaSink(Protocol):
@@ -110,6 +112,7 @@
         self._domain_routers: frozenset[ids.VmId] = frozenset()
         self._domain_update_event = trio.Event()
         self._domain_addresses: tuple[ids.Address, ...] = ()
+        self._crash_announcer = announcer.Announcer(self._send_crashes)
 
     @property
     def listen_address(self) -> ids.Address | None:
@@ -136,6 +139,7 @@
             )
             task_status.started()
             nursery.start_soon(self._send_to_domain)
+            nursery.start_soon(self._crash_announcer.run)
             while True:
                 await self._round(nursery)
                 await self._pause()
@@ -228,8 +232,24 @@
             answering=crash.answering,
             ran_ms=round(crash.ran_s * 1000),
         )
-        await self._refresh_digest()
-        await self._exchange_with_reachable()
+        await self._crash_announcer.announce(evidence)
+
+    async def _send_crashes(self, crashes: list[poison.Evidence]) -> None:
+        assert self._configuration
+        reachable = self.members.reachable(trio.current_time())
+        if len(reachable) <= MAX_EXCHANGES:
+            await self._refresh_digest()
+            await self._exchange_with_reachable()
+            return
+        # In a large fleet, datagrams with the new evidence alone reach all routers at once; the
+        # gossip rounds repair the loss of some.
+        digest = peer_codec.Digest(
+            self._cfg.vm,
+            self._generation,
+            self._configuration.current.number,
+            crashes=tuple(crashes[:MAX_ANNOUNCED_CRASHES]),
+        )
+        await self._transport.send_datagram([peer.address for peer in reachable], digest)
 
     def announce_export(self, kept: peer_updates.KeptPieces) -> None:
         """Includes an export in the digests of the next rounds."""
