--- a/src/cicadapier/_internal/commands/explain.py
+++ b/src/cicadapier/_internal/commands/explain.py
@@ -52,6 +52,8 @@
             for candidate in explanation["candidates"]
         ],
     )
+    if explanation["blocked"]:
+        print(f"refused: {explanation['blocked']}")
     print(f"choice: {explanation['chosen'] or 'none'} ({explanation['reason']})")
     return exit_codes.SUCCESS
 
--- a/src/cicadapier/_internal/commands/registry.py
+++ b/src/cicadapier/_internal/commands/registry.py
@@ -25,6 +25,7 @@
     Command("config", "config", "show, check, compare or patch the configuration"),
     Command("status", "status", "show routers, upstreams, pools and accounts"),
     Command("explain", "explain", "show how a prompt would be placed, without running it"),
+    Command("blocked", "blocked", "show or unblock the prompt parts that crash upstreams"),
     Command("keys", "keys", "generate API keys for client accounts"),
     Command("trace", "trace", "generate request traces"),
     Command("replay", "replay", "replay a trace with one or more routing policies"),
--- a/src/cicadapier/_internal/services/explanations.py
+++ b/src/cicadapier/_internal/services/explanations.py
@@ -47,6 +47,7 @@
         candidates: Estimate for each candidate upstream.
         chosen: The chosen upstream, or None if no upstream accepts requests.
         reason: Reason for the choice.
+        blocked: Why the request would be refused, if it would; empty otherwise.
     """
 
     pool: ids.PoolId
@@ -55,6 +56,7 @@
     candidates: list[members.Estimate]
     chosen: ids.UpstreamId | None
     reason: str
+    blocked: str = ""
 
 
 class Explainer:
@@ -99,4 +101,5 @@
             list(explained.candidates) if explained else [],
             explained.choice.estimate.upstream if explained else None,
             explained.choice.reason if explained else "no upstream can take requests now",
+            explained.blocked if explained else "",
         )
--- a/src/cicadapier/_internal/services/operators_service.py
+++ b/src/cicadapier/_internal/services/operators_service.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from cicadapier._internal.decisions import crash_causes
 from cicadapier._internal.decisions import patches
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import random_tokens
@@ -70,6 +71,8 @@
             ("POST", "/config/check"): self._check_document,
             ("POST", "/config/patch"): self._submit_patch,
             ("POST", "/explain"): self._explain_choice,
+            ("GET", "/blocked"): self._show_blocked,
+            ("POST", "/blocked/lift"): self._lift_block,
         }
         handler = handlers.get((req.method, req.path))
         if handler is None:
@@ -95,10 +98,9 @@
         self, req: http_server.Request, responder: http_server.Responder
     ) -> None:
         assert self._kernel
-        traffic: traffic_service.TrafficService = self._kernel.find(names.TRAFFIC)
         peers: peers_service.PeersService = self._kernel.find(names.PEERS)
         reply: mailbox.Reply[traffic_messages.Status] = mailbox.Reply()
-        traffic.mailbox.send(traffic_messages.GetStatus(reply))
+        self._traffic.mailbox.send(traffic_messages.GetStatus(reply))
         status = await reply.get()
         reachable = peers.members.reachable(trio.current_time())
         body = {
@@ -178,6 +180,40 @@
         )
         await _send_patch_result(responder, await self._config_service.submit(submission))
 
+    async def _show_blocked(
+        self, req: http_server.Request, responder: http_server.Responder
+    ) -> None:
+        reply: mailbox.Reply[list[crash_causes.Verdict]] = mailbox.Reply()
+        self._traffic.mailbox.send(traffic_messages.GetBlockedParts(reply))
+        now = trio.current_time()
+        blocked = [
+            {
+                "part": verdict.part,
+                "crashes": verdict.crashes,
+                "last_crash_s": round(now - verdict.last_crash_at, 1),
+                "ruled_out": verdict.ruled_out,
+            }
+            for verdict in await reply.get()
+        ]
+        await responder.send_json({"blocked": blocked})
+
+    async def _lift_block(self, req: http_server.Request, responder: http_server.Responder) -> None:
+        query = dict(urllib.parse.parse_qsl(req.query))
+        part = ids.PartId(query.get("part", ""))
+        reply: mailbox.Reply[bool] = mailbox.Reply()
+        self._traffic.mailbox.send(traffic_messages.LiftBlock(part, reply))
+        if await reply.get():
+            await responder.send_json({"part": part, "lifted": True})
+            return
+        message = f"the part {part!r} is not blocked"
+        await _send_error(responder, http.HTTPStatus.NOT_FOUND, message)
+
+    @property
+    def _traffic(self) -> traffic_service.TrafficService:
+        assert self._kernel
+        traffic: traffic_service.TrafficService = self._kernel.find(names.TRAFFIC)
+        return traffic
+
     async def _explain_choice(
         self, req: http_server.Request, responder: http_server.Responder
     ) -> None:
--- a/tests/_internal/services/test_router_fleet.py
+++ b/tests/_internal/services/test_router_fleet.py
@@ -232,6 +232,39 @@
 
         _run_in_world(check)
 
+    def test_shared_piece_that_crashes_engines_is_blocked_until_an_operator_lifts_it(self):
+        async def check(world):
+            world.inject(faults.FaultKind.POISON, "cursed", 1e9, None)
+            cursed = "a cursed line of verse. " * 30
+
+            async def ask(number, start):
+                caller = support.Caller(world, router=number % 3)
+                return await caller.complete(f"{LONG_PROMPT}{start}{number} of many", 5)
+
+            await ask(0, "a sound line of verse. " * 30)
+            for number in range(4):
+                await ask(number, cursed)
+                await trio.sleep(5.0)
+            blocked = await ask(5, cursed)
+            self.assertEqual((blocked.status, blocked.outcome), (422, "not_run"))
+            sound = await ask(6, "a sound line of verse. " * 30)
+            self.assertEqual(sound.outcome, "complete")
+            listed = await self._call_operator(world, "GET", "/blocked")
+            (part,) = [item["part"] for item in listed["blocked"]]
+            world.active_faults.clear(faults.FaultKind.POISON)
+            await self._call_operator(world, "POST", f"/blocked/lift?part={part}")
+            await trio.sleep(2.0)
+            for number in (7, 8):
+                self.assertEqual((await ask(number, cursed)).outcome, "complete")
+
+        _run_in_world(check)
+
+    async def _call_operator(self, world, method, target):
+        address = _router(world, 0).operators.address
+        status, body = await fuzzing.call_operator(world, address, method, target, b"")
+        self.assertEqual(status, 200)
+        return body
+
     def test_requests_running_beside_a_poison_request_are_cleared_at_one_router(self):
         self._check_requests_beside_poison(routers=1, others=3)
 
