--- a/tests/_internal/services/test_poison_parts.py
+++ b/tests/_internal/services/test_poison_parts.py
@@ -27,7 +27,7 @@
         self._use_long_answers()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_regularly, SOUND_EVERY_S, DAY_S, self._ask_sound)
-            nursery.start_soon(self._send_regularly, POISON_EVERY_S, poison_s, self._ask_poison)
+            nursery.start_soon(self._send_regularly, POISON_EVERY_S, poison_s, self.ask_poison)
 
     async def _send_regularly(self, every_s, for_s, ask):
         async with trio.open_nursery() as nursery:
@@ -43,11 +43,12 @@
         )
         self.sound.append((sent_at, reply))
 
-    async def _ask_poison(self, number):
+    async def ask_poison(self, number):
         parts = f"aa:600,subject-0:300,deadly:200,own-{number}:100"
         body = b"prompt %d" % number
         router = number // 3 % ROUTERS
-        await self.world.ask(parts=parts, body=body, router=router, request=f"poison-{number}")
+        request = f"poison-{number}"
+        return await self.world.ask(parts=parts, body=body, router=router, request=request)
 
     def _use_long_answers(self):
         for upstream in self.world.upstreams.values():
@@ -61,8 +62,12 @@
         if len(crashes) < 5:
             return []
         bound = crashes[4][0] + CONTACT_S
+        return [arrival for arrival in self.poison_arrivals() if arrival.at > bound]
+
+    def poison_arrivals(self):
+        """Returns all arrivals of requests with the part."""
         arrivals = [a for u in self.world.upstreams.values() for a in u.arrivals]
-        return [a for a in arrivals if a.request.startswith("poison") and a.at > bound]
+        return [arrival for arrival in arrivals if arrival.request.startswith("poison")]
 
     def served_share(self, since):
         """Returns the share of the sound requests sent after a time that were served."""
@@ -90,6 +95,62 @@
 
         forwarding_world.run_in_world(check, routers=ROUTERS, engines=6)
 
+    def test_sound_requests_begin_while_engines_crash_for_other_causes_as_well(self):
+        async def check(world):
+            day = _Day(world)
+            started_at = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(day.play)
+                for number in range(6):
+                    await trio.sleep(2.0)
+                    world.crash(f"engine-{number}")
+                    world.crash(f"engine-{(number + 1) % 6}")
+            self.assertLessEqual(len(day.late_arrivals()), MAX_LATE_ARRIVALS)
+            self.assertGreaterEqual(day.served_share(started_at + 2 * CONTACT_S), 0.9)
+
+        forwarding_world.run_in_world(check, routers=ROUTERS, engines=6)
+
+    def test_crashes_of_several_engines_at_a_time_block_no_part(self):
+        async def check(world):
+            day = _Day(world)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(day.play, 0.0)
+                for _ in range(4):
+                    await trio.sleep(3.0)
+                    for number in range(4):
+                        world.crash(f"engine-{number}")
+            refused = [r for _, r in day.sound if b"blocked" in r.body]
+            self.assertEqual(refused, [])
+
+        forwarding_world.run_in_world(check, routers=ROUTERS, engines=6)
+
+    def test_router_that_restarts_refuses_the_part_that_the_others_have_blocked(self):
+        async def check(world):
+            day = _Day(world)
+            await day.play()
+            world.stop("vm-0")
+            await world.start_router(0)
+            await trio.sleep(1.0)
+            arrivals = len(day.poison_arrivals())
+            reply = await day.ask_poison(0)
+            self.assertEqual(reply.status, 503)
+            self.assertIn(b"blocked", reply.body)
+            self.assertEqual(len(day.poison_arrivals()), arrivals)
+
+        forwarding_world.run_in_world(check, routers=ROUTERS, engines=6)
+
+    def test_routers_that_are_cut_off_from_each_other_each_block_the_part(self):
+        async def check(world):
+            world.partition_peers()
+            day = _Day(world)
+            await day.play()
+            arrivals = len(day.poison_arrivals())
+            for number in range(3 * ROUTERS):
+                await day.ask_poison(number)
+            self.assertEqual(len(day.poison_arrivals()), arrivals)
+
+        forwarding_world.run_in_world(check, routers=ROUTERS, engines=6)
+
 
 if __name__ == "__main__":
     unittest.main()
