--- a/src/cicadapier/_internal/decisions/poison.py
+++ b/src/cicadapier/_internal/decisions/poison.py
@@ -135,6 +135,7 @@
         self._sound: collections.OrderedDict[crash_causes.Cause, float] = collections.OrderedDict()
         self._diagnosis = crash_causes.Diagnosis()
         self._is_outdated = False
+        self._expires_at = math.inf  # No evidence expires before this time.
         self._reported: dict[ids.PartId, crash_causes.Verdict] = {}
         self._trials: dict[ids.PartId, float] = {}
         self._vm = ids.VmId("")
@@ -161,6 +162,7 @@
         if is_full or (former and (former.answering or not crash.answering)):
             return False
         record.at = min(record.at, crashed_at)
+        self._expires_at = min(self._expires_at, record.at + CRASH_EVIDENCE_S)
         record.casualties[crash.fingerprint] = crash_causes.Casualty(
             crash.fingerprint, crash.parts[:MAX_PARTS], crash.answering, crashed_at - crash.ran_s
         )
@@ -310,12 +312,15 @@
         return self._diagnosis
 
     def _drop_expired(self, now: float) -> bool:
+        if now < self._expires_at:
+            return False
         expired = [k for k, r in self._records.items() if r.at <= now - CRASH_EVIDENCE_S]
         for crash_id in expired:
             del self._records[crash_id]
-        if expired:
-            self._forget_causes()
-        return bool(expired)
+        self._forget_causes()
+        oldest = min((record.at for record in self._records.values()), default=math.inf)
+        self._expires_at = oldest + CRASH_EVIDENCE_S
+        return True
 
     def _drop_oldest(self, now: float) -> None:
         if len(self._records) <= MAX_CRASHES:
