--- a/src/cicadapier/_internal/decisions/directory.py
+++ b/src/cicadapier/_internal/decisions/directory.py
@@ -159,4 +159,5 @@
         leaving=item.leaving,
         incarnation=item.incarnation,
         weights=item.weights,
+        software=item.software,
     )
--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -308,6 +308,7 @@
             backup,
             start_deadline=start_deadline,
             granted=member.grants is not None,
+            software=member.spec.software,
         )
 
     def _place_at_backup(
@@ -342,6 +343,7 @@
             self._choose_backup(state, active),
             continues=True,
             granted=state.policy.members[backup.upstream].grants is not None,
+            software=state.policy.members[backup.upstream].spec.software,
         )
 
     def _choose_backup(
--- a/src/cicadapier/_internal/decisions/routing.py
+++ b/src/cicadapier/_internal/decisions/routing.py
@@ -70,6 +70,7 @@
         start_deadline: Time until which the request may begin on these weights.
         granted: Whether the request may be sent to an upstream that limits the requests of all
             routers together.
+        software: Version of the upstream's software; empty if it is unknown.
     """
 
     request: ids.RequestId
@@ -82,6 +83,7 @@
     continues: bool = False
     start_deadline: float = math.inf
     granted: bool = False
+    software: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/models/configuration.py
+++ b/src/cicadapier/_internal/models/configuration.py
@@ -95,6 +95,7 @@
         incarnation: Identity of its process, if the directory provides it; empty otherwise. A new
             incarnation has none of the state of the previous one.
         weights: Weights version of each model that it serves, if the directory provides it.
+        software: Version of its software, if the directory provides it; empty otherwise.
     """
 
     address: ids.Address
@@ -105,6 +106,7 @@
     leaving: bool = False
     incarnation: ids.Incarnation = ids.Incarnation("")
     weights: dict[ids.ModelId, str] = schema.field(factory=dict)
+    software: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/models/directory_entries.py
+++ b/src/cicadapier/_internal/models/directory_entries.py
@@ -18,6 +18,7 @@
         slots: Number of requests that it can run at once.
         leaving: Whether it is leaving and gets no new requests.
         weights: Weights version of each model that it serves.
+        software: Version of its software; empty if it does not say.
     """
 
     upstream: ids.UpstreamId
@@ -28,6 +29,7 @@
     slots: int
     leaving: bool
     weights: dict[ids.ModelId, str]
+    software: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/platform/documents.py
+++ b/src/cicadapier/_internal/platform/documents.py
@@ -98,6 +98,7 @@
     zone: str
     state: str
     slots: int
+    version: str = ""  # Of its software, not of the weights.
     born: int = 0  # Start time of the upstream, in milliseconds since 1970.
     models: list[_LoadedModel] = []
 
@@ -166,6 +167,7 @@
             max(1, registration.slots),
             registration.state == _STATE_DRAINING,
             {ids.ModelId(model.name): str(model.version) for model in registration.models},
+            registration.version,
         )
 
     def read_target_version(
--- a/src/cicadapier/_internal/platform/requests.py
+++ b/src/cicadapier/_internal/platform/requests.py
@@ -55,6 +55,7 @@
             _parse_count(_header_text(req, wire_headers.LAST_EVENT_ID)),
             _read_model_work(req),
             req,
+            ids.RequestId(_header_text(req, wire_headers.RESUMED_REQUEST)) or None,
         )
 
     def make_request_head(
--- a/src/cicadapier/_internal/platform/server_formats.py
+++ b/src/cicadapier/_internal/platform/server_formats.py
@@ -111,7 +111,7 @@
         "service": entry.pool,
         "address": entry.address,
         "zone": entry.failure_domain,
-        "version": "v1",
+        "version": entry.software,
         "slots": entry.slots,
         "state": "draining" if entry.leaving else "ready",
         "cold_remaining_ms": 0,
--- a/src/cicadapier/_internal/platform/wire_headers.py
+++ b/src/cicadapier/_internal/platform/wire_headers.py
@@ -8,6 +8,8 @@
 # The remaining time in milliseconds, not a point in time.
 TIME_LEFT_MS = b"x-deadline-ms"
 LAST_EVENT_ID = b"last-event-id"
+# The id of the attempt of the caller that brought the first event of the stream to resume.
+RESUMED_REQUEST = b"resumes"
 AUTHORIZATION = b"authorization"
 RETRY_AFTER = b"retry-after"
 CONTENT_ENCODING = b"content-encoding"
--- a/src/cicadapier/_internal/protocols/forwarding.py
+++ b/src/cicadapier/_internal/protocols/forwarding.py
@@ -45,6 +45,7 @@
             beginning.
         work: Work that it causes at a language model; None for other requests.
         raw: The HTTP request.
+        resumes: Id of the request that began the stream to resume; None if the caller names none.
     """
 
     request: ids.RequestId
@@ -54,6 +55,7 @@
     resume_after: int | None
     work: ModelWork | None
     raw: http_server.Request
+    resumes: ids.RequestId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -210,4 +210,5 @@
         "incarnation": entry.incarnation,
         "leaving": entry.leaving,
         "weights": entry.weights,
+        "software": entry.software,
     }
--- a/src/cicadapier/_internal/standins/forwarding_deployment.py
+++ b/src/cicadapier/_internal/standins/forwarding_deployment.py
@@ -34,6 +34,7 @@
     body_bytes=4_194_304, header_timeout_s=3.0, idle_timeout_s=15.0
 )
 SLOTS = 8
+SOFTWARE = "v1"  # Software version of upstreams unless another one is given.
 RESTART_S = 2.0  # Time from the crash of an upstream until it is back.
 DRAIN_S = 7.7
 _DOCUMENT_FORMAT = documents.DocumentFormat()
@@ -176,7 +177,7 @@
         self.store.put(_DOCUMENT_FORMAT.weights_kind, MODEL, target)
 
     async def add_upstream(
-        self, name: str, pool: ids.PoolId, model: ids.ModelId | None
+        self, name: str, pool: ids.PoolId, model: ids.ModelId | None, software: str = SOFTWARE
     ) -> forwarding_upstream.ForwardingUpstream:
         """Starts and registers an upstream."""
         weights = {model: "1"} if model else {}
@@ -189,6 +190,7 @@
             SLOTS,
             False,
             weights,
+            software,
         )
         upstream = forwarding_upstream.ForwardingUpstream(
             self.network, entry, self.runs, self.backups, model
