--- a/src/cicadapier/_internal/standins/forwarding_upstream.py
+++ b/src/cicadapier/_internal/standins/forwarding_upstream.py
@@ -371,6 +371,7 @@
     ) -> None:
         first_number = int(_read_header(req, wire_headers.LAST_EVENT_ID) or "0") + 1
         weights = self.weights
+        software = self.entry.software.encode()
         headers = [
             *server_formats.make_response_headers(request, self.weights),
             *self._status_headers(),
@@ -399,7 +400,7 @@
                 weights = self.weights
                 weights_line = server_formats.make_weights_line(weights)
             await responder.send_part(
-                weights_line + b"id: %d\ndata: piece %d\n\n" % (number, number)
+                weights_line + b"id: %d\ndata: piece %d of %s\n\n" % (number, number, software)
             )
         await responder.finish()
         self.completed_runs[request] += 1
