Go on with an answer only at the software version that began it

Cause: nothing in placement knew the software version. Now an answer's first output fixes it; placement, hedges and backups look at upstreams of that version alone, and the step that sends checks once more, so that a lost message to the traffic service cannot bring a wrong join. In a pool of more than 64 upstreams the few candidates of a prompt may all be of another version (or unusable): the least busy upstream is taken then. A stream that its caller takes up does not queue behind others, or before them.

--- a/src/cicadapier/_internal/decisions/backups.py
+++ b/src/cicadapier/_internal/decisions/backups.py
@@ -27,12 +27,14 @@
         upstream: Upstream that holds the backup.
         incarnation: Incarnation of that upstream when it was chosen.
         weights: Weights of both upstreams, to which the memory belongs.
+        software: Version of the software of both, which alone can continue the run.
     """
 
     primary: ids.UpstreamId
     upstream: ids.UpstreamId
     incarnation: ids.Incarnation
     weights: members.Weights
+    software: str = ""
 
 
 def is_worthwhile(prompt_tokens: int, output_tokens: int) -> bool:
@@ -80,12 +82,14 @@
         and member.usable
         and member.grants is None  # The run would have to wait for a grant there.
         and member.versions.get(model) == version
+        and member.spec.software == primary_member.spec.software
     ]
     if not candidates:
         return None
     chosen = min(candidates, key=rank)
     weights = members.Weights(model, version)
-    return Backup(primary, chosen, pool_members[chosen].spec.incarnation, weights)
+    spec = pool_members[chosen].spec
+    return Backup(primary, chosen, spec.incarnation, weights, spec.software)
 
 
 def can_continue(pool_members: Members, backup: Backup) -> bool:
@@ -98,6 +102,8 @@
     if member is None or not member.usable or member.spec.incarnation != backup.incarnation:
         return False
     primary = pool_members.get(backup.primary)
+    if member.spec.software != backup.software:
+        return False
     holders = [member] if primary is None else [member, primary]
     weights = backup.weights
     if primary is not None and primary.loading:
--- a/src/cicadapier/_internal/decisions/in_flight.py
+++ b/src/cicadapier/_internal/decisions/in_flight.py
@@ -18,12 +18,14 @@
         incarnation: Incarnation of the upstream that was known at placement.
         started_at: Time of its placement.
         silence_counted: Whether its silence was recorded as a failure of its upstream.
+        software: Version of the upstream's software.
     """
 
     estimate: members.Estimate
     incarnation: ids.Incarnation
     started_at: float
     silence_counted: bool = False
+    software: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +41,8 @@
         backup: Location of the backup of its run, if any.
         failed_upstreams: Upstreams at which attempts have failed.
         is_trial: Whether it tries a blocked part of its prompt.
+        software: Version of the software that began the answer, at which alone it can go on; None
+            until it has begun.
     """
 
     request_spec: routing.RequestSpec
@@ -49,12 +53,18 @@
     backup: backups.Backup | None = None
     failed_upstreams: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
     is_trial: bool = False
+    software: str | None = None
 
     @property
     def attempts(self) -> list[Attempt]:
         """The attempts that are in progress."""
         return [attempt for attempt in (self.attempt, self.hedge) if attempt]
 
+    def record_output(self, attempt: Attempt) -> None:
+        """Records that an attempt has produced output."""
+        if self.software is None:
+            self.software = attempt.software
+
     def placement_request(
         self, exclude: frozenset[ids.UpstreamId] = frozenset()
     ) -> members.PlacementRequest:
--- a/src/cicadapier/_internal/decisions/members.py
+++ b/src/cicadapier/_internal/decisions/members.py
@@ -123,6 +123,7 @@
         eligible: Whether its health and pauses allow new requests.
         versions: Last reported weights version of each model.
         weights_expired: Whether its weights are too old for the request that is being placed.
+        other_software: Whether the answer to that request was begun by another software version.
         loading: Whether it is loading weights or is about to.
         loading_until: Time until which it is assumed to be loading weights.
         penalty_s: Cost of choosing it besides the estimated time, in seconds.
@@ -141,6 +142,7 @@
     eligible: bool = True
     versions: dict[ids.ModelId, str] = dataclasses.field(default_factory=dict)
     weights_expired: bool = False
+    other_software: bool = False
     loading: bool = False
     loading_until: float = 0.0
     penalty_s: float = 0.0
@@ -223,7 +225,7 @@
 
     @property
     def _is_otherwise_usable(self) -> bool:
-        if self.weights_expired or self.loading or self.spec.leaving:
+        if self.weights_expired or self.other_software or self.loading or self.spec.leaving:
             return False
         return self.eligible and self.spec.weight > 0
 
--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -45,9 +45,20 @@
         self._pools = pools
 
     def refresh(
-        self, state: observations.PoolState, request_spec: routing.RequestSpec, now: float
+        self,
+        state: observations.PoolState,
+        request_spec: routing.RequestSpec,
+        now: float,
+        software: str | None = None,
     ) -> bool:
-        """Updates which upstreams a request may use now; returns whether it may use any."""
+        """Updates which upstreams a request may use now; returns whether it may use any.
+
+        Args:
+            state: State of its pool.
+            request_spec: The request.
+            now: Current time.
+            software: Version of the software that began its answer; None if any may begin it.
+        """
         pool_weights.mark_outdated_members(state, self.target_weights, request_spec.model, now)
         any_usable = False
         averages = state.policy.averages
@@ -56,6 +67,7 @@
             is_active = state.health.state(upstream, now) is health.UpstreamState.ACTIVE
             member.eligible = is_active and member.accepts_requests(now)
             member.loading = now < member.loading_until
+            member.other_software = software is not None and member.spec.software != software
             member.grant_missing = member.lacks_grant(now)
             member.load.decay_remote_requests(
                 now, averages.turnover_s, averages.mean_duration_s, remote_requests
@@ -113,7 +125,7 @@
         self._count_silence(state, active.attempt, now)
         if self.poison.find_block(active.request_spec.subject, now):
             return None
-        self.refresh(state, active.request_spec, now)
+        self.refresh(state, active.request_spec, now, active.software)
         exclude = {*active.failed_upstreams, active.attempt.estimate.upstream}
         if not state.policy.with_capacity(active.request_spec.memory_tokens, exclude):
             # No upstream has free capacity; another run would delay those in progress.
@@ -195,7 +207,7 @@
             return refuse(request_spec, outcomes.RefusalCode.NO_UPSTREAM, "the run has no backup")
         if (block := self.poison.find_block(request_spec.subject, now)) is not None:
             return refuse_blocked(request_spec, block)
-        self.refresh(state, request_spec, now)
+        self.refresh(state, request_spec, now, active.software)
         if not backups.can_continue(state.policy.members, backup):
             message = f"the backup of the run at {backup.upstream} cannot be used"
             return refuse(request_spec, outcomes.RefusalCode.NO_UPSTREAM, message)
@@ -269,7 +281,8 @@
         with_capacity = set(state.policy.with_capacity(active.request_spec.memory_tokens, excluded))
         if with_capacity:
             excluded |= usable - with_capacity
-        return state.policy.choose(active.placement_request(excluded), now)
+        req = active.placement_request(excluded)
+        return state.policy.choose(req, now) or _choose_least_busy(state, req)
 
     def _start_attempt(
         self,
@@ -280,7 +293,8 @@
     ) -> in_flight.Attempt:
         state.policy.record_sent(active.placement_request(), choice.estimate, now)
         incarnation = state.health.incarnation(choice.estimate.upstream)
-        return in_flight.Attempt(choice.estimate, incarnation, now)
+        software = state.policy.members[choice.estimate.upstream].spec.software
+        return in_flight.Attempt(choice.estimate, incarnation, now, software=software)
 
     def _make_placed(
         self,
@@ -330,7 +344,8 @@
             model=request_spec.model,
             memory_tokens=request_spec.memory_tokens,
         )
-        active.attempt = in_flight.Attempt(estimate, backup.incarnation, now)
+        software = state.policy.members[backup.upstream].spec.software
+        active.attempt = in_flight.Attempt(estimate, backup.incarnation, now, software=software)
         state.policy.record_sent(req, estimate, now)
         choice = members.Choice(estimate, "holds a backup of the run")
         return routing.Placed(
@@ -373,6 +388,8 @@
     ) -> poison.Evidence | None:
         upstream = attempt.estimate.upstream
         release_capacity(state, active, attempt, now)
+        if isinstance(outcome, outcomes.Broken) and outcome.had_output:
+            active.record_output(attempt)
         if outcome is None:
             _forget_pieces(state, active, upstream)
             return None
@@ -427,6 +444,26 @@
         return evidence if self.poison.record_crash(evidence, now) else None
 
 
+def _choose_least_busy(
+    state: observations.PoolState, req: members.PlacementRequest
+) -> members.Choice | None:
+    """Returns the least busy upstream, for a request that can use none of its candidates.
+
+    In a large pool, the policy considers only a few upstreams for each prompt.
+    """
+    usable = [
+        upstream
+        for upstream in state.policy.usable(req.exclude)
+        if state.policy.members[upstream].serves(req.weights)
+    ]
+    if not usable:
+        return None
+    chosen = min(usable, key=lambda upstream: state.policy.members[upstream].load.running())
+    distance_s = state.policy.members[chosen].distance_s
+    estimate = members.Estimate(chosen, 0, 0, 0.0, 0.0, distance_s, distance_s)
+    return members.Choice(estimate, "least busy, as no candidate is usable")
+
+
 def awaits_grant(state: observations.PoolState) -> bool:
     """Returns whether any upstream of a pool would be usable if it had a grant."""
     return any(member.awaits_grant for member in state.policy.members.values())
--- a/src/cicadapier/_internal/decisions/routing.py
+++ b/src/cicadapier/_internal/decisions/routing.py
@@ -28,6 +28,8 @@
         default_account: Settings for a caller without an account; None where it must have one.
         needs_backup: Whether the memory of its run is to be backed up.
         parts: Shared parts of its prompt, by which it is blocked if one of them crashes upstreams.
+        software: Version of the software that began the stream that it resumes; None where any
+            version may answer.
     """
 
     request: ids.RequestId
@@ -42,6 +44,7 @@
     default_account: configuration.Account | None = None
     needs_backup: bool = False
     parts: tuple[ids.PartId, ...] = ()
+    software: str | None = None
 
     @property
     def subject(self) -> poison.Subject:
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -120,7 +120,7 @@
         is_trial = block is not None and self.poison.begin_trial(block, now)
         if block is not None and not is_trial:
             return placer.refuse_blocked(request_spec, block)
-        usable = self.attempts.refresh(state, request_spec, now)
+        usable = self.attempts.refresh(state, request_spec, now, request_spec.software)
         if not usable and not placer.awaits_grant(state):
             message = f"no upstream of {request_spec.pool} can accept requests now"
             retry_after_s = placer.available_after_s(state, now)
@@ -150,9 +150,14 @@
                 message,
                 retry_after_s=verdict.retry_after_s,
             )
-        active = in_flight.ActiveRequest(request_spec, account, now, is_trial=is_trial)
+        active = in_flight.ActiveRequest(
+            request_spec, account, now, is_trial=is_trial, software=request_spec.software
+        )
         self.attempts.active[request_spec.request] = active
-        if len(state.queue) or not state.policy.has_capacity(request_spec.memory_tokens):
+        must_wait = len(state.queue) or not state.policy.has_capacity(request_spec.memory_tokens)
+        # A stream that its caller takes up again does not queue: the few upstreams that can go on
+        # with it would hold up the requests behind it.
+        if must_wait and (request_spec.software is None or not usable):
             self._enqueue(state, active, now)
             return None
         return self.attempts.place(state, active, now)
@@ -174,7 +179,7 @@
         block = self.poison.find_block(active.request_spec.subject, now)
         if block is not None:
             return placer.refuse_blocked(active.request_spec, block)
-        usable = self.attempts.refresh(state, active.request_spec, now)
+        usable = self.attempts.refresh(state, active.request_spec, now, active.software)
         if not usable and placer.awaits_grant(state):
             self._enqueue(state, active, now)
             return None
@@ -235,8 +240,11 @@
     def record_output(self, request: ids.RequestId, now: float) -> None:
         """Records that an attempt at a request has produced output."""
         active = self.attempts.active.get(request)
-        if active is not None:
-            self.poison.record_output(active.request_spec.subject, now)
+        if active is None:
+            return
+        self.poison.record_output(active.request_spec.subject, now)
+        if active.attempt is not None:
+            active.record_output(active.attempt)
 
     def poll(self, now: float) -> list[routing.Decision]:
         """Returns decisions on waiting requests that can now be placed or have timed out."""
@@ -326,7 +334,7 @@
         decisions: list[routing.Decision] = []
         while ticket := state.queue.peek():
             active = self.attempts.active[ticket.request]
-            usable = self.attempts.refresh(state, active.request_spec, now)
+            usable = self.attempts.refresh(state, active.request_spec, now, active.software)
             if not usable or not state.policy.has_capacity(active.request_spec.memory_tokens):
                 break
             state.queue.pop(now)
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -68,7 +68,9 @@
         self._answer: _WholeAnswer | None = None
         self._failed_answer: _WholeAnswer | None = None
         self._answer_began_at: float | None = None
-        self._progress = forwarded_progress.AnswerProgress(plan.forwarded.resume_after)
+        self._progress = forwarded_progress.AnswerProgress(
+            plan.forwarded.resume_after, plan.request_spec.software
+        )
         self._call_builder = forwarded_calls.CallBuilder(dependencies, plan, self._progress)
         self._silence_handler = forwarded_silence.SilentAnswerHandler(
             self._services,
@@ -356,6 +358,9 @@
         upstream = placed.choice.estimate.upstream
         if not self._dependencies.directory.may_send(upstream, placed.incarnation):
             raise attempts.AttemptFailedError(outcomes.NotSent("the upstream is leaving"))
+        if not self._progress.can_continue_at(placed):
+            reason = "the upstream has another software version than the one that began the stream"
+            raise attempts.AttemptFailedError(outcomes.NotSent(reason, withheld=True))
         if not placed.granted and self._dependencies.directory.limits.requires_grant(
             upstream, placed.incarnation
         ):
--- a/src/cicadapier/_internal/services/forwarded_progress.py
+++ b/src/cicadapier/_internal/services/forwarded_progress.py
@@ -17,15 +17,17 @@
         relayed_events: Number of events that were relayed.
         attempt_events: Number of events that the current attempt has relayed.
         weights_changed: Whether an event announced other weights.
+        software: Version of the software whose events the stream holds; None before the first.
         last_progress_at: Time of trio's clock of the last progress of the current attempt.
     """
 
-    def __init__(self, resume_after: int | None) -> None:
+    def __init__(self, resume_after: int | None, software: str | None = None) -> None:
         self.placed: routing.Placed | None = None
         self.last_event_number = resume_after
         self.relayed_events = 0
         self.attempt_events = 0
         self.weights_changed = False
+        self.software = software
         self.last_progress_at = trio.current_time()
 
     @property
@@ -46,6 +48,10 @@
         self.attempt_events = 0
         self.record_progress()
 
+    def can_continue_at(self, placed: routing.Placed) -> bool:
+        """Returns whether an upstream may add to the stream, as far as its software goes."""
+        return self.software is None or placed.software == self.software
+
     def record_progress(self) -> None:
         """Records progress of the current attempt."""
         self.last_progress_at = trio.current_time()
@@ -66,4 +72,6 @@
             weights = wire_format.read_event_weights(event.raw)
             self.weights_changed = self.weights_changed or weights is not None
             accepted.append(event)
+        if accepted and self.software is None and self.placed is not None:
+            self.software = self.placed.software
         return accepted
