Remember at several routers which software version began a stream, for callers who take it up again

Cause: Resumes was read nowhere, and the router that began a stream may be gone. A router now tells the version of each stream to two or three others by rendezvous hashing, as its first event goes out and while several versions serve the pool; on return it is looked up or asked for within 0.2 s. Unknown, with several versions seen by anybody: refused at once as not run (docs/decisions/software-versions.md).

--- a/src/cicadapier/_internal/assembly/forwarding.py
+++ b/src/cicadapier/_internal/assembly/forwarding.py
@@ -15,6 +15,7 @@
 from cicadapier._internal.services import connections_service
 from cicadapier._internal.services import directory_service
 from cicadapier._internal.services import forwarding_service
+from cicadapier._internal.services import origins_service
 from cicadapier._internal.services import peers_service
 from cicadapier._internal.services import platform_service
 from cicadapier._internal.services import probes_service
@@ -94,6 +95,7 @@
         peers,
         cluster_service.ClusterService(cfg, dependencies.generation, clock, rng),
         quotas_service.QuotasService(cfg.vm),
+        origins_service.OriginsService(cfg.vm),
         weights,
         probes_service.MetricsService(cfg, dependencies.listen_network, token_source),
         readiness,
--- /dev/null
+++ b/src/cicadapier/_internal/decisions/stream_origins.py
@@ -0,0 +1,237 @@
+"""Which software version began each stream, for callers who take a stream up at any router.
+
+Load pattern: routers and upstreams fail while upstreams of two software versions serve one pool,
+and many callers take their streams up at once, at other routers. Upstreams do not check whether
+they can go on with a stream, so a stream whose version is not known for certain is not continued.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import hashlib
+import math
+
+from cicadapier._internal.models import ids
+
+# Longest time from the start of a stream until its caller has taken it up for the last time.
+STREAM_LIFE_S = 30.0
+MAX_ORIGINS = 16_384
+MAX_UNCONFIRMED_S = 5.0  # The directory answers more often while it can be reached.
+MAX_VERSIONS = 64  # Versions that are remembered for one pool.
+# Routers that are told of each stream: in the whole fleet, and among those that the router reaches
+# in its failure domain, which may be cut off from the rest.
+HOLDERS = 2
+DOMAIN_HOLDERS = 1
+# Routers that are asked: more, as routers may disagree on which routers there are.
+ASKED = 4
+DOMAIN_ASKED = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamId:
+    """Identity of a stream.
+
+    Attributes:
+        account: Account of the caller, empty on public routes. Callers choose the ids of their
+            requests, so equal ids of different accounts name different streams.
+        request: Id of the request that brought its first event.
+    """
+
+    account: str
+    request: ids.RequestId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """Where a stream began.
+
+    Attributes:
+        stream: The stream.
+        pool: Pool of the upstream that began it.
+        software: Version of that upstream's software.
+    """
+
+    stream: StreamId
+    pool: ids.PoolId
+    software: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolVersions:
+    """Software versions that a router has seen in a pool.
+
+    Attributes:
+        versions: Those within `STREAM_LIFE_S`.
+        observed_s: For how long the router has seen all changes of the pool; 0 if the directory
+            has not answered it lately.
+    """
+
+    versions: frozenset[str]
+    observed_s: float
+
+    @property
+    def covers_all_streams(self) -> bool:
+        """Whether all streams that may still be taken up began while the router saw the pool."""
+        return self.observed_s >= STREAM_LIFE_S
+
+
+class Origins:
+    """Origins of recent streams that this router began or was told of."""
+
+    def __init__(self) -> None:
+        self._origins: collections.OrderedDict[StreamId, tuple[Origin, float]] = (
+            collections.OrderedDict()
+        )
+
+    def add(self, origin: Origin, now: float) -> None:
+        """Adds an origin; the first one of a stream stays."""
+        if self.find(origin.stream, now) is not None:
+            return
+        self._origins[origin.stream] = (origin, now)
+        self._origins.move_to_end(origin.stream)
+        if len(self._origins) > MAX_ORIGINS:
+            self._origins.popitem(last=False)
+
+    def find(self, stream: StreamId, now: float) -> Origin | None:
+        """Returns the origin of a stream, or None if it is not known."""
+        while self._origins:
+            oldest, (_, added_at) = next(iter(self._origins.items()))
+            if now - added_at < 2 * STREAM_LIFE_S:
+                break
+            del self._origins[oldest]
+        found = self._origins.get(stream)
+        return found[0] if found else None
+
+    def of_pool(self, pool: ids.PoolId, now: float) -> list[Origin]:
+        """Returns the origins of the streams of a pool that may still be taken up."""
+        return [
+            origin
+            for origin, added_at in self._origins.values()
+            if origin.pool == pool and now - added_at < STREAM_LIFE_S
+        ]
+
+
+class VersionHistory:
+    """Software versions that serve each pool, and those that served it recently."""
+
+    def __init__(self) -> None:
+        self._current: dict[ids.PoolId, frozenset[str]] = {}
+        self._last_seen: dict[ids.PoolId, dict[str, float]] = {}
+        self._first_seen: dict[ids.PoolId, float] = {}
+        self._confirmed_at = -math.inf
+
+    def confirm(self, now: float) -> None:
+        """Records that the directory has answered, so that the registered versions are current."""
+        self._confirmed_at = now
+
+    def observe(
+        self, versions: collections.abc.Mapping[ids.PoolId, frozenset[str]], now: float
+    ) -> list[ids.PoolId]:
+        """Records the versions that are registered now.
+
+        Returns:
+            The pools that got a second version.
+        """
+        several = {pool for pool in self._current if self._has_several(pool, now)}
+        for pool, current in self._current.items():
+            self._last_seen.setdefault(pool, {}).update(dict.fromkeys(current, now))
+        for pool, current in versions.items():
+            if current:
+                self._first_seen.setdefault(pool, now)
+                self._last_seen.setdefault(pool, {}).update(dict.fromkeys(current, now))
+        self._current = dict(versions)
+        for pool, seen in self._last_seen.items():
+            newest = sorted(seen.items(), key=lambda item: item[1], reverse=True)[:MAX_VERSIONS]
+            self._last_seen[pool] = {v: at for v, at in newest if now - at < STREAM_LIFE_S}
+        return [p for p in versions if p not in several and self._has_several(p, now)]
+
+    def seen(self, pool: ids.PoolId, now: float) -> PoolVersions:
+        """Returns the versions that streams of a pool may have begun at."""
+        recent = {
+            version
+            for version, at in self._last_seen.get(pool, {}).items()
+            if now - at < STREAM_LIFE_S
+        }
+        versions = self._current.get(pool, frozenset()) | recent
+        is_current = now - self._confirmed_at < MAX_UNCONFIRMED_S
+        observed_s = now - self._first_seen.get(pool, now) if is_current else 0.0
+        return PoolVersions(versions, observed_s)
+
+    def _has_several(self, pool: ids.PoolId, now: float) -> bool:
+        return len(self.seen(pool, now).versions) > 1
+
+
+def sole_version(
+    own: PoolVersions, peers: collections.abc.Collection[PoolVersions], asked: int
+) -> str | None:
+    """Returns the version at which all streams of a pool began, or None if that is not certain.
+
+    Args:
+        own: Versions that this router has seen.
+        peers: Versions that the routers that answered have seen.
+        asked: Number of routers that were asked.
+    """
+    answers = [own, *peers]
+    versions = frozenset[str]().union(*(seen.versions for seen in answers))
+    if len(versions) != 1:
+        return None
+    if not peers and asked and not own.covers_all_streams:
+        # This router alone may have missed another version.
+        return None
+    return next(iter(versions))
+
+
+def first_by_hash(
+    stream: StreamId, vms: collections.abc.Iterable[ids.VmId], count: int
+) -> list[ids.VmId]:
+    """Returns the routers that come first for a stream by rendezvous hashing."""
+    key = f"{stream.account}/{stream.request}/"
+    return sorted(vms, key=lambda vm: _rank(key, vm), reverse=True)[:count]
+
+
+def _rank(key: str, vm: ids.VmId) -> bytes:
+    return hashlib.blake2b((key + vm).encode(), digest_size=8).digest()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginNotice:
+    """Message to other routers: the origins of streams."""
+
+    origins: tuple[Origin, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginQuery:
+    """Question of a router for the origin of a stream.
+
+    Attributes:
+        number: Number by which the answer is matched with the question.
+        reply_to: Address of the router that asks.
+        stream: The stream.
+        pool: Pool whose versions are asked for as well.
+    """
+
+    number: int
+    reply_to: ids.Address
+    stream: StreamId
+    pool: ids.PoolId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginAnswer:
+    """Answer of a router.
+
+    Attributes:
+        number: Number of the question.
+        sender: The router.
+        origin: The origin, if the router knows it.
+        seen: Versions that it has seen in the pool.
+    """
+
+    number: int
+    sender: ids.VmId
+    origin: Origin | None
+    seen: PoolVersions
+
+
+Message = OriginNotice | OriginQuery | OriginAnswer
--- a/src/cicadapier/_internal/models/outcomes.py
+++ b/src/cicadapier/_internal/models/outcomes.py
@@ -39,6 +39,7 @@
     UPSTREAM_FAILED = "upstream_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
     STREAM_BROKEN = "stream_broken"
+    ORIGIN_UNKNOWN = "stream_origin_unknown"
     POISON = "request_crashes_upstreams"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     CLAIM_IN_PROGRESS = "claim_in_progress"
@@ -66,6 +67,7 @@
     RefusalCode.UPSTREAM_FAILED: http.HTTPStatus.BAD_GATEWAY,
     RefusalCode.OUTCOME_UNKNOWN: http.HTTPStatus.BAD_GATEWAY,
     RefusalCode.STREAM_BROKEN: http.HTTPStatus.BAD_GATEWAY,
+    RefusalCode.ORIGIN_UNKNOWN: http.HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalCode.POISON: http.HTTPStatus.UNPROCESSABLE_ENTITY,
     RefusalCode.CLAIM_UNAVAILABLE: http.HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalCode.CLAIM_IN_PROGRESS: http.HTTPStatus.CONFLICT,
--- a/src/cicadapier/_internal/protocols/peer_codec.py
+++ b/src/cicadapier/_internal/protocols/peer_codec.py
@@ -9,8 +9,10 @@
 from cicadapier._internal.decisions import poison
 from cicadapier._internal.decisions import quotas
 from cicadapier._internal.decisions import rate_limits
+from cicadapier._internal.decisions import stream_origins
 from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import origin_codec
 from cicadapier._internal.protocols import peers_pb2
 from cicadapier._internal.protocols import poison_codec
 from cicadapier._internal.protocols import quota_codec
@@ -146,7 +148,7 @@
 
 
 # Messages that are sent as datagrams.
-Message = Digest | quotas.GrantRequest | quotas.Grant
+Message = Digest | quotas.GrantRequest | quotas.Grant | stream_origins.Message
 
 
 def encode_message(message: Message) -> peers_pb2.Datagram:
@@ -155,6 +157,12 @@
         return peers_pb2.Datagram(grant_request=quota_codec.encode_grant_request(message))
     if isinstance(message, quotas.Grant):
         return peers_pb2.Datagram(grant=quota_codec.encode_grant(message))
+    if isinstance(message, stream_origins.OriginNotice):
+        return peers_pb2.Datagram(origin_notice=origin_codec.encode_notice(message))
+    if isinstance(message, stream_origins.OriginQuery):
+        return peers_pb2.Datagram(origin_query=origin_codec.encode_query(message))
+    if isinstance(message, stream_origins.OriginAnswer):
+        return peers_pb2.Datagram(origin_answer=origin_codec.encode_answer(message))
     return peers_pb2.Datagram(digest=encode_digest(message))
 
 
@@ -165,6 +173,12 @@
         return quota_codec.decode_grant_request(message.grant_request)
     if kind == "grant":
         return quota_codec.decode_grant(message.grant)
+    if kind == "origin_notice":
+        return origin_codec.decode_notice(message.origin_notice)
+    if kind == "origin_query":
+        return origin_codec.decode_query(message.origin_query)
+    if kind == "origin_answer":
+        return origin_codec.decode_answer(message.origin_answer)
     return decode_digest(message.digest) if kind == "digest" else None
 
 
--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from typing import Protocol
 
 import structlog
 import trio
@@ -28,6 +29,16 @@
 _log = structlog.get_logger()
 
 
+class VersionSink(Protocol):
+    """Service that follows the software versions in each pool."""
+
+    def set_versions(self, versions: dict[ids.PoolId, frozenset[str]]) -> None:
+        """Sets the software versions that are registered in each pool."""
+
+    def confirm_versions(self) -> None:
+        """Records that the directory has answered."""
+
+
 class DirectoryService(service.Service, watching.WatchHandler):
     """Watches the directory and passes every change to the traffic decisions.
 
@@ -63,6 +74,7 @@
         self._traffic: traffic_service.TrafficService | None = None
         self._telemetry: telemetry_service.TelemetryService | None = None
         self._peers: traffic_service.PeerNotifier | None = None
+        self._origins: VersionSink | None = None
 
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
@@ -70,6 +82,7 @@
         self._traffic = kernel.find(names.TRAFFIC)
         self._telemetry = kernel.find(names.TELEMETRY)
         self._peers = kernel.find(names.PEERS)
+        self._origins = kernel.find(names.ORIGINS)
         self.limits.set_services(
             self._traffic, self._telemetry, kernel.find(names.QUOTAS), self._peers
         )
@@ -143,6 +156,8 @@
     def record_answer(self, queried_at: float) -> None:
         """See `watching.WatchHandler.record_answer`."""
         self._directory.record_store_response(self._clock())
+        if self._origins:
+            self._origins.confirm_versions()
 
     def record_failure(self) -> None:
         """See `watching.WatchHandler.record_failure`."""
@@ -188,7 +203,13 @@
         content = dataclasses.replace(current.content, pools=pools)
         joined = dataclasses.replace(current, content=content)
         self._traffic.mailbox.send(traffic_messages.ConfigurationChanged(joined))
-        self.limits.set_registered({item.upstream for item in self._directory.registrations()})
+        registrations = self._directory.registrations()
+        self.limits.set_registered({item.upstream for item in registrations})
+        if self._origins:
+            versions: dict[ids.PoolId, set[str]] = {}
+            for item in registrations:
+                versions.setdefault(item.pool, set()).add(item.software)
+            self._origins.set_versions({p: frozenset(found) for p, found in versions.items()})
 
     async def _expire_entries(self) -> None:
         while True:
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -10,6 +10,7 @@
 from cicadapier._internal.decisions import members
 from cicadapier._internal.decisions import retries
 from cicadapier._internal.decisions import routing
+from cicadapier._internal.decisions import stream_origins
 from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
@@ -399,6 +400,7 @@
             events = splitter.feed(part)
             accepted = self._progress.take_in_order(events, self._dependencies.wire_format)
             if accepted:
+                self._record_origin()
                 self._report_output(len(accepted))
                 await self._send_data(attempt, head, b"".join(event.raw for event in accepted))
             if len(accepted) < len(events) or splitter.is_overlong:
@@ -413,6 +415,13 @@
         await self._responder.finish()
         return outcomes.Complete(head.status)
 
+    def _record_origin(self) -> None:
+        """Records which software began the stream, before its caller gets the first event."""
+        software = self._progress.software
+        if not self._responder.started and software is not None:
+            origin = stream_origins.Origin(self._plan.stream, self._plan.pool, software)
+            self._dependencies.origins.record_begin(origin)
+
     def _report_output(self, accepted_events: int) -> None:
         """Reports the first events of an attempt that goes on with an answer."""
         if self._responder.started and self._progress.attempt_events == accepted_events:
--- a/src/cicadapier/_internal/services/forwarded_plan.py
+++ b/src/cicadapier/_internal/services/forwarded_plan.py
@@ -4,10 +4,12 @@
 import dataclasses
 
 from cicadapier._internal.decisions import routing
+from cicadapier._internal.decisions import stream_origins
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import forwarding
 from cicadapier._internal.services import directory_service
+from cicadapier._internal.services import origins_service
 from cicadapier._internal.services import request_context
 from cicadapier._internal.services import watched_configuration
 
@@ -40,6 +42,7 @@
         request_spec: Its description for the traffic decisions.
         cache_scope: Scope in which cached parts of its prompt are shared; empty if it has no
             prompt.
+        stream: Identity of its stream; the stream that it takes up, if it does.
         deadline: Time of trio's clock by which it must be answered.
         attributes: Attributes of its metrics.
     """
@@ -49,6 +52,7 @@
     pool: ids.PoolId
     request_spec: routing.RequestSpec
     cache_scope: str
+    stream: stream_origins.StreamId
     deadline: float
     attributes: dict[str, str]
 
@@ -62,6 +66,7 @@
         wire_format: Format of requests and answers.
         directory: Registered upstreams.
         configuration: Holder of the current configuration.
+        origins: Knows which software version began which stream.
         admit: Checks a request against the current configuration; raises `RefusedError` if the
             request is not allowed.
     """
@@ -70,4 +75,5 @@
     wire_format: forwarding.ForwardingFormat
     directory: directory_service.DirectoryService
     configuration: watched_configuration.WatchedConfiguration
+    origins: origins_service.OriginsService
     admit: collections.abc.Callable[[forwarding.ForwardedRequest], Admission]
--- a/src/cicadapier/_internal/services/forwarded_requests.py
+++ b/src/cicadapier/_internal/services/forwarded_requests.py
@@ -14,6 +14,7 @@
 from cicadapier._internal.decisions import backups
 from cicadapier._internal.decisions import prefix
 from cicadapier._internal.decisions import routing
+from cicadapier._internal.decisions import stream_origins
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
@@ -25,6 +26,7 @@
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import forwarded_exchange
 from cicadapier._internal.services import forwarded_plan
+from cicadapier._internal.services import origins_service
 from cicadapier._internal.services import request_context
 from cicadapier._internal.services import request_listener
 from cicadapier._internal.services import telemetry_service
@@ -65,6 +67,7 @@
         watched_cfg: watched_configuration.WatchedConfiguration,
         directory: directory_service.DirectoryService,
         cluster: cluster_service.ClusterService,
+        origins: origins_service.OriginsService,
         secret: bytes,
     ) -> None:
         self._services = services
@@ -72,6 +75,7 @@
         self._configuration = watched_cfg
         self._directory = directory
         self._cluster = cluster
+        self._origins = origins
         self._secret = secret
         self._request_numbers = itertools.count()
         self._open_exchanges: set[forwarded_exchange.Exchange] = set()
@@ -93,7 +97,9 @@
         """
         forwarded = self._read_request(req)
         try:
-            plan = self._make_plan(forwarded)
+            admission = self.admit(forwarded)
+            origin = await self._find_origin(admission, forwarded)
+            plan = self._make_plan(admission, forwarded, origin)
             _require_not_draining(plan, deadlines)
             self._services.retry_budget.set_routers(len(self._cluster.routers()))
             await self._run_exchange(plan, responder)
@@ -132,7 +138,12 @@
 
     def _make_dependencies(self) -> forwarded_plan.Dependencies:
         return forwarded_plan.Dependencies(
-            self._services, self._wire_format, self._directory, self._configuration, self.admit
+            self._services,
+            self._wire_format,
+            self._directory,
+            self._configuration,
+            self._origins,
+            self.admit,
         )
 
     def _read_request(self, req: http_server.Request) -> forwarding.ForwardedRequest:
@@ -187,13 +198,41 @@
                 outcomes.RefusalCode.STALE_CONFIGURATION, message, NOT_READY_RETRY_S
             )
 
-    def _make_plan(self, forwarded: forwarding.ForwardedRequest) -> forwarded_plan.Plan:
-        admission = self.admit(forwarded)
+    async def _find_origin(
+        self, admission: forwarded_plan.Admission, forwarded: forwarding.ForwardedRequest
+    ) -> stream_origins.Origin | None:
+        """Returns where the stream began that a request takes up; None if it takes up none.
+
+        Raises:
+            RefusedError: It is not certain which software version began the stream.
+        """
+        route = admission.route
+        if route.kind is not configuration.RouteKind.STREAM or not forwarded.resume_after:
+            return None
+        stream = None
+        if forwarded.resumes:
+            stream = stream_origins.StreamId(admission.account or "", forwarded.resumes)
+        pool = _choose_pool(route, forwarded.resumes or forwarded.request)
+        origin = await self._origins.find_origin(stream, pool)
+        if origin is None or origin.pool not in {share.pool for share in route.pools}:
+            raise _refused_error(
+                outcomes.RefusalCode.ORIGIN_UNKNOWN,
+                "it is not known which software version of the upstreams began this stream; "
+                "request it anew",
+            )
+        return origin
+
+    def _make_plan(
+        self,
+        admission: forwarded_plan.Admission,
+        forwarded: forwarding.ForwardedRequest,
+        origin: stream_origins.Origin | None,
+    ) -> forwarded_plan.Plan:
         route = admission.route
         timeout_s = route.timeout_s
         if forwarded.time_left_s is not None:
             timeout_s = min(timeout_s, forwarded.time_left_s)
-        pool_id = _choose_pool(route, forwarded.request)
+        pool_id = origin.pool if origin else _choose_pool(route, forwarded.request)
         number = next(self._request_numbers)
         request = ids.RequestId(f"{forwarded.request}#{number}")
         prompt, cache_scope = self._make_prompt(admission, forwarded)
@@ -209,6 +248,7 @@
             default_account=_PUBLIC_ACCOUNT_SPEC if admission.account is None else None,
             needs_backup=_is_backed_up(admission, pool_id, forwarded.work),
             parts=self._shared_parts(admission, forwarded.work),
+            software=origin.software if origin else None,
         )
         attributes = self._services.telemetry.attributes(
             telemetry_service.Caller(request_spec.account, configuration.ServiceClass.INTERACTIVE)
@@ -219,6 +259,9 @@
             pool_id,
             request_spec,
             cache_scope,
+            origin.stream
+            if origin
+            else stream_origins.StreamId(admission.account or "", forwarded.request),
             forwarded.raw.began_at + timeout_s,
             attributes,
         )
--- a/src/cicadapier/_internal/services/forwarding_service.py
+++ b/src/cicadapier/_internal/services/forwarding_service.py
@@ -72,6 +72,7 @@
             self._configuration,
             kernel.find(names.UPSTREAMS),
             kernel.find(names.CLUSTER),
+            kernel.find(names.ORIGINS),
             secret,
         )
         async with trio.open_nursery() as nursery:
--- /dev/null
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -0,0 +1,209 @@
+"""Remembers which software version began each stream, and asks other routers for it."""
+
+import dataclasses
+import itertools
+
+import structlog
+import trio
+
+from cicadapier._internal.decisions import stream_origins
+from cicadapier._internal.kernel import mailbox
+from cicadapier._internal.kernel import service
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import origin_codec
+from cicadapier._internal.services import cluster_service
+from cicadapier._internal.services import names
+from cicadapier._internal.services import peers_service
+
+# Datagrams may be lost, so the routers that have not answered are asked again after these times.
+ASK_WAITS_S = (0.04, 0.06, 0.1)
+
+_log = structlog.get_logger()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TellOrigins:
+    """The holders of some streams are to be told their origins."""
+
+    origins: list[stream_origins.Origin]
+
+
+Message = TellOrigins | stream_origins.Message
+
+
+class _Question:
+    """A question that waits for answers.
+
+    Attributes:
+        origin: The origin, once a router has named it.
+        seen: What the routers that answered have seen.
+    """
+
+    def __init__(self, asked: int) -> None:
+        self.origin: stream_origins.Origin | None = None
+        self.seen: dict[ids.VmId, stream_origins.PoolVersions] = {}
+        self.asked = asked
+        self._settled = trio.Event()
+
+    @property
+    def missing(self) -> int:
+        """Number of routers that have not answered."""
+        return self.asked - len(self.seen)
+
+    def add(self, answer: stream_origins.OriginAnswer) -> None:
+        """Adds an answer."""
+        self.seen[answer.sender] = answer.seen
+        self.origin = self.origin or answer.origin
+        if self.origin is not None or not self.missing:
+            self._settled.set()
+
+    async def wait(self) -> None:
+        """Waits until the origin is known or all routers have answered."""
+        await self._settled.wait()
+
+
+class OriginsService(service.Service):
+    """Owns the origins of streams, and tells and asks other routers about them.
+
+    Each stream is told to a few routers, but only while several versions serve its pool: with one
+    version alone, every stream began at that version.
+
+    Attributes:
+        mailbox: Messages to the service.
+    """
+
+    name = names.ORIGINS
+
+    def __init__(self, vm: ids.VmId) -> None:
+        self.mailbox: mailbox.Mailbox[Message] = mailbox.Mailbox()
+        self._vm = vm
+        self._origins = stream_origins.Origins()
+        self._history = stream_origins.VersionHistory()
+        self._questions: dict[int, _Question] = {}
+        self._numbers = itertools.count(1)
+
+    async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
+        """See `service.Service.run`."""
+        self._cluster: cluster_service.ClusterService = kernel.find(names.CLUSTER)
+        self._peers: peers_service.PeersService = kernel.find(names.PEERS)
+        self._peers.set_origin_sink(self)
+        task_status.started()
+        while True:
+            message = await self.mailbox.receive()
+            now = trio.current_time()
+            if isinstance(message, TellOrigins):
+                await self._tell(message.origins)
+            elif isinstance(message, stream_origins.OriginNotice):
+                for origin in message.origins:
+                    self._origins.add(origin, now)
+            elif isinstance(message, stream_origins.OriginQuery):
+                await self._answer(message, now)
+            else:
+                self._handle_answer(message)
+
+    def set_versions(self, versions: dict[ids.PoolId, frozenset[str]]) -> None:
+        """Sets the software versions that are registered in each pool."""
+        now = trio.current_time()
+        for pool in self._history.observe(versions, now):
+            _log.info("software_versions_differ", pool=pool, versions=sorted(versions[pool]))
+            # Streams that began earlier may be taken up after this router is gone.
+            self.mailbox.try_send(TellOrigins(self._origins.of_pool(pool, now)))
+
+    def confirm_versions(self) -> None:
+        """Records that the directory has answered."""
+        self._history.confirm(trio.current_time())
+
+    def record_begin(self, origin: stream_origins.Origin) -> None:
+        """Records that a stream of this router brings its first event."""
+        now = trio.current_time()
+        self._origins.add(origin, now)
+        if len(self._history.seen(origin.pool, now).versions) > 1:
+            self.mailbox.try_send(TellOrigins([origin]))
+
+    async def find_origin(
+        self, stream: stream_origins.StreamId | None, pool: ids.PoolId
+    ) -> stream_origins.Origin | None:
+        """Returns where a stream began, or None if that is not certain.
+
+        Args:
+            stream: The stream; None if its caller does not name it.
+            pool: Pool at which it began unless a router knows better.
+        """
+        now = trio.current_time()
+        known = self._origins.find(stream, now) if stream else None
+        if known is not None:
+            return known
+        own = self._history.seen(pool, now)
+        stream = stream or stream_origins.StreamId("", ids.RequestId(""))
+        question = await self._ask(stream, pool)
+        if question.origin is not None:
+            self._origins.add(question.origin, trio.current_time())
+            return question.origin
+        sole = stream_origins.sole_version(own, question.seen.values(), question.asked)
+        _log.info(
+            "stream_origin_unknown",
+            request=stream.request,
+            pool=pool,
+            answered=len(question.seen),
+            missing=question.missing,
+            versions=sorted(own.versions),
+            assumed=sole,
+        )
+        return stream_origins.Origin(stream, pool, sole) if sole is not None else None
+
+    async def _ask(self, stream: stream_origins.StreamId, pool: ids.PoolId) -> _Question:
+        """Asks the routers that may know a stream until one names its origin or all answer."""
+        addresses = self._choose_routers(stream, stream_origins.ASKED, stream_origins.DOMAIN_ASKED)
+        question = _Question(len(addresses))
+        number = next(self._numbers)
+        query = stream_origins.OriginQuery(number, self._peers.address, stream, pool)
+        self._questions[number] = question
+        try:
+            for wait_s in ASK_WAITS_S:
+                waiting = [addresses[vm] for vm in addresses if vm not in question.seen]
+                if question.origin is not None or not waiting:
+                    break
+                await self._peers.send_datagram(waiting, query)
+                with trio.move_on_after(wait_s):
+                    await question.wait()
+        finally:
+            del self._questions[number]
+        return question
+
+    def _handle_answer(self, answer: stream_origins.OriginAnswer) -> None:
+        question = self._questions.get(answer.number)
+        if question is not None:
+            question.add(answer)
+
+    async def _answer(self, query: stream_origins.OriginQuery, now: float) -> None:
+        origin = self._origins.find(query.stream, now)
+        seen = self._history.seen(query.pool, now)
+        answer = stream_origins.OriginAnswer(query.number, self._vm, origin, seen)
+        await self._peers.send_datagram([query.reply_to], answer)
+
+    async def _tell(self, origins: list[stream_origins.Origin]) -> None:
+        """Tells the holders of each stream its origin."""
+        by_address: dict[ids.Address, list[stream_origins.Origin]] = {}
+        for origin in origins:
+            holders = self._choose_routers(
+                origin.stream, stream_origins.HOLDERS, stream_origins.DOMAIN_HOLDERS
+            )
+            for address in holders.values():
+                by_address.setdefault(address, []).append(origin)
+        for address, told in by_address.items():
+            for start in range(0, len(told), origin_codec.MAX_ORIGINS):
+                notice = stream_origins.OriginNotice(
+                    tuple(told[start : start + origin_codec.MAX_ORIGINS])
+                )
+                await self._peers.send_datagram([address], notice)
+
+    def _choose_routers(
+        self, stream: stream_origins.StreamId, count: int, domain_count: int
+    ) -> dict[ids.VmId, ids.Address]:
+        """Returns the addresses of other routers that are told of a stream or asked for it."""
+        addresses = self._cluster.addresses()
+        others = [vm for vm in addresses if vm != self._vm]
+        near = [vm for vm in self._peers.domain_routers() if vm in addresses]
+        chosen = stream_origins.first_by_hash(stream, others, count)
+        chosen += stream_origins.first_by_hash(stream, near, domain_count)
+        return {vm: addresses[vm] for vm in chosen}
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -14,6 +14,7 @@
 from cicadapier._internal.decisions import peer_updates
 from cicadapier._internal.decisions import poison
 from cicadapier._internal.decisions import rate_limits
+from cicadapier._internal.decisions import stream_origins
 from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import service
@@ -42,6 +43,12 @@
     mailbox: mailbox.Mailbox[Any]
 
 
+class OriginSink(Protocol):
+    """Service that knows the origins of streams."""
+
+    mailbox: mailbox.Mailbox[Any]
+
+
 class RateLimitExchange(Protocol):
     """Rate limits that upstreams have announced."""
 
@@ -108,6 +115,7 @@
         self._kernel: service.Kernel | None = None
         self._upstreams: UpstreamStateSource | None = None
         self._quotas: QuotaSink | None = None
+        self._origins: OriginSink | None = None
         self._reachable: frozenset[ids.VmId] = frozenset()
         self._domain_routers: frozenset[ids.VmId] = frozenset()
         self._domain_update_event = trio.Event()
@@ -201,6 +209,9 @@
         """See `peer_transport.PeerHandler.handle_datagram`."""
         if isinstance(message, peer_codec.Digest):
             self._merge(message)
+        elif isinstance(message, stream_origins.Message):
+            if self._origins:
+                self._origins.mailbox.try_send(message)
         elif self._quotas:
             self._quotas.mailbox.try_send(message)
 
@@ -214,6 +225,10 @@
         """Sets the service that processes the peers' grants and requests for grants."""
         self._quotas = sink
 
+    def set_origin_sink(self, sink: OriginSink) -> None:
+        """Sets the service that processes the peers' messages about the origins of streams."""
+        self._origins = sink
+
     def configuration_update(
         self, since: ids.ConfigNumber
     ) -> tuple[ids.ConfigNumber, bytes] | None:
--- /dev/null
+++ b/tests/_internal/decisions/test_stream_origins.py
@@ -0,0 +1,116 @@
+"""Which software version began a stream: what is remembered, whom to ask, when it is certain."""
+
+import unittest
+
+from cicadapier._internal.decisions import stream_origins
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import peer_codec
+from cicadapier._internal.protocols import peers_pb2
+
+POOL = ids.PoolId("models")
+LIFE_S = stream_origins.STREAM_LIFE_S
+
+
+def origin(request="q", software="v1", account="press"):
+    stream = stream_origins.StreamId(account, ids.RequestId(request))
+    return stream_origins.Origin(stream, POOL, software)
+
+
+def seen(*versions, observed_s=LIFE_S):
+    return stream_origins.PoolVersions(frozenset(versions), observed_s)
+
+
+class OriginsTest(unittest.TestCase):
+    def setUp(self):
+        self.origins = stream_origins.Origins()
+
+    def test_origin_is_known_as_long_as_its_stream_may_be_taken_up(self):
+        self.origins.add(origin(), 0.0)
+        self.assertEqual(self.origins.find(origin().stream, LIFE_S), origin())
+        self.assertIsNone(self.origins.find(origin().stream, 2 * LIFE_S))
+
+    def test_another_account_cannot_change_the_origin_of_a_stream(self):
+        self.origins.add(origin(software="v1"), 0.0)
+        self.origins.add(origin(software="v2", account="apart"), 1.0)
+        self.origins.add(origin(software="v2"), 2.0)
+        self.assertEqual(self.origins.find(origin().stream, 3.0).software, "v1")
+
+    def test_origins_are_bounded(self):
+        for number in range(stream_origins.MAX_ORIGINS + 10):
+            self.origins.add(origin(f"q{number}"), 0.0)
+        self.assertIsNone(self.origins.find(origin("q0").stream, 0.0))
+        self.assertEqual(len(self.origins.of_pool(POOL, 0.0)), stream_origins.MAX_ORIGINS)
+
+
+class VersionHistoryTest(unittest.TestCase):
+    def setUp(self):
+        self.history = stream_origins.VersionHistory()
+
+    def _observe(self, now, *versions):
+        self.history.confirm(now)
+        return self.history.observe({POOL: frozenset(versions)}, now)
+
+    def test_a_second_version_is_reported_once(self):
+        self.assertEqual(self._observe(0.0, "v1"), [])
+        self.assertEqual(self._observe(1.0, "v1", "v2"), [POOL])
+        self.assertEqual(self._observe(2.0, "v1", "v2"), [])
+
+    def test_a_version_that_is_gone_counts_while_its_streams_may_be_taken_up(self):
+        self._observe(0.0, "v1", "v2")
+        self._observe(10.0, "v2")
+        self.assertEqual(self.history.seen(POOL, 10.0 + LIFE_S - 1).versions, {"v1", "v2"})
+        self.assertEqual(self.history.seen(POOL, 10.0 + LIFE_S + 1).versions, {"v2"})
+
+    def test_a_version_that_replaces_another_between_two_looks_is_a_second_one(self):
+        self._observe(0.0, "v1")
+        self.assertEqual(self._observe(50.0, "v2"), [POOL])
+        self.assertEqual(self.history.seen(POOL, 51.0).versions, {"v1", "v2"})
+
+    def test_observation_without_answers_of_the_directory_proves_nothing(self):
+        self._observe(0.0, "v1")
+        self.history.confirm(100.0)
+        self.assertTrue(self.history.seen(POOL, 101.0).covers_all_streams)
+        late = 101.0 + stream_origins.MAX_UNCONFIRMED_S
+        self.assertFalse(self.history.seen(POOL, late).covers_all_streams)
+
+
+class SoleVersionTest(unittest.TestCase):
+    def test_all_routers_have_seen_one_version(self):
+        self.assertEqual(stream_origins.sole_version(seen("v1"), [seen("v1")], 2), "v1")
+
+    def test_any_router_that_has_seen_another_version_makes_it_uncertain(self):
+        self.assertIsNone(stream_origins.sole_version(seen("v1"), [seen("v1", "v2")], 2))
+        self.assertIsNone(stream_origins.sole_version(seen("v1", "v2"), [], 0))
+
+    def test_a_router_that_has_just_started_does_not_trust_itself_alone(self):
+        fresh = seen("v1", observed_s=1.0)
+        self.assertIsNone(stream_origins.sole_version(fresh, [], 3))
+        self.assertEqual(stream_origins.sole_version(fresh, [fresh], 3), "v1")
+        self.assertEqual(stream_origins.sole_version(fresh, [], 0), "v1")
+
+
+class HoldersTest(unittest.TestCase):
+    def test_asked_routers_include_the_holders_if_some_routers_have_gone(self):
+        vms = [ids.VmId(f"vm-{number}") for number in range(300)]
+        for number in range(50):
+            stream = origin(f"q{number}").stream
+            told = stream_origins.first_by_hash(stream, vms, stream_origins.HOLDERS)
+            left = [vm for vm in vms if vm != told[0]]
+            asked = stream_origins.first_by_hash(stream, left, stream_origins.ASKED)
+            self.assertIn(told[1], asked)
+
+    def test_messages_survive_the_wire(self):
+        messages = (
+            stream_origins.OriginNotice((origin(), origin("r", "v2"))),
+            stream_origins.OriginQuery(7, ids.Address("10.0.0.1:80"), origin().stream, POOL),
+            stream_origins.OriginAnswer(7, ids.VmId("vm"), origin(), seen("v1", "v2")),
+            stream_origins.OriginAnswer(7, ids.VmId("vm"), None, seen("v1", observed_s=1.0)),
+        )
+        for message in messages:
+            data = peer_codec.encode_message(message).SerializeToString()
+            decoded = peer_codec.decode_message(peers_pb2.Datagram.FromString(data))
+            self.assertEqual(decoded, message)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -115,6 +115,20 @@
         "",
         f"{planted_bug.DECISIONS}.test_poison.TrialTest",
     ),
+    planted_bug.Mutant(
+        "go on with an answer at any software version",
+        "decisions/placer.py",
+        "member.other_software = software is not None and",
+        "member.other_software = False and",
+        f"{planted_bug.DECISIONS}.test_software_placement.PlacementTest",
+    ),
+    planted_bug.Mutant(
+        "assume a version of which a peer has seen another",
+        "decisions/stream_origins.py",
+        "if len(versions) != 1:",
+        "if len(own.versions) != 1:",
+        f"{planted_bug.DECISIONS}.test_stream_origins.SoleVersionTest",
+    ),
     planted_bug.Mutant(
         "treat a leaving upstream as active",
         "decisions/health.py",
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -24,6 +24,22 @@
         '"resourceVersion": ""}, "spec": spec}',
         f"{planted_bug.SERVICES}.test_router_fleet.ConfigurationTest",
     ),
+    planted_bug.Mutant(
+        "do not tell other routers which version began a stream",
+        "services/origins_service.py",
+        "self.mailbox.try_send(TellOrigins([origin]))",
+        "pass",
+        f"{planted_bug.SERVICES}.test_software_versions.TakenUpAgainTest"
+        ".test_stream_whose_router_is_killed_goes_on_elsewhere_at_its_version",
+    ),
+    planted_bug.Mutant(
+        "do not tell other routers which version began the streams before a second one appeared",
+        "services/origins_service.py",
+        "self.mailbox.try_send(TellOrigins(self._origins.of_pool(pool, now)))",
+        "pass",
+        f"{planted_bug.SERVICES}.test_software_versions.TakenUpAgainTest"
+        ".test_stream_that_began_before_the_second_version_appeared_goes_on_elsewhere",
+    ),
     planted_bug.Mutant(
         "do not announce a crash to the peers",
         "services/request_context.py",
