Keep a router running when a suspect that waits for isolation has to wait for a grant

Cause: the deadline of the isolation was taken away twice, as the request had moved to the queue. The test failed with that KeyError before.

--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -351,6 +351,9 @@
             active = self.attempts.active[request]
             del self._isolation_deadlines[request]
             decision = self.retry(request, now)
+            if decision is None and request not in self._isolation_deadlines:
+                # It waits in the queue, for a grant.
+                continue
             if decision is None and now < deadline:
                 self._isolation_deadlines[request] = deadline
                 continue
--- a/tests/_internal/decisions/test_traffic.py
+++ b/tests/_internal/decisions/test_traffic.py
@@ -9,6 +9,7 @@
 from cicadapier._internal.decisions import traffic
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
+from cicadapier._internal.models import outcomes
 
 DESK = ids.PoolId("desk")
 MODELS = ids.PoolId("models")
@@ -39,6 +40,12 @@
     return router
 
 
+def crash(router, name, now):
+    """Makes a request a suspect: its upstream crashes before it has answered."""
+    outcome = outcomes.SentNoAnswer("lost", crashed=True, unreachable=True)
+    router.attempts.attempt_ended(ids.RequestId(name), outcome, now)
+
+
 def configure_pools(router, pools):
     """Replaces the configured pools."""
     content = configuration.Configuration({ACCOUNT: configuration.Account()}, pools)
@@ -242,5 +249,31 @@
         self.assertEqual(decision.refusal.retry_after_s, 4.0)
 
 
+class IsolationTest(unittest.TestCase):
+    def _make_waiting_suspect(self):
+        """Returns a router at which a suspect waits, as others run on both upstreams left."""
+        router = make_traffic(upstreams=5)
+        for name in ("a", "b", "c"):
+            router.admit(request_spec(name), 1.0)
+            crash(router, name, 1.0)
+        placed = [router.retry(ids.RequestId(name), 1.0) for name in ("a", "b")]
+        self.assertTrue(all(isinstance(item, routing.Placed) for item in placed))
+        self.assertIsNone(router.retry(ids.RequestId("c"), 1.0))
+        return router
+
+    def test_suspect_is_placed_beside_another_rather_than_refused(self):
+        router = self._make_waiting_suspect()
+        self.assertEqual(router.poll(1.1), [])
+        (decision,) = router.poll(1.0 + traffic.MAX_ISOLATION_WAIT_S)
+        self.assertIsInstance(decision, routing.Placed)
+
+    def test_suspect_waits_for_a_grant_if_its_upstreams_become_limited(self):
+        router = self._make_waiting_suspect()
+        for upstream in list(router.pools[DESK].policy.members):
+            router.observations.record_rate_limited(DESK, upstream, True, 1.1, 1.1)
+        self.assertEqual(router.poll(1.0 + traffic.MAX_ISOLATION_WAIT_S), [])
+        self.assertEqual(len(router.pools[DESK].queue), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
