Place a suspect from the queue beside another one rather than refuse it

Callers would have seen a refusal (no_upstream) with a free upstream at hand: the test failed with it before.

--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -342,7 +342,9 @@
             if block is not None and not active.is_trial:
                 decisions.append(placer.refuse_blocked(active.request_spec, block))
                 continue
-            decisions.append(self.attempts.place(state, active, now))
+            # A suspect that has waited in the queue does not wait for isolation as well.
+            isolated = not self.attempts.must_wait_for_isolation(state, active, now)
+            decisions.append(self.attempts.place(state, active, now, isolated))
         return decisions
 
     def _retry_isolated(self, now: float) -> list[routing.Decision]:
--- a/tests/_internal/decisions/test_traffic.py
+++ b/tests/_internal/decisions/test_traffic.py
@@ -273,6 +273,10 @@
             router.observations.record_rate_limited(DESK, upstream, True, 1.1, 1.1)
         self.assertEqual(router.poll(1.0 + traffic.MAX_ISOLATION_WAIT_S), [])
         self.assertEqual(len(router.pools[DESK].queue), 1)
+        upstream = next(u for u, m in router.pools[DESK].policy.members.items() if m.awaits_grant)
+        router.observations.add_grants(DESK, upstream, 1, 5.0)
+        (decision,) = router.poll(1.0 + traffic.MAX_ISOLATION_WAIT_S)
+        self.assertIsInstance(decision, routing.Placed)
 
 
 if __name__ == "__main__":
