--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -196,8 +196,8 @@
     planted_bug.Mutant(
         "send requests to a member that is registered as leaving",
         "decisions/members.py",
-        "if self.weights_expired or self.loading or self.spec.leaving:",
-        "if self.weights_expired or self.loading:",
+        "if self.weights_expired or self.other_software or self.loading or self.spec.leaving:",
+        "if self.weights_expired or self.other_software or self.loading:",
         f"{planted_bug.DECISIONS}.test_traffic",
     ),
     planted_bug.Mutant(
