--- a/tests/_internal/services/test_endless_answers.py
+++ b/tests/_internal/services/test_endless_answers.py
@@ -118,12 +118,12 @@
         self._requests = 0
 
 
-def run_with_upstream(pattern, pool, test):
-    """Runs a test in a world in which a pool has only one upstream, an endless one."""
+def run_with_upstream(pattern, pool, test, upstream_class=EndlessUpstream):
+    """Runs a test in a world in which a pool has only one upstream, by default an endless one."""
 
     async def main():
         world = SocketWorld()
-        upstream = EndlessUpstream(pattern)
+        upstream = upstream_class(pattern)
         async with trio.open_nursery() as nursery:
             await nursery.start(upstream.run)
             await world.start(nursery, engines=0, desks=0)
