--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -13,13 +13,12 @@
 from cicadapier._internal.decisions import poison
 from cicadapier._internal.decisions import pool_weights
 from cicadapier._internal.decisions import prefix
+from cicadapier._internal.decisions import refusals
 from cicadapier._internal.decisions import routing
 from cicadapier._internal.decisions import target_weights
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
 
-DEFAULT_RETRY_AFTER_S = 1.0
-
 Pools = collections.abc.Mapping[ids.PoolId, observations.PoolState]
 
 
@@ -101,8 +100,8 @@
             choice = self._choose(state, active, (), now)
         if choice is None:
             message = f"no upstream of {request_spec.pool} can take this request now"
-            retry_after_s = available_after_s(state, now)
-            return refuse(
+            retry_after_s = refusals.available_after_s(state, now)
+            return refusals.refuse(
                 request_spec, outcomes.RefusalCode.NO_UPSTREAM, message, retry_after_s=retry_after_s
             )
         if active.attempt is not None:
@@ -204,13 +203,15 @@
         backup = active.backup
         state = self._pools.get(request_spec.pool)
         if state is None or backup is None:
-            return refuse(request_spec, outcomes.RefusalCode.NO_UPSTREAM, "the run has no backup")
+            return refusals.refuse(
+                request_spec, outcomes.RefusalCode.NO_UPSTREAM, "the run has no backup"
+            )
         if (block := self.poison.find_block(request_spec.subject, now)) is not None:
-            return refuse_blocked(request_spec, block)
+            return refusals.refuse_blocked(request_spec, block)
         self.refresh(state, request_spec, now, active.software)
         if not backups.can_continue(state.policy.members, backup):
             message = f"the backup of the run at {backup.upstream} cannot be used"
-            return refuse(request_spec, outcomes.RefusalCode.NO_UPSTREAM, message)
+            return refusals.refuse(request_spec, outcomes.RefusalCode.NO_UPSTREAM, message)
         return self._place_at_backup(state, active, backup, now)
 
     def report_silence(self, request: ids.RequestId, now: float) -> None:
@@ -469,41 +470,6 @@
     return any(member.awaits_grant for member in state.policy.members.values())
 
 
-def available_after_s(state: observations.PoolState, now: float) -> float:
-    """Returns after how long a pool without an available upstream may have one again."""
-    staying = [member for member in state.policy.members.values() if not member.spec.leaving]
-    pauses = [member.paused_until - now for member in staying if member.paused_until > now]
-    if pauses and len(pauses) == len(staying):
-        return min(pauses)
-    # The other upstreams may become available before any pause ends.
-    return min([*pauses, DEFAULT_RETRY_AFTER_S])
-
-
-def refuse_blocked(request_spec: routing.RequestSpec, block: poison.Block) -> routing.Refused:
-    """Returns the refusal of a request that crashes upstreams."""
-    message = (
-        "this request was running on two upstreams when they crashed; "
-        "it is blocked and was not run again"
-    )
-    if block.part is not None:
-        message = (
-            f"the part {block.part} of the prompt has crashed {block.crashes} upstreams; "
-            "requests with it are blocked"
-        )
-    return refuse(request_spec, outcomes.RefusalCode.POISON, message, block.retry_after_s)
-
-
-def refuse(
-    request_spec: routing.RequestSpec,
-    code: outcomes.RefusalCode,
-    message: str,
-    retry_after_s: float | None = None,
-) -> routing.Refused:
-    """Returns the refusal of a request that was not run."""
-    refusal = outcomes.Refusal(code, message, outcomes.Effect.NOT_RUN, retry_after_s)
-    return routing.Refused(request_spec.request, refusal)
-
-
 def release_capacity(
     state: observations.PoolState,
     active: in_flight.ActiveRequest,
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -18,6 +18,7 @@
 from cicadapier._internal.decisions import pool_weights
 from cicadapier._internal.decisions import quota_demand
 from cicadapier._internal.decisions import quotas
+from cicadapier._internal.decisions import refusals
 from cicadapier._internal.decisions import retry_after
 from cicadapier._internal.decisions import rollout
 from cicadapier._internal.decisions import routing
@@ -112,24 +113,24 @@
         account = self._cfg.content.accounts.get(request_spec.account, request_spec.default_account)
         state = self.pools.get(request_spec.pool)
         if account is None or state is None or request_spec.pool not in self._cfg.content.pools:
-            return placer.refuse(
+            return refusals.refuse(
                 request_spec, outcomes.RefusalCode.NOT_FOUND, "the account or pool no longer exists"
             )
         state.request_rate.add(1.0, now)
         block = self.poison.find_block(request_spec.subject, now)
         is_trial = block is not None and self.poison.begin_trial(block, now)
         if block is not None and not is_trial:
-            return placer.refuse_blocked(request_spec, block)
+            return refusals.refuse_blocked(request_spec, block)
         usable = self.attempts.refresh(state, request_spec, now, request_spec.software)
         if not usable and not placer.awaits_grant(state):
             message = f"no upstream of {request_spec.pool} can accept requests now"
-            retry_after_s = placer.available_after_s(state, now)
-            return placer.refuse(
+            retry_after_s = refusals.available_after_s(state, now)
+            return refusals.refuse(
                 request_spec, outcomes.RefusalCode.NO_UPSTREAM, message, retry_after_s=retry_after_s
             )
         if len(self.attempts.active) >= MAX_ACTIVE_REQUESTS:
             message = "this router has reached its limit of active requests"
-            return placer.refuse(
+            return refusals.refuse(
                 request_spec, outcomes.RefusalCode.OVERLOADED, message, retry_after_s=1.0
             )
         wait_s = state.queue.expected_wait_s(account.service_class, request_spec.account, now)
@@ -137,14 +138,14 @@
             # The request would time out in the queue, so it is refused now instead of later.
             message = f"the expected queue wait of {wait_s:.1f} s exceeds the timeout"
             retry_after_s = retry_after.jittered_s(wait_s, request_spec.request)
-            return placer.refuse(
+            return refusals.refuse(
                 request_spec, outcomes.RefusalCode.OVERLOADED, message, retry_after_s=retry_after_s
             )
         cost = request_spec.memory_tokens
         verdict = self.limits.admit(request_spec.account, account, cost, now)
         if isinstance(verdict, limits.Exceeded):
             message = f"the account's limit of {verdict.limit} is reached"
-            return placer.refuse(
+            return refusals.refuse(
                 request_spec,
                 outcomes.RefusalCode.RATE_LIMITED,
                 message,
@@ -173,12 +174,12 @@
         active = self.attempts.active[request]
         state = self.pools.get(active.request_spec.pool)
         if state is None:
-            return placer.refuse(
+            return refusals.refuse(
                 active.request_spec, outcomes.RefusalCode.NO_UPSTREAM, "the pool no longer exists"
             )
         block = self.poison.find_block(active.request_spec.subject, now)
         if block is not None:
-            return placer.refuse_blocked(active.request_spec, block)
+            return refusals.refuse_blocked(active.request_spec, block)
         usable = self.attempts.refresh(state, active.request_spec, now, active.software)
         if not usable and placer.awaits_grant(state):
             self._enqueue(state, active, now)
@@ -258,7 +259,7 @@
                 )
                 retry_after_s = retry_after.jittered_s(wait_s, request_spec.request)
                 decisions.append(
-                    placer.refuse(
+                    refusals.refuse(
                         request_spec,
                         outcomes.RefusalCode.OVERLOADED,
                         message,
@@ -287,7 +288,7 @@
         if choice is None:
             return None
         block = self.poison.find_block(request_spec.subject, now)
-        blocked = placer.refuse_blocked(request_spec, block).refusal.message if block else ""
+        blocked = refusals.refuse_blocked(request_spec, block).refusal.message if block else ""
         return routing.Explained(choice, tuple(state.policy.estimates(req, now)), blocked)
 
     def grant_demands(self, now: float) -> dict[ids.UpstreamId, quotas.Demand]:
@@ -340,7 +341,7 @@
             state.queue.pop(now)
             block = self.poison.find_block(active.request_spec.subject, now)
             if block is not None and not active.is_trial:
-                decisions.append(placer.refuse_blocked(active.request_spec, block))
+                decisions.append(refusals.refuse_blocked(active.request_spec, block))
                 continue
             # A suspect that has waited in the queue does not wait for isolation as well.
             isolated = not self.attempts.must_wait_for_isolation(state, active, now)
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -11,11 +11,9 @@
 from cicadapier._internal.decisions import retries
 from cicadapier._internal.decisions import routing
 from cicadapier._internal.decisions import stream_origins
-from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
-from cicadapier._internal.protocols import answers
 from cicadapier._internal.protocols import event_stream
 from cicadapier._internal.protocols import exceptions as protocol_exceptions
 from cicadapier._internal.protocols import http_client
@@ -23,13 +21,13 @@
 from cicadapier._internal.services import attempts
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import forwarded_calls
+from cicadapier._internal.services import forwarded_facts
 from cicadapier._internal.services import forwarded_log
 from cicadapier._internal.services import forwarded_plan
 from cicadapier._internal.services import forwarded_progress
 from cicadapier._internal.services import forwarded_silence
 from cicadapier._internal.services import hedging
 from cicadapier._internal.services import telemetry_service
-from cicadapier._internal.services import traffic_messages
 
 MIN_REMAINING_S = 0.01  # With less time left before its deadline, a request is not sent.
 CONFIGURATION_CHANGED_RETRY_S = 0.05  # Retry delay if the request no longer matches its route.
@@ -218,7 +216,9 @@
         if registration is None:
             return None
         call = self._call_builder.build(placed, registration.address, self._needs_new_connection())
-        on_answer_facts = functools.partial(self._report_facts, placed)
+        on_answer_facts = functools.partial(
+            forwarded_facts.report, self._dependencies, self._plan, placed
+        )
         return attempts.Attempt(self._services.connections, call, on_answer_facts=on_answer_facts)
 
     def _needs_new_connection(self) -> bool:
@@ -277,7 +277,9 @@
         self, placed: routing.Placed, connection: forwarded_silence.BackupConnection
     ) -> attempts.Attempt:
         call = self._call_builder.build(placed, connection.address, new_connection=True)
-        on_answer_facts = functools.partial(self._report_facts, placed)
+        on_answer_facts = functools.partial(
+            forwarded_facts.report, self._dependencies, self._plan, placed
+        )
         return attempts.Attempt(
             self._services.connections, call, conn=connection.conn, on_answer_facts=on_answer_facts
         )
@@ -463,34 +465,6 @@
             outcomes.Broken(reason, self._progress.relayed_events, crashed=False)
         )
 
-    def _report_facts(self, placed: routing.Placed, facts: answers.AnswerFacts) -> None:
-        """Reports the state that the upstream announces in the head of an answer."""
-        upstream = placed.choice.estimate.upstream
-        if facts.upstream not in (None, upstream):
-            return
-        if facts.leaving:
-            withdrawal = withdrawals.Withdrawal(upstream, placed.incarnation)
-            self._dependencies.directory.record_withdrawal(withdrawal, "answer")
-        if facts.pause is not None:
-            pool = self._plan.pool
-            self._dependencies.directory.record_pause(pool, upstream, facts.pause.asked_s)
-        if facts.rate_limit is not None or (facts.genuine and not facts.not_run):
-            # Without a limit, only a genuine answer of the upstream shows that it has lifted its
-            # limit; refusals and answers of others need not repeat the limit.
-            limit = facts.rate_limit
-            self._dependencies.directory.limits.record_announcement(
-                upstream, placed.incarnation, limit, "answer"
-            )
-        weights = None
-        if facts.weights is not None and self._plan.request_spec.model is not None:
-            weights = members.Weights(self._plan.request_spec.model, facts.weights)
-        running = facts.load.running + facts.load.waiting if facts.load else None
-        if weights is None and running is None:
-            return
-        self._services.traffic.mailbox.try_send(
-            traffic_messages.StatusReported(self._plan.pool, upstream, running, weights)
-        )
-
     def _summary(self) -> forwarded_log.RequestSummary:
         plan = self._plan
         now = trio.current_time()
