Keep streams that their callers do not name, and late answers, apart from other streams

Callers would have seen a join at another version, found by reading the change: the origin that was assumed for a stream without a name was kept under an empty name and answered to the next such caller; and a router that restarts counted its questions from 1, so that a late answer to its former self could settle a question about another stream.

--- a/src/cicadapier/_internal/assembly/forwarding.py
+++ b/src/cicadapier/_internal/assembly/forwarding.py
@@ -95,7 +95,7 @@
         peers,
         cluster_service.ClusterService(cfg, dependencies.generation, clock, rng),
         quotas_service.QuotasService(cfg.vm),
-        origins_service.OriginsService(cfg.vm),
+        origins_service.OriginsService(cfg.vm, rng),
         weights,
         probes_service.MetricsService(cfg, dependencies.listen_network, token_source),
         readiness,
--- a/src/cicadapier/_internal/services/forwarded_requests.py
+++ b/src/cicadapier/_internal/services/forwarded_requests.py
@@ -209,9 +209,7 @@
         route = admission.route
         if route.kind is not configuration.RouteKind.STREAM or not forwarded.resume_after:
             return None
-        stream = None
-        if forwarded.resumes:
-            stream = stream_origins.StreamId(admission.account or "", forwarded.resumes)
+        stream = _stream_id(admission, forwarded.resumes) if forwarded.resumes else None
         pool = _choose_pool(route, forwarded.resumes or forwarded.request)
         origin = await self._origins.find_origin(stream, pool)
         if origin is None or origin.pool not in {share.pool for share in route.pools}:
@@ -259,9 +257,7 @@
             pool_id,
             request_spec,
             cache_scope,
-            origin.stream
-            if origin
-            else stream_origins.StreamId(admission.account or "", forwarded.request),
+            _stream_id(admission, (forwarded.resumes if origin else None) or forwarded.request),
             forwarded.raw.began_at + timeout_s,
             attributes,
         )
@@ -298,6 +294,12 @@
     return account if account and spec and spec.isolated else ids.AccountId("")
 
 
+def _stream_id(
+    admission: forwarded_plan.Admission, request: ids.RequestId
+) -> stream_origins.StreamId:
+    return stream_origins.StreamId(admission.account or "", request)
+
+
 def _choose_pool(route: configuration.Route, request: ids.RequestId) -> ids.PoolId:
     """Returns one of the route's pools, chosen by a hash of the request id and by their shares."""
     if len(route.pools) == 1:
--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import random
 
 import structlog
 import trio
@@ -17,6 +18,7 @@
 
 # Datagrams may be lost, so the routers that have not answered are asked again after these times.
 ASK_WAITS_S = (0.04, 0.06, 0.1)
+_NUMBER_BITS = 48
 
 _log = structlog.get_logger()
 
@@ -35,11 +37,13 @@
     """A question that waits for answers.
 
     Attributes:
+        asked: Number of routers that were asked.
         origin: The origin, once a router has named it.
         seen: What the routers that answered have seen.
     """
 
-    def __init__(self, asked: int) -> None:
+    def __init__(self, stream: stream_origins.StreamId, asked: int) -> None:
+        self._stream = stream
         self.origin: stream_origins.Origin | None = None
         self.seen: dict[ids.VmId, stream_origins.PoolVersions] = {}
         self.asked = asked
@@ -51,7 +55,9 @@
         return self.asked - len(self.seen)
 
     def add(self, answer: stream_origins.OriginAnswer) -> None:
-        """Adds an answer."""
+        """Adds an answer, unless it is a late one to another question."""
+        if answer.origin is not None and answer.origin.stream != self._stream:
+            return
         self.seen[answer.sender] = answer.seen
         self.origin = self.origin or answer.origin
         if self.origin is not None or not self.missing:
@@ -74,13 +80,20 @@
 
     name = names.ORIGINS
 
-    def __init__(self, vm: ids.VmId) -> None:
+    def __init__(self, vm: ids.VmId, rng: random.Random) -> None:
+        """Creates the service.
+
+        Args:
+            vm: VM of this router.
+            rng: Source of the first question's number, so that a router that restarts does not take
+                answers to its former self for its own.
+        """
         self.mailbox: mailbox.Mailbox[Message] = mailbox.Mailbox()
         self._vm = vm
         self._origins = stream_origins.Origins()
         self._history = stream_origins.VersionHistory()
         self._questions: dict[int, _Question] = {}
-        self._numbers = itertools.count(1)
+        self._numbers = itertools.count(rng.getrandbits(_NUMBER_BITS))
 
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
@@ -154,7 +167,7 @@
     async def _ask(self, stream: stream_origins.StreamId, pool: ids.PoolId) -> _Question:
         """Asks the routers that may know a stream until one names its origin or all answer."""
         addresses = self._choose_routers(stream, stream_origins.ASKED, stream_origins.DOMAIN_ASKED)
-        question = _Question(len(addresses))
+        question = _Question(stream, len(addresses))
         number = next(self._numbers)
         query = stream_origins.OriginQuery(number, self._peers.address, stream, pool)
         self._questions[number] = question
--- a/tests/_internal/services/test_software_versions.py
+++ b/tests/_internal/services/test_software_versions.py
@@ -5,8 +5,10 @@
 
 import trio
 
+from cicadapier._internal.decisions import stream_origins
 from cicadapier._internal.models import ids
 from cicadapier._internal.services import names
+from cicadapier._internal.services import origins_service
 from cicadapier._internal.standins import forwarding_deployment
 from cicadapier._internal.standins import forwarding_upstream
 from tests import forwarding_world
@@ -258,6 +260,33 @@
 
         forwarding_world.run_in_world(check, routers=4)
 
+    def test_stream_that_its_caller_does_not_name_goes_on_while_there_is_one_version(self):
+        async def check(world):
+            extra = [(b"last-event-id", b"2")]
+            one = await world.ask(request="a", extra=extra, router=1)
+            self.assertEqual((one.status, one.numbers[0]), (200, 3))
+            await add_engines(world, "v2", 3)
+            for router in range(4):
+                two = await world.ask(request=f"b{router}", extra=extra, router=router)
+                self.assertEqual(two.status, 503)
+
+        forwarding_world.run_in_world(check, routers=4)
+
+    def test_late_answer_about_another_stream_is_ignored(self):
+        async def main():
+            asked = stream_origins.StreamId("press", ids.RequestId("asked"))
+            other = stream_origins.StreamId("press", ids.RequestId("other"))
+            question = origins_service._Question(asked, 2)
+            for stream in (other, asked):
+                origin = stream_origins.Origin(stream, forwarding_deployment.ENGINES, "v2")
+                seen = stream_origins.PoolVersions(frozenset(("v2",)), 60.0)
+                answer = stream_origins.OriginAnswer(1, ids.VmId("vm-9"), origin, seen)
+                question.add(answer)
+                is_known = question.origin is not None
+                self.assertEqual(is_known, stream == asked)
+
+        trio.run(main)
+
     def test_restarted_router_asks_the_others_which_version_began_a_stream(self):
         async def check(world):
             await add_engines(world, "v2", 3)
