--- a/src/cicadapier/_internal/decisions/crash_causes.py
+++ b/src/cicadapier/_internal/decisions/crash_causes.py
@@ -30,7 +30,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Casualty:
+class LostRequest:
     """A request that had produced no output when its upstream crashed.
 
     Attributes:
@@ -52,20 +52,20 @@
 
     Attributes:
         at: Time at which a router noticed it first.
-        casualties: The requests that had produced no output.
+        lost_requests: The requests that had produced no output.
     """
 
     at: float
-    casualties: dict[ids.Fingerprint, Casualty] = dataclasses.field(default_factory=dict)
+    lost_requests: dict[ids.Fingerprint, LostRequest] = dataclasses.field(default_factory=dict)
 
     @property
-    def suspects(self) -> list[Casualty]:
-        """The casualties that may have caused the crash.
+    def suspects(self) -> list[LostRequest]:
+        """The lost requests that may have caused the crash.
 
         If an answer had begun without output, the upstream crashed while it wrote that answer.
         """
-        found = list(self.casualties.values())
-        return [casualty for casualty in found if casualty.answering] or found
+        found = list(self.lost_requests.values())
+        return [lost for lost in found if lost.answering] or found
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,7 +109,7 @@
         depth: Latest position of the part in a prompt.
     """
 
-    records: list[tuple[CrashRecord, list[Casualty]]] = dataclasses.field(default_factory=list)
+    records: list[tuple[CrashRecord, list[LostRequest]]] = dataclasses.field(default_factory=list)
     depth: int = 0
 
 
@@ -133,11 +133,11 @@
             record for record in unexplained if not _may_explain(verdict.part, record, outputs)
         ]
     for record in unexplained:
-        for casualty in record.suspects:
-            if outputs.get(casualty.fingerprint, -math.inf) < record.at:
-                weight = ANSWERING_WEIGHT if casualty.answering else SILENT_WEIGHT
-                former = diagnosis.requests.get(casualty.fingerprint, 0.0)
-                diagnosis.requests[casualty.fingerprint] = former + weight
+        for lost in record.suspects:
+            if outputs.get(lost.fingerprint, -math.inf) < record.at:
+                weight = ANSWERING_WEIGHT if lost.answering else SILENT_WEIGHT
+                former = diagnosis.requests.get(lost.fingerprint, 0.0)
+                diagnosis.requests[lost.fingerprint] = former + weight
     return diagnosis
 
 
@@ -146,7 +146,7 @@
 ) -> bool:
     if outputs.get(part, -math.inf) >= record.at:
         return False
-    return any(part in casualty.parts for casualty in record.suspects)
+    return any(part in lost.parts for lost in record.suspects)
 
 
 def _strongest(
@@ -175,14 +175,14 @@
 ) -> dict[ids.PartId, _Charge]:
     charges: dict[ids.PartId, _Charge] = collections.defaultdict(_Charge)
     for record in records:
-        by_part: dict[ids.PartId, list[Casualty]] = collections.defaultdict(list)
-        for casualty in record.suspects:
-            for depth, part in enumerate(casualty.parts):
-                by_part[part].append(casualty)
+        by_part: dict[ids.PartId, list[LostRequest]] = collections.defaultdict(list)
+        for lost in record.suspects:
+            for depth, part in enumerate(lost.parts):
+                by_part[part].append(lost)
                 charges[part].depth = max(charges[part].depth, depth)
-        for part, casualties in by_part.items():
+        for part, lost_requests in by_part.items():
             if outputs.get(part, -math.inf) < record.at:
-                charges[part].records.append((record, casualties))
+                charges[part].records.append((record, lost_requests))
     return {part: charge for part, charge in charges.items() if charge.records}
 
 
@@ -191,31 +191,31 @@
     score = 0.0
     last_at = -math.inf
     crashes_of: collections.Counter[ids.Fingerprint] = collections.Counter()
-    for record, casualties in charge.records:
-        independent = [c for c in casualties if _is_independent(c, record.at, last_at)]
+    for record, lost_requests in charge.records:
+        independent = [c for c in lost_requests if _is_independent(c, record.at, last_at)]
         if not independent:
             continue
-        casualty = min(independent, key=lambda c: (crashes_of[c.fingerprint], not c.answering))
-        weight = ANSWERING_WEIGHT if casualty.answering else SILENT_WEIGHT
-        repeats = crashes_of[casualty.fingerprint]
+        lost = min(independent, key=lambda c: (crashes_of[c.fingerprint], not c.answering))
+        weight = ANSWERING_WEIGHT if lost.answering else SILENT_WEIGHT
+        repeats = crashes_of[lost.fingerprint]
         if repeats <= 1:
             score += weight * REPEAT_FACTOR**repeats
-        crashes_of[casualty.fingerprint] += 1
+        crashes_of[lost.fingerprint] += 1
         last_at = record.at
     first_at = charge.records[0][0].at
     return score - _handicap(first_at - last_output_at)
 
 
-def _is_independent(casualty: Casualty, crashed_at: float, last_at: float) -> bool:
-    if casualty.sent_at > last_at:
+def _is_independent(lost: LostRequest, crashed_at: float, last_at: float) -> bool:
+    if lost.sent_at > last_at:
         return True
-    return casualty.answering and crashed_at - last_at >= MIN_SPACING_S
+    return lost.answering and crashed_at - last_at >= MIN_SPACING_S
 
 
 def _handicap(sound_ago_s: float) -> float:
     """Returns how many more crashes it takes to blame a part that was sound a while ago.
 
-    A part may become deadly at any time, but hardly just before the first crash. Ten times as long
+    A part may start to crash upstreams at any time, but hardly just before the first crash. Ten times as long
     ago counts one crash less.
     """
     if sound_ago_s == math.inf:
--- a/src/cicadapier/_internal/decisions/poison.py
+++ b/src/cicadapier/_internal/decisions/poison.py
@@ -16,7 +16,7 @@
 
 CRASH_EVIDENCE_S = 600.0
 MAX_CRASHES = 256  # The oldest that no blocked part explains are dropped first.
-MAX_CASUALTIES = 32  # In one crash.
+MAX_LOST_REQUESTS = 32  # In one crash.
 MAX_PARTS = 16  # In the evidence against one request.
 MAX_SOUND = 256
 MAX_OUTPUTS = 16_384  # The parts and requests with the oldest output are forgotten first.
@@ -157,13 +157,13 @@
         crashed_at = now - evidence.age_s
         crash_id = (crash.upstream, crash.incarnation)
         record = self._records.setdefault(crash_id, crash_causes.CrashRecord(crashed_at))
-        former = record.casualties.get(crash.fingerprint)
-        is_full = former is None and len(record.casualties) >= MAX_CASUALTIES
+        former = record.lost_requests.get(crash.fingerprint)
+        is_full = former is None and len(record.lost_requests) >= MAX_LOST_REQUESTS
         if is_full or (former and (former.answering or not crash.answering)):
             return False
         record.at = min(record.at, crashed_at)
         self._expires_at = min(self._expires_at, record.at + CRASH_EVIDENCE_S)
-        record.casualties[crash.fingerprint] = crash_causes.Casualty(
+        record.lost_requests[crash.fingerprint] = crash_causes.LostRequest(
             crash.fingerprint, crash.parts[:MAX_PARTS], crash.answering, crashed_at - crash.ran_s
         )
         causes: tuple[crash_causes.Cause, ...] = (crash.fingerprint, *crash.parts[:MAX_PARTS])
@@ -236,9 +236,9 @@
         if part not in self._diagnose(now).parts:
             return False
         for record in self._records.values():
-            for casualty in record.casualties.values():
-                if part in casualty.parts:
-                    self.record_output(Subject(casualty.fingerprint, casualty.parts), now)
+            for lost in record.lost_requests.values():
+                if part in lost.parts:
+                    self.record_output(Subject(lost.fingerprint, lost.parts), now)
         return True
 
     def verdicts(self, now: float) -> list[crash_causes.Verdict]:
@@ -272,9 +272,9 @@
         recent: list[Evidence] = []
         for crash_id in reversed(self._records):
             record = self._records[crash_id]
-            for casualty in record.suspects:
-                evidence = _to_evidence(crash_id, record, casualty, now)
-                blamed = [part for part in casualty.parts if part in blocked]
+            for lost in record.suspects:
+                evidence = _to_evidence(crash_id, record, lost, now)
+                blamed = [part for part in lost.parts if part in blocked]
                 if any(counts[part] < GOSSIPED_PER_PART for part in blamed):
                     counts.update(blamed)
                     lasting.append(evidence)
@@ -327,7 +327,7 @@
             return
         blocked = self._diagnose(now).parts.keys()
         for crash_id, record in self._records.items():
-            if not any(blocked & set(casualty.parts) for casualty in record.suspects):
+            if not any(blocked & set(lost.parts) for lost in record.suspects):
                 del self._records[crash_id]
                 break
         else:
@@ -340,8 +340,8 @@
         kept = {
             cause
             for record in self._records.values()
-            for casualty in record.casualties.values()
-            for cause in (casualty.fingerprint, *casualty.parts)
+            for lost in record.lost_requests.values()
+            for cause in (lost.fingerprint, *lost.parts)
         }
         self._last_crashes = {c: at for c, at in self._last_crashes.items() if c in kept}
 
@@ -359,17 +359,17 @@
 def _to_evidence(
     crash_id: _CrashId,
     record: crash_causes.CrashRecord,
-    casualty: crash_causes.Casualty,
+    lost: crash_causes.LostRequest,
     now: float,
 ) -> Evidence:
     upstream, incarnation = crash_id
     crash = Crash(
-        casualty.fingerprint,
+        lost.fingerprint,
         upstream,
         incarnation,
-        casualty.parts,
-        casualty.answering,
-        record.at - casualty.sent_at,
+        lost.parts,
+        lost.answering,
+        record.at - lost.sent_at,
     )
     return Evidence(crash, now - record.at)
 
--- a/tests/_internal/decisions/test_poison.py
+++ b/tests/_internal/decisions/test_poison.py
@@ -62,14 +62,14 @@
         for number in range(poison.MAX_CRASHES + 10):
             self.detector.record_crash(evidence(f"u{number}", f"f{number}"), float(number) / 10)
         self.assertEqual(len(self.detector), poison.MAX_CRASHES)
-        for number in range(poison.MAX_CASUALTIES + 10):
+        for number in range(poison.MAX_LOST_REQUESTS + 10):
             self.detector.record_crash(evidence("x", f"g{number}"), 30.0)
         from_x = [
             item
             for item in self.detector.recent_evidence(10_000, 30.0)
             if item.crash.upstream == "x"
         ]
-        self.assertEqual(len(from_x), poison.MAX_CASUALTIES)
+        self.assertEqual(len(from_x), poison.MAX_LOST_REQUESTS)
 
 
 class PartTest(unittest.TestCase):
--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -104,7 +104,7 @@
     planted_bug.Mutant(
         "count upstreams that fail together as separate evidence against a part",
         "decisions/crash_causes.py",
-        "if casualty.sent_at > last_at:",
+        "if lost.sent_at > last_at:",
         "if True:",
         f"{planted_bug.DECISIONS}.test_poison.PartTest",
     ),
