--- a/src/cicadapier/_internal/decisions/crash_causes.py
+++ b/src/cicadapier/_internal/decisions/crash_causes.py
@@ -215,8 +215,8 @@
 def _handicap(sound_ago_s: float) -> float:
     """Returns how many more crashes it takes to blame a part that was sound a while ago.
 
-    A part may start to crash upstreams at any time, but hardly just before the first crash. Ten times as long
-    ago counts one crash less.
+    A part may start to crash upstreams at any time, but hardly just before the first crash. Ten
+    times as long ago counts one crash less.
     """
     if sound_ago_s == math.inf:
         return 0.0
