Go on with a stream at its version when its route has moved to another pool

Callers would have seen events of two pools' software in one stream, found by a test of a route that moves while its router is killed: each pool had one version, so the version of the new pool was assumed for a stream that the old pool had begun. Versions are now compared over all pools that serve streams. Where the origin is known, the stream goes on in the new pool at that version, and was refused before.

--- a/src/cicadapier/_internal/decisions/stream_origins.py
+++ b/src/cicadapier/_internal/decisions/stream_origins.py
@@ -17,7 +17,7 @@
 STREAM_LIFE_S = 30.0
 MAX_ORIGINS = 16_384
 MAX_UNCONFIRMED_S = 5.0  # The directory answers more often while it can be reached.
-MAX_VERSIONS = 64  # Versions that are remembered for one pool.
+MAX_VERSIONS = 64  # Versions that are remembered.
 # Routers that are told of each stream: in the whole fleet, and among those that the router reaches
 # in its failure domain, which may be cut off from the rest.
 HOLDERS = 2
@@ -57,12 +57,12 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PoolVersions:
-    """Software versions that a router has seen in a pool.
+class SeenVersions:
+    """Software versions that a router has seen in the pools that serve streams.
 
     Attributes:
         versions: Those within `STREAM_LIFE_S`.
-        observed_s: For how long the router has seen all changes of the pool; 0 if the directory
+        observed_s: For how long the router has seen all changes of them; 0 if the directory
             has not answered it lately.
     """
 
@@ -71,7 +71,7 @@
 
     @property
     def covers_all_streams(self) -> bool:
-        """Whether all streams that may still be taken up began while the router saw the pool."""
+        """Whether all streams that may still be taken up began while the router saw the pools."""
         return self.observed_s >= STREAM_LIFE_S
 
 
@@ -102,69 +102,57 @@
         found = self._origins.get(stream)
         return found[0] if found else None
 
-    def of_pool(self, pool: ids.PoolId, now: float) -> list[Origin]:
-        """Returns the origins of the streams of a pool that may still be taken up."""
+    def recent(self, now: float) -> list[Origin]:
+        """Returns the origins of the streams that may still be taken up."""
         return [
-            origin
-            for origin, added_at in self._origins.values()
-            if origin.pool == pool and now - added_at < STREAM_LIFE_S
+            origin for origin, added_at in self._origins.values() if now - added_at < STREAM_LIFE_S
         ]
 
 
 class VersionHistory:
-    """Software versions that serve each pool, and those that served it recently."""
+    """Software versions that streams may have begun at.
+
+    They are those of all pools that serve streams, as a route may move from one pool to another
+    while its streams run.
+    """
 
     def __init__(self) -> None:
-        self._current: dict[ids.PoolId, frozenset[str]] = {}
-        self._last_seen: dict[ids.PoolId, dict[str, float]] = {}
-        self._first_seen: dict[ids.PoolId, float] = {}
+        self._current: frozenset[str] = frozenset()
+        self._last_seen: dict[str, float] = {}
+        self._first_seen_at: float | None = None
         self._confirmed_at = -math.inf
 
     def confirm(self, now: float) -> None:
         """Records that the directory has answered, so that the registered versions are current."""
         self._confirmed_at = now
 
-    def observe(
-        self, versions: collections.abc.Mapping[ids.PoolId, frozenset[str]], now: float
-    ) -> list[ids.PoolId]:
-        """Records the versions that are registered now.
-
-        Returns:
-            The pools that got a second version.
-        """
-        several = {pool for pool in self._current if self._has_several(pool, now)}
-        for pool, current in self._current.items():
-            self._last_seen.setdefault(pool, {}).update(dict.fromkeys(current, now))
-        for pool, current in versions.items():
-            if current:
-                self._first_seen.setdefault(pool, now)
-                self._last_seen.setdefault(pool, {}).update(dict.fromkeys(current, now))
-        self._current = dict(versions)
-        for pool, seen in self._last_seen.items():
-            newest = sorted(seen.items(), key=lambda item: item[1], reverse=True)[:MAX_VERSIONS]
-            self._last_seen[pool] = {v: at for v, at in newest if now - at < STREAM_LIFE_S}
-        return [p for p in versions if p not in several and self._has_several(p, now)]
-
-    def seen(self, pool: ids.PoolId, now: float) -> PoolVersions:
-        """Returns the versions that streams of a pool may have begun at."""
-        recent = {
-            version
-            for version, at in self._last_seen.get(pool, {}).items()
-            if now - at < STREAM_LIFE_S
+    def observe(self, versions: frozenset[str], now: float) -> bool:
+        """Records the versions that are registered now; returns whether they begin to differ."""
+        had_several = len(self.seen(now).versions) > 1
+        self._last_seen.update(dict.fromkeys(self._current | versions, now))
+        if versions and self._first_seen_at is None:
+            self._first_seen_at = now
+        self._current = versions
+        newest = sorted(self._last_seen.items(), key=lambda item: item[1], reverse=True)
+        self._last_seen = {
+            version: at for version, at in newest[:MAX_VERSIONS] if now - at < STREAM_LIFE_S
         }
-        versions = self._current.get(pool, frozenset()) | recent
-        is_current = now - self._confirmed_at < MAX_UNCONFIRMED_S
-        observed_s = now - self._first_seen.get(pool, now) if is_current else 0.0
-        return PoolVersions(versions, observed_s)
+        return not had_several and len(self.seen(now).versions) > 1
 
-    def _has_several(self, pool: ids.PoolId, now: float) -> bool:
-        return len(self.seen(pool, now).versions) > 1
+    def seen(self, now: float) -> SeenVersions:
+        """Returns the versions that streams may have begun at."""
+        recent = {version for version, at in self._last_seen.items() if now - at < STREAM_LIFE_S}
+        is_current = now - self._confirmed_at < MAX_UNCONFIRMED_S
+        observed_s = 0.0
+        if is_current and self._first_seen_at is not None:
+            observed_s = now - self._first_seen_at
+        return SeenVersions(self._current | recent, observed_s)
 
 
 def sole_version(
-    own: PoolVersions, peers: collections.abc.Collection[PoolVersions], asked: int
+    own: SeenVersions, peers: collections.abc.Collection[SeenVersions], asked: int
 ) -> str | None:
-    """Returns the version at which all streams of a pool began, or None if that is not certain.
+    """Returns the version at which all streams began, or None if that is not certain.
 
     Args:
         own: Versions that this router has seen.
@@ -208,13 +196,11 @@
         number: Number by which the answer is matched with the question.
         reply_to: Address of the router that asks.
         stream: The stream.
-        pool: Pool whose versions are asked for as well.
     """
 
     number: int
     reply_to: ids.Address
     stream: StreamId
-    pool: ids.PoolId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -225,13 +211,13 @@
         number: Number of the question.
         sender: The router.
         origin: The origin, if the router knows it.
-        seen: Versions that it has seen in the pool.
+        seen: Versions that it has seen.
     """
 
     number: int
     sender: ids.VmId
     origin: Origin | None
-    seen: PoolVersions
+    seen: SeenVersions
 
 
 Message = OriginNotice | OriginQuery | OriginAnswer
--- a/src/cicadapier/_internal/protocols/origin_codec.py
+++ b/src/cicadapier/_internal/protocols/origin_codec.py
@@ -29,15 +29,13 @@
         reply_to=query.reply_to,
         account=query.stream.account,
         request=query.stream.request,
-        pool=query.pool,
     )
 
 
 def decode_query(message: peers_pb2.OriginQuery) -> stream_origins.OriginQuery:
     """Returns the query of a wire message."""
     stream = stream_origins.StreamId(message.account, ids.RequestId(message.request))
-    reply_to = ids.Address(message.reply_to)
-    return stream_origins.OriginQuery(message.number, reply_to, stream, ids.PoolId(message.pool))
+    return stream_origins.OriginQuery(message.number, ids.Address(message.reply_to), stream)
 
 
 def encode_answer(answer: stream_origins.OriginAnswer) -> peers_pb2.OriginAnswer:
@@ -60,7 +58,7 @@
         message.number,
         ids.VmId(message.sender),
         origin,
-        stream_origins.PoolVersions(versions, observed_s),
+        stream_origins.SeenVersions(versions, observed_s),
     )
 
 
--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -10,6 +10,7 @@
 from cicadapier._internal.decisions import directory
 from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.kernel import service
+from cicadapier._internal.models import configuration
 from cicadapier._internal.models import directory_entries
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import declarations
@@ -30,10 +31,10 @@
 
 
 class VersionSink(Protocol):
-    """Service that follows the software versions in each pool."""
+    """Service that follows the software versions of the pools that serve streams."""
 
-    def set_versions(self, versions: dict[ids.PoolId, frozenset[str]]) -> None:
-        """Sets the software versions that are registered in each pool."""
+    def set_versions(self, versions: frozenset[str]) -> None:
+        """Sets the software versions that are registered in these pools."""
 
     def confirm_versions(self) -> None:
         """Records that the directory has answered."""
@@ -206,10 +207,10 @@
         registrations = self._directory.registrations()
         self.limits.set_registered({item.upstream for item in registrations})
         if self._origins:
-            versions: dict[ids.PoolId, set[str]] = {}
-            for item in registrations:
-                versions.setdefault(item.pool, set()).add(item.software)
-            self._origins.set_versions({p: frozenset(found) for p, found in versions.items()})
+            stream_pools = _stream_pools(current.content)
+            served = [item for item in registrations if item.pool in stream_pools]
+            versions = frozenset(item.software for item in served)
+            self._origins.set_versions(versions)
 
     async def _expire_entries(self) -> None:
         while True:
@@ -223,6 +224,16 @@
                 self._publish()
 
 
+def _stream_pools(content: configuration.Configuration) -> set[ids.PoolId]:
+    """Returns the pools that serve streams."""
+    return {
+        share.pool
+        for route in content.routes.values()
+        if route.kind is configuration.RouteKind.STREAM
+        for share in route.pools
+    }
+
+
 def _log_fields(entry: directory_entries.Registration) -> dict[str, object]:
     return {
         "upstream": entry.upstream,
--- a/src/cicadapier/_internal/services/forwarded_requests.py
+++ b/src/cicadapier/_internal/services/forwarded_requests.py
@@ -212,12 +212,15 @@
         stream = _stream_id(admission, forwarded.resumes) if forwarded.resumes else None
         pool = _choose_pool(route, forwarded.resumes or forwarded.request)
         origin = await self._origins.find_origin(stream, pool)
-        if origin is None or origin.pool not in {share.pool for share in route.pools}:
+        if origin is None:
             raise _refused_error(
                 outcomes.RefusalCode.ORIGIN_UNKNOWN,
                 "it is not known which software version of the upstreams began this stream; "
                 "request it anew",
             )
+        if origin.pool not in {share.pool for share in route.pools}:
+            # The route has moved to other pools; one of them may have the same software.
+            return dataclasses.replace(origin, pool=pool)
         return origin
 
     def _make_plan(
--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -45,7 +45,7 @@
     def __init__(self, stream: stream_origins.StreamId, asked: int) -> None:
         self._stream = stream
         self.origin: stream_origins.Origin | None = None
-        self.seen: dict[ids.VmId, stream_origins.PoolVersions] = {}
+        self.seen: dict[ids.VmId, stream_origins.SeenVersions] = {}
         self.asked = asked
         self._settled = trio.Event()
 
@@ -71,7 +71,7 @@
 class OriginsService(service.Service):
     """Owns the origins of streams, and tells and asks other routers about them.
 
-    Each stream is told to a few routers, but only while several versions serve its pool: with one
+    Each stream is told to a few routers, but only while several versions serve streams: with one
     version alone, every stream began at that version.
 
     Attributes:
@@ -114,13 +114,13 @@
             else:
                 self._handle_answer(message)
 
-    def set_versions(self, versions: dict[ids.PoolId, frozenset[str]]) -> None:
-        """Sets the software versions that are registered in each pool."""
+    def set_versions(self, versions: frozenset[str]) -> None:
+        """Sets the software versions that are registered in the pools that serve streams."""
         now = trio.current_time()
-        for pool in self._history.observe(versions, now):
-            _log.info("software_versions_differ", pool=pool, versions=sorted(versions[pool]))
+        if self._history.observe(versions, now):
+            _log.info("software_versions_differ", versions=sorted(self._history.seen(now).versions))
             # Streams that began earlier may be taken up after this router is gone.
-            self.mailbox.try_send(TellOrigins(self._origins.of_pool(pool, now)))
+            self.mailbox.try_send(TellOrigins(self._origins.recent(now)))
 
     def confirm_versions(self) -> None:
         """Records that the directory has answered."""
@@ -130,7 +130,7 @@
         """Records that a stream of this router brings its first event."""
         now = trio.current_time()
         self._origins.add(origin, now)
-        if len(self._history.seen(origin.pool, now).versions) > 1:
+        if len(self._history.seen(now).versions) > 1:
             self.mailbox.try_send(TellOrigins([origin]))
 
     async def find_origin(
@@ -146,9 +146,9 @@
         known = self._origins.find(stream, now) if stream else None
         if known is not None:
             return known
-        own = self._history.seen(pool, now)
+        own = self._history.seen(now)
         stream = stream or stream_origins.StreamId("", ids.RequestId(""))
-        question = await self._ask(stream, pool)
+        question = await self._ask(stream)
         if question.origin is not None:
             self._origins.add(question.origin, trio.current_time())
             return question.origin
@@ -164,12 +164,12 @@
         )
         return stream_origins.Origin(stream, pool, sole) if sole is not None else None
 
-    async def _ask(self, stream: stream_origins.StreamId, pool: ids.PoolId) -> _Question:
+    async def _ask(self, stream: stream_origins.StreamId) -> _Question:
         """Asks the routers that may know a stream until one names its origin or all answer."""
         addresses = self._choose_routers(stream, stream_origins.ASKED, stream_origins.DOMAIN_ASKED)
         question = _Question(stream, len(addresses))
         number = next(self._numbers)
-        query = stream_origins.OriginQuery(number, self._peers.address, stream, pool)
+        query = stream_origins.OriginQuery(number, self._peers.address, stream)
         self._questions[number] = question
         try:
             for wait_s in ASK_WAITS_S:
@@ -190,7 +190,7 @@
 
     async def _answer(self, query: stream_origins.OriginQuery, now: float) -> None:
         origin = self._origins.find(query.stream, now)
-        seen = self._history.seen(query.pool, now)
+        seen = self._history.seen(now)
         answer = stream_origins.OriginAnswer(query.number, self._vm, origin, seen)
         await self._peers.send_datagram([query.reply_to], answer)
 
--- a/tests/_internal/decisions/test_stream_origins.py
+++ b/tests/_internal/decisions/test_stream_origins.py
@@ -17,7 +17,7 @@
 
 
 def seen(*versions, observed_s=LIFE_S):
-    return stream_origins.PoolVersions(frozenset(versions), observed_s)
+    return stream_origins.SeenVersions(frozenset(versions), observed_s)
 
 
 class OriginsTest(unittest.TestCase):
@@ -39,7 +39,7 @@
         for number in range(stream_origins.MAX_ORIGINS + 10):
             self.origins.add(origin(f"q{number}"), 0.0)
         self.assertIsNone(self.origins.find(origin("q0").stream, 0.0))
-        self.assertEqual(len(self.origins.of_pool(POOL, 0.0)), stream_origins.MAX_ORIGINS)
+        self.assertEqual(len(self.origins.recent(0.0)), stream_origins.MAX_ORIGINS)
 
 
 class VersionHistoryTest(unittest.TestCase):
@@ -48,30 +48,30 @@
 
     def _observe(self, now, *versions):
         self.history.confirm(now)
-        return self.history.observe({POOL: frozenset(versions)}, now)
+        return self.history.observe(frozenset(versions), now)
 
     def test_a_second_version_is_reported_once(self):
-        self.assertEqual(self._observe(0.0, "v1"), [])
-        self.assertEqual(self._observe(1.0, "v1", "v2"), [POOL])
-        self.assertEqual(self._observe(2.0, "v1", "v2"), [])
+        self.assertFalse(self._observe(0.0, "v1"))
+        self.assertTrue(self._observe(1.0, "v1", "v2"))
+        self.assertFalse(self._observe(2.0, "v1", "v2"))
 
     def test_a_version_that_is_gone_counts_while_its_streams_may_be_taken_up(self):
         self._observe(0.0, "v1", "v2")
         self._observe(10.0, "v2")
-        self.assertEqual(self.history.seen(POOL, 10.0 + LIFE_S - 1).versions, {"v1", "v2"})
-        self.assertEqual(self.history.seen(POOL, 10.0 + LIFE_S + 1).versions, {"v2"})
+        self.assertEqual(self.history.seen(10.0 + LIFE_S - 1).versions, {"v1", "v2"})
+        self.assertEqual(self.history.seen(10.0 + LIFE_S + 1).versions, {"v2"})
 
     def test_a_version_that_replaces_another_between_two_looks_is_a_second_one(self):
         self._observe(0.0, "v1")
-        self.assertEqual(self._observe(50.0, "v2"), [POOL])
-        self.assertEqual(self.history.seen(POOL, 51.0).versions, {"v1", "v2"})
+        self.assertTrue(self._observe(50.0, "v2"))
+        self.assertEqual(self.history.seen(51.0).versions, {"v1", "v2"})
 
     def test_observation_without_answers_of_the_directory_proves_nothing(self):
         self._observe(0.0, "v1")
         self.history.confirm(100.0)
-        self.assertTrue(self.history.seen(POOL, 101.0).covers_all_streams)
+        self.assertTrue(self.history.seen(101.0).covers_all_streams)
         late = 101.0 + stream_origins.MAX_UNCONFIRMED_S
-        self.assertFalse(self.history.seen(POOL, late).covers_all_streams)
+        self.assertFalse(self.history.seen(late).covers_all_streams)
 
 
 class SoleVersionTest(unittest.TestCase):
@@ -102,7 +102,7 @@
     def test_messages_survive_the_wire(self):
         messages = (
             stream_origins.OriginNotice((origin(), origin("r", "v2"))),
-            stream_origins.OriginQuery(7, ids.Address("10.0.0.1:80"), origin().stream, POOL),
+            stream_origins.OriginQuery(7, ids.Address("10.0.0.1:80"), origin().stream),
             stream_origins.OriginAnswer(7, ids.VmId("vm"), origin(), seen("v1", "v2")),
             stream_origins.OriginAnswer(7, ids.VmId("vm"), None, seen("v1", observed_s=1.0)),
         )
--- a/tests/_internal/services/test_software_versions.py
+++ b/tests/_internal/services/test_software_versions.py
@@ -1,11 +1,13 @@
 """Streams while upstreams of two software versions serve, which cannot continue each other's."""
 
+import dataclasses
 import re
 import unittest
 
 import trio
 
 from cicadapier._internal.decisions import stream_origins
+from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 from cicadapier._internal.services import names
 from cicadapier._internal.services import origins_service
@@ -260,6 +262,40 @@
 
         forwarding_world.run_in_world(check, routers=4)
 
+    def _check_moved_route(self, software, whole):
+        """Moves the route to another pool while streams run; their callers take them up there."""
+
+        async def check(world):
+            other_pool = ids.PoolId("others")
+            world.pools[other_pool] = forwarding_deployment.engine_pool()
+            world.configure(forwarding_deployment.routes())
+            model = forwarding_deployment.MODEL
+            for number in range(3):
+                await world.add_upstream(f"other-{number}", other_pool, model, software)
+            use_long_answers(world)
+            await trio.sleep(REGISTRATION_S)
+            routes = forwarding_deployment.routes()
+            route_id = ids.RouteId("ask")
+            moved = [configuration.PoolShare(other_pool)]
+            routes[route_id] = dataclasses.replace(routes[route_id], pools=moved)
+            callers = _Callers(world)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(callers.ask, 15)
+                await trio.sleep(0.3)
+                world.configure(routes)
+                await trio.sleep(0.6)
+                world.stop("vm-0")
+            self.assertEqual(callers.mixed(), [])
+            self.assertEqual(len(callers.whole()), whole)
+
+        forwarding_world.run_in_world(check, routers=4)
+
+    def test_stream_goes_on_at_its_version_in_the_pool_to_which_its_route_has_moved(self):
+        self._check_moved_route("v1", 15)
+
+    def test_stream_does_not_go_on_at_another_version_in_the_pool_of_its_moved_route(self):
+        self._check_moved_route("v2", 0)
+
     def test_stream_that_its_caller_does_not_name_goes_on_while_there_is_one_version(self):
         async def check(world):
             extra = [(b"last-event-id", b"2")]
@@ -279,7 +315,7 @@
             question = origins_service._Question(asked, 2)
             for stream in (other, asked):
                 origin = stream_origins.Origin(stream, forwarding_deployment.ENGINES, "v2")
-                seen = stream_origins.PoolVersions(frozenset(("v2",)), 60.0)
+                seen = stream_origins.SeenVersions(frozenset(("v2",)), 60.0)
                 answer = stream_origins.OriginAnswer(1, ids.VmId("vm-9"), origin, seen)
                 question.add(answer)
                 is_known = question.origin is not None
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -35,7 +35,7 @@
     planted_bug.Mutant(
         "do not tell other routers which version began the streams before a second one appeared",
         "services/origins_service.py",
-        "self.mailbox.try_send(TellOrigins(self._origins.of_pool(pool, now)))",
+        "self.mailbox.try_send(TellOrigins(self._origins.recent(now)))",
         "pass",
         f"{planted_bug.SERVICES}.test_software_versions.TakenUpAgainTest"
         ".test_stream_that_began_before_the_second_version_appeared_goes_on_elsewhere",
