--- a/src/cicadapier/_internal/services/engine_orders.py
+++ b/src/cicadapier/_internal/services/engine_orders.py
@@ -177,6 +177,7 @@
         head = self._engine_format.make_order_head(engine.upstream)
         body = self._engine_format.make_order_body(order)
         reason = ""
+        sent_at = self._clock()
         self._directory.limits.count_send(engine.upstream, "order")
         try:
             response, _ = await connections_service.exchange(conn, head, body, CALL_TIMEOUT_S)
@@ -193,6 +194,7 @@
             expected_orders=order.expected_orders,
             running=engine.running,
             reply=reply.value,
+            took_s=round(self._clock() - sent_at, 3),
             reason=reason,
         )
         return reply
--- a/src/cicadapier/_internal/services/order_lease.py
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -72,6 +72,7 @@
         self._clock = clock
         self._pending: _PendingWrite | None = None
         self._note_text = ""
+        self._shown_holder: tuple[ids.VmId, int] | None = None
         self._write_timeout = leases.WriteTimeout()
 
     @property
@@ -95,21 +96,43 @@
 
     def observe(self) -> Note | None:
         """Processes the lease in the store; returns a new note of another router, if any."""
-        lease = self._confirm_pending()
+        lease = self._confirm_pending("watch")
+        self._log_holder_change(lease)
         self._lease.observe(lease, self._clock())
         if lease is None or lease.note == self._note_text:
             return None
         self._note_text = lease.note
         return None if lease.nonce == self._nonce else _read_note(lease.note)
 
-    def _confirm_pending(self) -> leases.LeaseObject | None:
-        """Confirms a pending write if the watch shows its result; returns the lease shown."""
+    def _confirm_pending(self, source: str) -> leases.LeaseObject | None:
+        """Confirms a pending write if its result is shown; returns the lease shown.
+
+        Args:
+            source: Where the result was seen, for the log.
+        """
         stored = self._cluster.find(self._name)
         lease = _read_lease(stored) if stored else None
         if self._pending and lease == self._pending.proposal:
-            self._record_written(self._pending)
+            self._record_written(self._pending, source)
         return lease
 
+    def _log_holder_change(self, lease: leases.LeaseObject | None) -> None:
+        """Logs that the store shows another holder or fencing token than before."""
+        shown = (lease.holder, lease.fencing) if lease else None
+        if shown == self._shown_holder:
+            return
+        stored = self._cluster.find(self._name)
+        _log.info(
+            "lease_holder_changed",
+            pool=self.pool,
+            holder=lease.holder if lease else None,
+            fencing=lease.fencing if lease else None,
+            before=self._shown_holder,
+            version=stored.version if stored else None,
+            was_own=self._lease.is_holder,
+        )
+        self._shown_holder = shown
+
     async def acquire_or_renew(self, note: Note) -> bool:
         """Takes or renews the lease if a write is due; returns False if its outcome is unknown."""
         text = msgspec.json.encode(note).decode()
@@ -145,7 +168,7 @@
                 return
             if stored:
                 self._cluster.put(stored)
-                self._confirm_pending()
+                self._confirm_pending("read")
 
     async def _write(self, proposal: leases.LeaseObject) -> None:
         stored = self._cluster.find(self._name)
@@ -159,10 +182,11 @@
             self._lease.record_refused()
             if written.object:
                 self._cluster.put(written.object)
-            _log.info("lease_refused", pool=self.pool, fencing=proposal.fencing)
+            version = stored.version if stored else None
+            _log.info("lease_refused", pool=self.pool, fencing=proposal.fencing, written_on=version)
             return
         if self._pending is pending:
-            self._record_written(pending)
+            self._record_written(pending, "answer")
         self._cluster.put(written.object)
 
     async def _send_or_observe(
@@ -189,7 +213,7 @@
                 nursery.start_soon(send)
                 while self._pending is pending:
                     await self._cluster.changed_event.wait()
-                    self._confirm_pending()
+                    self._confirm_pending("watch")
                 nursery.cancel_scope.cancel()
         if timeout.cancelled_caught:
             self._write_timeout.record_timeout()
@@ -208,9 +232,17 @@
             return await platform.create(cluster_service.KIND, self._name, spec)
         return await platform.replace(cluster_service.KIND, stored, spec)
 
-    def _record_written(self, pending: _PendingWrite) -> None:
+    def _record_written(self, pending: _PendingWrite, source: str) -> None:
         proposal = pending.proposal
         self._pending = None
+        _log.info(
+            "lease_write_confirmed",
+            pool=self.pool,
+            fencing=proposal.fencing,
+            renewals=proposal.renewals,
+            source=source,
+            age_s=round(self._clock() - pending.requested_at, 3),
+        )
         if proposal.released or not self._lease.is_holder:
             event = "lease_released" if proposal.released else "lease_taken"
             quiet_s = round(proposal.quiet_s, 2)
