Write an order lease on the version that the proposal follows from

Cause: a proposal follows from the lease observed at the start of a round; the condition of its write was the version that the watch showed when it was sent. In between the round waits for the list of engines, and a release observed nothing at all. A router that wakes from a suspension with both its round and the news of its successor pending could replace the successor's lease by a renewal of its own: the lower token is in the store again, is ordered under, and the next holder is given the successor's token a second time. The class: a conditional write whose condition is not the state that it was decided on.

--- a/src/cicadapier/_internal/services/order_lease.py
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -70,6 +70,7 @@
         self._nonce = nonce
         self._cluster = cluster
         self._clock = clock
+        self._observed_object: store_format.StoredObject | None = None
         self._pending: _PendingWrite | None = None
         self._note_text = ""
         self._shown_holder: tuple[ids.VmId, int] | None = None
@@ -97,6 +98,7 @@
     def observe(self) -> Note | None:
         """Processes the lease in the store; returns a new note of another router, if any."""
         lease = self._confirm_pending("watch")
+        self._observed_object = self._cluster.find(self._name)
         self._log_holder_change(lease)
         self._lease.observe(lease, self._clock())
         if lease is None or lease.note == self._note_text:
@@ -112,8 +114,8 @@
         """
         stored = self._cluster.find(self._name)
         lease = _read_lease(stored) if stored else None
-        if self._pending and lease == self._pending.proposal:
-            self._record_written(self._pending, source)
+        if stored and self._pending and lease == self._pending.proposal:
+            self._record_written(self._pending, stored, source)
         return lease
 
     def _log_holder_change(self, lease: leases.LeaseObject | None) -> None:
@@ -171,7 +173,8 @@
                 self._confirm_pending("read")
 
     async def _write(self, proposal: leases.LeaseObject) -> None:
-        stored = self._cluster.find(self._name)
+        # The proposal follows from this object. The store may show another one by now.
+        stored = self._observed_object
         pending = _PendingWrite(proposal, self._clock())
         self._pending = pending
         written = await self._send_or_observe(stored, pending)
@@ -186,7 +189,7 @@
             _log.info("lease_refused", pool=self.pool, fencing=proposal.fencing, written_on=version)
             return
         if self._pending is pending:
-            self._record_written(pending, "answer")
+            self._record_written(pending, written.object, "answer")
         self._cluster.put(written.object)
 
     async def _send_or_observe(
@@ -232,9 +235,12 @@
             return await platform.create(cluster_service.KIND, self._name, spec)
         return await platform.replace(cluster_service.KIND, stored, spec)
 
-    def _record_written(self, pending: _PendingWrite, source: str) -> None:
+    def _record_written(
+        self, pending: _PendingWrite, stored: store_format.StoredObject, source: str
+    ) -> None:
         proposal = pending.proposal
         self._pending = None
+        self._observed_object = stored
         _log.info(
             "lease_write_confirmed",
             pool=self.pool,
--- /dev/null
+++ b/tests/_internal/services/test_order_lease.py
@@ -0,0 +1,175 @@
+"""Two routers never order within the quiet time, whatever the store answers and shows."""
+
+import unittest
+
+import trio
+import trio.testing
+
+from cicadapier._internal.decisions import leases
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import store_format
+from cicadapier._internal.services import order_lease
+from cicadapier._internal.services import platform_service
+
+TIMING = leases.LeaseTiming(1.6, 2.0, 0.6, 0.0, quiet_s=3.3, reacquires_at_once=True)
+ROUND_S = 0.1
+STEP_S = 0.01
+POOL = ids.PoolId("engines")
+
+
+class LeaseStore:
+    """Store of one object with conditional writes."""
+
+    def __init__(self):
+        self.object = None
+        self.revision = 10
+
+    def write(self, old, name, spec):
+        current_version = self.object.version if self.object else None
+        if (old.version if old else None) != current_version:
+            return platform_service.NotWritten(self.object)
+        self.revision += 1
+        self.object = store_format.StoredObject(name, str(self.revision), spec)
+        return platform_service.Written(self.object)
+
+
+class StoreClient:
+    """Client of the store for one router; while silent, writes take effect without an answer."""
+
+    def __init__(self, store):
+        self.is_silent = False
+        self._store = store
+
+    async def get(self, kind, name):
+        await self._wait()
+        return self._store.object
+
+    async def create(self, kind, name, spec):
+        written = self._store.write(None, name, spec)
+        await self._wait()
+        return written
+
+    async def replace(self, kind, old, spec):
+        written = self._store.write(old, old.name, spec)
+        await self._wait()
+        return written
+
+    async def _wait(self):
+        if self.is_silent:
+            await trio.sleep_forever()
+        await trio.sleep(0.004)
+
+
+class StoreView:
+    """A router's copy of the shared objects, which its watch updates."""
+
+    def __init__(self, store):
+        self.platform = StoreClient(store)
+        self.changed_event = trio.Event()
+        self._store = store
+        self._object = None
+
+    def find(self, name):
+        return self._object
+
+    def put(self, item):
+        if self._object is None or int(self._object.version) < int(item.version):
+            self._object = item
+            self.changed_event.set()
+            self.changed_event = trio.Event()
+
+    def show(self):
+        """Shows the current object, as the watch does."""
+        if self._store.object:
+            self.put(self._store.object)
+
+
+class Router:
+    """A router that competes for the lease.
+
+    Attributes:
+        order_times: Times at which it could have sent an order.
+    """
+
+    def __init__(self, vm, store):
+        self.view = StoreView(store)
+        self.order_times = []
+        lease = leases.Lease(ids.VmId(vm), f"process of {vm}", TIMING)
+        self.lease = order_lease.OrderLease(
+            POOL, lease, f"process of {vm}", self.view, trio.current_time
+        )
+        self.wants_lease = True
+        self.is_watch_silent = False
+
+    async def run(self):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch)
+            nursery.start_soon(self._sample)
+            while True:
+                self.lease.observe()
+                if self.wants_lease:
+                    await self.lease.acquire_or_renew(order_lease.Note())
+                await trio.sleep(ROUND_S)
+
+    async def _watch(self):
+        while True:
+            if not self.is_watch_silent:
+                self.view.show()
+            await trio.sleep(STEP_S)
+
+    async def _sample(self):
+        while True:
+            if self.lease.fencing_token() is not None:
+                self.order_times.append(trio.current_time())
+            await trio.sleep(STEP_S)
+
+
+def run(scenario):
+    """Runs a scenario with two routers, of which only the first wants the lease at first."""
+
+    async def main():
+        store = LeaseStore()
+        first, second = Router("vm-0", store), Router("vm-1", store)
+        second.wants_lease = False
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(first.run)
+            nursery.start_soon(second.run)
+            await scenario(store, first, second)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class OrderLeaseTest(unittest.TestCase):
+    def test_lease_of_a_successor_is_not_replaced_by_a_renewal(self):
+        async def check(store, first, second):
+            await trio.sleep(0.05)
+            first.wants_lease = False
+            await trio.sleep(1.0)
+            first.lease.observe()
+            taken = {**store.object.spec, "holder": "vm-1", "nonce": "other", "fencing": 2}
+            store.write(store.object, store.object.name, taken)
+            first.view.show()
+            await first.lease.acquire_or_renew(order_lease.Note())
+            self.assertEqual(store.object.spec["fencing"], 2)
+            self.assertIsNone(first.lease.fencing_token())
+
+        run(check)
+
+    def test_lease_of_a_successor_is_not_replaced_by_a_release(self):
+        async def check(store, first, second):
+            await trio.sleep(0.05)
+            first.wants_lease = False
+            await trio.sleep(0.5)
+            taken = {**store.object.spec, "holder": "vm-1", "nonce": "other", "fencing": 2}
+            store.write(store.object, store.object.name, taken)
+            first.view.show()
+            await first.lease.release()
+            self.assertEqual(store.object.spec["fencing"], 2)
+            self.assertFalse(store.object.spec["released"])
+
+        run(check)
+
+
+if __name__ == "__main__":
+    unittest.main()
