Count an order lease from the attempt that took effect

Cause: a renewal followed from nothing but the lease last seen, so two attempts were equal. What the watch showed was compared with the last attempt by content: when the first one had taken effect without an answer, the holder counted its time from the second, while the others counted from the effect of the first. The class: equality of content taken for identity of the write.

Now each attempt of a process has a number of its own in the lease, and the time of each attempt is kept until the lease that it was based on has changed. Whatever shows the lease (answer, watch, read) goes one way, through Lease.observe.

Evidence: test_renewal_shown_after_a_later_attempt_counts_from_its_own_start failed before (1.35 s between the last moment at which one router could order and the first of the next; 3.0 s are asked for). Two silences of the store to one router, one after the other. Ruled out: a longer quiet time; it makes the case rarer and take-overs slower, and the moment is still the wrong one.

--- a/src/cicadapier/_internal/decisions/leases.py
+++ b/src/cicadapier/_internal/decisions/leases.py
@@ -1,8 +1,8 @@
 """Leases with fencing tokens, stored as platform objects.
 
-The holder measures the lease from just before it sent the write, stops using it well before it
-expires and checks it again just before each order. A new holder first waits for the longest time
-that an order may be in flight, because some engines ignore the fencing token.
+The holder measures the lease from just before it sent the write that took effect, stops using it
+well before it expires and checks it again just before each order. A new holder first waits for the
+longest time that an order may be in flight, because some engines ignore the fencing token.
 """
 
 import dataclasses
@@ -52,7 +52,8 @@
         holder: VM that holds the lease.
         nonce: Identity of the holder's process.
         fencing: Fencing token, which grows with each change of holder.
-        renewals: Number that grows with each renewal.
+        renewals: Number of the attempt among all writes of the holder's process. It tells two
+            attempts apart that write the same otherwise.
         note: Data that the holder publishes to the other routers.
         active: Whether the holder may send orders. A new holder may have to wait first.
         released: Whether the holder has released the lease and sends no more orders.
@@ -80,6 +81,21 @@
     changed_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfirmedWrite:
+    """A write of this router that took effect.
+
+    Attributes:
+        lease: The lease that was written.
+        is_new: Whether this router did not hold the lease before.
+        age_s: Time since just before the write was sent, in seconds.
+    """
+
+    lease: LeaseObject
+    is_new: bool
+    age_s: float
+
+
 class WriteTimeout:
     """Adaptive timeout for lease writes, after which a write is retried.
 
@@ -116,22 +132,48 @@
         self._timing = timing
         self._observed: _ObservedLease | None = None
         self._held: LeaseObject | None = None
+        self._attempts = 0
+        self._unconfirmed: dict[int, float] = {}  # Time of each attempt, by its number.
         self._requested_at = 0.0
         self._usable_from = 0.0
         self._quiet_until = 0.0
 
-    def observe(self, lease: LeaseObject | None, now: float) -> None:
-        """Records the lease that the platform shows, or None if there is none."""
+    def observe(self, lease: LeaseObject | None, now: float) -> ConfirmedWrite | None:
+        """Records the lease that the platform shows, or None if there is none.
+
+        Returns:
+            The write of this router that took effect, if the lease shows one that was not
+            confirmed before.
+        """
         if lease is None:
             self._observed = None
-            return
-        if self._observed is None or self._observed.lease != lease:
-            self._update_quiet_until(lease, now)
+            return None
+        is_own = lease.nonce == self._nonce
+        requested_at = self._unconfirmed.get(lease.renewals) if is_own else None
+        previous = self._observed
+        if previous is None or previous.lease != lease:
+            if not is_own:
+                self._update_quiet_until(lease, now)
             # Clocks differ between VMs, so an observer measures the expiry on its own clock, from
             # the last change that it has seen.
             self._observed = _ObservedLease(lease, now)
-        if self._held and (lease.nonce, lease.fencing) != (self._nonce, self._held.fencing):
+            # Attempts that were based on the lease before this change can no longer take effect.
+            self._unconfirmed.clear()
+        if requested_at is not None:
+            return self._confirm(lease, requested_at, now, previous is not None)
+        if self._held and (not is_own or lease.fencing != self._held.fencing):
             self._held = None
+        return None
+
+    def _confirm(
+        self, lease: LeaseObject, requested_at: float, now: float, has_predecessor: bool
+    ) -> ConfirmedWrite:
+        is_new = self._held is None
+        if is_new:
+            self._usable_from = self._first_order_at(now) if has_predecessor else now
+        self._held = None if lease.released else lease
+        self._requested_at = requested_at
+        return ConfirmedWrite(lease, is_new, now - requested_at)
 
     def _update_quiet_until(self, lease: LeaseObject, now: float) -> None:
         """Updates the time until which this router must not send orders."""
@@ -158,7 +200,7 @@
         current = self._observed.lease if self._observed else None
         active = active and now >= self._quiet_until
         if current is None:
-            return LeaseObject(self._vm, self._nonce, 1, 0, note, active)
+            return LeaseObject(self._vm, self._nonce, 1, self._next_attempt(), note, active)
         if current.nonce == self._nonce and not current.released:
             renewed_recently = now - self._requested_at < self._timing.renew_after_s
             is_unchanged = (note, active) == (current.note, current.active)
@@ -168,7 +210,7 @@
             # effect without an answer.
             return dataclasses.replace(
                 current,
-                renewals=current.renewals + 1,
+                renewals=self._next_attempt(),
                 note=note,
                 active=active,
                 quiet_s=self._remaining_quiet_s(now),
@@ -178,9 +220,14 @@
             self._observed and now - self._observed.changed_at >= self._timing.expires_after_s
         )
         if reacquires or current.released or is_expired:
-            quiet_s = self._remaining_quiet_s(now)
             return LeaseObject(
-                self._vm, self._nonce, current.fencing + 1, 0, note, active, False, quiet_s
+                self._vm,
+                self._nonce,
+                current.fencing + 1,
+                self._next_attempt(),
+                note,
+                active,
+                quiet_s=self._remaining_quiet_s(now),
             )
         return None
 
@@ -192,7 +239,7 @@
         quiet_s = self._timing.quiet_s if self._held.active else self._held.quiet_s
         return dataclasses.replace(
             self._held,
-            renewals=self._held.renewals + 1,
+            renewals=self._next_attempt(),
             note="",
             active=False,
             released=True,
@@ -203,24 +250,37 @@
     def _remaining_quiet_s(self, now: float) -> float:
         return max(0.0, self._quiet_until - now)
 
-    def record_written(self, lease: LeaseObject, requested_at: float, now: float) -> None:
-        """Records that the platform accepted a proposal.
+    def _next_attempt(self) -> int:
+        self._attempts += 1
+        return self._attempts
 
-        Args:
-            lease: The proposal.
-            requested_at: Time just before the write was sent.
-            now: Current time.
-        """
-        if self._held is None:
-            self._usable_from = self._first_order_at(now)
-        self._held = None if lease.released else lease
-        self._requested_at = requested_at
-        self._observed = _ObservedLease(lease, now)
+    def begin_write(self, proposal: LeaseObject, now: float) -> None:
+        """Records that a proposal is about to be sent to the platform.
 
-    def record_refused(self) -> None:
+        Its outcome is known once `observe` gets a lease that differs from the one that the proposal
+        was based on.
+        """
+        # An attempt that is older than the lease's validity is worth nothing once confirmed.
+        oldest = now - self._timing.valid_s
+        self._unconfirmed = {
+            attempt: sent_at for attempt, sent_at in self._unconfirmed.items() if sent_at > oldest
+        }
+        self._unconfirmed[proposal.renewals] = now
+
+    def record_refused(self, proposal: LeaseObject) -> None:
         """Records that the platform refused a proposal."""
+        self._unconfirmed.pop(proposal.renewals, None)
         self._held = None
 
+    def is_unconfirmed(self, proposal: LeaseObject) -> bool:
+        """Returns whether it is not known whether a proposal took effect."""
+        return proposal.renewals in self._unconfirmed
+
+    @property
+    def has_unconfirmed(self) -> bool:
+        """Whether it is not known whether some recent proposal took effect."""
+        return bool(self._unconfirmed)
+
     @property
     def is_holder(self) -> bool:
         """Whether this router holds the lease, by its latest information."""
@@ -240,7 +300,5 @@
         return self._observed.lease.holder if self._observed else None
 
     def _first_order_at(self, now: float) -> float:
-        """Returns when a router that has just taken the lease may send its first order."""
-        if self._observed is None:
-            return now
+        """Returns when a router that takes the lease from another may send its first order."""
         return max(now + self._timing.takeover_wait_s, self._quiet_until)
--- a/src/cicadapier/_internal/services/order_lease.py
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -37,19 +37,6 @@
     loaded: dict[str, str] = {}
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _PendingWrite:
-    """A write whose outcome is not known yet.
-
-    Attributes:
-        proposal: The lease to be written.
-        requested_at: Time just before the write was sent.
-    """
-
-    proposal: leases.LeaseObject
-    requested_at: float
-
-
 class OrderLease:
     """Reads and writes the lease of one pool in the store.
 
@@ -71,7 +58,6 @@
         self._cluster = cluster
         self._clock = clock
         self._observed_object: store_format.StoredObject | None = None
-        self._pending: _PendingWrite | None = None
         self._note_text = ""
         self._shown_holder: tuple[ids.VmId, int] | None = None
         self._write_timeout = leases.WriteTimeout()
@@ -97,33 +83,35 @@
 
     def observe(self) -> Note | None:
         """Processes the lease in the store; returns a new note of another router, if any."""
-        lease = self._confirm_pending("watch")
-        self._observed_object = self._cluster.find(self._name)
-        self._log_holder_change(lease)
-        self._lease.observe(lease, self._clock())
+        lease = self._observe_stored("watch")
         if lease is None or lease.note == self._note_text:
             return None
         self._note_text = lease.note
         return None if lease.nonce == self._nonce else _read_note(lease.note)
 
-    def _confirm_pending(self, source: str) -> leases.LeaseObject | None:
-        """Confirms a pending write if its result is shown; returns the lease shown.
+    def _observe_stored(self, source: str) -> leases.LeaseObject | None:
+        """Observes the lease as the cluster service knows it; returns it.
 
         Args:
-            source: Where the result was seen, for the log.
+            source: What brought the last news of it, for the log.
         """
         stored = self._cluster.find(self._name)
         lease = _read_lease(stored) if stored else None
-        if stored and self._pending and lease == self._pending.proposal:
-            self._record_written(self._pending, stored, source)
+        self._log_holder_change(lease, stored)
+        self._observed_object = stored
+        confirmed = self._lease.observe(lease, self._clock())
+        if confirmed:
+            self._log_confirmed(confirmed, source)
+            self._note_text = confirmed.lease.note
         return lease
 
-    def _log_holder_change(self, lease: leases.LeaseObject | None) -> None:
+    def _log_holder_change(
+        self, lease: leases.LeaseObject | None, stored: store_format.StoredObject | None
+    ) -> None:
         """Logs that the store shows another holder or fencing token than before."""
         shown = (lease.holder, lease.fencing) if lease else None
         if shown == self._shown_holder:
             return
-        stored = self._cluster.find(self._name)
         _log.info(
             "lease_holder_changed",
             pool=self.pool,
@@ -135,6 +123,21 @@
         )
         self._shown_holder = shown
 
+    def _log_confirmed(self, confirmed: leases.ConfirmedWrite, source: str) -> None:
+        lease = confirmed.lease
+        if lease.released or confirmed.is_new:
+            event = "lease_released" if lease.released else "lease_taken"
+            quiet_s = round(lease.quiet_s, 2)
+            _log.info(event, pool=self.pool, fencing=lease.fencing, quiet_s=quiet_s)
+        _log.info(
+            "lease_write_confirmed",
+            pool=self.pool,
+            fencing=lease.fencing,
+            attempt=lease.renewals,
+            source=source,
+            age_s=round(confirmed.age_s, 3),
+        )
+
     async def acquire_or_renew(self, note: Note) -> bool:
         """Takes or renews the lease if a write is due; returns False if its outcome is unknown."""
         text = msgspec.json.encode(note).decode()
@@ -157,7 +160,7 @@
         except exceptions.ServiceError as exc:
             _log.info("lease_write_unanswered", pool=self.pool, reason=str(exc))
             await self._read_back()
-            return self._pending is None
+            return not self._lease.has_unconfirmed
         return True
 
     async def _read_back(self) -> None:
@@ -170,30 +173,25 @@
                 return
             if stored:
                 self._cluster.put(stored)
-                self._confirm_pending("read")
+                self._observe_stored("read")
 
     async def _write(self, proposal: leases.LeaseObject) -> None:
         # The proposal follows from this object. The store may show another one by now.
         stored = self._observed_object
-        pending = _PendingWrite(proposal, self._clock())
-        self._pending = pending
-        written = await self._send_or_observe(stored, pending)
+        self._lease.begin_write(proposal, self._clock())
+        written = await self._send_or_observe(stored, proposal)
         if written is None:
             return
         if isinstance(written, platform_service.NotWritten):
-            self._pending = None
-            self._lease.record_refused()
-            if written.object:
-                self._cluster.put(written.object)
+            self._lease.record_refused(proposal)
             version = stored.version if stored else None
             _log.info("lease_refused", pool=self.pool, fencing=proposal.fencing, written_on=version)
-            return
-        if self._pending is pending:
-            self._record_written(pending, written.object, "answer")
-        self._cluster.put(written.object)
+        if written.object:
+            self._cluster.put(written.object)
+            self._observe_stored("answer")
 
     async def _send_or_observe(
-        self, stored: store_format.StoredObject | None, pending: _PendingWrite
+        self, stored: store_format.StoredObject | None, proposal: leases.LeaseObject
     ) -> platform_service.Written | platform_service.NotWritten | None:
         """Returns the answer to a write, or None if the watch shows its result first.
 
@@ -205,25 +203,26 @@
 
         async def send() -> None:
             try:
-                answers.append(await self._send(stored, pending.proposal))
+                answers.append(await self._send(stored, proposal))
             except exceptions.ServiceError as exc:
                 failures.append(exc)
             nursery.cancel_scope.cancel()
 
         timeout_s = self._write_timeout.timeout_s
+        sent_at = self._clock()
         with trio.move_on_after(timeout_s) as timeout:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(send)
-                while self._pending is pending:
+                while self._lease.is_unconfirmed(proposal):
                     await self._cluster.changed_event.wait()
-                    self._confirm_pending("watch")
+                    self._observe_stored("watch")
                 nursery.cancel_scope.cancel()
         if timeout.cancelled_caught:
             self._write_timeout.record_timeout()
             raise exceptions.PlatformUnavailableError(f"no answer within {timeout_s:.2f} s")
         if failures:
             raise failures[0]
-        self._write_timeout.record_answer(self._clock() - pending.requested_at)
+        self._write_timeout.record_answer(self._clock() - sent_at)
         return answers[0] if answers else None
 
     async def _send(
@@ -235,27 +234,6 @@
             return await platform.create(cluster_service.KIND, self._name, spec)
         return await platform.replace(cluster_service.KIND, stored, spec)
 
-    def _record_written(
-        self, pending: _PendingWrite, stored: store_format.StoredObject, source: str
-    ) -> None:
-        proposal = pending.proposal
-        self._pending = None
-        self._observed_object = stored
-        _log.info(
-            "lease_write_confirmed",
-            pool=self.pool,
-            fencing=proposal.fencing,
-            renewals=proposal.renewals,
-            source=source,
-            age_s=round(self._clock() - pending.requested_at, 3),
-        )
-        if proposal.released or not self._lease.is_holder:
-            event = "lease_released" if proposal.released else "lease_taken"
-            quiet_s = round(proposal.quiet_s, 2)
-            _log.info(event, pool=self.pool, fencing=proposal.fencing, quiet_s=quiet_s)
-        self._lease.record_written(proposal, pending.requested_at, self._clock())
-        self._note_text = proposal.note
-
 
 def _read_lease(stored: store_format.StoredObject) -> leases.LeaseObject | None:
     try:
--- a/src/cicadapier/_internal/services/orders_service.py
+++ b/src/cicadapier/_internal/services/orders_service.py
@@ -128,18 +128,18 @@
         proposal: leases.LeaseObject,
     ) -> None:
         assert self._platform
-        requested_at = trio.current_time()
+        lease.begin_write(proposal, trio.current_time())
         spec = dataclasses.asdict(proposal)
         if stored is None:
             written = await self._platform.create(LEASE_KIND, name, spec)
         else:
             written = await self._platform.replace(LEASE_KIND, stored, spec)
         if isinstance(written, platform_service.Written):
-            lease.record_written(proposal, requested_at, trio.current_time())
-            if not proposal.renewals:
+            confirmed = lease.observe(proposal, trio.current_time())
+            if confirmed and confirmed.is_new:
                 _log.info("lease_taken", lease=name, fencing=proposal.fencing)
         else:
-            lease.record_refused()
+            lease.record_refused(proposal)
 
     async def _run_order(self, order: Order, lease: leases.Lease) -> None:
         try:
--- a/tests/_internal/decisions/test_agreements.py
+++ b/tests/_internal/decisions/test_agreements.py
@@ -97,9 +97,10 @@
         router.observe(self.stored, now)
         proposal = router.propose(now)
         if proposal:
+            router.begin_write(proposal, now)
             self.stored = proposal
             if not is_lost:
-                router.record_written(proposal, now, now)
+                router.observe(proposal, now)
 
 
 class LeasesTest(unittest.TestCase):
@@ -118,7 +119,9 @@
 
     def test_paused_holder_may_not_send_orders_after_its_lease_validity(self):
         lease = leases.Lease(ids.VmId("vm"), "n")
-        lease.record_written(lease.propose(0.0), 0.0, 0.1)
+        proposal = lease.propose(0.0)
+        lease.begin_write(proposal, 0.0)
+        lease.observe(proposal, 0.1)
         self.assertEqual(lease.fencing_token(1.0), 1)
         self.assertIsNone(lease.fencing_token(leases.LEASE_DURATION_S - leases.SAFETY_MARGIN_S))
 
@@ -138,7 +141,9 @@
         """Takes the stored lease for a router and returns the router's view of it."""
         lease = leases.Lease(ids.VmId(vm), nonce, self.TIMING)
         lease.observe(stored, now)
-        lease.record_written(lease.propose(now), now, now)
+        proposal = lease.propose(now)
+        lease.begin_write(proposal, now)
+        lease.observe(proposal, now)
         return lease
 
     def _released(self):
--- a/tests/_internal/decisions/test_forwarding_decisions.py
+++ b/tests/_internal/decisions/test_forwarding_decisions.py
@@ -258,9 +258,10 @@
         holder.observe(self.stored, now)
         proposal = holder.propose_release() if release else holder.propose(now)
         if proposal:
+            holder.begin_write(proposal, now)
             self.stored = proposal
             if not lost:
-                holder.record_written(proposal, now, now)
+                holder.observe(proposal, now)
 
     def order(self, who, now):
         number = self.holders[who].fencing_token(now)
@@ -310,7 +311,8 @@
         simulation.act(1, 0.5, False)
         released = simulation.holders[0].propose_release()
         simulation.stored = released
-        simulation.holders[0].record_written(released, 1.0, 1.0)
+        simulation.holders[0].begin_write(released, 1.0)
+        simulation.holders[0].observe(released, 1.0)
         self.assertIsNone(simulation.holders[0].fencing_token(1.0))
         simulation.act(1, 1.1, False)
         self.assertFalse(simulation.stored.active)
@@ -347,7 +349,9 @@
 
     def test_a_changed_note_is_written_at_once(self):
         lease = leases.Lease(ids.VmId("vm0"), "n", TIMING)
-        lease.record_written(lease.propose(0.0, "one"), 0.0, 0.0)
+        proposal = lease.propose(0.0, "one")
+        lease.begin_write(proposal, 0.0)
+        lease.observe(proposal, 0.0)
         self.assertIsNone(lease.propose(0.1, "one"))
         self.assertEqual(lease.propose(0.1, "two").note, "two")
 
--- a/tests/_internal/services/test_order_lease.py
+++ b/tests/_internal/services/test_order_lease.py
@@ -12,6 +12,7 @@
 from cicadapier._internal.services import platform_service
 
 TIMING = leases.LeaseTiming(1.6, 2.0, 0.6, 0.0, quiet_s=3.3, reacquires_at_once=True)
+MIN_ORDER_GAP_S = 3.0
 ROUND_S = 0.1
 STEP_S = 0.01
 POOL = ids.PoolId("engines")
@@ -141,6 +142,28 @@
 
 
 class OrderLeaseTest(unittest.TestCase):
+    def _check_gap(self, first, second):
+        self.assertTrue(first.order_times)
+        self.assertTrue(second.order_times)
+        gap_s = second.order_times[0] - first.order_times[-1]
+        self.assertGreaterEqual(gap_s, MIN_ORDER_GAP_S)
+
+    def test_renewal_shown_after_a_later_attempt_counts_from_its_own_start(self):
+        # The later attempt did not take effect, so it must not extend the holder's time.
+        async def check(store, first, second, silent_s):
+            await trio.sleep(0.55)  # The next renewal is due at 0.6 s.
+            first.view.platform.is_silent = first.is_watch_silent = True
+            await trio.sleep(silent_s)
+            first.view.show()
+            await trio.sleep(2.3 - silent_s)
+            second.wants_lease = True
+            await trio.sleep(12.0)
+            self._check_gap(first, second)
+
+        for silent_s in (0.7, 1.0, 1.3, 1.6, 1.9, 2.2):
+            with self.subTest(silent_s=silent_s):
+                run(lambda *args, silent_s=silent_s: check(*args, silent_s))
+
     def test_lease_of_a_successor_is_not_replaced_by_a_renewal(self):
         async def check(store, first, second):
             await trio.sleep(0.05)
--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -45,6 +45,13 @@
         "if False:",
         f"{planted_bug.DECISIONS}.test_agreements.LeasesTest",
     ),
+    planted_bug.Mutant(
+        "count a lease from the latest attempt to write it",
+        "decisions/leases.py",
+        "requested_at = self._unconfirmed.get(lease.renewals) if is_own else None",
+        "requested_at = max(self._unconfirmed.values(), default=None) if is_own else None",
+        f"{planted_bug.SERVICES}.test_order_lease",
+    ),
     planted_bug.Mutant(
         "take over a lease without the wait for orders of its last holder",
         "decisions/leases.py",
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -162,12 +162,19 @@
         f"{planted_bug.SERVICES}.test_silent_answers",
     ),
     planted_bug.Mutant(
-        "ignore a pending lease write that the watch confirms",
+        "ignore a lease write that the watch confirms",
         "services/order_lease.py",
-        "if self._pending and lease == self._pending.proposal:",
-        "if False:",
+        "self._lease.observe(lease, self._clock())",
+        'self._lease.observe(lease if source == "answer" else None, self._clock())',
         f"{planted_bug.SERVICES}.test_weights_service",
     ),
+    planted_bug.Mutant(
+        "write a lease on another version than the proposal follows from",
+        "services/order_lease.py",
+        "stored = self._observed_object",
+        "stored = self._cluster.find(self._name)",
+        f"{planted_bug.SERVICES}.test_order_lease",
+    ),
     planted_bug.Mutant(
         "check the admission again before the retry of an interrupted run",
         "services/forwarded_exchange.py",
