Send no orders after a release whose answer is lost

Callers saw nothing of this: the weights service stops its orders by itself before it releases a lease. The lease class alone went on until the answer came, so another user of it would order while the next holder already counts its quiet time.

--- a/src/cicadapier/_internal/decisions/leases.py
+++ b/src/cicadapier/_internal/decisions/leases.py
@@ -266,6 +266,9 @@
             attempt: sent_at for attempt, sent_at in self._unconfirmed.items() if sent_at > oldest
         }
         self._unconfirmed[proposal.renewals] = now
+        if proposal.released:
+            # A release may take effect without an answer.
+            self._held = None
 
     def record_refused(self, proposal: LeaseObject) -> None:
         """Records that the platform refused a proposal."""
