Begin the order lease anew when the store is restored from an older copy

Cause: the fencing token followed from the stored lease alone, and what the store had acknowledged was taken to stay. From a copy of before the last change of holders, a token is given out twice or a lower one, and one router holds the lease by the old store, another by the new one.

Now the era that the store names in its answers is read. Each era has a lease of its own, created where no copy can have it, with tokens above all former ones, after the quiet time for an unknown holder. A lease that vanishes or goes back without a new era does the same by what the router remembers. An answer of a former era that comes late is not used. The stand-in store can be restored (away, older copy, revisions given out again, 410, writes of operators repeated).

Ruled out: the era as a field of one object (docs/decisions/leases.md).

--- a/src/cicadapier/_internal/decisions/leases.py
+++ b/src/cicadapier/_internal/decisions/leases.py
@@ -137,6 +137,22 @@
         self._requested_at = 0.0
         self._usable_from = 0.0
         self._quiet_until = 0.0
+        # If there is no lease, another router may have held one until the platform lost it.
+        self._quiet_until_if_absent = 0.0
+        self._highest_fencing = 0
+
+    def begin_era(self, fencing_floor: int, now: float) -> None:
+        """Begins anew, because the platform may have lost the lease and changes of it.
+
+        Args:
+            fencing_floor: Number below all fencing tokens of the new era and above all former ones.
+            now: Current time.
+        """
+        self._observed = None
+        self._held = None
+        self._unconfirmed.clear()
+        self._highest_fencing = max(self._highest_fencing, fencing_floor)
+        self._quiet_until_if_absent = now + self._longest_quiet_s
 
     def observe(self, lease: LeaseObject | None, now: float) -> ConfirmedWrite | None:
         """Records the lease that the platform shows, or None if there is none.
@@ -146,7 +162,7 @@
             confirmed before.
         """
         if lease is None:
-            self._observed = None
+            self._observe_absence(now)
             return None
         is_own = lease.nonce == self._nonce
         requested_at = self._unconfirmed.get(lease.renewals) if is_own else None
@@ -157,6 +173,10 @@
             # Clocks differ between VMs, so an observer measures the expiry on its own clock, from
             # the last change that it has seen.
             self._observed = _ObservedLease(lease, now)
+            if lease.fencing < self._highest_fencing:
+                # The platform shows an earlier state of the lease.
+                self._quiet_until = max(self._quiet_until, now + self._longest_quiet_s)
+            self._highest_fencing = max(self._highest_fencing, lease.fencing)
             # Attempts that were based on the lease before this change can no longer take effect.
             self._unconfirmed.clear()
         if requested_at is not None:
@@ -165,12 +185,18 @@
             self._held = None
         return None
 
+    def _observe_absence(self, now: float) -> None:
+        if self._observed is not None:
+            # Its holder may still use a lease that somebody removed.
+            self.begin_era(self._highest_fencing, now)
+        self._quiet_until = max(self._quiet_until, self._quiet_until_if_absent)
+
     def _confirm(
         self, lease: LeaseObject, requested_at: float, now: float, has_predecessor: bool
     ) -> ConfirmedWrite:
         is_new = self._held is None
         if is_new:
-            self._usable_from = self._first_order_at(now) if has_predecessor else now
+            self._usable_from = self._first_order_at(now) if has_predecessor else self._quiet_until
         self._held = None if lease.released else lease
         self._requested_at = requested_at
         return ConfirmedWrite(lease, is_new, now - requested_at)
@@ -187,7 +213,7 @@
         elif not lease.active:
             self._quiet_until = max(self._quiet_until, now + lease.quiet_s)
         elif lease.holder != self._vm:
-            self._quiet_until = now + self._timing.valid_s + self._timing.quiet_s
+            self._quiet_until = now + self._longest_quiet_s
 
     def propose(self, now: float, note: str = "", active: bool = True) -> LeaseObject | None:
         """Returns the object to write to take or renew the lease, or None if no write is due.
@@ -200,8 +226,9 @@
         current = self._observed.lease if self._observed else None
         active = active and now >= self._quiet_until
         if current is None:
-            return LeaseObject(self._vm, self._nonce, 1, self._next_attempt(), note, active)
-        if current.nonce == self._nonce and not current.released:
+            return self._propose_take(now, note, active)
+        is_latest = current.fencing >= self._highest_fencing
+        if current.nonce == self._nonce and is_latest and not current.released:
             renewed_recently = now - self._requested_at < self._timing.renew_after_s
             is_unchanged = (note, active) == (current.note, current.active)
             if self._held and renewed_recently and is_unchanged:
@@ -220,17 +247,20 @@
             self._observed and now - self._observed.changed_at >= self._timing.expires_after_s
         )
         if reacquires or current.released or is_expired:
-            return LeaseObject(
-                self._vm,
-                self._nonce,
-                current.fencing + 1,
-                self._next_attempt(),
-                note,
-                active,
-                quiet_s=self._remaining_quiet_s(now),
-            )
+            return self._propose_take(now, note, active)
         return None
 
+    def _propose_take(self, now: float, note: str, active: bool) -> LeaseObject:
+        return LeaseObject(
+            self._vm,
+            self._nonce,
+            self._highest_fencing + 1,
+            self._next_attempt(),
+            note,
+            active,
+            quiet_s=self._remaining_quiet_s(now),
+        )
+
     def propose_release(self) -> LeaseObject | None:
         """Returns the object to write to release the lease, or None if it is not held."""
         if self._held is None:
@@ -247,6 +277,11 @@
             own_quiet_s=own_quiet_s,
         )
 
+    @property
+    def _longest_quiet_s(self) -> float:
+        """Quiet time after a lease whose holder may have written it just now."""
+        return self._timing.valid_s + self._timing.quiet_s
+
     def _remaining_quiet_s(self, now: float) -> float:
         return max(0.0, self._quiet_until - now)
 
--- a/src/cicadapier/_internal/platform/objects.py
+++ b/src/cicadapier/_internal/platform/objects.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+from cicadapier._internal.models import ids
+from cicadapier._internal.platform import wire_headers
+from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import store_format
 
 _ROOT = "/api/objects"
@@ -71,6 +74,10 @@
         # must not go back.
         return store_format.Changes(changes, str(max(parsed.as_of, int(version))))
 
+    def read_era(self, head: http_client.ResponseHead) -> ids.StoreEra | None:
+        """See `StoreFormat.read_era`."""
+        return wire_headers.read_era(head)
+
 
 class _Metadata(msgspec.Struct):
     name: str
--- a/src/cicadapier/_internal/platform/server_formats.py
+++ b/src/cicadapier/_internal/platform/server_formats.py
@@ -75,6 +75,11 @@
     )
 
 
+def make_era_headers(era: ids.StoreEra | None) -> http_client.Headers:
+    """Returns the headers that name the store's era, or none if the store does not name it."""
+    return [] if era is None else [(wire_headers.STORE_ERA, b"%d" % era)]
+
+
 def encode_object(item: store_format.StoredObject) -> dict[str, Any]:
     """Returns an object in the format of the store."""
     metadata = {
--- a/src/cicadapier/_internal/platform/wire_headers.py
+++ b/src/cicadapier/_internal/platform/wire_headers.py
@@ -1,6 +1,7 @@
 """Names of the platform's headers, in lower case, and the values of the headers."""
 
 from cicadapier._internal.decisions import rate_limits
+from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import answers
 from cicadapier._internal.protocols import http_client
 
@@ -34,6 +35,9 @@
 # A single weights version, although the name of the header is in the plural.
 WEIGHTS = b"x-weight-versions"
 
+# Number of restores of the store from an older copy. The platform names it an era.
+STORE_ERA = b"store-era"
+
 ACCOUNT = b"x-tenant"
 EXPECTED_UPSTREAM = b"x-expect-instance"
 EXPECTED_WEIGHTS = b"x-expect-version"
@@ -53,6 +57,8 @@
 # a handle, separated by a slash.
 CONTINUE_FROM = b"kv-from"
 
+_MAX_ERA_DIGITS = 9
+
 # Only the router sends these headers to upstreams. Values that come from callers are removed.
 ROUTER_ONLY = frozenset(
     (
@@ -84,6 +90,15 @@
     )
 
 
+def read_era(head: http_client.ResponseHead) -> ids.StoreEra | None:
+    """Returns the era that an answer of the store names, or None if it names no valid one."""
+    value = head.header(STORE_ERA)
+    digits = (value or b"").strip()
+    if not digits.isdigit() or len(digits) > _MAX_ERA_DIGITS:
+        return None
+    return ids.StoreEra(int(digits))
+
+
 def is_leaving(head: http_client.ResponseHead) -> bool:
     """Returns whether an upstream announces in an answer that it is leaving."""
     value = head.header(LEAVING)
--- a/src/cicadapier/_internal/protocols/native_store_format.py
+++ b/src/cicadapier/_internal/protocols/native_store_format.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import store_format
 
 ROOT = "/apis/cicadapier.io/v1"
@@ -69,3 +71,7 @@
             changes.append(store_format.Change(stored, event["type"] == "DELETED"))
             version = stored.version
         return store_format.Changes(tuple(changes), version)
+
+    def read_era(self, head: http_client.ResponseHead) -> ids.StoreEra | None:
+        """See `StoreFormat.read_era`; this store names no eras."""
+        return None
--- a/src/cicadapier/_internal/protocols/store_format.py
+++ b/src/cicadapier/_internal/protocols/store_format.py
@@ -9,6 +9,9 @@
 import dataclasses
 from typing import Any
 
+from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import http_client
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredObject:
@@ -136,3 +139,11 @@
             body: Body of the answer.
             version: Version after which the watch began.
         """
+
+    @abc.abstractmethod
+    def read_era(self, head: http_client.ResponseHead) -> ids.StoreEra | None:
+        """Returns the era that an answer names; None if it names none or an unreadable one.
+
+        A store begins a new era when it is restored from an older copy, which loses changes that it
+        has acknowledged.
+        """
--- a/src/cicadapier/_internal/services/order_lease.py
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -19,6 +19,7 @@
 from cicadapier._internal.services import watching
 
 NAME_PREFIX = "orders-"
+TOKENS_PER_ERA = 1_000_000
 
 _log = structlog.get_logger()
 
@@ -40,6 +41,9 @@
 class OrderLease:
     """Reads and writes the lease of one pool in the store.
 
+    In each era of the store, the lease is another object: neither a lease that the store has
+    restored nor a write that was meant for the former era counts.
+
     Attributes:
         pool: The pool.
     """
@@ -54,6 +58,7 @@
     ) -> None:
         self.pool = pool
         self._lease = lease
+        self._era: ids.StoreEra | None = None
         self._nonce = nonce
         self._cluster = cluster
         self._clock = clock
@@ -79,8 +84,19 @@
 
     def fencing_token(self) -> int | None:
         """Returns the fencing token if an order may be sent now, else None."""
+        self._follow_era()
         return self._lease.fencing_token(self._clock())
 
+    def _follow_era(self) -> None:
+        """Gives up a lease of a former era."""
+        era = self._cluster.platform.era
+        if era is None or era == self._era:
+            return
+        _log.info("lease_era_begun", pool=self.pool, era=era, was_holder=self._lease.is_holder)
+        self._era = era
+        self._lease.begin_era(era * TOKENS_PER_ERA, self._clock())
+        self._observe_stored("watch")
+
     def observe(self) -> Note | None:
         """Processes the lease in the store; returns a new note of another router, if any."""
         lease = self._observe_stored("watch")
@@ -95,6 +111,7 @@
         Args:
             source: What brought the last news of it, for the log.
         """
+        self._follow_era()
         stored = self._cluster.find(self._name)
         lease = _read_lease(stored) if stored else None
         self._log_holder_change(lease, stored)
@@ -140,19 +157,22 @@
 
     async def acquire_or_renew(self, note: Note) -> bool:
         """Takes or renews the lease if a write is due; returns False if its outcome is unknown."""
+        self._follow_era()
         text = msgspec.json.encode(note).decode()
         proposal = self._lease.propose(self._clock(), text)
         return proposal is None or await self._try_write(proposal)
 
     async def release(self) -> None:
         """Releases the lease, so that other routers need not wait for it to expire."""
+        self._follow_era()
         proposal = self._lease.propose_release()
         if proposal:
             await self._try_write(proposal)
 
     @property
     def _name(self) -> str:
-        return f"{NAME_PREFIX}{self.pool}"
+        suffix = "" if self._era is None else f".{self._era}"
+        return f"{NAME_PREFIX}{self.pool}{suffix}"
 
     async def _try_write(self, proposal: leases.LeaseObject) -> bool:
         try:
@@ -179,7 +199,7 @@
         # The proposal follows from this object. The store may show another one by now.
         stored = self._observed_object
         self._lease.begin_write(proposal, self._clock())
-        written = await self._send_or_observe(stored, proposal)
+        written = await self._send_or_observe(self._name, stored, proposal)
         if written is None:
             return
         if isinstance(written, platform_service.NotWritten):
@@ -191,7 +211,7 @@
             self._observe_stored("answer")
 
     async def _send_or_observe(
-        self, stored: store_format.StoredObject | None, proposal: leases.LeaseObject
+        self, name: str, stored: store_format.StoredObject | None, proposal: leases.LeaseObject
     ) -> platform_service.Written | platform_service.NotWritten | None:
         """Returns the answer to a write, or None if the watch shows its result first.
 
@@ -203,7 +223,7 @@
 
         async def send() -> None:
             try:
-                answers.append(await self._send(stored, proposal))
+                answers.append(await self._send(name, stored, proposal))
             except exceptions.ServiceError as exc:
                 failures.append(exc)
             nursery.cancel_scope.cancel()
@@ -226,12 +246,12 @@
         return answers[0] if answers else None
 
     async def _send(
-        self, stored: store_format.StoredObject | None, proposal: leases.LeaseObject
+        self, name: str, stored: store_format.StoredObject | None, proposal: leases.LeaseObject
     ) -> platform_service.Written | platform_service.NotWritten:
         spec = dataclasses.asdict(proposal)
         platform = self._cluster.platform
         if stored is None:
-            return await platform.create(cluster_service.KIND, self._name, spec)
+            return await platform.create(cluster_service.KIND, name, spec)
         return await platform.replace(cluster_service.KIND, stored, spec)
 
 
--- a/src/cicadapier/_internal/services/platform_service.py
+++ b/src/cicadapier/_internal/services/platform_service.py
@@ -6,10 +6,12 @@
 from typing import Any
 
 import msgspec
+import structlog
 import trio
 
 from cicadapier._internal.decisions import progress_deadlines
 from cicadapier._internal.kernel import service
+from cicadapier._internal.models import ids
 from cicadapier._internal.models import settings
 from cicadapier._internal.protocols import exceptions as protocol_exceptions
 from cicadapier._internal.protocols import headers
@@ -26,6 +28,8 @@
 MIN_WATCH_TIMEOUT_S = 1.0  # Applies to a watch with a very short wait.
 _EXPECTED_ERRORS = (http.HTTPStatus.NOT_FOUND, http.HTTPStatus.CONFLICT)
 
+_log = structlog.get_logger()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Written:
@@ -58,6 +62,9 @@
 
     Each call runs in the task of its caller and has a connection to itself while it lasts, so a
     waiting watch does not delay other calls.
+
+    Attributes:
+        era: Latest era that the store has named; None if it has named none.
     """
 
     name = names.PLATFORM
@@ -75,6 +82,8 @@
         self._format = wire_format
         self._idle: list[http_client.ClientConnection] = []
         self._watch_scopes: set[trio.CancelScope] = set()
+        self.era: ids.StoreEra | None = None
+        self._has_logged_fallen_era = False
 
     @property
     def is_configured(self) -> bool:
@@ -218,12 +227,14 @@
         self, head: http_client.RequestHead, body: bytes, timeout_s: float
     ) -> tuple[int, bytes]:
         conn = await self._take_idle() or await self._connect()
+        known_era = self.era
         is_reusable = False
         try:
             await conn.send(head, body)
             answer = await conn.receive_head(timeout_s)
             content = await conn.receive_body(timeout_s, progress_deadlines.MAX_ANSWER_BYTES)
             is_reusable = conn.make_reusable()
+            self._record_era(self._format.read_era(answer), known_era)
             return answer.status, content
         finally:
             if is_reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
@@ -233,6 +244,27 @@
                 if not is_reusable:
                     await self._close_idle()
 
+    def _record_era(self, era: ids.StoreEra | None, known_era: ids.StoreEra | None) -> None:
+        """Records the era that an answer names.
+
+        Args:
+            era: The era; None if the answer names none.
+            known_era: Latest era that was known when the call was sent.
+
+        Raises:
+            PlatformUnavailableError: The store has begun another era since it answered.
+        """
+        if era is None or era == self.era:
+            return
+        if self.era is None or era > self.era:
+            _log.info("store_era_changed", era=era, before=self.era)
+            self.era = era
+        elif known_era != self.era:
+            raise exceptions.PlatformUnavailableError(f"the answer is from the former era {era}")
+        elif not self._has_logged_fallen_era:
+            _log.info("store_era_fallen", era=era, known=self.era)
+            self._has_logged_fallen_era = True
+
     async def _connect(self) -> http_client.ClientConnection:
         if not self._cfg.addresses:
             raise protocol_exceptions.ConnectError("no platform address is configured")
--- a/src/cicadapier/_internal/standins/forwarding_store.py
+++ b/src/cicadapier/_internal/standins/forwarding_store.py
@@ -15,12 +15,14 @@
 from cicadapier._internal.protocols import http_server
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.protocols import transport
+from cicadapier._internal.standins import store_history
 
 PAGE_ITEMS = 50
 ANSWER_DELAY_S = 0.004
 SLOW_ANSWER_DELAY_S = 0.2
 STALENESS_S = 3.0
 LATE_WRITE_DELAY_S = 2.0
+REPEATED_WRITE_DELAY_S = 1.0  # Until operators and upstreams repeat writes that a restore lost.
 ON_TIME_WRITE_INTERVAL = 3  # With MOST_WRITES_LATE, only every n-th write is on time.
 _WATCH_POLL_S = 0.05  # Watches return changes at once; new faults affect them after this time.
 _CALLER_LIMITS = settings.CallerLimits(body_bytes=4_194_304, idle_timeout_s=3600.0)
@@ -52,16 +54,6 @@
     STALE_FORGETS = "stale_forgets"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _RecordedChange:
-    """A change of an object, with the kind of the object, the revision and the time."""
-
-    revision: int
-    kind: str
-    change: store_format.Change
-    at: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rates:
     """Calls per second that the store accepts from all callers together; others get status 429."""
@@ -98,6 +90,7 @@
         stale_reads: Number of reads that allow stale data, including watches, by kind.
         throttled_calls: Number of calls rejected because they exceeded the rates.
         revision: Revision of the latest change.
+        era: Era that the answers name; None if they name none. It rises with each restore.
     """
 
     def __init__(self, network: transport.Network) -> None:
@@ -108,9 +101,11 @@
         self.stale_reads: collections.Counter[str] = collections.Counter()
         self.throttled_calls = 0
         self.revision = 1
+        self.era: ids.StoreEra | None = None
         self._network = network
         self._objects: dict[tuple[str, str], store_format.StoredObject] = {}
-        self._changes: list[_RecordedChange] = []
+        self._changes: list[store_history.RecordedChange] = []
+        self._history = store_history.StoreHistory()
         self._oldest_revision = 1
         self._write_count = 0
         self._recent_calls: dict[bool, collections.deque[float]] = {
@@ -142,10 +137,16 @@
         """Returns the names of the objects of a kind, sorted."""
         return sorted(name for object_kind, name in self._objects if object_kind == kind)
 
-    def put(self, kind: str, name: str, spec: Any) -> None:
+    def put(self, kind: str, name: str, spec: Any, by_router: bool = False) -> None:
         """Writes an object unconditionally, as operators and upstreams do.
 
         A write that does not change the object has no effect.
+
+        Args:
+            kind: Kind of the object.
+            name: Name of the object.
+            spec: New content.
+            by_router: Whether a router writes it, so that nobody repeats the write after a restore.
         """
         current = self._objects.get((kind, name))
         if current is not None and current.spec == spec:
@@ -153,15 +154,49 @@
         self.revision += 1
         item = store_format.StoredObject(name, str(self.revision), spec)
         self._objects[kind, name] = item
-        self._record(kind, item, deleted=False)
+        self._record(kind, item, deleted=False, by_router=by_router)
 
-    def remove(self, kind: str, name: str) -> None:
+    def remove(self, kind: str, name: str, by_router: bool = False) -> None:
         """Deletes an object if it exists."""
         item = self._objects.pop((kind, name), None)
         if item is not None:
             self.revision += 1
             deleted_item = dataclasses.replace(item, version=str(self.revision))
-            self._record(kind, deleted_item, deleted=True)
+            self._record(kind, deleted_item, deleted=True, by_router=by_router)
+
+    async def restore(self, away_s: float, age_s: float) -> None:
+        """Makes the store unavailable for a while and restores it from an older copy.
+
+        What routers wrote since the copy is lost; operators and upstreams repeat their writes.
+
+        Args:
+            away_s: Time for which connections are closed without an answer.
+            age_s: Age of the copy when the store goes away.
+        """
+        assert self._nursery
+        copied_at = trio.current_time() - age_s
+        self.faults.add(StoreFault.REFUSES)
+        await trio.sleep(away_s)
+        self.faults.discard(StoreFault.REFUSES)
+        lost = self._history.changes_since(copied_at)
+        self._objects = self._history.objects_at(copied_at)
+        self.revision = self._history.revision_at(copied_at)
+        self._changes = [change for change in self._changes if change.revision <= self.revision]
+        self._history.forget_since(copied_at)
+        self.era = ids.StoreEra((self.era or 0) + 1)
+        self._notify()
+        self._nursery.start_soon(self._repeat_writes, lost)
+
+    async def _repeat_writes(self, lost: list[store_history.RecordedChange]) -> None:
+        await trio.sleep(REPEATED_WRITE_DELAY_S)
+        for recorded in lost:
+            item = recorded.change.object
+            if recorded.by_router:
+                continue
+            if recorded.change.deleted:
+                self.remove(recorded.kind, item.name)
+            else:
+                self.put(recorded.kind, item.name, item.spec)
 
     def drop_history(self) -> None:
         """Drops all recorded changes, so that watches from earlier revisions must list again."""
@@ -191,7 +226,7 @@
         store_req = server_formats.read_store_request(req)
         if not store_req.allow_stale and self._is_over_rate(req.method != "GET"):
             self.throttled_calls += 1
-            await responder.send_json({}, http.HTTPStatus.TOO_MANY_REQUESTS)
+            await self._send(responder, {}, http.HTTPStatus.TOO_MANY_REQUESTS)
             return
         if req.method == "GET":
             (self.stale_reads if store_req.allow_stale else self.reads)[store_req.kind] += 1
@@ -204,7 +239,7 @@
         status, body = self._write(req.method, store_req)
         if StoreFault.LOSES_ANSWERS in self.faults:
             await trio.sleep_forever()
-        await responder.send_json(body, status)
+        await self._send(responder, body, status)
 
     def _is_write_delayed(self) -> bool:
         """Returns whether a write takes effect late and is not answered; counts the write."""
@@ -237,7 +272,7 @@
         if StoreFault.REFUSES in active_faults:
             raise exceptions.ConnectionLostError("reset")
         if StoreFault.BUSY in active_faults:
-            await responder.send_json({}, http.HTTPStatus.TOO_MANY_REQUESTS)
+            await self._send(responder, {}, http.HTTPStatus.TOO_MANY_REQUESTS)
 
     async def _read(
         self,
@@ -251,12 +286,14 @@
         if store_req.name:
             found = self._objects.get((store_req.kind, store_req.name))
             status = http.HTTPStatus.OK if found else http.HTTPStatus.NOT_FOUND
-            await responder.send_json(server_formats.encode_object(found) if found else {}, status)
+            body = server_formats.encode_object(found) if found else {}
+            await self._send(responder, body, status)
             return
         names = [name for name in self.names(store_req.kind) if name > store_req.after]
         items = [self._objects[store_req.kind, name] for name in names[:PAGE_ITEMS]]
         is_truncated = len(names) > PAGE_ITEMS
-        await responder.send_json(server_formats.encode_page(items, self.revision, is_truncated))
+        body = server_formats.encode_page(items, self.revision, is_truncated)
+        await self._send(responder, body)
 
     async def _watch(
         self,
@@ -268,8 +305,9 @@
         deadline = trio.current_time() + store_req.wait_s
         while True:
             history_dropped = store_req.allow_stale and StoreFault.STALE_FORGETS in self.faults
-            if history_dropped or store_req.from_revision < self._oldest_revision:
-                await responder.send_json({}, http.HTTPStatus.GONE)
+            has_history = self._oldest_revision <= store_req.from_revision <= self.revision
+            if history_dropped or not has_history:
+                await self._send(responder, {}, http.HTTPStatus.GONE)
                 return
             await self._apply_faults(responder, endpoint_faults)
             if responder.started:
@@ -282,7 +320,8 @@
                 and store_req.from_revision < recorded.revision <= visible_revision
             ]
             if changes or trio.current_time() >= deadline:
-                await responder.send_json(server_formats.encode_changes(changes, visible_revision))
+                body = server_formats.encode_changes(changes, visible_revision)
+                await self._send(responder, body)
                 return
             with trio.move_on_after(_WATCH_POLL_S):
                 await self._changed.wait()
@@ -304,7 +343,7 @@
         if method == "POST":
             if current is not None:
                 return http.HTTPStatus.CONFLICT, server_formats.encode_object(current)
-            self.put(store_req.kind, store_req.name, store_req.spec)
+            self.put(store_req.kind, store_req.name, store_req.spec, by_router=True)
         elif current is None:
             return http.HTTPStatus.NOT_FOUND, {}
         elif store_req.expected_revision is not None and store_req.expected_revision != int(
@@ -312,19 +351,31 @@
         ):
             return http.HTTPStatus.CONFLICT, server_formats.encode_object(current)
         elif method == "DELETE":
-            self.remove(store_req.kind, store_req.name)
+            self.remove(store_req.kind, store_req.name, by_router=True)
             return http.HTTPStatus.OK, {}
         else:
-            self.put(store_req.kind, store_req.name, store_req.spec)
+            self.put(store_req.kind, store_req.name, store_req.spec, by_router=True)
         return http.HTTPStatus.OK, server_formats.encode_object(
             self._objects[store_req.kind, store_req.name]
         )
 
-    def _record(self, kind: str, item: store_format.StoredObject, deleted: bool) -> None:
+    def _record(
+        self, kind: str, item: store_format.StoredObject, deleted: bool, by_router: bool
+    ) -> None:
         change = store_format.Change(item, deleted)
-        self._changes.append(_RecordedChange(self.revision, kind, change, trio.current_time()))
+        recorded = store_history.RecordedChange(
+            self.revision, kind, change, trio.current_time(), by_router
+        )
+        self._changes.append(recorded)
+        self._history.record(recorded)
         self._notify()
 
+    async def _send(
+        self, responder: http_server.Responder, body: Any, status: int = http.HTTPStatus.OK
+    ) -> None:
+        era_headers = server_formats.make_era_headers(self.era)
+        await responder.send_json(body, status, era_headers)
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
--- a/tests/_internal/decisions/test_leases.py
+++ b/tests/_internal/decisions/test_leases.py
@@ -1,4 +1,4 @@
-"""Orders under a lease whose writes are lost, late or seen late, by routers that restart."""
+"""Orders under a lease whose writes are lost or late, in a store that forgets, amid restarts."""
 
 import dataclasses
 import enum
@@ -11,10 +11,11 @@
 
 TIMING = leases.LeaseTiming(1.6, 2.0, 0.6, 0.0, quiet_s=3.3, reacquires_at_once=True)
 MIN_ORDER_GAP_S = 3.0
+TOKENS_PER_ERA = 1000
 ROUTERS = 3
 ROUTER_WEIGHTS = (4, 2, 1)
 SEEDS = 400
-EVENTS = 150
+EVENTS = 300
 MEAN_PAUSE_S = 0.15
 
 
@@ -29,6 +30,7 @@
         RELEASE: It releases the lease; the answer is lost.
         DELIVER: All late writes take effect.
         RESTART: Its process ends, and another one begins on the same VM.
+        RESTORE: The store is restored: a new era begins, in which there is no lease.
     """
 
     LOOK = enum.auto()
@@ -38,6 +40,7 @@
     RELEASE = enum.auto()
     DELIVER = enum.auto()
     RESTART = enum.auto()
+    RESTORE = enum.auto()
 
 
 WEIGHTS = {
@@ -48,14 +51,16 @@
     Action.RELEASE: 1,
     Action.DELIVER: 10,
     Action.RESTART: 2,
+    Action.RESTORE: 1,
 }
 
 
 @dataclasses.dataclass
 class Router:
-    """A router's process and the version of the lease that it has seen."""
+    """A router's process, and the era and the version of the lease that it has seen."""
 
     lease: leases.Lease
+    era: int = -1
     seen_version: int = 0
 
 
@@ -65,6 +70,7 @@
     def __init__(self):
         self.now = 0.0
         self.orders = []
+        self._era = 0
         self._versions = [None]
         self._late_writes = []
         self._starts = 0
@@ -78,20 +84,26 @@
         return router
 
     def _look(self, router):
+        if router.era != self._era:
+            router.era = self._era
+            router.lease.begin_era(self._era * TOKENS_PER_ERA, self.now)
         router.seen_version = len(self._versions) - 1
         router.lease.observe(self._versions[-1], self.now)
 
-    def _store(self, version, proposal):
-        if version == len(self._versions) - 1:
+    def _store(self, era, version, proposal):
+        if era == self._era and version == len(self._versions) - 1:
             self._versions.append(proposal)
 
     def act(self, index, pause_s, action):
         self.now += pause_s
         router = self._routers[index]
         if action is Action.DELIVER:
-            for version, proposal in self._late_writes:
-                self._store(version, proposal)
+            for late_write in self._late_writes:
+                self._store(*late_write)
             self._late_writes.clear()
+        elif action is Action.RESTORE:
+            self._era += 1
+            self._versions = [None]
         elif action is Action.RESTART:
             self._routers[index] = self._start(index)
         elif action is Action.LOOK:
@@ -108,9 +120,9 @@
             return
         lease.begin_write(proposal, self.now)
         if action is Action.WRITE_LATE:
-            self._late_writes.append((router.seen_version, proposal))
+            self._late_writes.append((router.era, router.seen_version, proposal))
             return
-        self._store(router.seen_version, proposal)
+        self._store(router.era, router.seen_version, proposal)
         if action is Action.WRITE:
             self._look(router)
 
--- a/tests/_internal/services/test_order_lease.py
+++ b/tests/_internal/services/test_order_lease.py
@@ -19,20 +19,37 @@
 
 
 class LeaseStore:
-    """Store of one object with conditional writes."""
+    """Store with conditional writes.
+
+    Attributes:
+        object: The object that was written last.
+        era: Era that its answers name.
+    """
 
     def __init__(self):
         self.object = None
+        self.era = None
         self.revision = 10
+        self._objects = {}
+
+    def find(self, name):
+        return self._objects.get(name)
 
     def write(self, old, name, spec):
-        current_version = self.object.version if self.object else None
-        if (old.version if old else None) != current_version:
-            return platform_service.NotWritten(self.object)
+        current = self._objects.get(name)
+        if (old.version if old else None) != (current.version if current else None):
+            return platform_service.NotWritten(current)
         self.revision += 1
-        self.object = store_format.StoredObject(name, str(self.revision), spec)
+        self.put(store_format.StoredObject(name, str(self.revision), spec))
         return platform_service.Written(self.object)
 
+    def put(self, item):
+        self.object = self._objects[item.name] = item
+
+    def remove_all(self):
+        self.object = None
+        self._objects = {}
+
 
 class StoreClient:
     """Client of the store for one router; while silent, writes take effect without an answer."""
@@ -41,9 +58,13 @@
         self.is_silent = False
         self._store = store
 
+    @property
+    def era(self):
+        return self._store.era
+
     async def get(self, kind, name):
         await self._wait()
-        return self._store.object
+        return self._store.find(name)
 
     async def create(self, kind, name, spec):
         written = self._store.write(None, name, spec)
@@ -68,33 +89,45 @@
         self.platform = StoreClient(store)
         self.changed_event = trio.Event()
         self._store = store
-        self._object = None
+        self._objects = {}
 
     def find(self, name):
-        return self._object
+        return self._objects.get(name)
 
     def put(self, item):
-        if self._object is None or int(self._object.version) < int(item.version):
-            self._object = item
-            self.changed_event.set()
-            self.changed_event = trio.Event()
+        current = self._objects.get(item.name)
+        if current is None or int(current.version) < int(item.version):
+            self._objects[item.name] = item
+            self._notify()
 
     def show(self):
-        """Shows the current object, as the watch does."""
+        """Shows the object that was written last, as the watch does."""
         if self._store.object:
             self.put(self._store.object)
 
+    def list_all(self):
+        """Shows the state of the store, as a list does."""
+        self._objects = {}
+        self._notify()
+        self.show()
+
+    def _notify(self):
+        self.changed_event.set()
+        self.changed_event = trio.Event()
+
 
 class Router:
     """A router that competes for the lease.
 
     Attributes:
         order_times: Times at which it could have sent an order.
+        tokens: Fencing tokens that it could have sent at these times.
     """
 
     def __init__(self, vm, store):
         self.view = StoreView(store)
         self.order_times = []
+        self.tokens = []
         lease = leases.Lease(ids.VmId(vm), f"process of {vm}", TIMING)
         self.lease = order_lease.OrderLease(
             POOL, lease, f"process of {vm}", self.view, trio.current_time
@@ -120,8 +153,10 @@
 
     async def _sample(self):
         while True:
-            if self.lease.fencing_token() is not None:
+            token = self.lease.fencing_token()
+            if token is not None:
                 self.order_times.append(trio.current_time())
+                self.tokens.append(token)
             await trio.sleep(STEP_S)
 
 
@@ -147,6 +182,7 @@
         self.assertTrue(second.order_times)
         gap_s = second.order_times[0] - first.order_times[-1]
         self.assertGreaterEqual(gap_s, MIN_ORDER_GAP_S)
+        self.assertGreater(min(second.tokens), max(first.tokens))
 
     def test_renewal_shown_after_a_later_attempt_counts_from_its_own_start(self):
         # The later attempt did not take effect, so it must not extend the holder's time.
@@ -193,6 +229,78 @@
 
         run(check)
 
+    def test_lease_of_a_former_era_of_the_store_is_not_used(self):
+        # The store has lost the second router's lease and shows the first router's again.
+        async def check(store, first, second):
+            store.era = 1
+            await trio.sleep(6.0)
+            copy, revision = store.object, store.revision
+            first.wants_lease = False
+            second.wants_lease = True
+            await trio.sleep(8.0)
+            self._check_gap(first, second)
+            store.remove_all()
+            store.put(copy)
+            store.revision = revision
+            store.era = 2
+            self.assertIsNone(second.lease.fencing_token())
+            second.wants_lease = False
+            first.wants_lease = True
+            first.order_times.clear()
+            first.tokens.clear()
+            await trio.sleep(8.0)
+            self._check_gap(second, first)
+
+        run(check)
+
+    def test_router_that_starts_in_a_new_era_waits_for_orders_of_the_former_one(self):
+        async def check(store, first, second):
+            store.era = 1
+            await trio.sleep(6.0)
+            store.remove_all()
+            store.era = 2
+            first.wants_lease = False
+            restarted = Router("vm-0", store)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(restarted.run)
+                await trio.sleep(8.0)
+                nursery.cancel_scope.cancel()
+            self._check_gap(first, restarted)
+
+        run(check)
+
+    def test_lease_that_the_store_has_lost_is_not_used_at_once(self):
+        async def check(store, first, second):
+            await trio.sleep(1.0)
+            store.remove_all()
+            first.view.list_all()
+            second.view.list_all()
+            first.wants_lease = False
+            second.wants_lease = True
+            await trio.sleep(8.0)
+            self._check_gap(first, second)
+
+        run(check)
+
+    def test_earlier_lease_that_the_store_shows_again_gives_no_token_out_twice(self):
+        async def check(store, first, second):
+            await trio.sleep(1.0)
+            copy = store.object
+            first.wants_lease = False
+            second.wants_lease = True
+            await trio.sleep(8.0)
+            store.put(copy)
+            first.view.list_all()
+            second.view.list_all()
+            second.wants_lease = False
+            first.wants_lease = True
+            first.order_times.clear()
+            first.tokens.clear()
+            await trio.sleep(8.0)
+            self._check_gap(second, first)
+
+        run(check)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/_internal/services/test_weights_service.py
+++ b/tests/_internal/services/test_weights_service.py
@@ -214,6 +214,34 @@
 
         forwarding_world.run_in_world(check, routers=2)
 
+    def test_orders_stay_apart_and_tokens_grow_after_the_store_comes_back_older(self):
+        async def check(world):
+            world.store.era = 1
+            await trio.sleep(6.0)
+            world.set_target_weights(2)
+            await trio.sleep(3.0)
+            first = self._last_order(world).holder
+            world.stop(first)
+            world.set_target_weights(3)
+            started_at = trio.current_time()
+            while self._last_order(world).holder == first:
+                await trio.sleep(0.05)
+            await world.start_router(int(first.removeprefix("vm-")))
+            # The copy is from before the takeover.
+            await world.store.restore(0.5, age_s=trio.current_time() - started_at)
+            await trio.sleep(1.0)
+            world.set_target_weights(4)
+            await trio.sleep(12.0)
+            self._check_handovers(world)
+            self._check_weights(world, 4)
+
+        forwarding_world.run_in_world(check, routers=3)
+
+    def _last_order(self, world):
+        """Returns the last order that an engine received."""
+        orders = [timed for upstream in world.upstreams.values() for timed in upstream.orders]
+        return max(orders, key=lambda timed: timed[0])[1]
+
     def test_rate_limited_store_delays_a_rollout_and_is_not_overloaded(self):
         async def check(world):
             world.store.rates = forwarding_store.Rates(writes=3, reads=8)
--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -52,6 +52,20 @@
         "requested_at = max(self._unconfirmed.values(), default=None) if is_own else None",
         f"{planted_bug.SERVICES}.test_order_lease",
     ),
+    planted_bug.Mutant(
+        "take a lease that the platform has lost without quiet time",
+        "decisions/leases.py",
+        "self._quiet_until_if_absent = now + self._longest_quiet_s",
+        "self._quiet_until_if_absent = now",
+        f"{planted_bug.SERVICES}.test_order_lease",
+    ),
+    planted_bug.Mutant(
+        "count fencing tokens from the lease that the platform shows alone",
+        "decisions/leases.py",
+        "self._highest_fencing + 1,",
+        "(self._observed.lease.fencing if self._observed else 0) + 1,",
+        f"{planted_bug.SERVICES}.test_order_lease",
+    ),
     planted_bug.Mutant(
         "take over a lease without the wait for orders of its last holder",
         "decisions/leases.py",
@@ -168,7 +182,7 @@
     planted_bug.Mutant(
         "send orders without quiet time after another holder",
         "decisions/leases.py",
-        "self._quiet_until = now + self._timing.valid_s + self._timing.quiet_s",
+        "self._quiet_until = now + self._longest_quiet_s",
         "self._quiet_until = now",
         f"{planted_bug.DECISIONS}.test_forwarding_decisions.ShortLeaseTest",
     ),
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -168,6 +168,20 @@
         'self._lease.observe(lease if source == "answer" else None, self._clock())',
         f"{planted_bug.SERVICES}.test_weights_service",
     ),
+    planted_bug.Mutant(
+        "go on under a lease of a former era of the store",
+        "services/order_lease.py",
+        "if era is None or era == self._era:",
+        "if era is None or self._lease.is_holder or era == self._era:",
+        f"{planted_bug.SERVICES}.test_order_lease",
+    ),
+    planted_bug.Mutant(
+        "use an answer that the store gave in a former era",
+        "services/platform_service.py",
+        "elif known_era != self.era:",
+        "elif False:",
+        f"{planted_bug.SERVICES}.test_platform_service",
+    ),
     planted_bug.Mutant(
         "write a lease on another version than the proposal follows from",
         "services/order_lease.py",
