Take an order lease back at once only on the host that holds it

Callers would see two machines order one engine within the quiet time, if a VM and its replacement run at once under one name: a router took a lease of its own VM's name back without quiet time.

Cause: the name of a VM was taken for the machine. The lease now bears the holder's host, and both must agree. Evidence: test_another_host_under_the_name_of_the_holder_waits_like_another_router; it cannot be written for the former code, which knew no host. Before and after: tests of the lease and the weights service pass, test_restarted_holder_resumes_orders_without_waiting among them.

--- a/src/cicadapier/_internal/decisions/leases.py
+++ b/src/cicadapier/_internal/decisions/leases.py
@@ -9,6 +9,7 @@
 
 from cicadapier._internal.models import ids
 
+UNKNOWN_HOST = ids.Host("")
 LEASE_DURATION_S = 10.0
 RENEW_AFTER_S = 3.0
 SAFETY_MARGIN_S = 4.0
@@ -60,6 +61,7 @@
         quiet_s: Remaining quiet time, counted from the write: until it is over, the orders of
             earlier holders are too recent for a new holder to send its own.
         own_quiet_s: The quiet time that remains for the VM of the holder itself after a release.
+        host: Host of the holder. A VM and its replacement may run at once under one name.
     """
 
     holder: ids.VmId
@@ -71,6 +73,7 @@
     released: bool = False
     quiet_s: float = 0.0
     own_quiet_s: float = 0.0
+    host: ids.Host = UNKNOWN_HOST
 
 
 @dataclasses.dataclass(slots=True)
@@ -126,8 +129,15 @@
     what happened.
     """
 
-    def __init__(self, vm: ids.VmId, nonce: str, timing: LeaseTiming = DEFAULT_TIMING) -> None:
+    def __init__(
+        self,
+        vm: ids.VmId,
+        nonce: str,
+        timing: LeaseTiming = DEFAULT_TIMING,
+        host: ids.Host = UNKNOWN_HOST,
+    ) -> None:
         self._vm = vm
+        self._host = host
         self._nonce = nonce
         self._timing = timing
         self._observed: _ObservedLease | None = None
@@ -204,7 +214,7 @@
     def _update_quiet_until(self, lease: LeaseObject, now: float) -> None:
         """Updates the time until which this router must not send orders."""
         previous = self._observed.lease if self._observed else None
-        if lease.released and lease.holder == self._vm:
+        if lease.released and self._is_of_this_vm(lease):
             self._quiet_until = max(self._quiet_until, now + lease.own_quiet_s)
         elif lease.released and previous and previous.fencing == lease.fencing:
             # The holder confirms with the release that it has sent its last order, so only the
@@ -212,9 +222,12 @@
             self._quiet_until = now + lease.quiet_s
         elif not lease.active:
             self._quiet_until = max(self._quiet_until, now + lease.quiet_s)
-        elif lease.holder != self._vm:
+        elif not self._is_of_this_vm(lease):
             self._quiet_until = now + self._longest_quiet_s
 
+    def _is_of_this_vm(self, lease: LeaseObject) -> bool:
+        return (lease.holder, lease.host) == (self._vm, self._host)
+
     def propose(self, now: float, note: str = "", active: bool = True) -> LeaseObject | None:
         """Returns the object to write to take or renew the lease, or None if no write is due.
 
@@ -242,7 +255,7 @@
                 active=active,
                 quiet_s=self._remaining_quiet_s(now),
             )
-        reacquires = self._timing.reacquires_at_once and current.holder == self._vm
+        reacquires = self._timing.reacquires_at_once and self._is_of_this_vm(current)
         is_expired = (
             self._observed and now - self._observed.changed_at >= self._timing.expires_after_s
         )
@@ -259,6 +272,7 @@
             note,
             active,
             quiet_s=self._remaining_quiet_s(now),
+            host=self._host,
         )
 
     def propose_release(self) -> LeaseObject | None:
--- a/src/cicadapier/_internal/models/ids.py
+++ b/src/cicadapier/_internal/models/ids.py
@@ -15,6 +15,7 @@
 StoreEra = NewType("StoreEra", int)
 PatchId = NewType("PatchId", str)
 Address = NewType("Address", str)
+Host = NewType("Host", str)  # Address without the port.
 Fingerprint = NewType("Fingerprint", str)
 RouteId = NewType("RouteId", str)
 PartId = NewType("PartId", str)
--- a/src/cicadapier/_internal/services/weights_service.py
+++ b/src/cicadapier/_internal/services/weights_service.py
@@ -30,6 +30,7 @@
 from cicadapier._internal.services import engine_orders
 from cicadapier._internal.services import names
 from cicadapier._internal.services import order_lease
+from cicadapier._internal.services import peers_service
 from cicadapier._internal.services import traffic_messages
 from cicadapier._internal.services import traffic_service
 from cicadapier._internal.services import watching
@@ -110,6 +111,7 @@
         self._target_versions: dict[ids.ModelId, int] = {}
         self._pools: dict[ids.PoolId, _PoolState] = {}
         self._cluster: cluster_service.ClusterService | None = None
+        self._peers: peers_service.PeersService | None = None
         self._configuration: configuration_source.ConfigurationSource | None = None
         self._engine_orders: engine_orders.EngineOrders | None = None
         self._traffic: traffic_service.TrafficService | None = None
@@ -117,6 +119,7 @@
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
         self._cluster = kernel.find(names.CLUSTER)
+        self._peers = kernel.find(names.PEERS)
         self._configuration = kernel.find(names.CONFIGURATION)
         self._traffic = kernel.find(names.TRAFFIC)
         self._engine_orders = engine_orders.EngineOrders(
@@ -242,7 +245,9 @@
     def _pool_state(self, target: engine_orders.Target) -> _PoolState:
         state = self._pools.get(target.pool)
         if state is None:
-            lease = leases.Lease(self._vm, self._nonce, self._lease_timing)
+            assert self._peers
+            host = ids.Host(self._peers.address.rpartition(":")[0])
+            lease = leases.Lease(self._vm, self._nonce, self._lease_timing, host)
             state = _PoolState(
                 order_lease.OrderLease(target.pool, lease, self._nonce, self.cluster, self._clock)
             )
--- a/tests/_internal/decisions/test_agreements.py
+++ b/tests/_internal/decisions/test_agreements.py
@@ -137,9 +137,9 @@
 class ReleasedLeaseTest(unittest.TestCase):
     TIMING = leases.LeaseTiming(1.6, 2.0, 0.6, 0.0, quiet_s=3.3, reacquires_at_once=True)
 
-    def _take(self, vm, nonce, stored, now):
+    def _take(self, vm, nonce, stored, now, host=""):
         """Takes the stored lease for a router and returns the router's view of it."""
-        lease = leases.Lease(ids.VmId(vm), nonce, self.TIMING)
+        lease = leases.Lease(ids.VmId(vm), nonce, self.TIMING, ids.Host(host))
         lease.observe(stored, now)
         proposal = lease.propose(now)
         lease.begin_write(proposal, now)
@@ -156,6 +156,17 @@
         again = self._take("vm", "n2", self._released(), 1.0)
         self.assertEqual(again.fencing_token(1.0), 2)
 
+    def test_another_host_under_the_name_of_the_holder_waits_like_another_router(self):
+        other_host = self._take("vm", "n2", self._released(), 1.0, "10.0.0.2")
+        self.assertIsNone(other_host.fencing_token(4.2))
+        running = leases.LeaseObject(ids.VmId("vm"), "n1", 1, 1, host=ids.Host("10.0.0.1"))
+        other_host = leases.Lease(ids.VmId("vm"), "n2", self.TIMING, ids.Host("10.0.0.2"))
+        other_host.observe(running, 0.0)
+        self.assertIsNone(other_host.propose(1.9))
+        same_host = leases.Lease(ids.VmId("vm"), "n3", self.TIMING, ids.Host("10.0.0.1"))
+        same_host.observe(running, 0.0)
+        self.assertEqual(same_host.propose(0.1).fencing, 2)
+
     def test_other_router_waits_for_the_quiet_time_after_a_release(self):
         other = self._take("other", "n3", self._released(), 1.0)
         self.assertIsNone(other.fencing_token(4.2))
