Let no order arrive after the quiet time of the next holder has begun to run out

Callers would see two routers order one engine less than 3 s apart where an order is delivered late (lossy links).

Cause: an order is checked before its send and may arrive until its call times out after 0.6 s, or later still, since closing a connection leaves it to the kernel to deliver what was sent. The quiet time allowed 0.3 s for it. Now a holder sends no order in the last 0.3 s of its lease, and what an engine has not received is discarded when the call times out.

Evidence: test_order_that_arrives_late_is_still_apart_from_those_of_the_next_holder fails with "send orders that may arrive after the lease has expired" planted, which is the former code; test_data_that_was_not_received_is_discarded_on_close on real sockets. Ruled out: a longer quiet time alone; take-overs would be slower by it.

--- a/src/cicadapier/_internal/decisions/leases.py
+++ b/src/cicadapier/_internal/decisions/leases.py
@@ -32,6 +32,8 @@
         quiet_s: Minimum time between the last order of one holder and the first of the next.
         reacquires_at_once: Whether a restarted router may take a lease that its VM holds without
             waiting for it to expire.
+        delivery_s: Time at the end of `valid_s` in which a holder sends no orders, because they may
+            arrive late.
     """
 
     valid_s: float = LEASE_DURATION_S - SAFETY_MARGIN_S
@@ -40,6 +42,7 @@
     takeover_wait_s: float = MAX_ORDER_S
     quiet_s: float = 0.0
     reacquires_at_once: bool = False
+    delivery_s: float = 0.0
 
 
 DEFAULT_TIMING = LeaseTiming()
@@ -342,7 +345,7 @@
         """Returns the fencing token if an order may be sent now, else None."""
         if self._held is None or not self._held.active or now < self._usable_from:
             return None
-        if now >= self._requested_at + self._timing.valid_s:
+        if now >= self._requested_at + self._timing.valid_s - self._timing.delivery_s:
             return None
         return self._held.fencing
 
--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -194,6 +194,10 @@
         self.idle_since = trio.current_time()
         return True
 
+    def discard_unsent_on_close(self) -> None:
+        """Makes `close` discard what the server has not received yet."""
+        transport.discard_unsent_on_close(self._stream)
+
     async def close(self) -> None:
         """Closes the connection at once; safe to call while being cancelled."""
         await trio.aclose_forcefully(self._stream)
--- a/src/cicadapier/_internal/protocols/transport.py
+++ b/src/cicadapier/_internal/protocols/transport.py
@@ -4,6 +4,7 @@
 import collections.abc
 import socket
 import ssl
+import struct
 
 import trio
 
@@ -17,6 +18,7 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 2500
+_LINGER_FOR_NO_TIME = struct.pack("ii", 1, 0)
 
 StreamHandler = collections.abc.Callable[[trio.abc.Stream], collections.abc.Awaitable[None]]
 
@@ -39,6 +41,12 @@
     return False
 
 
+def discard_unsent_on_close(stream: trio.abc.Stream) -> None:
+    """Makes closing a socket discard sent data that its peer has not received yet."""
+    if isinstance(stream, trio.SocketStream):
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_FOR_NO_TIME)
+
+
 class Network(abc.ABC):
     """Opens and accepts byte streams."""
 
--- a/src/cicadapier/_internal/services/engine_orders.py
+++ b/src/cicadapier/_internal/services/engine_orders.py
@@ -19,6 +19,7 @@
 from cicadapier._internal.services import traffic_service
 from cicadapier._internal.services import watching
 
+# An order that an engine has not received by then is discarded with its connection.
 CALL_TIMEOUT_S = 0.6
 POLL_INTERVAL_S = 0.2
 GRANT_TIMEOUT_S = 2.0
@@ -158,6 +159,7 @@
             _log.info("order_not_sent", upstream=engine.upstream, reason=str(exc))
             return update.handle_reply(rollout.Reply.NONE, self._clock())
         try:
+            conn.discard_unsent_on_close()
             # The lease may have expired while the connection was being opened.
             fencing = get_fencing_token()
             if fencing is None:
--- a/src/cicadapier/_internal/services/weights_service.py
+++ b/src/cicadapier/_internal/services/weights_service.py
@@ -44,6 +44,7 @@
 LEASE_RENEW_AFTER_S = 0.6
 LEASE_EXPIRES_AFTER_S = 2.0
 QUIET_MARGIN_S = 0.3
+LEASE_DELIVERY_S = engine_orders.CALL_TIMEOUT_S - QUIET_MARGIN_S
 LAST_HOLDER_HEAD_START_S = 1.0  # Head start of the last holder of the lease.
 RANK_DELAY_S = 0.4
 NONCE_BYTES = 12
@@ -102,6 +103,7 @@
             0.0,
             min_order_gap_s + QUIET_MARGIN_S,
             reacquires_at_once=True,
+            delivery_s=LEASE_DELIVERY_S,
         )
         self._released = False
         self._is_watch_answered = False
--- a/tests/_internal/protocols/test_transport.py
+++ b/tests/_internal/protocols/test_transport.py
@@ -1,4 +1,4 @@
-"""Tests that a refused connection is distinguished from an unanswered one."""
+"""Refused and unanswered connections; data that was not received when a connection is closed."""
 
 import socket
 import unittest
@@ -7,6 +7,7 @@
 
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import transport
 
 
@@ -38,5 +39,39 @@
                 client.close()
 
 
+class DiscardUnsentTest(unittest.TestCase):
+    BODY_BYTES = 8_000_000
+
+    def _read_after_close(self, server, discards):
+        """Returns what a server reads that begins to read after its client has closed."""
+
+        async def main():
+            port = server.getsockname()[1]
+            address = ids.Address(f"127.0.0.1:{port}")
+            stream = await transport.TcpNetwork().connect(address, 1.0)
+            conn = http_client.ClientConnection(stream, address)
+            if discards:
+                conn.discard_unsent_on_close()
+            with trio.move_on_after(0.2):
+                await stream.send_all(b"x" * self.BODY_BYTES)
+            await conn.close()
+
+        trio.run(main)
+        accepted, _ = server.accept()
+        with accepted:
+            accepted.settimeout(5.0)
+            while accepted.recv(1_000_000):
+                pass
+
+    def test_data_that_was_not_received_is_discarded_on_close(self):
+        server = socket.create_server(("127.0.0.1", 0))
+        with server, self.assertRaises(ConnectionResetError):
+            self._read_after_close(server, discards=True)
+
+    def test_other_connections_deliver_what_was_sent_before_the_close(self):
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            self._read_after_close(server, discards=False)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/_internal/services/test_order_lease.py
+++ b/tests/_internal/services/test_order_lease.py
@@ -8,11 +8,21 @@
 from cicadapier._internal.decisions import leases
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import store_format
+from cicadapier._internal.services import engine_orders
 from cicadapier._internal.services import order_lease
 from cicadapier._internal.services import platform_service
+from cicadapier._internal.services import weights_service
 
-TIMING = leases.LeaseTiming(1.6, 2.0, 0.6, 0.0, quiet_s=3.3, reacquires_at_once=True)
 MIN_ORDER_GAP_S = 3.0
+TIMING = leases.LeaseTiming(
+    weights_service.LEASE_VALID_S,
+    weights_service.LEASE_EXPIRES_AFTER_S,
+    weights_service.LEASE_RENEW_AFTER_S,
+    0.0,
+    MIN_ORDER_GAP_S + weights_service.QUIET_MARGIN_S,
+    reacquires_at_once=True,
+    delivery_s=weights_service.LEASE_DELIVERY_S,
+)
 ROUND_S = 0.1
 STEP_S = 0.01
 POOL = ids.PoolId("engines")
@@ -180,10 +190,21 @@
     def _check_gap(self, first, second):
         self.assertTrue(first.order_times)
         self.assertTrue(second.order_times)
-        gap_s = second.order_times[0] - first.order_times[-1]
+        last_arrival = first.order_times[-1] + engine_orders.CALL_TIMEOUT_S
+        gap_s = second.order_times[0] - last_arrival
         self.assertGreaterEqual(gap_s, MIN_ORDER_GAP_S)
         self.assertGreater(min(second.tokens), max(first.tokens))
 
+    def test_order_that_arrives_late_is_still_apart_from_those_of_the_next_holder(self):
+        async def check(store, first, second):
+            await trio.sleep(1.0)
+            first.wants_lease = False
+            second.wants_lease = True
+            await trio.sleep(8.0)
+            self._check_gap(first, second)
+
+        run(check)
+
     def test_renewal_shown_after_a_later_attempt_counts_from_its_own_start(self):
         # The later attempt did not take effect, so it must not extend the holder's time.
         async def check(store, first, second, silent_s):
--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -41,7 +41,7 @@
     planted_bug.Mutant(
         "send orders after the lease has expired",
         "decisions/leases.py",
-        "if now >= self._requested_at + self._timing.valid_s:",
+        "if now >= self._requested_at + self._timing.valid_s - self._timing.delivery_s:",
         "if False:",
         f"{planted_bug.DECISIONS}.test_agreements.LeasesTest",
     ),
@@ -52,6 +52,13 @@
         "requested_at = max(self._unconfirmed.values(), default=None) if is_own else None",
         f"{planted_bug.SERVICES}.test_order_lease",
     ),
+    planted_bug.Mutant(
+        "send orders that may arrive after the lease has expired",
+        "decisions/leases.py",
+        "self._requested_at + self._timing.valid_s - self._timing.delivery_s:",
+        "self._requested_at + self._timing.valid_s:",
+        f"{planted_bug.SERVICES}.test_order_lease",
+    ),
     planted_bug.Mutant(
         "take a lease that the platform has lost without quiet time",
         "decisions/leases.py",
