Read an order lease in one way on both interfaces

Its reader also dropped whether a holder may order yet, whether it has released, and the quiet times, so that a lease of a holder that waits would have been read as one that orders.

Cause: two readers of one object. Evidence: test_unreadable_lease_stops_no_router_and_no_rollout failed before (KeyError: 'nonce').

--- a/src/cicadapier/_internal/services/order_lease.py
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -15,6 +15,7 @@
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import cluster_service
 from cicadapier._internal.services import exceptions
+from cicadapier._internal.services import lease_objects
 from cicadapier._internal.services import platform_service
 from cicadapier._internal.services import watching
 
@@ -113,7 +114,7 @@
         """
         self._follow_era()
         stored = self._cluster.find(self._name)
-        lease = _read_lease(stored) if stored else None
+        lease = lease_objects.read_lease(stored)
         self._log_holder_change(lease, stored)
         self._observed_object = stored
         confirmed = self._lease.observe(lease, self._clock())
@@ -255,14 +256,6 @@
         return await platform.replace(cluster_service.KIND, stored, spec)
 
 
-def _read_lease(stored: store_format.StoredObject) -> leases.LeaseObject | None:
-    try:
-        return msgspec.convert(stored.spec, leases.LeaseObject)
-    except msgspec.ValidationError as exc:
-        _log.info("lease_unreadable", entry=stored.name, reason=str(exc))
-        return None
-
-
 def _read_note(raw: str) -> Note:
     try:
         return msgspec.json.decode(raw, type=Note) if raw else Note()
--- a/src/cicadapier/_internal/services/orders_service.py
+++ b/src/cicadapier/_internal/services/orders_service.py
@@ -23,6 +23,7 @@
 from cicadapier._internal.services import configuration_service
 from cicadapier._internal.services import connections_service
 from cicadapier._internal.services import exceptions
+from cicadapier._internal.services import lease_objects
 from cicadapier._internal.services import names
 from cicadapier._internal.services import platform_service
 from cicadapier._internal.services import upstreams_service
@@ -111,7 +112,7 @@
         name = f"orders-{pool_id}"
         try:
             stored = await self._platform.get(LEASE_KIND, name)
-            lease.observe(_read_lease(stored) if stored else None, trio.current_time())
+            lease.observe(lease_objects.read_lease(stored), trio.current_time())
             proposal = lease.propose(trio.current_time())
             if proposal:
                 await self._write_lease(name, stored, lease, proposal)
@@ -171,13 +172,3 @@
         finally:
             with trio.CancelScope(shield=True):
                 await conn.close()
-
-
-def _read_lease(stored: store_format.StoredObject) -> leases.LeaseObject:
-    spec = stored.spec
-    return leases.LeaseObject(
-        ids.VmId(str(spec["holder"])),
-        str(spec["nonce"]),
-        int(spec["fencing"]),
-        int(spec["renewals"]),
-    )
--- a/tests/_internal/services/test_router_fleet.py
+++ b/tests/_internal/services/test_router_fleet.py
@@ -325,6 +325,24 @@
 
         _run_in_world(check)
 
+    def test_unreadable_lease_stops_no_router_and_no_rollout(self):
+        async def check(world):
+            lease = {"metadata": {"name": "orders-quill-models"}, "spec": {"holder": 7}}
+            world.platform.store.create("leases", lease, trio.current_time())
+            content = {
+                "pools": {"quill-models": {"models": {"quill-verse": {"weights_version": "2"}}}}
+            }
+            await _patch(world, 0, content, 1)
+            await trio.sleep(20.0)
+            versions = {
+                upstream.versions["quill-verse"]
+                for name, upstream in world.upstreams.items()
+                if name.startswith("quill")
+            }
+            self.assertEqual(versions, {"2"})
+
+        _run_in_world(check)
+
     def test_fencing_tokens_never_decrease_when_the_holder_is_replaced(self):
         async def check(world):
             def version(number):
