Keep a silent attempt until its hedge has an event, or the whole answer, for the caller

Callers saw: a stream, or another answer that may be repeated, ended with time left although the engine that had begun it was only slow and went on.

Cause: a hedge replaced the silent attempt as soon as the head of its answer was there. The silent run was closed then, which cannot be undone. If nothing followed the head (the engine crashed as it began, was stopped, fell silent, went on with another event than the next, or broke off within a whole answer), both runs that the route allows were used up and the caller's answer ended.

The hedge now receives the first event that continues the stream, or its whole answer, before it may take over (Attempt.receive_ahead, forwarded_hedge). Where the silent attempt fails meanwhile, the hedge takes over with what it has, as before.

The stand-in upstream can break off an answer that is no stream, and skip events where a stream is resumed.

The planted bug "relay events out of order" names the comparison in its new place, AnswerProgress.is_next; two planted bugs are new.

--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -182,6 +182,9 @@
         self.facts = answers.AnswerFacts()
         self.send_started = False
         self.request_sent = False
+        self._is_receiving_ahead = False
+        self._received_ahead = bytearray()
+        self._body_ended = False
 
     @property
     def incarnation(self) -> ids.Incarnation:
@@ -189,9 +192,10 @@
         return self.facts.incarnation or self._call.incarnation
 
     @property
-    def is_awaiting_answer(self) -> bool:
-        """Whether the request was sent and the head of its answer has not arrived."""
-        return self.request_sent and self.head is None and self._conn is not None
+    def may_still_answer(self) -> bool:
+        """Whether the request was sent and nothing has shown that its answer cannot be used."""
+        is_undecided = self.head is None or self._is_receiving_ahead
+        return self.request_sent and is_undecided and self._conn is not None
 
     async def start(
         self, check: collections.abc.Callable[[], None] | None = None
@@ -265,6 +269,42 @@
             AttemptFailedError: The answer was interrupted.
             AttemptSupersededError: Another attempt replaces this one.
         """
+        if self._received_ahead:
+            data = bytes(self._received_ahead)
+            self._received_ahead.clear()
+            return data
+        if self._body_ended:
+            return None
+        return await self._receive_part(timeout_s, offset)
+
+    async def receive_ahead(
+        self, is_enough: collections.abc.Callable[[bytes], bool], timeout_s: float, offset: int
+    ) -> None:
+        """Receives the beginning of the answer's body, which `receive` returns later.
+
+        Args:
+            is_enough: Called with each part; returns whether the beginning is long enough. Without
+                that, the whole body is received.
+            timeout_s: Timeout for the beginning.
+            offset: See `receive`.
+
+        Raises:
+            AttemptFailedError: The answer was interrupted or is too large.
+        """
+        self._is_receiving_ahead = True
+        deadline = trio.current_time() + timeout_s
+        while (
+            part := await self._receive_part(deadline - trio.current_time(), offset)
+        ) is not None:
+            self._received_ahead += part
+            if is_enough(part):
+                return
+            if len(self._received_ahead) > progress_deadlines.MAX_ANSWER_BYTES:
+                await self.abandon()
+                raise AttemptFailedError(_too_large(offset))
+        self._body_ended = True
+
+    async def _receive_part(self, timeout_s: float, offset: int) -> bytes | None:
         assert self._conn
         try:
             return await self._read_or_supersede(self._conn.receive_data, timeout_s, offset)
@@ -295,8 +335,7 @@
             progress.record_received(len(part), now)
             if progress.is_too_large:
                 await self.abandon()
-                reason = f"the answer exceeds {progress_deadlines.MAX_ANSWER_BYTES} bytes"
-                raise AttemptFailedError(outcomes.Broken(reason, 0, crashed=False))
+                raise AttemptFailedError(_too_large(0))
             parts.append(part)
         return b"".join(parts)
 
@@ -487,6 +526,11 @@
         await (self.finish() if complete else self.abandon())
 
 
+def _too_large(offset: int) -> outcomes.Broken:
+    reason = f"the answer exceeds {progress_deadlines.MAX_ANSWER_BYTES} bytes"
+    return outcomes.Broken(reason, offset, crashed=False)
+
+
 def _describe(exc: exceptions.ProtocolError) -> str:
     if isinstance(exc, exceptions.SilentConnectionError):
         return "the upstream made no progress in time"
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -22,6 +22,7 @@
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import forwarded_calls
 from cicadapier._internal.services import forwarded_facts
+from cicadapier._internal.services import forwarded_hedge
 from cicadapier._internal.services import forwarded_log
 from cicadapier._internal.services import forwarded_plan
 from cicadapier._internal.services import forwarded_progress
@@ -256,6 +257,9 @@
         if not self._can_take_over(attempt, head):
             reason = f"the upstream failed with status {head.status}"
             raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
+        is_stream = self._plan.admission.route.kind is configuration.RouteKind.STREAM
+        receive = forwarded_hedge.receive_event if is_stream else forwarded_hedge.receive_whole
+        await receive(attempt, self._progress, self._remaining_s())
 
     async def _connect_backup(
         self, upstream: ids.UpstreamId
--- a/src/cicadapier/_internal/services/forwarded_progress.py
+++ b/src/cicadapier/_internal/services/forwarded_progress.py
@@ -56,15 +56,19 @@
         """Records progress of the current attempt."""
         self.last_progress_at = trio.current_time()
 
+    def is_next(self, event: event_stream.Event) -> bool:
+        """Returns whether the stream continues with an event."""
+        if event.number is None or self.last_event_number is None:
+            return event.number is not None
+        return event.number == self.last_event_number + 1
+
     def take_in_order(
         self, events: list[event_stream.Event], wire_format: forwarding.ForwardingFormat
     ) -> list[event_stream.Event]:
         """Returns the events before the first one out of order, and counts them as relayed."""
         accepted = []
         for event in events:
-            if event.number is None:
-                break
-            if self.last_event_number is not None and event.number != self.last_event_number + 1:
+            if not self.is_next(event):
                 break
             self.last_event_number = event.number
             self.relayed_events += 1
--- a/src/cicadapier/_internal/services/hedging.py
+++ b/src/cicadapier/_internal/services/hedging.py
@@ -1,8 +1,8 @@
 """Hedged requests: a second attempt on another upstream while the first one is silent.
 
 Silence is no proof of failure, since an engine may pause or process a long prompt and then
-continue. The silent attempt therefore continues until the hedge has received the head of an answer;
-whichever attempt makes progress first is used.
+continue. The silent attempt therefore continues until the hedge has received a part of its answer
+that the caller can use; whichever attempt makes progress first is used.
 """
 
 import collections.abc
@@ -32,8 +32,8 @@
 
     Attributes:
         make: Creates an attempt; returns None if its upstream has left.
-        start: Starts an attempt and waits for the head of its answer. Raises `AttemptFailedError`
-            if there is no answer with which the request could continue, and `RefusedError` if the
+        start: Starts an attempt and waits for the first part of its answer with which the request
+            could continue. Raises `AttemptFailedError` if there is none, and `RefusedError` if the
             request may no longer be sent.
     """
 
@@ -82,7 +82,7 @@
 
     def handle_attempt_failure(self) -> None:
         """See `attempts.SilenceHandler.handle_attempt_failure`."""
-        if self._hedge is not None and self._hedge.is_awaiting_answer:
+        if self._hedge is not None and self._hedge.may_still_answer:
             # The hedge replaces the failed attempt now and is itself monitored for silence.
             self._wait_scope.cancel()
 
@@ -114,14 +114,14 @@
         return replacement
 
     async def _wait_for_answer(self, placed: routing.Placed, attempt: attempts.Attempt) -> None:
-        """Waits for the head of a hedge's answer, or until the silent attempt has failed."""
+        """Waits until a hedge can take over, or until the silent attempt has failed."""
         self._hedge = attempt
         try:
             with trio.CancelScope() as self._wait_scope:
                 await self._starter.start(placed, attempt)
         finally:
             self._hedge = None
-        if self._wait_scope.cancelled_caught and not attempt.is_awaiting_answer:
+        if self._wait_scope.cancelled_caught and not attempt.may_still_answer:
             reason = "the hedge failed when it was to replace the failed attempt"
             raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
 
--- a/src/cicadapier/_internal/standins/forwarding_upstream.py
+++ b/src/cicadapier/_internal/standins/forwarding_upstream.py
@@ -38,7 +38,7 @@
         UNPROVED: Answers lack the execution proof.
         ENCODED: Answers announce a content encoding.
         WRONG_REQUEST: Answers name another request.
-        BREAKS_OFF: The connection is closed within an event of a stream.
+        BREAKS_OFF: The connection is closed within an event of a stream or within another answer.
         ENDS_WITHIN_AN_EVENT: Streams end regularly, but within an event.
         SKIPS_AN_EVENT: Streams omit an event.
         STALLS: Answers pause.
@@ -156,6 +156,7 @@
         events: Number of events in a complete stream.
         event_interval_s: Time between two events.
         first_event_delay_s: Additional time before the first event.
+        skipped_events: Number of events that are missing where a stream is resumed.
         work_s: Duration of requests that are not streamed.
         retry_after: Value of the `Retry-After` header with which it rejects all requests; None to
             accept requests.
@@ -184,6 +185,7 @@
         self.events = 6
         self.event_interval_s = EVENT_INTERVAL_S
         self.first_event_delay_s = 0.0
+        self.skipped_events = 0
         self.work_s = 0.0
         self.retry_after: bytes | None = None
         self.rate_limit: bytes | None = None
@@ -314,6 +316,9 @@
         if UpstreamFault.WRONG_REQUEST in self.faults:
             headers = server_formats.make_response_headers("somebody-else")
         status = http.HTTPStatus.OK
+        if UpstreamFault.BREAKS_OFF in self.faults:
+            await responder.start(status, headers, b"answer")
+            raise _InjectedCloseError("broke off")
         if UpstreamFault.FAILS in self.faults:
             status = http.HTTPStatus.INTERNAL_SERVER_ERROR
         await responder.send_response(status, headers, b"answer to " + req.body)
@@ -370,6 +375,8 @@
         self, req: http_server.Request, responder: http_server.Responder, request: str
     ) -> None:
         first_number = int(_read_header(req, wire_headers.LAST_EVENT_ID) or "0") + 1
+        if first_number > 1:
+            first_number += self.skipped_events
         weights = self.weights
         software = self.entry.software.encode()
         headers = [
--- a/tests/_internal/services/test_silent_answers.py
+++ b/tests/_internal/services/test_silent_answers.py
@@ -152,6 +152,67 @@
 
         self._check_stream(silence, runs=2)
 
+    def test_stream_is_not_broken_off_for_a_hedge_that_crashes_before_its_first_event(self):
+        def crash_soon(world, engine):
+            for upstream in world.upstreams.values():
+                upstream.crash_parts = {"aa"}
+
+        self._check_stream(crash_soon, runs=2)
+
+    def test_stream_is_not_broken_off_for_a_hedge_that_stops_before_its_first_event(self):
+        def stop_soon(world, engine):
+            self._delay_first_events(world, engine, 9.0)
+            for name, upstream in world.upstreams.items():
+                if name.startswith("engine") and upstream is not engine:
+                    world.stop_later(name, 1.5)
+
+        self._check_stream(stop_soon, runs=2)
+
+    def test_stream_is_not_broken_off_for_a_hedge_without_events(self):
+        def delay(world, engine):
+            self._delay_first_events(world, engine, 9.0)
+
+        self._check_stream(delay, runs=2)
+
+    def test_stream_is_not_broken_off_for_a_hedge_that_skips_an_event(self):
+        def skip(world, engine):
+            for upstream in world.upstreams.values():
+                upstream.skipped_events = 1
+
+        self._check_stream(skip, runs=2)
+
+    def test_lost_stream_resumes_with_a_hedge_that_has_no_event_yet(self):
+        def lose(world, engine):
+            self._delay_first_events(world, engine, 1.5)
+            world.stop_later(engine.entry.upstream, 1.0)
+
+        self._check_stream(lose, runs=2)
+
+    def _delay_first_events(self, world, engine, delay_s):
+        """Lets all other upstreams send the heads of their answers long before the first events."""
+        for upstream in world.upstreams.values():
+            if upstream is not engine:
+                upstream.faults.clear()
+                upstream.first_event_delay_s = delay_s
+
+    def test_answer_does_not_fail_for_a_hedge_that_breaks_off(self):
+        async def check(world):
+            forwarding_world.inject_fault(world, "desk", Fault.STALLS)
+            replies = []
+
+            async def look():
+                replies.append(await world.send("GET", "desk", "/look/1", request="q"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(look)
+                await trio.sleep(0.2)
+                desk = world.upstreams[world.runs_for("q")[0].upstream]
+                self._inject_fault_elsewhere(world, desk, Fault.BREAKS_OFF)
+            self.assertEqual(replies[0].status, 200)
+            self.assertEqual(len(world.runs_for("q")), 2)
+
+        forwarding_world.run_in_world(check)
+
     def test_lost_stream_resumes_with_its_hedge(self):
         def delay(world, engine):
             self._inject_fault_elsewhere(world, engine, Fault.BEGINS_LATE)
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -94,10 +94,24 @@
     planted_bug.Mutant(
         "relay events out of order",
         "services/forwarded_progress.py",
-        "if self.last_event_number is not None and event.number != self.last_event_number + 1:",
-        "if False:",
+        "return event.number == self.last_event_number + 1",
+        "return True",
         f"{planted_bug.FORWARDED_EXCHANGE}.AnswerIntegrityTest",
     ),
+    planted_bug.Mutant(
+        "replace a silent attempt as soon as its hedge has sent the head of an answer",
+        "services/forwarded_exchange.py",
+        "await receive(attempt, self._progress, self._remaining_s())",
+        "del receive",
+        "tests._internal.services.test_silent_answers.HedgeTest",
+    ),
+    planted_bug.Mutant(
+        "replace a silent attempt by a hedge that does not continue its stream",
+        "services/forwarded_hedge.py",
+        "if not continues:",
+        "if False:",
+        "tests._internal.services.test_silent_answers.HedgeTest",
+    ),
     planted_bug.Mutant(
         "relay a stream that ends in the middle of an event",
         "services/forwarded_exchange.py",
