Keep a late answer of the own interface until its hedge has a first event

Where the hedge was lost then and the budget had no other retry, the caller got upstream_failed although the first engine answered in time.

The hedge receives the first event of a stream, or the whole answer, before it takes over. The new test failed before ('failed' in place of 'complete').

--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -217,6 +217,24 @@
         if head.status != http.HTTPStatus.OK or not self._has_same_weights(head):
             reason = f"the upstream answered with status {head.status}"
             raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
+        await self._receive_beginning(attempt)
+
+    async def _receive_beginning(self, attempt: attempts.Attempt) -> None:
+        """Receives the first event of a hedge's answer, or its whole answer if it is no stream.
+
+        The head alone does not show that anything follows it.
+        """
+        splitter = completions.EventSplitter()
+        found: list[bytes] = []
+
+        def has_event(part: bytes) -> bool:
+            found.extend(splitter.feed(part))
+            return self._plan.req.stream and (bool(found) or splitter.is_overlong)
+
+        timeout_s = self._plan.pool.timeouts.first_token_s + self._non_streaming_extra_s()
+        await attempt.receive_ahead(has_event, timeout_s, self._progress.offset)
+        if self._plan.req.stream and not found:
+            raise _broken_error("the answer has no event", self._progress.offset)
 
     def _has_same_weights(self, head: http_client.ResponseHead) -> bool:
         """Returns whether an answer has the same weights version as the tokens relayed so far."""
--- a/tests/_internal/services/test_model_requests.py
+++ b/tests/_internal/services/test_model_requests.py
@@ -8,12 +8,14 @@
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import settings
 from cicadapier._internal.protocols import completions
+from cicadapier._internal.protocols import exceptions as protocol_exceptions
 from cicadapier._internal.protocols import headers
 from cicadapier._internal.protocols import http_server
 from cicadapier._internal.standins import engine_text
 from cicadapier._internal.standins import faults
 from tests import support
 
+LATE_S = 4.0
 LONG_PROMPT = "the style sheet asks for plain lines. " * 60
 
 
@@ -199,5 +201,63 @@
         support.run_in_world(check, deployment=support.SMALL_DEPLOYMENT, routers=1)
 
 
+class _HeadOnlyAfterFirstRequest(http_server.Handler):
+    """Answers its first request late, and closes the connection after the head of all others."""
+
+    def __init__(self):
+        self.requests = 0
+
+    async def handle(self, req, responder):
+        request_id = req.header(headers.REQUEST_ID) or b""
+        if req.method == "GET":
+            await responder.send_json({"incarnation": "late-1"})
+            return
+        self.requests += 1
+        answer_headers = [
+            (headers.CONTENT_TYPE, completions.EVENT_STREAM_TYPE),
+            (headers.REQUEST_ID, request_id),
+        ]
+        if self.requests > 1:
+            await responder.start(200, answer_headers)
+            raise protocol_exceptions.ConnectionLostError("closed after the head")
+        await trio.sleep(LATE_S)
+        event = {
+            "id": request_id.decode(),
+            "choices": [{"index": 0, "text": "word ", "finish_reason": "stop"}],
+            "token_offset": 0,
+        }
+        await responder.start(200, answer_headers, completions.encode_event(event))
+        await responder.send_part(completions.DONE_EVENT)
+        await responder.finish()
+
+
+class HedgeTest(unittest.TestCase):
+    def test_late_answer_is_not_given_up_for_a_hedge_that_is_lost_after_its_head(self):
+        async def check(world):
+            handler = _HeadOnlyAfterFirstRequest()
+            listener = http_server.Listener(world._network.serve, handler, settings.CallerLimits())
+            async with trio.open_nursery() as nursery:
+                router = next(iter(world.routers.values())).router
+                content = copy.deepcopy(router.configuration.document.content)
+                content["pools"]["quill-models"]["upstreams"] = {
+                    f"late-{number}": {
+                        "address": await nursery.start(listener.run, ids.Address("127.0.0.1:0")),
+                        "failure_domain": "fenmoor-a",
+                    }
+                    for number in range(2)
+                }
+                document = type(router.configuration.document)(9, content, ())
+                self.assertTrue(router.configuration.apply_if_newer(document))
+                one_retry = settings.RetryBudget(share=0.0, slack=1.5)
+                router.callers.model_handler._services.retry_budget.set_settings(one_retry)
+                await trio.sleep(1.0)
+                reply = await support.Caller(world).complete(LONG_PROMPT, 5)
+                self.assertEqual(reply.outcome, "complete")
+                self.assertGreater(handler.requests, 1)
+                nursery.cancel_scope.cancel()
+
+        support.run_in_world(check, deployment=support.SMALL_DEPLOYMENT, routers=1)
+
+
 if __name__ == "__main__":
     unittest.main()
