Log for how long routers have seen the software versions

A caller takes up a stream that no router knows: the line said how many routers answered, but not since when they had seen the versions, so routers that had all just started looked like witnesses of all streams.

--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -160,6 +160,8 @@
             answered=len(question.seen),
             missing=question.missing,
             versions=sorted(own.versions),
+            observed_s=round(own.observed_s, 1),
+            peers_observed_s=sorted(round(seen.observed_s, 1) for seen in question.seen.values()),
             assumed=sole,
         )
         return stream_origins.Origin(stream, pool, sole) if sole is not None else None
