--- a/tests/_internal/services/test_software_versions.py
+++ b/tests/_internal/services/test_software_versions.py
@@ -1,7 +1,6 @@
 """Streams while upstreams of two software versions serve, which cannot continue each other's."""
 
 import dataclasses
-import re
 import unittest
 
 import trio
@@ -14,118 +13,19 @@
 from cicadapier._internal.standins import forwarding_deployment
 from cicadapier._internal.standins import forwarding_upstream
 from tests import forwarding_world
+from tests import stream_callers
 
 Fault = forwarding_upstream.UpstreamFault
-EVENTS = 40
-EVENT_INTERVAL_S = 0.06
-REGISTRATION_S = 1.2
 BACKED_UP = {"path": "/long/x", "output_tokens": 200}
 
 
-async def add_engines(world, software, count):
-    """Starts engines of a software version, and waits until all routers know them."""
-    for number in range(count):
-        await world.add_upstream(
-            f"engine-{software}-{number}",
-            forwarding_deployment.ENGINES,
-            forwarding_deployment.MODEL,
-            software,
-        )
-    use_long_answers(world)
-    await trio.sleep(REGISTRATION_S)
-
-
-def use_long_answers(world):
-    """Makes all streams last long enough to be interrupted."""
-    for upstream in world.upstreams.values():
-        upstream.events = EVENTS
-        upstream.event_interval_s = EVENT_INTERVAL_S
-
-
-def engines(world, software):
-    """Returns the names of the engines of a software version that run."""
-    return [
-        name
-        for name, upstream in world.upstreams.items()
-        if name.startswith("engine") and upstream.entry.software == software
-        if not upstream.has_stopped
-    ]
-
-
-class _Callers:
-    """Callers who take their broken streams up again at the next router."""
-
-    def __init__(self, world, tries=3):
-        self.world = world
-        self.replies = {}
-        self._tries = tries
-
-    async def ask(self, count, router=0, every_s=0.01, **options):
-        async with trio.open_nursery() as nursery:
-            for number in range(count):
-                nursery.start_soon(self._follow, f"s{router}-{number}", router, options)
-                await trio.sleep(every_s)
-
-    async def _follow(self, name, router, options):
-        replies = self.replies.setdefault(name, [])
-        for attempt in range(self._tries):
-            at = (router + attempt) % len(self.world.routers)
-            extra = self._resumption(name)
-            request = f"{name}-{attempt}"
-            reply = await self.world.ask(
-                request=request, router=at, extra=extra, time_left_ms=5000, **options
-            )
-            replies.append(reply)
-            if reply.status == 200 and not reply.broken:
-                return
-            await trio.sleep(0.3)
-
-    def _resumption(self, name):
-        numbers = [number for reply in self.replies[name] for number in self._numbers(reply)]
-        if not numbers:
-            return []
-        first = next(i for i, reply in enumerate(self.replies[name]) if self._numbers(reply))
-        return [
-            (b"last-event-id", b"%d" % numbers[-1]),
-            (b"resumes", f"{name}-{first}".encode()),
-        ]
-
-    def _numbers(self, reply):
-        return reply.numbers if reply.status == 200 else []
-
-    def mixed(self):
-        """Returns the streams that hold events of more than one software version."""
-        found = []
-        for name, replies in self.replies.items():
-            data = b"".join(reply.body for reply in replies if reply.status == 200)
-            if len(set(re.findall(rb"of (\S+)", data))) > 1:
-                found.append(name)
-        return found
-
-    def whole(self):
-        """Returns the streams that their callers have got whole."""
-        return [
-            name
-            for name, replies in self.replies.items()
-            if [n for reply in replies for n in self._numbers(reply)] == list(range(1, EVENTS + 1))
-        ]
-
-    def taken_up(self):
-        """Returns the streams that broke off and were taken up again."""
-        return [
-            name
-            for name, replies in self.replies.items()
-            if len(replies) > 1 and self._numbers(replies[0])
-        ]
-
-
 class WithinAnAnswerTest(unittest.TestCase):
     def _check_after(self, action, **options):
         async def check(world):
             for _ in range(60):  # They earn the retries for the streams that break off.
                 await world.ask()
-            await add_engines(world, "v2", 3)
-            callers = _Callers(world, tries=1)
+            await stream_callers.add_engines(world, "v2", 3)
+            callers = stream_callers.StreamCallers(world, tries=1)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(lambda: callers.ask(12, **options))
                 await trio.sleep(0.25)
@@ -137,16 +37,16 @@
 
     def test_stream_of_a_crashed_engine_goes_on_at_the_version_that_began_it(self):
         def crash(world):
-            world.crash(engines(world, "v1")[0])
-            world.crash(engines(world, "v2")[0])
+            world.crash(stream_callers.engines(world, "v1")[0])
+            world.crash(stream_callers.engines(world, "v2")[0])
 
         self._check_after(crash)
 
     def test_stream_that_breaks_off_goes_on_at_the_version_that_began_it(self):
         async def check(world):
-            await add_engines(world, "v2", 3)
+            await stream_callers.add_engines(world, "v2", 3)
             forwarding_world.inject_fault(world, "engine", Fault.BREAKS_OFF)
-            callers = _Callers(world)
+            callers = stream_callers.StreamCallers(world)
             await callers.ask(12)
             self.assertEqual(callers.mixed(), [])
 
@@ -154,13 +54,16 @@
 
     def test_silent_stream_is_hedged_at_the_version_that_began_it(self):
         def stall(world):
-            for name in (engines(world, "v1")[0], engines(world, "v2")[0]):
+            for name in (
+                stream_callers.engines(world, "v1")[0],
+                stream_callers.engines(world, "v2")[0],
+            ):
                 world.upstreams[name].faults.add(Fault.STALLS)
 
         async def check(world):
-            await add_engines(world, "v2", 3)
+            await stream_callers.add_engines(world, "v2", 3)
             stall(world)
-            callers = _Callers(world)
+            callers = stream_callers.StreamCallers(world)
             await callers.ask(12)
             self.assertEqual(callers.mixed(), [])
             self.assertEqual(len(callers.whole()), 12)
@@ -169,19 +72,19 @@
 
     def test_backup_of_a_run_is_at_an_engine_of_the_same_version(self):
         def crash(world):
-            world.crash(engines(world, "v1")[0])
-            world.crash(engines(world, "v2")[0])
+            world.crash(stream_callers.engines(world, "v1")[0])
+            world.crash(stream_callers.engines(world, "v2")[0])
 
         self._check_after(crash, **BACKED_UP)
 
     def test_stream_whose_version_is_gone_is_not_continued_at_another(self):
         async def check(world):
-            await add_engines(world, "v2", 3)
-            callers = _Callers(world)
+            await stream_callers.add_engines(world, "v2", 3)
+            callers = stream_callers.StreamCallers(world)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(callers.ask, 12)
                 await trio.sleep(0.25)
-                for name in engines(world, "v1"):
+                for name in stream_callers.engines(world, "v1"):
                     world.stop(name)
                     world.unregister(name)
             self.assertEqual(callers.mixed(), [])
@@ -197,8 +100,8 @@
         async def check(world):
             if before:
                 await before(world)
-            use_long_answers(world)
-            callers = _Callers(world)
+            stream_callers.use_long_answers(world)
+            callers = stream_callers.StreamCallers(world)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(callers.ask, 20)
                 await trio.sleep(0.3)
@@ -212,7 +115,7 @@
         forwarding_world.run_in_world(check, **{"routers": 4, **options})
 
     async def _add_v2(self, world):
-        await add_engines(world, "v2", 3)
+        await stream_callers.add_engines(world, "v2", 3)
 
     def test_stream_whose_router_is_killed_goes_on_elsewhere_at_its_version(self):
         self._check_killed_router(self._add_v2)
@@ -228,8 +131,8 @@
 
     def test_stream_is_refused_after_its_version_was_replaced_by_another(self):
         async def replace(world):
-            await add_engines(world, "v2", 3)
-            for name in engines(world, "v1"):
+            await stream_callers.add_engines(world, "v2", 3)
+            for name in stream_callers.engines(world, "v1"):
                 world.stop(name)
                 world.unregister(name)
             await trio.sleep(0.2)
@@ -238,8 +141,8 @@
 
     def test_stream_taken_up_twice_goes_on_at_its_version(self):
         async def check(world):
-            await add_engines(world, "v2", 3)
-            callers = _Callers(world)
+            await stream_callers.add_engines(world, "v2", 3)
+            callers = stream_callers.StreamCallers(world)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(callers.ask, 20)
                 await trio.sleep(0.25)
@@ -253,7 +156,7 @@
 
     def test_stream_that_no_router_knows_is_refused_at_once_while_two_versions_serve(self):
         async def check(world):
-            await add_engines(world, "v2", 3)
+            await stream_callers.add_engines(world, "v2", 3)
             extra = [(b"last-event-id", b"5"), (b"resumes", b"never-seen")]
             reply = await world.ask(request="q", extra=extra)
             self.assertEqual(reply.status, 503)
@@ -272,13 +175,13 @@
             model = forwarding_deployment.MODEL
             for number in range(3):
                 await world.add_upstream(f"other-{number}", other_pool, model, software)
-            use_long_answers(world)
-            await trio.sleep(REGISTRATION_S)
+            stream_callers.use_long_answers(world)
+            await trio.sleep(stream_callers.REGISTRATION_S)
             routes = forwarding_deployment.routes()
             route_id = ids.RouteId("ask")
             moved = [configuration.PoolShare(other_pool)]
             routes[route_id] = dataclasses.replace(routes[route_id], pools=moved)
-            callers = _Callers(world)
+            callers = stream_callers.StreamCallers(world)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(callers.ask, 15)
                 await trio.sleep(0.3)
@@ -301,7 +204,7 @@
             extra = [(b"last-event-id", b"2")]
             one = await world.ask(request="a", extra=extra, router=1)
             self.assertEqual((one.status, one.numbers[0]), (200, 3))
-            await add_engines(world, "v2", 3)
+            await stream_callers.add_engines(world, "v2", 3)
             for router in range(4):
                 two = await world.ask(request=f"b{router}", extra=extra, router=router)
                 self.assertEqual(two.status, 503)
@@ -325,8 +228,8 @@
 
     def test_restarted_router_asks_the_others_which_version_began_a_stream(self):
         async def check(world):
-            await add_engines(world, "v2", 3)
-            callers = _Callers(world)
+            await stream_callers.add_engines(world, "v2", 3)
+            callers = stream_callers.StreamCallers(world)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(callers.ask, 20)
                 await trio.sleep(0.25)
@@ -343,8 +246,8 @@
 class RollingUpgradeTest(unittest.TestCase):
     def test_rolling_upgrade_in_order_breaks_no_stream(self):
         async def check(world):
-            use_long_answers(world)
-            callers = _Callers(world)
+            stream_callers.use_long_answers(world)
+            callers = stream_callers.StreamCallers(world)
             async with trio.open_nursery() as nursery:
                 for router in range(3):
                     nursery.start_soon(callers.ask, 12, router, 0.3)
@@ -355,7 +258,7 @@
                         forwarding_deployment.MODEL,
                         "v2",
                     )
-                    use_long_answers(world)
+                    stream_callers.use_long_answers(world)
                     world.mark_leaving(f"engine-{number}")
                     await trio.sleep(1.0)
             self.assertEqual(callers.mixed(), [])
@@ -367,7 +270,7 @@
 class VersionIdTest(unittest.TestCase):
     def test_software_version_is_read_from_the_directory(self):
         async def check(world):
-            await add_engines(world, "v2", 1)
+            await stream_callers.add_engines(world, "v2", 1)
             directory = world.routers[0].kernel.find(names.UPSTREAMS)
             found = {
                 name: directory.find(ids.UpstreamId(name)).software
