Let no router vouch for streams that began before it started

Callers whose streams broke off as all routers were killed at once got them joined from two software versions: the first part from the old one, the rest from the new one, if the upstreams of the old one were gone when the routers came back.

Cause: a router that doesn't know a stream takes the only version that it and the routers that answer have seen for that of the stream. For how long they have seen it was asked only if nobody answered; routers that had all just started vouched for each other, and a router alone for itself.

Now a version is taken for that of an unknown stream only if some router that answers has seen all versions for as long as a stream may last; what nobody can know is refused at once as not run. So that streams of young fleets go on, a router that can't vouch for one version (it is young, several versions serve, the directory is silent) tells each stream to its holders.

Tests that change: test_a_router_that_has_just_started_does_not_trust_itself_ alone demanded that young routers vouch for each other and for themselves, which is the fault; the tests in its place demand the opposite. Two tests take up a stream that never began, half a second after the start of all routers; they now wait until routers can know all streams.

--- a/src/cicadapier/_internal/decisions/stream_origins.py
+++ b/src/cicadapier/_internal/decisions/stream_origins.py
@@ -58,12 +58,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SeenVersions:
-    """Software versions that a router has seen in the pools that serve streams.
+    """What a router can vouch for: the software versions in the pools that serve streams.
+
+    A router that has just started knows nothing of the upstreams that left before.
 
     Attributes:
-        versions: Those within `STREAM_LIFE_S`.
-        observed_s: For how long the router has seen all changes of them; 0 if the directory
-            has not answered it lately.
+        versions: Those that it has seen within `STREAM_LIFE_S`.
+        observed_s: For how long it has seen all changes of them; 0 if the directory has not
+            answered it lately.
     """
 
     versions: frozenset[str]
@@ -74,6 +76,19 @@
         """Whether all streams that may still be taken up began while the router saw the pools."""
         return self.observed_s >= STREAM_LIFE_S
 
+    @property
+    def sole(self) -> str | None:
+        """Version at which all streams began that may be taken up; None if not certain."""
+        if len(self.versions) != 1 or not self.covers_all_streams:
+            return None
+        return next(iter(self.versions))
+
+    def joined(self, others: collections.abc.Iterable["SeenVersions"]) -> "SeenVersions":
+        """Returns what several routers can vouch for together."""
+        seen = [self, *others]
+        versions = frozenset[str]().union(*(one.versions for one in seen))
+        return SeenVersions(versions, max(one.observed_s for one in seen))
+
 
 class Origins:
     """Origins of recent streams that this router began or was told of."""
@@ -149,26 +164,6 @@
         return SeenVersions(self._current | recent, observed_s)
 
 
-def sole_version(
-    own: SeenVersions, peers: collections.abc.Collection[SeenVersions], asked: int
-) -> str | None:
-    """Returns the version at which all streams began, or None if that is not certain.
-
-    Args:
-        own: Versions that this router has seen.
-        peers: Versions that the routers that answered have seen.
-        asked: Number of routers that were asked.
-    """
-    answers = [own, *peers]
-    versions = frozenset[str]().union(*(seen.versions for seen in answers))
-    if len(versions) != 1:
-        return None
-    if not peers and asked and not own.covers_all_streams:
-        # This router alone may have missed another version.
-        return None
-    return next(iter(versions))
-
-
 def first_by_hash(
     stream: StreamId, vms: collections.abc.Iterable[ids.VmId], count: int
 ) -> list[ids.VmId]:
--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -18,6 +18,7 @@
 
 # Datagrams may be lost, so the routers that have not answered are asked again after these times.
 ASK_WAITS_S = (0.04, 0.06, 0.1)
+CHECK_INTERVAL_S = 1.0
 _NUMBER_BITS = 48
 
 _log = structlog.get_logger()
@@ -71,8 +72,8 @@
 class OriginsService(service.Service):
     """Owns the origins of streams, and tells and asks other routers about them.
 
-    Each stream is told to a few routers, but only while several versions serve streams: with one
-    version alone, every stream began at that version.
+    Each stream is told to a few routers, unless this router can vouch that all streams began at one
+    version.
 
     Attributes:
         mailbox: Messages to the service.
@@ -94,13 +95,25 @@
         self._history = stream_origins.VersionHistory()
         self._questions: dict[int, _Question] = {}
         self._numbers = itertools.count(rng.getrandbits(_NUMBER_BITS))
+        self._tells_all = True  # As a router that has just started can vouch for nothing.
 
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
         self._cluster: cluster_service.ClusterService = kernel.find(names.CLUSTER)
         self._peers: peers_service.PeersService = kernel.find(names.PEERS)
         self._peers.set_origin_sink(self)
-        task_status.started()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._check_regularly)
+            task_status.started()
+            await self._handle_messages()
+
+    async def _check_regularly(self) -> None:
+        """Notices that the directory no longer answers, or that the past is known by now."""
+        while True:
+            await trio.sleep(CHECK_INTERVAL_S)
+            self._update_telling()
+
+    async def _handle_messages(self) -> None:
         while True:
             message = await self.mailbox.receive()
             now = trio.current_time()
@@ -117,10 +130,10 @@
     def set_versions(self, versions: frozenset[str]) -> None:
         """Sets the software versions that are registered in the pools that serve streams."""
         now = trio.current_time()
-        if self._history.observe(versions, now):
+        begin_to_differ = self._history.observe(versions, now)
+        if begin_to_differ:
             _log.info("software_versions_differ", versions=sorted(self._history.seen(now).versions))
-            # Streams that began earlier may be taken up after this router is gone.
-            self.mailbox.try_send(TellOrigins(self._origins.recent(now)))
+        self._update_telling(repeats=begin_to_differ)
 
     def confirm_versions(self) -> None:
         """Records that the directory has answered."""
@@ -130,9 +143,23 @@
         """Records that a stream of this router brings its first event."""
         now = trio.current_time()
         self._origins.add(origin, now)
-        if len(self._history.seen(now).versions) > 1:
+        self._update_telling()
+        if self._tells_all:
             self.mailbox.try_send(TellOrigins([origin]))
 
+    def _update_telling(self, repeats: bool = False) -> None:
+        """Decides whether the holders of each stream must be told its origin.
+
+        Args:
+            repeats: Whether they are told those of recent streams once more.
+        """
+        now = trio.current_time()
+        had_told_all = self._tells_all
+        self._tells_all = self._history.seen(now).sole is None
+        if self._tells_all and (repeats or not had_told_all):
+            # Streams that began earlier may be taken up after this router is gone.
+            self.mailbox.try_send(TellOrigins(self._origins.recent(now)))
+
     async def find_origin(
         self, stream: stream_origins.StreamId | None, pool: ids.PoolId
     ) -> stream_origins.Origin | None:
@@ -152,7 +179,7 @@
         if question.origin is not None:
             self._origins.add(question.origin, trio.current_time())
             return question.origin
-        sole = stream_origins.sole_version(own, question.seen.values(), question.asked)
+        sole = own.joined(question.seen.values()).sole
         _log.info(
             "stream_origin_unknown",
             request=stream.request,
--- a/src/cicadapier/_internal/standins/forwarding_deployment.py
+++ b/src/cicadapier/_internal/standins/forwarding_deployment.py
@@ -232,12 +232,17 @@
 
     async def _restart_upstream(self, name: str) -> None:
         await trio.sleep(RESTART_S)
-        upstream = self.upstreams[name]
         incarnation = ids.Incarnation(f"{name}@{1 + len(self.crashes)}")
-        upstream.entry = dataclasses.replace(upstream.entry, incarnation=incarnation)
+        entry = dataclasses.replace(self.upstreams[name].entry, incarnation=incarnation)
+        await self.start_again(name, entry)
+
+    async def start_again(self, name: str, entry: directory_entries.Registration) -> None:
+        """Starts and registers an upstream that has stopped, with another entry."""
+        upstream = self.upstreams[name]
+        upstream.entry = entry
         upstream.has_stopped = False
         await self._start(name, upstream.run)
-        self.register(upstream.entry)
+        self.register(entry)
 
     async def start_router(self, index: int) -> forwarding_assembly.ForwardingRouter:
         """Starts a router on the VM with an index."""
--- a/tests/_internal/decisions/test_stream_origins.py
+++ b/tests/_internal/decisions/test_stream_origins.py
@@ -76,17 +76,25 @@
 
 class SoleVersionTest(unittest.TestCase):
     def test_all_routers_have_seen_one_version(self):
-        self.assertEqual(stream_origins.sole_version(seen("v1"), [seen("v1")], 2), "v1")
+        self.assertEqual(seen("v1").joined([seen("v1")]).sole, "v1")
 
     def test_any_router_that_has_seen_another_version_makes_it_uncertain(self):
-        self.assertIsNone(stream_origins.sole_version(seen("v1"), [seen("v1", "v2")], 2))
-        self.assertIsNone(stream_origins.sole_version(seen("v1", "v2"), [], 0))
+        self.assertIsNone(seen("v1").joined([seen("v1", "v2")]).sole)
+        self.assertIsNone(seen("v1", "v2").joined([]).sole)
+        self.assertIsNone(seen("v1").joined([seen("v2", observed_s=0.0)]).sole)
 
-    def test_a_router_that_has_just_started_does_not_trust_itself_alone(self):
+    def test_routers_that_have_just_started_do_not_vouch_for_each_other(self):
+        fresh = seen("v1", observed_s=LIFE_S - 1.0)
+        self.assertIsNone(fresh.joined([]).sole)
+        self.assertIsNone(fresh.joined([fresh, fresh, fresh]).sole)
+
+    def test_a_router_that_has_seen_all_streams_vouches_for_those_that_have_just_started(self):
         fresh = seen("v1", observed_s=1.0)
-        self.assertIsNone(stream_origins.sole_version(fresh, [], 3))
-        self.assertEqual(stream_origins.sole_version(fresh, [fresh], 3), "v1")
-        self.assertEqual(stream_origins.sole_version(fresh, [], 0), "v1")
+        self.assertEqual(fresh.joined([fresh, seen("v1")]).sole, "v1")
+        self.assertEqual(seen("v1").joined([fresh]).sole, "v1")
+
+    def test_routers_that_have_seen_no_version_vouch_for_none(self):
+        self.assertIsNone(seen().joined([seen()]).sole)
 
 
 class HoldersTest(unittest.TestCase):
--- a/tests/_internal/services/test_forwarded_exchange.py
+++ b/tests/_internal/services/test_forwarded_exchange.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from cicadapier._internal.decisions import stream_origins
 from cicadapier._internal.standins import forwarding_upstream
 from tests import forwarding_world
 
@@ -153,6 +154,7 @@
 
     def test_caller_that_resumes_gets_the_following_events(self):
         async def check(world):
+            await trio.sleep(stream_origins.STREAM_LIFE_S)  # Until routers can know all streams.
             reply = await world.ask(extra=[(b"last-event-id", b"4")])
             self.assertEqual(reply.numbers, [5, 6])
 
--- a/tests/_internal/services/test_software_versions.py
+++ b/tests/_internal/services/test_software_versions.py
@@ -201,6 +201,7 @@
 
     def test_stream_that_its_caller_does_not_name_goes_on_while_there_is_one_version(self):
         async def check(world):
+            await trio.sleep(stream_origins.STREAM_LIFE_S)  # Until routers can know all streams.
             extra = [(b"last-event-id", b"2")]
             one = await world.ask(request="a", extra=extra, router=1)
             self.assertEqual((one.status, one.numbers[0]), (200, 3))
--- a/tests/stream_callers.py
+++ b/tests/stream_callers.py
@@ -13,6 +13,12 @@
 
 async def add_engines(world, software, count):
     """Starts engines of a software version, and waits until all routers know them."""
+    await start_engines(world, software, count)
+    await trio.sleep(REGISTRATION_S)
+
+
+async def start_engines(world, software, count):
+    """Starts engines of a software version."""
     for number in range(count):
         await world.add_upstream(
             f"engine-{software}-{number}",
@@ -21,7 +27,6 @@
             software,
         )
     use_long_answers(world)
-    await trio.sleep(REGISTRATION_S)
 
 
 def use_long_answers(world):
@@ -106,3 +111,9 @@
             for name, replies in self.replies.items()
             if len(replies) > 1 and self._numbers(replies[0])
         ]
+
+    def refused(self):
+        """Returns the number of streams whose callers were refused as they took them up."""
+        return sum(
+            any(reply.status == 503 for reply in replies[1:]) for replies in self.replies.values()
+        )
