Let a router that restarts learn from the others what served before

Callers whose streams broke off as the last old router of a rolling restart was killed were refused at all other routers, though one version alone had served all the time: each of them vouches only for what it has seen since its own start, and the streams of a router that can vouch are told to nobody.

Now a router that can't vouch for all streams yet asks some others, soon after its start and then ever less often. If such a router has seen the same version alone, the observation of both together counts: that of the other up to its answer, the own one from before the question on.

--- a/src/cicadapier/_internal/decisions/stream_origins.py
+++ b/src/cicadapier/_internal/decisions/stream_origins.py
@@ -134,7 +134,7 @@
     def __init__(self) -> None:
         self._current: frozenset[str] = frozenset()
         self._last_seen: dict[str, float] = {}
-        self._first_seen_at: float | None = None
+        self._observed_since: float | None = None
         self._confirmed_at = -math.inf
 
     def confirm(self, now: float) -> None:
@@ -145,8 +145,8 @@
         """Records the versions that are registered now; returns whether they begin to differ."""
         had_several = len(self.seen(now).versions) > 1
         self._last_seen.update(dict.fromkeys(self._current | versions, now))
-        if versions and self._first_seen_at is None:
-            self._first_seen_at = now
+        if versions and self._observed_since is None:
+            self._observed_since = now
         self._current = versions
         newest = sorted(self._last_seen.items(), key=lambda item: item[1], reverse=True)
         self._last_seen = {
@@ -154,13 +154,26 @@
         }
         return not had_several and len(self.seen(now).versions) > 1
 
+    def extend(self, peer: SeenVersions, asked_at: float, now: float) -> None:
+        """Extends the observation by that of a router that has seen the same version alone.
+
+        Args:
+            peer: What the router can vouch for.
+            asked_at: Time at which it was asked.
+            now: Time of its answer.
+        """
+        if self._observed_since is None or self._observed_since > asked_at:
+            return  # Nobody may have seen what happened between the two observations.
+        if len(peer.versions) == 1 and peer.versions == self.seen(now).versions:
+            self._observed_since = min(self._observed_since, now - peer.observed_s)
+
     def seen(self, now: float) -> SeenVersions:
         """Returns the versions that streams may have begun at."""
         recent = {version for version, at in self._last_seen.items() if now - at < STREAM_LIFE_S}
         is_current = now - self._confirmed_at < MAX_UNCONFIRMED_S
         observed_s = 0.0
-        if is_current and self._first_seen_at is not None:
-            observed_s = now - self._first_seen_at
+        if is_current and self._observed_since is not None:
+            observed_s = now - self._observed_since
         return SeenVersions(self._current | recent, observed_s)
 
 
--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -19,8 +19,13 @@
 # Datagrams may be lost, so the routers that have not answered are asked again after these times.
 ASK_WAITS_S = (0.04, 0.06, 0.1)
 CHECK_INTERVAL_S = 1.0
+# Waits between the questions of a router that cannot vouch for all streams yet.
+MIN_LEARN_WAIT_S = 0.25
+MAX_LEARN_WAIT_S = 8.0
 _NUMBER_BITS = 48
 
+_UNNAMED_STREAM = stream_origins.StreamId("", ids.RequestId(""))
+
 _log = structlog.get_logger()
 
 
@@ -87,10 +92,11 @@
         Args:
             vm: VM of this router.
             rng: Source of the first question's number, so that a router that restarts does not take
-                answers to its former self for its own.
+                answers to its former self for its own, and of the routers that it learns from.
         """
         self.mailbox: mailbox.Mailbox[Message] = mailbox.Mailbox()
         self._vm = vm
+        self._rng = rng
         self._origins = stream_origins.Origins()
         self._history = stream_origins.VersionHistory()
         self._questions: dict[int, _Question] = {}
@@ -104,6 +110,7 @@
         self._peers.set_origin_sink(self)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._check_regularly)
+            nursery.start_soon(self._learn_history)
             task_status.started()
             await self._handle_messages()
 
@@ -113,6 +120,21 @@
             await trio.sleep(CHECK_INTERVAL_S)
             self._update_telling()
 
+    async def _learn_history(self) -> None:
+        """Asks other routers what served before this one started, while they are there."""
+        wait_s = MIN_LEARN_WAIT_S
+        while True:
+            await trio.sleep(wait_s)
+            if self._history.seen(trio.current_time()).covers_all_streams:
+                wait_s = MIN_LEARN_WAIT_S
+                await trio.sleep(CHECK_INTERVAL_S)
+                continue
+            await self._ask(_UNNAMED_STREAM, self._choose_any())
+            seen = self._history.seen(trio.current_time())
+            if seen.covers_all_streams:
+                _log.info("software_versions_learned", versions=sorted(seen.versions))
+            wait_s = min(2 * wait_s, MAX_LEARN_WAIT_S)
+
     async def _handle_messages(self) -> None:
         while True:
             message = await self.mailbox.receive()
@@ -174,8 +196,8 @@
         if known is not None:
             return known
         own = self._history.seen(now)
-        stream = stream or stream_origins.StreamId("", ids.RequestId(""))
-        question = await self._ask(stream)
+        stream = stream or _UNNAMED_STREAM
+        question = await self._ask(stream, self._choose_asked(stream))
         if question.origin is not None:
             self._origins.add(question.origin, trio.current_time())
             return question.origin
@@ -193,9 +215,11 @@
         )
         return stream_origins.Origin(stream, pool, sole) if sole is not None else None
 
-    async def _ask(self, stream: stream_origins.StreamId) -> _Question:
-        """Asks the routers that may know a stream until one names its origin or all answer."""
-        addresses = self._choose_routers(stream, stream_origins.ASKED, stream_origins.DOMAIN_ASKED)
+    async def _ask(
+        self, stream: stream_origins.StreamId, addresses: dict[ids.VmId, ids.Address]
+    ) -> _Question:
+        """Asks routers for a stream until one names its origin or all answer."""
+        asked_at = trio.current_time()
         question = _Question(stream, len(addresses))
         number = next(self._numbers)
         query = stream_origins.OriginQuery(number, self._peers.address, stream)
@@ -210,6 +234,8 @@
                     await question.wait()
         finally:
             del self._questions[number]
+        for seen in question.seen.values():
+            self._history.extend(seen, asked_at, trio.current_time())
         return question
 
     def _handle_answer(self, answer: stream_origins.OriginAnswer) -> None:
@@ -239,6 +265,15 @@
                 )
                 await self._peers.send_datagram([address], notice)
 
+    def _choose_asked(self, stream: stream_origins.StreamId) -> dict[ids.VmId, ids.Address]:
+        return self._choose_routers(stream, stream_origins.ASKED, stream_origins.DOMAIN_ASKED)
+
+    def _choose_any(self) -> dict[ids.VmId, ids.Address]:
+        """Returns the addresses of some other routers."""
+        others = {vm: at for vm, at in self._cluster.addresses().items() if vm != self._vm}
+        count = min(stream_origins.ASKED, len(others))
+        return dict(self._rng.sample(sorted(others.items()), count))
+
     def _choose_routers(
         self, stream: stream_origins.StreamId, count: int, domain_count: int
     ) -> dict[ids.VmId, ids.Address]:
--- a/tests/_internal/decisions/test_stream_origins.py
+++ b/tests/_internal/decisions/test_stream_origins.py
@@ -73,6 +73,25 @@
         late = 101.0 + stream_origins.MAX_UNCONFIRMED_S
         self.assertFalse(self.history.seen(late).covers_all_streams)
 
+    def test_a_router_that_has_just_started_learns_the_past_from_one_that_has_seen_it(self):
+        self._observe(100.0, "v1")
+        self.history.extend(seen("v1"), asked_at=101.0, now=101.1)
+        self.assertEqual(self.history.seen(101.1).sole, "v1")
+
+    def test_an_observation_with_a_gap_or_of_other_versions_is_not_extended(self):
+        self.history.extend(seen("v1"), asked_at=99.0, now=99.1)
+        self._observe(100.0, "v1")
+        self.history.extend(seen("v1"), asked_at=99.9, now=100.1)
+        self.history.extend(seen("v2"), asked_at=101.0, now=101.1)
+        self.history.extend(seen("v1", "v2"), asked_at=101.0, now=101.1)
+        self.assertLess(self.history.seen(101.1).observed_s, 2.0)
+
+    def test_a_router_learns_no_more_than_another_has_seen(self):
+        self._observe(100.0, "v1")
+        self.history.extend(seen("v1", observed_s=5.0), asked_at=101.0, now=101.1)
+        self.assertIsNone(self.history.seen(101.1).sole)
+        self.assertAlmostEqual(self.history.seen(101.1).observed_s, 5.0)
+
 
 class SoleVersionTest(unittest.TestCase):
     def test_all_routers_have_seen_one_version(self):
--- a/tests/_internal/services/test_streams_after_restarts.py
+++ b/tests/_internal/services/test_streams_after_restarts.py
@@ -218,6 +218,16 @@
 
         self._check(restart, (0,))
 
+    def test_streams_go_on_if_the_last_router_of_a_rolling_restart_is_killed(self):
+        async def restart_in_turn(world):
+            await use_one_version(world)
+            for index in range(1, ROUTERS):
+                kill_routers(world, (index,))
+                await start_routers(world, (index,))
+                await trio.sleep(3.0)
+
+        self._check(restart_in_turn, (0,))
+
     def test_streams_go_on_if_a_router_is_killed_after_the_store_fell_silent(self):
         async def silence(world):
             routes = forwarding_deployment.routes()
