--- a/tests/_internal/services/test_software_versions.py
+++ b/tests/_internal/services/test_software_versions.py
@@ -124,7 +124,10 @@
         self._check_killed_router(self._add_v2, routers=12)
 
     def test_stream_that_began_before_the_second_version_appeared_goes_on_elsewhere(self):
-        self._check_killed_router(after=self._add_v2)
+        async def know_all_streams(_world):
+            await trio.sleep(stream_origins.STREAM_LIFE_S)  # From then on streams are told no more.
+
+        self._check_killed_router(know_all_streams, after=self._add_v2)
 
     def test_stream_goes_on_elsewhere_while_there_is_one_version(self):
         self._check_killed_router()
--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -125,10 +125,25 @@
     planted_bug.Mutant(
         "assume a version of which a peer has seen another",
         "decisions/stream_origins.py",
-        "if len(versions) != 1:",
-        "if len(own.versions) != 1:",
+        "versions = frozenset[str]().union(*(one.versions for one in seen))",
+        "versions = self.versions",
         f"{planted_bug.DECISIONS}.test_stream_origins.SoleVersionTest",
     ),
+    planted_bug.Mutant(
+        "vouch for streams that began before all routers started",
+        "decisions/stream_origins.py",
+        " or not self.covers_all_streams",
+        "",
+        f"{planted_bug.SERVICES}.test_streams_after_restarts.AllRoutersKilledTest"
+        ".test_streams_of_a_router_alone_are_not_joined",
+    ),
+    planted_bug.Mutant(
+        "extend an observation by one that ended before it",
+        "decisions/stream_origins.py",
+        " or self._observed_since > asked_at",
+        "",
+        f"{planted_bug.DECISIONS}.test_stream_origins.VersionHistoryTest",
+    ),
     planted_bug.Mutant(
         "treat a leaving upstream as active",
         "decisions/health.py",
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -40,6 +40,14 @@
         f"{planted_bug.SERVICES}.test_software_versions.TakenUpAgainTest"
         ".test_stream_that_began_before_the_second_version_appeared_goes_on_elsewhere",
     ),
+    planted_bug.Mutant(
+        "do not ask other routers what served before this one started",
+        "services/origins_service.py",
+        "nursery.start_soon(self._learn_history)",
+        "pass",
+        f"{planted_bug.SERVICES}.test_streams_after_restarts.SomeRoutersKilledTest"
+        ".test_streams_go_on_if_the_last_router_of_a_rolling_restart_is_killed",
+    ),
     planted_bug.Mutant(
         "do not announce a crash to the peers",
         "services/request_context.py",
