Let a router that missed changes of the directory vouch for nothing before

A router that was cut off from the store until its history was gone lists the directory anew; a version that came and went meanwhile is not in the list. The router still vouched for all of the time since its start, so if the routers that knew a stream of that version were gone, it took the stream up at the version that is left.

The same class as young routers that vouch for each other: nobody looked. A listing now begins the observation anew; the streams of the last 30 s are then told to their holders, as whenever a router can no longer vouch for them.

Before: test_stream_is_not_joined_by_a_router_that_missed_a_version_while_cut_ off failed (answered 200 at the version left).

--- a/src/cicadapier/_internal/decisions/stream_origins.py
+++ b/src/cicadapier/_internal/decisions/stream_origins.py
@@ -141,6 +141,10 @@
         """Records that the directory has answered, so that the registered versions are current."""
         self._confirmed_at = now
 
+    def begin_anew(self) -> None:
+        """Records that versions may have come and gone without being seen."""
+        self._observed_since = None
+
     def observe(self, versions: frozenset[str], now: float) -> bool:
         """Records the versions that are registered now; returns whether they begin to differ."""
         had_several = len(self.seen(now).versions) > 1
--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -39,6 +39,9 @@
     def confirm_versions(self) -> None:
         """Records that the directory has answered."""
 
+    def record_missed_versions(self) -> None:
+        """Records that changes of the directory may have been missed."""
+
 
 class DirectoryService(service.Service, watching.WatchHandler):
     """Watches the directory and passes every change to the traffic decisions.
@@ -168,6 +171,9 @@
         """See `watching.WatchHandler.handle_listing`."""
         entries = [self._read_entry(item) for item in objects]
         self._directory.replace_all(entries, self._clock())
+        if self._origins:
+            # A listing does not show what came and went since the answer before.
+            self._origins.record_missed_versions()
         _log.info("directory_listed", entries=len(entries))
 
     def handle_change(self, change: store_format.Change) -> None:
--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -161,6 +161,10 @@
         """Records that the directory has answered."""
         self._history.confirm(trio.current_time())
 
+    def record_missed_versions(self) -> None:
+        """Records that changes of the directory may have been missed."""
+        self._history.begin_anew()
+
     def record_begin(self, origin: stream_origins.Origin) -> None:
         """Records that a stream of this router brings its first event."""
         now = trio.current_time()
--- a/tests/_internal/decisions/test_stream_origins.py
+++ b/tests/_internal/decisions/test_stream_origins.py
@@ -73,6 +73,13 @@
         late = 101.0 + stream_origins.MAX_UNCONFIRMED_S
         self.assertFalse(self.history.seen(late).covers_all_streams)
 
+    def test_versions_between_two_listings_may_not_have_been_seen(self):
+        self._observe(0.0, "v1")
+        self.history.begin_anew()
+        self._observe(100.0, "v1")
+        self.assertIsNone(self.history.seen(101.0).sole)
+        self.assertEqual(self.history.seen(101.0).observed_s, 1.0)
+
     def test_a_router_that_has_just_started_learns_the_past_from_one_that_has_seen_it(self):
         self._observe(100.0, "v1")
         self.history.extend(seen("v1"), asked_at=101.0, now=101.1)
--- a/tests/_internal/services/test_streams_after_restarts.py
+++ b/tests/_internal/services/test_streams_after_restarts.py
@@ -166,6 +166,25 @@
         forwarding_world.run_in_world(check, routers=ROUTERS)
 
 
+class UnseenChangesTest(unittest.TestCase):
+    def test_stream_is_not_joined_by_a_router_that_missed_a_version_while_cut_off(self):
+        async def check(world):
+            await use_one_version(world)
+            world.partition_peers()
+            endpoint = world.store_endpoints[1]
+            endpoint.faults.add(forwarding_store.StoreFault.REFUSES)
+            await stream_callers.add_engines(world, "v2", 3)
+            remove_engines(world, "v2")
+            world.store.drop_history()
+            endpoint.faults.clear()
+            await trio.sleep(3.0)
+            extra = [(b"last-event-id", b"5"), (b"resumes", b"begun-elsewhere")]
+            reply = await world.ask(request="q", extra=extra, router=1)
+            self.assertEqual((reply.status, world.runs_for("q")), (503, []))
+
+        forwarding_world.run_in_world(check, routers=2)
+
+
 class SomeRoutersKilledTest(unittest.TestCase):
     """Some routers are killed amid streams; the callers take them up at any router."""
 
