Ask routers to vouch only for as long as a stream of its route may last

A stream is over, its caller's returns included, within twice the time that its route or its caller allows for an answer, whichever is longer, and so is the time that routers must have seen one version for.

--- a/src/cicadapier/_internal/decisions/stream_origins.py
+++ b/src/cicadapier/_internal/decisions/stream_origins.py
@@ -15,6 +15,8 @@
 
 # Longest time from the start of a stream until its caller has taken it up for the last time.
 STREAM_LIFE_S = 30.0
+# The same, in times that its route or its caller allows for one answer.
+STREAM_LIFE_ANSWERS = 2.0
 MAX_ORIGINS = 16_384
 MAX_UNCONFIRMED_S = 5.0  # The directory answers more often while it can be reached.
 MAX_VERSIONS = 64  # Versions that are remembered.
@@ -76,10 +78,13 @@
         """Whether all streams that may still be taken up began while the router saw the pools."""
         return self.observed_s >= STREAM_LIFE_S
 
-    @property
-    def sole(self) -> str | None:
-        """Version at which all streams began that may be taken up; None if not certain."""
-        if len(self.versions) != 1 or not self.covers_all_streams:
+    def sole_version(self, life_s: float = STREAM_LIFE_S) -> str | None:
+        """Returns the version at which all streams began; None if that is not certain.
+
+        Args:
+            life_s: Longest time since the streams in question began.
+        """
+        if len(self.versions) != 1 or self.observed_s < life_s:
             return None
         return next(iter(self.versions))
 
@@ -90,6 +95,17 @@
         return SeenVersions(versions, max(one.observed_s for one in seen))
 
 
+def stream_life_s(timeout_s: float, time_left_s: float | None) -> float:
+    """Returns the longest time since a stream began that is taken up.
+
+    Args:
+        timeout_s: Time that its route allows for one answer.
+        time_left_s: Time that its caller allows for this answer; None if it does not say.
+    """
+    answer_s = max(timeout_s, time_left_s or 0.0)
+    return min(STREAM_LIFE_S, STREAM_LIFE_ANSWERS * answer_s)
+
+
 class Origins:
     """Origins of recent streams that this router began or was told of."""
 
--- a/src/cicadapier/_internal/services/forwarded_requests.py
+++ b/src/cicadapier/_internal/services/forwarded_requests.py
@@ -211,7 +211,8 @@
             return None
         stream = _stream_id(admission, forwarded.resumes) if forwarded.resumes else None
         pool = _choose_pool(route, forwarded.resumes or forwarded.request)
-        origin = await self._origins.find_origin(stream, pool)
+        life_s = stream_origins.stream_life_s(route.timeout_s, forwarded.time_left_s)
+        origin = await self._origins.find_origin(stream, pool, life_s)
         if origin is None:
             raise _refused_error(
                 outcomes.RefusalCode.ORIGIN_UNKNOWN,
--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -181,19 +181,20 @@
         """
         now = trio.current_time()
         had_told_all = self._tells_all
-        self._tells_all = self._history.seen(now).sole is None
+        self._tells_all = self._history.seen(now).sole_version() is None
         if self._tells_all and (repeats or not had_told_all):
             # Streams that began earlier may be taken up after this router is gone.
             self.mailbox.try_send(TellOrigins(self._origins.recent(now)))
 
     async def find_origin(
-        self, stream: stream_origins.StreamId | None, pool: ids.PoolId
+        self, stream: stream_origins.StreamId | None, pool: ids.PoolId, life_s: float
     ) -> stream_origins.Origin | None:
         """Returns where a stream began, or None if that is not certain.
 
         Args:
             stream: The stream; None if its caller does not name it.
             pool: Pool at which it began unless a router knows better.
+            life_s: Longest time since it began.
         """
         now = trio.current_time()
         known = self._origins.find(stream, now) if stream else None
@@ -205,7 +206,7 @@
         if question.origin is not None:
             self._origins.add(question.origin, trio.current_time())
             return question.origin
-        sole = own.joined(question.seen.values()).sole
+        sole = own.joined(question.seen.values()).sole_version(life_s)
         _log.info(
             "stream_origin_unknown",
             request=stream.request,
