--- a/src/cicadapier/_internal/decisions/stream_origins.py
+++ b/src/cicadapier/_internal/decisions/stream_origins.py
@@ -15,6 +15,8 @@
 
 # Longest time from the start of a stream until its caller has taken it up for the last time.
 STREAM_LIFE_S = 30.0
+# The same, in times that its route or its caller allows for one answer.
+STREAM_LIFE_ANSWERS = 2.0
 MAX_ORIGINS = 16_384
 MAX_UNCONFIRMED_S = 5.0  # The directory answers more often while it can be reached.
 MAX_VERSIONS = 64  # Versions that are remembered.
@@ -58,12 +60,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SeenVersions:
-    """Software versions that a router has seen in the pools that serve streams.
+    """What a router can vouch for: the software versions in the pools that serve streams.
+
+    A router that has just started knows nothing of the upstreams that left before.
 
     Attributes:
-        versions: Those within `STREAM_LIFE_S`.
-        observed_s: For how long the router has seen all changes of them; 0 if the directory
-            has not answered it lately.
+        versions: Those that it has seen within `STREAM_LIFE_S`.
+        observed_s: For how long it has seen all changes of them; 0 if the directory has not
+            answered it lately.
     """
 
     versions: frozenset[str]
@@ -74,6 +78,33 @@
         """Whether all streams that may still be taken up began while the router saw the pools."""
         return self.observed_s >= STREAM_LIFE_S
 
+    def sole_version(self, life_s: float = STREAM_LIFE_S) -> str | None:
+        """Returns the version at which all streams began; None if that is not certain.
+
+        Args:
+            life_s: Longest time since the streams in question began.
+        """
+        if len(self.versions) != 1 or self.observed_s < life_s:
+            return None
+        return next(iter(self.versions))
+
+    def joined(self, others: collections.abc.Iterable["SeenVersions"]) -> "SeenVersions":
+        """Returns what several routers can vouch for together."""
+        seen = [self, *others]
+        versions = frozenset[str]().union(*(one.versions for one in seen))
+        return SeenVersions(versions, max(one.observed_s for one in seen))
+
+
+def stream_life_s(timeout_s: float, time_left_s: float | None) -> float:
+    """Returns the longest time since a stream began that is taken up.
+
+    Args:
+        timeout_s: Time that its route allows for one answer.
+        time_left_s: Time that its caller allows for this answer; None if it does not say.
+    """
+    answer_s = max(timeout_s, time_left_s or 0.0)
+    return min(STREAM_LIFE_S, STREAM_LIFE_ANSWERS * answer_s)
+
 
 class Origins:
     """Origins of recent streams that this router began or was told of."""
@@ -119,19 +150,23 @@
     def __init__(self) -> None:
         self._current: frozenset[str] = frozenset()
         self._last_seen: dict[str, float] = {}
-        self._first_seen_at: float | None = None
+        self._observed_since: float | None = None
         self._confirmed_at = -math.inf
 
     def confirm(self, now: float) -> None:
         """Records that the directory has answered, so that the registered versions are current."""
         self._confirmed_at = now
 
+    def begin_anew(self) -> None:
+        """Records that versions may have come and gone without being seen."""
+        self._observed_since = None
+
     def observe(self, versions: frozenset[str], now: float) -> bool:
         """Records the versions that are registered now; returns whether they begin to differ."""
         had_several = len(self.seen(now).versions) > 1
         self._last_seen.update(dict.fromkeys(self._current | versions, now))
-        if versions and self._first_seen_at is None:
-            self._first_seen_at = now
+        if versions and self._observed_since is None:
+            self._observed_since = now
         self._current = versions
         newest = sorted(self._last_seen.items(), key=lambda item: item[1], reverse=True)
         self._last_seen = {
@@ -139,36 +174,29 @@
         }
         return not had_several and len(self.seen(now).versions) > 1
 
+    def extend(self, peer: SeenVersions, asked_at: float, now: float) -> None:
+        """Extends the observation by that of a router that has seen the same version alone.
+
+        Args:
+            peer: What the router can vouch for.
+            asked_at: Time at which it was asked.
+            now: Time of its answer.
+        """
+        if self._observed_since is None or self._observed_since > asked_at:
+            return  # Nobody may have seen what happened between the two observations.
+        if len(peer.versions) == 1 and peer.versions == self.seen(now).versions:
+            self._observed_since = min(self._observed_since, now - peer.observed_s)
+
     def seen(self, now: float) -> SeenVersions:
         """Returns the versions that streams may have begun at."""
         recent = {version for version, at in self._last_seen.items() if now - at < STREAM_LIFE_S}
         is_current = now - self._confirmed_at < MAX_UNCONFIRMED_S
         observed_s = 0.0
-        if is_current and self._first_seen_at is not None:
-            observed_s = now - self._first_seen_at
+        if is_current and self._observed_since is not None:
+            observed_s = now - self._observed_since
         return SeenVersions(self._current | recent, observed_s)
 
 
-def sole_version(
-    own: SeenVersions, peers: collections.abc.Collection[SeenVersions], asked: int
-) -> str | None:
-    """Returns the version at which all streams began, or None if that is not certain.
-
-    Args:
-        own: Versions that this router has seen.
-        peers: Versions that the routers that answered have seen.
-        asked: Number of routers that were asked.
-    """
-    answers = [own, *peers]
-    versions = frozenset[str]().union(*(seen.versions for seen in answers))
-    if len(versions) != 1:
-        return None
-    if not peers and asked and not own.covers_all_streams:
-        # This router alone may have missed another version.
-        return None
-    return next(iter(versions))
-
-
 def first_by_hash(
     stream: StreamId, vms: collections.abc.Iterable[ids.VmId], count: int
 ) -> list[ids.VmId]:
--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -18,8 +18,14 @@
 
 # Datagrams may be lost, so the routers that have not answered are asked again after these times.
 ASK_WAITS_S = (0.04, 0.06, 0.1)
+CHECK_INTERVAL_S = 1.0
+# Waits between the questions of a router that cannot vouch for all streams yet.
+MIN_LEARN_WAIT_S = 0.25
+MAX_LEARN_WAIT_S = 8.0
 _NUMBER_BITS = 48
 
+_UNNAMED_STREAM = stream_origins.StreamId("", ids.RequestId(""))
+
 _log = structlog.get_logger()
 
 
@@ -71,8 +77,8 @@
 class OriginsService(service.Service):
     """Owns the origins of streams, and tells and asks other routers about them.
 
-    Each stream is told to a few routers, but only while several versions serve streams: with one
-    version alone, every stream began at that version.
+    Each stream is told to a few routers, unless this router can vouch that all streams began at one
+    version.
 
     Attributes:
         mailbox: Messages to the service.
@@ -86,21 +92,50 @@
         Args:
             vm: VM of this router.
             rng: Source of the first question's number, so that a router that restarts does not take
-                answers to its former self for its own.
+                answers to its former self for its own, and of the routers that it learns from.
         """
         self.mailbox: mailbox.Mailbox[Message] = mailbox.Mailbox()
         self._vm = vm
+        self._rng = rng
         self._origins = stream_origins.Origins()
         self._history = stream_origins.VersionHistory()
         self._questions: dict[int, _Question] = {}
         self._numbers = itertools.count(rng.getrandbits(_NUMBER_BITS))
+        self._tells_all = True  # As a router that has just started can vouch for nothing.
 
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
         self._cluster: cluster_service.ClusterService = kernel.find(names.CLUSTER)
         self._peers: peers_service.PeersService = kernel.find(names.PEERS)
         self._peers.set_origin_sink(self)
-        task_status.started()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._check_regularly)
+            nursery.start_soon(self._learn_history)
+            task_status.started()
+            await self._handle_messages()
+
+    async def _check_regularly(self) -> None:
+        """Notices that the directory no longer answers, or that the past is known by now."""
+        while True:
+            await trio.sleep(CHECK_INTERVAL_S)
+            self._update_telling()
+
+    async def _learn_history(self) -> None:
+        """Asks other routers what served before this one started, while they are there."""
+        wait_s = MIN_LEARN_WAIT_S
+        while True:
+            await trio.sleep(wait_s)
+            if self._history.seen(trio.current_time()).covers_all_streams:
+                wait_s = MIN_LEARN_WAIT_S
+                await trio.sleep(CHECK_INTERVAL_S)
+                continue
+            await self._ask(_UNNAMED_STREAM, self._choose_any())
+            seen = self._history.seen(trio.current_time())
+            if seen.covers_all_streams:
+                _log.info("software_versions_learned", versions=sorted(seen.versions))
+            wait_s = min(2 * wait_s, MAX_LEARN_WAIT_S)
+
+    async def _handle_messages(self) -> None:
         while True:
             message = await self.mailbox.receive()
             now = trio.current_time()
@@ -117,42 +152,61 @@
     def set_versions(self, versions: frozenset[str]) -> None:
         """Sets the software versions that are registered in the pools that serve streams."""
         now = trio.current_time()
-        if self._history.observe(versions, now):
+        begin_to_differ = self._history.observe(versions, now)
+        if begin_to_differ:
             _log.info("software_versions_differ", versions=sorted(self._history.seen(now).versions))
-            # Streams that began earlier may be taken up after this router is gone.
-            self.mailbox.try_send(TellOrigins(self._origins.recent(now)))
+        self._update_telling(repeats=begin_to_differ)
 
     def confirm_versions(self) -> None:
         """Records that the directory has answered."""
         self._history.confirm(trio.current_time())
 
+    def record_missed_versions(self) -> None:
+        """Records that changes of the directory may have been missed."""
+        self._history.begin_anew()
+
     def record_begin(self, origin: stream_origins.Origin) -> None:
         """Records that a stream of this router brings its first event."""
         now = trio.current_time()
         self._origins.add(origin, now)
-        if len(self._history.seen(now).versions) > 1:
+        self._update_telling()
+        if self._tells_all:
             self.mailbox.try_send(TellOrigins([origin]))
 
+    def _update_telling(self, repeats: bool = False) -> None:
+        """Decides whether the holders of each stream must be told its origin.
+
+        Args:
+            repeats: Whether they are told those of recent streams once more.
+        """
+        now = trio.current_time()
+        had_told_all = self._tells_all
+        self._tells_all = self._history.seen(now).sole_version() is None
+        if self._tells_all and (repeats or not had_told_all):
+            # Streams that began earlier may be taken up after this router is gone.
+            self.mailbox.try_send(TellOrigins(self._origins.recent(now)))
+
     async def find_origin(
-        self, stream: stream_origins.StreamId | None, pool: ids.PoolId
+        self, stream: stream_origins.StreamId | None, pool: ids.PoolId, life_s: float
     ) -> stream_origins.Origin | None:
         """Returns where a stream began, or None if that is not certain.
 
         Args:
             stream: The stream; None if its caller does not name it.
             pool: Pool at which it began unless a router knows better.
+            life_s: Longest time since it began.
         """
         now = trio.current_time()
         known = self._origins.find(stream, now) if stream else None
         if known is not None:
             return known
         own = self._history.seen(now)
-        stream = stream or stream_origins.StreamId("", ids.RequestId(""))
-        question = await self._ask(stream)
+        stream = stream or _UNNAMED_STREAM
+        question = await self._ask(stream, self._choose_asked(stream))
         if question.origin is not None:
             self._origins.add(question.origin, trio.current_time())
             return question.origin
-        sole = stream_origins.sole_version(own, question.seen.values(), question.asked)
+        sole = own.joined(question.seen.values()).sole_version(life_s)
         _log.info(
             "stream_origin_unknown",
             request=stream.request,
@@ -160,13 +214,17 @@
             answered=len(question.seen),
             missing=question.missing,
             versions=sorted(own.versions),
+            observed_s=round(own.observed_s, 1),
+            peers_observed_s=sorted(round(seen.observed_s, 1) for seen in question.seen.values()),
             assumed=sole,
         )
         return stream_origins.Origin(stream, pool, sole) if sole is not None else None
 
-    async def _ask(self, stream: stream_origins.StreamId) -> _Question:
-        """Asks the routers that may know a stream until one names its origin or all answer."""
-        addresses = self._choose_routers(stream, stream_origins.ASKED, stream_origins.DOMAIN_ASKED)
+    async def _ask(
+        self, stream: stream_origins.StreamId, addresses: dict[ids.VmId, ids.Address]
+    ) -> _Question:
+        """Asks routers for a stream until one names its origin or all answer."""
+        asked_at = trio.current_time()
         question = _Question(stream, len(addresses))
         number = next(self._numbers)
         query = stream_origins.OriginQuery(number, self._peers.address, stream)
@@ -181,6 +239,8 @@
                     await question.wait()
         finally:
             del self._questions[number]
+        for seen in question.seen.values():
+            self._history.extend(seen, asked_at, trio.current_time())
         return question
 
     def _handle_answer(self, answer: stream_origins.OriginAnswer) -> None:
@@ -210,6 +270,15 @@
                 )
                 await self._peers.send_datagram([address], notice)
 
+    def _choose_asked(self, stream: stream_origins.StreamId) -> dict[ids.VmId, ids.Address]:
+        return self._choose_routers(stream, stream_origins.ASKED, stream_origins.DOMAIN_ASKED)
+
+    def _choose_any(self) -> dict[ids.VmId, ids.Address]:
+        """Returns the addresses of some other routers."""
+        others = {vm: at for vm, at in self._cluster.addresses().items() if vm != self._vm}
+        count = min(stream_origins.ASKED, len(others))
+        return dict(self._rng.sample(sorted(others.items()), count))
+
     def _choose_routers(
         self, stream: stream_origins.StreamId, count: int, domain_count: int
     ) -> dict[ids.VmId, ids.Address]:
