Believe a refusal on a reused connection only if it is new

A caller was told "not run, try again" for a lookup, a resumable stream, a completion or a repeatable call that an upstream was running or had run. The upstream had written an earlier refusal once more on a kept connection, without an id or with the id of the same request, and the refusal was taken for the answer to the request now on that connection. The attempt then also did not count as a run, so that a request ran on more upstreams than its route allows, and the connection on which it still ran went back to the pool.

Cause: X-Not-Executed was believed on any connection. Only answers that name another request were turned away.

A refusal counts now as certainly newer than its request only on a new connection, or if it names its request and that request was not refused on the connection before. Any other is no answer: the request may have run, and the connection is closed.

What must not run twice cannot be hit: it has always been sent on a new connection, on which nothing older than the request can arrive. The same goes for load orders, which open a connection each.

test_attempts.py: make_not_run_headers takes the id of the request; the test is otherwise unchanged.

--- a/src/cicadapier/_internal/platform/server_formats.py
+++ b/src/cicadapier/_internal/platform/server_formats.py
@@ -236,9 +236,9 @@
     return wire_headers.WEIGHTS + b": %d\n" % weights
 
 
-def make_not_run_headers(weights: int | None = None) -> http_client.Headers:
+def make_not_run_headers(request: str, weights: int | None = None) -> http_client.Headers:
     """Returns the headers of a refusal of a request that has not run."""
-    headers = [(wire_headers.NOT_RUN, b"1")]
+    headers = [(wire_headers.REQUEST_ID, request.encode("latin-1")), (wire_headers.NOT_RUN, b"1")]
     if weights is not None:
         headers.append((wire_headers.WEIGHTS, b"%d" % weights))
     return headers
--- a/src/cicadapier/_internal/protocols/answers.py
+++ b/src/cicadapier/_internal/protocols/answers.py
@@ -80,6 +80,17 @@
     pause: Pause | None = None
     rate_limit: RateLimit | None = None
 
+    def has_only_other_weights(self, upstream: ids.UpstreamId | None, weights: str | None) -> bool:
+        """Returns whether an upstream refused a request only because it serves other weights.
+
+        Args:
+            upstream: Intended upstream, if the request named it.
+            weights: Intended weights version, if the request named it.
+        """
+        if not self.misdirected or self.upstream not in (None, upstream):
+            return False
+        return weights is not None and self.weights not in (None, weights)
+
 
 class AnswerFormat(abc.ABC):
     """Format of the heads of answers."""
--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -84,6 +84,8 @@
         self._expired = False
         self._peer_closed = False
         self._send_failed = False
+        self._reused = False
+        self._refused: set[str] = set()
         self._read_deadline = math.inf
         self.opened_at = trio.current_time()
         self.idle_since = self.opened_at
@@ -191,9 +193,27 @@
             self._h11.start_next_cycle()
         except h11.LocalProtocolError:
             return False
+        self._reused = True
         self.idle_since = trio.current_time()
         return True
 
+    def record_refusal(self, request: str, named: bool) -> bool:
+        """Records that the peer refused the current request.
+
+        A faulty peer may repeat an earlier refusal on a reused connection. A refusal is certainly
+        new only if it names its request, and that request was not refused here before.
+
+        Args:
+            request: Id of the request.
+            named: Whether the refusal names the request.
+
+        Returns:
+            Whether the refusal is certainly newer than the request.
+        """
+        is_new = not self._reused or (named and request not in self._refused)
+        self._refused.add(request)
+        return is_new
+
     async def close(self) -> None:
         """Closes the connection at once; safe to call while being cancelled."""
         await trio.aclose_forcefully(self._stream)
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -456,23 +456,18 @@
         """Raises an error if the upstream refused to run the request."""
         if not self.facts.not_run:
             return
+        assert self._conn
+        if not self._conn.record_refusal(self._call.request, self.facts.request is not None):
+            await self.abandon()
+            reason = "the refusal may be older than the request"
+            raise AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
         if head.status not in NOT_RUN_STATUSES and not self.facts.misdirected:
             # The request itself was refused, so the refusal is relayed to the caller.
             return
         await self._read_refusal_body()
         reason = f"the upstream refused with status {head.status}"
-        has_other_weights = self._has_other_weights()
-        raise AttemptFailedError(
-            outcomes.RefusedBeforeRunning(reason, other_weights=has_other_weights)
-        )
-
-    def _has_other_weights(self) -> bool:
-        """Returns whether the intended upstream refused only because it serves other weights."""
-        facts = self.facts
-        if not facts.misdirected or facts.upstream not in (None, self._call.upstream):
-            return False
-        expected = (None, self._call.weights)
-        return self._call.weights is not None and facts.weights not in expected
+        other_weights = self.facts.has_only_other_weights(self._call.upstream, self._call.weights)
+        raise AttemptFailedError(outcomes.RefusedBeforeRunning(reason, other_weights=other_weights))
 
     async def _read_refusal_body(self) -> None:
         """Reads the body of a refusal, so that the connection can be reused."""
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -139,6 +139,7 @@
             services, context.request, self._sequence, self._progress, starter
         )
         self._replacement: attempts.Attempt | None = None
+        self._was_attempted = False
 
     async def run(self, placed: routing.Placed) -> bool:
         """Makes attempts until the request ends; returns whether it may have run."""
@@ -197,7 +198,11 @@
             await attempt.abandon()
 
     def _make_attempt(self, placed: routing.Placed) -> attempts.Attempt:
-        return attempts.Attempt(self._services.connections, self._make_call(placed))
+        # On a pooled connection, a retry could be taken for refused because of a refusal of an
+        # earlier attempt that its upstream repeats.
+        call = self._make_call(placed, new_connection=self._was_attempted)
+        self._was_attempted = True
+        return attempts.Attempt(self._services.connections, call)
 
     def _take_replacement(self) -> attempts.Attempt | None:
         """Returns the attempt that replaces the previous one, if any."""
@@ -229,7 +234,7 @@
             return 0.0
         return self._plan.request_spec.output_tokens * self._plan.pool.timeouts.between_tokens_s
 
-    def _make_call(self, placed: routing.Placed) -> attempts.Call:
+    def _make_call(self, placed: routing.Placed, new_connection: bool) -> attempts.Call:
         pool = self._plan.pool
         body = dict(self._plan.req.body)
         body["cache_salt"] = self._plan.salt
@@ -256,6 +261,7 @@
             msgspec.json.encode(body),
             pool.timeouts.connect_s,
             pool.timeouts.first_token_s + self._non_streaming_extra_s(),
+            new_connection=new_connection,
         )
 
     def _keep_address(self) -> str:
--- a/src/cicadapier/_internal/services/service_calls.py
+++ b/src/cicadapier/_internal/services/service_calls.py
@@ -194,7 +194,7 @@
 
         async def attempt(placed: routing.Placed) -> outcomes.AttemptOutcome:
             nonlocal answer
-            result = await self._make_attempt(context, plan, req, placed)
+            result = await self._make_attempt(context, plan, req, placed, sequence.attempts > 0)
             if not isinstance(result, _Answer):
                 return result
             answer = result
@@ -217,6 +217,7 @@
         plan: _Plan,
         req: http_server.Request,
         placed: routing.Placed,
+        is_retry: bool,
     ) -> _Answer | outcomes.AttemptOutcome:
         """Makes one attempt; returns its answer, or its outcome if it failed."""
         upstream = placed.choice.estimate.upstream
@@ -231,7 +232,7 @@
             req.body,
             timeouts.connect_s,
             timeouts.first_token_s,
-            new_connection=not plan.repeatable,
+            new_connection=not plan.repeatable or is_retry,
         )
         attempt = attempts.Attempt(self._services.connections, call)
         try:
--- a/src/cicadapier/_internal/standins/engine_server.py
+++ b/src/cicadapier/_internal/standins/engine_server.py
@@ -190,15 +190,15 @@
             endpoint = completions.Endpoint(req.path)
             parsed = completions.parse_request(endpoint, req.body, MAX_JSON_DEPTH)
         except completions.InvalidBodyError as exc:
-            extra = [(headers.NOT_RUN, b"true")]
+            extra = upstream_server.not_run_headers(call)
             await responder.send_json({"error": {"message": str(exc)}}, 400, extra)
             return
         if parsed.model not in self.versions:
-            extra = [(headers.NOT_RUN, b"true")]
+            extra = upstream_server.not_run_headers(call)
             await responder.send_json({"error": {"message": "no such model"}}, 404, extra)
             return
         if self.model.in_flight() >= MAX_IN_FLIGHT:
-            await self.refuse_before_running(responder, "queue is full")
+            await self.refuse_before_running(call, responder, "queue is full")
             return
         generation = await self._begin_generation(call, parsed)
         if self.active_faults.is_poison_prompt(parsed.prompt.decode("utf-8", "replace")):
--- a/src/cicadapier/_internal/standins/forwarding_upstream.py
+++ b/src/cicadapier/_internal/standins/forwarding_upstream.py
@@ -253,15 +253,15 @@
         return rollout.Reply.ACCEPTED
 
     async def _serve(self, req: http_server.Request, responder: http_server.Responder) -> None:
-        request_id = _read_header(req, wire_headers.REQUEST_ID)
-        self.arrivals.append(Arrival(trio.current_time(), request_id))
+        request = _read_header(req, wire_headers.REQUEST_ID)
+        self.arrivals.append(Arrival(trio.current_time(), request))
         refusal = await self._admit(req)
         if refusal:
             weights = self.weights if refusal == http.HTTPStatus.MISDIRECTED_REQUEST else None
-            headers = [*server_formats.make_not_run_headers(weights), *self._status_headers()]
+            not_run_headers = server_formats.make_not_run_headers(request, weights)
+            headers = [*not_run_headers, *self._status_headers()]
             await responder.send_response(refusal, headers, b"")
             return
-        request = _read_header(req, wire_headers.REQUEST_ID)
         request_headers = {k.decode(): v.decode("latin-1") for k, v in req.headers}
         now = trio.current_time()
         run = Run(
--- a/src/cicadapier/_internal/standins/upstream_server.py
+++ b/src/cicadapier/_internal/standins/upstream_server.py
@@ -137,9 +137,11 @@
         now = trio.current_time()
         self.ledger.record(self.upstream, self.incarnation, call, event, now, **detail)
 
-    async def refuse_before_running(self, responder: http_server.Responder, message: str) -> None:
+    async def refuse_before_running(
+        self, call: ledger.Call, responder: http_server.Responder, message: str
+    ) -> None:
         """Refuses a request and states that it was not run."""
-        extra = [(headers.NOT_RUN, b"true"), (headers.RETRY_AFTER, b"1")]
+        extra = [*not_run_headers(call), (headers.RETRY_AFTER, b"1")]
         status = http.HTTPStatus.SERVICE_UNAVAILABLE
         await responder.send_json({"error": {"message": message}}, status, extra)
 
@@ -151,6 +153,11 @@
     return ledger.Call(request_id, req.method, req.target, req.body, key)
 
 
+def not_run_headers(call: ledger.Call) -> http_client.Headers:
+    """Returns the headers of a refusal of a request that has not run."""
+    return [(headers.REQUEST_ID, call.request_id.encode("latin-1")), (headers.NOT_RUN, b"true")]
+
+
 def identity_headers(server: UpstreamServer, call: ledger.Call) -> http_client.Headers:
     """Returns the headers that identify a response's request and the upstream's incarnation."""
     request_id = "crossed-" + call.request_id if server.has_crossed_answers() else call.request_id
--- a/tests/_internal/services/test_attempts.py
+++ b/tests/_internal/services/test_attempts.py
@@ -102,7 +102,7 @@
 class EarlyAnswerTest(_AttemptTest):
     def test_early_refusal_means_that_the_request_was_not_run(self):
         outcome, streams = self._make_attempt(
-            encode_answer(503, server_formats.make_not_run_headers())
+            encode_answer(503, server_formats.make_not_run_headers("q"))
         )
         self.assertIsInstance(outcome, outcomes.RefusedBeforeRunning)
         self.assertTrue(streams[0].closed)
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -10,6 +10,13 @@
         "if False:",
         f"{planted_bug.SERVICES}.test_service_calls.OnceOnlyTest",
     ),
+    planted_bug.Mutant(
+        "believe every refusal on a reused connection",
+        "protocols/http_client.py",
+        "is_new = not self._reused or (named and request not in self._refused)",
+        "is_new = True",
+        f"{planted_bug.SERVICES}.test_earlier_refusals.SameRequestTest",
+    ),
     planted_bug.Mutant(
         "accept a lower configuration number",
         "services/configuration_service.py",
