Do not read a broken-off head and the next head as one

A faulty upstream that writes half of an earlier head and then the answer to the request on the same kept connection sends the status of one answer with the headers of the other. The headers hold the id and the proof of the request that ran, so a lookup or a resumable stream was told "not run" (503) though it had run, and a failure could pass as a success.

Cause: a status line is valid as a part of a reason or of a header value.

A head that contains a status line there is malformed, so the request may have run and the connection is closed. All other ways to break off within a head already made it malformed (table in test_http_client.py).

Before: 2 cases of test_earlier_refusals (Retry-After broken off) and 5 of test_http_client fail. Orders can't be hit: their connections are new.

--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import math
+import re
 
 import h11
 import trio
@@ -13,6 +14,7 @@
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 MAX_INTERIM_RESPONSES = 32
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}( |$)")
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -147,6 +149,9 @@
         for _ in range(MAX_INTERIM_RESPONSES):
             event = await self._next_event(deadline)
             if isinstance(event, h11.Response):
+                if _is_spliced(event):
+                    message = "a head begins within another one"
+                    raise exceptions.MalformedMessageError(message)
                 return ResponseHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise exceptions.ConnectionLostError("connection closed before the answer")
@@ -251,3 +256,13 @@
             raise exceptions.ConnectionLostError(f"connection lost while receiving: {exc}") from exc
         self._peer_closed = not data
         self._h11.receive_data(bytes(data))
+
+
+def _is_spliced(response: h11.Response) -> bool:
+    """Returns whether a head consists of a part of one head and of the next one.
+
+    A peer that breaks off within a head and then answers on the same connection sends such a head:
+    the status of one answer with the headers of another.
+    """
+    values = [value for _, value in response.headers]
+    return any(_STATUS_LINE.search(text) for text in (response.reason, *values))
--- /dev/null
+++ b/tests/_internal/protocols/test_http_client.py
@@ -0,0 +1,53 @@
+"""Client connections: heads of answers that run into each other."""
+
+import unittest
+
+import trio.testing
+
+from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import http_client
+from tests import support
+
+HALF_HEADS = (
+    b"HTTP/1.1 200 ",
+    b"HTTP/1.1 200 O",
+    b"HTTP/1.1 200 OK",
+    b"HTTP/1.1 200 OK\r\nX-Server-Stamp: ",
+    b"HTTP/1.1 200 OK\r\nX-Server-Stamp: proof",
+    b"HTTP/1.1 200 OK\r\nX-Ser",
+    b"HTTP/1.1 200 OK\r\n",
+)
+FAILURE = b"HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: q\r\nContent-Length: 0\r\n\r\n"
+
+
+def _receive_head(answer):
+    """Returns the head with which a request is answered."""
+    heads = []
+
+    async def main():
+        client, server = trio.testing.memory_stream_pair()
+        conn = http_client.ClientConnection(client, "10.0.0.1:80")
+        await conn.send(http_client.RequestHead("GET", "/", []), b"")
+        await server.send_all(answer)
+        heads.append(await conn.receive_head(1.0))
+
+    support.run(main)
+    return heads[0]
+
+
+class SplicedHeadsTest(unittest.TestCase):
+    def test_half_a_head_does_not_lend_its_status_to_the_next(self):
+        for half in HALF_HEADS:
+            with self.subTest(half), self.assertRaises(exceptions.MalformedMessageError):
+                _receive_head(half + FAILURE)
+
+    def test_whole_head_is_read(self):
+        self.assertEqual(_receive_head(FAILURE).status, 500)
+
+    def test_head_that_only_names_the_protocol_is_read(self):
+        answer = FAILURE.replace(b"Content-", b"Via: HTTP/1.1 gate\r\nContent-")
+        self.assertEqual(_receive_head(answer).status, 500)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/_internal/services/test_earlier_refusals.py
+++ b/tests/_internal/services/test_earlier_refusals.py
@@ -45,6 +45,19 @@
     "as an interim answer": b"HTTP/1.1 103 Early Hints\r\nX-Not-Executed: 1\r\n\r\n",
     "as an upgrade": b"HTTP/1.1 101 Switching Protocols\r\nX-Not-Executed: 1\r\n\r\n",
 }
+# The same, but broken off within the head; the answer to the request follows at once.
+HALF_REFUSALS = {
+    "within the version": b"HTTP/1.",
+    "before the reason": b"HTTP/1.1 503 ",
+    "within the reason": b"HTTP/1.1 503 Service Unav",
+    "after the status line": b"HTTP/1.1 503 Service Unavailable\r\n",
+    "within a name": b"HTTP/1.1 503 x\r\nX-Not-Exe",
+    "within a value": b"HTTP/1.1 503 x\r\nX-Not-Executed: ",
+    "after a value": b"HTTP/1.1 503 x\r\nX-Not-Executed: 1",
+    "within another value": b"HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\nRetry-After: 0.",
+    "within the id": b"HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\nX-Request-Id: oth",
+    "within the length": b"HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\nContent-Length: 1",
+}
 # How the stand-ins are asked, with the most upstreams on which one request may run.
 REQUESTS = {
     "lookup": (lambda world, **o: world.send("GET", "desk", "/look/1", **o), 2),
@@ -118,6 +131,12 @@
                 with self.subTest(kind, request=name):
                     self._check(extra, name, forwarding_upstream.UpstreamFault.SHEDS)
 
+    def test_half_a_refusal_and_an_answer_are_not_taken_for_one_answer(self):
+        for kind, extra in HALF_REFUSALS.items():
+            for name in ("lookup", "order", "stream"):
+                with self.subTest(kind, request=name):
+                    self._check(extra, name, forwarding_upstream.UpstreamFault.SHEDS)
+
     def test_request_runs_on_no_more_upstreams_than_its_route_allows(self):
         for name in REQUESTS:
             for second, fault in SECOND_UPSTREAMS.items():
