Do not relay a status that promises "not run" from an upstream that ran

An upstream that answered 408, 429 or 503 with the proof that it ran the request, and without the header that says that it did not, had its answer relayed to the caller unchanged.

Cause: an answer counted as genuine for its proof alone, and a failure is relayed with its own status. The translation of refusals by the router already avoids these statuses where a request may have run; answers of upstreams went past it.

The status now contradicts the proof, so the answer is no genuine one: the request may have run, and the caller gets 502 unless it may run once more. Seen in a table of the four statuses and six kinds of requests, of which 18 cases failed before; 421 itself states that the request has not run.

--- a/src/cicadapier/_internal/platform/requests.py
+++ b/src/cicadapier/_internal/platform/requests.py
@@ -93,11 +93,15 @@
         upstream = head.header(wire_headers.UPSTREAM)
         weights = head.header(wire_headers.WEIGHTS)
         misdirected = head.status == http.HTTPStatus.MISDIRECTED_REQUEST
+        not_run = misdirected or head.header(wire_headers.NOT_RUN) is not None
         has_proof = head.header(wire_headers.EXECUTION_PROOF) is not None and request is not None
+        # Callers would read such a status as a promise that the upstream does not give.
+        contradicts_proof = head.status in _NOT_RUN_STATUSES and not not_run
+        is_encoded = head.header(wire_headers.CONTENT_ENCODING) is not None
         return answers.AnswerFacts(
             request=ids.RequestId(request.decode("latin-1")) if request else None,
-            genuine=has_proof and head.header(wire_headers.CONTENT_ENCODING) is None,
-            not_run=misdirected or head.header(wire_headers.NOT_RUN) is not None,
+            genuine=has_proof and not contradicts_proof and not is_encoded,
+            not_run=not_run,
             misdirected=misdirected,
             upstream=ids.UpstreamId(upstream.decode("latin-1")) if upstream else None,
             weights=weights.decode("latin-1").strip() if weights else None,
--- a/src/cicadapier/_internal/protocols/answers.py
+++ b/src/cicadapier/_internal/protocols/answers.py
@@ -52,7 +52,7 @@
     Attributes:
         request: Id of the request that it answers; None if it contains no id.
         genuine: Whether it contains a proof that only an upstream that ran the request can give,
-            and was not changed on its way.
+            was not changed on its way, and has a status that does not contradict the proof.
         not_run: Whether the upstream reports that it did not run the request.
         misdirected: Whether the request reached another upstream, or another weights version,
             than it was intended for.
--- a/tests/_internal/services/test_earlier_refusals.py
+++ b/tests/_internal/services/test_earlier_refusals.py
@@ -13,6 +13,7 @@
 from cicadapier._internal.standins import ledger
 from tests import copying_network
 from tests import forwarding_world
+from tests import replacing_network
 from tests import support
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -20,6 +21,7 @@
 NATIVE_REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: true\r\n%bContent-Length: 0\r\n\r\n"
 )
+PROVED = b"HTTP/1.1 %d x\r\nX-Request-Id: %b\r\nX-Server-Stamp: proof\r\nContent-Length: 0\r\n\r\n"
 LONG_BODY = b"x" * 300_000
 
 
@@ -215,6 +217,31 @@
         return NATIVE_REFUSAL % (b"X-Request-Id: %b\r\n" % request)
 
 
+class ContradictoryAnswersTest(unittest.TestCase):
+    """Upstreams that prove that they ran a request, with a status that promises the contrary."""
+
+    def test_status_that_promises_not_run_is_not_relayed_from_an_upstream_that_ran(self):
+        for status in NOT_RUN_STATUSES:
+            for name in REQUESTS:
+                with self.subTest(status, request=name):
+                    self._check(status, name)
+
+    def _check(self, status, name):
+        send, _ = REQUESTS[name]
+
+        async def check(world):
+            network = replacing_network.ReplacingNetwork(
+                world, lambda raw: PROVED % (status, copying_network.request_id(raw))
+            )
+            reply = await send(world, request="q")
+            self.assertGreater(network.replaced, 0)
+            # Status 421 itself states that the request has not run.
+            if world.runs_for("q") and status != 421:
+                self.assertNotIn(reply.status, NOT_RUN_STATUSES)
+
+        forwarding_world.run_in_world(check)
+
+
 class NativeInterfaceTest(unittest.TestCase):
     """The same for the product's own interface."""
 
--- /dev/null
+++ b/tests/replacing_network.py
@@ -0,0 +1,65 @@
+"""Network on which some answers of upstreams are replaced by given bytes."""
+
+import trio
+
+from cicadapier._internal.protocols import transport
+
+
+class _ReplacingStream(trio.abc.Stream, transport.PollableStream):
+    """Router's end of a connection; receives a replacement of the answer, and then the end."""
+
+    def __init__(self, inner, network):
+        self._inner = inner
+        self._network = network
+        self._replacement = None
+
+    @property
+    def has_input(self):
+        return transport.has_input(self._inner)
+
+    async def send_all(self, data):
+        self._replacement = self._network.make_replacement(bytes(data))
+        await self._inner.send_all(data)
+
+    async def wait_send_all_might_not_block(self):
+        await self._inner.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes=None):
+        if self._replacement is None:
+            return await self._inner.receive_some(max_bytes)
+        await trio.sleep(self._network.delay_s)
+        self._network.replaced += bool(self._replacement)
+        replacement, self._replacement = self._replacement, b""
+        return replacement
+
+    async def aclose(self):
+        await self._inner.aclose()
+
+
+class ReplacingNetwork:
+    """Replaces answers on the connections to a world's upstreams.
+
+    Attributes:
+        replaced: Number of answers that were replaced.
+        delay_s: Time until a replacement arrives.
+    """
+
+    def __init__(self, world, make_replacement):
+        """Replaces the network's connections.
+
+        Args:
+            world: World with forwarded routes.
+            make_replacement: Returns the replacement for a raw request; None to keep its answer.
+        """
+        self.replaced = 0
+        self.delay_s = 0.005
+        self.make_replacement = make_replacement
+        self._world = world
+        self._connect = world.network.connect
+        world.network.connect = self.connect
+
+    async def connect(self, address, timeout_s):
+        stream = await self._connect(address, timeout_s)
+        if address not in {u.entry.address for u in self._world.upstreams.values()}:
+            return stream
+        return _ReplacingStream(stream, self)
