Do not relay an event into which another answer has run

A stream was taken up by another upstream, which stopped within an event and went on with the head of an error on the same connection. The caller got the head in the middle of its stream, as a part of the event that was due next; the same happened with the start of another event ("id: 3", "id: 1", "data: ...").

Cause: an event was relayed if its first id was the next one. In an answer without a length all that follows is body, and the blank line behind a head ends an event like any other. So did text within a chunk.

An event is relayed now only if it has one id, no unknown field and line ends of one kind. Heads have fields that no event has, or at least end their lines as no event of the upstreams does. Text of a model that names HTTP is not concerned.

The table in test_errors_after_a_stream_began.py holds each answer at each place: the router's own retry, a hedge, a backup that goes on (Kv-From), and a stream that its caller takes up. The other answers of the table couldn't bring a head or a text into a stream before either: only a genuine 200 is relayed as a stream, and any other answer ends it as broken, whatever its body.

--- a/src/cicadapier/_internal/platform/requests.py
+++ b/src/cicadapier/_internal/platform/requests.py
@@ -18,6 +18,7 @@
 _MAX_PROMPT_PARTS = 256
 # Headers of upstreams that callers do not receive.
 _REMOVED_FROM_ANSWERS = frozenset((wire_headers.UPSTREAM, wire_headers.LOAD))
+_EVENT_FIELDS = frozenset((wire_headers.WEIGHTS,))
 # Headers that belong to one connection. The host header is passed on to the upstream.
 _REMOVED_FROM_REQUESTS = headers.HOP_BY_HOP - {b"host"}
 # A request that is blocked because it crashes upstreams has not run, so its status is 503.
@@ -112,6 +113,11 @@
             rate_limit=wire_headers.read_rate_limit(head),
         )
 
+    @property
+    def event_fields(self) -> frozenset[bytes]:
+        """See `ForwardingFormat.event_fields`."""
+        return _EVENT_FIELDS
+
     def read_event_weights(self, event: bytes) -> str | None:
         """See `ForwardingFormat.read_event_weights`."""
         name, _, value = event.partition(b"\n")[0].partition(b":")
--- a/src/cicadapier/_internal/protocols/event_stream.py
+++ b/src/cicadapier/_internal/protocols/event_stream.py
@@ -9,6 +9,8 @@
 _EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 _MAX_TERMINATOR_BYTES = max(len(terminator) for terminator in _EVENT_TERMINATORS)
 _ID_FIELD = b"id:"
+# A comment is a field without a name.
+_FIELDS = frozenset((b"id", b"event", b"data", b"retry", b""))
 MAX_EVENT_BYTES = 1_048_576
 
 
@@ -24,6 +26,21 @@
     raw: bytes
     number: int | None
 
+    def is_well_formed(self, extra_fields: frozenset[bytes] = frozenset()) -> bool:
+        """Returns whether it has one id, known fields only and line ends of one kind.
+
+        An upstream that stops within an event may send the head of another answer, or another
+        event, on the same connection; both then run into one event.
+
+        Args:
+            extra_fields: Names of further fields that are known.
+        """
+        names = [line.partition(b":")[0] for line in self.raw.splitlines()]
+        newlines = self.raw.count(b"\n")
+        has_one_kind_of_ends = not newlines or self.raw.count(b"\r") in (0, newlines)
+        is_known = all(name in _FIELDS or name in extra_fields for name in names)
+        return is_known and has_one_kind_of_ends and names.count(b"id") == 1
+
 
 class Splitter:
     """Splits a byte stream into events."""
--- a/src/cicadapier/_internal/protocols/forwarding.py
+++ b/src/cicadapier/_internal/protocols/forwarding.py
@@ -105,6 +105,11 @@
     ) -> http_client.RequestHead:
         """Returns the head of the request to an upstream."""
 
+    @property
+    @abc.abstractmethod
+    def event_fields(self) -> frozenset[bytes]:
+        """Names of the fields that upstreams add to those of the event stream format."""
+
     @abc.abstractmethod
     def read_event_weights(self, event: bytes) -> str | None:
         """Returns the weights version in an event of a stream; None if it contains none."""
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -407,7 +407,7 @@
                 await self._send_data(attempt, head, b"".join(event.raw for event in accepted))
             if len(accepted) < len(events) or splitter.is_overlong:
                 raise self._broken_error(
-                    "the stream contains an event that is out of order or too long"
+                    "the stream contains an event that is out of order, malformed or too long"
                 )
         if splitter.rest:
             raise self._broken_error("the stream ended in the middle of an event")
--- a/src/cicadapier/_internal/services/forwarded_progress.py
+++ b/src/cicadapier/_internal/services/forwarded_progress.py
@@ -59,10 +59,10 @@
     def take_in_order(
         self, events: list[event_stream.Event], wire_format: forwarding.ForwardingFormat
     ) -> list[event_stream.Event]:
-        """Returns the events before the first one out of order, and counts them as relayed."""
+        """Counts and returns the events before the first one that is malformed or out of order."""
         accepted = []
         for event in events:
-            if event.number is None:
+            if event.number is None or not event.is_well_formed(wire_format.event_fields):
                 break
             if self.last_event_number is not None and event.number != self.last_event_number + 1:
                 break
--- a/tests/_internal/protocols/test_event_stream.py
+++ b/tests/_internal/protocols/test_event_stream.py
@@ -35,6 +35,30 @@
         events = event_stream.Splitter().feed(b"data: x\n\nid: seven\n\n")
         self.assertEqual([event.number for event in events], [None, None])
 
+    def test_events_that_run_into_each_other_are_malformed(self):
+        for raw in (
+            b"id: 3\ndata: pieHTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+            b"id: 3\ndata: pieHTTP/1.1 500 Internal Server Error\r\n\r\n",
+            b"id: 3\r\ndata: pieHTTP/1.1 500 x\r\nX-Request-Id: q\r\n\r\n",
+            b"id: 3\nid: 1\ndata: x\n\n",
+            b"id: 3\ndaid: 1\ndata: x\n\n",
+            b"data: x\n\n",
+        ):
+            with self.subTest(raw):
+                self.assertFalse(event_stream.Event(raw, 3).is_well_formed())
+
+    def test_events_of_the_format_are_well_formed(self):
+        for raw in (
+            b"id: 3\ndata: HTTP/1.1 500 Internal Server Error\n\n",
+            b"id: 3\r\ndata: x\r\ndata: y\r\n\r\n",
+            b"id: 3\rdata: x\r\r",
+            b": note\nevent: piece\nretry: 10\nid: 3\ndata\n\n",
+        ):
+            with self.subTest(raw):
+                self.assertTrue(event_stream.Event(raw, 3).is_well_formed())
+        changed = event_stream.Event(b"weights: 2\nid: 3\ndata: x\n\n", 3)
+        self.assertTrue(changed.is_well_formed(frozenset((b"weights",))))
+
     def test_overlong_event_is_detected(self):
         splitter = event_stream.Splitter()
         splitter.feed(b"x" * (event_stream.MAX_EVENT_BYTES + 1))
--- /dev/null
+++ b/tests/_internal/services/test_errors_after_a_stream_began.py
@@ -0,0 +1,243 @@
+"""Streams that began, broke off, and were taken up by an upstream that answers otherwise.
+
+A caller gets further events or a break: never a head or the text of an error within its stream, and
+never an end that looks complete.
+"""
+
+import unittest
+
+import trio
+
+from cicadapier._internal.standins import forwarding_upstream
+from tests import copying_network
+from tests import forwarding_world
+from tests import replacing_network
+
+Fault = forwarding_upstream.UpstreamFault
+EVENTS = 6
+EVENT = b"id: %d\ndata: piece %d of v1\n\n"
+ID = b"X-Request-Id: %b\r\n"
+PROOF = b"X-Server-Stamp: proof\r\n"
+PROVED = ID + PROOF
+STREAM = b"Content-Type: text/event-stream\r\n"
+JSON = b"Content-Type: application/json\r\n"
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+ERROR_TEXT = b'{"error":"out of memory"}'
+ERROR_HEAD = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 25\r\n\r\n"
+
+
+def _with_length(body):
+    return b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+def _chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def _next_events(raw, count=2):
+    """Returns the events with which a request for the rest of a stream is to be answered."""
+    first = _resumed_after(raw) + 1
+    return b"".join(EVENT % (number, number) for number in range(first, first + count))
+
+
+def _resumed_after(raw):
+    for line in raw.split(b"\r\n"):
+        name, _, value = line.partition(b":")
+        if name.lower() == b"last-event-id":
+            return int(value)
+    return 0
+
+
+def _half_event(raw):
+    return b"id: %d\ndata: pie" % (_resumed_after(raw) + 1)
+
+
+def _whole(status, headers, body=ERROR_TEXT):
+    """Returns a function that makes a complete answer with a length."""
+    head = b"HTTP/1.1 %d x\r\n" % status + headers
+    return lambda raw: _fill(head, raw) + _with_length(body)
+
+
+def _fill(head, raw):
+    return head.replace(b"%b", copying_network.request_id(raw))
+
+
+def _unframed(head, make_body):
+    """Returns a function that makes an answer that ends with its connection."""
+    return lambda raw: _fill(head, raw) + b"\r\n" + make_body(raw)
+
+
+def _chunked(head, make_body, end=b"0\r\n\r\n"):
+    return lambda raw: _fill(head, raw) + CHUNKED + _chunk(make_body(raw)) + end
+
+
+# Answers to a request for the rest of a stream, none of which ends it.
+ANSWERS = {
+    "400": _whole(400, PROVED),
+    "404 without a proof": _whole(404, ID),
+    "413": _whole(413, PROVED + JSON),
+    "500": _whole(500, PROVED),
+    "500 without a body": _whole(500, PROVED, b""),
+    "500 without an id": _whole(500, b""),
+    "500 as a stream": _whole(500, PROVED + STREAM),
+    "504": _whole(504, PROVED),
+    "503 not run": _whole(503, ID + b"X-Not-Executed: 1\r\n"),
+    "503 not run, of another request": _whole(503, b"X-Not-Executed: 1\r\nX-Request-Id: o\r\n"),
+    "503 with a proof": _whole(503, PROVED),
+    "421": _whole(421, ID),
+    "302": _whole(302, PROVED + b"Location: /elsewhere\r\n"),
+    "304": lambda raw: _fill(b"HTTP/1.1 304 Not Modified\r\n" + PROVED + b"\r\n", raw),
+    "500 without a length": _unframed(
+        b"HTTP/1.1 500 x\r\n" + PROVED, lambda raw: ERROR_TEXT + b"\n\n"
+    ),
+    "500 in chunks": _chunked(b"HTTP/1.1 500 x\r\n" + PROVED, lambda raw: ERROR_TEXT + b"\n\n"),
+    "500 in chunks, not whole": _chunked(
+        b"HTTP/1.1 500 x\r\n" + PROVED, lambda raw: ERROR_TEXT, b"5\r\nab"
+    ),
+    "500 behind an interim answer": lambda raw: (
+        b"HTTP/1.1 100 Continue\r\n\r\n" + _whole(500, PROVED)(raw)
+    ),
+    "success that is no stream": _whole(200, PROVED + JSON),
+    "success of no type, with text": _whole(200, PROVED, ERROR_TEXT + b"\n\n"),
+    "stream without a length, with text": _unframed(OK + PROVED + STREAM, lambda raw: ERROR_TEXT),
+    "stream in chunks, with text": _chunked(OK + PROVED + STREAM, lambda raw: ERROR_TEXT + b"\n\n"),
+    "stream without a proof": _chunked(OK + ID + STREAM, _next_events),
+    "stream without an id": _chunked(OK + PROOF + STREAM, _next_events),
+    "stream of another request": _chunked(
+        OK + PROOF + b"X-Request-Id: o\r\n" + STREAM, _next_events
+    ),
+    "encoded stream": _chunked(OK + PROVED + STREAM + b"Content-Encoding: gzip\r\n", _next_events),
+    "stream that starts anew": _chunked(
+        OK + PROVED + STREAM, lambda raw: EVENT % (1, 1) + EVENT % (2, 2)
+    ),
+    "stream with a gap": _chunked(
+        OK + PROVED + STREAM, lambda raw: _next_events(raw, 3)[len(_next_events(raw, 1)) :]
+    ),
+    "half an event, then a head": _unframed(
+        OK + PROVED + STREAM, lambda raw: _half_event(raw) + ERROR_HEAD + ERROR_TEXT
+    ),
+    "half an event, then a bare status line": _unframed(
+        OK + PROVED + STREAM,
+        lambda raw: _half_event(raw) + b"HTTP/1.1 503 Service Unavailable\r\n\r\n",
+    ),
+    "half an event in chunks, then a head": _chunked(
+        OK + PROVED + STREAM, lambda raw: _half_event(raw) + ERROR_HEAD + ERROR_TEXT
+    ),
+    "half an event, then an answer to no request": lambda raw: (
+        _fill(OK + PROVED + STREAM, raw) + CHUNKED + _chunk(_half_event(raw)) + ERROR_HEAD
+    ),
+    "an id, then another event": _unframed(
+        OK + PROVED + STREAM,
+        lambda raw: b"id: %d\n" % (_resumed_after(raw) + 1) + EVENT % (1, 1),
+    ),
+    "half an event, then another one": _unframed(
+        OK + PROVED + STREAM,
+        lambda raw: b"id: %d\nda" % (_resumed_after(raw) + 1) + EVENT % (1, 1),
+    ),
+    "events, then a head": _unframed(
+        OK + PROVED + STREAM, lambda raw: _next_events(raw) + ERROR_HEAD + ERROR_TEXT
+    ),
+    "events, then half a head": _unframed(
+        OK + PROVED + STREAM, lambda raw: _next_events(raw) + b"HTTP/1.1 500 Int"
+    ),
+    "text, then a head": lambda raw: ERROR_TEXT + _whole(500, PROVED)(raw),
+    "no answer": lambda raw: b"",
+}
+
+
+class ErrorsAfterAStreamBeganTest(unittest.TestCase):
+    def _check_all(self, ask):
+        """Checks all answers.
+
+        Args:
+            ask: Asks for a stream that is taken up; returns the reply.
+        """
+        for kind, make_answer in ANSWERS.items():
+            with self.subTest(kind):
+                self._check(ask, make_answer)
+
+    def _check(self, ask, make_answer):
+        async def check(world):
+            network = replacing_network.ReplacingNetwork(
+                world, lambda raw: make_answer(raw) if _resumed_after(raw) else None
+            )
+            reply, first = await ask(world)
+            self._check_reply(reply, first)
+            self.assertGreater(network.asked, 0)
+
+        forwarding_world.run_in_world(check)
+
+    def _check_reply(self, reply, first):
+        if reply.status not in (0, 200):
+            # The caller has taken its stream up itself and gets an answer of its own.
+            self.assertGreaterEqual(reply.status, 300)
+            self.assertGreater(first, 1)
+            return
+        expected = [EVENT % (number, number) for number in reply.numbers]
+        self.assertEqual(reply.body, b"".join(expected))
+        self.assertEqual(reply.numbers, list(range(first, first + len(expected))))
+        self.assertTrue(reply.broken)
+
+    def test_retry_of_a_stream(self):
+        async def ask(world):
+            forwarding_world.inject_fault(world, "engine", Fault.BREAKS_OFF)
+            return await world.ask(request="q"), 1
+
+        self._check_all(ask)
+
+    def test_hedge_of_a_stream(self):
+        async def ask(world):
+            forwarding_world.inject_fault(world, "engine", Fault.STALLS)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_end_stalled_runs, world)
+                return await world.ask(request="q", time_left_ms=5000), 1
+
+        self._check_all(ask)
+
+    def test_backup_of_a_run(self):
+        async def ask(world):
+            for upstream in world.upstreams.values():
+                upstream.events = 20
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_crash_engine, world)
+                return await world.ask("/long/x", request="q", output_tokens=200), 1
+
+        self._check_all(ask)
+
+    def test_stream_that_its_caller_takes_up(self):
+        async def ask(world):
+            return await world.ask(request="q", extra=[(b"last-event-id", b"2")]), 3
+
+        self._check_all(ask)
+
+    def test_stream_that_broke_off_behind_its_last_event_is_ended(self):
+        async def check(world):
+            replacing_network.ReplacingNetwork(
+                world,
+                lambda raw: (
+                    _fill(OK + PROVED + STREAM, raw) + CHUNKED + b"0\r\n\r\n"
+                    if _resumed_after(raw)
+                    else None
+                ),
+            )
+            forwarding_world.inject_fault(world, "engine", Fault.BREAKS_OFF)
+            reply = await world.ask(request="q")
+            self.assertEqual((reply.broken, reply.numbers), (False, [1, 2]))
+
+        forwarding_world.run_in_world(check)
+
+
+async def _end_stalled_runs(world):
+    """Ends a stalled stream once it has been hedged."""
+    await trio.sleep(1.2)
+    await _crash_engine(world, 0.0)
+
+
+async def _crash_engine(world, after_s=0.055):
+    await trio.sleep(after_s)
+    world.stop(world.runs_for("q")[0].upstream)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -17,6 +17,13 @@
         "is_new = True",
         f"{planted_bug.SERVICES}.test_earlier_refusals.SameRequestTest",
     ),
+    planted_bug.Mutant(
+        "relay an event into which another answer has run",
+        "services/forwarded_progress.py",
+        "if event.number is None or not event.is_well_formed(wire_format.event_fields):",
+        "if event.number is None:",
+        f"{planted_bug.SERVICES}.test_errors_after_a_stream_began.ErrorsAfterAStreamBeganTest",
+    ),
     planted_bug.Mutant(
         "accept a lower configuration number",
         "services/configuration_service.py",
--- a/tests/replacing_network.py
+++ b/tests/replacing_network.py
@@ -19,6 +19,7 @@
 
     async def send_all(self, data):
         self._replacement = self._network.make_replacement(bytes(data))
+        self._network.asked += self._replacement is not None
         await self._inner.send_all(data)
 
     async def wait_send_all_might_not_block(self):
@@ -40,7 +41,8 @@
     """Replaces answers on the connections to a world's upstreams.
 
     Attributes:
-        replaced: Number of answers that were replaced.
+        asked: Number of requests whose answers are replaced.
+        replaced: Number of replacements that were received, except for empty ones.
         delay_s: Time until a replacement arrives.
     """
 
@@ -51,6 +53,7 @@
             world: World with forwarded routes.
             make_replacement: Returns the replacement for a raw request; None to keep its answer.
         """
+        self.asked = 0
         self.replaced = 0
         self.delay_s = 0.005
         self.make_replacement = make_replacement
