Do not end a stream as complete for an answer that is no stream

A stream had begun and broke off; the upstream that was to go on answered 200 without an event: with another media type, with no type and no body, or without a length and with its connection closed behind the head. The caller's stream ended as if it were complete. A caller that took its stream up itself got the same, or a 204 or 206, as the rest of its stream. An answer of another media type that held well-formed events was joined to the stream too.

Cause: every genuine 200 on a streaming route was relayed as a stream, and the end of such an answer as the end of the stream, whatever had come before it.

An answer of another media type is no stream now. Where a stream is taken up, any success that is none ends it as broken. An answer without a single event ends a stream only if it says that it is one and its end does not depend on the connection: a stream that broke off behind its last event still ends as complete. A fresh request gets a success of another type whole, as the upstream sent it.

--- a/src/cicadapier/_internal/protocols/event_stream.py
+++ b/src/cicadapier/_internal/protocols/event_stream.py
@@ -11,6 +11,7 @@
 _ID_FIELD = b"id:"
 # A comment is a field without a name.
 _FIELDS = frozenset((b"id", b"event", b"data", b"retry", b""))
+MEDIA_TYPE = b"text/event-stream"
 MAX_EVENT_BYTES = 1_048_576
 
 
--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -39,6 +39,17 @@
         """Returns the value of the first header with a name given in lower case, or None."""
         return find_header(self.headers, name)
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the end of the body does not depend on the end of the connection."""
+        return any(name in (b"content-length", b"transfer-encoding") for name, _ in self.headers)
+
+    @property
+    def media_type(self) -> bytes | None:
+        """Media type of the body without its parameters, in lower case; None if none is given."""
+        value = self.header(b"content-type")
+        return None if value is None else value.partition(b";")[0].strip().lower()
+
 
 def find_header(
     headers: collections.abc.Iterable[tuple[bytes, bytes]], name: bytes
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -178,7 +178,7 @@
             self._progress.record_progress()
             if self._is_stream_answer(attempt, head):
                 outcome = await self._relay(attempt, head)
-            elif self._responder.started:
+            elif self._responder.started or self._is_success_for_resumption(head):
                 raise self._broken_error("the upstream did not resume the stream")
             else:
                 outcome = await self._receive_whole(attempt, head)
@@ -373,7 +373,14 @@
 
     def _is_stream_answer(self, attempt: attempts.Attempt, head: http_client.ResponseHead) -> bool:
         is_stream = self._plan.admission.route.kind is configuration.RouteKind.STREAM
-        return is_stream and head.status == http.HTTPStatus.OK and attempt.facts.genuine
+        has_stream = head.media_type in (None, event_stream.MEDIA_TYPE)
+        is_success = head.status == http.HTTPStatus.OK and attempt.facts.genuine
+        return is_stream and has_stream and is_success
+
+    def _is_success_for_resumption(self, head: http_client.ResponseHead) -> bool:
+        """Returns whether the caller would take an answer for the rest of its stream."""
+        is_resumption = self._progress.last_event_number is not None
+        return is_resumption and head.status < http.HTTPStatus.MULTIPLE_CHOICES
 
     async def _receive_whole(
         self, attempt: attempts.Attempt, head: http_client.ResponseHead
@@ -411,6 +418,8 @@
                 )
         if splitter.rest:
             raise self._broken_error("the stream ended in the middle of an event")
+        if not self._progress.attempt_events and not _ends_empty_stream(head):
+            raise self._broken_error("the answer holds no event")
         await attempt.finish()
         if not self._responder.started:
             await self._begin_answer(attempt, head, b"")
@@ -478,3 +487,11 @@
             self._services.retry_budget.remaining(plan.pool, now),
             now - self._progress.last_progress_at,
         )
+
+
+def _ends_empty_stream(head: http_client.ResponseHead) -> bool:
+    """Returns whether an answer without events shows that its stream has ended.
+
+    An upstream that breaks off behind the head may close the connection regularly.
+    """
+    return head.is_framed and head.media_type == event_stream.MEDIA_TYPE
--- a/tests/_internal/services/test_errors_after_a_stream_began.py
+++ b/tests/_internal/services/test_errors_after_a_stream_began.py
@@ -88,6 +88,10 @@
     "421": _whole(421, ID),
     "302": _whole(302, PROVED + b"Location: /elsewhere\r\n"),
     "304": lambda raw: _fill(b"HTTP/1.1 304 Not Modified\r\n" + PROVED + b"\r\n", raw),
+    "204": lambda raw: _fill(b"HTTP/1.1 204 No Content\r\n" + PROVED + b"\r\n", raw),
+    "206": lambda raw: (
+        _fill(b"HTTP/1.1 206 x\r\n" + PROVED + STREAM, raw) + _with_length(_next_events(raw))
+    ),
     "500 without a length": _unframed(
         b"HTTP/1.1 500 x\r\n" + PROVED, lambda raw: ERROR_TEXT + b"\n\n"
     ),
@@ -99,7 +103,13 @@
         b"HTTP/1.1 100 Continue\r\n\r\n" + _whole(500, PROVED)(raw)
     ),
     "success that is no stream": _whole(200, PROVED + JSON),
+    "success that is no stream, with events": lambda raw: (
+        _fill(OK + PROVED + JSON, raw) + _with_length(_next_events(raw))
+    ),
+    "success that is no stream, without a body": _whole(200, PROVED + JSON, b""),
+    "success of no type, without a body": _whole(200, PROVED, b""),
     "success of no type, with text": _whole(200, PROVED, ERROR_TEXT + b"\n\n"),
+    "stream without a length and a body": _unframed(OK + PROVED + STREAM, lambda raw: b""),
     "stream without a length, with text": _unframed(OK + PROVED + STREAM, lambda raw: ERROR_TEXT),
     "stream in chunks, with text": _chunked(OK + PROVED + STREAM, lambda raw: ERROR_TEXT + b"\n\n"),
     "stream without a proof": _chunked(OK + ID + STREAM, _next_events),
@@ -145,6 +155,8 @@
     "no answer": lambda raw: b"",
 }
 
+SPLICED_EVENTS = [kind for kind in ANSWERS if "then" in kind]
+
 
 class ErrorsAfterAStreamBeganTest(unittest.TestCase):
     def _check_all(self, ask):
@@ -157,23 +169,24 @@
             with self.subTest(kind):
                 self._check(ask, make_answer)
 
-    def _check(self, ask, make_answer):
+    def _check(self, ask, make_answer, from_beginning=False):
         async def check(world):
             network = replacing_network.ReplacingNetwork(
-                world, lambda raw: make_answer(raw) if _resumed_after(raw) else None
+                world,
+                lambda raw: make_answer(raw) if from_beginning or _resumed_after(raw) else None,
             )
             reply, first = await ask(world)
-            self._check_reply(reply, first)
             self.assertGreater(network.asked, 0)
+            if reply.status not in (0, 200):
+                # The stream of this answer has not begun; the caller gets an answer of its own.
+                self.assertTrue(from_beginning or first > 1)
+                self.assertGreaterEqual(reply.status, 300)
+                return
+            self._check_events(reply, first)
 
         forwarding_world.run_in_world(check)
 
-    def _check_reply(self, reply, first):
-        if reply.status not in (0, 200):
-            # The caller has taken its stream up itself and gets an answer of its own.
-            self.assertGreaterEqual(reply.status, 300)
-            self.assertGreater(first, 1)
-            return
+    def _check_events(self, reply, first):
         expected = [EVENT % (number, number) for number in reply.numbers]
         self.assertEqual(reply.body, b"".join(expected))
         self.assertEqual(reply.numbers, list(range(first, first + len(expected))))
@@ -211,6 +224,14 @@
 
         self._check_all(ask)
 
+    def test_stream_from_its_beginning(self):
+        async def ask(world):
+            return await world.ask(request="q"), 1
+
+        for kind in SPLICED_EVENTS:
+            with self.subTest(kind):
+                self._check(ask, ANSWERS[kind], from_beginning=True)
+
     def test_stream_that_broke_off_behind_its_last_event_is_ended(self):
         async def check(world):
             replacing_network.ReplacingNetwork(
