Merge the checks of refusals and answers after a stream has begun

An event must both be well-formed and continue the stream, in a hedge's answer too; the planted bugs follow the sources, as strict as before.

--- a/src/cicadapier/_internal/platform/requests.py
+++ b/src/cicadapier/_internal/platform/requests.py
@@ -18,6 +18,7 @@
 _MAX_PROMPT_PARTS = 256
 # Headers of upstreams that callers do not receive.
 _REMOVED_FROM_ANSWERS = frozenset((wire_headers.UPSTREAM, wire_headers.LOAD))
+_EVENT_FIELDS = frozenset((wire_headers.WEIGHTS,))
 # Headers that belong to one connection. The host header is passed on to the upstream.
 _REMOVED_FROM_REQUESTS = headers.HOP_BY_HOP - {b"host"}
 # A request that is blocked because it crashes upstreams has not run, so its status is 503.
@@ -93,11 +94,15 @@
         upstream = head.header(wire_headers.UPSTREAM)
         weights = head.header(wire_headers.WEIGHTS)
         misdirected = head.status == http.HTTPStatus.MISDIRECTED_REQUEST
+        not_run = misdirected or head.header(wire_headers.NOT_RUN) is not None
         has_proof = head.header(wire_headers.EXECUTION_PROOF) is not None and request is not None
+        # Callers would read such a status as a promise that the upstream does not give.
+        contradicts_proof = head.status in _NOT_RUN_STATUSES and not not_run
+        is_encoded = head.header(wire_headers.CONTENT_ENCODING) is not None
         return answers.AnswerFacts(
             request=ids.RequestId(request.decode("latin-1")) if request else None,
-            genuine=has_proof and head.header(wire_headers.CONTENT_ENCODING) is None,
-            not_run=misdirected or head.header(wire_headers.NOT_RUN) is not None,
+            genuine=has_proof and not contradicts_proof and not is_encoded,
+            not_run=not_run,
             misdirected=misdirected,
             upstream=ids.UpstreamId(upstream.decode("latin-1")) if upstream else None,
             weights=weights.decode("latin-1").strip() if weights else None,
@@ -108,6 +113,11 @@
             rate_limit=wire_headers.read_rate_limit(head),
         )
 
+    @property
+    def event_fields(self) -> frozenset[bytes]:
+        """See `ForwardingFormat.event_fields`."""
+        return _EVENT_FIELDS
+
     def read_event_weights(self, event: bytes) -> str | None:
         """See `ForwardingFormat.read_event_weights`."""
         name, _, value = event.partition(b"\n")[0].partition(b":")
--- a/src/cicadapier/_internal/protocols/answers.py
+++ b/src/cicadapier/_internal/protocols/answers.py
@@ -52,7 +52,7 @@
     Attributes:
         request: Id of the request that it answers; None if it contains no id.
         genuine: Whether it contains a proof that only an upstream that ran the request can give,
-            and was not changed on its way.
+            was not changed on its way, and has a status that does not contradict the proof.
         not_run: Whether the upstream reports that it did not run the request.
         misdirected: Whether the request reached another upstream, or another weights version,
             than it was intended for.
@@ -80,6 +80,17 @@
     pause: Pause | None = None
     rate_limit: RateLimit | None = None
 
+    def has_only_other_weights(self, upstream: ids.UpstreamId | None, weights: str | None) -> bool:
+        """Returns whether an upstream refused a request only because it serves other weights.
+
+        Args:
+            upstream: Intended upstream, if the request named it.
+            weights: Intended weights version, if the request named it.
+        """
+        if not self.misdirected or self.upstream not in (None, upstream):
+            return False
+        return weights is not None and self.weights not in (None, weights)
+
 
 class AnswerFormat(abc.ABC):
     """Format of the heads of answers."""
--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import math
+import re
 
 import h11
 import trio
@@ -13,6 +14,7 @@
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 MAX_INTERIM_RESPONSES = 32
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}( |$)")
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -37,6 +39,17 @@
         """Returns the value of the first header with a name given in lower case, or None."""
         return find_header(self.headers, name)
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the end of the body does not depend on the end of the connection."""
+        return any(name in (b"content-length", b"transfer-encoding") for name, _ in self.headers)
+
+    @property
+    def media_type(self) -> bytes | None:
+        """Media type of the body without its parameters, in lower case; None if none is given."""
+        value = self.header(b"content-type")
+        return None if value is None else value.partition(b";")[0].strip().lower()
+
 
 def find_header(
     headers: collections.abc.Iterable[tuple[bytes, bytes]], name: bytes
@@ -84,6 +97,8 @@
         self._expired = False
         self._peer_closed = False
         self._send_failed = False
+        self._reused = False
+        self._refused: set[str] = set()
         self._read_deadline = math.inf
         self.opened_at = trio.current_time()
         self.idle_since = self.opened_at
@@ -145,6 +160,9 @@
         for _ in range(MAX_INTERIM_RESPONSES):
             event = await self._next_event(deadline)
             if isinstance(event, h11.Response):
+                if _is_spliced(event):
+                    message = "a head begins within another one"
+                    raise exceptions.MalformedMessageError(message)
                 return ResponseHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise exceptions.ConnectionLostError("connection closed before the answer")
@@ -191,6 +209,7 @@
             self._h11.start_next_cycle()
         except h11.LocalProtocolError:
             return False
+        self._reused = True
         self.idle_since = trio.current_time()
         return True
 
@@ -198,6 +217,23 @@
         """Makes `close` discard what the server has not received yet."""
         transport.discard_unsent_on_close(self._stream)
 
+    def record_refusal(self, request: str, named: bool) -> bool:
+        """Records that the peer refused the current request.
+
+        A faulty peer may repeat an earlier refusal on a reused connection. A refusal is certainly
+        new only if it names its request, and that request was not refused here before.
+
+        Args:
+            request: Id of the request.
+            named: Whether the refusal names the request.
+
+        Returns:
+            Whether the refusal is certainly newer than the request.
+        """
+        is_new = not self._reused or (named and request not in self._refused)
+        self._refused.add(request)
+        return is_new
+
     async def close(self) -> None:
         """Closes the connection at once; safe to call while being cancelled."""
         await trio.aclose_forcefully(self._stream)
@@ -235,3 +271,13 @@
             raise exceptions.ConnectionLostError(f"connection lost while receiving: {exc}") from exc
         self._peer_closed = not data
         self._h11.receive_data(bytes(data))
+
+
+def _is_spliced(response: h11.Response) -> bool:
+    """Returns whether a head consists of a part of one head and of the next one.
+
+    A peer that breaks off within a head and then answers on the same connection sends such a head:
+    the status of one answer with the headers of another.
+    """
+    values = [value for _, value in response.headers]
+    return any(_STATUS_LINE.search(text) for text in (response.reason, *values))
--- a/src/cicadapier/_internal/services/forwarded_hedge.py
+++ b/src/cicadapier/_internal/services/forwarded_hedge.py
@@ -6,18 +6,23 @@
 
 from cicadapier._internal.models import outcomes
 from cicadapier._internal.protocols import event_stream
+from cicadapier._internal.protocols import forwarding
 from cicadapier._internal.services import attempts
 from cicadapier._internal.services import forwarded_progress
 
 
 async def receive_event(
-    attempt: attempts.Attempt, progress: forwarded_progress.AnswerProgress, timeout_s: float
+    attempt: attempts.Attempt,
+    progress: forwarded_progress.AnswerProgress,
+    wire_format: forwarding.ForwardingFormat,
+    timeout_s: float,
 ) -> None:
     """Receives the first event of a stream, or its end if no event is left.
 
     Args:
         attempt: The hedge, after the head of its answer.
         progress: Progress of the stream that it continues.
+        wire_format: Format of the stream.
         timeout_s: Timeout for the event.
 
     Raises:
@@ -31,7 +36,7 @@
         return bool(events) or splitter.is_overlong
 
     await attempt.receive_ahead(has_event, timeout_s, progress.relayed_events)
-    continues = progress.is_next(events[0]) if events else not splitter.rest
+    continues = progress.is_next(events[0], wire_format) if events else not splitter.rest
     if not continues:
         reason = "the answer does not continue the stream"
         raise attempts.AttemptFailedError(
--- a/src/cicadapier/_internal/services/forwarded_progress.py
+++ b/src/cicadapier/_internal/services/forwarded_progress.py
@@ -56,19 +56,19 @@
         """Records progress of the current attempt."""
         self.last_progress_at = trio.current_time()
 
-    def is_next(self, event: event_stream.Event) -> bool:
-        """Returns whether the stream continues with an event."""
-        if event.number is None or self.last_event_number is None:
-            return event.number is not None
-        return event.number == self.last_event_number + 1
+    def is_next(self, event: event_stream.Event, wire_format: forwarding.ForwardingFormat) -> bool:
+        """Returns whether an event is well-formed and continues the stream."""
+        if event.number is None or not event.is_well_formed(wire_format.event_fields):
+            return False
+        return self.last_event_number in (None, event.number - 1)
 
     def take_in_order(
         self, events: list[event_stream.Event], wire_format: forwarding.ForwardingFormat
     ) -> list[event_stream.Event]:
-        """Returns the events before the first one out of order, and counts them as relayed."""
+        """Counts and returns the events before the first one that is malformed or out of order."""
         accepted = []
         for event in events:
-            if not self.is_next(event):
+            if not self.is_next(event, wire_format):
                 break
             self.last_event_number = event.number
             self.relayed_events += 1
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -10,6 +10,20 @@
         "if False:",
         f"{planted_bug.SERVICES}.test_service_calls.OnceOnlyTest",
     ),
+    planted_bug.Mutant(
+        "believe every refusal on a reused connection",
+        "protocols/http_client.py",
+        "is_new = not self._reused or (named and request not in self._refused)",
+        "is_new = True",
+        f"{planted_bug.SERVICES}.test_earlier_refusals.SameRequestTest",
+    ),
+    planted_bug.Mutant(
+        "relay an event into which another answer has run",
+        "services/forwarded_progress.py",
+        "if event.number is None or not event.is_well_formed(wire_format.event_fields):",
+        "if event.number is None:",
+        f"{planted_bug.SERVICES}.test_errors_after_a_stream_began.ErrorsAfterAStreamBeganTest",
+    ),
     planted_bug.Mutant(
         "accept a lower configuration number",
         "services/configuration_service.py",
@@ -80,8 +94,8 @@
     planted_bug.Mutant(
         "send a non-repeatable call on a pooled connection",
         "services/service_calls.py",
-        "new_connection=not plan.repeatable,",
-        "new_connection=False,",
+        "new_connection=not plan.repeatable or is_retry,",
+        "new_connection=is_retry,",
         f"{planted_bug.SERVICES}.test_service_calls.OnceOnlyTest"
         ".test_silent_pooled_connection_does_not_make_the_outcome_unknown",
     ),
@@ -102,15 +116,15 @@
     planted_bug.Mutant(
         "relay events out of order",
         "services/forwarded_progress.py",
-        "return event.number == self.last_event_number + 1",
+        "return self.last_event_number in (None, event.number - 1)",
         "return True",
         f"{planted_bug.FORWARDED_EXCHANGE}.AnswerIntegrityTest",
     ),
     planted_bug.Mutant(
         "replace a silent attempt as soon as its hedge has sent the head of an answer",
         "services/forwarded_exchange.py",
-        "await receive(attempt, self._progress, self._remaining_s())",
-        "del receive",
+        "if self._plan.admission.route.kind is configuration.RouteKind.STREAM:\n            await",
+        "if True:\n            return\n            await",
         "tests._internal.services.test_silent_answers.HedgeTest",
     ),
     planted_bug.Mutant(
