--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -19,6 +19,7 @@
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.services import connections_service
+from cicadapier._internal.services import upstream_call
 from cicadapier._internal.services import upstream_condition
 
 # Reading for longer to reuse the connection delays the next attempt more than opening a new one.
@@ -31,38 +32,6 @@
 _ReadResult = TypeVar("_ReadResult")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Call:
-    """Request to an upstream, as it is sent in one attempt.
-
-    Attributes:
-        request: Request id; an answer that names another one is rejected.
-        address: Address of the upstream.
-        incarnation: Last known incarnation of the upstream, empty if none is known.
-        head: Request line and headers.
-        body: Request body.
-        connect_timeout_s: Timeout for connecting.
-        head_timeout_s: Timeout for the head of the answer.
-        answer_format: Format of the answer's headers.
-        upstream: Intended upstream, if the request names it.
-        weights: Intended weights version, if the request names it.
-        new_connection: Whether to use a new connection. Requests that may not be repeated need
-            one: if a pooled connection were dead, their outcome would be unknown.
-    """
-
-    request: ids.RequestId
-    address: ids.Address
-    incarnation: ids.Incarnation
-    head: http_client.RequestHead
-    body: bytes
-    connect_timeout_s: float
-    head_timeout_s: float
-    answer_format: answers.AnswerFormat = answers.NATIVE
-    upstream: ids.UpstreamId | None = None
-    weights: str | None = None
-    new_connection: bool = False
-
-
 class AttemptFailedError(Exception):
     """The attempt ended before its answer was complete.
 
@@ -155,7 +124,7 @@
     def __init__(
         self,
         connections: connections_service.ConnectionsService,
-        call: Call,
+        call: upstream_call.Call,
         silence_handler: SilenceHandler | None = None,
         conn: http_client.ClientConnection | None = None,
         on_answer_facts: collections.abc.Callable[[answers.AnswerFacts], None] | None = None,
@@ -465,12 +434,17 @@
 
     async def _no_answer_outcome(self, exc: exceptions.ProtocolError) -> outcomes.SentNoAnswer:
         condition = await self._check_upstream(exc)
-        return outcomes.SentNoAnswer(_describe(exc), condition.crashed, condition.unreachable)
+        return outcomes.SentNoAnswer(
+            upstream_condition.describe_failure(exc), condition.crashed, condition.unreachable
+        )
 
     async def _broken_outcome(self, exc: exceptions.ProtocolError, offset: int) -> outcomes.Broken:
         condition = await self._check_upstream(exc)
         return outcomes.Broken(
-            _describe(exc), offset, condition.crashed, unreachable=condition.unreachable
+            upstream_condition.describe_failure(exc),
+            offset,
+            condition.crashed,
+            unreachable=condition.unreachable,
         )
 
     async def _check_upstream(self, exc: exceptions.ProtocolError) -> upstream_condition.Condition:
@@ -524,11 +498,3 @@
 def _too_large(offset: int) -> outcomes.Broken:
     reason = f"the answer exceeds {progress_deadlines.MAX_ANSWER_BYTES} bytes"
     return outcomes.Broken(reason, offset, crashed=False)
-
-
-def _describe(exc: exceptions.ProtocolError) -> str:
-    if isinstance(exc, exceptions.SilentConnectionError):
-        return "the upstream made no progress in time"
-    if isinstance(exc, exceptions.ConnectionLostError):
-        return "the connection to the upstream was lost"
-    return "the upstream violated the protocol"
--- a/src/cicadapier/_internal/services/forwarded_calls.py
+++ b/src/cicadapier/_internal/services/forwarded_calls.py
@@ -5,9 +5,9 @@
 from cicadapier._internal.decisions import routing
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import forwarding
-from cicadapier._internal.services import attempts
 from cicadapier._internal.services import forwarded_plan
 from cicadapier._internal.services import forwarded_progress
+from cicadapier._internal.services import upstream_call
 
 CONNECT_TIMEOUT_S = 0.4
 
@@ -27,7 +27,7 @@
 
     def build(
         self, placed: routing.Placed, address: ids.Address, new_connection: bool
-    ) -> attempts.Call:
+    ) -> upstream_call.Call:
         """Returns the call that one attempt sends.
 
         Args:
@@ -53,7 +53,7 @@
             address if placed.continues else None,
         )
         head = self._dependencies.wire_format.make_request_head(forwarded, instructions)
-        return attempts.Call(
+        return upstream_call.Call(
             forwarded.request,
             address,
             placed.incarnation,
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -24,6 +24,7 @@
 from cicadapier._internal.services import model_progress
 from cicadapier._internal.services import request_context
 from cicadapier._internal.services import telemetry_service
+from cicadapier._internal.services import upstream_call
 
 # Assumed maximum length of the answer if the request sets none.
 DEFAULT_OUTPUT_TOKENS = 256
@@ -252,7 +253,7 @@
             return 0.0
         return self._plan.request_spec.output_tokens * self._plan.pool.timeouts.between_tokens_s
 
-    def _make_call(self, placed: routing.Placed, new_connection: bool) -> attempts.Call:
+    def _make_call(self, placed: routing.Placed, new_connection: bool) -> upstream_call.Call:
         pool = self._plan.pool
         body = dict(self._plan.req.body)
         body["cache_salt"] = self._plan.salt
@@ -271,7 +272,7 @@
                 (headers.REQUEST_ID, self._context.request.encode()),
             ],
         )
-        return attempts.Call(
+        return upstream_call.Call(
             self._context.request,
             placed.address,
             placed.incarnation,
--- a/src/cicadapier/_internal/services/service_calls.py
+++ b/src/cicadapier/_internal/services/service_calls.py
@@ -22,6 +22,7 @@
 from cicadapier._internal.services import claims_service
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import request_context
+from cicadapier._internal.services import upstream_call
 
 _log = structlog.get_logger()
 
@@ -224,7 +225,7 @@
         timeouts = plan.pool.timeouts
         forwarded_headers = http_client.remove_hop_by_hop(req.headers, _REQUEST_HEADERS_DROPPED)
         request_headers = [*forwarded_headers, (headers.REQUEST_ID, context.request.encode())]
-        call = attempts.Call(
+        call = upstream_call.Call(
             context.request,
             placed.address,
             placed.incarnation,
--- a/src/cicadapier/_internal/services/upstream_condition.py
+++ b/src/cicadapier/_internal/services/upstream_condition.py
@@ -90,3 +90,12 @@
             return False
         known = self._incarnation
         return bool(current and known and current != known)
+
+
+def describe_failure(exc: exceptions.ProtocolError) -> str:
+    """Returns how a connection to an upstream failed, for outcomes and logs."""
+    if isinstance(exc, exceptions.SilentConnectionError):
+        return "the upstream made no progress in time"
+    if isinstance(exc, exceptions.ConnectionLostError):
+        return "the connection to the upstream was lost"
+    return "the upstream violated the protocol"
--- a/tests/_internal/services/test_attempts.py
+++ b/tests/_internal/services/test_attempts.py
@@ -13,6 +13,7 @@
 from cicadapier._internal.protocols import transport
 from cicadapier._internal.services import attempts
 from cicadapier._internal.services import connections_service
+from cicadapier._internal.services import upstream_call
 from tests import support
 
 UPSTREAM_ADDRESS = ids.Address("10.0.0.1:80")
@@ -75,7 +76,7 @@
             async with trio.open_nursery() as nursery:
                 service = connections_service.ConnectionsService(network)
                 nursery.start_soon(service.run, None, trio.TASK_STATUS_IGNORED)
-                call = attempts.Call(
+                call = upstream_call.Call(
                     ids.RequestId("q"),
                     UPSTREAM_ADDRESS,
                     ids.Incarnation(""),
--- a/tests/_internal/services/test_hedging.py
+++ b/tests/_internal/services/test_hedging.py
@@ -20,6 +20,7 @@
 from cicadapier._internal.services import attempts
 from cicadapier._internal.services import connections_service
 from cicadapier._internal.services import traffic_messages
+from cicadapier._internal.services import upstream_call
 from cicadapier._internal.standins import forwarding_deployment
 from cicadapier._internal.standins import forwarding_upstream
 from tests import forwarding_world
@@ -273,7 +274,7 @@
             async with trio.open_nursery() as nursery:
                 service = connections_service.ConnectionsService(_SilentNetwork())
                 nursery.start_soon(service.run, None, trio.TASK_STATUS_IGNORED)
-                call = attempts.Call(
+                call = upstream_call.Call(
                     ids.RequestId("q"),
                     ids.Address("10.0.0.1:80"),
                     ids.Incarnation(""),
