Give tokens of a store's first era above those of before eras were read

Cause: the tokens of an era begin at the era times 1,000,000. The number of restores may be 0 (wire_headers.read_era takes it), so the first era began at 0, as the lease without an era does, and a restarted router does not remember that lease.

Evidence: test_tokens_grow_as_the_store_begins_to_name_its_first_era fails before (1 not greater than 1). After: tests of order_lease, weights_service and leases pass.

--- a/src/cicadapier/_internal/services/order_lease.py
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -94,7 +94,8 @@
             return
         _log.info("lease_era_begun", pool=self.pool, era=era, was_holder=self._lease.is_holder)
         self._era = era
-        self._lease.begin_era(era * TOKENS_PER_ERA, self._clock())
+        # An era may be 0, and tokens of a lease without an era count from 1.
+        self._lease.begin_era((era + 1) * TOKENS_PER_ERA, self._clock())
         self._observe_stored("watch")
 
     def observe(self) -> Note | None:
--- a/tests/_internal/services/test_order_lease.py
+++ b/tests/_internal/services/test_order_lease.py
@@ -269,6 +269,21 @@
 
         run(check)
 
+    def test_tokens_grow_as_the_store_begins_to_name_its_first_era(self):
+        # The restarted router does not remember the tokens of the lease without an era.
+        async def check(store, first, second):
+            await trio.sleep(1.0)
+            first.wants_lease = False
+            store.era = 0
+            restarted = Router("vm-0", store)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(restarted.run)
+                await trio.sleep(8.0)
+                nursery.cancel_scope.cancel()
+            self._check_gap(first, restarted)
+
+        run(check)
+
     def test_lease_that_the_store_has_lost_is_not_used_at_once(self):
         async def check(store, first, second):
             await trio.sleep(1.0)
