Release an order lease also beside a renewal that is under way

Callers would see requests on older weights for longer: a router that stops while a renewal is under way left its lease unreleased, so the next one waited until it expired (2 s) and for the quiet time of an unknown holder.

Cause: renewal and release bear the same version, the renewal takes effect first, the release is refused and was not repeated. Since a write bears the version that was observed, the same happened where the watch had shown the renewal but the lease had not observed it.

Evidence: test_release_beside_a_renewal_takes_effect fails before, both ways. After: tests of order_lease and weights_service pass.

--- a/src/cicadapier/_internal/services/order_lease.py
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -20,6 +20,7 @@
 
 NAME_PREFIX = "orders-"
 TOKENS_PER_ERA = 1_000_000
+MAX_RELEASE_TRIES = 3
 
 _log = structlog.get_logger()
 
@@ -165,9 +166,12 @@
 
     async def release(self) -> None:
         """Releases the lease, so that other routers need not wait for it to expire."""
-        self._follow_era()
-        proposal = self._lease.propose_release()
-        if proposal:
+        for _ in range(MAX_RELEASE_TRIES):
+            self._observe_stored("watch")
+            # A renewal that is still under way may take effect first, so that a release is refused.
+            proposal = self._lease.propose_release()
+            if proposal is None:
+                return
             await self._try_write(proposal)
 
     @property
--- a/tests/_internal/services/test_order_lease.py
+++ b/tests/_internal/services/test_order_lease.py
@@ -229,6 +229,25 @@
 
         run(check)
 
+    def test_release_beside_a_renewal_takes_effect(self):
+        async def check(store, first, second, answered):
+            await trio.sleep(0.05)
+            first.wants_lease = False
+            first.is_watch_silent = True
+            await trio.sleep(0.6)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(first.lease.acquire_or_renew, order_lease.Note())
+                while store.object.spec["renewals"] < 2:
+                    await trio.sleep(0.001)
+                if answered:
+                    first.view.show()
+                await first.lease.release()
+            self.assertTrue(store.object.spec["released"])
+
+        for answered in (False, True):
+            with self.subTest(answered=answered):
+                run(lambda *args, answered=answered: check(*args, answered))
+
     def test_lease_of_a_former_era_of_the_store_is_not_used(self):
         # The store has lost the second router's lease and shows the first router's again.
         async def check(store, first, second):
