Wait for orders in flight also where a lease was lost or goes back

Callers of the own interface would see two routers order one engine: with the terms of orders_service, the next holder of a lease that the store has lost ordered 6.1 s after the last write of the unknown holder, whose last order may be in flight until 8.99 s.

Cause: the quiet time for an unknown holder left out takeover_wait_s, and whoever finds no lease waits for that time alone. The weights service has a takeover_wait_s of 0, nothing changes there.

Evidence: test_holder_after_a_lost_lease_waits_for_orders_of_the_unknown_one fails before (6.1 s where 8.99 s are asked for). After: tests of agreements, leases and order_lease pass.

--- a/src/cicadapier/_internal/decisions/leases.py
+++ b/src/cicadapier/_internal/decisions/leases.py
@@ -280,7 +280,8 @@
     @property
     def _longest_quiet_s(self) -> float:
         """Quiet time after a lease whose holder may have written it just now."""
-        return self._timing.valid_s + self._timing.quiet_s
+        timing = self._timing
+        return timing.valid_s + max(timing.quiet_s, timing.takeover_wait_s)
 
     def _remaining_quiet_s(self, now: float) -> float:
         return max(0.0, self._quiet_until - now)
--- a/tests/_internal/decisions/test_agreements.py
+++ b/tests/_internal/decisions/test_agreements.py
@@ -133,6 +133,26 @@
         self.assertIsNone(simulation.routers[1].fencing_token(12.5))
         self.assertEqual(simulation.routers[1].fencing_token(12.0 + leases.MAX_ORDER_S), 2)
 
+    def test_holder_after_a_lost_lease_waits_for_orders_of_the_unknown_one(self):
+        simulation = LeaseSimulation()
+        first, second = simulation.routers
+        proposal = first.propose(0.0)
+        first.begin_write(proposal, 0.0)
+        for router in simulation.routers:
+            router.observe(proposal, 0.0)
+        last_order_at = leases.LEASE_DURATION_S - leases.SAFETY_MARGIN_S - 0.01
+        self.assertIsNotNone(first.fencing_token(last_order_at))
+        second.observe(None, 0.1)
+        for tenths in range(2, 200):
+            now = tenths / 10
+            if proposal := second.propose(now):
+                second.begin_write(proposal, now)
+                second.observe(proposal, now)
+            if second.fencing_token(now) is not None:
+                break
+        self.assertIsNotNone(second.fencing_token(now))
+        self.assertGreaterEqual(now, last_order_at + leases.MAX_ORDER_S)
+
 
 class ReleasedLeaseTest(unittest.TestCase):
     TIMING = leases.LeaseTiming(1.6, 2.0, 0.6, 0.0, quiet_s=3.3, reacquires_at_once=True)
