Let a restarted holder of an order lease go on once it sees its lease

Callers would see requests on older weights for 4.9 s longer after a restart of the ordering router, where the watch of the target weights was answered before the list of the shared objects: in a store that names eras, a lease not known yet counted as none, and the quiet time for an unknown holder stayed once the lease was seen. The others took it over from the quiet time that the lease stated.

Cause: absence of knowledge taken for absence of the lease. Now that quiet time holds while no lease is seen, and for who creates one. The test's second process on a VM bears a nonce of its own; before, it bore that of the first.

Evidence: test_restarted_holder_need_not_wait_once_it_sees_its_lease fails before (4.94 s, asked for is less than 1 s). After: tests of agreements, leases, order_lease pass.

--- a/src/cicadapier/_internal/decisions/leases.py
+++ b/src/cicadapier/_internal/decisions/leases.py
@@ -170,6 +170,9 @@
         if previous is None or previous.lease != lease:
             if not is_own:
                 self._update_quiet_until(lease, now)
+            elif previous is None:
+                # This router took the lease as there was none.
+                self._quiet_until = max(self._quiet_until, self._quiet_until_if_absent)
             # Clocks differ between VMs, so an observer measures the expiry on its own clock, from
             # the last change that it has seen.
             self._observed = _ObservedLease(lease, now)
@@ -189,7 +192,6 @@
         if self._observed is not None:
             # Its holder may still use a lease that somebody removed.
             self.begin_era(self._highest_fencing, now)
-        self._quiet_until = max(self._quiet_until, self._quiet_until_if_absent)
 
     def _confirm(
         self, lease: LeaseObject, requested_at: float, now: float, has_predecessor: bool
@@ -224,7 +226,7 @@
             active: Whether orders are to be sent under the lease once the quiet time is over.
         """
         current = self._observed.lease if self._observed else None
-        active = active and now >= self._quiet_until
+        active = active and self._remaining_quiet_s(now) <= 0.0
         if current is None:
             return self._propose_take(now, note, active)
         is_latest = current.fencing >= self._highest_fencing
@@ -284,7 +286,10 @@
         return timing.valid_s + max(timing.quiet_s, timing.takeover_wait_s)
 
     def _remaining_quiet_s(self, now: float) -> float:
-        return max(0.0, self._quiet_until - now)
+        until = self._quiet_until
+        if self._observed is None:
+            until = max(until, self._quiet_until_if_absent)
+        return max(0.0, until - now)
 
     def _next_attempt(self) -> int:
         self._attempts += 1
--- a/tests/_internal/services/test_order_lease.py
+++ b/tests/_internal/services/test_order_lease.py
@@ -124,14 +124,13 @@
         tokens: Fencing tokens that it could have sent at these times.
     """
 
-    def __init__(self, vm, store):
+    def __init__(self, vm, store, process="first"):
         self.view = StoreView(store)
         self.order_times = []
         self.tokens = []
-        lease = leases.Lease(ids.VmId(vm), f"process of {vm}", TIMING)
-        self.lease = order_lease.OrderLease(
-            POOL, lease, f"process of {vm}", self.view, trio.current_time
-        )
+        nonce = f"{process} process of {vm}"
+        lease = leases.Lease(ids.VmId(vm), nonce, TIMING)
+        self.lease = order_lease.OrderLease(POOL, lease, nonce, self.view, trio.current_time)
         self.wants_lease = True
         self.is_watch_silent = False
 
@@ -279,7 +278,7 @@
             store.remove_all()
             store.era = 2
             first.wants_lease = False
-            restarted = Router("vm-0", store)
+            restarted = Router("vm-0", store, "second")
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(restarted.run)
                 await trio.sleep(8.0)
@@ -294,7 +293,7 @@
             await trio.sleep(1.0)
             first.wants_lease = False
             store.era = 0
-            restarted = Router("vm-0", store)
+            restarted = Router("vm-0", store, "second")
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(restarted.run)
                 await trio.sleep(8.0)
@@ -303,6 +302,24 @@
 
         run(check)
 
+    def test_restarted_holder_need_not_wait_once_it_sees_its_lease(self):
+        async def check(store, first, second):
+            store.era = 1
+            await trio.sleep(6.0)
+            first.wants_lease = False
+            restarted_at = trio.current_time()
+            restarted = Router("vm-0", store, "second")
+            restarted.is_watch_silent = True
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(restarted.run)
+                await trio.sleep(0.15)
+                restarted.is_watch_silent = False
+                await trio.sleep(8.0)
+                nursery.cancel_scope.cancel()
+            self.assertLess(restarted.order_times[0] - restarted_at, 1.0)
+
+        run(check)
+
     def test_lease_that_the_store_has_lost_is_not_used_at_once(self):
         async def check(store, first, second):
             await trio.sleep(1.0)
