Keep the entry of a router's successor as the router stops

Callers would see load orders and quotas counted without a router that runs: its peers no longer find its entry in the store, and it does not register again.

Cause: a stopping process removed whatever entry of its VM the watch showed last, also that of its successor on the VM.

Evidence: test_router_that_stops_keeps_the_entry_of_its_successor fails before (the entry is deleted). After: both tests pass.

--- a/src/cicadapier/_internal/services/cluster_service.py
+++ b/src/cicadapier/_internal/services/cluster_service.py
@@ -129,7 +129,8 @@
     async def drain(self) -> None:
         """Removes this router's entry, so that other routers stop relying on this router."""
         current = self._objects.get(f"{ROUTER_PREFIX}{self._vm}")
-        if current is None:
+        entry = _read_entry(current.spec) if current else None
+        if current is None or (entry and entry.generation != self._generation):
             return
         try:
             await self.platform.delete(KIND, current)
