--- a/src/cicadapier/_internal/services/order_lease.py
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -21,6 +21,7 @@
 
 NAME_PREFIX = "orders-"
 TOKENS_PER_ERA = 1_000_000
+MAX_RELEASE_TRIES = 3
 
 _log = structlog.get_logger()
 
@@ -95,7 +96,8 @@
             return
         _log.info("lease_era_begun", pool=self.pool, era=era, was_holder=self._lease.is_holder)
         self._era = era
-        self._lease.begin_era(era * TOKENS_PER_ERA, self._clock())
+        # An era may be 0, and tokens of a lease without an era count from 1.
+        self._lease.begin_era((era + 1) * TOKENS_PER_ERA, self._clock())
         self._observe_stored("watch")
 
     def observe(self) -> Note | None:
@@ -165,9 +167,12 @@
 
     async def release(self) -> None:
         """Releases the lease, so that other routers need not wait for it to expire."""
-        self._follow_era()
-        proposal = self._lease.propose_release()
-        if proposal:
+        for _ in range(MAX_RELEASE_TRIES):
+            self._observe_stored("watch")
+            # A renewal that is still under way may take effect first, so that a release is refused.
+            proposal = self._lease.propose_release()
+            if proposal is None:
+                return
             await self._try_write(proposal)
 
     @property
--- a/tests/_internal/services/test_order_lease.py
+++ b/tests/_internal/services/test_order_lease.py
@@ -134,14 +134,13 @@
         tokens: Fencing tokens that it could have sent at these times.
     """
 
-    def __init__(self, vm, store):
+    def __init__(self, vm, store, process="first"):
         self.view = StoreView(store)
         self.order_times = []
         self.tokens = []
-        lease = leases.Lease(ids.VmId(vm), f"process of {vm}", TIMING)
-        self.lease = order_lease.OrderLease(
-            POOL, lease, f"process of {vm}", self.view, trio.current_time
-        )
+        nonce = f"{process} process of {vm}"
+        lease = leases.Lease(ids.VmId(vm), nonce, TIMING)
+        self.lease = order_lease.OrderLease(POOL, lease, nonce, self.view, trio.current_time)
         self.wants_lease = True
         self.is_watch_silent = False
 
@@ -250,6 +249,25 @@
 
         run(check)
 
+    def test_release_beside_a_renewal_takes_effect(self):
+        async def check(store, first, second, answered):
+            await trio.sleep(0.05)
+            first.wants_lease = False
+            first.is_watch_silent = True
+            await trio.sleep(0.6)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(first.lease.acquire_or_renew, order_lease.Note())
+                while store.object.spec["renewals"] < 2:
+                    await trio.sleep(0.001)
+                if answered:
+                    first.view.show()
+                await first.lease.release()
+            self.assertTrue(store.object.spec["released"])
+
+        for answered in (False, True):
+            with self.subTest(answered=answered):
+                run(lambda *args, answered=answered: check(*args, answered))
+
     def test_lease_of_a_former_era_of_the_store_is_not_used(self):
         # The store has lost the second router's lease and shows the first router's again.
         async def check(store, first, second):
@@ -281,7 +299,22 @@
             store.remove_all()
             store.era = 2
             first.wants_lease = False
-            restarted = Router("vm-0", store)
+            restarted = Router("vm-0", store, "second")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(restarted.run)
+                await trio.sleep(8.0)
+                nursery.cancel_scope.cancel()
+            self._check_gap(first, restarted)
+
+        run(check)
+
+    def test_tokens_grow_as_the_store_begins_to_name_its_first_era(self):
+        # The restarted router does not remember the tokens of the lease without an era.
+        async def check(store, first, second):
+            await trio.sleep(1.0)
+            first.wants_lease = False
+            store.era = 0
+            restarted = Router("vm-0", store, "second")
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(restarted.run)
                 await trio.sleep(8.0)
@@ -290,6 +323,24 @@
 
         run(check)
 
+    def test_restarted_holder_need_not_wait_once_it_sees_its_lease(self):
+        async def check(store, first, second):
+            store.era = 1
+            await trio.sleep(6.0)
+            first.wants_lease = False
+            restarted_at = trio.current_time()
+            restarted = Router("vm-0", store, "second")
+            restarted.is_watch_silent = True
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(restarted.run)
+                await trio.sleep(0.15)
+                restarted.is_watch_silent = False
+                await trio.sleep(8.0)
+                nursery.cancel_scope.cancel()
+            self.assertLess(restarted.order_times[0] - restarted_at, 1.0)
+
+        run(check)
+
     def test_lease_that_the_store_has_lost_is_not_used_at_once(self):
         async def check(store, first, second):
             await trio.sleep(1.0)
