Restart the routers of the rolling restart within a stream's life

Since routers vouch after 10 s on this route, and the test restarted them over 9 s and more: streams went on even if no router had learned the past from another, and the bug planted for it survived. The routers now restart 1.25 s apart.

--- a/tests/_internal/services/test_streams_after_restarts.py
+++ b/tests/_internal/services/test_streams_after_restarts.py
@@ -249,7 +249,7 @@
             for index in range(1, ROUTERS):
                 kill_routers(world, (index,))
                 await start_routers(world, (index,))
-                await trio.sleep(3.0)
+                await trio.sleep(LIFE_S / 8)
 
         self._check(restart_in_turn, (0,))
 
