Judge only answers of streaming routes as the rest of a stream

Commit answered a lookup or an order with 502 although its upstream had answered with a success, if the request had a Last-Event-Id: it took every success for a stream that was not resumed, also on routes without streams. Seen in a review of the change; the new test failed before (502 instead of 200).

--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -56,7 +56,7 @@
         self._plan = plan
         self._responder = responder
         route = plan.admission.route
-        is_stream = route.kind is configuration.RouteKind.STREAM
+        is_stream = self._is_stream_route
         is_repeatable = (
             route.resumable if is_stream else (route.kind is configuration.RouteKind.IDEMPOTENT)
         )
@@ -286,7 +286,7 @@
 
     def _can_take_over(self, attempt: attempts.Attempt, head: http_client.ResponseHead) -> bool:
         """Returns whether the answer of a hedge may replace that of the silent attempt."""
-        if self._plan.admission.route.kind is configuration.RouteKind.STREAM:
+        if self._is_stream_route:
             return self._is_stream_answer(attempt, head)
         return attempt.facts.genuine and head.status < http.HTTPStatus.INTERNAL_SERVER_ERROR
 
@@ -371,15 +371,18 @@
             raise attempts.AttemptFailedError(outcomes.NotSent(reason, withheld=True))
         self._dependencies.directory.limits.count_send(upstream, "attempt")
 
+    @property
+    def _is_stream_route(self) -> bool:
+        return self._plan.admission.route.kind is configuration.RouteKind.STREAM
+
     def _is_stream_answer(self, attempt: attempts.Attempt, head: http_client.ResponseHead) -> bool:
-        is_stream = self._plan.admission.route.kind is configuration.RouteKind.STREAM
         has_stream = head.media_type in (None, event_stream.MEDIA_TYPE)
         is_success = head.status == http.HTTPStatus.OK and attempt.facts.genuine
-        return is_stream and has_stream and is_success
+        return self._is_stream_route and has_stream and is_success
 
     def _is_success_for_resumption(self, head: http_client.ResponseHead) -> bool:
         """Returns whether the caller would take an answer for the rest of its stream."""
-        is_resumption = self._progress.last_event_number is not None
+        is_resumption = self._is_stream_route and self._progress.last_event_number is not None
         return is_resumption and head.status < http.HTTPStatus.MULTIPLE_CHOICES
 
     async def _receive_whole(
--- a/tests/_internal/services/test_errors_after_a_stream_began.py
+++ b/tests/_internal/services/test_errors_after_a_stream_began.py
@@ -236,6 +236,14 @@
             with self.subTest(kind):
                 self._check(ask, ANSWERS[kind], from_beginning=True)
 
+    def test_answer_of_a_route_without_streams_is_whole_whatever_it_is_asked_for(self):
+        async def check(world):
+            for method, path in (("GET", "/look/1"), ("POST", "/order/1")):
+                reply = await world.send(method, "desk", path, extra=[(b"last-event-id", b"2")])
+                self.assertEqual((reply.status, reply.broken), (200, False))
+
+        forwarding_world.run_in_world(check)
+
     def test_stream_that_broke_off_behind_its_last_event_is_ended(self):
         async def check(world):
             replacing_network.install(
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -86,8 +86,8 @@
     planted_bug.Mutant(
         "send a non-repeatable call on a pooled connection",
         "services/service_calls.py",
-        "new_connection=not plan.repeatable,",
-        "new_connection=False,",
+        "new_connection=not plan.repeatable or is_retry,",
+        "new_connection=is_retry,",
         f"{planted_bug.SERVICES}.test_service_calls.OnceOnlyTest"
         ".test_silent_pooled_connection_does_not_make_the_outcome_unknown",
     ),
