--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -22,6 +22,7 @@
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import forwarded_calls
 from cicadapier._internal.services import forwarded_facts
+from cicadapier._internal.services import forwarded_heads
 from cicadapier._internal.services import forwarded_hedge
 from cicadapier._internal.services import forwarded_log
 from cicadapier._internal.services import forwarded_plan
@@ -57,9 +58,11 @@
         self._plan = plan
         self._responder = responder
         route = plan.admission.route
-        is_stream = self._is_stream_route
+        self._heads = forwarded_heads.HeadJudge(route.kind)
         is_repeatable = (
-            route.resumable if is_stream else (route.kind is configuration.RouteKind.IDEMPOTENT)
+            route.resumable
+            if self._heads.is_stream_route
+            else (route.kind is configuration.RouteKind.IDEMPOTENT)
         )
         policy = retries.RetryPolicy(is_repeatable, route.resumable, route.max_attempts)
         self._sequence = retries.AttemptSequence(policy, self._services.retry_budget, plan.pool)
@@ -180,9 +183,11 @@
             check = functools.partial(self._check_before_send, placed)
             head = attempt.head or await self._start_attempt(placed, attempt, check)
             self._progress.record_progress()
-            if self._is_stream_answer(attempt, head):
+            if self._heads.is_stream(attempt.facts, head):
                 outcome = await self._relay(attempt, head)
-            elif self._responder.started or self._is_success_for_resumption(head):
+            elif self._responder.started or (
+                self._progress.last_event_number is not None and self._heads.looks_like_rest(head)
+            ):
                 raise self._broken_error("the upstream did not resume the stream")
             else:
                 outcome = await self._receive_whole(attempt, head)
@@ -254,11 +259,11 @@
         head = await self._start_attempt(
             placed, attempt, functools.partial(self._check_before_hedge, placed)
         )
-        if not self._can_take_over(attempt, head):
+        if not self._heads.can_take_over(attempt.facts, head):
             reason = f"the upstream failed with status {head.status}"
             raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
         wire_format = self._dependencies.wire_format
-        if self._plan.admission.route.kind is configuration.RouteKind.STREAM:
+        if self._heads.is_stream_route:
             await forwarded_hedge.receive_event(
                 attempt, self._progress, wire_format, self._remaining_s()
             )
@@ -295,12 +300,6 @@
             self._services.connections, call, conn=connection.conn, on_answer_facts=on_answer_facts
         )
 
-    def _can_take_over(self, attempt: attempts.Attempt, head: http_client.ResponseHead) -> bool:
-        """Returns whether the answer of a hedge may replace that of the silent attempt."""
-        if self._is_stream_route:
-            return self._is_stream_answer(attempt, head)
-        return attempt.facts.genuine and head.status < http.HTTPStatus.INTERNAL_SERVER_ERROR
-
     def _mark_continuable(self, outcome: outcomes.AttemptOutcome) -> outcomes.AttemptOutcome:
         """Sets in the outcome of a broken run whether the run may continue from its backup."""
         if not isinstance(outcome, outcomes.Broken) or not outcome.unreachable:
@@ -382,20 +381,6 @@
             raise attempts.AttemptFailedError(outcomes.NotSent(reason, withheld=True))
         self._dependencies.directory.limits.count_send(upstream, "attempt")
 
-    @property
-    def _is_stream_route(self) -> bool:
-        return self._plan.admission.route.kind is configuration.RouteKind.STREAM
-
-    def _is_stream_answer(self, attempt: attempts.Attempt, head: http_client.ResponseHead) -> bool:
-        has_stream = head.media_type in (None, event_stream.MEDIA_TYPE)
-        is_success = head.status == http.HTTPStatus.OK and attempt.facts.genuine
-        return self._is_stream_route and has_stream and is_success
-
-    def _is_success_for_resumption(self, head: http_client.ResponseHead) -> bool:
-        """Returns whether the caller would take an answer for the rest of its stream."""
-        is_resumption = self._is_stream_route and self._progress.last_event_number is not None
-        return is_resumption and head.status < http.HTTPStatus.MULTIPLE_CHOICES
-
     async def _receive_whole(
         self, attempt: attempts.Attempt, head: http_client.ResponseHead
     ) -> outcomes.AttemptOutcome:
@@ -432,7 +417,7 @@
                 )
         if splitter.rest:
             raise self._broken_error("the stream ended in the middle of an event")
-        if not self._progress.attempt_events and not _ends_empty_stream(head):
+        if not self._progress.attempt_events and not forwarded_heads.ends_empty_stream(head):
             raise self._broken_error("the answer holds no event")
         await attempt.finish()
         if not self._responder.started:
@@ -501,11 +486,3 @@
             self._services.retry_budget.remaining(plan.pool, now),
             now - self._progress.last_progress_at,
         )
-
-
-def _ends_empty_stream(head: http_client.ResponseHead) -> bool:
-    """Returns whether an answer without events shows that its stream has ended.
-
-    An upstream that breaks off behind the head may close the connection regularly.
-    """
-    return head.is_framed and head.media_type == event_stream.MEDIA_TYPE
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -123,7 +123,7 @@
     planted_bug.Mutant(
         "replace a silent attempt as soon as its hedge has sent the head of an answer",
         "services/forwarded_exchange.py",
-        "if self._plan.admission.route.kind is configuration.RouteKind.STREAM:\n            await",
+        "if self._heads.is_stream_route:\n            await",
         "if True:\n            return\n            await",
         "tests._internal.services.test_silent_answers.HedgeTest",
     ),
