Measure the lease of the own interface on a clock that advances while the VM is suspended

Callers of the own interface would see two routers order one engine: a VM that was suspended for longer than its lease went on ordering under it, since trio's clock stands still meanwhile.

Cause: orders_service measured on trio's clock; the weights service measures on the clock of the boot time.

--- a/src/cicadapier/_internal/assembly/router.py
+++ b/src/cicadapier/_internal/assembly/router.py
@@ -114,7 +114,7 @@
         exports_service.ExportsService(),
         claims_service.ClaimsService(dependencies.token_source),
         upstreams_service.UpstreamsService(cfg.vm, rng),
-        orders_service.OrdersService(cfg.vm, rng, dependencies.token_source),
+        orders_service.OrdersService(cfg.vm, rng, dependencies.token_source, dependencies.clock),
         operators,
         callers,
     ):
--- a/src/cicadapier/_internal/services/orders_service.py
+++ b/src/cicadapier/_internal/services/orders_service.py
@@ -27,6 +27,7 @@
 from cicadapier._internal.services import names
 from cicadapier._internal.services import platform_service
 from cicadapier._internal.services import upstreams_service
+from cicadapier._internal.services import watching
 
 LEASE_KIND = "leases"
 ROUND_S = 0.5
@@ -53,10 +54,23 @@
     name = names.ORDERS
 
     def __init__(
-        self, vm: ids.VmId, rng: random.Random, token_source: random_tokens.TokenSource
+        self,
+        vm: ids.VmId,
+        rng: random.Random,
+        token_source: random_tokens.TokenSource,
+        clock: watching.Clock,
     ) -> None:
+        """Creates the service.
+
+        Args:
+            vm: VM of this router.
+            rng: Source of the pauses between rounds.
+            token_source: Source of the identity of this process.
+            clock: Clock that also advances while the VM is suspended, so that a lease expires then.
+        """
         self._vm = vm
         self._rng = rng
+        self._clock = clock
         self._nonce = token_source.token_hex(NONCE_BYTES)
         self._tokens = token_source
         self._leases: dict[ids.PoolId, leases.Lease] = {}
@@ -112,14 +126,14 @@
         name = f"orders-{pool_id}"
         try:
             stored = await self._platform.get(LEASE_KIND, name)
-            lease.observe(lease_objects.read_lease(stored), trio.current_time())
-            proposal = lease.propose(trio.current_time())
+            lease.observe(lease_objects.read_lease(stored), self._clock())
+            proposal = lease.propose(self._clock())
             if proposal:
                 await self._write_lease(name, stored, lease, proposal)
         except (exceptions.PlatformUnavailableError, exceptions.PlatformRefusedError):
             # The next read shows whether an unanswered write took effect.
             pass
-        return lease.fencing_token(trio.current_time()) is not None
+        return lease.fencing_token(self._clock()) is not None
 
     async def _write_lease(
         self,
@@ -129,14 +143,14 @@
         proposal: leases.LeaseObject,
     ) -> None:
         assert self._platform
-        lease.begin_write(proposal, trio.current_time())
+        lease.begin_write(proposal, self._clock())
         spec = dataclasses.asdict(proposal)
         if stored is None:
             written = await self._platform.create(LEASE_KIND, name, spec)
         else:
             written = await self._platform.replace(LEASE_KIND, stored, spec)
         if isinstance(written, platform_service.Written):
-            confirmed = lease.observe(proposal, trio.current_time())
+            confirmed = lease.observe(proposal, self._clock())
             if confirmed and confirmed.is_new:
                 _log.info("lease_taken", lease=name, fencing=proposal.fencing)
         else:
@@ -156,7 +170,7 @@
         conn = await self._connections.open(order.address, CONNECT_TIMEOUT_S)
         try:
             # The lease may have expired while the connection was being opened.
-            fencing = lease.fencing_token(trio.current_time())
+            fencing = lease.fencing_token(self._clock())
             if fencing is None:
                 return
             body = {"model": order.model, "version": order.version, "fencing": fencing}
--- a/src/cicadapier/_internal/standins/world.py
+++ b/src/cicadapier/_internal/standins/world.py
@@ -148,6 +148,7 @@
             generation,
             self.plan.seed * 1000 + index,
             random_tokens.TokenSource(random.Random(f"{self.plan.seed}/{vm}/{generation}")),
+            trio.current_time,
         )
         router = router_assembly.assemble(cfg, dependencies)
         scope = trio.CancelScope()
