Bound the delivery of an order also where the router ends or is suspended; order an engine only within its pool

The options are now set on the connection before the send, and the kernel gives up after the order's call timeout. Also, an engine whose entry names another pool is no longer ordered under the lease of the former one.

Evidence: test_data_that_was_not_received_is_discarded_on_close.

--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -213,9 +213,9 @@
         self.idle_since = trio.current_time()
         return True
 
-    def discard_unsent_on_close(self) -> None:
-        """Makes `close` discard what the server has not received yet."""
-        transport.discard_unsent_on_close(self._stream)
+    def limit_delivery(self, limit_s: float) -> None:
+        """Discards what the server has not received by `close`, or after a time limit."""
+        transport.limit_delivery(self._stream, limit_s)
 
     def record_refusal(self, request: str, named: bool) -> bool:
         """Records that the peer refused the current request.
--- a/src/cicadapier/_internal/protocols/transport.py
+++ b/src/cicadapier/_internal/protocols/transport.py
@@ -41,10 +41,16 @@
     return False
 
 
-def discard_unsent_on_close(stream: trio.abc.Stream) -> None:
-    """Makes closing a socket discard sent data that its peer has not received yet."""
+def limit_delivery(stream: trio.abc.Stream, limit_s: float) -> None:
+    """Limits how long the kernel tries to deliver what is sent on a socket.
+
+    Data that the peer has not received is discarded when the socket is closed, also by the end of
+    the process, and after the limit, also while the process is suspended.
+    """
     if isinstance(stream, trio.SocketStream):
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_FOR_NO_TIME)
+        limit_ms = round(limit_s * 1000)
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
 
 
 class Network(abc.ABC):
--- a/src/cicadapier/_internal/services/engine_orders.py
+++ b/src/cicadapier/_internal/services/engine_orders.py
@@ -71,7 +71,7 @@
         update = rollout.EngineUpdate(target.version, self._clock())
         step = rollout.Step.POLL
         while step in (rollout.Step.POLL, rollout.Step.ORDER):
-            address = self._find_address(engine)
+            address = self._find_address(target.pool, engine)
             if address is None:
                 return rollout.Step.GIVE_UP
             if self._directory.is_paused(engine.upstream):
@@ -107,11 +107,12 @@
             await trio.sleep(GRANT_POLL_INTERVAL_S)
         return True
 
-    def _find_address(self, engine: rollout.Engine) -> ids.Address | None:
+    def _find_address(self, pool: ids.PoolId, engine: rollout.Engine) -> ids.Address | None:
+        """Returns the address of an engine while it serves a pool, whose lease covers it."""
         registration = self._directory.find(engine.upstream)
         if registration is None or registration.incarnation != engine.incarnation:
             return None
-        return registration.address
+        return registration.address if registration.pool == pool else None
 
     def _process_headers(self, engine: rollout.Engine, head: http_client.ResponseHead) -> None:
         """Records a withdrawal or a rate limit that an engine announces in a response."""
@@ -159,7 +160,7 @@
             _log.info("order_not_sent", upstream=engine.upstream, reason=str(exc))
             return update.handle_reply(rollout.Reply.NONE, self._clock())
         try:
-            conn.discard_unsent_on_close()
+            conn.limit_delivery(CALL_TIMEOUT_S)
             # The lease may have expired while the connection was being opened.
             fencing = get_fencing_token()
             if fencing is None:
--- a/src/cicadapier/_internal/services/orders_service.py
+++ b/src/cicadapier/_internal/services/orders_service.py
@@ -169,6 +169,7 @@
         assert self._connections
         conn = await self._connections.open(order.address, CONNECT_TIMEOUT_S)
         try:
+            conn.limit_delivery(leases.MAX_ORDER_S)
             # The lease may have expired while the connection was being opened.
             fencing = lease.fencing_token(self._clock())
             if fencing is None:
--- a/tests/_internal/protocols/test_transport.py
+++ b/tests/_internal/protocols/test_transport.py
@@ -39,7 +39,7 @@
                 client.close()
 
 
-class DiscardUnsentTest(unittest.TestCase):
+class LimitDeliveryTest(unittest.TestCase):
     BODY_BYTES = 8_000_000
 
     def _read_after_close(self, server, discards):
@@ -51,7 +51,7 @@
             stream = await transport.TcpNetwork().connect(address, 1.0)
             conn = http_client.ClientConnection(stream, address)
             if discards:
-                conn.discard_unsent_on_close()
+                conn.limit_delivery(5.0)
             with trio.move_on_after(0.2):
                 await stream.send_all(b"x" * self.BODY_BYTES)
             await conn.close()
--- a/tests/_internal/services/test_orders_service.py
+++ b/tests/_internal/services/test_orders_service.py
@@ -18,7 +18,7 @@
     def __init__(self):
         self.sent = 0
 
-    def discard_unsent_on_close(self):
+    def limit_delivery(self, limit_s):
         pass
 
     async def send(self, head, body):
