--- a/src/cicadapier/_internal/decisions/leases.py
+++ b/src/cicadapier/_internal/decisions/leases.py
@@ -149,16 +149,17 @@
         self._unconfirmed: dict[int, float] = {}  # Time of each attempt, by its number.
         self._requested_at = 0.0
         self._usable_from = 0.0
+        # Until then, the orders of other holders that this router has seen are too recent.
         self._quiet_until = 0.0
-        # If there is no lease, another router may have held one until the platform lost it.
+        # The same if there is no lease: another router may have held one that the platform lost.
         self._quiet_until_if_absent = 0.0
         self._highest_fencing = 0
 
-    def begin_era(self, fencing_floor: int, now: float) -> None:
-        """Begins anew, because the platform may have lost the lease and changes of it.
+    def begin_anew(self, fencing_floor: int, now: float) -> None:
+        """Forgets the lease, because the platform may have lost it or changes of it.
 
         Args:
-            fencing_floor: Number below all fencing tokens of the new era and above all former ones.
+            fencing_floor: Number below all fencing tokens to come.
             now: Current time.
         """
         self._observed = None
@@ -181,30 +182,33 @@
         requested_at = self._unconfirmed.get(lease.renewals) if is_own else None
         previous = self._observed
         if previous is None or previous.lease != lease:
-            if not is_own:
-                self._update_quiet_until(lease, now)
-            elif previous is None:
-                # This router took the lease as there was none.
-                self._quiet_until = max(self._quiet_until, self._quiet_until_if_absent)
-            # Clocks differ between VMs, so an observer measures the expiry on its own clock, from
-            # the last change that it has seen.
-            self._observed = _ObservedLease(lease, now)
-            if lease.fencing < self._highest_fencing:
-                # The platform shows an earlier state of the lease.
-                self._quiet_until = max(self._quiet_until, now + self._longest_quiet_s)
-            self._highest_fencing = max(self._highest_fencing, lease.fencing)
-            # Attempts that were based on the lease before this change can no longer take effect.
-            self._unconfirmed.clear()
+            self._record_change(lease, is_own, now)
         if requested_at is not None:
             return self._confirm(lease, requested_at, now, previous is not None)
         if self._held and (not is_own or lease.fencing != self._held.fencing):
             self._held = None
         return None
 
+    def _record_change(self, lease: LeaseObject, is_own: bool, now: float) -> None:
+        if not is_own:
+            self._update_quiet_until(lease, now)
+        elif self._observed is None:
+            # This router took the lease as there was none.
+            self._quiet_until = max(self._quiet_until, self._quiet_until_if_absent)
+        if lease.fencing < self._highest_fencing:
+            # The platform shows an earlier state of the lease.
+            self._quiet_until = max(self._quiet_until, now + self._longest_quiet_s)
+        self._highest_fencing = max(self._highest_fencing, lease.fencing)
+        # Clocks differ between VMs, so an observer measures the expiry on its own clock, from the
+        # last change that it has seen.
+        self._observed = _ObservedLease(lease, now)
+        # Attempts that were based on the lease before this change can no longer take effect.
+        self._unconfirmed.clear()
+
     def _observe_absence(self, now: float) -> None:
         if self._observed is not None:
             # Its holder may still use a lease that somebody removed.
-            self.begin_era(self._highest_fencing, now)
+            self.begin_anew(self._highest_fencing, now)
 
     def _confirm(
         self, lease: LeaseObject, requested_at: float, now: float, has_predecessor: bool
--- a/src/cicadapier/_internal/services/cluster_service.py
+++ b/src/cicadapier/_internal/services/cluster_service.py
@@ -19,8 +19,9 @@
 
 KIND = "cicadapier-routers"
 ROUTER_PREFIX = "router-"
-# Stale answers do no harm. A lease is written on condition of its version, and a write that fails
-# this condition gets the current object in reply. All other objects are hints.
+# Stale answers do no harm, nor does a list that is older than what is known. A lease is written on
+# condition of its version, and a write that fails this condition gets the current object in reply.
+# All other objects are hints.
 WATCH_OPTIONS = watching.WatchOptions(wait_s=2.5, allow_stale=True)
 REGISTER_RETRY_S = 0.5
 ENTRY_EXPIRES_AFTER_S = 60.0
--- a/src/cicadapier/_internal/services/order_lease.py
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -97,7 +97,7 @@
         _log.info("lease_era_begun", pool=self.pool, era=era, was_holder=self._lease.is_holder)
         self._era = era
         # An era may be 0, and tokens of a lease without an era count from 1.
-        self._lease.begin_era((era + 1) * TOKENS_PER_ERA, self._clock())
+        self._lease.begin_anew((era + 1) * TOKENS_PER_ERA, self._clock())
         self._observe_stored("watch")
 
     def observe(self) -> Note | None:
--- a/tests/_internal/decisions/test_leases.py
+++ b/tests/_internal/decisions/test_leases.py
@@ -86,7 +86,7 @@
     def _look(self, router):
         if router.era != self._era:
             router.era = self._era
-            router.lease.begin_era(self._era * TOKENS_PER_ERA, self.now)
+            router.lease.begin_anew(self._era * TOKENS_PER_ERA, self.now)
         router.seen_version = len(self._versions) - 1
         router.lease.observe(self._versions[-1], self.now)
 
