--- a/src/cicadapier/_internal/decisions/stream_origins.py
+++ b/src/cicadapier/_internal/decisions/stream_origins.py
@@ -96,7 +96,7 @@
 
 
 def stream_life_s(timeout_s: float, time_left_s: float | None) -> float:
-    """Returns the longest time since a stream began that is taken up.
+    """Returns the longest time since the beginning of a stream that its caller resumes.
 
     Args:
         timeout_s: Time that its route allows for one answer.
--- a/src/cicadapier/_internal/platform/objects.py
+++ b/src/cicadapier/_internal/platform/objects.py
@@ -74,9 +74,9 @@
         # must not go back.
         return store_format.Changes(changes, str(max(parsed.as_of, int(version))))
 
-    def read_era(self, head: http_client.ResponseHead) -> ids.StoreEra | None:
-        """See `StoreFormat.read_era`."""
-        return wire_headers.read_era(head)
+    def read_epoch(self, head: http_client.ResponseHead) -> ids.StoreEpoch | None:
+        """See `StoreFormat.read_epoch`."""
+        return wire_headers.read_epoch(head)
 
 
 class _Metadata(msgspec.Struct):
--- a/src/cicadapier/_internal/platform/server_formats.py
+++ b/src/cicadapier/_internal/platform/server_formats.py
@@ -75,9 +75,9 @@
     )
 
 
-def make_era_headers(era: ids.StoreEra | None) -> http_client.Headers:
-    """Returns the headers that name the store's era, or none if the store does not name it."""
-    return [] if era is None else [(wire_headers.STORE_ERA, b"%d" % era)]
+def make_epoch_headers(epoch: ids.StoreEpoch | None) -> http_client.Headers:
+    """Returns the headers that name the store's epoch, or none if the store does not name it."""
+    return [] if epoch is None else [(wire_headers.STORE_EPOCH, b"%d" % epoch)]
 
 
 def encode_object(item: store_format.StoredObject) -> dict[str, Any]:
--- a/src/cicadapier/_internal/platform/wire_headers.py
+++ b/src/cicadapier/_internal/platform/wire_headers.py
@@ -35,8 +35,8 @@
 # A single weights version, although the name of the header is in the plural.
 WEIGHTS = b"x-weight-versions"
 
-# Number of restores of the store from an older copy. The platform names it an era.
-STORE_ERA = b"store-era"
+# Number of restores of the store from an older copy. The platform calls this epoch an era.
+STORE_EPOCH = b"store-era"
 
 ACCOUNT = b"x-tenant"
 EXPECTED_UPSTREAM = b"x-expect-instance"
@@ -57,7 +57,7 @@
 # a handle, separated by a slash.
 CONTINUE_FROM = b"kv-from"
 
-_MAX_ERA_DIGITS = 9
+_MAX_EPOCH_DIGITS = 9
 
 # Only the router sends these headers to upstreams. Values that come from callers are removed.
 ROUTER_ONLY = frozenset(
@@ -90,13 +90,13 @@
     )
 
 
-def read_era(head: http_client.ResponseHead) -> ids.StoreEra | None:
-    """Returns the era that an answer of the store names, or None if it names no valid one."""
-    value = head.header(STORE_ERA)
+def read_epoch(head: http_client.ResponseHead) -> ids.StoreEpoch | None:
+    """Returns the epoch that an answer of the store names, or None if it names no valid one."""
+    value = head.header(STORE_EPOCH)
     digits = (value or b"").strip()
-    if not digits.isdigit() or len(digits) > _MAX_ERA_DIGITS:
+    if not digits.isdigit() or len(digits) > _MAX_EPOCH_DIGITS:
         return None
-    return ids.StoreEra(int(digits))
+    return ids.StoreEpoch(int(digits))
 
 
 def is_leaving(head: http_client.ResponseHead) -> bool:
--- a/src/cicadapier/_internal/protocols/native_store_format.py
+++ b/src/cicadapier/_internal/protocols/native_store_format.py
@@ -72,6 +72,6 @@
             version = stored.version
         return store_format.Changes(tuple(changes), version)
 
-    def read_era(self, head: http_client.ResponseHead) -> ids.StoreEra | None:
-        """See `StoreFormat.read_era`; this store names no eras."""
+    def read_epoch(self, head: http_client.ResponseHead) -> ids.StoreEpoch | None:
+        """See `StoreFormat.read_epoch`; this store names no epochs."""
         return None
--- a/src/cicadapier/_internal/protocols/store_format.py
+++ b/src/cicadapier/_internal/protocols/store_format.py
@@ -141,9 +141,9 @@
         """
 
     @abc.abstractmethod
-    def read_era(self, head: http_client.ResponseHead) -> ids.StoreEra | None:
-        """Returns the era that an answer names; None if it names none or an unreadable one.
+    def read_epoch(self, head: http_client.ResponseHead) -> ids.StoreEpoch | None:
+        """Returns the epoch that an answer names; None if it names none or an unreadable one.
 
-        A store begins a new era when it is restored from an older copy, which loses changes that it
-        has acknowledged.
+        A store begins a new epoch when it is restored from an older copy. It has then lost changes
+        that it had acknowledged.
         """
--- a/src/cicadapier/_internal/services/order_lease.py
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -20,7 +20,7 @@
 from cicadapier._internal.services import watching
 
 NAME_PREFIX = "orders-"
-TOKENS_PER_ERA = 1_000_000
+TOKENS_PER_EPOCH = 1_000_000
 MAX_RELEASE_TRIES = 3
 
 _log = structlog.get_logger()
@@ -43,8 +43,8 @@
 class OrderLease:
     """Reads and writes the lease of one pool in the store.
 
-    In each era of the store, the lease is another object: neither a lease that the store has
-    restored nor a write that was meant for the former era counts.
+    In each epoch of the store, the lease is another object: neither a lease that the store has
+    restored nor a write that was meant for the former epoch counts.
 
     Attributes:
         pool: The pool.
@@ -60,7 +60,7 @@
     ) -> None:
         self.pool = pool
         self._lease = lease
-        self._era: ids.StoreEra | None = None
+        self._epoch: ids.StoreEpoch | None = None
         self._nonce = nonce
         self._cluster = cluster
         self._clock = clock
@@ -86,18 +86,20 @@
 
     def fencing_token(self) -> int | None:
         """Returns the fencing token if an order may be sent now, else None."""
-        self._follow_era()
+        self._follow_epoch()
         return self._lease.fencing_token(self._clock())
 
-    def _follow_era(self) -> None:
-        """Gives up a lease of a former era."""
-        era = self._cluster.platform.era
-        if era is None or era == self._era:
+    def _follow_epoch(self) -> None:
+        """Gives up a lease of a former epoch."""
+        epoch = self._cluster.platform.epoch
+        if epoch is None or epoch == self._epoch:
             return
-        _log.info("lease_era_begun", pool=self.pool, era=era, was_holder=self._lease.is_holder)
-        self._era = era
-        # An era may be 0, and tokens of a lease without an era count from 1.
-        self._lease.begin_anew((era + 1) * TOKENS_PER_ERA, self._clock())
+        _log.info(
+            "lease_epoch_begun", pool=self.pool, epoch=epoch, was_holder=self._lease.is_holder
+        )
+        self._epoch = epoch
+        # An epoch may be 0, and tokens of a lease without an epoch count from 1.
+        self._lease.begin_anew((epoch + 1) * TOKENS_PER_EPOCH, self._clock())
         self._observe_stored("watch")
 
     def observe(self) -> Note | None:
@@ -114,7 +116,7 @@
         Args:
             source: What brought the last news of it, for the log.
         """
-        self._follow_era()
+        self._follow_epoch()
         stored = self._cluster.find(self._name)
         lease = lease_objects.read_lease(stored)
         self._log_holder_change(lease, stored)
@@ -160,7 +162,7 @@
 
     async def acquire_or_renew(self, note: Note) -> bool:
         """Takes or renews the lease if a write is due; returns False if its outcome is unknown."""
-        self._follow_era()
+        self._follow_epoch()
         text = msgspec.json.encode(note).decode()
         proposal = self._lease.propose(self._clock(), text)
         return proposal is None or await self._try_write(proposal)
@@ -177,7 +179,7 @@
 
     @property
     def _name(self) -> str:
-        suffix = "" if self._era is None else f".{self._era}"
+        suffix = "" if self._epoch is None else f".{self._epoch}"
         return f"{NAME_PREFIX}{self.pool}{suffix}"
 
     async def _try_write(self, proposal: leases.LeaseObject) -> bool:
--- a/src/cicadapier/_internal/services/platform_service.py
+++ b/src/cicadapier/_internal/services/platform_service.py
@@ -64,7 +64,7 @@
     waiting watch does not delay other calls.
 
     Attributes:
-        era: Latest era that the store has named; None if it has named none.
+        epoch: Latest epoch that the store has named; None if it has named none.
     """
 
     name = names.PLATFORM
@@ -82,8 +82,8 @@
         self._format = wire_format
         self._idle: list[http_client.ClientConnection] = []
         self._watch_scopes: set[trio.CancelScope] = set()
-        self.era: ids.StoreEra | None = None
-        self._has_logged_fallen_era = False
+        self.epoch: ids.StoreEpoch | None = None
+        self._has_logged_fallen_epoch = False
 
     @property
     def is_configured(self) -> bool:
@@ -227,14 +227,14 @@
         self, head: http_client.RequestHead, body: bytes, timeout_s: float
     ) -> tuple[int, bytes]:
         conn = await self._take_idle() or await self._connect()
-        known_era = self.era
+        known_epoch = self.epoch
         is_reusable = False
         try:
             await conn.send(head, body)
             answer = await conn.receive_head(timeout_s)
             content = await conn.receive_body(timeout_s, progress_deadlines.MAX_ANSWER_BYTES)
             is_reusable = conn.make_reusable()
-            self._record_era(self._format.read_era(answer), known_era)
+            self._record_epoch(self._format.read_epoch(answer), known_epoch)
             return answer.status, content
         finally:
             if is_reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
@@ -244,26 +244,30 @@
                 if not is_reusable:
                     await self._close_idle()
 
-    def _record_era(self, era: ids.StoreEra | None, known_era: ids.StoreEra | None) -> None:
-        """Records the era that an answer names.
+    def _record_epoch(
+        self, epoch: ids.StoreEpoch | None, known_epoch: ids.StoreEpoch | None
+    ) -> None:
+        """Records the epoch that an answer names.
 
         Args:
-            era: The era; None if the answer names none.
-            known_era: Latest era that was known when the call was sent.
+            epoch: The epoch; None if the answer names none.
+            known_epoch: Latest epoch that was known when the call was sent.
 
         Raises:
-            PlatformUnavailableError: The store has begun another era since it answered.
+            PlatformUnavailableError: The store has begun another epoch since it answered.
         """
-        if era is None or era == self.era:
+        if epoch is None or epoch == self.epoch:
             return
-        if self.era is None or era > self.era:
-            _log.info("store_era_changed", era=era, before=self.era)
-            self.era = era
-        elif known_era != self.era:
-            raise exceptions.PlatformUnavailableError(f"the answer is from the former era {era}")
-        elif not self._has_logged_fallen_era:
-            _log.info("store_era_fallen", era=era, known=self.era)
-            self._has_logged_fallen_era = True
+        if self.epoch is None or epoch > self.epoch:
+            _log.info("store_epoch_changed", epoch=epoch, before=self.epoch)
+            self.epoch = epoch
+        elif known_epoch != self.epoch:
+            raise exceptions.PlatformUnavailableError(
+                f"the answer is from the former epoch {epoch}"
+            )
+        elif not self._has_logged_fallen_epoch:
+            _log.info("store_epoch_fallen", epoch=epoch, known=self.epoch)
+            self._has_logged_fallen_epoch = True
 
     async def _connect(self) -> http_client.ClientConnection:
         if not self._cfg.addresses:
--- a/src/cicadapier/_internal/standins/forwarding_store.py
+++ b/src/cicadapier/_internal/standins/forwarding_store.py
@@ -90,7 +90,7 @@
         stale_reads: Number of reads that allow stale data, including watches, by kind.
         throttled_calls: Number of calls rejected because they exceeded the rates.
         revision: Revision of the latest change.
-        era: Era that the answers name; None if they name none. It rises with each restore.
+        epoch: Epoch that the answers name; None if they name none. It rises with each restore.
     """
 
     def __init__(self, network: transport.Network) -> None:
@@ -101,7 +101,7 @@
         self.stale_reads: collections.Counter[str] = collections.Counter()
         self.throttled_calls = 0
         self.revision = 1
-        self.era: ids.StoreEra | None = None
+        self.epoch: ids.StoreEpoch | None = None
         self._network = network
         self._objects: dict[tuple[str, str], store_format.StoredObject] = {}
         self._changes: list[store_history.RecordedChange] = []
@@ -183,7 +183,7 @@
         self.revision = self._history.revision_at(copied_at)
         self._changes = [change for change in self._changes if change.revision <= self.revision]
         self._history.forget_since(copied_at)
-        self.era = ids.StoreEra((self.era or 0) + 1)
+        self.epoch = ids.StoreEpoch((self.epoch or 0) + 1)
         self._notify()
         self._nursery.start_soon(self._repeat_writes, lost)
 
@@ -373,8 +373,8 @@
     async def _send(
         self, responder: http_server.Responder, body: Any, status: int = http.HTTPStatus.OK
     ) -> None:
-        era_headers = server_formats.make_era_headers(self.era)
-        await responder.send_json(body, status, era_headers)
+        epoch_headers = server_formats.make_epoch_headers(self.epoch)
+        await responder.send_json(body, status, epoch_headers)
 
     def _notify(self) -> None:
         self._changed.set()
--- a/tests/_internal/decisions/test_leases.py
+++ b/tests/_internal/decisions/test_leases.py
@@ -11,7 +11,7 @@
 
 TIMING = leases.LeaseTiming(1.6, 2.0, 0.6, 0.0, quiet_s=3.3, reacquires_at_once=True)
 MIN_ORDER_GAP_S = 3.0
-TOKENS_PER_ERA = 1000
+TOKENS_PER_EPOCH = 1000
 ROUTERS = 3
 ROUTER_WEIGHTS = (4, 2, 1)
 SEEDS = 400
@@ -30,7 +30,7 @@
         RELEASE: It releases the lease; the answer is lost.
         DELIVER: All late writes take effect.
         RESTART: Its process ends, and another one begins on the same VM.
-        RESTORE: The store is restored: a new era begins, in which there is no lease.
+        RESTORE: The store is restored: a new epoch begins, in which there is no lease.
     """
 
     LOOK = enum.auto()
@@ -57,10 +57,10 @@
 
 @dataclasses.dataclass
 class Router:
-    """A router's process, and the era and the version of the lease that it has seen."""
+    """A router's process, and the epoch and the version of the lease that it has seen."""
 
     lease: leases.Lease
-    era: int = -1
+    epoch: int = -1
     seen_version: int = 0
 
 
@@ -70,7 +70,7 @@
     def __init__(self):
         self.now = 0.0
         self.orders = []
-        self._era = 0
+        self._epoch = 0
         self._versions = [None]
         self._late_writes = []
         self._starts = 0
@@ -84,14 +84,14 @@
         return router
 
     def _look(self, router):
-        if router.era != self._era:
-            router.era = self._era
-            router.lease.begin_anew(self._era * TOKENS_PER_ERA, self.now)
+        if router.epoch != self._epoch:
+            router.epoch = self._epoch
+            router.lease.begin_anew(self._epoch * TOKENS_PER_EPOCH, self.now)
         router.seen_version = len(self._versions) - 1
         router.lease.observe(self._versions[-1], self.now)
 
-    def _store(self, era, version, proposal):
-        if era == self._era and version == len(self._versions) - 1:
+    def _store(self, epoch, version, proposal):
+        if epoch == self._epoch and version == len(self._versions) - 1:
             self._versions.append(proposal)
 
     def act(self, index, pause_s, action):
@@ -102,7 +102,7 @@
                 self._store(*late_write)
             self._late_writes.clear()
         elif action is Action.RESTORE:
-            self._era += 1
+            self._epoch += 1
             self._versions = [None]
         elif action is Action.RESTART:
             self._routers[index] = self._start(index)
@@ -120,9 +120,9 @@
             return
         lease.begin_write(proposal, self.now)
         if action is Action.WRITE_LATE:
-            self._late_writes.append((router.era, router.seen_version, proposal))
+            self._late_writes.append((router.epoch, router.seen_version, proposal))
             return
-        self._store(router.era, router.seen_version, proposal)
+        self._store(router.epoch, router.seen_version, proposal)
         if action is Action.WRITE:
             self._look(router)
 
--- a/tests/_internal/services/test_order_lease.py
+++ b/tests/_internal/services/test_order_lease.py
@@ -33,12 +33,12 @@
 
     Attributes:
         object: The object that was written last.
-        era: Era that its answers name.
+        epoch: Epoch that its answers name.
     """
 
     def __init__(self):
         self.object = None
-        self.era = None
+        self.epoch = None
         self.revision = 10
         self._objects = {}
 
@@ -69,8 +69,8 @@
         self._store = store
 
     @property
-    def era(self):
-        return self._store.era
+    def epoch(self):
+        return self._store.epoch
 
     async def get(self, kind, name):
         await self._wait()
@@ -268,10 +268,10 @@
             with self.subTest(answered=answered):
                 run(lambda *args, answered=answered: check(*args, answered))
 
-    def test_lease_of_a_former_era_of_the_store_is_not_used(self):
+    def test_lease_of_a_former_epoch_of_the_store_is_not_used(self):
         # The store has lost the second router's lease and shows the first router's again.
         async def check(store, first, second):
-            store.era = 1
+            store.epoch = 1
             await trio.sleep(6.0)
             copy, revision = store.object, store.revision
             first.wants_lease = False
@@ -281,7 +281,7 @@
             store.remove_all()
             store.put(copy)
             store.revision = revision
-            store.era = 2
+            store.epoch = 2
             self.assertIsNone(second.lease.fencing_token())
             second.wants_lease = False
             first.wants_lease = True
@@ -292,12 +292,12 @@
 
         run(check)
 
-    def test_router_that_starts_in_a_new_era_waits_for_orders_of_the_former_one(self):
+    def test_router_that_starts_in_a_new_epoch_waits_for_orders_of_the_former_one(self):
         async def check(store, first, second):
-            store.era = 1
+            store.epoch = 1
             await trio.sleep(6.0)
             store.remove_all()
-            store.era = 2
+            store.epoch = 2
             first.wants_lease = False
             restarted = Router("vm-0", store, "second")
             async with trio.open_nursery() as nursery:
@@ -308,12 +308,12 @@
 
         run(check)
 
-    def test_tokens_grow_as_the_store_begins_to_name_its_first_era(self):
-        # The restarted router does not remember the tokens of the lease without an era.
+    def test_tokens_grow_as_the_store_begins_to_name_its_first_epoch(self):
+        # The restarted router does not remember the tokens of the lease without an epoch.
         async def check(store, first, second):
             await trio.sleep(1.0)
             first.wants_lease = False
-            store.era = 0
+            store.epoch = 0
             restarted = Router("vm-0", store, "second")
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(restarted.run)
@@ -325,7 +325,7 @@
 
     def test_restarted_holder_need_not_wait_once_it_sees_its_lease(self):
         async def check(store, first, second):
-            store.era = 1
+            store.epoch = 1
             await trio.sleep(6.0)
             first.wants_lease = False
             restarted_at = trio.current_time()
--- a/tests/_internal/services/test_platform_service.py
+++ b/tests/_internal/services/test_platform_service.py
@@ -1,4 +1,4 @@
-"""The client of the store follows the store's era."""
+"""The client of the store follows the store's epoch."""
 
 import random
 import unittest
@@ -17,30 +17,30 @@
 OBJECT = {"metadata": {"name": "a", "rev": 7}, "spec": {}}
 
 
-class EraHandler(http_server.Handler):
-    """Answers with the era that it named when it received the call.
+class EpochHandler(http_server.Handler):
+    """Answers with the epoch that it named when it received the call.
 
     Attributes:
-        era: Value of the era header; None for no header.
+        epoch: Value of the epoch header; None for no header.
         delay_s: Time until the answer.
     """
 
     def __init__(self):
-        self.era = b"1"
+        self.epoch = b"1"
         self.delay_s = 0.0
 
     async def handle(self, req, responder):
-        era = self.era
+        epoch = self.epoch
         await trio.sleep(self.delay_s)
-        headers = [] if era is None else [(b"Store-Era", era)]
+        headers = [] if epoch is None else [(b"Store-Era", epoch)]
         await responder.send_json(OBJECT, headers=headers)
 
 
-class StoreEraTest(unittest.TestCase):
+class StoreEpochTest(unittest.TestCase):
     def _run(self, check):
         async def main():
             network = faulty_network.MemoryNetwork(0)
-            handler = EraHandler()
+            handler = EpochHandler()
             listener = http_server.Listener(network.serve, handler, settings.CallerLimits())
             async with trio.open_nursery() as nursery:
                 address = await nursery.start(listener.run, ANY_PORT)
@@ -52,28 +52,28 @@
 
         support.run(main)
 
-    def test_era_rises_with_the_answers(self):
+    def test_epoch_rises_with_the_answers(self):
         async def check(handler, client):
-            self.assertIsNone(client.era)
-            for era in (b"1", b"2", b"9"):
-                handler.era = era
+            self.assertIsNone(client.epoch)
+            for epoch in (b"1", b"2", b"9"):
+                handler.epoch = epoch
                 await client.get("kind", "a")
-                self.assertEqual(client.era, int(era))
+                self.assertEqual(client.epoch, int(epoch))
 
         self._run(check)
 
-    def test_unreadable_or_lower_era_changes_nothing(self):
+    def test_unreadable_or_lower_epoch_changes_nothing(self):
         async def check(handler, client):
-            handler.era = b"4"
+            handler.epoch = b"4"
             await client.get("kind", "a")
-            for era in (None, b"", b"x", b"-1", b"1e3", b"9" * 5000, b"\xb2", b"3"):
-                handler.era = era
+            for epoch in (None, b"", b"x", b"-1", b"1e3", b"9" * 5000, b"\xb2", b"3"):
+                handler.epoch = epoch
                 self.assertIsNotNone(await client.get("kind", "a"))
-                self.assertEqual(client.era, 4)
+                self.assertEqual(client.epoch, 4)
 
         self._run(check)
 
-    def test_answer_of_a_former_era_that_comes_late_is_not_used(self):
+    def test_answer_of_a_former_epoch_that_comes_late_is_not_used(self):
         async def check(handler, client):
             await client.get("kind", "a")
             handler.delay_s = 0.5
@@ -89,10 +89,10 @@
                 nursery.start_soon(get_late)
                 await trio.sleep(0.1)
                 handler.delay_s = 0.0
-                handler.era = b"2"
+                handler.epoch = b"2"
                 await client.get("kind", "a")
             self.assertEqual(len(failures), 1)
-            self.assertEqual(client.era, 2)
+            self.assertEqual(client.epoch, 2)
 
         self._run(check)
 
--- a/tests/_internal/services/test_weights_service.py
+++ b/tests/_internal/services/test_weights_service.py
@@ -216,7 +216,7 @@
 
     def test_orders_stay_apart_and_tokens_grow_after_the_store_comes_back_older(self):
         async def check(world):
-            world.store.era = 1
+            world.store.epoch = 1
             await trio.sleep(6.0)
             world.set_target_weights(2)
             await trio.sleep(3.0)
