--- a/tests/_internal/services/test_order_lease.py
+++ b/tests/_internal/services/test_order_lease.py
@@ -24,6 +24,7 @@
     delivery_s=weights_service.LEASE_DELIVERY_S,
 )
 ROUND_S = 0.1
+TAKEOVER_S = 8.0
 STEP_S = 0.01
 POOL = ids.PoolId("engines")
 
@@ -185,6 +186,34 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+async def run_second_process(store, watch_silent_s=0.0):
+    """Starts a further process on the first router's VM; returns it after some seconds."""
+    restarted = Router("vm-0", store, "second")
+    restarted.is_watch_silent = True
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(restarted.run)
+        await trio.sleep(watch_silent_s)
+        restarted.is_watch_silent = False
+        await trio.sleep(TAKEOVER_S)
+        nursery.cancel_scope.cancel()
+    return restarted
+
+
+async def hand_over(former, successor):
+    """Lets one router want the lease in place of another, for long enough to order under it."""
+    former.wants_lease = False
+    successor.wants_lease = True
+    successor.order_times.clear()
+    successor.tokens.clear()
+    await trio.sleep(TAKEOVER_S)
+
+
+def write_successor(store):
+    """Writes the lease of another router that has taken it over."""
+    taken = {**store.object.spec, "holder": "vm-1", "nonce": "other", "fencing": 2}
+    store.write(store.object, store.object.name, taken)
+
+
 class OrderLeaseTest(unittest.TestCase):
     def _check_gap(self, first, second):
         self.assertTrue(first.order_times)
@@ -197,9 +226,7 @@
     def test_order_that_arrives_late_is_still_apart_from_those_of_the_next_holder(self):
         async def check(store, first, second):
             await trio.sleep(1.0)
-            first.wants_lease = False
-            second.wants_lease = True
-            await trio.sleep(8.0)
+            await hand_over(first, second)
             self._check_gap(first, second)
 
         run(check)
@@ -226,8 +253,7 @@
             first.wants_lease = False
             await trio.sleep(1.0)
             first.lease.observe()
-            taken = {**store.object.spec, "holder": "vm-1", "nonce": "other", "fencing": 2}
-            store.write(store.object, store.object.name, taken)
+            write_successor(store)
             first.view.show()
             await first.lease.acquire_or_renew(order_lease.Note())
             self.assertEqual(store.object.spec["fencing"], 2)
@@ -240,8 +266,7 @@
             await trio.sleep(0.05)
             first.wants_lease = False
             await trio.sleep(0.5)
-            taken = {**store.object.spec, "holder": "vm-1", "nonce": "other", "fencing": 2}
-            store.write(store.object, store.object.name, taken)
+            write_successor(store)
             first.view.show()
             await first.lease.release()
             self.assertEqual(store.object.spec["fencing"], 2)
@@ -274,20 +299,14 @@
             store.epoch = 1
             await trio.sleep(6.0)
             copy, revision = store.object, store.revision
-            first.wants_lease = False
-            second.wants_lease = True
-            await trio.sleep(8.0)
+            await hand_over(first, second)
             self._check_gap(first, second)
             store.remove_all()
             store.put(copy)
             store.revision = revision
             store.epoch = 2
             self.assertIsNone(second.lease.fencing_token())
-            second.wants_lease = False
-            first.wants_lease = True
-            first.order_times.clear()
-            first.tokens.clear()
-            await trio.sleep(8.0)
+            await hand_over(second, first)
             self._check_gap(second, first)
 
         run(check)
@@ -299,11 +318,7 @@
             store.remove_all()
             store.epoch = 2
             first.wants_lease = False
-            restarted = Router("vm-0", store, "second")
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(restarted.run)
-                await trio.sleep(8.0)
-                nursery.cancel_scope.cancel()
+            restarted = await run_second_process(store)
             self._check_gap(first, restarted)
 
         run(check)
@@ -314,11 +329,7 @@
             await trio.sleep(1.0)
             first.wants_lease = False
             store.epoch = 0
-            restarted = Router("vm-0", store, "second")
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(restarted.run)
-                await trio.sleep(8.0)
-                nursery.cancel_scope.cancel()
+            restarted = await run_second_process(store)
             self._check_gap(first, restarted)
 
         run(check)
@@ -329,14 +340,7 @@
             await trio.sleep(6.0)
             first.wants_lease = False
             restarted_at = trio.current_time()
-            restarted = Router("vm-0", store, "second")
-            restarted.is_watch_silent = True
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(restarted.run)
-                await trio.sleep(0.15)
-                restarted.is_watch_silent = False
-                await trio.sleep(8.0)
-                nursery.cancel_scope.cancel()
+            restarted = await run_second_process(store, watch_silent_s=0.15)
             self.assertLess(restarted.order_times[0] - restarted_at, 1.0)
 
         run(check)
@@ -347,9 +351,7 @@
             store.remove_all()
             first.view.list_all()
             second.view.list_all()
-            first.wants_lease = False
-            second.wants_lease = True
-            await trio.sleep(8.0)
+            await hand_over(first, second)
             self._check_gap(first, second)
 
         run(check)
@@ -358,17 +360,11 @@
         async def check(store, first, second):
             await trio.sleep(1.0)
             copy = store.object
-            first.wants_lease = False
-            second.wants_lease = True
-            await trio.sleep(8.0)
+            await hand_over(first, second)
             store.put(copy)
             first.view.list_all()
             second.view.list_all()
-            second.wants_lease = False
-            first.wants_lease = True
-            first.order_times.clear()
-            first.tokens.clear()
-            await trio.sleep(8.0)
+            await hand_over(second, first)
             self._check_gap(second, first)
 
         run(check)
