Bound the refusals that a kept connection remembers

A connection that is kept for long remembered the id of each request refused on it, without a bound. It is now closed in place of being given back after 256 refusals. test_connection_is_given_up_before_it_remembers_too_many_refusals fails without the check.

--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -14,6 +14,7 @@
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 MAX_INTERIM_RESPONSES = 32
+MAX_REFUSALS = 256  # A connection with more refusals is not used again.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}( |$)")
 
 Headers = list[tuple[bytes, bytes]]
@@ -202,6 +203,8 @@
         """Prepares for the next request; returns False if the connection must be closed instead."""
         if self._send_failed:
             return False
+        if len(self._refused) >= MAX_REFUSALS:
+            return False
         if self._h11.trailing_data[0]:
             # Data after the answer belongs to no request, so the peer is out of sync.
             return False
--- a/tests/_internal/protocols/test_http_client.py
+++ b/tests/_internal/protocols/test_http_client.py
@@ -49,5 +49,25 @@
         self.assertEqual(_receive_head(answer).status, 500)
 
 
+class RememberedRefusalsTest(unittest.TestCase):
+    def test_connection_is_given_up_before_it_remembers_too_many_refusals(self):
+        async def main():
+            client, server = trio.testing.memory_stream_pair()
+            conn = http_client.ClientConnection(client, "10.0.0.1:80")
+            requests = 0
+            reusable = True
+            while reusable and requests <= http_client.MAX_REFUSALS:
+                requests += 1
+                await conn.send(http_client.RequestHead("GET", "/", []), b"")
+                await server.send_all(FAILURE)
+                await conn.receive_head(1.0)
+                await conn.receive_body(1.0, 10)
+                conn.record_refusal(f"q{requests}", named=True)
+                reusable = conn.make_reusable()
+            self.assertEqual(requests, http_client.MAX_REFUSALS)
+
+        support.run(main)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/_internal/services/test_streams_after_restarts.py
+++ b/tests/_internal/services/test_streams_after_restarts.py
@@ -62,6 +62,14 @@
             nursery.start_soon(callers.ask, STREAMS_PER_ROUTER, router)
 
 
+async def restart_all_without_v1(world):
+    """Restarts all routers at once as the engines of one of two software versions go."""
+    await use_two_versions(world)
+    kill_routers(world, range(ROUTERS))
+    remove_engines(world, "v1")
+    await start_routers(world, range(ROUTERS))
+
+
 class AllRoutersKilledTest(unittest.TestCase):
     """All routers are killed at once amid streams; their callers take them up after the restart."""
 
@@ -140,10 +148,7 @@
 
     def test_stream_that_its_caller_does_not_name_is_refused_at_once(self):
         async def check(world):
-            await use_two_versions(world)
-            kill_routers(world, range(ROUTERS))
-            remove_engines(world, "v1")
-            await start_routers(world, range(ROUTERS))
+            await restart_all_without_v1(world)
             await trio.sleep(1.0)
             for router in range(ROUTERS):
                 request = f"q{router}"
@@ -157,10 +162,7 @@
 
     def test_streams_go_on_again_once_routers_have_run_for_longer_than_streams_last(self):
         async def check(world):
-            await use_two_versions(world)
-            kill_routers(world, range(ROUTERS))
-            remove_engines(world, "v1")
-            await start_routers(world, range(ROUTERS))
+            await restart_all_without_v1(world)
             statuses = []
             for wait_s in (LIFE_S - 1.0, 2.0):
                 await trio.sleep(wait_s)
