--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -116,7 +116,8 @@
     Attributes:
         head: Status line and headers of the answer, once received.
         facts: Metadata of the answer from its head.
-        send_started: Whether the transport was given any byte, so that the request may have run.
+        sent_at: Time of trio's clock at which the transport was given the first byte, from when on
+            the request may run; None before that.
         request_sent: Whether sending the request has ended.
         silence_handler: Looks for a replacement during silence; None disables replacement.
     """
@@ -149,12 +150,17 @@
         self._on_answer_facts = on_answer_facts
         self.head: http_client.ResponseHead | None = None
         self.facts = answers.AnswerFacts()
-        self.send_started = False
+        self.sent_at: float | None = None
         self.request_sent = False
         self._is_receiving_ahead = False
         self._received_ahead = bytearray()
         self._body_ended = False
 
+    @property
+    def send_started(self) -> bool:
+        """Whether the transport was given any byte, so that the request may have run."""
+        return self.sent_at is not None
+
     @property
     def incarnation(self) -> ids.Incarnation:
         """Incarnation that the answer names, or else the last known one."""
@@ -213,7 +219,7 @@
         if self.request_sent:
             return
         assert self._conn
-        self.send_started = True
+        self.sent_at = trio.current_time()
         try:
             await self._conn.send(self._call.head, self._call.body)
         except exceptions.ConnectionLostError as exc:
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -215,6 +215,7 @@
         """
         with trio.move_on_at(placed.start_deadline):
             return await attempt.start(check)
+        forwarded_log.log_attempt_given_up(self._plan, placed, attempt.sent_at)
         reason = "the weights of the upstream became too old to start the request"
         if attempt.send_started:
             raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
--- a/src/cicadapier/_internal/services/forwarded_log.py
+++ b/src/cicadapier/_internal/services/forwarded_log.py
@@ -93,6 +93,25 @@
     )
 
 
+def log_attempt_given_up(
+    plan: forwarded_plan.Plan, placed: routing.Placed, sent_at: float | None
+) -> None:
+    """Logs an attempt that was given up because the weights of its upstream became too old.
+
+    Args:
+        plan: The request.
+        placed: Placement of the attempt.
+        sent_at: Time of trio's clock at which it was sent; None if nothing was sent.
+    """
+    _log.info(
+        "attempt_given_up",
+        request=plan.forwarded.request,
+        upstream=placed.choice.estimate.upstream,
+        weights=placed.weights,
+        sent_ms_ago=None if sent_at is None else round((trio.current_time() - sent_at) * 1000),
+    )
+
+
 def log_attempt_kept(
     plan: forwarded_plan.Plan, placed: routing.Placed, remaining_retries: float, silent_s: float
 ) -> None:
--- a/tests/_internal/services/test_old_weights.py
+++ b/tests/_internal/services/test_old_weights.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from structlog import testing
 import trio
 
 from cicadapier._internal.decisions import rollout
@@ -42,6 +43,22 @@
 
                 forwarding_world.run_in_world(check)
 
+    def test_log_tells_when_an_attempt_was_given_up_and_how_long_before_it_was_sent(self):
+        async def check(world):
+            refuse_load_orders(world)
+            fault = forwarding_upstream.UpstreamFault.BEGINS_LATE
+            forwarding_world.inject_fault(world, "engine", fault)
+            world.set_target_weights(2)
+            await trio.sleep(6.0)
+            await world.ask(request="q", time_left_ms=5000)
+
+        with testing.capture_logs() as lines:
+            forwarding_world.run_in_world(check)
+        given_up = [line for line in lines if line["event"] == "attempt_given_up"]
+        self.assertTrue(given_up)
+        self.assertEqual({line["weights"] for line in given_up}, {"1"})
+        self.assertTrue(all(line["sent_ms_ago"] > 0 for line in given_up), given_up)
+
     def test_answer_that_has_started_continues_after_the_weights_expire(self):
         async def check(world):
             refuse_load_orders(world)
