--- a/src/cicadapier/_internal/decisions/leases.py
+++ b/src/cicadapier/_internal/decisions/leases.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 from cicadapier._internal.models import ids
 
@@ -65,6 +66,7 @@
             earlier holders are too recent for a new holder to send its own.
         own_quiet_s: The quiet time that remains for the VM of the holder itself after a release.
         host: Host of the holder. A VM and its replacement may run at once under one name.
+        hand_overs: Number of holders in a row that could not use the lease and released it.
     """
 
     holder: ids.VmId
@@ -77,6 +79,7 @@
     quiet_s: float = 0.0
     own_quiet_s: float = 0.0
     host: ids.Host = UNKNOWN_HOST
+    hand_overs: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -149,6 +152,8 @@
         self._unconfirmed: dict[int, float] = {}  # Time of each attempt, by its number.
         self._requested_at = 0.0
         self._usable_from = 0.0
+        self._last_order_at = -math.inf
+        self._has_ordered = False  # Since it took the lease.
         # Until then, the orders of other holders that this router has seen are too recent.
         self._quiet_until = 0.0
         # The same if there is no lease: another router may have held one that the platform lost.
@@ -192,6 +197,9 @@
     def _record_change(self, lease: LeaseObject, is_own: bool, now: float) -> None:
         if not is_own:
             self._update_quiet_until(lease, now)
+            if self._is_of_this_vm(lease):
+                # An earlier process on this VM, which may have sent an order just before it ended.
+                self._last_order_at = now
         elif self._observed is None:
             # This router took the lease as there was none.
             self._quiet_until = max(self._quiet_until, self._quiet_until_if_absent)
@@ -215,6 +223,7 @@
     ) -> ConfirmedWrite:
         is_new = self._held is None
         if is_new:
+            self._has_ordered = False
             self._usable_from = self._first_order_at(now) if has_predecessor else self._quiet_until
         self._held = None if lease.released else lease
         self._requested_at = requested_at
@@ -263,6 +272,7 @@
                 note=note,
                 active=active,
                 quiet_s=self._remaining_quiet_s(now),
+                hand_overs=0 if self._has_ordered else current.hand_overs,
             )
         reacquires = self._timing.reacquires_at_once and self._is_of_this_vm(current)
         is_expired = (
@@ -282,6 +292,7 @@
             active,
             quiet_s=self._remaining_quiet_s(now),
             host=self._host,
+            hand_overs=self.hand_overs,
         )
 
     def propose_release(self) -> LeaseObject | None:
@@ -300,6 +311,21 @@
             own_quiet_s=own_quiet_s,
         )
 
+    def propose_hand_over(self, now: float) -> LeaseObject | None:
+        """Returns the object that releases a lease that this router cannot use, or None.
+
+        The next holder waits only for the orders that this router has sent, if any.
+        """
+        release = self.propose_release()
+        if release is None:
+            return None
+        quiet_s = release.quiet_s
+        if self._held is not None and self._held.active:
+            last_order_until = self._last_order_at + self._timing.delivery_s + self._timing.quiet_s
+            quiet_s = max(0.0, last_order_until - now)
+        before = 0 if self._has_ordered else release.hand_overs
+        return dataclasses.replace(release, quiet_s=quiet_s, hand_overs=before + 1)
+
     @property
     def _longest_quiet_s(self) -> float:
         """Quiet time after a lease whose holder may have written it just now."""
@@ -359,6 +385,21 @@
             return None
         return self._held.fencing
 
+    def record_order(self, now: float) -> None:
+        """Records that an order is about to be sent."""
+        self._last_order_at = now
+        self._has_ordered = True
+
+    @property
+    def hand_overs(self) -> int:
+        """Number of holders in a row that could not use the lease and released it."""
+        return self._observed.lease.hand_overs if self._observed else 0
+
+    @property
+    def changed_at(self) -> float:
+        """Time of the last change that this router has seen; minus infinity without one."""
+        return self._observed.changed_at if self._observed else -math.inf
+
     @property
     def last_holder(self) -> ids.VmId | None:
         """VM that holds or last held the lease, or None if there is no lease yet."""
--- a/src/cicadapier/_internal/decisions/rollout.py
+++ b/src/cicadapier/_internal/decisions/rollout.py
@@ -23,7 +23,9 @@
 MAX_QUEUE_DRAIN_S = 1.2  # Longest wait for requests at the engine that have not started.
 REPORT_LAG_S = 0.3  # Maximum expected age of a report.
 RETRY_ACCEPTED_AFTER_S = 1.0  # Wait before repeating an accepted order that no report confirms.
-UPDATE_TIMEOUT_S = 20.0  # An engine that cannot be reached is given up after a quarter of it.
+UPDATE_TIMEOUT_S = 20.0
+DELAY_TIMEOUT_S = 5.0  # For an engine that asks for no calls, or that limits them.
+UNREACHABLE_TIMEOUT_S = 1.2  # For an engine that has been sent an order.
 
 
 class Step(enum.Enum):
@@ -105,10 +107,16 @@
     NONE = "none"
 
 
+def outdated_engines(engines: collections.abc.Iterable[Engine], target: int) -> list[Engine]:
+    """Returns the engines that are known to serve older weights than the target."""
+    return [e for e in engines if e.version is not None and e.version < target]
+
+
 def choose_engines(
     engines: collections.abc.Collection[Engine],
     target: int,
     unavailable: collections.abc.Container[ids.UpstreamId],
+    unreached: collections.abc.Container[ids.UpstreamId] = (),
 ) -> list[ids.UpstreamId]:
     """Returns the engines to update now: oldest weights first, then fewest running requests.
 
@@ -116,12 +124,13 @@
         engines: All engines of the pool that accept requests.
         target: Target weights version.
         unavailable: Engines that are being updated.
+        unreached: Engines that this router could not reach lately; they come last.
     """
-    outdated = [e for e in engines if e.version is not None and e.version < target]
+    outdated = outdated_engines(engines, target)
     candidates = [e for e in outdated if e.upstream not in unavailable]
     unavailable_count = sum(1 for e in engines if e.upstream in unavailable)
     limit = _max_unavailable(len(engines), candidates)
-    candidates.sort(key=lambda e: (e.version or 0, e.running, e.upstream))
+    candidates.sort(key=lambda e: (e.upstream in unreached, e.version or 0, e.running, e.upstream))
     return [e.upstream for e in candidates[: max(0, limit - unavailable_count)]]
 
 
@@ -150,6 +159,7 @@
         self._ordered_at = -math.inf
         self._order_accepted = False
         self._accepted_orders: int | None = None
+        self._unreachable_since: float | None = None
 
     @property
     def expected_orders(self) -> int:
@@ -158,6 +168,7 @@
 
     def handle_report(self, report: EngineReport, now: float) -> Step:
         """Processes a report and returns the next step."""
+        self._unreachable_since = None
         if report.version >= self._target and not report.busy:
             return Step.DONE
         if now - self._started_at > UPDATE_TIMEOUT_S:
@@ -194,6 +205,18 @@
             return Step.GIVE_UP
         return Step.POLL
 
+    def handle_delay(self, now: float) -> Step:
+        """Returns the next step if the engine may not be called now."""
+        return Step.GIVE_UP if now - self._started_at > DELAY_TIMEOUT_S else Step.POLL
+
     def handle_unreachable(self, now: float) -> Step:
-        """Returns the next step if the engine cannot be reached or sends no report."""
-        return Step.GIVE_UP if now - self._started_at > UPDATE_TIMEOUT_S / 4 else Step.POLL
+        """Returns the next step if the engine cannot be reached or sends no report.
+
+        One that has not been sent an order is given up at once, as others may be reached meanwhile.
+        """
+        if math.isinf(self._ordered_at):
+            return Step.GIVE_UP
+        if self._unreachable_since is None:
+            self._unreachable_since = now
+        is_given_up = now - self._unreachable_since >= UNREACHABLE_TIMEOUT_S
+        return Step.GIVE_UP if is_given_up else Step.POLL
--- a/src/cicadapier/_internal/services/engine_orders.py
+++ b/src/cicadapier/_internal/services/engine_orders.py
@@ -6,6 +6,7 @@
 import structlog
 import trio
 
+from cicadapier._internal.decisions import order_links
 from cicadapier._internal.decisions import rollout
 from cicadapier._internal.decisions import withdrawals
 from cicadapier._internal.kernel import mailbox
@@ -22,6 +23,7 @@
 # An order that an engine has not received by then is discarded with its connection.
 CALL_TIMEOUT_S = 0.6
 POLL_INTERVAL_S = 0.2
+LINK_CHECK_TIMEOUT_S = 0.3
 GRANT_TIMEOUT_S = 2.0
 GRANT_POLL_INTERVAL_S = 0.1
 
@@ -59,7 +61,11 @@
         self._clock = clock
 
     async def update_engine(
-        self, target: Target, engine: rollout.Engine, get_fencing_token: FencingTokenSource
+        self,
+        target: Target,
+        engine: rollout.Engine,
+        get_fencing_token: FencingTokenSource,
+        links: order_links.OrderLinks,
     ) -> rollout.Step:
         """Updates an engine to the target version; returns `DONE`, or `GIVE_UP` if that fails.
 
@@ -67,6 +73,7 @@
             target: The target version.
             engine: The engine.
             get_fencing_token: Returns the fencing token if an order may be sent now, else None.
+            links: Records whether the engine is reached.
         """
         update = rollout.EngineUpdate(target.version, self._clock())
         step = rollout.Step.POLL
@@ -75,22 +82,41 @@
             if address is None:
                 return rollout.Step.GIVE_UP
             if self._directory.is_paused(engine.upstream):
-                step = update.handle_unreachable(self._clock())
+                step = update.handle_delay(self._clock())
                 await trio.sleep(POLL_INTERVAL_S)
                 continue
             if not await self._wait_for_grant(target.pool, engine):
-                step = update.handle_unreachable(self._clock())
+                step = update.handle_delay(self._clock())
                 continue
             if step is rollout.Step.ORDER:
-                step = await self._send_order(target, engine, address, update, get_fencing_token)
+                step = await self._send_order(
+                    target, engine, address, update, get_fencing_token, links
+                )
                 continue
             report = await self._fetch_report(target, engine, address)
             now = self._clock()
+            if report is None:
+                links.record_unreached(engine.upstream, now)
             step = update.handle_report(report, now) if report else update.handle_unreachable(now)
             if step is rollout.Step.POLL:
                 await trio.sleep(POLL_INTERVAL_S)
         return step
 
+    async def check_link(
+        self, target: Target, engine: rollout.Engine, links: order_links.OrderLinks
+    ) -> None:
+        """Records whether a connection to an engine can be opened."""
+        address = self._find_address(target.pool, engine)
+        if address is None:
+            return
+        try:
+            conn = await self._connections.open(address, LINK_CHECK_TIMEOUT_S)
+        except protocol_exceptions.ProtocolError:
+            links.record_unreached(engine.upstream, self._clock())
+            return
+        links.record_reached(engine.upstream, self._clock())
+        await conn.close()
+
     async def _wait_for_grant(self, pool: ids.PoolId, engine: rollout.Engine) -> bool:
         """Returns whether the engine may be called.
 
@@ -153,12 +179,15 @@
         address: ids.Address,
         update: rollout.EngineUpdate,
         get_fencing_token: FencingTokenSource,
+        links: order_links.OrderLinks,
     ) -> rollout.Step:
         try:
             conn = await self._connections.open(address, CALL_TIMEOUT_S)
         except protocol_exceptions.ProtocolError as exc:
             _log.info("order_not_sent", upstream=engine.upstream, reason=str(exc))
+            links.record_unreached(engine.upstream, self._clock())
             return update.handle_reply(rollout.Reply.NONE, self._clock())
+        links.record_reached(engine.upstream, self._clock())
         try:
             conn.limit_delivery(CALL_TIMEOUT_S)
             # The lease may have expired while the connection was being opened.
--- a/src/cicadapier/_internal/services/order_lease.py
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -4,12 +4,14 @@
 engines are about to load and which have loaded.
 """
 
+import collections.abc
 import dataclasses
 
 import msgspec
 import structlog
 import trio
 
+from cicadapier._internal.decisions import lease_candidacy
 from cicadapier._internal.decisions import leases
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import store_format
@@ -74,10 +76,16 @@
         """Whether this router holds the lease, by its latest information."""
         return self._lease.is_holder
 
-    @property
-    def last_holder(self) -> ids.VmId | None:
-        """VM that holds or last held the lease, or None if there is no lease yet."""
-        return self._lease.last_holder
+    def vacancy(self, outdated_since: float) -> lease_candidacy.Vacancy:
+        """Returns what this router knows of the lease, which it does not hold.
+
+        Args:
+            outdated_since: Time since which some engine of the pool is outdated.
+        """
+        lease = self._lease
+        return lease_candidacy.Vacancy(
+            self.pool, outdated_since, lease.last_holder, lease.hand_overs, lease.changed_at
+        )
 
     @property
     def note(self) -> Note:
@@ -89,6 +97,10 @@
         self._follow_epoch()
         return self._lease.fencing_token(self._clock())
 
+    def record_order(self) -> None:
+        """Records that an order is about to be sent."""
+        self._lease.record_order(self._clock())
+
     def _follow_epoch(self) -> None:
         """Gives up a lease of a former epoch."""
         epoch = self._cluster.platform.epoch
@@ -148,7 +160,7 @@
     def _log_confirmed(self, confirmed: leases.ConfirmedWrite, source: str) -> None:
         lease = confirmed.lease
         if lease.released or confirmed.is_new:
-            event = "lease_released" if lease.released else "lease_taken"
+            event = _change_event(lease)
             quiet_s = round(lease.quiet_s, 2)
             _log.info(event, pool=self.pool, fencing=lease.fencing, quiet_s=quiet_s)
         _log.info(
@@ -169,10 +181,19 @@
 
     async def release(self) -> None:
         """Releases the lease, so that other routers need not wait for it to expire."""
+        await self._write_release(self._lease.propose_release)
+
+    async def hand_over(self) -> None:
+        """Releases the lease because this router cannot use it."""
+        await self._write_release(lambda: self._lease.propose_hand_over(self._clock()))
+
+    async def _write_release(
+        self, propose: collections.abc.Callable[[], leases.LeaseObject | None]
+    ) -> None:
         for _ in range(MAX_RELEASE_TRIES):
             self._observe_stored("watch")
             # A renewal that is still under way may take effect first, so that a release is refused.
-            proposal = self._lease.propose_release()
+            proposal = propose()
             if proposal is None:
                 return
             await self._try_write(proposal)
@@ -263,6 +284,13 @@
         return await platform.replace(cluster_service.KIND, stored, spec)
 
 
+def _change_event(lease: leases.LeaseObject) -> str:
+    """Returns the log event for a lease that was taken or released."""
+    if not lease.released:
+        return "lease_taken"
+    return "lease_handed_over" if lease.hand_overs else "lease_released"
+
+
 def _read_note(raw: str) -> Note:
     try:
         return msgspec.json.decode(raw, type=Note) if raw else Note()
--- a/src/cicadapier/_internal/services/weights_service.py
+++ b/src/cicadapier/_internal/services/weights_service.py
@@ -7,15 +7,16 @@
 
 import dataclasses
 import functools
-import hashlib
 import math
 import random
 
 import structlog
 import trio
 
+from cicadapier._internal.decisions import lease_candidacy
 from cicadapier._internal.decisions import leases
 from cicadapier._internal.decisions import members
+from cicadapier._internal.decisions import order_links
 from cicadapier._internal.decisions import rollout
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import random_tokens
@@ -45,8 +46,6 @@
 LEASE_EXPIRES_AFTER_S = 2.0
 QUIET_MARGIN_S = 0.3
 LEASE_DELIVERY_S = engine_orders.CALL_TIMEOUT_S - QUIET_MARGIN_S
-LAST_HOLDER_HEAD_START_S = 1.0  # Head start of the last holder of the lease.
-RANK_DELAY_S = 0.4
 NONCE_BYTES = 12
 # Maximum age assumed for a target that was set before the watch got its first answer or while it
 # got none. The rest of the time in which requests may start on older weights remains for updating
@@ -63,16 +62,20 @@
     Attributes:
         lease: The lease that is required for orders to its engines.
         outdated_since: Time since which some engine is outdated; None if no engine is.
-        updating: Engines that this router is updating.
+        updating: Engines that this router is updating; the scopes cancel the updates.
         loaded: Weights version of the engines that it has updated to the current target.
         target: The current target version.
+        links: Links of this router to the engines, judged by its orders.
+        handed_over_at: Time at which this router last handed the lease over.
     """
 
     lease: order_lease.OrderLease
     outdated_since: float | None = None
-    updating: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
+    updating: dict[ids.UpstreamId, trio.CancelScope] = dataclasses.field(default_factory=dict)
     loaded: dict[str, str] = dataclasses.field(default_factory=dict)
     target: int = 0
+    links: order_links.OrderLinks = dataclasses.field(default_factory=order_links.OrderLinks)
+    handed_over_at: float = -math.inf
 
 
 class WeightsService(service.Service, watching.WatchHandler):
@@ -224,11 +227,9 @@
         if note is not None:
             self._apply_note(target.pool, note)
         pool_engines = await self._get_engines(target)
-        has_outdated = any(
-            e.version is not None and e.version < target.version for e in pool_engines
-        )
+        outdated = rollout.outdated_engines(pool_engines, target.version)
         must_update_note = state.lease.is_holder and bool(state.lease.note.loading)
-        if not (has_outdated or state.updating or must_update_note):
+        if not (outdated or state.updating or must_update_note):
             state.outdated_since = None
             return
         now = self._clock()
@@ -236,12 +237,23 @@
             state.outdated_since = now
         if self._released or not self._may_take_lease(state, now, stopping):
             return
-        selected = rollout.choose_engines(pool_engines, target.version, state.updating)
-        if not await self._acquire_or_renew_lease(target, state, selected) or self._released:
+        remaining = [engine.upstream for engine in outdated]
+        if state.lease.is_holder and state.links.are_lost(remaining, now):
+            await self._hand_over(state)
             return
         by_id = {engine.upstream: engine for engine in pool_engines}
+        self._check_links(target, state, [by_id[name] for name in remaining], nursery)
+        selected = [
+            upstream
+            for upstream in rollout.choose_engines(
+                pool_engines, target.version, state.updating, state.links.unreached(now)
+            )
+            if state.links.may_try(upstream, now)
+        ]
+        if not await self._acquire_or_renew_lease(target, state, selected) or self._released:
+            return
         for upstream in selected:
-            state.updating.add(upstream)
+            state.updating[upstream] = trio.CancelScope()
             nursery.start_soon(self._update_engine, target, state, by_id[upstream])
 
     def _pool_state(self, target: engine_orders.Target) -> _PoolState:
@@ -290,27 +302,40 @@
     def _may_take_lease(self, state: _PoolState, now: float, stopping: bool) -> bool:
         """Returns whether this router may try to take or renew the lease now.
 
-        The last holder goes first, because it need not wait for the end of another router's orders.
         A router that is stopping keeps a lease that it holds, but takes no other.
         """
         if state.lease.is_holder:
             return True
         if stopping:
             return False
-        if state.lease.last_holder == self._vm:
-            return True
         assert state.outdated_since is not None
-        head_start_s = LAST_HOLDER_HEAD_START_S if state.lease.last_holder is not None else 0.0
-        return now >= state.outdated_since + head_start_s + RANK_DELAY_S * self._rank(
-            state.lease.pool
+        vacancy = state.lease.vacancy(state.outdated_since)
+        return now >= lease_candidacy.earliest_attempt(
+            self._vm, self.cluster.routers(), vacancy, state.handed_over_at
         )
 
-    def _rank(self, pool: ids.PoolId) -> int:
-        ranked = sorted(
-            self.cluster.routers(),
-            key=lambda vm: hashlib.blake2b(f"{vm}/{pool}".encode(), digest_size=8).digest(),
-        )
-        return ranked.index(self._vm)
+    def _check_links(
+        self,
+        target: engine_orders.Target,
+        state: _PoolState,
+        outdated: list[rollout.Engine],
+        nursery: trio.Nursery,
+    ) -> None:
+        """Checks the links to further engines if one that is to be updated is not reached."""
+        assert self._engine_orders
+        by_id = {engine.upstream: engine for engine in outdated}
+        for upstream in state.links.engines_to_check(by_id, self._clock()):
+            check = self._engine_orders.check_link
+            nursery.start_soon(check, target, by_id[upstream], state.links)
+
+    async def _hand_over(self, state: _PoolState) -> None:
+        """Leaves the lease, which this router cannot use, to the other routers."""
+        _log.info("order_links_lost", pool=state.lease.pool, updating=sorted(state.updating))
+        state.handed_over_at = self._clock()
+        state.links.forget()
+        for update in state.updating.values():
+            update.cancel()
+        await state.lease.hand_over()
 
     async def _acquire_or_renew_lease(
         self, target: engine_orders.Target, state: _PoolState, selected: list[ids.UpstreamId]
@@ -334,12 +359,13 @@
         started_at = self._clock()
         step = rollout.Step.GIVE_UP
         try:
-            await trio.sleep(ANNOUNCEMENT_LEAD_S)
-            step = await self._engine_orders.update_engine(
-                target, engine, functools.partial(self._fencing_token, state)
-            )
+            with state.updating[engine.upstream]:
+                await trio.sleep(ANNOUNCEMENT_LEAD_S)
+                step = await self._engine_orders.update_engine(
+                    target, engine, functools.partial(self._take_token, state), state.links
+                )
         finally:
-            state.updating.discard(engine.upstream)
+            del state.updating[engine.upstream]
         done = step is rollout.Step.DONE
         _log.info(
             "weights_loaded" if done else "weights_not_loaded",
@@ -355,8 +381,12 @@
         else:
             self._report_loading(target.pool, engine.upstream, 0.0)
 
-    def _fencing_token(self, state: _PoolState) -> int | None:
-        return None if self._released else state.lease.fencing_token()
+    def _take_token(self, state: _PoolState) -> int | None:
+        """Returns the fencing token for an order that is sent at once, or None."""
+        token = None if self._released else state.lease.fencing_token()
+        if token is not None:
+            state.lease.record_order()
+        return token
 
 
 async def _cancel_on_event(event: trio.Event, scope: trio.CancelScope) -> None:
--- /dev/null
+++ b/tests/_internal/decisions/test_lease_candidacy.py
@@ -0,0 +1,63 @@
+"""Routers try to take the order lease in turns."""
+
+import unittest
+
+from cicadapier._internal.decisions import lease_candidacy
+
+NEVER = -float("inf")
+
+
+def _vacancy(last_holder=None, hand_overs=0, changed_at=NEVER):
+    return lease_candidacy.Vacancy("engines", 10.0, last_holder, hand_overs, changed_at)
+
+
+class LeaseCandidacyTest(unittest.TestCase):
+    def _attempts(self, routers, vacancy):
+        return sorted(
+            lease_candidacy.earliest_attempt(vm, routers, vacancy, NEVER) for vm in routers
+        )
+
+    def test_last_holder_goes_first(self):
+        routers = [f"vm-{i}" for i in range(4)]
+        vacancy = _vacancy("vm-2")
+        attempts = {
+            vm: lease_candidacy.earliest_attempt(vm, routers, vacancy, NEVER) for vm in routers
+        }
+        self.assertEqual(attempts.pop("vm-2"), 10.0)
+        self.assertGreaterEqual(
+            min(attempts.values()), 10.0 + lease_candidacy.LAST_HOLDER_HEAD_START_S
+        )
+
+    def test_nobody_waits_for_a_holder_that_has_handed_the_lease_over(self):
+        routers = [f"vm-{i}" for i in range(4)]
+        vacancy = _vacancy("vm-9", 1, 11.0)
+        self.assertEqual(self._attempts(routers, vacancy)[0], 11.0)
+        self.assertLess(self._attempts(routers, vacancy)[-1], 11.2)
+
+    def test_router_that_has_handed_the_lease_over_leaves_it_to_the_others(self):
+        routers = [f"vm-{i}" for i in range(4)]
+        for last_holder in ("vm-2", "vm-9"):
+            earliest = lease_candidacy.earliest_attempt(
+                "vm-2", routers, _vacancy(last_holder, 1, 11.0), 11.0
+            )
+            self.assertEqual(earliest, 11.0 + lease_candidacy.HANDED_OVER_PAUSE_S)
+
+    def test_lease_that_nobody_can_use_is_taken_less_and_less_often(self):
+        routers = [f"vm-{i}" for i in range(24)]
+        waits = [
+            self._attempts(routers, _vacancy("vm-99", count, 11.0))[0] - 11.0
+            for count in range(1, 9)
+        ]
+        self.assertEqual(waits, sorted(waits))
+        self.assertLess(waits[3], 0.5)
+        self.assertEqual(round(waits[-1], 6), lease_candidacy.MAX_BACKOFF_S)
+
+    def test_large_fleet_has_tried_within_few_turns(self):
+        for count in (24, 77, 300):
+            attempts = self._attempts([f"vm-{i}" for i in range(count)], _vacancy())
+            self.assertEqual(attempts.count(10.0), 1)
+            self.assertLessEqual(attempts[-1], 10.0 + 9 * lease_candidacy.TURN_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/_internal/decisions/test_leases.py
+++ b/tests/_internal/decisions/test_leases.py
@@ -28,6 +28,7 @@
         WRITE_LOST: Its write takes effect, the answer is lost.
         WRITE_LATE: Its write takes effect later if its condition still holds; no answer.
         RELEASE: It releases the lease; the answer is lost.
+        HAND_OVER: It hands over the lease, which it cannot use; the answer is lost.
         DELIVER: All late writes take effect.
         RESTART: Its process ends, and another one begins on the same VM.
         RESTORE: The store is restored: a new epoch begins, in which there is no lease.
@@ -38,6 +39,7 @@
     WRITE_LOST = enum.auto()
     WRITE_LATE = enum.auto()
     RELEASE = enum.auto()
+    HAND_OVER = enum.auto()
     DELIVER = enum.auto()
     RESTART = enum.auto()
     RESTORE = enum.auto()
@@ -53,6 +55,7 @@
     Action.RESTART: 2,
     Action.RESTORE: 1,
 }
+HAND_OVER_WEIGHTS = {**WEIGHTS, Action.HAND_OVER: 6}
 
 
 @dataclasses.dataclass
@@ -67,9 +70,11 @@
 class Simulation:
     """Routers that contend for one lease in a store with conditional writes."""
 
-    def __init__(self):
+    def __init__(self, order_share=1.0, seed=0):
         self.now = 0.0
         self.orders = []
+        self._order_share = order_share
+        self._rng = random.Random(seed)
         self._epoch = 0
         self._versions = [None]
         self._late_writes = []
@@ -113,12 +118,10 @@
         self._order()
 
     def _write(self, router, action):
-        is_release = action is Action.RELEASE
-        lease = router.lease
-        proposal = lease.propose_release() if is_release else lease.propose(self.now)
+        proposal = self._propose(router.lease, action)
         if proposal is None:
             return
-        lease.begin_write(proposal, self.now)
+        router.lease.begin_write(proposal, self.now)
         if action is Action.WRITE_LATE:
             self._late_writes.append((router.epoch, router.seen_version, proposal))
             return
@@ -126,30 +129,60 @@
         if action is Action.WRITE:
             self._look(router)
 
+    def _propose(self, lease, action):
+        if action is Action.RELEASE:
+            return lease.propose_release()
+        if action is Action.HAND_OVER:
+            return lease.propose_hand_over(self.now)
+        return lease.propose(self.now)
+
     def _order(self):
         for index, router in enumerate(self._routers):
             token = router.lease.fencing_token(self.now)
-            if token is not None:
+            if token is not None and self._rng.random() < self._order_share:
+                router.lease.record_order(self.now)
                 self.orders.append((self.now, index, token))
 
 
 class LateWritesTest(unittest.TestCase):
-    def _run_random_events(self, seed):
+    def _run_random_events(self, seed, weights=WEIGHTS, order_share=1.0):
         rng = random.Random(seed)
-        simulation = Simulation()
+        simulation = Simulation(order_share, seed)
         for _ in range(EVENTS):
             index = rng.choices(range(ROUTERS), ROUTER_WEIGHTS)[0]
-            action = rng.choices(list(WEIGHTS), WEIGHTS.values())[0]
+            action = rng.choices(list(weights), weights.values())[0]
             simulation.act(index, rng.expovariate(1 / MEAN_PAUSE_S), action)
         return simulation.orders
 
+    def _check_orders(self, orders, seed):
+        for before, after in itertools.pairwise(orders):
+            self.assertGreaterEqual(after[2], before[2], seed)
+            if after[1] != before[1]:
+                self.assertGreaterEqual(after[0] - before[0], MIN_ORDER_GAP_S, seed)
+                self.assertGreater(after[2], before[2], seed)
+
     def test_orders_of_two_routers_are_apart_and_tokens_grow(self):
         for seed in range(SEEDS):
-            for before, after in itertools.pairwise(self._run_random_events(seed)):
-                self.assertGreaterEqual(after[2], before[2], seed)
-                if after[1] != before[1]:
-                    self.assertGreaterEqual(after[0] - before[0], MIN_ORDER_GAP_S, seed)
-                    self.assertGreater(after[2], before[2], seed)
+            self._check_orders(self._run_random_events(seed), seed)
+
+    def test_orders_stay_apart_where_holders_that_have_hardly_ordered_hand_the_lease_over(self):
+        for seed in range(SEEDS):
+            for order_share in (0.02, 0.2, 1.0):
+                orders = self._run_random_events(seed, HAND_OVER_WEIGHTS, order_share)
+                self._check_orders(orders, seed)
+
+    def test_lease_that_was_handed_over_without_orders_is_usable_at_once(self):
+        first = leases.Lease(ids.VmId("vm0"), "process 0", TIMING)
+        taken = first.propose(0.0)
+        first.begin_write(taken, 0.0)
+        first.observe(taken, 0.0)
+        second = leases.Lease(ids.VmId("vm1"), "process 1", TIMING)
+        second.observe(taken, 0.0)
+        second.observe(first.propose_hand_over(0.7), 0.7)
+        retaken = second.propose(0.7)
+        second.begin_write(retaken, 0.7)
+        second.observe(retaken, 0.71)
+        self.assertEqual(second.fencing_token(0.71), taken.fencing + 1)
 
     def test_routers_take_turns(self):
         turns = 0
--- /dev/null
+++ b/tests/_internal/services/test_cut_order_holder.py
@@ -0,0 +1,168 @@
+"""Routers that lose their links to the engines keep nobody from loading new weights."""
+
+import itertools
+import unittest
+
+import trio
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.standins import router_links
+from tests import forwarding_world
+
+Fault = router_links.LinkFault
+ROUTERS = 4
+MAX_AGE_S = 8.0  # Default of `forwarding.weights_ms`.
+MIN_ORDER_GAP_S = 3.0
+ASK_INTERVAL_S = 0.2
+
+
+def _engines(world):
+    return [upstream for name, upstream in world.upstreams.items() if name.startswith("engine")]
+
+
+def _orders(world):
+    return sorted(
+        (at, upstream.entry.upstream, order.holder, order.fencing)
+        for upstream in _engines(world)
+        for at, order in upstream.orders
+    )
+
+
+def _holder(world):
+    """Returns the index of the router that sent the last order."""
+    return int(_orders(world)[-1][2].removeprefix("vm-"))
+
+
+class CutOrderHolderTest(unittest.TestCase):
+    def _check_gaps(self, world):
+        """Checks the time between orders of different routers and that fencing tokens grow."""
+        for before, after in itertools.pairwise(_orders(world)):
+            if before[2] != after[2]:
+                self.assertGreaterEqual(after[0] - before[0], MIN_ORDER_GAP_S)
+                self.assertGreater(after[3], before[3])
+
+    def _check_weights(self, world, version):
+        self.assertEqual([u.weights for u in _engines(world)], [version] * len(_engines(world)))
+
+    async def _make_holder(self, world):
+        world.set_target_weights(2)
+        await trio.sleep(8.0)
+        self._check_weights(world, 2)
+        return _holder(world)
+
+    async def _ask_until(self, world, router, until, statuses):
+        while trio.current_time() < until:
+            reply = await world.ask(router=router, time_left_ms=3000)
+            statuses.append(reply.status)
+            await trio.sleep(ASK_INTERVAL_S)
+
+    def test_last_holder_without_links_keeps_no_engine_on_old_weights(self):
+        for fault in Fault:
+            with self.subTest(fault):
+
+                async def check(world, fault=fault):
+                    holder = await self._make_holder(world)
+                    world.cut_links(holder, fault)
+                    await trio.sleep(1.0)
+                    world.set_target_weights(3)
+                    statuses = []
+                    until = trio.current_time() + 16.0
+                    async with trio.open_nursery() as nursery:
+                        for router in range(ROUTERS):
+                            if router != holder:
+                                nursery.start_soon(self._ask_until, world, router, until, statuses)
+                        await trio.sleep(5.0)
+                        self._check_weights(world, 3)
+                    self._check_gaps(world)
+                    self.assertEqual(set(statuses), {200})
+
+                forwarding_world.run_in_world(check, routers=ROUTERS)
+
+    def test_holder_that_is_cut_off_amid_a_rollout_is_replaced_in_time(self):
+        for fault in Fault:
+            for after_s in (0.3, 0.5, 1.0):
+                with self.subTest(fault=fault, after_s=after_s):
+
+                    async def check(world, fault=fault, after_s=after_s):
+                        holder = await self._make_holder(world)
+                        world.set_target_weights(3)
+                        await trio.sleep(after_s)
+                        world.cut_links(holder, fault)
+                        await trio.sleep(MAX_AGE_S - after_s)
+                        self._check_weights(world, 3)
+                        self._check_gaps(world)
+
+                    forwarding_world.run_in_world(check, routers=ROUTERS, engines=6)
+
+    def test_all_routers_but_one_without_links(self):
+        for fault in Fault:
+            for reached in range(ROUTERS):
+                with self.subTest(fault=fault, reached=reached):
+
+                    async def check(world, fault=fault, reached=reached):
+                        await self._make_holder(world)
+                        await trio.sleep(MIN_ORDER_GAP_S)
+                        for router in set(range(ROUTERS)) - {reached}:
+                            world.cut_links(router, fault)
+                        await trio.sleep(1.0)
+                        world.set_target_weights(3)
+                        await trio.sleep(MAX_AGE_S)
+                        self._check_weights(world, 3)
+                        self._check_gaps(world)
+
+                    forwarding_world.run_in_world(check, routers=ROUTERS)
+
+    def test_holder_that_reaches_some_engines_leaves_the_others_to_another_router(self):
+        for fault in Fault:
+            with self.subTest(fault):
+
+                async def check(world, fault=fault):
+                    holder = await self._make_holder(world)
+                    world.cut_links(holder, fault, ["engine-0", "engine-1"])
+                    await trio.sleep(1.0)
+                    world.set_target_weights(3)
+                    await trio.sleep(MAX_AGE_S)
+                    self._check_weights(world, 3)
+                    self._check_gaps(world)
+
+                forwarding_world.run_in_world(check, routers=ROUTERS)
+
+    def test_engines_that_no_router_reaches_are_updated_once_they_are_reached_again(self):
+        for fault in Fault:
+            with self.subTest(fault):
+
+                async def check(world, fault=fault):
+                    await self._make_holder(world)
+                    for router in range(ROUTERS):
+                        world.cut_links(router, fault)
+                    world.set_target_weights(3)
+                    revision_before = world.store.revision
+                    await trio.sleep(20.0)
+                    # Each hand-over takes two writes, and each router then leaves the lease alone
+                    # for a while.
+                    self.assertLess(world.store.revision - revision_before, 80)
+                    for router in range(ROUTERS):
+                        world.heal_links(router)
+                    await trio.sleep(8.0)
+                    self._check_weights(world, 3)
+                    self._check_gaps(world)
+
+                forwarding_world.run_in_world(check, routers=ROUTERS)
+
+    def test_engine_that_restarts_amid_its_update_makes_no_router_give_up_the_others(self):
+        async def check(world):
+            holder = await self._make_holder(world)
+            world.set_target_weights(3)
+            await trio.sleep(0.35)
+            world.crash("engine-0")
+            await trio.sleep(MAX_AGE_S)
+            others = [u for u in _engines(world) if u.entry.upstream != ids.UpstreamId("engine-0")]
+            self.assertEqual({u.weights for u in others}, {3})
+            updates = [order[2] for order in _orders(world) if order[1] != "engine-0"]
+            self.assertEqual(updates[-1], f"vm-{holder}")
+
+        forwarding_world.run_in_world(check, routers=ROUTERS, engines=6)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/_internal/services/test_engine_orders.py
+++ b/tests/_internal/services/test_engine_orders.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from cicadapier._internal.decisions import order_links
 from cicadapier._internal.decisions import rollout
 from cicadapier._internal.models import directory_entries
 from cicadapier._internal.models import ids
@@ -37,7 +38,7 @@
         target = engine_orders.Target(POOL, MODEL, 2)
 
         async def main():
-            return await orders.update_engine(target, ENGINE, lambda: 1)
+            return await orders.update_engine(target, ENGINE, lambda: 1, order_links.OrderLinks())
 
         self.assertIs(trio.run(main), rollout.Step.GIVE_UP)
 
