--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -128,6 +128,9 @@
     async def send(self, head: RequestHead, body: bytes) -> None:
         """Sends a complete request.
 
+        Until its answer is complete, closing the connection discards what the peer has not
+        received, so that a request that was given up is not delivered later.
+
         Raises:
             ConnectionLostError: The connection broke while sending.
         """
@@ -143,6 +146,7 @@
             parts.append(self._h11.send(h11.Data(data=body)) or b"")
         parts.append(self._h11.send(h11.EndOfMessage()) or b"")
         self.sent = True
+        transport.reset_on_close(self._stream)
         try:
             await self._stream.send_all(b"".join(parts))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
@@ -212,6 +216,7 @@
             self._h11.start_next_cycle()
         except h11.LocalProtocolError:
             return False
+        transport.reset_on_close(self._stream, False)
         self._reused = True
         self.idle_since = trio.current_time()
         return True
--- a/src/cicadapier/_internal/protocols/transport.py
+++ b/src/cicadapier/_internal/protocols/transport.py
@@ -19,6 +19,7 @@
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 2500
 _LINGER_FOR_NO_TIME = struct.pack("ii", 1, 0)
+_NO_LINGER = struct.pack("ii", 0, 0)
 
 StreamHandler = collections.abc.Callable[[trio.abc.Stream], collections.abc.Awaitable[None]]
 
@@ -45,19 +46,28 @@
     """A stream whose close can discard what the peer has not received."""
 
     @abc.abstractmethod
-    def reset_on_close(self) -> None:
-        """Makes the next close discard what the peer has not received and reset the connection."""
+    def reset_on_close(self, resets: bool = True) -> None:
+        """Sets whether a close discards what the peer has not received and resets the connection.
+
+        Args:
+            resets: Whether it does.
+        """
 
 
-def reset_on_close(stream: trio.abc.Stream) -> None:
-    """Makes the next close of a stream discard what the peer has not received, if it can.
+def reset_on_close(stream: trio.abc.Stream, resets: bool = True) -> None:
+    """Sets whether a close, also by the end of the process, discards what was not received.
 
     Without it, the kernel delivers what was sent even after the close.
+
+    Args:
+        stream: The stream.
+        resets: Whether a close resets the connection.
     """
     if isinstance(stream, ResettableStream):
-        stream.reset_on_close()
+        stream.reset_on_close(resets)
     elif isinstance(stream, trio.SocketStream):
-        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_FOR_NO_TIME)
+        linger = _LINGER_FOR_NO_TIME if resets else _NO_LINGER
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
 def limit_delivery(stream: trio.abc.Stream, limit_s: float) -> None:
--- a/src/cicadapier/_internal/standins/faulty_network.py
+++ b/src/cicadapier/_internal/standins/faulty_network.py
@@ -159,9 +159,9 @@
             raise trio.BrokenResourceError("connection reset by peer")
         return data
 
-    def reset_on_close(self) -> None:
+    def reset_on_close(self, resets: bool = True) -> None:
         """See `transport.ResettableStream.reset_on_close`."""
-        self._resets_on_close = True
+        self._resets_on_close = resets
 
     async def aclose(self) -> None:
         if self._resets_on_close:
--- a/src/cicadapier/_internal/standins/router_links.py
+++ b/src/cicadapier/_internal/standins/router_links.py
@@ -192,9 +192,9 @@
         self._end_read()
         trio.lowlevel.spawn_system_task(self._reset_inner)
 
-    def reset_on_close(self) -> None:
+    def reset_on_close(self, resets: bool = True) -> None:
         """See `transport.ResettableStream.reset_on_close`."""
-        self._resets_on_close = True
+        self._resets_on_close = resets
 
     @property
     def has_input(self) -> bool:
--- a/tests/_internal/protocols/test_transport.py
+++ b/tests/_internal/protocols/test_transport.py
@@ -72,6 +72,25 @@
         with socket.create_server(("127.0.0.1", 0)) as server:
             self._read_after_close(server, discards=False)
 
+    def test_request_that_is_given_up_is_not_delivered_whole(self):
+        head = http_client.RequestHead("POST", "/", [])
+
+        async def give_up(port):
+            address = ids.Address(f"127.0.0.1:{port}")
+            stream = await transport.TcpNetwork().connect(address, 1.0)
+            conn = http_client.ClientConnection(stream, address)
+            with trio.move_on_after(0.2):
+                await conn.send(head, b"x" * self.BODY_BYTES)
+            await conn.close()
+
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            trio.run(give_up, server.getsockname()[1])
+            accepted, _ = server.accept()
+            with accepted, self.assertRaises(ConnectionResetError):
+                accepted.settimeout(5.0)
+                while accepted.recv(1_000_000):
+                    pass
+
 
 if __name__ == "__main__":
     unittest.main()
