Expect the newest weights of an upstream whose weights are not known (VERSION)

What callers saw: as before. Cause: an upstream whose entry names no weights, and that has not answered yet, counts as current, and its requests bore no expected version, so that it began them on whatever it had. Class: not known is taken for as it should be. Evidence: test_unknown_weights on the former code: 4 of 4 requests, 9 s after weights 2 were named, begin on weights 1. Now such a request expects the newest version; an upstream with another one refuses it unrun and tells its own, which ends the doubt, so that it serves and is updated as the others (second test, which held before). Not seen on the bench: all entries there name their weights.

--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -311,7 +311,7 @@
         weights = None
         start_deadline = math.inf
         if request_spec.model is not None:
-            weights = member.versions.get(request_spec.model)
+            weights = self._expected_weights(member, request_spec.model)
             start_deadline = self.target_weights.start_deadline(request_spec.model, weights, now)
         return routing.Placed(
             request_spec.request,
@@ -326,6 +326,15 @@
             software=member.spec.software,
         )
 
+    def _expected_weights(self, member: members.Member, model: ids.ModelId) -> str | None:
+        """Returns the weights that a request names, so that an upstream with others refuses it.
+
+        An upstream whose weights are not known is expected to serve the newest ones.
+        """
+        known = member.versions.get(model)
+        newest = self.target_weights.newest(model)
+        return str(newest) if known is None and newest is not None else known
+
     def _place_at_backup(
         self,
         state: observations.PoolState,
