--- a/src/cicadapier/_internal/assembly/forwarding.py
+++ b/src/cicadapier/_internal/assembly/forwarding.py
@@ -87,7 +87,9 @@
         telemetry_service.TelemetryService(cfg.vm, cfg.otlp_endpoint),
         platform,
         connections_service.ConnectionsService(dependencies.connect_network),
-        traffic_service.TrafficService(cfg.failure_domain, forwarding_settings.weights_ms / 1000),
+        traffic_service.TrafficService(
+            cfg.failure_domain, forwarding_settings.weights_ms / 1000, clock
+        ),
         configuration,
         directory_service.DirectoryService(
             document_format, forwarding_settings.drain_ms / 1000, clock, rng
--- a/src/cicadapier/_internal/decisions/target_weights.py
+++ b/src/cicadapier/_internal/decisions/target_weights.py
@@ -51,6 +51,11 @@
             known.pop(0)
         return True
 
+    def add_age(self, age_s: float) -> None:
+        """Makes all targets older, by time that the clock of their times has not counted."""
+        for model, known in self._targets.items():
+            self._targets[model] = [_Target(item.version, item.set_at - age_s) for item in known]
+
     def newest(self, model: ids.ModelId) -> int | None:
         """Returns the newest target version of a model, or None if none was set."""
         known = self._targets.get(model)
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -25,6 +25,7 @@
 _log = structlog.get_logger()
 
 MAX_POLL_INTERVAL_S = 0.25
+MIN_SUSPENSION_S = 0.05  # Shorter differences between the clocks are ignored until they add up.
 MAX_DIGEST_CRASHES = 64
 MAX_DIGEST_SOUND = 32
 MAX_DIGEST_ACCOUNTS = 256
@@ -60,8 +61,20 @@
     name = names.TRAFFIC
 
     def __init__(
-        self, failure_domain: ids.FailureDomainId, max_weights_age_s: float = math.inf
+        self,
+        failure_domain: ids.FailureDomainId,
+        max_weights_age_s: float = math.inf,
+        clock: collections.abc.Callable[[], float] = trio.current_time,
     ) -> None:
+        """Creates the service.
+
+        Args:
+            failure_domain: Failure domain of this router.
+            max_weights_age_s: Time after which no request starts on weights older than the target.
+            clock: Clock in seconds that also advances while the VM is suspended.
+        """
+        self._clock = clock
+        self._suspended_s = 0.0
         self.mailbox: mailbox.Mailbox[traffic_messages.Message] = mailbox.Mailbox()
         self._traffic = traffic.Traffic(failure_domain, max_weights_age_s=max_weights_age_s)
         self._kernel: service.Kernel | None = None
@@ -110,12 +123,14 @@
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
         self._kernel = kernel
+        self._suspended_s = self._clock() - trio.current_time()
         task_status.started()
         while True:
             now = trio.current_time()
             deadline = min(now + MAX_POLL_INTERVAL_S, self._traffic.next_deadline() or float("inf"))
             message = await self.mailbox.receive_until(deadline)
             now = trio.current_time()
+            self._notice_suspension(now)
             if message is not None:
                 self._handlers[type(message)](message, now)
             if self._pending_replies:
@@ -123,6 +138,15 @@
             self._update_demands(now)
             self._report_blocks(now)
 
+    def _notice_suspension(self, now: float) -> None:
+        """Adds the time for which the VM was suspended, which trio's clock does not count."""
+        suspended_s = self._clock() - now
+        missed_s = suspended_s - self._suspended_s
+        if missed_s >= MIN_SUSPENSION_S:
+            self._suspended_s = suspended_s
+            self._traffic.target_weights.add_age(missed_s)
+            _log.info("vm_was_suspended", suspended_s=round(missed_s, 2))
+
     def _admit(self, message: traffic_messages.Admit, now: float) -> None:
         decision = self._traffic.admit(message.request_spec, now)
         self._pending_replies[message.request_spec.request] = message.reply
