--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -80,7 +80,8 @@
     result = unittest.TextTestRunner(stream=stream, verbosity=1, buffer=True).run(suite)
     # A failed module import or class setup is reported without a test of its own, so there can be
     # more failures than tests that ran.
-    failed = frozenset(case.id() for case, _ in [*result.failures, *result.errors])
+    # The id of a subtest begins with that of its test.
+    failed = frozenset(case.id().split()[0] for case, _ in [*result.failures, *result.errors])
     failed |= frozenset(case.id() for case in result.unexpectedSuccesses)
     return ClassResult(max(result.testsRun, len(failed)), failed, stream.getvalue())
 
