Reach upstreams through a peer where the own links are lost (RECOVER)

What callers saw: routers that had lost their links to all upstreams refused everything, 0 of 16 and 0 of 53 first tries, elsewhere 181 of 183 and 155 of 156, while the others reached the upstreams and these routers.

Cause: there was no way round. Each router knows only its own links, and what it does not reach is down. Class: evidence against the own links is taken for evidence against what is behind them.

What a peer reaches is no evidence against the upstream: no ejection, no crash.

--- a/src/cicadapier/_internal/assembly/forwarding.py
+++ b/src/cicadapier/_internal/assembly/forwarding.py
@@ -15,6 +15,7 @@
 from cicadapier._internal.services import connections_service
 from cicadapier._internal.services import directory_service
 from cicadapier._internal.services import forwarding_service
+from cicadapier._internal.services import links_service
 from cicadapier._internal.services import origins_service
 from cicadapier._internal.services import peers_service
 from cicadapier._internal.services import platform_service
@@ -22,6 +23,7 @@
 from cicadapier._internal.services import quotas_service
 from cicadapier._internal.services import telemetry_service
 from cicadapier._internal.services import traffic_service
+from cicadapier._internal.services import tunnels_service
 from cicadapier._internal.services import watched_configuration
 from cicadapier._internal.services import weights_service
 
@@ -81,12 +83,16 @@
     platform = platform_service.PlatformService(
         cfg.platform, dependencies.connect_network, rng, objects.ObjectFormat()
     )
+    links = links_service.LinksService(
+        cfg, dependencies.connect_network, random.Random(f"{dependencies.seed}/links")
+    )
     # Services drain in the reverse order: first the listener for callers, then the services that
     # its requests use.
     for component in (
         telemetry_service.TelemetryService(cfg.vm, cfg.otlp_endpoint),
         platform,
-        connections_service.ConnectionsService(dependencies.connect_network),
+        links,
+        connections_service.ConnectionsService(links),
         traffic_service.TrafficService(
             cfg.failure_domain, forwarding_settings.weights_ms / 1000, clock
         ),
@@ -95,6 +101,9 @@
             document_format, forwarding_settings.drain_ms / 1000, clock, rng
         ),
         peers,
+        tunnels_service.TunnelsService(
+            cfg, dependencies.listen_network, dependencies.connect_network
+        ),
         cluster_service.ClusterService(cfg, dependencies.generation, clock, rng),
         quotas_service.QuotasService(cfg.vm),
         origins_service.OriginsService(cfg.vm, rng),
--- a/src/cicadapier/_internal/assembly/router.py
+++ b/src/cicadapier/_internal/assembly/router.py
@@ -107,7 +107,9 @@
         platform_service.PlatformService(
             cfg.platform, dependencies.connect_network, rng, native_store_format.NativeStoreFormat()
         ),
-        connections_service.ConnectionsService(dependencies.connect_network),
+        connections_service.ConnectionsService(
+            connections_service.DirectLinks(dependencies.connect_network)
+        ),
         traffic_service.TrafficService(cfg.failure_domain),
         configuration,
         peers,
--- a/src/cicadapier/_internal/decisions/membership.py
+++ b/src/cicadapier/_internal/decisions/membership.py
@@ -30,6 +30,8 @@
         generation: Number that grows with each start of the router.
         counter: Number that grows while the router runs.
         leaving: Whether the router is shutting down.
+        tunnel_port: Port at which it opens connections to upstreams for others; 0 for none.
+        links_lost: Whether it has lost its links to all upstreams.
     """
 
     vm: ids.VmId
@@ -38,6 +40,8 @@
     generation: int
     counter: int
     leaving: bool = False
+    tunnel_port: int = 0
+    links_lost: bool = False
 
     def is_newer_than(self, other: "Heartbeat") -> bool:
         """Returns whether this heartbeat is newer than the other one."""
@@ -71,6 +75,14 @@
         )
         return self._own
 
+    def set_tunnel_port(self, port: int) -> None:
+        """Sets the port at which this router opens connections to upstreams for others."""
+        self._own = dataclasses.replace(self._own, tunnel_port=port)
+
+    def set_links_lost(self, links_lost: bool) -> None:
+        """Sets whether this router has lost its links to all upstreams."""
+        self._own = dataclasses.replace(self._own, links_lost=links_lost)
+
     def merge_heartbeats(self, heartbeats: collections.abc.Iterable[Heartbeat], now: float) -> None:
         """Merges received heartbeats; those older than the known ones have no effect."""
         for heartbeat in heartbeats:
--- a/src/cicadapier/_internal/models/settings.py
+++ b/src/cicadapier/_internal/models/settings.py
@@ -28,6 +28,7 @@
     peers: ids.Address = ids.Address("127.0.0.1:8082")
     readiness: ids.Address = ids.Address("127.0.0.1:8083")
     metrics: ids.Address = ids.Address("127.0.0.1:8084")
+    tunnels: ids.Address = ids.Address("127.0.0.1:8085")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,10 +50,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Peers:
-    """Peer addresses of other routers, and the secret that authenticates routers to each other."""
+    """Other routers.
+
+    Attributes:
+        seed: Peer addresses of other routers.
+        secret: Secret that authenticates routers to each other.
+        max_tunnels: Maximum number of connections to upstreams that this router carries for other
+            routers, which have lost their own links; 0 to carry none.
+    """
 
     seed: list[ids.Address] = schema.field(factory=list)
     secret: str = ""
+    max_tunnels: int = schema.field(512, minimum=0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -196,6 +205,7 @@
         "listen.peers": value.listen.peers,
         "listen.readiness": value.listen.readiness,
         "listen.metrics": value.listen.metrics,
+        "listen.tunnels": value.listen.tunnels,
     }
     for i, address in enumerate(value.platform.addresses):
         addresses[f"platform.addresses[{i}]"] = address
--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -8,8 +8,10 @@
 import h11
 import trio
 
+from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import transport
+from cicadapier._internal.protocols import tunnels
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
@@ -106,6 +108,11 @@
         self.sent = False
         self.max_idle_s = math.inf
 
+    @property
+    def peer(self) -> ids.VmId | None:
+        """Peer through which the connection was opened; None if it is direct."""
+        return self._stream.peer if isinstance(self._stream, tunnels.TunnelStream) else None
+
     @property
     def is_stale(self) -> bool:
         """Whether the peer has closed the idle connection or sent unexpected data."""
--- a/src/cicadapier/_internal/protocols/peer_codec.py
+++ b/src/cicadapier/_internal/protocols/peer_codec.py
@@ -25,6 +25,7 @@
 MAX_SOUND = 64
 MAX_PIECES = 4096  # Pieces beyond this number in one export or placement are ignored.
 PIECE_ID_BYTES = 16
+MAX_PORT = 65_535
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -190,6 +191,8 @@
         generation=heartbeat.generation,
         counter=heartbeat.counter,
         leaving=heartbeat.leaving,
+        tunnel_port=heartbeat.tunnel_port,
+        links_lost=heartbeat.links_lost,
     )
 
 
@@ -201,6 +204,8 @@
         message.generation,
         message.counter,
         message.leaving,
+        message.tunnel_port if message.tunnel_port <= MAX_PORT else 0,
+        message.links_lost,
     )
 
 
--- a/src/cicadapier/_internal/protocols/transport.py
+++ b/src/cicadapier/_internal/protocols/transport.py
@@ -82,8 +82,8 @@
         stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
 
 
-class Network(abc.ABC):
-    """Opens and accepts byte streams."""
+class Connector(abc.ABC):
+    """Opens byte streams."""
 
     @abc.abstractmethod
     async def connect(self, address: ids.Address, timeout_s: float) -> trio.abc.Stream:
@@ -94,6 +94,10 @@
             ConnectError: The address does not answer in time or is unreachable.
         """
 
+
+class Network(Connector):
+    """Opens and accepts byte streams."""
+
     @abc.abstractmethod
     async def serve(
         self,
@@ -119,7 +123,7 @@
         with trio.move_on_after(timeout_s):
             try:
                 stream = await trio.open_tcp_stream(host, port, happy_eyeballs_delay=timeout_s)
-                _enable_keepalive(stream)
+                enable_keepalive(stream)
                 return stream
             except OSError as exc:
                 if _is_refusal(exc):
@@ -153,8 +157,10 @@
     return all(isinstance(cause, ConnectionRefusedError) for cause in causes.exceptions)
 
 
-def _enable_keepalive(stream: trio.SocketStream) -> None:
-    """Makes the kernel close the connection if the peer disappears."""
+def enable_keepalive(stream: trio.abc.Stream) -> None:
+    """Makes the kernel close a connection if the peer disappears."""
+    if not isinstance(stream, trio.SocketStream):
+        return
     stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -119,6 +119,7 @@
         sent_at: Time of trio's clock at which the transport was given the first byte, from when on
             the request may run; None before that.
         request_sent: Whether sending the request has ended.
+        peer: Peer through which it was connected; None if it was direct.
         silence_handler: Looks for a replacement during silence; None disables replacement.
     """
 
@@ -152,6 +153,7 @@
         self.facts = answers.AnswerFacts()
         self.sent_at: float | None = None
         self.request_sent = False
+        self.peer: ids.VmId | None = None
         self._is_receiving_ahead = False
         self._received_ahead = bytearray()
         self._body_ended = False
@@ -187,6 +189,7 @@
         """
         if not self.request_sent:
             self._conn = self._conn or await self._connect()
+            self.peer = self._conn.peer
             if check:
                 await self._run_check(check)
         try:
@@ -402,8 +405,8 @@
         return await self._broken_outcome(exc, offset)
 
     async def is_reachable(self) -> bool:
-        """Returns whether a new connection to the upstream can be opened."""
-        return await self._upstream_checker.is_reachable()
+        """Returns whether the attempt can still be expected to make progress."""
+        return await self._upstream_checker.is_reachable(is_direct=self.peer is None)
 
     async def finish(self) -> None:
         """Returns the connection to the pool after a complete answer."""
--- a/src/cicadapier/_internal/services/connections_service.py
+++ b/src/cicadapier/_internal/services/connections_service.py
@@ -1,9 +1,11 @@
 """Connection pool for upstreams.
 
-An idle connection is owned by the pool, and a connection in use by the task of one request.
-Ownership is transferred with the message. A connection that timed out is never reused.
+A router whose link to an upstream is lost opens connections to it through a peer. An idle
+connection is owned by the pool, and a connection in use by the task of one request. Ownership is
+transferred with the message. A connection that timed out is never reused.
 """
 
+import abc
 import dataclasses
 
 import trio
@@ -53,7 +55,58 @@
     address: ids.Address
 
 
-Message = TakeIdle | ReturnConnection | ConnectionFailed
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkLost:
+    """The link to an upstream is lost, so its idle direct connections may be dead.
+
+    Attributes:
+        address: Address of the upstream; None if the links to all upstreams are lost.
+    """
+
+    address: ids.Address | None
+
+
+Message = TakeIdle | ReturnConnection | ConnectionFailed | LinkLost
+
+
+class UpstreamLinks(transport.Connector):
+    """Opens connections to upstreams, through a peer where the own link is lost."""
+
+    @abc.abstractmethod
+    async def connect_direct(self, address: ids.Address, timeout_s: float) -> trio.abc.Stream:
+        """Opens a stream without a peer.
+
+        Raises:
+            ConnectError: As for `connect`.
+        """
+
+    @abc.abstractmethod
+    def suits(self, address: ids.Address, peer: ids.VmId | None) -> bool:
+        """Returns whether an idle connection to an upstream is one that would be opened now.
+
+        Args:
+            address: Address of the upstream.
+            peer: Peer through which the connection was opened; None if it is direct.
+        """
+
+
+class DirectLinks(UpstreamLinks):
+    """Opens all connections directly."""
+
+    def __init__(self, network: transport.Connector) -> None:
+        self._network = network
+
+    async def connect(self, address: ids.Address, timeout_s: float) -> trio.abc.Stream:
+        """See `transport.Connector.connect`."""
+        return await self._network.connect(address, timeout_s)
+
+    async def connect_direct(self, address: ids.Address, timeout_s: float) -> trio.abc.Stream:
+        """See `UpstreamLinks.connect_direct`."""
+        return await self._network.connect(address, timeout_s)
+
+    def suits(self, address: ids.Address, peer: ids.VmId | None) -> bool:
+        """See `UpstreamLinks.suits`."""
+        return True
 
 
 class ConnectionsService(service.Service):
@@ -65,9 +118,9 @@
 
     name = names.CONNECTIONS
 
-    def __init__(self, network: transport.Network) -> None:
+    def __init__(self, links: UpstreamLinks) -> None:
         self.mailbox: mailbox.Mailbox[Message] = mailbox.Mailbox()
-        self._network = network
+        self._links = links
         self._idle: dict[ids.Address, list[http_client.ClientConnection]] = {}
         self._failed_at: dict[ids.Address, float] = {}
         self._watched: set[http_client.ClientConnection] = set()
@@ -96,26 +149,50 @@
             ConnectError: No connection could be opened.
         """
         while conn := await self._request_idle(address):
-            if not conn.is_stale and not _is_idle_too_long(conn, trio.current_time()):
+            if self._is_usable(address, conn):
                 return conn
             # Upstreams close idle connections, so this is no evidence against the other ones.
             await conn.close()
         return await self.open(address, timeout_s)
 
+    def _is_usable(self, address: ids.Address, conn: http_client.ClientConnection) -> bool:
+        if conn.is_stale or _is_idle_too_long(conn, trio.current_time()):
+            return False
+        return self._links.suits(address, conn.peer)
+
     async def _request_idle(self, address: ids.Address) -> http_client.ClientConnection | None:
         reply: mailbox.Reply[http_client.ClientConnection | None] = mailbox.Reply()
         self.mailbox.send(TakeIdle(address, reply))
         return await reply.get()
 
     async def open(self, address: ids.Address, timeout_s: float) -> http_client.ClientConnection:
-        """Returns a new connection.
+        """Returns a new connection, through a peer if the own link is lost.
 
         Raises:
             ConnectError: No connection could be opened.
         """
-        stream = await self._network.connect(address, timeout_s)
+        stream = await self._links.connect(address, timeout_s)
         return http_client.ClientConnection(stream, address)
 
+    async def open_direct(
+        self, address: ids.Address, timeout_s: float
+    ) -> http_client.ClientConnection:
+        """Returns a new connection that was opened without a peer.
+
+        Raises:
+            ConnectError: No connection could be opened.
+        """
+        stream = await self._links.connect_direct(address, timeout_s)
+        return http_client.ClientConnection(stream, address)
+
+    def drop_idle(self, address: ids.Address | None) -> None:
+        """Closes idle direct connections, because the link that they use is lost.
+
+        Args:
+            address: Address of the upstream; None for all upstreams.
+        """
+        self.mailbox.try_send(LinkLost(address))
+
     def watch(self, conn: http_client.ClientConnection) -> None:
         """Starts to check the read deadlines of a connection every `DEADLINE_CHECK_INTERVAL_S`."""
         conn.set_watched(True)
@@ -149,11 +226,21 @@
             message.reply.set(self._pop_idle(message.address))
         elif isinstance(message, ReturnConnection):
             await self._put_idle(message)
+        elif isinstance(message, LinkLost):
+            await self._drop_direct(message.address)
         else:
             self._failed_at[message.address] = trio.current_time()
             for conn in self._idle.pop(message.address, []):
                 await conn.close()
 
+    async def _drop_direct(self, address: ids.Address | None) -> None:
+        for key in [address] if address else list(self._idle):
+            idle = self._idle.get(key, [])
+            self._idle[key] = [conn for conn in idle if conn.peer is not None]
+            for conn in idle:
+                if conn.peer is None:
+                    await conn.close()
+
     def _pop_idle(self, address: ids.Address) -> http_client.ClientConnection | None:
         idle = self._idle.get(address)
         return idle.pop() if idle else None
--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -48,6 +48,7 @@
 
     Attributes:
         limits: Rate limits that upstreams have announced.
+        addresses: Addresses of all registered upstreams.
     """
 
     name = names.UPSTREAMS
@@ -73,6 +74,7 @@
         self._rng = rng
         self._directory = directory.Directory()
         self.limits = known_limits.KnownLimits(self.find, clock, rng)
+        self.addresses: frozenset[ids.Address] = frozenset()
         self._expiry_changed = trio.Event()
         self._configuration: configuration_source.ConfigurationSource | None = None
         self._traffic: traffic_service.TrafficService | None = None
@@ -203,6 +205,8 @@
 
     def _publish(self) -> None:
         self._expiry_changed.set()
+        registrations = self._directory.registrations()
+        self.addresses = frozenset(item.address for item in registrations)
         if self._configuration is None or self._traffic is None:
             return
         current = self._configuration.current
@@ -210,7 +214,6 @@
         content = dataclasses.replace(current.content, pools=pools)
         joined = dataclasses.replace(current, content=content)
         self._traffic.mailbox.send(traffic_messages.ConfigurationChanged(joined))
-        registrations = self._directory.registrations()
         self.limits.set_registered({item.upstream for item in registrations})
         if self._origins:
             stream_pools = _stream_pools(current.content)
--- a/src/cicadapier/_internal/services/engine_orders.py
+++ b/src/cicadapier/_internal/services/engine_orders.py
@@ -110,7 +110,7 @@
         if address is None:
             return
         try:
-            conn = await self._connections.open(address, LINK_CHECK_TIMEOUT_S)
+            conn = await self._connections.open_direct(address, LINK_CHECK_TIMEOUT_S)
         except protocol_exceptions.ProtocolError:
             links.record_unreached(engine.upstream, self._clock())
             return
@@ -159,6 +159,11 @@
         except protocol_exceptions.ProtocolError as exc:
             _log.info("report_missing", address=address, reason=str(exc))
             return None
+        if conn.peer is not None:
+            # The engine could not be sent an order, so its report is of no use.
+            await self._connections.release(address, conn)
+            _log.info("report_missing", address=address, reason="the link to the engine is lost")
+            return None
         self._directory.limits.count_send(engine.upstream, "report")
         try:
             head, body = await connections_service.exchange(
@@ -182,7 +187,8 @@
         links: order_links.OrderLinks,
     ) -> rollout.Step:
         try:
-            conn = await self._connections.open(address, CALL_TIMEOUT_S)
+            # Engines take an order through a peer for an order of the peer.
+            conn = await self._connections.open_direct(address, CALL_TIMEOUT_S)
         except protocol_exceptions.ProtocolError as exc:
             _log.info("order_not_sent", upstream=engine.upstream, reason=str(exc))
             links.record_unreached(engine.upstream, self._clock())
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -196,6 +196,7 @@
         except attempts.AttemptSupersededError as exc:
             outcome = await self._supersede(exc)
         finally:
+            self._progress.peer = attempt.peer
             await attempt.abandon()
         self._current_attempt = None
         if not isinstance(outcome, outcomes.Complete):
@@ -486,4 +487,5 @@
             self._dependencies.configuration.proof_age_s,
             self._services.retry_budget.remaining(plan.pool, now),
             now - self._progress.last_progress_at,
+            self._progress.peer,
         )
--- a/src/cicadapier/_internal/services/forwarded_log.py
+++ b/src/cicadapier/_internal/services/forwarded_log.py
@@ -7,6 +7,7 @@
 
 from cicadapier._internal.decisions import routing
 from cicadapier._internal.kernel import exceptions as kernel_exceptions
+from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
 from cicadapier._internal.protocols import exceptions as protocol_exceptions
 from cicadapier._internal.services import exceptions
@@ -34,6 +35,7 @@
         proof_age_s: Age of the proof that the configuration is the newest.
         remaining_retries: Retries that the retry budget of the pool still allows.
         silent_s: Time since the last progress of the current attempt.
+        peer: Peer through which the last attempt was connected; None if it was direct.
     """
 
     outcome: str
@@ -44,6 +46,7 @@
     proof_age_s: float
     remaining_retries: float
     silent_s: float
+    peer: ids.VmId | None
 
 
 def outcome_of_error(exc: Exception, outcome: str) -> str:
@@ -89,6 +92,7 @@
         attempts=summary.attempts + 1,
         repeats_left=round(summary.remaining_retries, 1),
         silent_ms=round(summary.silent_s * 1000),
+        peer=summary.peer,
         left_ms=round((plan.deadline - trio.current_time()) * 1000),
     )
 
@@ -144,6 +148,7 @@
         pool=plan.pool,
         outcome=summary.outcome,
         upstream=estimate.upstream if estimate else None,
+        peer=summary.peer,
         reason=placed.choice.reason if placed else None,
         estimate_ms=round(estimate.total_s * 1000) if estimate else None,
         cached_pieces=estimate.cached_pieces if estimate else None,
--- a/src/cicadapier/_internal/services/forwarded_progress.py
+++ b/src/cicadapier/_internal/services/forwarded_progress.py
@@ -19,6 +19,7 @@
         weights_changed: Whether an event announced other weights.
         software: Version of the software whose events the stream holds; None before the first.
         last_progress_at: Time of trio's clock of the last progress of the current attempt.
+        peer: Peer through which the last attempt was connected; None if it was direct.
     """
 
     def __init__(self, resume_after: int | None, software: str | None = None) -> None:
@@ -29,6 +30,7 @@
         self.weights_changed = False
         self.software = software
         self.last_progress_at = trio.current_time()
+        self.peer: ids.VmId | None = None
 
     @property
     def usable_backup(self) -> ids.UpstreamId | None:
--- /dev/null
+++ b/src/cicadapier/_internal/services/links_service.py
@@ -0,0 +1,280 @@
+"""Opens connections to upstreams: directly, or through a peer where the own link is lost."""
+
+import dataclasses
+import random
+
+import structlog
+import trio
+
+from cicadapier._internal.decisions import link_state
+from cicadapier._internal.decisions import membership
+from cicadapier._internal.decisions import tunnel_peers
+from cicadapier._internal.kernel import service
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
+from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import transport
+from cicadapier._internal.protocols import tunnels
+from cicadapier._internal.services import connections_service
+from cicadapier._internal.services import directory_service
+from cicadapier._internal.services import names
+from cicadapier._internal.services import peers_service
+from cicadapier._internal.services import telemetry_service
+
+# A direct connection that takes longer is tried through a peer beside it: a multiple of the time
+# that the last one to the same upstream took, within these bounds.
+PEER_DELAY_FACTOR = 4.0
+MIN_PEER_DELAY_S = 0.1
+MAX_PEER_DELAY_S = 0.3
+NEXT_PEER_DELAY_S = 0.06  # Until a further peer is tried beside one that has not answered.
+PROBE_INTERVAL_S = 0.25
+PROBE_TIMEOUT_S = 0.4
+CHECK_TIMEOUT_S = 0.2
+MAX_CONNECT_TIMES = 4096
+
+_log = structlog.get_logger()
+
+
+@dataclasses.dataclass(eq=False)
+class _Race:
+    """Attempts to open one connection, of which the first that succeeds is used.
+
+    Attributes:
+        address: Address of the upstream.
+        scope: Cancels the attempts.
+        started_at: Time of trio's clock at which the first attempt began.
+        stream: Stream of the attempt that succeeded.
+        direct_error: Error of the direct attempt.
+        direct_ended: Set once the direct attempt has ended.
+    """
+
+    address: ids.Address
+    scope: trio.CancelScope = dataclasses.field(default_factory=trio.CancelScope)
+    started_at: float = dataclasses.field(default_factory=trio.current_time)
+    stream: trio.abc.Stream | None = None
+    direct_error: exceptions.ConnectError | None = None
+    direct_ended: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+    async def win(self, stream: trio.abc.Stream) -> bool:
+        """Uses the stream of an attempt and ends the others; returns False if it is late."""
+        if self.stream is not None:
+            await trio.aclose_forcefully(stream)
+            return False
+        self.stream = stream
+        self.scope.cancel()
+        return True
+
+
+class LinksService(service.Service, connections_service.UpstreamLinks):
+    """Owns what this router believes of its links to upstreams."""
+
+    name = names.LINKS
+
+    def __init__(
+        self, cfg: settings.Settings, network: transport.Connector, rng: random.Random
+    ) -> None:
+        """Creates the service.
+
+        Args:
+            cfg: Settings of the router.
+            network: Network on which it connects.
+            rng: Source of the order in which peers are tried.
+        """
+        self._network = network
+        self._secret = cfg.peers.secret
+        self._state = link_state.LinkState()
+        self._choice = tunnel_peers.PeerChoice(cfg.failure_domain, rng)
+        self._connect_s: dict[ids.Address, float] = {}
+        self._peers: peers_service.PeersService | None = None
+        self._directory: directory_service.DirectoryService | None = None
+        self._connections: connections_service.ConnectionsService | None = None
+        self._telemetry: telemetry_service.TelemetryService | None = None
+
+    async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
+        """See `service.Service.run`."""
+        self._peers = kernel.find(names.PEERS)
+        self._directory = kernel.find(names.UPSTREAMS)
+        self._connections = kernel.find(names.CONNECTIONS)
+        self._telemetry = kernel.find(names.TELEMETRY)
+        task_status.started()
+        while True:
+            await trio.sleep(PROBE_INTERVAL_S)
+            await self._probe()
+
+    @property
+    def all_lost(self) -> bool:
+        """Whether this router believes that it has lost its links to all upstreams."""
+        return self._state.all_lost
+
+    def suits(self, address: ids.Address, peer: ids.VmId | None) -> bool:
+        """See `connections_service.UpstreamLinks.suits`."""
+        if self._state.is_direct(address):
+            return peer is None
+        return peer is not None and peer in {
+            heartbeat.vm for heartbeat in self._reachable() if tunnel_peers.tunnel_peer(heartbeat)
+        }
+
+    async def connect(self, address: ids.Address, timeout_s: float) -> trio.abc.Stream:
+        """See `transport.Connector.connect`.
+
+        The error is `ConnectRefusedError` only if the links of this router are not in doubt.
+        """
+        race = _Race(address)
+        is_direct = self._state.is_direct(address) or not self._choose_peers(address)
+        with trio.move_on_after(timeout_s):
+            async with trio.open_nursery() as nursery:
+                race.scope = nursery.cancel_scope
+                if is_direct:
+                    nursery.start_soon(self._try_direct, race, timeout_s)
+                    await self._wait_for_direct(race)
+                if race.stream is None:
+                    await self._try_peers(race, timeout_s)
+        if race.stream is None:
+            raise await self._failure(race, timeout_s)
+        return race.stream
+
+    async def connect_direct(self, address: ids.Address, timeout_s: float) -> trio.abc.Stream:
+        """See `connections_service.UpstreamLinks.connect_direct`."""
+        started_at = trio.current_time()
+        stream = await self._network.connect(address, timeout_s)
+        self._record_direct(address, started_at)
+        return stream
+
+    async def _try_direct(self, race: _Race, timeout_s: float) -> None:
+        try:
+            stream = await self.connect_direct(race.address, timeout_s)
+            await race.win(stream)
+        except exceptions.ConnectError as exc:
+            race.direct_error = exc
+        finally:
+            race.direct_ended.set()
+
+    async def _wait_for_direct(self, race: _Race) -> None:
+        """Waits until the direct attempt has ended or takes longer than usual."""
+        usual_s = PEER_DELAY_FACTOR * self._connect_s.get(race.address, 0.0)
+        with trio.move_on_after(min(MAX_PEER_DELAY_S, max(MIN_PEER_DELAY_S, usual_s))):
+            await race.direct_ended.wait()
+
+    async def _try_peers(self, race: _Race, timeout_s: float) -> None:
+        """Tries peers one after the other, further ones beside those that do not answer."""
+        async with trio.open_nursery() as nursery:
+            for peer in self._choose_peers(race.address):
+                ended = trio.Event()
+                nursery.start_soon(self._try_peer, race, peer, timeout_s, ended)
+                with trio.move_on_after(NEXT_PEER_DELAY_S):
+                    await ended.wait()
+
+    async def _try_peer(
+        self, race: _Race, peer: tunnel_peers.TunnelPeer, timeout_s: float, ended: trio.Event
+    ) -> None:
+        try:
+            stream = await self._open_tunnel(race.address, peer, timeout_s)
+        except exceptions.ProtocolError as exc:
+            self._choice.record_failure(peer.vm, race.address, trio.current_time())
+            _log.debug("tunnel_failed", upstream=race.address, peer=peer.vm, reason=str(exc))
+        else:
+            if await race.win(stream):
+                self._record_peer_only(race, peer)
+        finally:
+            ended.set()
+
+    async def _open_tunnel(
+        self, address: ids.Address, peer: tunnel_peers.TunnelPeer, timeout_s: float
+    ) -> trio.abc.Stream:
+        stream = await self._network.connect(peer.address, timeout_s)
+        outcome = None
+        try:
+            outcome = await tunnels.request_tunnel(stream, address, self._secret)
+        finally:
+            if outcome is not tunnels.Outcome.OPEN:
+                await trio.aclose_forcefully(stream)
+        if self._telemetry:
+            self._telemetry.count_event(f"tunnel_{outcome.value}")
+        if outcome is not tunnels.Outcome.OPEN:
+            raise exceptions.ConnectError(f"{address}: {peer.vm} answered {outcome.value}")
+        return tunnels.TunnelStream(stream, peer.vm)
+
+    def _choose_peers(self, address: ids.Address) -> list[tunnel_peers.TunnelPeer]:
+        return self._choice.choose(self._reachable(), address, trio.current_time())
+
+    def _reachable(self) -> list[membership.Heartbeat]:
+        return self._peers.reachable() if self._peers else []
+
+    async def _failure(self, race: _Race, timeout_s: float) -> exceptions.ConnectError:
+        """Returns the error of a connection that neither this router nor a peer could open."""
+        error = race.direct_error
+        if error is None:
+            return exceptions.ConnectError(f"{race.address}: no answer within {timeout_s} s")
+        if not isinstance(error, exceptions.ConnectRefusedError):
+            return error
+        if await self._reaches_another(race.address, race.started_at):
+            return error
+        return exceptions.ConnectError(f"{error}, and no other upstream is reached")
+
+    async def _reaches_another(self, address: ids.Address, since: float) -> bool:
+        """Returns whether this router reaches an upstream; True if there is no other one."""
+        if self._state.last_direct_at >= since:
+            return True
+        others = sorted(self._registered() - {address})
+        if not others:
+            return True
+        try:
+            stream = await self.connect_direct(others[0], CHECK_TIMEOUT_S)
+        except exceptions.ConnectError:
+            return False
+        await trio.aclose_forcefully(stream)
+        return True
+
+    def _registered(self) -> frozenset[ids.Address]:
+        return self._directory.addresses if self._directory else frozenset()
+
+    async def _probe(self) -> None:
+        """Tries one lost link directly, if there is any."""
+        self._state.retain(self._registered())
+        address = self._state.next_probe(trio.current_time())
+        if address is None:
+            return
+        try:
+            stream = await self.connect_direct(address, PROBE_TIMEOUT_S)
+        except exceptions.ConnectError:
+            self._state.record_failed_probe(address)
+            return
+        await trio.aclose_forcefully(stream)
+
+    def _record_direct(self, address: ids.Address, started_at: float) -> None:
+        now = trio.current_time()
+        if len(self._connect_s) >= MAX_CONNECT_TIMES:
+            self._connect_s.clear()
+        self._connect_s[address] = now - started_at
+        self._apply_change(self._state.record_direct(address, now), address, None)
+
+    def _record_peer_only(self, race: _Race, peer: tunnel_peers.TunnelPeer) -> None:
+        is_certain = race.direct_error is not None
+        now = trio.current_time()
+        change = self._state.record_peer_only(race.address, is_certain, now)
+        self._apply_change(change, race.address, peer.vm)
+
+    def _apply_change(
+        self, change: link_state.LinkChange | None, address: ids.Address, peer: ids.VmId | None
+    ) -> None:
+        """Acts on a change of what this router believes of its links."""
+        if change is None:
+            return
+        _log.info(
+            change.value,
+            upstream=address,
+            peer=peer,
+            lost_links=len(self._state.lost_links()),
+            direct_ms_ago=round((trio.current_time() - self._state.last_direct_at) * 1000)
+            if self._state.last_direct_at > 0
+            else None,
+        )
+        if self._connections and change is link_state.LinkChange.LINK_LOST:
+            self._connections.drop_idle(address)
+        if self._connections and change is link_state.LinkChange.ALL_LOST:
+            self._connections.drop_idle(None)
+        if self._peers and change in (
+            link_state.LinkChange.ALL_LOST,
+            link_state.LinkChange.ALL_REGAINED,
+        ):
+            self._peers.set_links_lost(self._state.all_lost)
--- a/src/cicadapier/_internal/services/orders_service.py
+++ b/src/cicadapier/_internal/services/orders_service.py
@@ -167,7 +167,7 @@
 
     async def _send_order(self, order: Order, lease: leases.Lease) -> None:
         assert self._connections
-        conn = await self._connections.open(order.address, CONNECT_TIMEOUT_S)
+        conn = await self._connections.open_direct(order.address, CONNECT_TIMEOUT_S)
         try:
             conn.limit_delivery(leases.MAX_ORDER_S)
             # The lease may have expired while the connection was being opened.
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -189,6 +189,22 @@
         """Returns the other reachable routers of this router's failure domain."""
         return self._domain_routers
 
+    def reachable(self) -> list[membership.Heartbeat]:
+        """Returns the newest heartbeats of the other routers that are reachable."""
+        if self._membership is None:
+            return []
+        return self._membership.reachable(trio.current_time())
+
+    def set_tunnel_port(self, port: int) -> None:
+        """Sets the port at which this router opens connections to upstreams for others."""
+        self.members.set_tunnel_port(port)
+        self.schedule_update(urgent=False)
+
+    def set_links_lost(self, links_lost: bool) -> None:
+        """Tells the peers whether this router has lost its links to all upstreams."""
+        self.members.set_links_lost(links_lost)
+        self.schedule_update(urgent=True)
+
     async def drain(self) -> None:
         """Announces to the peers that this router is leaving."""
         await self._refresh_digest()
--- a/src/cicadapier/_internal/services/telemetry_service.py
+++ b/src/cicadapier/_internal/services/telemetry_service.py
@@ -75,6 +75,7 @@
         self._refusals = meter.create_counter("cicadapier_refusals")
         self._retries = meter.create_counter("cicadapier_retries")
         self._events = meter.create_counter("cicadapier_events")
+        self._tunnel_bytes = meter.create_counter("cicadapier_tunnel_bytes", unit="By")
         self._limited_sends = meter.create_counter("cicadapier_limited_sends")
 
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
@@ -115,6 +116,10 @@
         """Counts an internal event."""
         self._events.add(1, {"kind": kind})
 
+    def count_tunnel_bytes(self, size: int) -> None:
+        """Counts bytes that were carried for another router."""
+        self._tunnel_bytes.add(size)
+
     def count_limited_send(self, upstream: ids.UpstreamId, kind: str) -> None:
         """Counts a request to an upstream that announces a rate limit, by its kind."""
         self._limited_sends.add(1, {"upstream": upstream, "kind": kind})
--- a/src/cicadapier/_internal/services/upstream_condition.py
+++ b/src/cicadapier/_internal/services/upstream_condition.py
@@ -52,13 +52,20 @@
         self._incarnation = incarnation
         self._answer_format = answer_format
 
-    async def is_reachable(self) -> bool:
-        """Returns whether a connection can be opened; a refused connection is not retried."""
+    async def is_reachable(self, is_direct: bool) -> bool:
+        """Returns whether a connection that makes no progress can still be expected to.
+
+        Args:
+            is_direct: Whether it was opened without a peer. If the direct link carries nothing,
+                such a connection is dead, although a peer may reach the upstream.
+        """
+        open_connection = self._connections.open_direct if is_direct else self._connections.open
         for _ in range(MAX_CONNECT_ATTEMPTS):
             try:
-                conn = await self._connections.open(self._address, CHECK_TIMEOUT_S)
+                conn = await open_connection(self._address, CHECK_TIMEOUT_S)
             except exceptions.ConnectRefusedError:
-                return False
+                # New connections may be refused by a lost link that leaves open ones alone.
+                return is_direct and await self.is_reachable(is_direct=False)
             except exceptions.ConnectError:
                 continue
             await conn.close()
--- a/src/cicadapier/_internal/standins/forwarding_deployment.py
+++ b/src/cicadapier/_internal/standins/forwarding_deployment.py
@@ -285,7 +285,7 @@
         cfg = settings.Settings(
             vm,
             FAILURE_DOMAIN,
-            listen=settings.Listen(ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT),
+            listen=settings.Listen(*[ANY_PORT] * 6),
             platform=settings.Platform([store_address], timeout_s=1.5),
             forwarding=forwarding_settings,
         )
--- a/tests/_internal/services/test_attempts.py
+++ b/tests/_internal/services/test_attempts.py
@@ -74,7 +74,9 @@
 
         async def main():
             async with trio.open_nursery() as nursery:
-                service = connections_service.ConnectionsService(network)
+                service = connections_service.ConnectionsService(
+                    connections_service.DirectLinks(network)
+                )
                 nursery.start_soon(service.run, None, trio.TASK_STATUS_IGNORED)
                 call = upstream_call.Call(
                     ids.RequestId("q"),
--- a/tests/_internal/services/test_connections_service.py
+++ b/tests/_internal/services/test_connections_service.py
@@ -55,7 +55,9 @@
 
     def __init__(self):
         self.network = _Network()
-        self.service = connections_service.ConnectionsService(self.network)
+        self.service = connections_service.ConnectionsService(
+            connections_service.DirectLinks(self.network)
+        )
 
     async def add_idle(self, idle_since):
         for time in idle_since:
--- a/tests/_internal/services/test_hedging.py
+++ b/tests/_internal/services/test_hedging.py
@@ -272,7 +272,9 @@
 
         async def main():
             async with trio.open_nursery() as nursery:
-                service = connections_service.ConnectionsService(_SilentNetwork())
+                service = connections_service.ConnectionsService(
+                    connections_service.DirectLinks(_SilentNetwork())
+                )
                 nursery.start_soon(service.run, None, trio.TASK_STATUS_IGNORED)
                 call = upstream_call.Call(
                     ids.RequestId("q"),
--- a/tests/_internal/services/test_orders_service.py
+++ b/tests/_internal/services/test_orders_service.py
@@ -33,7 +33,7 @@
     def __init__(self, conn):
         self._conn = conn
 
-    async def open(self, address, timeout_s):
+    async def open_direct(self, address, timeout_s):
         return self._conn
 
 
