Ask the directory before a stream that nobody knows is continued

Streams that had begun at upstreams of the newer software through other routers broke, were taken up at this router and went on at the older version.

Cause: a router that did not know a stream took the only version that it had seen for that of the stream. That is right up to the directory's last answer; what had come since then it could not know. It counted as current for 5 s after an answer, on a clock that stands still while the VM is suspended, and a query that waits at the store for 2.5 s (3 s until it is given up) hides a cut as long. The other routers correct it only if they know the stream or have seen the version: not if they were killed, if their notices were lost, or if they can't be reached. The same held for the answers of routers that were out of step themselves, and for what a router that starts learned from them.

Ruled out: a router that is cut off from the other routers alone sees the new version in the directory.

The mend: a stream that nobody knows is continued only if a router whose directory has answered a query sent after the take-up has seen one version alone for as long as the stream can have lived. Such an answer holds every upstream at which the stream can have begun, whatever clocks did. Many take-ups share a query (one each 50 ms at most). If the own directory doesn't answer, the others are asked to confirm theirs; an answer without that vouches for nothing (a new field, so that routers of the former version vouch for nothing either). The query runs beside the one that waits; whichever answer comes later from the older state is dropped.

After: none joined in any of these, and all streams whose software did not change go on, also after 4 and 8 s.

The stand-in for a suspension lets the router's clock of the uptime jump by the suspended time while trio's advances by the 2 s in which the others act; the store's pending answers are lost and the peers cut meanwhile. The router's tasks do run in these 2 s.

--- a/src/cicadapier/_internal/decisions/stream_origins.py
+++ b/src/cicadapier/_internal/decisions/stream_origins.py
@@ -66,8 +66,8 @@
 
     Attributes:
         versions: Those that it has seen within `STREAM_LIFE_S`.
-        observed_s: For how long it has seen all changes of them; 0 if the directory has not
-            answered it lately.
+        observed_s: For how long it has seen all changes of them, up to the directory's last answer;
+            0 if the directory has not answered it lately.
     """
 
     versions: frozenset[str]
@@ -88,8 +88,12 @@
             return None
         return next(iter(self.versions))
 
+    def unconfirmed(self) -> "SeenVersions":
+        """Returns what is certain if versions may have come since the directory answered."""
+        return SeenVersions(self.versions, 0.0)
+
     def joined(self, others: collections.abc.Iterable["SeenVersions"]) -> "SeenVersions":
-        """Returns what several routers can vouch for together."""
+        """Returns what several routers can vouch for together, all up to the same time."""
         seen = [self, *others]
         versions = frozenset[str]().union(*(one.versions for one in seen))
         return SeenVersions(versions, max(one.observed_s for one in seen))
@@ -188,7 +192,11 @@
             self._observed_since = min(self._observed_since, now - peer.observed_s)
 
     def seen(self, now: float) -> SeenVersions:
-        """Returns the versions that streams may have begun at."""
+        """Returns the versions that streams may have begun at, as the directory last said.
+
+        Others may have come since then. Before a stream is continued on these grounds, the
+        directory must have answered a query that was sent after the stream was taken up.
+        """
         recent = {version for version, at in self._last_seen.items() if now - at < STREAM_LIFE_S}
         is_current = now - self._confirmed_at < MAX_UNCONFIRMED_S
         observed_s = 0.0
@@ -224,11 +232,14 @@
         number: Number by which the answer is matched with the question.
         reply_to: Address of the router that asks.
         stream: The stream.
+        wants_seen: Whether the router that is asked shall have the directory confirm what it has
+            seen, unless it knows the origin.
     """
 
     number: int
     reply_to: ids.Address
     stream: StreamId
+    wants_seen: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -239,7 +250,8 @@
         number: Number of the question.
         sender: The router.
         origin: The origin, if the router knows it.
-        seen: Versions that it has seen.
+        seen: Versions that it has seen; `observed_s` is 0 unless the directory has answered it
+            since it was asked.
     """
 
     number: int
--- a/src/cicadapier/_internal/protocols/origin_codec.py
+++ b/src/cicadapier/_internal/protocols/origin_codec.py
@@ -29,13 +29,16 @@
         reply_to=query.reply_to,
         account=query.stream.account,
         request=query.stream.request,
+        wants_seen=query.wants_seen,
     )
 
 
 def decode_query(message: peers_pb2.OriginQuery) -> stream_origins.OriginQuery:
     """Returns the query of a wire message."""
     stream = stream_origins.StreamId(message.account, ids.RequestId(message.request))
-    return stream_origins.OriginQuery(message.number, ids.Address(message.reply_to), stream)
+    return stream_origins.OriginQuery(
+        message.number, ids.Address(message.reply_to), stream, message.wants_seen
+    )
 
 
 def encode_answer(answer: stream_origins.OriginAnswer) -> peers_pb2.OriginAnswer:
--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -16,6 +16,7 @@
 from cicadapier._internal.protocols import declarations
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import configuration_source
+from cicadapier._internal.services import fresh_answers
 from cicadapier._internal.services import known_limits
 from cicadapier._internal.services import names
 from cicadapier._internal.services import telemetry_service
@@ -79,6 +80,7 @@
         self._telemetry: telemetry_service.TelemetryService | None = None
         self._peers: traffic_service.PeerNotifier | None = None
         self._origins: VersionSink | None = None
+        self._fresh_answers: fresh_answers.FreshAnswers | None = None
 
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
@@ -93,15 +95,28 @@
         kind = self._declaration_format.directory_kind
         platform = kernel.find(names.PLATFORM)
         watch = watching.Watch(platform, kind, self._watch_options, self, self._clock, self._rng)
+        self._fresh_answers = fresh_answers.FreshAnswers(watch.confirm)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._expire_entries)
             nursery.start_soon(watch.run)
+            nursery.start_soon(self._fresh_answers.run)
             task_status.started()
 
     def handle_configuration_change(self) -> None:
         """Passes the pools of the new configuration to the traffic decisions."""
         self._publish()
 
+    async def confirm(self, timeout_s: float) -> bool:
+        """Asks the store for the changes up to now.
+
+        Args:
+            timeout_s: Longest wait.
+
+        Returns:
+            Whether all changes that the store had made when this was called have been applied.
+        """
+        return self._fresh_answers is not None and await self._fresh_answers.wait(timeout_s)
+
     def find(self, upstream: ids.UpstreamId) -> directory_entries.Registration | None:
         """Returns the registration of an upstream, or None if it has none that may be used."""
         return self._directory.find(upstream)
--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -13,6 +13,7 @@
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import origin_codec
 from cicadapier._internal.services import cluster_service
+from cicadapier._internal.services import directory_service
 from cicadapier._internal.services import names
 from cicadapier._internal.services import peers_service
 
@@ -23,6 +24,11 @@
 MIN_LEARN_WAIT_S = 0.25
 MAX_LEARN_WAIT_S = 8.0
 _NUMBER_BITS = 48
+# Longest waits for the directory to confirm the versions: for an own request, and before an answer
+# to a router that asks, which waits no longer than `ASK_WAITS_S`.
+CONFIRM_TIMEOUT_S = 0.5
+ANSWER_CONFIRM_TIMEOUT_S = 0.15
+MAX_PENDING_ANSWERS = 256
 
 _UNNAMED_STREAM = stream_origins.StreamId("", ids.RequestId(""))
 
@@ -101,18 +107,20 @@
         self._history = stream_origins.VersionHistory()
         self._questions: dict[int, _Question] = {}
         self._numbers = itertools.count(rng.getrandbits(_NUMBER_BITS))
+        self._pending_answers = 0
         self._tells_all = True  # As a router that has just started can vouch for nothing.
 
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
         self._cluster: cluster_service.ClusterService = kernel.find(names.CLUSTER)
         self._peers: peers_service.PeersService = kernel.find(names.PEERS)
+        self._directory: directory_service.DirectoryService = kernel.find(names.UPSTREAMS)
         self._peers.set_origin_sink(self)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._check_regularly)
             nursery.start_soon(self._learn_history)
             task_status.started()
-            await self._handle_messages()
+            await self._handle_messages(nursery)
 
     async def _check_regularly(self) -> None:
         """Notices that the directory no longer answers, or that the past is known by now."""
@@ -129,13 +137,13 @@
                 wait_s = MIN_LEARN_WAIT_S
                 await trio.sleep(CHECK_INTERVAL_S)
                 continue
-            await self._ask(_UNNAMED_STREAM, self._choose_any())
+            await self._ask(_UNNAMED_STREAM, self._choose_any(), wants_seen=True)
             seen = self._history.seen(trio.current_time())
             if seen.covers_all_streams:
                 _log.info("software_versions_learned", versions=sorted(seen.versions))
             wait_s = min(2 * wait_s, MAX_LEARN_WAIT_S)
 
-    async def _handle_messages(self) -> None:
+    async def _handle_messages(self, nursery: trio.Nursery) -> None:
         while True:
             message = await self.mailbox.receive()
             now = trio.current_time()
@@ -145,7 +153,7 @@
                 for origin in message.origins:
                     self._origins.add(origin, now)
             elif isinstance(message, stream_origins.OriginQuery):
-                await self._answer(message, now)
+                await self._answer(message, nursery)
             else:
                 self._handle_answer(message)
 
@@ -200,12 +208,13 @@
         known = self._origins.find(stream, now) if stream else None
         if known is not None:
             return known
-        own = self._history.seen(now)
         stream = stream or _UNNAMED_STREAM
-        question = await self._ask(stream, self._choose_asked(stream))
+        question, is_confirmed = await self._ask_with_directory(stream, life_s)
         if question.origin is not None:
             self._origins.add(question.origin, trio.current_time())
             return question.origin
+        own = self._history.seen(trio.current_time())
+        own = own if is_confirmed else own.unconfirmed()
         sole = own.joined(question.seen.values()).sole_version(life_s)
         _log.info(
             "stream_origin_unknown",
@@ -214,20 +223,63 @@
             answered=len(question.seen),
             missing=question.missing,
             versions=sorted(own.versions),
+            confirmed=is_confirmed,
             observed_s=round(own.observed_s, 1),
             peers_observed_s=sorted(round(seen.observed_s, 1) for seen in question.seen.values()),
             assumed=sole,
         )
         return stream_origins.Origin(stream, pool, sole) if sole is not None else None
 
+    async def _ask_with_directory(
+        self, stream: stream_origins.StreamId, life_s: float
+    ) -> tuple[_Question, bool]:
+        """Asks routers for a stream, and the directory for versions that have come since it began.
+
+        Args:
+            stream: The stream.
+            life_s: Longest time since it began.
+
+        Returns:
+            The answers of the routers, and whether the directory has answered this router.
+        """
+        own = self._history.seen(trio.current_time())
+        addresses = self._choose_asked(stream)
+        if len(own.versions) > 1:  # Then it matters only who knows the stream.
+            return await self._ask(stream, addresses, wants_seen=False), False
+        can_vouch = own.sole_version(life_s) is not None
+        confirmations: list[bool] = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._confirm, confirmations)
+            question = await self._ask(stream, addresses, wants_seen=not can_vouch)
+            if question.origin is not None:
+                nursery.cancel_scope.cancel()
+        is_confirmed = any(confirmations)
+        if question.origin is None and can_vouch and not is_confirmed:
+            first = question
+            question = await self._ask(stream, addresses, wants_seen=True)
+            question.seen = first.seen | question.seen
+        return question, is_confirmed
+
+    async def _confirm(self, confirmations: list[bool]) -> None:
+        confirmations.append(await self._directory.confirm(CONFIRM_TIMEOUT_S))
+
     async def _ask(
-        self, stream: stream_origins.StreamId, addresses: dict[ids.VmId, ids.Address]
+        self,
+        stream: stream_origins.StreamId,
+        addresses: dict[ids.VmId, ids.Address],
+        wants_seen: bool,
     ) -> _Question:
-        """Asks routers for a stream until one names its origin or all answer."""
+        """Asks routers for a stream until one names its origin or all answer.
+
+        Args:
+            stream: The stream.
+            addresses: The routers.
+            wants_seen: Whether their directories shall confirm what they have seen.
+        """
         asked_at = trio.current_time()
         question = _Question(stream, len(addresses))
         number = next(self._numbers)
-        query = stream_origins.OriginQuery(number, self._peers.address, stream)
+        query = stream_origins.OriginQuery(number, self._peers.address, stream, wants_seen)
         self._questions[number] = question
         try:
             for wait_s in ASK_WAITS_S:
@@ -248,10 +300,34 @@
         if question is not None:
             question.add(answer)
 
-    async def _answer(self, query: stream_origins.OriginQuery, now: float) -> None:
-        origin = self._origins.find(query.stream, now)
+    async def _answer(self, query: stream_origins.OriginQuery, nursery: trio.Nursery) -> None:
+        now = trio.current_time()
+        is_known = self._origins.find(query.stream, now) is not None
+        may_vouch = len(self._history.seen(now).versions) == 1
+        is_overloaded = self._pending_answers >= MAX_PENDING_ANSWERS
+        if is_known or not query.wants_seen or not may_vouch or is_overloaded:
+            await self._send_answer(query, is_confirmed=False)
+        else:
+            self._pending_answers += 1
+            nursery.start_soon(self._answer_confirmed, query)
+
+    async def _answer_confirmed(self, query: stream_origins.OriginQuery) -> None:
+        """Answers once the directory has confirmed what this router has seen, or has not."""
+        try:
+            is_confirmed = await self._directory.confirm(ANSWER_CONFIRM_TIMEOUT_S)
+            await self._send_answer(query, is_confirmed)
+        finally:
+            self._pending_answers -= 1
+
+    async def _send_answer(self, query: stream_origins.OriginQuery, is_confirmed: bool) -> None:
+        now = trio.current_time()
         seen = self._history.seen(now)
-        answer = stream_origins.OriginAnswer(query.number, self._vm, origin, seen)
+        answer = stream_origins.OriginAnswer(
+            query.number,
+            self._vm,
+            self._origins.find(query.stream, now),
+            seen if is_confirmed else seen.unconfirmed(),
+        )
         await self._peers.send_datagram([query.reply_to], answer)
 
     async def _tell(self, origins: list[stream_origins.Origin]) -> None:
--- a/src/cicadapier/_internal/services/watching.py
+++ b/src/cicadapier/_internal/services/watching.py
@@ -18,6 +18,8 @@
 # Time after an outage of the store in which a watch makes no batch pauses. Objects that expired
 # during the outage come back within two seconds of its end.
 RECOVERY_S = 2.5
+# Tries of a query that confirms what is known, while the watch receives other answers.
+MAX_CONFIRM_TRIES = 3
 
 _log = structlog.get_logger()
 
@@ -134,14 +136,40 @@
         # immediately.
         wait_s = 0.0 if self._failures else options.wait_s
         allow_stale = options.allow_stale and not self._needs_fresh_answer
-        changes = await self._platform.watch(self.kind, self._version, wait_s, allow_stale)
-        self._version = changes.version
+        version = self._version
+        changes = await self._platform.watch(self.kind, version, wait_s, allow_stale)
+        if self._version != version:
+            return False  # `confirm` has applied a newer answer meanwhile.
         self._needs_fresh_answer = False
+        self._apply(changes, queried_at)
+        return bool(changes.changes)
+
+    async def confirm(self) -> bool:
+        """Asks the store for all changes up to now, beside the query that waits for one.
+
+        Returns:
+            Whether all changes that the store had made when this was called have been applied.
+        """
+        for _ in range(MAX_CONFIRM_TRIES):
+            version = self._version
+            if version is None:
+                return False
+            queried_at = self._clock()
+            try:
+                changes = await self._platform.watch(self.kind, version, 0.0)
+            except exceptions.ServiceError:
+                return False  # The query that waits learns the same.
+            if self._version == version:
+                self._apply(changes, queried_at)
+                return True
+        return False
+
+    def _apply(self, changes: store_format.Changes, queried_at: float) -> None:
+        self._version = changes.version
         self._handler.record_answer(queried_at)
         for change in changes.changes:
             self._handler.handle_change(change)
         self._handler.finish_update()
-        return bool(changes.changes)
 
     def _record_reachability(self, reachable: bool, reason: str) -> None:
         if reachable and self._failures:
--- a/src/cicadapier/_internal/standins/forwarding_deployment.py
+++ b/src/cicadapier/_internal/standins/forwarding_deployment.py
@@ -85,6 +85,8 @@
         upstreams: Upstreams by name.
         routers: Routers by index.
         store_endpoints: Endpoint of the store for each router, by index.
+        suspended_s: Time for which the VM of a router was suspended, by index. The router's clock
+            of the time since the VM booted is ahead of trio's clock by it.
         keys: API keys by account, for the next configuration.
         accounts: Accounts of the next configuration.
         pools: Pools of the next configuration.
@@ -106,6 +108,7 @@
         self.upstreams: dict[str, forwarding_upstream.ForwardingUpstream] = {}
         self.routers: dict[int, forwarding_assembly.ForwardingRouter] = {}
         self.store_endpoints: dict[int, forwarding_store.StoreEndpoint] = {}
+        self.suspended_s: dict[int, float] = {}
         self.keys = {account: list(keys) for account, keys in KEYS.items()}
         self.accounts = {
             ACCOUNT: configuration.Account(),
@@ -264,13 +267,16 @@
             self._start_count,
             index,
             random_tokens.TokenSource(random.Random(f"{self._seed}/{index}/{self._start_count}")),
-            self._clock,
+            functools.partial(self._uptime_s, index),
         )
         router = forwarding_assembly.assemble(cfg, forwarding_settings, dependencies)
         self.routers[index] = router
         await self._start(vm, router.kernel.run, DRAIN_S)
         return router
 
+    def _uptime_s(self, index: int) -> float:
+        return self._clock() + self.suspended_s.get(index, 0.0)
+
     async def _start(self, name: str, run: _StartableFunction, *args: Any) -> Any:
         assert self._nursery
         scope = trio.CancelScope()
--- a/tests/_internal/decisions/test_stream_origins.py
+++ b/tests/_internal/decisions/test_stream_origins.py
@@ -143,7 +143,8 @@
     def test_messages_survive_the_wire(self):
         messages = (
             stream_origins.OriginNotice((origin(), origin("r", "v2"))),
-            stream_origins.OriginQuery(7, ids.Address("10.0.0.1:80"), origin().stream),
+            stream_origins.OriginQuery(7, ids.Address("10.0.0.1:80"), origin().stream, False),
+            stream_origins.OriginQuery(8, ids.Address("10.0.0.1:80"), origin().stream, True),
             stream_origins.OriginAnswer(7, ids.VmId("vm"), origin(), seen("v1", "v2")),
             stream_origins.OriginAnswer(7, ids.VmId("vm"), None, seen("v1", observed_s=1.0)),
         )
--- /dev/null
+++ b/tests/_internal/services/test_routers_out_of_step.py
@@ -0,0 +1,202 @@
+"""Streams taken up at a router that was suspended or cut off while newer software joined."""
+
+import dataclasses
+import functools
+import unittest
+
+import trio
+
+from cicadapier._internal.decisions import stream_origins
+from cicadapier._internal.models import ids
+from cicadapier._internal.platform import documents
+from cicadapier._internal.standins import forwarding_deployment
+from cicadapier._internal.standins import forwarding_store
+from tests import forwarding_world
+from tests import stream_callers
+
+STREAMS = 16
+AGED_S = stream_origins.STREAM_LIFE_S + 1.0
+BEGIN_S = 0.6  # Time in which streams begin at the first router, before it is killed.
+PAUSE_S = 0.3  # Time after which callers take up broken streams.
+AWAY_S = (2.0, 4.0, 8.0)
+LATE = 1  # Index of the router that is out of step.
+DIRECTORY = documents.DocumentFormat.directory_kind
+
+StoreFault = forwarding_store.StoreFault
+
+
+async def age(world):
+    """Lets routers run for longer than streams last, while one version serves a public route."""
+    routes = forwarding_deployment.routes()
+    route_id = ids.RouteId("ask")  # Keys would be refused by a router that is out of step for long.
+    routes[route_id] = dataclasses.replace(routes[route_id], public=True)
+    world.configure(routes)
+    await trio.sleep(AGED_S)
+    stream_callers.use_long_answers(world)
+
+
+async def join(world):
+    """Lets engines of other software join."""
+    await stream_callers.add_engines(world, "v2", 3)
+
+
+async def change_nothing(_world):
+    """Lets the time pass that engines need to join."""
+    await trio.sleep(stream_callers.REGISTRATION_S)
+
+
+async def cut_store(world, meanwhile, away_s, fault=StoreFault.SILENT, ends=True):
+    """Cuts a router off from the store while an async function runs, until the streams are back."""
+    endpoint = world.store_endpoints[LATE]
+    endpoint.faults.add(fault)
+    await trio.sleep(max(0.0, away_s - BEGIN_S - PAUSE_S - stream_callers.REGISTRATION_S))
+    await meanwhile()
+    if ends:
+        endpoint.faults.clear()
+
+
+async def cut_all(world, meanwhile, away_s, fault=StoreFault.SILENT, ends=True):
+    """Cuts a router off from the store and from the other routers."""
+    world.cut_peers.add(LATE)
+    await cut_store(world, meanwhile, away_s, fault, ends)
+    if ends:
+        world.cut_peers.clear()
+
+
+async def suspend(world, meanwhile, away_s):
+    """Suspends the VM of a router."""
+    await world.suspend(LATE, away_s, meanwhile)
+
+
+class OutOfStepTest(unittest.TestCase):
+    """Streams that begin while a router is out of step are taken up there as it is back."""
+
+    def _check(self, leave, release=join, routers=2, killed=None, share=0.0, prepare=None):
+        """Runs a test for each time for which the router is out of step.
+
+        Args:
+            leave: Async function that brings the router out of step while another one runs.
+            release: Async function that changes the engines before the streams begin.
+            routers: Number of routers.
+            killed: Indexes of the routers that are killed; all but the one out of step if None.
+            share: Least share of the streams that callers get whole.
+            prepare: Function that changes the world before.
+        """
+        if killed is None:
+            killed = [index for index in range(routers) if index != LATE]
+        for away_s in AWAY_S:
+
+            async def check(world, away_s=away_s):
+                await age(world)
+                if prepare:
+                    prepare(world)
+                callers = stream_callers.StreamCallers(world, tries=2)
+                async with trio.open_nursery() as nursery:
+                    meanwhile = functools.partial(
+                        self._serve_streams, world, callers, nursery, release, killed
+                    )
+                    await leave(world, meanwhile, away_s)
+                self.assertEqual(callers.mixed(), [])
+                self.assertGreaterEqual(len(callers.taken_up()), 0.8 * STREAMS)
+                self.assertGreaterEqual(len(callers.whole()), share * len(callers.taken_up()))
+
+            with self.subTest(away_s=away_s):
+                forwarding_world.run_in_world(check, routers=routers)
+
+    async def _serve_streams(self, world, callers, nursery, release, killed):
+        await release(world)
+        nursery.start_soon(callers.ask, STREAMS)
+        await trio.sleep(BEGIN_S)
+        for index in killed:
+            world.stop(f"vm-{index}")
+        await trio.sleep(PAUSE_S)
+
+    def _lose_notices(self, world):
+        world.lost_datagrams = (stream_origins.OriginNotice,)
+
+    def test_streams_are_not_joined_after_the_router_was_cut_off(self):
+        self._check(cut_all)
+
+    def test_streams_are_not_joined_while_the_router_is_cut_off(self):
+        self._check(functools.partial(cut_all, ends=False))
+
+    def test_streams_are_not_joined_after_the_store_refused_the_router(self):
+        self._check(functools.partial(cut_all, fault=StoreFault.REFUSES))
+
+    def test_streams_are_not_joined_after_the_store_was_cut_off(self):
+        self._check(cut_store)
+
+    def test_streams_are_not_joined_if_their_notices_were_lost(self):
+        self._check(cut_store, prepare=self._lose_notices)
+
+    def test_streams_are_not_joined_if_all_their_holders_are_killed(self):
+        self._check(cut_all, routers=4)
+
+    def test_streams_are_not_joined_if_notices_were_lost_and_the_other_routers_live(self):
+        self._check(cut_all, routers=4, killed=[0], prepare=self._lose_notices)
+
+    def test_streams_are_not_joined_after_the_router_was_suspended(self):
+        self._check(suspend)
+
+    def test_streams_go_on_after_the_router_was_cut_off_if_no_other_software_joined(self):
+        self._check(cut_all, change_nothing, share=0.9)
+
+    def test_streams_go_on_after_the_router_was_suspended_if_no_other_software_joined(self):
+        self._check(suspend, change_nothing, share=0.9)
+
+    def test_streams_go_on_at_a_router_without_the_store_if_the_others_reach_it(self):
+        leave = functools.partial(cut_store, ends=False)
+        self._check(leave, change_nothing, routers=4, killed=[0], share=0.9)
+
+
+class OutOfStepWitnessTest(unittest.TestCase):
+    """A router that has just started asks one that is out of step."""
+
+    def test_streams_are_not_joined_on_the_word_of_a_router_that_is_out_of_step(self):
+        async def check(world):
+            await age(world)
+            callers = stream_callers.StreamCallers(world, tries=2)
+            world.store_endpoints[LATE].faults.add(StoreFault.SILENT)
+            world.cut_peers.add(LATE)
+            await join(world)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(callers.ask, STREAMS, 0)
+                await trio.sleep(BEGIN_S)
+                for name in ("vm-0", *stream_callers.engines(world, "v2")):
+                    world.stop(name)
+                for name in world.upstreams:
+                    if name.startswith("engine-v2"):
+                        world.unregister(name)
+                world.cut_peers.clear()
+                # The caller's next router is the one that has just started.
+                callers.next_router = 0
+                await world.start_router(0)
+                await world.routers[0].configuration.ready.wait()
+            self.assertEqual(callers.mixed(), [])
+            self.assertGreaterEqual(len(callers.taken_up()), STREAMS // 2)
+
+        forwarding_world.run_in_world(check, routers=2)
+
+
+class CostTest(unittest.TestCase):
+    def test_many_streams_that_are_taken_up_at_once_share_answers_of_the_store(self):
+        async def check(world):
+            await age(world)
+            before = world.store.reads[DIRECTORY]
+            async with trio.open_nursery() as nursery:
+                for number in range(60):
+                    ask = functools.partial(
+                        world.ask,
+                        request=f"q{number}",
+                        router=LATE,
+                        extra=[(b"last-event-id", b"5")],
+                    )
+                    nursery.start_soon(ask)
+                    await trio.sleep(0.005)
+            self.assertLessEqual(world.store.reads[DIRECTORY] - before, 10)
+
+        forwarding_world.run_in_world(check, routers=2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/_internal/services/test_watching.py
+++ b/tests/_internal/services/test_watching.py
@@ -7,6 +7,7 @@
 
 from cicadapier._internal.platform import documents
 from cicadapier._internal.services import cluster_service
+from cicadapier._internal.services import names
 from cicadapier._internal.standins import forwarding_store
 from tests import forwarding_world
 
@@ -67,6 +68,36 @@
         forwarding_world.run_in_world(check)
 
 
+class ConfirmedDirectoryTest(unittest.TestCase):
+    def test_confirmed_directory_holds_all_changes_and_keeps_them(self):
+        async def check(world):
+            directory = world.routers[0].kernel.find(names.UPSTREAMS)
+            entry = world.upstreams["engine-0"].entry
+            for slots in range(20, 60):
+                world.register(dataclasses.replace(entry, slots=slots))
+                self.assertTrue(await directory.confirm(1.0))
+                self.assertEqual(directory.find(entry.upstream).slots, slots)
+                await trio.sleep(0.07)
+                self.assertEqual(directory.find(entry.upstream).slots, slots)
+
+        forwarding_world.run_in_world(check)
+
+    def test_directory_is_not_confirmed_without_the_store(self):
+        async def check(world):
+            directory = world.routers[0].kernel.find(names.UPSTREAMS)
+            for fault in (forwarding_store.StoreFault.SILENT, forwarding_store.StoreFault.REFUSES):
+                world.store.faults.add(fault)
+                self.assertFalse(await directory.confirm(1.0))
+                world.store.faults.clear()
+                self.assertTrue(await directory.confirm(2.0))
+            world.store.drop_history()
+            await directory.confirm(1.0)
+            await trio.sleep(0.5)
+            self.assertTrue(await directory.confirm(1.0))
+
+        forwarding_world.run_in_world(check)
+
+
 class RouterQueriesTest(unittest.TestCase):
     def test_the_order_lease_requires_no_fresh_reads(self):
         async def check(world):
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -11,6 +11,7 @@
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.standins import faulty_network
 from cicadapier._internal.standins import forwarding_deployment
+from cicadapier._internal.standins import forwarding_store
 from tests import support
 
 SETTLE_S = 0.5
@@ -33,14 +34,35 @@
         return [event.number for event in event_stream.Splitter().feed(self.body)]
 
 
+class _CuttablePeers(support.MemoryPeers):
+    """Connections to the other routers, which the world may cut."""
+
+    def __init__(self, handlers, world):
+        super().__init__(handlers)
+        self._world = world
+
+    async def send_datagram(self, addresses, message):
+        if isinstance(message, self._world.lost_datagrams):
+            return
+        reached = [at for at in addresses if self._world.peers_reach(self.address, at)]
+        await super().send_datagram(reached, message)
+
+    def _find(self, address):
+        if not self._world.peers_reach(self.address, address):
+            raise exceptions.ConnectError(f"{address}: cut off")
+        return super()._find(address)
+
+
 class World(forwarding_deployment.ForwardingDeployment):
     """The simulated store, upstreams and routers, with callers."""
 
     def __init__(self, seed=0):
         handlers = {}
         network = faulty_network.MemoryNetwork(seed)
-        super().__init__(network, lambda: support.MemoryPeers(handlers), trio.current_time, seed)
+        super().__init__(network, lambda: _CuttablePeers(handlers, self), trio.current_time, seed)
         self._peer_handlers = handlers
+        self.cut_peers = set()  # Indexes of routers that are cut off from the others.
+        self.lost_datagrams = ()  # Types of the messages that are lost between routers.
         self._requests = 0
 
     async def send(
@@ -81,6 +103,28 @@
         """Cuts the routers off from each other permanently."""
         self._peer_handlers.clear()
 
+    def peers_reach(self, *addresses):
+        """Returns whether none of the routers at these addresses is cut off from the others."""
+        cut = {self.routers[index].peers.address for index in self.cut_peers}
+        return not cut.intersection(addresses)
+
+    async def suspend(self, index, suspended_s, meanwhile):
+        """Suspends the VM of a router while an async function runs.
+
+        The router's clock of the time since the VM booted advances by `suspended_s`; trio's clock
+        advances only by the time for which the function runs, in which the router is cut off. Its
+        tasks do run meanwhile.
+        """
+        endpoint = self.store_endpoints[index]
+        endpoint.faults.add(forwarding_store.StoreFault.SILENT)
+        self.cut_peers.add(index)
+        before = trio.current_time()
+        await meanwhile()
+        missing_s = suspended_s - (trio.current_time() - before)
+        self.suspended_s[index] = self.suspended_s.get(index, 0.0) + max(0.0, missing_s)
+        self.cut_peers.discard(index)
+        endpoint.faults.clear()
+
     def stop_later(self, name, after_s):
         """Stops an upstream after a delay."""
         self._scopes[name].deadline = trio.current_time() + after_s
--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -172,6 +172,28 @@
         "",
         f"{planted_bug.DECISIONS}.test_stream_origins.VersionHistoryTest",
     ),
+    planted_bug.Mutant(
+        "continue streams on what the directory said before they were taken up",
+        "services/origins_service.py",
+        "own = own if is_confirmed else own.unconfirmed()",
+        "",
+        f"{planted_bug.SERVICES}.test_routers_out_of_step.OutOfStepTest"
+        ".test_streams_are_not_joined_while_the_router_is_cut_off",
+    ),
+    planted_bug.Mutant(
+        "vouch for others without asking the directory",
+        "services/origins_service.py",
+        "seen if is_confirmed else seen.unconfirmed(),",
+        "seen,",
+        f"{planted_bug.SERVICES}.test_routers_out_of_step.OutOfStepWitnessTest",
+    ),
+    planted_bug.Mutant(
+        "take the answer to a query that was sent before for a fresh one",
+        "services/fresh_answers.py",
+        "outcome, self._next = self._next, _Outcome()",
+        "outcome = self._next",
+        f"{planted_bug.SERVICES}.test_fresh_answers",
+    ),
     planted_bug.Mutant(
         "treat a leaving upstream as active",
         "decisions/health.py",
--- a/tests/stream_callers.py
+++ b/tests/stream_callers.py
@@ -47,11 +47,16 @@
 
 
 class StreamCallers:
-    """Callers who take their broken streams up again at the next router."""
+    """Callers who take their broken streams up again at the next router.
+
+    Attributes:
+        next_router: Index of the router at which they do; None for the one after the last.
+    """
 
     def __init__(self, world, tries=3):
         self.world = world
         self.replies = {}
+        self.next_router = None
         self._tries = tries
 
     async def ask(self, count, router=0, every_s=0.01, **options):
@@ -64,6 +69,8 @@
         replies = self.replies.setdefault(name, [])
         for attempt in range(self._tries):
             at = (router + attempt) % len(self.world.routers)
+            if attempt and self.next_router is not None:
+                at = self.next_router
             extra = self._resumption(name)
             request = f"{name}-{attempt}"
             reply = await self.world.ask(
--- a/tests/support.py
+++ b/tests/support.py
@@ -45,12 +45,14 @@
 
     def __init__(self, handlers: dict[ids.Address, peer_transport.PeerHandler]) -> None:
         self.handlers = handlers
+        self.address = ids.Address("")
 
     async def serve(self, address, handler, task_status=trio.TASK_STATUS_IGNORED):
         if address.endswith(":0"):
             free_ports = (port for port in itertools.count(50_000) if not self._is_used(port))
             address = ids.Address(f"127.0.0.1:{next(free_ports)}")
         self.handlers[address] = handler
+        self.address = address
         try:
             task_status.started(address)
             await trio.sleep_forever()
