Count software versions that came and went within one answer of the directory

What callers would see: a stream that began at a version that was registered for a moment is continued at the other one by a router that reads both changes in one answer: after a second out of step, in the pause after an answer with changes (0.8 s), or where an upstream is registered with other software and at once with the former again.

Cause: the versions were taken from the directory after all changes of an answer had been applied.

The two tests in UnseenChangesTest and the one in VersionHistoryTest fail before: the take-up is served (200) instead of refused (503, not run). An entry that is missing after an outage of the store was retained and hid the fault there.

The mend: the registrations of each change count until the next update, also if a later change of the same answer has replaced them.

--- a/src/cicadapier/_internal/decisions/stream_origins.py
+++ b/src/cicadapier/_internal/decisions/stream_origins.py
@@ -165,10 +165,18 @@
         """Records that versions may have come and gone without being seen."""
         self._observed_since = None
 
-    def observe(self, versions: frozenset[str], now: float) -> bool:
-        """Records the versions that are registered now; returns whether they begin to differ."""
+    def observe(
+        self, versions: frozenset[str], now: float, passed: frozenset[str] = frozenset()
+    ) -> bool:
+        """Records the registered versions; returns whether they begin to differ.
+
+        Args:
+            versions: Those that are registered now.
+            now: Current time.
+            passed: Those that were registered at some time since the last call.
+        """
         had_several = len(self.seen(now).versions) > 1
-        self._last_seen.update(dict.fromkeys(self._current | versions, now))
+        self._last_seen.update(dict.fromkeys(self._current | versions | passed, now))
         if versions and self._observed_since is None:
             self._observed_since = now
         self._current = versions
--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -34,8 +34,13 @@
 class VersionSink(Protocol):
     """Service that follows the software versions of the pools that serve streams."""
 
-    def set_versions(self, versions: frozenset[str]) -> None:
-        """Sets the software versions that are registered in these pools."""
+    def set_versions(self, versions: frozenset[str], passed: frozenset[str]) -> None:
+        """Sets the software versions that are registered in these pools.
+
+        Args:
+            versions: Those that are registered now.
+            passed: Those that were registered at some time since the last call.
+        """
 
     def confirm_versions(self) -> None:
         """Records that the directory has answered."""
@@ -75,6 +80,8 @@
         self._directory = directory.Directory()
         self.limits = known_limits.KnownLimits(self.find, clock, rng)
         self._expiry_changed = trio.Event()
+        # Registrations since the last update; later ones of the same answer may have replaced them.
+        self._passed: list[directory_entries.Registration] = []
         self._configuration: configuration_source.ConfigurationSource | None = None
         self._traffic: traffic_service.TrafficService | None = None
         self._telemetry: telemetry_service.TelemetryService | None = None
@@ -202,6 +209,7 @@
             entry = self._read_entry(change.object)
             self._directory.put(entry)
             if isinstance(entry, directory_entries.Registration):
+                self._passed.append(entry)
                 _log.info("upstream_registered", **_log_fields(entry))
 
     def finish_update(self) -> None:
@@ -229,9 +237,9 @@
         self.limits.set_registered({item.upstream for item in registrations})
         if self._origins:
             stream_pools = _stream_pools(current.content)
-            served = [item for item in registrations if item.pool in stream_pools]
-            versions = frozenset(item.software for item in served)
-            self._origins.set_versions(versions)
+            versions = _versions_in(stream_pools, registrations)
+            self._origins.set_versions(versions, _versions_in(stream_pools, self._passed))
+        self._passed.clear()
 
     async def _expire_entries(self) -> None:
         while True:
@@ -255,6 +263,13 @@
     }
 
 
+def _versions_in(
+    pools: set[ids.PoolId], registrations: list[directory_entries.Registration]
+) -> frozenset[str]:
+    """Returns the software versions of the registrations in some pools."""
+    return frozenset(item.software for item in registrations if item.pool in pools)
+
+
 def _log_fields(entry: directory_entries.Registration) -> dict[str, object]:
     return {
         "upstream": entry.upstream,
--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -157,10 +157,10 @@
             else:
                 self._handle_answer(message)
 
-    def set_versions(self, versions: frozenset[str]) -> None:
-        """Sets the software versions that are registered in the pools that serve streams."""
+    def set_versions(self, versions: frozenset[str], passed: frozenset[str]) -> None:
+        """See `directory_service.VersionSink.set_versions`."""
         now = trio.current_time()
-        begin_to_differ = self._history.observe(versions, now)
+        begin_to_differ = self._history.observe(versions, now, passed)
         if begin_to_differ:
             _log.info("software_versions_differ", versions=sorted(self._history.seen(now).versions))
         self._update_telling(repeats=begin_to_differ)
--- a/tests/_internal/decisions/test_stream_origins.py
+++ b/tests/_internal/decisions/test_stream_origins.py
@@ -66,6 +66,12 @@
         self.assertTrue(self._observe(50.0, "v2"))
         self.assertEqual(self.history.seen(51.0).versions, {"v1", "v2"})
 
+    def test_a_version_that_came_and_went_between_two_looks_is_a_second_one(self):
+        self._observe(0.0, "v1")
+        self.history.confirm(50.0)
+        self.assertTrue(self.history.observe(frozenset(("v1",)), 50.0, frozenset(("v2",))))
+        self.assertEqual(self.history.seen(51.0).versions, {"v1", "v2"})
+
     def test_observation_without_answers_of_the_directory_proves_nothing(self):
         self._observe(0.0, "v1")
         self.history.confirm(100.0)
--- a/tests/_internal/services/test_streams_after_restarts.py
+++ b/tests/_internal/services/test_streams_after_restarts.py
@@ -192,6 +192,36 @@
 
         forwarding_world.run_in_world(check, routers=2)
 
+    def test_stream_is_not_joined_by_a_router_that_reads_late_that_a_version_came_and_went(self):
+        async def check(world):
+            await use_one_version(world)
+            world.partition_peers()
+            endpoint = world.store_endpoints[1]
+            endpoint.faults.add(forwarding_store.StoreFault.SILENT)
+            await stream_callers.start_engines(world, "v2", 3)
+            await trio.sleep(0.3)
+            remove_engines(world, "v2")
+            endpoint.faults.clear()
+            extra = [(b"last-event-id", b"5"), (b"resumes", b"begun-elsewhere")]
+            reply = await world.ask(request="q", extra=extra, router=1)
+            self.assertEqual((reply.status, world.runs_for("q")), (503, []))
+
+        forwarding_world.run_in_world(check, routers=2)
+
+    def test_stream_is_not_joined_after_an_upstream_had_other_software_for_a_moment(self):
+        async def check(world):
+            await use_one_version(world)
+            world.partition_peers()
+            entry = world.upstreams["engine-0"].entry
+            world.register(dataclasses.replace(entry, software="v2"))
+            world.register(entry)
+            await trio.sleep(1.0)
+            extra = [(b"last-event-id", b"5"), (b"resumes", b"begun-elsewhere")]
+            reply = await world.ask(request="q", extra=extra, router=1)
+            self.assertEqual((reply.status, world.runs_for("q")), (503, []))
+
+        forwarding_world.run_in_world(check, routers=2)
+
 
 class SomeRoutersKilledTest(unittest.TestCase):
     """Some routers are killed amid streams; the callers take them up at any router."""
