Ask for the newest routes too before a stream that nobody knows is continued

What callers would see: a route moves to a pool of other software while a router is suspended or cut off from the store and the other routers; a stream that began there is taken up at this router as it is back, and goes on at the version of the former pool.

Cause: which versions count depends on the pools to which routes lead.

Found by reading.

The mend: the configuration is confirmed as the directory is, at the same time, and only where a stream would be continued on what the router itself has seen.

--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -16,6 +16,7 @@
 from cicadapier._internal.services import directory_service
 from cicadapier._internal.services import names
 from cicadapier._internal.services import peers_service
+from cicadapier._internal.services import watched_configuration
 
 # Datagrams may be lost, so the routers that have not answered are asked again after these times.
 ASK_WAITS_S = (0.04, 0.06, 0.1)
@@ -80,6 +81,24 @@
         await self._settled.wait()
 
 
+@dataclasses.dataclass(slots=True)
+class _Confirmation:
+    """Whether the store has answered this router since a stream was taken up.
+
+    Attributes:
+        has_directory: Whether all upstreams up to then are known.
+        has_routes: Whether all routes up to then are known.
+    """
+
+    has_directory: bool = False
+    has_routes: bool = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all software versions at which streams can have begun are known."""
+        return self.has_directory and self.has_routes
+
+
 class OriginsService(service.Service):
     """Owns the origins of streams, and tells and asks other routers about them.
 
@@ -115,6 +134,9 @@
         self._cluster: cluster_service.ClusterService = kernel.find(names.CLUSTER)
         self._peers: peers_service.PeersService = kernel.find(names.PEERS)
         self._directory: directory_service.DirectoryService = kernel.find(names.UPSTREAMS)
+        self._configuration: watched_configuration.WatchedConfiguration = kernel.find(
+            names.CONFIGURATION
+        )
         self._peers.set_origin_sink(self)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._check_regularly)
@@ -247,21 +269,30 @@
         if len(own.versions) > 1:  # Then it matters only who knows the stream.
             return await self._ask(stream, addresses, wants_seen=False), False
         can_vouch = own.sole_version(life_s) is not None
-        confirmations: list[bool] = []
+        confirmation = _Confirmation()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._confirm, confirmations)
+            nursery.start_soon(self._confirm, confirmation, CONFIRM_TIMEOUT_S)
             question = await self._ask(stream, addresses, wants_seen=not can_vouch)
             if question.origin is not None:
                 nursery.cancel_scope.cancel()
-        is_confirmed = any(confirmations)
-        if question.origin is None and can_vouch and not is_confirmed:
+        if question.origin is None and can_vouch and not confirmation.is_complete:
             first = question
             question = await self._ask(stream, addresses, wants_seen=True)
             question.seen = first.seen | question.seen
-        return question, is_confirmed
+        return question, confirmation.is_complete
+
+    async def _confirm(self, confirmation: _Confirmation, timeout_s: float) -> None:
+        """Asks the store for all upstreams, and for the routes that say which serve streams."""
 
-    async def _confirm(self, confirmations: list[bool]) -> None:
-        confirmations.append(await self._directory.confirm(CONFIRM_TIMEOUT_S))
+        async def confirm_directory() -> None:
+            confirmation.has_directory = await self._directory.confirm(timeout_s)
+
+        async def confirm_routes() -> None:
+            confirmation.has_routes = await self._configuration.confirm(timeout_s)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(confirm_directory)
+            nursery.start_soon(confirm_routes)
 
     async def _ask(
         self,
@@ -314,8 +345,9 @@
     async def _answer_confirmed(self, query: stream_origins.OriginQuery) -> None:
         """Answers once the directory has confirmed what this router has seen, or has not."""
         try:
-            is_confirmed = await self._directory.confirm(ANSWER_CONFIRM_TIMEOUT_S)
-            await self._send_answer(query, is_confirmed)
+            confirmation = _Confirmation()
+            await self._confirm(confirmation, ANSWER_CONFIRM_TIMEOUT_S)
+            await self._send_answer(query, confirmation.is_complete)
         finally:
             self._pending_answers -= 1
 
--- a/src/cicadapier/_internal/services/watched_configuration.py
+++ b/src/cicadapier/_internal/services/watched_configuration.py
@@ -13,6 +13,7 @@
 from cicadapier._internal.protocols import declarations
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import configuration_source
+from cicadapier._internal.services import fresh_answers
 from cicadapier._internal.services import names
 from cicadapier._internal.services import watching
 
@@ -54,6 +55,7 @@
         self._clock = clock
         self._rng = rng
         self._kernel: service.Kernel | None = None
+        self._fresh_answers: fresh_answers.FreshAnswers | None = None
 
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
@@ -61,8 +63,22 @@
         kind = self._declaration_format.configuration_kind
         platform = kernel.find(names.PLATFORM)
         watch = watching.Watch(platform, kind, self._watch_options, self, self._clock, self._rng)
-        task_status.started()
-        await watch.run()
+        self._fresh_answers = fresh_answers.FreshAnswers(watch.confirm)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._fresh_answers.run)
+            nursery.start_soon(watch.run)
+            task_status.started()
+
+    async def confirm(self, timeout_s: float) -> bool:
+        """Asks the store for the newest configuration.
+
+        Args:
+            timeout_s: Longest wait.
+
+        Returns:
+            Whether the configuration in force is the newest that the store had at the call.
+        """
+        return self._fresh_answers is not None and await self._fresh_answers.wait(timeout_s)
 
     @property
     def proof_age_s(self) -> float:
--- a/tests/_internal/services/test_routers_out_of_step.py
+++ b/tests/_internal/services/test_routers_out_of_step.py
@@ -7,6 +7,7 @@
 import trio
 
 from cicadapier._internal.decisions import stream_origins
+from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 from cicadapier._internal.platform import documents
 from cicadapier._internal.standins import forwarding_deployment
@@ -178,6 +179,46 @@
         forwarding_world.run_in_world(check, routers=2)
 
 
+class MovedRouteTest(unittest.TestCase):
+    """A route moves to another pool while a router is out of step."""
+
+    def test_streams_are_not_joined_by_a_router_that_does_not_know_that_their_route_has_moved(self):
+        for away_s in AWAY_S:
+
+            async def check(world, away_s=away_s):
+                await self._check(world, away_s)
+
+            with self.subTest(away_s=away_s):
+                forwarding_world.run_in_world(check, routers=2)
+
+    async def _check(self, world, away_s):
+        other_pool = ids.PoolId("others")
+        world.pools[other_pool] = forwarding_deployment.engine_pool()
+        for number in range(3):
+            await world.add_upstream(
+                f"other-{number}", other_pool, forwarding_deployment.MODEL, "v2"
+            )
+        await age(world)
+        callers = stream_callers.StreamCallers(world, tries=2)
+
+        async def meanwhile():
+            routes = forwarding_deployment.routes()
+            route_id = ids.RouteId("ask")
+            moved = [configuration.PoolShare(other_pool)]
+            routes[route_id] = dataclasses.replace(routes[route_id], pools=moved, public=True)
+            world.configure(routes)
+            await trio.sleep(stream_callers.REGISTRATION_S)
+            nursery.start_soon(callers.ask, STREAMS)
+            await trio.sleep(BEGIN_S)
+            world.stop("vm-0")
+            await trio.sleep(PAUSE_S)
+
+        async with trio.open_nursery() as nursery:
+            await cut_all(world, meanwhile, away_s)
+        self.assertEqual(callers.mixed(), [])
+        self.assertGreaterEqual(len(callers.taken_up()), 0.8 * STREAMS)
+
+
 class CostTest(unittest.TestCase):
     def test_many_streams_that_are_taken_up_at_once_share_answers_of_the_store(self):
         async def check(world):
--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -180,6 +180,20 @@
         f"{planted_bug.SERVICES}.test_routers_out_of_step.OutOfStepTest"
         ".test_streams_are_not_joined_while_the_router_is_cut_off",
     ),
+    planted_bug.Mutant(
+        "continue streams on routes that may have moved",
+        "services/origins_service.py",
+        "confirmation.has_routes = await self._configuration.confirm(timeout_s)",
+        "confirmation.has_routes = True",
+        f"{planted_bug.SERVICES}.test_routers_out_of_step.MovedRouteTest",
+    ),
+    planted_bug.Mutant(
+        "overlook versions that came and went within one answer",
+        "services/directory_service.py",
+        "self._passed.append(entry)",
+        "pass",
+        f"{planted_bug.SERVICES}.test_streams_after_restarts.UnseenChangesTest",
+    ),
     planted_bug.Mutant(
         "vouch for others without asking the directory",
         "services/origins_service.py",
