Ask the directory before a stream goes on at an upstream

What callers would see: an upstream starts again under its id and address with other software while a router is suspended or cut off from the store. A stream whose version the router knows is taken up there, or breaks there, and goes on at this upstream, which the router takes for the process of before.

Cause: nothing but the directory tells which process answers at an address: a request names the upstream's id, which is the same, and an answer names no start. `may_send` compares the process for which the request was placed with the directory, which is as old as its last answer.

The mend: a request that goes on with a stream, at its first attempt or a later one, is sent after the directory has answered a query from after its placement. A process that the directory no longer lists gets nothing, as before. Without an answer in 0.3 s the stream goes on at what is known, so that streams outlive an outage of the store; that, and a process that answers before its entry is written, are left.

--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -32,6 +32,9 @@
 from cicadapier._internal.services import telemetry_service
 
 MIN_REMAINING_S = 0.01  # With less time left before its deadline, a request is not sent.
+# Longest wait for the directory before a stream goes on; without an answer, it goes on at what is
+# known, so that streams outlive an outage of the store.
+CONFIRM_TIMEOUT_S = 0.3
 CONFIGURATION_CHANGED_RETRY_S = 0.05  # Retry delay if the request no longer matches its route.
 
 
@@ -213,6 +216,9 @@
         The attempt fails if no answer has begun by `placed.start_deadline`, after which it must not
         start on the weights of the upstream.
         """
+        if self._progress.software is not None and not attempt.request_sent:
+            # The upstream may have started again under its id with other software.
+            await self._dependencies.directory.confirm(CONFIRM_TIMEOUT_S)
         with trio.move_on_at(placed.start_deadline):
             return await attempt.start(check)
         reason = "the weights of the upstream became too old to start the request"
--- a/tests/_internal/services/test_routers_out_of_step.py
+++ b/tests/_internal/services/test_routers_out_of_step.py
@@ -179,6 +179,54 @@
         forwarding_world.run_in_world(check, routers=2)
 
 
+async def restart_with_other_software(world, name):
+    """Lets an engine start again under its id and address with other software."""
+    world.stop(name)
+    await trio.sleep(0.05)
+    entry = world.upstreams[name].entry
+    incarnation = ids.Incarnation(f"{name}@100")
+    await world.start_again(
+        name, dataclasses.replace(entry, incarnation=incarnation, software="v2")
+    )
+
+
+class RestartedUpstreamTest(unittest.TestCase):
+    """An upstream starts again under its id with other software while a router is out of step."""
+
+    def _check(self, leave, streams=20):
+        for away_s in AWAY_S:
+
+            async def check(world, away_s=away_s):
+                await age(world)
+                callers = stream_callers.StreamCallers(world, tries=2)
+
+                async def meanwhile():
+                    await restart_with_other_software(world, "engine-0")
+                    await trio.sleep(stream_callers.REGISTRATION_S)
+                    nursery.start_soon(callers.ask, streams)
+                    await trio.sleep(BEGIN_S)
+                    world.stop("vm-0")
+                    await trio.sleep(PAUSE_S)
+
+                async with trio.open_nursery() as nursery:
+                    await leave(world, meanwhile, away_s)
+                self.assertEqual(callers.mixed(), [])
+                self.assertGreaterEqual(len(callers.taken_up()), 0.8 * streams)
+                self.assertGreaterEqual(len(callers.whole()), 0.5 * streams)
+
+            with self.subTest(away_s=away_s):
+                forwarding_world.run_in_world(check, routers=3)
+
+    def test_known_streams_are_not_continued_at_a_restarted_upstream_after_a_cut(self):
+        self._check(cut_store)
+
+    def test_known_streams_are_not_continued_at_a_restarted_upstream_after_a_refusal(self):
+        self._check(functools.partial(cut_store, fault=StoreFault.REFUSES))
+
+    def test_known_streams_are_not_continued_at_a_restarted_upstream_after_a_suspension(self):
+        self._check(suspend)
+
+
 class MovedRouteTest(unittest.TestCase):
     """A route moves to another pool while a router is out of step."""
 
--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -194,6 +194,13 @@
         "pass",
         f"{planted_bug.SERVICES}.test_streams_after_restarts.UnseenChangesTest",
     ),
+    planted_bug.Mutant(
+        "continue streams at upstreams that may have started again",
+        "services/forwarded_exchange.py",
+        "await self._dependencies.directory.confirm(CONFIRM_TIMEOUT_S)",
+        "pass",
+        f"{planted_bug.SERVICES}.test_routers_out_of_step.RestartedUpstreamTest",
+    ),
     planted_bug.Mutant(
         "vouch for others without asking the directory",
         "services/origins_service.py",
