Ask the directory before a known stream is placed whose software isn't registered

What callers see: a router that was cut off from the store while newer software joined, but knows from the other routers that a stream began there, refuses the stream as it is back (no_upstream), although upstreams of that software serve.

The mend: the directory is asked before the placement.

--- a/src/cicadapier/_internal/decisions/stream_origins.py
+++ b/src/cicadapier/_internal/decisions/stream_origins.py
@@ -157,6 +157,10 @@
         self._observed_since: float | None = None
         self._confirmed_at = -math.inf
 
+    def is_registered(self, version: str) -> bool:
+        """Returns whether a version is registered, as the directory last said."""
+        return version in self._current
+
     def confirm(self, now: float) -> None:
         """Records that the directory has answered, so that the registered versions are current."""
         self._confirmed_at = now
--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -226,8 +226,16 @@
             pool: Pool at which it began unless a router knows better.
             life_s: Longest time since it began.
         """
-        now = trio.current_time()
-        known = self._origins.find(stream, now) if stream else None
+        origin = await self._find_origin(stream, pool, life_s)
+        if origin is not None and not self._history.is_registered(origin.software):
+            # Its upstreams may have joined since the directory answered this router.
+            await self._directory.confirm(CONFIRM_TIMEOUT_S)
+        return origin
+
+    async def _find_origin(
+        self, stream: stream_origins.StreamId | None, pool: ids.PoolId, life_s: float
+    ) -> stream_origins.Origin | None:
+        known = self._origins.find(stream, trio.current_time()) if stream else None
         if known is not None:
             return known
         stream = stream or _UNNAMED_STREAM
--- a/tests/_internal/services/test_routers_out_of_step.py
+++ b/tests/_internal/services/test_routers_out_of_step.py
@@ -136,6 +136,9 @@
     def test_streams_are_not_joined_if_notices_were_lost_and_the_other_routers_live(self):
         self._check(cut_all, routers=4, killed=[0], prepare=self._lose_notices)
 
+    def test_known_streams_go_on_at_the_software_that_joined_meanwhile(self):
+        self._check(cut_store, share=0.9)
+
     def test_streams_are_not_joined_after_the_router_was_suspended(self):
         self._check(suspend)
 
