Doubt the version of streams that another process may have begun

What callers would see: an upstream starts again under its id and address with other software while a router is out of step. Streams that begin at it through this router are taken for the former version; as they break, they go on at that version, within the answer or at another router that asks this one.

Cause: the version of a stream is that of the registration for which it was placed, which may be as old as the last answer of the directory.

Found by reading.

The mend: a router remembers which process it believed began each stream. Once the directory lists another one with other software, the streams that began there since the last query that showed the former one are doubted: they don't go on, neither in their answers nor as they are taken up, and their holders are told. A router that is asked for a stream of its own has the directory confirm it first.

--- /dev/null
+++ b/src/cicadapier/_internal/decisions/stream_beginnings.py
@@ -0,0 +1,81 @@
+"""At which process each stream of this router began, as far as the directory had said by then.
+
+An upstream may start again under its id and address with other software. A request that reaches it
+before this router reads its new entry begins a stream at another version than the router believes.
+"""
+
+import collections
+import dataclasses
+
+from cicadapier._internal.decisions import stream_origins
+from cicadapier._internal.models import ids
+
+MAX_PER_UPSTREAM = 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Beginning:
+    at: float
+    incarnation: ids.Incarnation
+    origin: stream_origins.Origin
+
+
+class Beginnings:
+    """The recent streams of this router by the upstream that began them."""
+
+    def __init__(self) -> None:
+        # The upstream that began a stream last comes last.
+        self._by_upstream: collections.OrderedDict[
+            ids.UpstreamId, collections.deque[_Beginning]
+        ] = collections.OrderedDict()
+        self._begun_at: dict[stream_origins.StreamId, float] = {}  # Oldest first.
+
+    def __contains__(self, stream: stream_origins.StreamId) -> bool:
+        """Returns whether a stream has begun at this router lately."""
+        return stream in self._begun_at
+
+    def add(
+        self,
+        origin: stream_origins.Origin,
+        upstream: ids.UpstreamId,
+        incarnation: ids.Incarnation,
+        now: float,
+    ) -> None:
+        """Records that a stream begins at what is believed to be an incarnation of an upstream."""
+        self._begun_at[origin.stream] = now
+        begun = self._by_upstream.setdefault(upstream, collections.deque(maxlen=MAX_PER_UPSTREAM))
+        begun.append(_Beginning(now, incarnation, origin))
+        self._by_upstream.move_to_end(upstream)
+        self._forget(now - stream_origins.STREAM_LIFE_S)
+
+    def _forget(self, until: float) -> None:
+        while self._begun_at and next(iter(self._begun_at.values())) < until:
+            del self._begun_at[next(iter(self._begun_at))]
+        while self._by_upstream:
+            oldest = next(iter(self._by_upstream))
+            if self._by_upstream[oldest][-1].at >= until:
+                return
+            del self._by_upstream[oldest]
+
+    def doubt(
+        self,
+        upstream: ids.UpstreamId,
+        incarnation: ids.Incarnation,
+        software: str,
+        certain_until: float,
+    ) -> list[stream_origins.Origin]:
+        """Returns the streams that this incarnation may have begun in place of the believed one.
+
+        Args:
+            upstream: The upstream.
+            incarnation: Its incarnation, as the directory says now.
+            software: Version of its software.
+            certain_until: Time until which the directory is known to have said what was believed.
+        """
+        return [
+            dataclasses.replace(begun.origin, doubted=True)
+            for begun in self._by_upstream.get(upstream, ())
+            if begun.at >= certain_until
+            and begun.incarnation != incarnation
+            and begun.origin.software != software
+        ]
--- a/src/cicadapier/_internal/decisions/stream_origins.py
+++ b/src/cicadapier/_internal/decisions/stream_origins.py
@@ -51,11 +51,13 @@
         stream: The stream.
         pool: Pool of the upstream that began it.
         software: Version of that upstream's software.
+        doubted: Whether another version may have begun the stream after all.
     """
 
     stream: StreamId
     pool: ids.PoolId
     software: str
+    doubted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,8 +121,8 @@
         )
 
     def add(self, origin: Origin, now: float) -> None:
-        """Adds an origin; the first one of a stream stays."""
-        if self.find(origin.stream, now) is not None:
+        """Adds an origin; the first one of a stream stays, unless it is doubted now."""
+        if self.find(origin.stream, now) is not None and not origin.doubted:
             return
         self._origins[origin.stream] = (origin, now)
         self._origins.move_to_end(origin.stream)
--- a/src/cicadapier/_internal/protocols/origin_codec.py
+++ b/src/cicadapier/_internal/protocols/origin_codec.py
@@ -71,9 +71,12 @@
         request=origin.stream.request,
         pool=origin.pool,
         software=origin.software,
+        doubted=origin.doubted,
     )
 
 
 def _decode_origin(message: peers_pb2.Origin) -> stream_origins.Origin:
     stream = stream_origins.StreamId(message.account, ids.RequestId(message.request))
-    return stream_origins.Origin(stream, ids.PoolId(message.pool), message.software)
+    return stream_origins.Origin(
+        stream, ids.PoolId(message.pool), message.software, message.doubted
+    )
--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -1,6 +1,7 @@
 """Service that adds the upstreams in the platform's directory to the configured pools."""
 
 import dataclasses
+import math
 import random
 from typing import Protocol
 
@@ -42,6 +43,17 @@
             passed: Those that were registered at some time since the last call.
         """
 
+    def record_registration(
+        self, entry: directory_entries.Registration, certain_until: float
+    ) -> None:
+        """Records that an upstream has been registered.
+
+        Args:
+            entry: The registration.
+            certain_until: Time of trio's clock until which the directory said what was known of the
+                upstream before.
+        """
+
     def confirm_versions(self) -> None:
         """Records that the directory has answered."""
 
@@ -80,6 +92,8 @@
         self._directory = directory.Directory()
         self.limits = known_limits.KnownLimits(self.find, clock, rng)
         self._expiry_changed = trio.Event()
+        # Times of trio's clock at which the last query with an answer was sent, and the one before.
+        self._queried_at = self._certain_until = -math.inf
         # Registrations since the last update; later ones of the same answer may have replaced them.
         self._passed: list[directory_entries.Registration] = []
         self._configuration: configuration_source.ConfigurationSource | None = None
@@ -181,7 +195,11 @@
 
     def record_answer(self, queried_at: float) -> None:
         """See `watching.WatchHandler.record_answer`."""
-        self._directory.record_store_response(self._clock())
+        now = self._clock()
+        self._directory.record_store_response(now)
+        # Also after a suspension, in which trio's clock may stand still, this is no later.
+        self._certain_until = self._queried_at
+        self._queried_at = trio.current_time() - (now - queried_at)
         if self._origins:
             self._origins.confirm_versions()
 
@@ -193,6 +211,9 @@
         """See `watching.WatchHandler.handle_listing`."""
         entries = [self._read_entry(item) for item in objects]
         self._directory.replace_all(entries, self._clock())
+        for entry in entries:
+            if isinstance(entry, directory_entries.Registration):
+                self._record_registration(entry)
         if self._origins:
             # A listing does not show what came and went since the answer before.
             self._origins.record_missed_versions()
@@ -209,13 +230,18 @@
             entry = self._read_entry(change.object)
             self._directory.put(entry)
             if isinstance(entry, directory_entries.Registration):
-                self._passed.append(entry)
+                self._record_registration(entry)
                 _log.info("upstream_registered", **_log_fields(entry))
 
     def finish_update(self) -> None:
         """See `watching.WatchHandler.finish_update`."""
         self._publish()
 
+    def _record_registration(self, entry: directory_entries.Registration) -> None:
+        self._passed.append(entry)
+        if self._origins:
+            self._origins.record_registration(entry, self._certain_until)
+
     def _read_entry(self, item: store_format.StoredObject) -> directory_entries.Entry:
         entry = self._declaration_format.read_registration(item)
         if isinstance(entry, directory_entries.UnreadableEntry):
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -353,6 +353,20 @@
         self._check_admission()
         self._check_upstream(placed)
 
+    def _check_origin(self) -> None:
+        """Refuses to go on with a stream that another software version may have begun.
+
+        Raises:
+            RefusedError: The upstream that began it had started again with other software.
+        """
+        if self._dependencies.origins.is_doubted(self._plan.stream):
+            message = "the upstream that began this stream may have had other software"
+            raise exceptions.RefusedError(
+                outcomes.Refusal(
+                    outcomes.RefusalCode.ORIGIN_UNKNOWN, message, outcomes.Effect.UNKNOWN
+                )
+            )
+
     def _check_time(self) -> None:
         if self._remaining_s() < MIN_REMAINING_S:
             raise exceptions.RefusedError(self._deadline_refusal())
@@ -377,6 +391,8 @@
         upstream = placed.choice.estimate.upstream
         if not self._dependencies.directory.may_send(upstream, placed.incarnation):
             raise attempts.AttemptFailedError(outcomes.NotSent("the upstream is leaving"))
+        if self._progress.software is not None:
+            self._check_origin()
         if not self._progress.can_continue_at(placed):
             reason = "the upstream has another software version than the one that began the stream"
             raise attempts.AttemptFailedError(outcomes.NotSent(reason, withheld=True))
@@ -436,7 +452,12 @@
         software = self._progress.software
         if not self._responder.started and software is not None:
             origin = stream_origins.Origin(self._plan.stream, self._plan.pool, software)
-            self._dependencies.origins.record_begin(origin)
+            assert self._progress.placed
+            self._dependencies.origins.record_begin(
+                origin,
+                self._progress.placed.choice.estimate.upstream,
+                self._progress.placed.incarnation,
+            )
 
     def _report_output(self, accepted_events: int) -> None:
         """Reports the first events of an attempt that goes on with an answer."""
--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -7,9 +7,11 @@
 import structlog
 import trio
 
+from cicadapier._internal.decisions import stream_beginnings
 from cicadapier._internal.decisions import stream_origins
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import service
+from cicadapier._internal.models import directory_entries
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import origin_codec
 from cicadapier._internal.services import cluster_service
@@ -124,6 +126,7 @@
         self._rng = rng
         self._origins = stream_origins.Origins()
         self._history = stream_origins.VersionHistory()
+        self._beginnings = stream_beginnings.Beginnings()
         self._questions: dict[int, _Question] = {}
         self._numbers = itertools.count(rng.getrandbits(_NUMBER_BITS))
         self._pending_answers = 0
@@ -195,9 +198,42 @@
         """Records that changes of the directory may have been missed."""
         self._history.begin_anew()
 
-    def record_begin(self, origin: stream_origins.Origin) -> None:
-        """Records that a stream of this router brings its first event."""
+    def record_registration(
+        self, entry: directory_entries.Registration, certain_until: float
+    ) -> None:
+        """See `directory_service.VersionSink.record_registration`."""
+        doubted = self._beginnings.doubt(
+            entry.upstream, entry.incarnation, entry.software, certain_until
+        )
+        if not doubted:
+            return
+        _log.info("stream_origins_doubted", upstream=entry.upstream, streams=len(doubted))
+        now = trio.current_time()
+        for origin in doubted:
+            self._origins.add(origin, now)
+        self.mailbox.try_send(TellOrigins(doubted))
+
+    def is_doubted(self, stream: stream_origins.StreamId) -> bool:
+        """Returns whether a stream may have begun at another version than was believed."""
+        known = self._origins.find(stream, trio.current_time())
+        return known is not None and known.doubted
+
+    def record_begin(
+        self,
+        origin: stream_origins.Origin,
+        upstream: ids.UpstreamId,
+        incarnation: ids.Incarnation,
+    ) -> None:
+        """Records that a stream of this router brings its first event.
+
+        Args:
+            origin: Origin of the stream.
+            upstream: The upstream that brings it.
+            incarnation: Its incarnation, as the directory last said.
+        """
         now = trio.current_time()
+        if self._origins.find(origin.stream, now) is None:
+            self._beginnings.add(origin, upstream, incarnation, now)
         self._origins.add(origin, now)
         self._update_telling()
         if self._tells_all:
@@ -227,6 +263,8 @@
             life_s: Longest time since it began.
         """
         origin = await self._find_origin(stream, pool, life_s)
+        if origin is not None and origin.doubted:
+            return None
         if origin is not None and not self._history.is_registered(origin.software):
             # Its upstreams may have joined since the directory answered this router.
             await self._directory.confirm(CONFIRM_TIMEOUT_S)
@@ -343,8 +381,10 @@
         now = trio.current_time()
         is_known = self._origins.find(query.stream, now) is not None
         may_vouch = len(self._history.seen(now).versions) == 1
-        is_overloaded = self._pending_answers >= MAX_PENDING_ANSWERS
-        if is_known or not query.wants_seen or not may_vouch or is_overloaded:
+        # The upstream that began a stream here may have started again with other software.
+        is_own = query.stream in self._beginnings
+        needs_directory = is_own or (query.wants_seen and may_vouch and not is_known)
+        if not needs_directory or self._pending_answers >= MAX_PENDING_ANSWERS:
             await self._send_answer(query, is_confirmed=False)
         else:
             self._pending_answers += 1
--- a/tests/_internal/decisions/test_stream_origins.py
+++ b/tests/_internal/decisions/test_stream_origins.py
@@ -1,5 +1,6 @@
 """Which software version began a stream: what is remembered, whom to ask, when it is certain."""
 
+import dataclasses
 import unittest
 
 from cicadapier._internal.decisions import stream_origins
@@ -35,6 +36,13 @@
         self.origins.add(origin(software="v2"), 2.0)
         self.assertEqual(self.origins.find(origin().stream, 3.0).software, "v1")
 
+    def test_origin_that_is_doubted_replaces_the_one_that_was_told(self):
+        self.origins.add(origin(), 0.0)
+        doubted = dataclasses.replace(origin(), doubted=True)
+        self.origins.add(doubted, 1.0)
+        self.origins.add(origin(), 2.0)
+        self.assertEqual(self.origins.find(origin().stream, 3.0), doubted)
+
     def test_origins_are_bounded(self):
         for number in range(stream_origins.MAX_ORIGINS + 10):
             self.origins.add(origin(f"q{number}"), 0.0)
@@ -149,6 +157,7 @@
     def test_messages_survive_the_wire(self):
         messages = (
             stream_origins.OriginNotice((origin(), origin("r", "v2"))),
+            stream_origins.OriginNotice((dataclasses.replace(origin(), doubted=True),)),
             stream_origins.OriginQuery(7, ids.Address("10.0.0.1:80"), origin().stream, False),
             stream_origins.OriginQuery(8, ids.Address("10.0.0.1:80"), origin().stream, True),
             stream_origins.OriginAnswer(7, ids.VmId("vm"), origin(), seen("v1", "v2")),
--- a/tests/_internal/services/test_routers_out_of_step.py
+++ b/tests/_internal/services/test_routers_out_of_step.py
@@ -20,6 +20,7 @@
 BEGIN_S = 0.6  # Time in which streams begin at the first router, before it is killed.
 PAUSE_S = 0.3  # Time after which callers take up broken streams.
 AWAY_S = (2.0, 4.0, 8.0)
+TOO_SHORT_TO_NOTICE_S = (2.0, 4.0)  # The directory counts as current for 5 s after an answer.
 LATE = 1  # Index of the router that is out of step.
 DIRECTORY = documents.DocumentFormat.directory_kind
 
@@ -230,6 +231,74 @@
         self._check(suspend)
 
 
+class BegunAtRestartedUpstreamTest(unittest.TestCase):
+    """Streams begin at an upstream that has started again with other software, unseen."""
+
+    def _check(self, away_s, router):
+        async def check(world):
+            await age(world)
+            for name in ("engine-1", "engine-2"):
+                world.mark_leaving(name)  # So that all streams begin at the other one.
+            await trio.sleep(stream_callers.REGISTRATION_S)
+            callers = stream_callers.StreamCallers(world, tries=2)
+
+            async def meanwhile():
+                await restart_with_other_software(world, "engine-0")
+                await trio.sleep(stream_callers.REGISTRATION_S)
+                nursery.start_soon(callers.ask, 6, LATE)
+                await trio.sleep(BEGIN_S)
+                for name in ("engine-1", "engine-2"):
+                    world.register(world.upstreams[name].entry)
+
+            async with trio.open_nursery() as nursery:
+                await cut_store(world, meanwhile, away_s)
+                await trio.sleep(0.01)
+                if router is None:
+                    world.stop("engine-0")
+                    world.unregister("engine-0")
+                else:
+                    world.stop(f"vm-{LATE}")
+            self.assertEqual(callers.mixed(), [])
+
+        forwarding_world.run_in_world(check, routers=3)
+
+    def test_streams_that_break_are_not_joined(self):
+        for away_s in TOO_SHORT_TO_NOTICE_S:
+            with self.subTest(away_s=away_s):
+                self._check(away_s, None)
+
+    def test_streams_whose_router_is_killed_are_not_joined(self):
+        for away_s in TOO_SHORT_TO_NOTICE_S:
+            with self.subTest(away_s=away_s):
+                self._check(away_s, LATE)
+
+    def test_streams_told_while_the_store_was_silent_are_not_joined_as_they_break(self):
+        self._check(8.0, None)
+
+    def test_streams_told_while_the_store_was_silent_are_not_joined_after_a_kill(self):
+        self._check(8.0, LATE)
+
+    def test_stream_goes_on_within_its_answer_only_at_the_version_that_can_have_begun_it(self):
+        async def check(world):
+            await age(world)
+            callers = stream_callers.StreamCallers(world, tries=1)
+            async with trio.open_nursery() as nursery:
+                meanwhile = functools.partial(self._begin_at_all, world, callers, nursery)
+                await cut_store(world, meanwhile, 2.0)
+                await trio.sleep(0.01)
+                world.stop("engine-0")
+            self.assertEqual(callers.mixed(), [])
+            self.assertGreaterEqual(len(callers.whole()), 0.5 * STREAMS)
+
+        forwarding_world.run_in_world(check, routers=3)
+
+    async def _begin_at_all(self, world, callers, nursery):
+        await restart_with_other_software(world, "engine-0")
+        await trio.sleep(stream_callers.REGISTRATION_S)
+        nursery.start_soon(callers.ask, STREAMS, LATE)
+        await trio.sleep(BEGIN_S)
+
+
 class MovedRouteTest(unittest.TestCase):
     """A route moves to another pool while a router is out of step."""
 
--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -201,6 +201,22 @@
         "pass",
         f"{planted_bug.SERVICES}.test_routers_out_of_step.RestartedUpstreamTest",
     ),
+    planted_bug.Mutant(
+        "believe what was told of streams that another process may have begun",
+        "services/origins_service.py",
+        "needs_directory = is_own or (",
+        "needs_directory = (",
+        f"{planted_bug.SERVICES}.test_routers_out_of_step.BegunAtRestartedUpstreamTest"
+        ".test_streams_that_break_are_not_joined",
+    ),
+    planted_bug.Mutant(
+        "go on with an answer that another process may have begun",
+        "services/forwarded_exchange.py",
+        "if self._dependencies.origins.is_doubted(self._plan.stream):",
+        "if False:",
+        f"{planted_bug.SERVICES}.test_routers_out_of_step.BegunAtRestartedUpstreamTest"
+        ".test_stream_goes_on_within_its_answer_only_at_the_version_that_can_have_begun_it",
+    ),
     planted_bug.Mutant(
         "vouch for others without asking the directory",
         "services/origins_service.py",
