--- a/src/cicadapier/_internal/decisions/stream_origins.py
+++ b/src/cicadapier/_internal/decisions/stream_origins.py
@@ -51,11 +51,13 @@
         stream: The stream.
         pool: Pool of the upstream that began it.
         software: Version of that upstream's software.
+        doubted: Whether another version may have begun the stream after all.
     """
 
     stream: StreamId
     pool: ids.PoolId
     software: str
+    doubted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,8 +68,8 @@
 
     Attributes:
         versions: Those that it has seen within `STREAM_LIFE_S`.
-        observed_s: For how long it has seen all changes of them; 0 if the directory has not
-            answered it lately.
+        observed_s: For how long it has seen all changes of them, up to the directory's last answer;
+            0 if the directory has not answered it lately.
     """
 
     versions: frozenset[str]
@@ -88,8 +90,12 @@
             return None
         return next(iter(self.versions))
 
+    def unconfirmed(self) -> "SeenVersions":
+        """Returns what is certain if versions may have come since the directory answered."""
+        return SeenVersions(self.versions, 0.0)
+
     def joined(self, others: collections.abc.Iterable["SeenVersions"]) -> "SeenVersions":
-        """Returns what several routers can vouch for together."""
+        """Returns what several routers can vouch for together, all up to the same time."""
         seen = [self, *others]
         versions = frozenset[str]().union(*(one.versions for one in seen))
         return SeenVersions(versions, max(one.observed_s for one in seen))
@@ -115,8 +121,8 @@
         )
 
     def add(self, origin: Origin, now: float) -> None:
-        """Adds an origin; the first one of a stream stays."""
-        if self.find(origin.stream, now) is not None:
+        """Adds an origin; the first one of a stream stays, unless it is doubted now."""
+        if self.find(origin.stream, now) is not None and not origin.doubted:
             return
         self._origins[origin.stream] = (origin, now)
         self._origins.move_to_end(origin.stream)
@@ -153,6 +159,10 @@
         self._observed_since: float | None = None
         self._confirmed_at = -math.inf
 
+    def is_registered(self, version: str) -> bool:
+        """Returns whether a version is registered, as the directory last said."""
+        return version in self._current
+
     def confirm(self, now: float) -> None:
         """Records that the directory has answered, so that the registered versions are current."""
         self._confirmed_at = now
@@ -161,10 +171,18 @@
         """Records that versions may have come and gone without being seen."""
         self._observed_since = None
 
-    def observe(self, versions: frozenset[str], now: float) -> bool:
-        """Records the versions that are registered now; returns whether they begin to differ."""
+    def observe(
+        self, versions: frozenset[str], now: float, passed: frozenset[str] = frozenset()
+    ) -> bool:
+        """Records the registered versions; returns whether they begin to differ.
+
+        Args:
+            versions: Those that are registered now.
+            now: Current time.
+            passed: Those that were registered at some time since the last call.
+        """
         had_several = len(self.seen(now).versions) > 1
-        self._last_seen.update(dict.fromkeys(self._current | versions, now))
+        self._last_seen.update(dict.fromkeys(self._current | versions | passed, now))
         if versions and self._observed_since is None:
             self._observed_since = now
         self._current = versions
@@ -188,7 +206,11 @@
             self._observed_since = min(self._observed_since, now - peer.observed_s)
 
     def seen(self, now: float) -> SeenVersions:
-        """Returns the versions that streams may have begun at."""
+        """Returns the versions that streams may have begun at, as the directory last said.
+
+        Others may have come since then. Before a stream is continued on these grounds, the
+        directory must have answered a query that was sent after the stream was taken up.
+        """
         recent = {version for version, at in self._last_seen.items() if now - at < STREAM_LIFE_S}
         is_current = now - self._confirmed_at < MAX_UNCONFIRMED_S
         observed_s = 0.0
@@ -224,11 +246,14 @@
         number: Number by which the answer is matched with the question.
         reply_to: Address of the router that asks.
         stream: The stream.
+        wants_seen: Whether the router that is asked shall have the directory confirm what it has
+            seen, unless it knows the origin.
     """
 
     number: int
     reply_to: ids.Address
     stream: StreamId
+    wants_seen: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -239,7 +264,8 @@
         number: Number of the question.
         sender: The router.
         origin: The origin, if the router knows it.
-        seen: Versions that it has seen.
+        seen: Versions that it has seen; `observed_s` is 0 unless the directory has answered it
+            since it was asked.
     """
 
     number: int
--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -1,6 +1,7 @@
 """Service that adds the upstreams in the platform's directory to the configured pools."""
 
 import dataclasses
+import math
 import random
 from typing import Protocol
 
@@ -16,6 +17,7 @@
 from cicadapier._internal.protocols import declarations
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import configuration_source
+from cicadapier._internal.services import fresh_answers
 from cicadapier._internal.services import known_limits
 from cicadapier._internal.services import names
 from cicadapier._internal.services import telemetry_service
@@ -33,8 +35,24 @@
 class VersionSink(Protocol):
     """Service that follows the software versions of the pools that serve streams."""
 
-    def set_versions(self, versions: frozenset[str]) -> None:
-        """Sets the software versions that are registered in these pools."""
+    def set_versions(self, versions: frozenset[str], passed: frozenset[str]) -> None:
+        """Sets the software versions that are registered in these pools.
+
+        Args:
+            versions: Those that are registered now.
+            passed: Those that were registered at some time since the last call.
+        """
+
+    def record_registration(
+        self, entry: directory_entries.Registration, certain_until: float
+    ) -> None:
+        """Records that an upstream has been registered.
+
+        Args:
+            entry: The registration.
+            certain_until: Time of trio's clock until which the directory said what was known of the
+                upstream before.
+        """
 
     def confirm_versions(self) -> None:
         """Records that the directory has answered."""
@@ -76,11 +94,16 @@
         self.limits = known_limits.KnownLimits(self.find, clock, rng)
         self.addresses: frozenset[ids.Address] = frozenset()
         self._expiry_changed = trio.Event()
+        # Times of trio's clock at which the last query with an answer was sent, and the one before.
+        self._queried_at = self._certain_until = -math.inf
+        # Registrations since the last update; later ones of the same answer may have replaced them.
+        self._passed: list[directory_entries.Registration] = []
         self._configuration: configuration_source.ConfigurationSource | None = None
         self._traffic: traffic_service.TrafficService | None = None
         self._telemetry: telemetry_service.TelemetryService | None = None
         self._peers: traffic_service.PeerNotifier | None = None
         self._origins: VersionSink | None = None
+        self._fresh_answers: fresh_answers.FreshAnswers | None = None
 
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
@@ -95,15 +118,28 @@
         kind = self._declaration_format.directory_kind
         platform = kernel.find(names.PLATFORM)
         watch = watching.Watch(platform, kind, self._watch_options, self, self._clock, self._rng)
+        self._fresh_answers = fresh_answers.FreshAnswers(watch.confirm)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._expire_entries)
             nursery.start_soon(watch.run)
+            nursery.start_soon(self._fresh_answers.run)
             task_status.started()
 
     def handle_configuration_change(self) -> None:
         """Passes the pools of the new configuration to the traffic decisions."""
         self._publish()
 
+    async def confirm(self, timeout_s: float) -> bool:
+        """Asks the store for the changes up to now.
+
+        Args:
+            timeout_s: Longest wait.
+
+        Returns:
+            Whether all changes that the store had made when this was called have been applied.
+        """
+        return self._fresh_answers is not None and await self._fresh_answers.wait(timeout_s)
+
     def find(self, upstream: ids.UpstreamId) -> directory_entries.Registration | None:
         """Returns the registration of an upstream, or None if it has none that may be used."""
         return self._directory.find(upstream)
@@ -161,7 +197,11 @@
 
     def record_answer(self, queried_at: float) -> None:
         """See `watching.WatchHandler.record_answer`."""
-        self._directory.record_store_response(self._clock())
+        now = self._clock()
+        self._directory.record_store_response(now)
+        # Also after a suspension, in which trio's clock may stand still, this is no later.
+        self._certain_until = self._queried_at
+        self._queried_at = trio.current_time() - (now - queried_at)
         if self._origins:
             self._origins.confirm_versions()
 
@@ -173,6 +213,9 @@
         """See `watching.WatchHandler.handle_listing`."""
         entries = [self._read_entry(item) for item in objects]
         self._directory.replace_all(entries, self._clock())
+        for entry in entries:
+            if isinstance(entry, directory_entries.Registration):
+                self._record_registration(entry)
         if self._origins:
             # A listing does not show what came and went since the answer before.
             self._origins.record_missed_versions()
@@ -189,12 +232,18 @@
             entry = self._read_entry(change.object)
             self._directory.put(entry)
             if isinstance(entry, directory_entries.Registration):
+                self._record_registration(entry)
                 _log.info("upstream_registered", **_log_fields(entry))
 
     def finish_update(self) -> None:
         """See `watching.WatchHandler.finish_update`."""
         self._publish()
 
+    def _record_registration(self, entry: directory_entries.Registration) -> None:
+        self._passed.append(entry)
+        if self._origins:
+            self._origins.record_registration(entry, self._certain_until)
+
     def _read_entry(self, item: store_format.StoredObject) -> directory_entries.Entry:
         entry = self._declaration_format.read_registration(item)
         if isinstance(entry, directory_entries.UnreadableEntry):
@@ -217,9 +266,9 @@
         self.limits.set_registered({item.upstream for item in registrations})
         if self._origins:
             stream_pools = _stream_pools(current.content)
-            served = [item for item in registrations if item.pool in stream_pools]
-            versions = frozenset(item.software for item in served)
-            self._origins.set_versions(versions)
+            versions = _versions_in(stream_pools, registrations)
+            self._origins.set_versions(versions, _versions_in(stream_pools, self._passed))
+        self._passed.clear()
 
     async def _expire_entries(self) -> None:
         while True:
@@ -243,6 +292,13 @@
     }
 
 
+def _versions_in(
+    pools: set[ids.PoolId], registrations: list[directory_entries.Registration]
+) -> frozenset[str]:
+    """Returns the software versions of the registrations in some pools."""
+    return frozenset(item.software for item in registrations if item.pool in pools)
+
+
 def _log_fields(entry: directory_entries.Registration) -> dict[str, object]:
     return {
         "upstream": entry.upstream,
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -32,6 +32,9 @@
 from cicadapier._internal.services import telemetry_service
 
 MIN_REMAINING_S = 0.01  # With less time left before its deadline, a request is not sent.
+# Longest wait for the directory before a stream goes on; without an answer, it goes on at what is
+# known, so that streams outlive an outage of the store.
+CONFIRM_TIMEOUT_S = 0.3
 CONFIGURATION_CHANGED_RETRY_S = 0.05  # Retry delay if the request no longer matches its route.
 
 
@@ -214,6 +217,9 @@
         The attempt fails if no answer has begun by `placed.start_deadline`, after which it must not
         start on the weights of the upstream.
         """
+        if self._progress.software is not None and not attempt.request_sent:
+            # The upstream may have started again under its id with other software.
+            await self._dependencies.directory.confirm(CONFIRM_TIMEOUT_S)
         with trio.move_on_at(placed.start_deadline):
             return await attempt.start(check)
         forwarded_log.log_attempt_given_up(self._plan, placed, attempt.sent_at)
@@ -349,6 +355,20 @@
         self._check_admission()
         self._check_upstream(placed)
 
+    def _check_origin(self) -> None:
+        """Refuses to go on with a stream that another software version may have begun.
+
+        Raises:
+            RefusedError: The upstream that began it had started again with other software.
+        """
+        if self._dependencies.origins.is_doubted(self._plan.stream):
+            message = "the upstream that began this stream may have had other software"
+            raise exceptions.RefusedError(
+                outcomes.Refusal(
+                    outcomes.RefusalCode.ORIGIN_UNKNOWN, message, outcomes.Effect.UNKNOWN
+                )
+            )
+
     def _check_time(self) -> None:
         if self._remaining_s() < MIN_REMAINING_S:
             raise exceptions.RefusedError(self._deadline_refusal())
@@ -373,6 +393,8 @@
         upstream = placed.choice.estimate.upstream
         if not self._dependencies.directory.may_send(upstream, placed.incarnation):
             raise attempts.AttemptFailedError(outcomes.NotSent("the upstream is leaving"))
+        if self._progress.software is not None:
+            self._check_origin()
         if not self._progress.can_continue_at(placed):
             reason = "the upstream has another software version than the one that began the stream"
             raise attempts.AttemptFailedError(outcomes.NotSent(reason, withheld=True))
@@ -432,7 +454,12 @@
         software = self._progress.software
         if not self._responder.started and software is not None:
             origin = stream_origins.Origin(self._plan.stream, self._plan.pool, software)
-            self._dependencies.origins.record_begin(origin)
+            assert self._progress.placed
+            self._dependencies.origins.record_begin(
+                origin,
+                self._progress.placed.choice.estimate.upstream,
+                self._progress.placed.incarnation,
+            )
 
     def _report_output(self, accepted_events: int) -> None:
         """Reports the first events of an attempt that goes on with an answer."""
--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -172,6 +172,65 @@
         "",
         f"{planted_bug.DECISIONS}.test_stream_origins.VersionHistoryTest",
     ),
+    planted_bug.Mutant(
+        "continue streams on what the directory said before they were taken up",
+        "services/origins_service.py",
+        "own = own if is_confirmed else own.unconfirmed()",
+        "",
+        f"{planted_bug.SERVICES}.test_routers_out_of_step.OutOfStepTest"
+        ".test_streams_are_not_joined_while_the_router_is_cut_off",
+    ),
+    planted_bug.Mutant(
+        "continue streams on routes that may have moved",
+        "services/origins_service.py",
+        "confirmation.has_routes = await self._configuration.confirm(timeout_s)",
+        "confirmation.has_routes = True",
+        f"{planted_bug.SERVICES}.test_routers_out_of_step.MovedRouteTest",
+    ),
+    planted_bug.Mutant(
+        "overlook versions that came and went within one answer",
+        "services/directory_service.py",
+        "self._passed.append(entry)",
+        "pass",
+        f"{planted_bug.SERVICES}.test_streams_after_restarts.UnseenChangesTest",
+    ),
+    planted_bug.Mutant(
+        "continue streams at upstreams that may have started again",
+        "services/forwarded_exchange.py",
+        "await self._dependencies.directory.confirm(CONFIRM_TIMEOUT_S)",
+        "pass",
+        f"{planted_bug.SERVICES}.test_routers_out_of_step.RestartedUpstreamTest",
+    ),
+    planted_bug.Mutant(
+        "believe what was told of streams that another process may have begun",
+        "services/origins_service.py",
+        "needs_directory = is_own or (",
+        "needs_directory = (",
+        f"{planted_bug.SERVICES}.test_routers_out_of_step.BegunAtRestartedUpstreamTest"
+        ".test_streams_that_break_are_not_joined",
+    ),
+    planted_bug.Mutant(
+        "go on with an answer that another process may have begun",
+        "services/forwarded_exchange.py",
+        "if self._dependencies.origins.is_doubted(self._plan.stream):",
+        "if False:",
+        f"{planted_bug.SERVICES}.test_routers_out_of_step.BegunAtRestartedUpstreamTest"
+        ".test_stream_goes_on_within_its_answer_only_at_the_version_that_can_have_begun_it",
+    ),
+    planted_bug.Mutant(
+        "vouch for others without asking the directory",
+        "services/origins_service.py",
+        "seen if is_confirmed else seen.unconfirmed(),",
+        "seen,",
+        f"{planted_bug.SERVICES}.test_routers_out_of_step.OutOfStepWitnessTest",
+    ),
+    planted_bug.Mutant(
+        "take the answer to a query that was sent before for a fresh one",
+        "services/fresh_answers.py",
+        "outcome, self._next = self._next, _Outcome()",
+        "outcome = self._next",
+        f"{planted_bug.SERVICES}.test_fresh_answers",
+    ),
     planted_bug.Mutant(
         "treat a leaving upstream as active",
         "decisions/health.py",
