Believe an answer without a length only if it has a body

Here a head that is only closed was never believed, wherever it was cut: h11 wants the empty line. But a head that is *ended* before its length came (an empty line, or a bare line feed behind a line) is one without a length, its body runs to the end of the connection, and that end comes at once. Callers got status, proof and id with our own "Content-Length: 0".

Evidence: the head of a usual answer cut at every byte and ended by "\n", "\n\n", "\r\n", "\r\n\r\n", on a first and on a kept connection, behind a 103, as HTTP/1.0 and with bare line feeds. A hedge with such a head also replaced a silent attempt that went on well. Streams whose head was cut behind their type, and model requests, already needed an event.

An answer whose length is not given and whose body holds nothing but line ends now counts as a lost connection, in ClientConnection, so for routes, hedges, orders, probes and the store alike: repeatable requests go to another upstream, others get 502. 204, 304 and answers to HEAD cannot have a body and are not concerned.

Ruled out: a length or a framing that is cut ("Content-Length: 12", "Transfer-Encoding: chun"), chunks and trailers that are cut, heads over the limit: none was believed before.

--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -16,6 +16,7 @@
 MAX_INTERIM_RESPONSES = 32
 MAX_REFUSALS = 256  # A connection with more refusals is not used again.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}( |$)")
+_NEWLINES = b"\r\n"
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -101,6 +102,7 @@
         self._reused = False
         self._refused: set[str] = set()
         self._read_deadline = math.inf
+        self._body: _ReceivedBody | None = None
         self.opened_at = trio.current_time()
         self.idle_since = self.opened_at
         self.sent = False
@@ -132,6 +134,7 @@
             ConnectionLostError: The connection broke while sending.
         """
         self.sent = False
+        self._body = None
         headers = head.headers
         if find_header(headers, b"host") is None:
             headers = [(b"host", self._host), *headers]
@@ -164,6 +167,7 @@
                 if _is_spliced(event):
                     message = "a head begins within another one"
                     raise exceptions.MalformedMessageError(message)
+                self._body = _ReceivedBody()
                 return ResponseHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise exceptions.ConnectionLostError("connection closed before the answer")
@@ -178,9 +182,13 @@
             MalformedMessageError: The answer is not valid HTTP.
         """
         event = await self._next_event(trio.current_time() + timeout_s)
+        assert self._body
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            data = bytes(event.data)
+            self._body.add(data)
+            return data
         if isinstance(event, h11.EndOfMessage):
+            self._body.check_end(self._peer_closed)
             return None
         raise exceptions.ConnectionLostError("connection closed before the end of the answer")
 
@@ -276,6 +284,35 @@
         self._h11.receive_data(bytes(data))
 
 
+class _ReceivedBody:
+    """Checks that a body is not what is left of an answer whose head was cut.
+
+    A head that ends before the length of its body makes an answer that runs to the end of the
+    connection, whatever follows.
+    """
+
+    def __init__(self) -> None:
+        self._has_content = False
+
+    def add(self, data: bytes) -> None:
+        """Adds the next part."""
+        if not self._has_content:
+            self._has_content = bool(data.strip(_NEWLINES))
+
+    def check_end(self, closed: bool) -> None:
+        """Checks the body once it has ended.
+
+        Args:
+            closed: Whether the end of the connection ended it.
+
+        Raises:
+            ConnectionLostError: The connection ended behind the head, without a length.
+        """
+        if closed and not self._has_content:
+            message = "connection closed behind the head of an answer without a length"
+            raise exceptions.ConnectionLostError(message)
+
+
 def _is_spliced(response: h11.Response) -> bool:
     """Returns whether a head consists of a part of one head and of the next one.
 
