Refuse heads whose line ends are of two kinds

A head that breaks off and is ended by a bare line feed is read with whatever value was cut: "X-Server-Stamp: 8.1.7b" in place of the whole proof, "Content-Length: 12" of 1234, half a media type. An interim head (103) that breaks off was not looked at: what followed became a part of it.

The bytes of a head are now kept until it is whole, and each line must end with CR LF, or each with LF: a mixture is no answer (the outcome is that of other violations: repeatable requests go elsewhere, others get 502). Interim heads are judged like others. No sound upstream is refused: HTTP wants CR LF of senders, and one that writes LF writes it everywhere.

What remains: an empty answer whose length comes first, cut within a later value and ended by a whole empty line, shows nothing.

--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -16,6 +16,7 @@
 MAX_INTERIM_RESPONSES = 32
 MAX_REFUSALS = 256  # A connection with more refusals is not used again.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}( |$)")
+_HEAD_END = re.compile(rb"\n\r?\n")
 _NEWLINES = b"\r\n"
 
 Headers = list[tuple[bytes, bytes]]
@@ -102,6 +103,7 @@
         self._reused = False
         self._refused: set[str] = set()
         self._read_deadline = math.inf
+        self._raw_heads = bytearray()  # What was received of heads that have not been read.
         self._body: _ReceivedBody | None = None
         self.opened_at = trio.current_time()
         self.idle_since = self.opened_at
@@ -163,14 +165,15 @@
         deadline = trio.current_time() + timeout_s
         for _ in range(MAX_INTERIM_RESPONSES):
             event = await self._next_event(deadline)
+            if not isinstance(event, h11.Response | h11.InformationalResponse):
+                raise exceptions.ConnectionLostError("connection closed before the answer")
+            if _is_spliced(event):
+                raise exceptions.MalformedMessageError("a head begins within another one")
+            if not _has_one_kind_of_line_ends(self._take_raw_head()):
+                raise exceptions.MalformedMessageError("a head has line ends of two kinds")
             if isinstance(event, h11.Response):
-                if _is_spliced(event):
-                    message = "a head begins within another one"
-                    raise exceptions.MalformedMessageError(message)
                 self._body = _ReceivedBody()
                 return ResponseHead(event.status_code, list(event.headers))
-            if not isinstance(event, h11.InformationalResponse):
-                raise exceptions.ConnectionLostError("connection closed before the answer")
         raise exceptions.MalformedMessageError("too many interim responses")
 
     async def receive_data(self, timeout_s: float) -> bytes | None:
@@ -281,8 +284,20 @@
                 raise exceptions.SilentConnectionError(message) from exc
             raise exceptions.ConnectionLostError(f"connection lost while receiving: {exc}") from exc
         self._peer_closed = not data
+        if self._h11.their_state is h11.SEND_RESPONSE:
+            self._raw_heads += data
         self._h11.receive_data(bytes(data))
 
+    def _take_raw_head(self) -> bytes:
+        """Removes the head that has just been read from the received bytes and returns it."""
+        end = _HEAD_END.search(self._raw_heads)
+        assert end
+        raw = bytes(self._raw_heads[: end.end()])
+        del self._raw_heads[: end.end()]
+        if self._h11.their_state is not h11.SEND_RESPONSE:
+            self._raw_heads.clear()  # What follows is the body.
+        return raw
+
 
 class _ReceivedBody:
     """Checks that a body is not what is left of an answer whose head was cut.
@@ -313,7 +328,15 @@
             raise exceptions.ConnectionLostError(message)
 
 
-def _is_spliced(response: h11.Response) -> bool:
+def _has_one_kind_of_line_ends(raw_head: bytes) -> bool:
+    """Returns whether no line end was added to a head by something else than its sender.
+
+    An upstream that breaks off within a head may have it ended for it by a bare line feed.
+    """
+    return raw_head.count(b"\r\n") in (0, raw_head.count(b"\n"))
+
+
+def _is_spliced(response: h11.Response | h11.InformationalResponse) -> bool:
     """Returns whether a head consists of a part of one head and of the next one.
 
     A peer that breaks off within a head and then answers on the same connection sends such a head:
--- a/tests/_internal/protocols/test_cut_heads.py
+++ b/tests/_internal/protocols/test_cut_heads.py
@@ -137,6 +137,49 @@
         self._check(NEXT, heads=self._bare())
 
 
+class MixedLineEndsTest(unittest.TestCase):
+    def test_head_that_a_bare_line_feed_ends_is_not_read(self):
+        for size in range(len(OK), len(LENGTH_LAST) - 3):
+            for ending in (b"\n", b"\n\n"):
+                for body in (BODY, NEXT):
+                    with self.subTest(LENGTH_LAST[:size]):
+                        self.assertIsNone(_read_one(LENGTH_LAST[:size] + ending + body))
+
+    def test_interim_head_that_a_bare_line_feed_ends_is_not_read(self):
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: <x>\n\n"
+        self.assertIsNone(_read_one(interim + LENGTH_LAST + BODY))
+
+    def test_interim_head_that_runs_into_another_one_is_not_read(self):
+        for interim in (b"HTTP/1.1 103 ", b"HTTP/1.1 103 Early Hints\r\nLink: "):
+            ended = OK + b"Content-Length: 0\r\n\r\n"
+            self.assertIsNone(_read_one(interim + ended + LENGTH_LAST + BODY))
+
+    def test_head_with_line_ends_of_one_kind_is_read(self):
+        for head in (LENGTH_LAST, _with_bare_line_feeds(LENGTH_LAST)):
+            self.assertEqual(_read_one(head + BODY), (200, BODY))
+
+    def test_head_that_arrives_in_single_bytes_is_judged_as_a_whole(self):
+        async def main():
+            for ending in (b"\r\n\r\n", b"\r\n\n"):
+                client, server = trio.testing.memory_stream_pair()
+                conn = http_client.ClientConnection(client, "10.0.0.1:80")
+                await conn.send(http_client.RequestHead("GET", "/", []), b"")
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._send_slowly, server, LENGTH_LAST[:-4] + ending)
+                    if ending == b"\r\n\r\n":
+                        self.assertEqual((await conn.receive_head(9.0)).status, 200)
+                    else:
+                        with self.assertRaises(exceptions.MalformedMessageError):
+                            await conn.receive_head(9.0)
+
+        support.run(main)
+
+    async def _send_slowly(self, server, data):
+        for index in range(len(data)):
+            await server.send_all(data[index : index + 1])
+            await trio.sleep(0.01)
+
+
 class AnswersWithoutLengthTest(unittest.TestCase):
     def test_answer_without_a_length_and_a_body_is_not_read(self):
         for fields in (b"", PROVED, PROVED + b"Connection: close\r\n"):
--- a/tests/_internal/services/test_cut_heads.py
+++ b/tests/_internal/services/test_cut_heads.py
@@ -43,7 +43,11 @@
     "behind an interim answer": b"HTTP/1.1 103 Early Hints\r\n\r\n" + OK + PROOF + ID,
     "within an interim answer": b"HTTP/1.1 103 Early Hints\r\nLink: <x>",
     "of a failure": b"HTTP/1.1 404 Not Found\r\n" + PROOF + ID,
+    "of an empty answer, within the proof": OK + b"Content-Length: 0\r\n" + ID + PROOF[:-9],
 }
+# An empty answer whose head is ended by an empty line has its length. What is cut off its proof
+# does not show.
+UNSEEN = "of an empty answer, within the proof"
 # Method, host, path and whether a kept connection is used, for each kind of route.
 ROUTES = {
     "idempotent": ("GET", "desk", "/look/1", False),
@@ -70,7 +74,8 @@
             "ended": newline + b"\r\n",
         }
         for ending_name, ending in endings.items():
-            pairs.append((f"{name}, {ending_name}", head + ending))
+            if name != UNSEEN or newline + b"\r\n" not in ending:
+                pairs.append((f"{name}, {ending_name}", head + ending))
     return pairs
 
 
