Do not take the next answer for the body of a cut one

An upstream that breaks off within a head, ends it and goes on with its next answer sends a head without a length whose body is that answer, status line and headers included, to the end of the connection; where the length was cut, whatever part of the next answer fits in it ("Content-Length: 12" gives "HTTP/1.1 500").

Bare streams were never concerned: a head is no event.

A body without a length that begins, behind line ends, with a status line is refused as a violation; one with a length only if the same holds and further bytes lie behind it. No sound upstream is refused: one that quotes an answer gives its length, and sends nothing behind it (there is a test). Bytes behind any other complete answer still leave it whole, and close its connection.

What remains: bytes that arrive only after a body with a cut length was complete are not seen, and half a body that the head of another answer fills up to its length looks whole.

--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -16,8 +16,10 @@
 MAX_INTERIM_RESPONSES = 32
 MAX_REFUSALS = 256  # A connection with more refusals is not used again.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}( |$)")
+_STATUS_LINE_START = re.compile(rb"[\r\n]*HTTP/\d\.\d \d{3}[ \r\n]")
 _HEAD_END = re.compile(rb"\n\r?\n")
 _NEWLINES = b"\r\n"
+_BEGINNING_BYTES = 32  # Part of a body that is searched for the beginning of another answer.
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -172,8 +174,9 @@
             if not _has_one_kind_of_line_ends(self._take_raw_head()):
                 raise exceptions.MalformedMessageError("a head has line ends of two kinds")
             if isinstance(event, h11.Response):
-                self._body = _ReceivedBody()
-                return ResponseHead(event.status_code, list(event.headers))
+                head = ResponseHead(event.status_code, list(event.headers))
+                self._body = _ReceivedBody(head)
+                return head
         raise exceptions.MalformedMessageError("too many interim responses")
 
     async def receive_data(self, timeout_s: float) -> bytes | None:
@@ -191,7 +194,7 @@
             self._body.add(data)
             return data
         if isinstance(event, h11.EndOfMessage):
-            self._body.check_end(self._peer_closed)
+            self._body.check_end(self._h11.trailing_data[0], self._peer_closed)
             return None
         raise exceptions.ConnectionLostError("connection closed before the end of the answer")
 
@@ -303,30 +306,48 @@
     """Checks that a body is not what is left of an answer whose head was cut.
 
     A head that ends before the length of its body makes an answer that runs to the end of the
-    connection, whatever follows.
+    connection, whatever follows; a length that is cut makes another length.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, head: ResponseHead) -> None:
+        self._head = head
+        self._beginning = b""
         self._has_content = False
 
     def add(self, data: bytes) -> None:
-        """Adds the next part."""
+        """Checks the next part.
+
+        Raises:
+            MalformedMessageError: The body is another answer.
+        """
         if not self._has_content:
             self._has_content = bool(data.strip(_NEWLINES))
+        if len(self._beginning) < _BEGINNING_BYTES:
+            self._beginning += data[: _BEGINNING_BYTES - len(self._beginning)]
+            if not self._head.is_framed:
+                self._check_beginning(self._beginning)
 
-    def check_end(self, closed: bool) -> None:
+    def check_end(self, extra: bytes, closed: bool) -> None:
         """Checks the body once it has ended.
 
         Args:
+            extra: What was received behind the body.
             closed: Whether the end of the connection ended it.
 
         Raises:
+            MalformedMessageError: The body begins another answer, which goes on behind it.
             ConnectionLostError: The connection ended behind the head, without a length.
         """
+        if extra and self._head.is_framed:
+            self._check_beginning(self._beginning + extra[:_BEGINNING_BYTES])
         if closed and not self._has_content:
             message = "connection closed behind the head of an answer without a length"
             raise exceptions.ConnectionLostError(message)
 
+    def _check_beginning(self, beginning: bytes) -> None:
+        if _STATUS_LINE_START.match(beginning):
+            raise exceptions.MalformedMessageError("the body of an answer is another answer")
+
 
 def _has_one_kind_of_line_ends(raw_head: bytes) -> bool:
     """Returns whether no line end was added to a head by something else than its sender.
--- a/tests/_internal/protocols/test_cut_heads.py
+++ b/tests/_internal/protocols/test_cut_heads.py
@@ -136,6 +136,15 @@
         self._check(NEXT)
         self._check(NEXT, heads=self._bare())
 
+    def test_ended_by_an_empty_line_and_followed_by_another_answer(self):
+        self._check(b"\r\n" + NEXT)
+        self._check(b"\r\n\r\n" + NEXT)
+
+    def test_ended_by_bare_line_feeds_and_followed_by_another_answer(self):
+        self._check(b"\n" + NEXT)
+        self._check(b"\n\n" + NEXT)
+        self._check(b"\n\n" + NEXT, heads=self._bare())
+
 
 class MixedLineEndsTest(unittest.TestCase):
     def test_head_that_a_bare_line_feed_ends_is_not_read(self):
@@ -187,6 +196,18 @@
                 with self.subTest(fields + body):
                     self.assertIsNone(_read_one(OK + fields + b"\r\n" + body))
 
+    def test_answer_without_a_length_whose_body_is_another_answer_is_not_read(self):
+        for separator in (b"", b"\n", b"\r\n", b"\r\n\r\n"):
+            answer = OK + PROVED + b"\r\n" + separator + NEXT
+            with self.subTest(separator):
+                self.assertIsNone(_read_one(answer))
+
+    def test_answer_with_a_cut_length_whose_body_is_another_answer_is_not_read(self):
+        for length in (b"1", b"9", b"12", b"13", b"60"):
+            answer = OK + PROVED + b"Content-Length: " + length + b"\r\n\r\n" + NEXT
+            with self.subTest(length):
+                self.assertIsNone(_read_one(answer))
+
     def test_answer_without_a_length_is_read_to_the_end_of_the_connection(self):
         for head in (OK, OK.replace(b"HTTP/1.1", b"HTTP/1.0"), OK + b"Connection: close\r\n"):
             for body in (b"x", b"\r\nx", BODY, b"HTTP/1.1", b"x" * 100_000):
--- a/tests/_internal/services/test_cut_heads.py
+++ b/tests/_internal/services/test_cut_heads.py
@@ -1,6 +1,7 @@
 """Answers whose heads are cut: callers never get them as whole answers, on any kind of route.
 
-The upstream closes the connection behind the cut or ends the head first.
+The upstream closes the connection behind the cut, ends the head first, or goes on with another
+answer.
 """
 
 import unittest
@@ -22,6 +23,10 @@
 STREAM = b"Content-Type: text/event-stream\r\n"
 KEPT = b"Keep-Alive: timeout=10\r\n"
 CLOSED = b"Connection: close\r\n"
+NEXT = (
+    b"HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: other\r\n"
+    b"X-Server-Stamp: other\r\nContent-Length: 4\r\n\r\noops"
+)
 EVENT = b"id: 1\ndata: piece 1 of v1\n\n"
 # Heads before their ends; `%b` is the id of the request.
 CUT_HEADS = {
@@ -72,6 +77,7 @@
             "closed": b"",
             "ended by bare line feeds": newline.replace(b"\r", b"") + b"\n",
             "ended": newline + b"\r\n",
+            "ended, then another answer": newline + b"\r\n" + NEXT,
         }
         for ending_name, ending in endings.items():
             if name != UNSEEN or newline + b"\r\n" not in ending:
