Do not end with the connection what promises to keep it

The heads of this platform's answers name the length last, behind "Keep-Alive: timeout=10". One that is ended between the two promises to keep the connection and has no length; whatever follows to the end of the connection was its whole body, or its whole stream. An upstream that means the end of the connection to be that of its answer cannot promise this.

Evidence: seven cases that fail on the code before: Keep-Alive or Connection: keep-alive, no length, then a body or an event and a close, on all four kinds of routes.

The end of such an answer is now a lost connection: plain answers are repeated or end with 502, streams are taken up or end as broken. The check is at the end and not at the head, so a refusal is still a refusal.

Considered and not done: to ask each answer without a length for "Connection: close".

--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -49,6 +49,15 @@
         """Whether the end of the body does not depend on the end of the connection."""
         return any(name in (b"content-length", b"transfer-encoding") for name, _ in self.headers)
 
+    @property
+    def keeps_connection(self) -> bool:
+        """Whether it announces that the connection stays open behind the answer."""
+        options = (self.header(b"connection") or b"").lower().split(b",")
+        names = {option.strip() for option in options}
+        if b"close" in names:
+            return False
+        return b"keep-alive" in names or self.header(b"keep-alive") is not None
+
     @property
     def media_type(self) -> bytes | None:
         """Media type of the body without its parameters, in lower case; None if none is given."""
@@ -336,13 +345,16 @@
 
         Raises:
             MalformedMessageError: The body begins another answer, which goes on behind it.
-            ConnectionLostError: The connection ended behind the head, without a length.
+            ConnectionLostError: The end of the connection is not shown to be that of the answer.
         """
         if extra and self._head.is_framed:
             self._check_beginning(self._beginning + extra[:_BEGINNING_BYTES])
         if closed and not self._has_content:
             message = "connection closed behind the head of an answer without a length"
             raise exceptions.ConnectionLostError(message)
+        if closed and self._head.keeps_connection:
+            message = "connection closed, though the answer has no length and keeps it open"
+            raise exceptions.ConnectionLostError(message)
 
     def _check_beginning(self, beginning: bytes) -> None:
         if _STATUS_LINE_START.match(beginning):
--- a/tests/_internal/protocols/test_cut_heads.py
+++ b/tests/_internal/protocols/test_cut_heads.py
@@ -213,6 +213,15 @@
             for body in (b"x", b"\r\nx", BODY, b"HTTP/1.1", b"x" * 100_000):
                 self.assertEqual(_read_one(head + PROVED + b"\r\n" + body), (200, body))
 
+    def test_answer_without_a_length_that_keeps_its_connection_is_not_read(self):
+        for fields in (
+            b"Keep-Alive: timeout=10\r\n",
+            b"Connection: keep-alive\r\n",
+            b"Connection: x, Keep-Alive\r\n",
+        ):
+            with self.subTest(fields):
+                self.assertIsNone(_read_one(OK + PROVED + fields + b"\r\n" + BODY))
+
     def test_answer_without_a_length_that_closes_its_connection_is_read(self):
         fields = b"Keep-Alive: timeout=10\r\nConnection: Close\r\n"
         self.assertEqual(_read_one(OK + PROVED + fields + b"\r\n" + BODY), (200, BODY))
--- a/tests/_internal/services/test_cut_heads.py
+++ b/tests/_internal/services/test_cut_heads.py
@@ -170,6 +170,18 @@
             self._check_whole(head + EVENT, "/ask/x", EVENT)
             self._check_whole(head + EVENT, "/long/x", EVENT)
 
+    def test_answer_without_a_length_that_keeps_its_connection_is_not_whole(self):
+        head = OK + PROOF + ID + KEPT
+        cases = {
+            ("GET", "desk", "/look/1", False): head + JSON + b"\r\n" + BODY,
+            ("POST", "desk", "/order/1", False): head + JSON + b"\r\n" + BODY,
+            ("POST", "lm", "/ask/x", False): head + STREAM + b"\r\n" + EVENT,
+            ("POST", "lm", "/long/x", False): head + STREAM + b"\r\n" + EVENT,
+        }
+        for route, answer in cases.items():
+            with self.subTest(route):
+                self._check(answer, *route)
+
     def _check_whole(self, answer, path, body):
         async def check(world):
             replacing_network.install(world, lambda raw: _fill(answer, raw))
