Take a proof without a value for none

A head that is cut behind "X-Server-Stamp: " and ended has that field, with nothing in it, and counted as proof; so did an id without a value, which no comparison with the id of the request covers, as it reads as no id.

A proof needs both values. An answer without one is an unusable answer, as before: repeatable requests go elsewhere, others get 502.

What remains: a proof that is cut within its value and ended by a whole empty line cannot be told from a whole one; its body is missing then unless it is empty by its length.

--- a/src/cicadapier/_internal/platform/requests.py
+++ b/src/cicadapier/_internal/platform/requests.py
@@ -95,7 +95,7 @@
         weights = head.header(wire_headers.WEIGHTS)
         misdirected = head.status == http.HTTPStatus.MISDIRECTED_REQUEST
         not_run = misdirected or head.header(wire_headers.NOT_RUN) is not None
-        has_proof = head.header(wire_headers.EXECUTION_PROOF) is not None and request is not None
+        has_proof = bool(head.header(wire_headers.EXECUTION_PROOF) and request)
         # Callers would read such a status as a promise that the upstream does not give.
         contradicts_proof = head.status in _NOT_RUN_STATUSES and not not_run
         is_encoded = head.header(wire_headers.CONTENT_ENCODING) is not None
--- a/tests/_internal/platform/test_formats.py
+++ b/tests/_internal/platform/test_formats.py
@@ -115,6 +115,8 @@
         self.assertTrue(read_answer_facts(200, proof, request_id).genuine)
         self.assertFalse(read_answer_facts(200, request_id).genuine)
         self.assertFalse(read_answer_facts(200, proof).genuine)
+        self.assertFalse(read_answer_facts(200, (proof[0], b""), request_id).genuine)
+        self.assertFalse(read_answer_facts(200, proof, (request_id[0], b"")).genuine)
         self.assertFalse(
             read_answer_facts(200, proof, request_id, (b"content-encoding", b"gzip")).genuine
         )
--- a/tests/_internal/services/test_cut_heads.py
+++ b/tests/_internal/services/test_cut_heads.py
@@ -170,6 +170,14 @@
             self._check_whole(head + EVENT, "/ask/x", EVENT)
             self._check_whole(head + EVENT, "/long/x", EVENT)
 
+    def test_answer_whose_proof_or_id_has_no_value_is_not_relayed(self):
+        framed = b"Content-Length: %d\r\n\r\n" % len(BODY) + BODY
+        empty_proof = b"X-Server-Stamp:\r\n"
+        empty_id = b"X-Request-Id: \r\n"
+        for fields in (ID + empty_proof, empty_id + PROOF, empty_id + empty_proof):
+            with self.subTest(fields):
+                self._check(OK + fields + framed, "POST", "desk", "/order/1", False)
+
     def test_answer_without_a_length_that_keeps_its_connection_is_not_whole(self):
         head = OK + PROOF + ID + KEPT
         cases = {
