Reset a stream that breaks off for callers without chunks

One that broke off was closed like one that was whole (ORDER: it ends as complete before its last piece).

The users' callers speak HTTP/1.1, whose chunks lack their end; nothing changes for them.

While an answer of unknown length is under way, closing its socket resets it, also where the process ends. Plain answers have a length.

--- a/src/cicadapier/_internal/protocols/http_server.py
+++ b/src/cicadapier/_internal/protocols/http_server.py
@@ -16,6 +16,7 @@
 from cicadapier._internal.models import settings
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import transport
 
 _log = structlog.get_logger()
 
@@ -24,6 +25,7 @@
 READ_BYTES = 65_536
 _MAX_EXTRA_INPUT_BYTES = 1_048_576
 _LINGER_S = 1.0
+_VERSION_WITHOUT_CHUNKS = b"1.0"
 
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 _CHUNKED_HEADERS = [(b"transfer-encoding", b"chunked")]
@@ -100,6 +102,7 @@
         self, status: int, headers: http_client.Headers, first_part: bytes = b""
     ) -> None:
         """Sends the head of an answer of unknown length, and the first part of its body if any."""
+        self._set_reset_on_close(True)
         data = self._encode_head(status, [*headers, *_CHUNKED_HEADERS])
         if first_part:
             data += self._h11.send(h11.Data(data=first_part)) or b""
@@ -111,8 +114,17 @@
 
     async def finish(self) -> None:
         """Sends the end of the answer."""
+        self._set_reset_on_close(False)
         await self._write(self._h11.send(h11.EndOfMessage()) or b"")
 
+    def _set_reset_on_close(self, enabled: bool) -> None:
+        """Lets a caller without chunks know of an answer that breaks off by a reset.
+
+        The end of the connection is the end of such an answer.
+        """
+        if self._h11.their_http_version == _VERSION_WITHOUT_CHUNKS:
+            transport.set_reset_on_close(self._stream, enabled)
+
     def _encode_head(self, status: int, headers: http_client.Headers) -> bytes:
         self.started = True
         reason = http.HTTPStatus(status).phrase if status in _KNOWN_STATUSES else ""
--- a/src/cicadapier/_internal/protocols/transport.py
+++ b/src/cicadapier/_internal/protocols/transport.py
@@ -19,6 +19,7 @@
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 2500
 _LINGER_FOR_NO_TIME = struct.pack("ii", 1, 0)
+_NO_LINGER = struct.pack("ii", 0, 0)
 
 StreamHandler = collections.abc.Callable[[trio.abc.Stream], collections.abc.Awaitable[None]]
 
@@ -53,6 +54,13 @@
         stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
 
 
+def set_reset_on_close(stream: trio.abc.Stream, enabled: bool) -> None:
+    """Sets whether closing a socket resets the connection, also at the end of the process."""
+    if isinstance(stream, trio.SocketStream):
+        linger = _LINGER_FOR_NO_TIME if enabled else _NO_LINGER
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 class Network(abc.ABC):
     """Opens and accepts byte streams."""
 
--- a/tests/_internal/protocols/test_http_server.py
+++ b/tests/_internal/protocols/test_http_server.py
@@ -10,6 +10,7 @@
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import http_server
+from cicadapier._internal.protocols import transport
 from cicadapier._internal.standins import faulty_network
 from tests import support
 
@@ -177,5 +178,53 @@
         self.assertEqual(self._exchange(with_extra_data, stay_open=True), (200, b"ok", False))
 
 
+class _PartsHandler(http_server.Handler):
+    """Sends an answer in parts, which breaks off if the path says so."""
+
+    async def handle(self, req, responder):
+        await responder.start(200, [], b"first")
+        await responder.send_part(b"second")
+        if req.path == "/breaks":
+            raise exceptions.ConnectionLostError("broke off")
+        await responder.finish()
+
+
+class CallersWithoutChunksTest(unittest.TestCase):
+    """Callers for whom the end of the connection is the end of the answer, on real sockets."""
+
+    def _read(self, path, version):
+        """Returns the answer; raises if the connection is reset."""
+        received = bytearray()
+
+        async def main():
+            network = transport.TcpNetwork()
+            limits = settings.CallerLimits()
+            listener = http_server.Listener(network.serve, _PartsHandler(), lambda: limits)
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(listener.run, ids.Address("127.0.0.1:0"))
+                stream = await network.connect(address, 1.0)
+                async with stream:
+                    await stream.send_all(b"GET %b HTTP/%b\r\nHost: x\r\n\r\n" % (path, version))
+                    with trio.move_on_after(1.0):
+                        while data := await stream.receive_some(65_536):
+                            received.extend(data)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        return bytes(received)
+
+    def test_answer_that_breaks_off_is_reset(self):
+        with self.assertRaises(BaseExceptionGroup) as raised:
+            self._read(b"/breaks", b"1.0")
+        self.assertIsNotNone(raised.exception.subgroup(trio.BrokenResourceError))
+
+    def test_whole_answer_ends_with_the_connection(self):
+        self.assertTrue(self._read(b"/whole", b"1.0").endswith(b"\r\n\r\nfirstsecond"))
+
+    def test_answer_in_chunks_that_breaks_off_has_no_end(self):
+        answer = self._read(b"/breaks", b"1.1")
+        self.assertTrue(answer.endswith(b"6\r\nsecond\r\n"))
+
+
 if __name__ == "__main__":
     unittest.main()
