--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -18,6 +18,10 @@
 MAX_INTERIM_RESPONSES = 32
 MAX_REFUSALS = 256  # A connection with more refusals is not used again.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}( |$)")
+_STATUS_LINE_START = re.compile(rb"[\r\n]*HTTP/\d\.\d \d{3}[ \r\n]")
+_HEAD_END = re.compile(rb"\n\r?\n")
+_NEWLINES = b"\r\n"
+_BEGINNING_BYTES = 32  # Part of a body that is searched for the beginning of another answer.
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -47,6 +51,15 @@
         """Whether the end of the body does not depend on the end of the connection."""
         return any(name in (b"content-length", b"transfer-encoding") for name, _ in self.headers)
 
+    @property
+    def keeps_connection(self) -> bool:
+        """Whether it announces that the connection stays open behind the answer."""
+        options = (self.header(b"connection") or b"").lower().split(b",")
+        names = {option.strip() for option in options}
+        if b"close" in names:
+            return False
+        return b"keep-alive" in names or self.header(b"keep-alive") is not None
+
     @property
     def media_type(self) -> bytes | None:
         """Media type of the body without its parameters, in lower case; None if none is given."""
@@ -103,6 +116,8 @@
         self._reused = False
         self._refused: set[str] = set()
         self._read_deadline = math.inf
+        self._raw_heads = bytearray()  # What was received of heads that have not been read.
+        self._body: _ReceivedBody | None = None
         self.opened_at = trio.current_time()
         self.idle_since = self.opened_at
         self.sent = False
@@ -142,6 +157,7 @@
             ConnectionLostError: The connection broke while sending.
         """
         self.sent = False
+        self._body = None
         headers = head.headers
         if find_header(headers, b"host") is None:
             headers = [(b"host", self._host), *headers]
@@ -171,13 +187,16 @@
         deadline = trio.current_time() + timeout_s
         for _ in range(MAX_INTERIM_RESPONSES):
             event = await self._next_event(deadline)
-            if isinstance(event, h11.Response):
-                if _is_spliced(event):
-                    message = "a head begins within another one"
-                    raise exceptions.MalformedMessageError(message)
-                return ResponseHead(event.status_code, list(event.headers))
-            if not isinstance(event, h11.InformationalResponse):
+            if not isinstance(event, h11.Response | h11.InformationalResponse):
                 raise exceptions.ConnectionLostError("connection closed before the answer")
+            if _is_spliced(event):
+                raise exceptions.MalformedMessageError("a head begins within another one")
+            if not _has_one_kind_of_line_ends(self._take_raw_head()):
+                raise exceptions.MalformedMessageError("a head has line ends of two kinds")
+            if isinstance(event, h11.Response):
+                head = ResponseHead(event.status_code, list(event.headers))
+                self._body = _ReceivedBody(head)
+                return head
         raise exceptions.MalformedMessageError("too many interim responses")
 
     async def receive_data(self, timeout_s: float) -> bytes | None:
@@ -189,9 +208,13 @@
             MalformedMessageError: The answer is not valid HTTP.
         """
         event = await self._next_event(trio.current_time() + timeout_s)
+        assert self._body
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            data = bytes(event.data)
+            self._body.add(data)
+            return data
         if isinstance(event, h11.EndOfMessage):
+            self._body.check_end(self._h11.trailing_data[0], self._peer_closed)
             return None
         raise exceptions.ConnectionLostError("connection closed before the end of the answer")
 
@@ -285,10 +308,80 @@
                 raise exceptions.SilentConnectionError(message) from exc
             raise exceptions.ConnectionLostError(f"connection lost while receiving: {exc}") from exc
         self._peer_closed = not data
+        if self._h11.their_state is h11.SEND_RESPONSE:
+            self._raw_heads += data
         self._h11.receive_data(bytes(data))
 
+    def _take_raw_head(self) -> bytes:
+        """Removes the head that has just been read from the received bytes and returns it."""
+        end = _HEAD_END.search(self._raw_heads)
+        assert end
+        raw = bytes(self._raw_heads[: end.end()])
+        del self._raw_heads[: end.end()]
+        if self._h11.their_state is not h11.SEND_RESPONSE:
+            self._raw_heads.clear()  # What follows is the body.
+        return raw
+
+
+class _ReceivedBody:
+    """Checks that a body is not what is left of an answer whose head was cut.
+
+    A head that ends before the length of its body makes an answer that runs to the end of the
+    connection, whatever follows; a length that is cut makes another length.
+    """
+
+    def __init__(self, head: ResponseHead) -> None:
+        self._head = head
+        self._beginning = b""
+        self._has_content = False
+
+    def add(self, data: bytes) -> None:
+        """Checks the next part.
+
+        Raises:
+            MalformedMessageError: The body is another answer.
+        """
+        if not self._has_content:
+            self._has_content = bool(data.strip(_NEWLINES))
+        if len(self._beginning) < _BEGINNING_BYTES:
+            self._beginning += data[: _BEGINNING_BYTES - len(self._beginning)]
+            if not self._head.is_framed:
+                self._check_beginning(self._beginning)
+
+    def check_end(self, extra: bytes, closed: bool) -> None:
+        """Checks the body once it has ended.
+
+        Args:
+            extra: What was received behind the body.
+            closed: Whether the end of the connection ended it.
+
+        Raises:
+            MalformedMessageError: The body begins another answer, which goes on behind it.
+            ConnectionLostError: The end of the connection is not shown to be that of the answer.
+        """
+        if extra and self._head.is_framed:
+            self._check_beginning(self._beginning + extra[:_BEGINNING_BYTES])
+        if closed and not self._has_content:
+            message = "connection closed behind the head of an answer without a length"
+            raise exceptions.ConnectionLostError(message)
+        if closed and self._head.keeps_connection:
+            message = "connection closed, though the answer has no length and keeps it open"
+            raise exceptions.ConnectionLostError(message)
+
+    def _check_beginning(self, beginning: bytes) -> None:
+        if _STATUS_LINE_START.match(beginning):
+            raise exceptions.MalformedMessageError("the body of an answer is another answer")
+
+
+def _has_one_kind_of_line_ends(raw_head: bytes) -> bool:
+    """Returns whether no line end was added to a head by something else than its sender.
+
+    An upstream that breaks off within a head may have it ended for it by a bare line feed.
+    """
+    return raw_head.count(b"\r\n") in (0, raw_head.count(b"\n"))
+
 
-def _is_spliced(response: h11.Response) -> bool:
+def _is_spliced(response: h11.Response | h11.InformationalResponse) -> bool:
     """Returns whether a head consists of a part of one head and of the next one.
 
     A peer that breaks off within a head and then answers on the same connection sends such a head:
