Let the stand-in of the store send bytes that no encoder writes

An odd object of another writer (nested too deeply, a number out of range, no JSON) could not be expressed, as the stand-in encodes plain values. put_raw sets the bytes of an object's content, put_raw_object those of the whole object; both appear in lists, watches and single objects.

--- a/src/cicadapier/_internal/platform/server_formats.py
+++ b/src/cicadapier/_internal/platform/server_formats.py
@@ -56,6 +56,17 @@
     spec: Any
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawObject:
+    """Content of an object that the store sends as given bytes.
+
+    Attributes:
+        encoded: The whole object, with its metadata; may be no valid JSON.
+    """
+
+    encoded: bytes
+
+
 def read_store_request(req: http_server.Request) -> StoreRequest:
     """Reads a request to the object store."""
     kind, _, name = req.path[len(OBJECTS_ROOT) :].partition("/")
@@ -80,8 +91,10 @@
     return [] if epoch is None else [(wire_headers.STORE_EPOCH, b"%d" % epoch)]
 
 
-def encode_object(item: store_format.StoredObject) -> dict[str, Any]:
-    """Returns an object in the format of the store."""
+def encode_object(item: store_format.StoredObject) -> Any:
+    """Returns an object in the format of the store, as a value to encode as JSON."""
+    if isinstance(item.spec, RawObject):
+        return msgspec.Raw(item.spec.encoded)
     metadata = {
         "name": item.name,
         "rev": int(item.version),
--- a/src/cicadapier/_internal/standins/forwarding_store.py
+++ b/src/cicadapier/_internal/standins/forwarding_store.py
@@ -6,6 +6,7 @@
 import http
 from typing import Any
 
+import msgspec
 import trio
 
 from cicadapier._internal.models import ids
@@ -156,6 +157,14 @@
         self._objects[kind, name] = item
         self._record(kind, item, deleted=False, by_router=by_router)
 
+    def put_raw(self, kind: str, name: str, content: bytes) -> None:
+        """Writes an object whose content is sent as these bytes, which may be no valid JSON."""
+        self.put(kind, name, msgspec.Raw(content))
+
+    def put_raw_object(self, kind: str, name: str, encoded: bytes) -> None:
+        """Writes an object that is sent as these bytes, in place of its metadata and content."""
+        self.put(kind, name, server_formats.RawObject(encoded))
+
     def remove(self, kind: str, name: str, by_router: bool = False) -> None:
         """Deletes an object if it exists."""
         item = self._objects.pop((kind, name), None)
