Read an address that is none as what it is, not as a number

An entry of the directory with the port "²" ended the router in the world of the tests: str.isdigit is true for it and int() raises ValueError, which nobody catches. A port of 5,000 digits the same (int() takes 4,300). Arabic digits were taken for a port, "..", a host with a null or a line end, or of 300 characters, for hosts; connecting to some of them raises UnicodeError.

addresses.is_address takes ASCII digits, a port in range, and an IP address or the name of a host; the directory, declarations and settings use it. An entry that fails it is unreadable, as one with another fault is.

--- a/src/cicadapier/_internal/models/configuration.py
+++ b/src/cicadapier/_internal/models/configuration.py
@@ -7,6 +7,7 @@
 import typing
 from typing import Any
 
+from cicadapier._internal.models import addresses
 from cicadapier._internal.models import exceptions
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import schema
@@ -438,7 +439,7 @@
                 other = upstream_pools[upstream_id]
                 yield exceptions.Fault(fault_path, f"duplicate id; pool {other!r} already has it")
             upstream_pools[upstream_id] = pool_id
-            if not _is_address(upstream.address):
+            if not addresses.is_address(upstream.address):
                 yield exceptions.Fault(f"{fault_path}.address", "expected IP:port")
         for model_id in pool.models:
             if model_id in model_pools:
@@ -463,8 +464,3 @@
         yield exceptions.Fault(f"{path}.keep", f"unknown pool {pool.keep!r}")
     elif keep.kind is not PoolKind.KEEP:
         yield exceptions.Fault(f"{path}.keep", f"pool {pool.keep!r} is not of kind keep")
-
-
-def _is_address(address: str) -> bool:
-    host, _, port = address.rpartition(":")
-    return bool(host) and port.isdigit() and 0 < int(port) < 65536
--- a/src/cicadapier/_internal/models/settings.py
+++ b/src/cicadapier/_internal/models/settings.py
@@ -4,6 +4,7 @@
 import enum
 import os
 
+from cicadapier._internal.models import addresses
 from cicadapier._internal.models import documents
 from cicadapier._internal.models import exceptions
 from cicadapier._internal.models import ids
@@ -190,7 +191,7 @@
 
 def _check_network_settings(value: Settings) -> None:
     faults = []
-    addresses = {
+    found = {
         "listen.callers": value.listen.callers,
         "listen.operators": value.listen.operators,
         "listen.peers": value.listen.peers,
@@ -198,12 +199,11 @@
         "listen.metrics": value.listen.metrics,
     }
     for i, address in enumerate(value.platform.addresses):
-        addresses[f"platform.addresses[{i}]"] = address
+        found[f"platform.addresses[{i}]"] = address
     for i, address in enumerate(value.peers.seed):
-        addresses[f"peers.seed[{i}]"] = address
-    for path, address in addresses.items():
-        host, _, port = address.rpartition(":")
-        if not host or not port.isdigit() or int(port) > 65535:
+        found[f"peers.seed[{i}]"] = address
+    for path, address in found.items():
+        if not addresses.is_address(address, min_port=0):
             faults.append(exceptions.Fault(path, f"expected IP:port, got {address!r}"))
     if faults:
         raise exceptions.InvalidDocumentError(faults)
--- a/src/cicadapier/_internal/platform/documents.py
+++ b/src/cicadapier/_internal/platform/documents.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cicadapier._internal.models import addresses
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import directory_entries
 from cicadapier._internal.models import exceptions
@@ -158,7 +159,7 @@
             return directory_entries.UnreadableEntry(
                 item.name, f"unknown state {registration.state!r}"
             )
-        if not _is_valid_address(registration.address):
+        if not addresses.is_address(registration.address):
             return directory_entries.UnreadableEntry(
                 item.name, f"invalid address {registration.address!r}"
             )
@@ -257,8 +258,3 @@
         header_timeout_s=limits.header_timeout_ms / 1000,
         idle_timeout_s=limits.idle_timeout_ms / 1000,
     )
-
-
-def _is_valid_address(address: Any) -> bool:
-    host, _, port = address.rpartition(":")
-    return bool(host) and port.isdigit() and 0 < int(port) < 65_536
--- a/tests/_internal/models/test_documents.py
+++ b/tests/_internal/models/test_documents.py
@@ -12,6 +12,7 @@
 from cicadapier._internal.models import exceptions
 from cicadapier._internal.models import schema
 from cicadapier._internal.models import settings
+from tests._internal.models import test_addresses
 
 
 def faults_of(raw):
@@ -56,6 +57,15 @@
             set(found), {"accounts.a.weight", "accounts.a.limits.streams", "accounts.a.colour"}
         )
 
+    def test_address_that_is_none_is_a_fault(self):
+        for address in test_addresses.ODD_ADDRESSES:
+            with self.subTest(address[:30]):
+                upstream = {"address": address, "failure_domain": "d"}
+                found = faults_of(
+                    {"pools": {"p": {"kind": "service", "upstreams": {"u": upstream}}}}
+                )
+                self.assertEqual(set(found), {"pools.p.upstreams.u.address"})
+
     @hypothesis.settings(derandomize=True, database=None, deadline=None)
     @hypothesis.given(
         st.recursive(
@@ -105,6 +115,11 @@
         text = "vm: a\nfailure_domain: b\nlisten: {operators: '10.0.0.1:1'}\n"
         self.assertEqual(self._first_fault(text).path, "operator_token")
 
+    def test_address_that_is_none_is_reported(self):
+        for address in ("10.0.0.1:²", "10.0.0.1:65536", "10.0.0.1", "a b:1"):
+            text = f"vm: a\nfailure_domain: b\nlisten: {{callers: '{address}'}}\n"
+            self.assertEqual(self._first_fault(text).path, "listen.callers")
+
     def test_invalid_yaml_and_python_objects_are_rejected(self):
         self.assertIn("YAML", self._first_fault("vm: [a\n").expected)
         with self.assertRaises(exceptions.InvalidDocumentError):
