Treat an address that is none as one that cannot be reached

An address that others write reaches the sockets by several ways that check nothing: the entry of a router in the store, reply_to of a peer's message (answered even to a stranger who knows no secret where none is set), a heartbeat, the address of a keep in the platform's configuration. The port "", "²", 99999 or of 5,000 digits, a null or an empty label in the host made connecting, calling and sending a datagram raise ValueError, UnicodeError or OverflowError, which nobody catches there: the process ended, again at each round of gossip with such an entry of a router. The world of the tests does not show it, as it looks addresses up and never parses them; the tests therefore use sockets on the loopback interface.

They count as a failed connection, a failed call and a lost datagram now.

--- a/src/cicadapier/_internal/protocols/peer_datagrams.py
+++ b/src/cicadapier/_internal/protocols/peer_datagrams.py
@@ -17,6 +17,7 @@
 from cicadapier._internal.models import settings
 from cicadapier._internal.protocols import peer_codec
 from cicadapier._internal.protocols import peers_pb2
+from cicadapier._internal.protocols import transport
 
 MAX_DATAGRAM_BYTES = 8_192
 _RECEIVE_BUFFER_BYTES = 65_536
@@ -113,5 +114,5 @@
         for address in addresses:
             try:
                 await self._socket.sendto(data, settings.split_address(address))
-            except OSError as exc:
+            except (OSError, *transport.ADDRESS_ERRORS) as exc:
                 _log.debug("datagram_not_sent", peer=address, reason=str(exc))
--- a/src/cicadapier/_internal/protocols/peer_transport.py
+++ b/src/cicadapier/_internal/protocols/peer_transport.py
@@ -24,6 +24,7 @@
 from cicadapier._internal.protocols import peer_datagrams
 from cicadapier._internal.protocols import peers_grpc
 from cicadapier._internal.protocols import peers_pb2
+from cicadapier._internal.protocols import transport
 
 EXCHANGE_TIMEOUT_S = 1.0
 FETCH_TIMEOUT_S = 10.0
@@ -36,6 +37,7 @@
     grpclib.exceptions.GRPCError,
     grpclib.exceptions.StreamTerminatedError,
     grpclib.exceptions.ProtocolError,
+    *transport.ADDRESS_ERRORS,
 )
 _log = structlog.get_logger()
 
--- a/src/cicadapier/_internal/protocols/transport.py
+++ b/src/cicadapier/_internal/protocols/transport.py
@@ -18,6 +18,8 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 2500
+# Errors for a text that is no address, which the kernel or the encoding of host names reports.
+ADDRESS_ERRORS = (ValueError, OverflowError)
 _LINGER_FOR_NO_TIME = struct.pack("ii", 1, 0)
 
 StreamHandler = collections.abc.Callable[[trio.abc.Stream], collections.abc.Awaitable[None]]
@@ -86,9 +88,9 @@
 
     async def connect(self, address: ids.Address, timeout_s: float) -> trio.abc.Stream:
         """See `Network.connect`."""
-        host, port = settings.split_address(address)
         with trio.move_on_after(timeout_s):
             try:
+                host, port = settings.split_address(address)
                 stream = await trio.open_tcp_stream(host, port, happy_eyeballs_delay=timeout_s)
                 _enable_keepalive(stream)
                 return stream
@@ -96,6 +98,8 @@
                 if _is_refusal(exc):
                     raise exceptions.ConnectRefusedError(f"{address}: connection refused") from exc
                 raise exceptions.ConnectError(f"{address}: {exc}") from exc
+            except ADDRESS_ERRORS as exc:
+                raise exceptions.ConnectError(f"{address!r} is no address: {exc}") from exc
         raise exceptions.ConnectError(f"{address}: no answer within {timeout_s} s")
 
     async def serve(
--- a/tests/_internal/protocols/test_transport.py
+++ b/tests/_internal/protocols/test_transport.py
@@ -2,14 +2,33 @@
 
 import socket
 import unittest
+import unittest.mock
 
 import trio
 
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import peer_codec
+from cicadapier._internal.protocols import peer_transport
 from cicadapier._internal.protocols import transport
 
+# Texts that are no addresses, without those that a resolver would be asked for.
+ODD_ADDRESSES = (
+    "",
+    ":",
+    "host",
+    "host:",
+    "127.0.0.1:65536",
+    "127.0.0.1:-1",
+    "127.0.0.1:²",
+    "127.0.0.1:" + "9" * 5000,
+    "127.0.0.1\0:80",
+    "..:80",
+    "a" * 64 + ":80",
+)
+DIGEST = peer_codec.Digest(ids.VmId("vm-1"), 1, ids.ConfigNumber(1))
+
 
 class ConnectTest(unittest.TestCase):
     def _connect(self, address, timeout_s):
@@ -38,6 +57,39 @@
             for client in clients:
                 client.close()
 
+    def test_text_that_is_no_address_cannot_be_connected_to(self):
+        for address in ODD_ADDRESSES:
+            with self.subTest(address[:30]), self.assertRaises(exceptions.ConnectError):
+                self._connect(address, 0.2)
+
+
+class OddPeerAddressTest(unittest.TestCase):
+    def _run(self, use):
+        async def main():
+            peers = peer_transport.GrpcTransport("")
+            async with trio.open_nursery() as nursery:
+                handler = unittest.mock.Mock()
+                await nursery.start(peers.serve, ids.Address("127.0.0.1:0"), handler)
+                for address in ODD_ADDRESSES:
+                    with self.subTest(address[:30]), trio.fail_after(2.0):
+                        await use(peers, ids.Address(address))
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_datagram_to_no_address_is_lost(self):
+        async def use(peers, address):
+            await peers.send_datagram([address], DIGEST)
+
+        self._run(use)
+
+    def test_call_to_no_address_fails(self):
+        async def use(peers, address):
+            with self.assertRaises(exceptions.ProtocolError):
+                await peers.exchange(address, DIGEST)
+
+        self._run(use)
+
 
 class LimitDeliveryTest(unittest.TestCase):
     BODY_BYTES = 8_000_000
