Leave out heartbeats and entries of routers that name no address or no number to count on

One fault was found: a heartbeat that bears the router's own name and the highest generation. The router sets its own generation one higher, which no message can hold (ValueError: Value out of range), so the process ended with the next round. Heartbeats above 2^62 are left out now; generations are times in milliseconds, 1.8e12.

Heartbeats and entries in the store whose address is none were kept, told to others and called in each round; they are left out as well.

--- a/src/cicadapier/_internal/protocols/peer_codec.py
+++ b/src/cicadapier/_internal/protocols/peer_codec.py
@@ -11,6 +11,7 @@
 from cicadapier._internal.decisions import rate_limits
 from cicadapier._internal.decisions import stream_origins
 from cicadapier._internal.decisions import withdrawals
+from cicadapier._internal.models import addresses
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import origin_codec
 from cicadapier._internal.protocols import peers_pb2
@@ -25,6 +26,7 @@
 MAX_SOUND = 64
 MAX_PIECES = 4096  # Pieces beyond this number in one export or placement are ignored.
 PIECE_ID_BYTES = 16
+MAX_HEARTBEAT_NUMBER = 2**62
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,7 +116,9 @@
         ids.VmId(message.sender),
         message.generation,
         ids.ConfigNumber(message.configuration_number),
-        tuple(_decode_heartbeat(h) for h in message.heartbeats[:MAX_HEARTBEATS]),
+        tuple(
+            _decode_heartbeat(h) for h in message.heartbeats[:MAX_HEARTBEATS] if _is_heartbeat(h)
+        ),
         {
             ids.AccountId(use.account): limits.RemoteUse(max(0.0, use.demand_per_s), use.streams)
             for use in message.accounts[:MAX_ACCOUNTS]
@@ -193,6 +197,12 @@
     )
 
 
+def _is_heartbeat(message: peers_pb2.Heartbeat) -> bool:
+    """Returns whether a heartbeat names an address and numbers that routers can go on counting."""
+    is_in_range = max(message.generation, message.counter) <= MAX_HEARTBEAT_NUMBER
+    return is_in_range and addresses.is_address(message.address)
+
+
 def _decode_heartbeat(message: peers_pb2.Heartbeat) -> membership.Heartbeat:
     return membership.Heartbeat(
         ids.VmId(message.vm),
--- a/src/cicadapier/_internal/services/cluster_service.py
+++ b/src/cicadapier/_internal/services/cluster_service.py
@@ -8,6 +8,7 @@
 import trio
 
 from cicadapier._internal.kernel import service
+from cicadapier._internal.models import addresses
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import settings
 from cicadapier._internal.protocols import store_format
@@ -142,9 +143,13 @@
         self.changed_event.set()
         self.changed_event = trio.Event()
         entries = [_read_entry(item.spec) for item in self._objects.values()]
-        addresses = {ids.VmId(e.vm): ids.Address(e.address) for e in entries if e}
-        if addresses != self._addresses:
-            self._addresses = addresses
+        found = {
+            ids.VmId(entry.vm): ids.Address(entry.address)
+            for entry in entries
+            if entry and addresses.is_address(entry.address)
+        }
+        if found != self._addresses:
+            self._addresses = found
         if self._peers:
             others = [a for vm, a in self._addresses.items() if vm != self._vm]
             self._peers.set_seeds(others)
--- a/tests/_internal/services/test_cluster_service.py
+++ b/tests/_internal/services/test_cluster_service.py
@@ -53,5 +53,17 @@
         self.assertEqual(self._drain(5, 6), [])
 
 
+class AddressTest(unittest.TestCase):
+    def test_entry_without_an_address_names_no_router_to_call(self):
+        service = cluster_service.ClusterService(
+            types.SimpleNamespace(vm=VM), 1, lambda: 0.0, random.Random(0)
+        )
+        odd = ["", "10.0.0.1", "10.0.0.1:²", "10.0.0.1:70000", "..:80"]
+        for number, address in enumerate(["10.0.0.1:7000", *odd]):
+            entry = {"vm": f"vm-{number}", "address": address, "generation": 1}
+            service.put(store_format.StoredObject(f"router-vm-{number}", "1", entry))
+        self.assertEqual(service.addresses(), {"vm-0": "10.0.0.1:7000"})
+
+
 if __name__ == "__main__":
     unittest.main()
