Take a count or version out of range for a fault of its document

JSON integers of up to 4,300 digits are read as Python integers, which the rest of a router can't always hold. In the world of the tests: - a configuration with version 10^30 came into force and ended the router with its next message to a peer (ValueError: Value out of range), and, as it lies in the store, each router that started after it; - weights of 400 digits named in versions/MODEL, or under another name with the same model, became the target: later versions were ignored for ever; - a version of 400 digits in an entry of an upstream, or a negative one, was believed (an unknown version counts as current); 10^30 slots were too.

--- a/src/cicadapier/_internal/platform/documents.py
+++ b/src/cicadapier/_internal/platform/documents.py
@@ -1,6 +1,7 @@
 """Formats of the documents that operators and upstreams write to the platform's object store."""
 
 import hashlib
+from typing import Annotated
 from typing import Any
 from typing import TypeVar
 
@@ -28,6 +29,11 @@
 
 _DocumentT = TypeVar("_DocumentT")
 
+# Counts and versions. Larger ones are no sensible values, and not all of their uses can hold them.
+_MAX_COUNT = 2**53
+_Count = Annotated[int, msgspec.Meta(ge=-_MAX_COUNT, le=_MAX_COUNT)]
+_Version = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+
 
 class _TrafficShare(msgspec.Struct):
     service: str
@@ -41,10 +47,10 @@
     kind: str
     timeout_ms: float
     slo_ms: float  # Latency objective of the answer or of its first event.
-    priority: int = 0
+    priority: _Count = 0
     service: str = ""
     traffic_split: list[_TrafficShare] = []
-    max_attempts: int = 1
+    max_attempts: _Count = 1
     public: bool = False
     resumable: bool = False
     gap_target_ms: float = 1000.0  # Latency objective of the gap between two events.
@@ -55,8 +61,8 @@
 
 
 class _Engine(msgspec.Struct):
-    slots: int = 1
-    kv_capacity_tokens: int = 0
+    slots: _Count = 1
+    kv_capacity_tokens: _Count = 0
     models: list[_Model] = []
     kv_token_bytes: float = 0.0  # Size of the KV cache of one token.
     link_mbps: float = 0.0  # Bandwidth between engines, in megabits per second.
@@ -71,8 +77,8 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
+    max_header_bytes: _Count = 16_384
+    max_body_bytes: _Count = 4_194_304
     header_timeout_ms: float = 3000.0
     idle_timeout_ms: float = 15_000.0
 
@@ -80,12 +86,12 @@
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: _Count | None = None
     isolated: bool = False
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: _Version
     routes: list[_Route] = []
     services: list[_Service] = []
     tenants: list[_Tenant] = []
@@ -94,7 +100,7 @@
 
 class _LoadedModel(msgspec.Struct):
     name: str
-    version: int
+    version: _Version
 
 
 class _Registration(msgspec.Struct):
@@ -102,15 +108,15 @@
     address: str
     zone: str
     state: str
-    slots: int
+    slots: _Count
     version: str = ""  # Of its software, not of the weights.
-    born: int = 0  # Start time of the upstream, in milliseconds since 1970.
+    born: _Count = 0  # Start time of the upstream, in milliseconds since 1970.
     models: list[_LoadedModel] = []
 
 
 class _TargetVersion(msgspec.Struct):
     model: str
-    version: int
+    version: _Version
 
 
 class DocumentFormat(declarations.DeclarationFormat):
--- a/tests/_internal/services/test_odd_entries.py
+++ b/tests/_internal/services/test_odd_entries.py
@@ -43,6 +43,11 @@
     "number out of range": entry_with(slots=b"1e999"),
     "number out of range in an unknown field": entry_with(note=b"-1e999"),
     "integer of 5000 digits": entry_with(slots=b"9" * 5000),
+    "integer of 400 digits": entry_with(slots=b"9" * 400),
+    "integer of 30 digits": entry_with(slots=b"9" * 30),
+    "start time of 400 digits": entry_with(born=b"9" * 400),
+    "weights of 400 digits": entry_with(models=b'[{"name":"verse","version":' + b"9" * 400 + b"}]"),
+    "negative weights": entry_with(models=b'[{"name":"verse","version":-1}]'),
     "bytes that are no text": entry_with(zone=b'"\xff\xfe"'),
     "half a surrogate": entry_with(zone=b'"\\ud800"'),
     "no number": entry_with(slots=b"NaN"),
@@ -177,6 +182,8 @@
             "deep": DEEP,
             "out of range": b'{"model":"verse","version":1e999}',
             "5000 digits": b'{"model":"verse","version":' + b"9" * 5000 + b"}",
+            "400 digits": b'{"model":"verse","version":' + b"9" * 400 + b"}",
+            "negative": b'{"model":"verse","version":-3}',
         }
         places = [(WEIGHTS, "verse"), (WEIGHTS, "a"), (CONFIGURATION, "main"), (CONFIGURATION, "a")]
         for kind, name in places:
@@ -198,6 +205,28 @@
 
         forwarding_world.run_in_world(check)
 
+    def test_odd_configuration_of_numbers_out_of_range_is_not_in_force(self):
+        async def check(world):
+            valid = world.store.find(CONFIGURATION, "main").spec
+            odd = [
+                {"version": 10**30},
+                {"version": 10**400},
+                {"version": -1},
+                {"routes": [{**valid["routes"][0], "timeout_ms": 10**400}]},
+                {"routes": [{**valid["routes"][0], "priority": 10**400}]},
+                {"routes": [{**valid["routes"][0], "max_attempts": 10**400}]},
+                {"limits": {"idle_timeout_ms": 10**400}},
+                {"limits": {"max_body_bytes": 10**400}},
+            ]
+            for number, fields in enumerate(odd):
+                content = {**valid, "version": valid["version"] + 1 + number, **fields}
+                world.store.put_raw(CONFIGURATION, "main", msgspec.json.encode(content))
+                await trio.sleep(FOLLOW_S)
+                self.assertEqual((await world.send("GET", "desk", "/look/1")).status, 200)
+                self.assertEqual((await world.ask()).status, 200)
+
+        forwarding_world.run_in_world(check, routers=2)
+
     def test_odd_objects_of_the_routers_end_nothing(self):
         odd = {
             "deep": DEEP,
