Take a number that nothing can hold for an unreadable value, in headers and events

Counts and ids of events have at most 15 digits now, weights versions 18, all of them ASCII; others are unreadable, and what holds for an absent value holds.

--- a/src/cicadapier/_internal/decisions/members.py
+++ b/src/cicadapier/_internal/decisions/members.py
@@ -10,6 +10,7 @@
 from cicadapier._internal.decisions import prefix
 from cicadapier._internal.decisions import quotas
 from cicadapier._internal.decisions import rendezvous
+from cicadapier._internal.decisions import weights_versions
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 
@@ -235,8 +236,10 @@
         Versions only increase while an upstream runs, so a lower version is an outdated report.
         """
         current = self.versions.get(model)
-        if current is not None and current.isdigit() and version.isdigit():
-            if int(version) <= int(current):
+        known_number = weights_versions.number_of(current)
+        number = weights_versions.number_of(version)
+        if known_number is not None and number is not None:
+            if number <= known_number:
                 return False
         elif current == version:
             return False
--- a/src/cicadapier/_internal/decisions/pool_weights.py
+++ b/src/cicadapier/_internal/decisions/pool_weights.py
@@ -4,6 +4,7 @@
 from cicadapier._internal.decisions import observations
 from cicadapier._internal.decisions import rollout
 from cicadapier._internal.decisions import target_weights
+from cicadapier._internal.decisions import weights_versions
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
 
@@ -57,7 +58,7 @@
         if member.spec.leaving:
             continue
         version = member.versions.get(model, "")
-        number = int(version) if version.isdigit() else None
+        number = weights_versions.number_of(version)
         running = member.load.running()
         remaining_s = targets.remaining_s(model, version, now)
         found.append(
--- a/src/cicadapier/_internal/decisions/target_weights.py
+++ b/src/cicadapier/_internal/decisions/target_weights.py
@@ -8,6 +8,7 @@
 import enum
 import math
 
+from cicadapier._internal.decisions import weights_versions
 from cicadapier._internal.models import ids
 
 # Share of the maximum age after which no request is started on older weights. The rest covers the
@@ -91,7 +92,8 @@
     def _newer_set_at(self, model: ids.ModelId, version: str | None) -> float | None:
         """Returns when the first target newer than this version was set, or None."""
         known = self._targets.get(model)
-        if not known or version is None or not version.isdigit():
+        number = weights_versions.number_of(version)
+        if not known or number is None:
             return None
-        newer = [target for target in known if target.version > int(version)]
+        newer = [target for target in known if target.version > number]
         return newer[0].set_at if newer else None
--- a/src/cicadapier/_internal/platform/requests.py
+++ b/src/cicadapier/_internal/platform/requests.py
@@ -4,6 +4,7 @@
 import math
 
 from cicadapier._internal.decisions import prefix
+from cicadapier._internal.decisions import weights_versions
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
 from cicadapier._internal.platform import wire_headers
@@ -16,6 +17,7 @@
 
 _AUTHORIZATION_SCHEME = "token"
 _MAX_PROMPT_PARTS = 256
+_MAX_COUNT_DIGITS = 15  # Larger numbers are no counts, and not all of their uses can hold them.
 # Headers of upstreams that callers do not receive.
 _REMOVED_FROM_ANSWERS = frozenset((wire_headers.UPSTREAM, wire_headers.LOAD))
 _EVENT_FIELDS = frozenset((wire_headers.WEIGHTS,))
@@ -105,7 +107,7 @@
             not_run=not_run,
             misdirected=misdirected,
             upstream=ids.UpstreamId(upstream.decode("latin-1")) if upstream else None,
-            weights=weights.decode("latin-1").strip() if weights else None,
+            weights=_parse_weights(weights) if weights else None,
             load=_parse_load(head.header(wire_headers.LOAD)),
             idle_s=_parse_idle_timeout_s(head.header(wire_headers.KEEP_ALIVE)),
             leaving=wire_headers.is_leaving(head),
@@ -165,9 +167,16 @@
 
 
 def _parse_count(raw: str) -> int | None:
+    if len(raw) > _MAX_COUNT_DIGITS:
+        return None
     return int(raw) if raw.isascii() and raw.isdigit() else None
 
 
+def _parse_weights(raw: bytes) -> str | None:
+    version = raw.decode("latin-1").strip()
+    return None if weights_versions.number_of(version) is None else version
+
+
 def _read_model_work(req: http_server.Request) -> forwarding.ModelWork | None:
     model = _header_text(req, wire_headers.MODEL)
     if not model:
--- a/src/cicadapier/_internal/protocols/event_stream.py
+++ b/src/cicadapier/_internal/protocols/event_stream.py
@@ -13,6 +13,7 @@
 _FIELDS = frozenset((b"id", b"event", b"data", b"retry", b""))
 MEDIA_TYPE = b"text/event-stream"
 MAX_EVENT_BYTES = 1_048_576
+_MAX_NUMBER_DIGITS = 15
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,5 +88,6 @@
     for line in raw.splitlines():
         if line.startswith(_ID_FIELD):
             text = line[len(_ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            is_number = text.isdigit() and len(text) <= _MAX_NUMBER_DIGITS
+            return int(text) if is_number else None
     return None
