Let an engine's report that cannot be read be no report

A report (or the answer to an order) of an engine with a deeply nested value in any field ended the router that asked for it: RecursionError is no MsgspecError. A version or a number of accepted orders of 400 digits was believed, the engine was not updated for 10 s after its reports were sound again. Reports hold counts of 0 to 2^53 now. 6 of the 26 subtests of test_odd_report_ends_no_router_and_is_no_report fail before.

--- a/src/cicadapier/_internal/platform/engine_calls.py
+++ b/src/cicadapier/_internal/platform/engine_calls.py
@@ -1,6 +1,7 @@
 """Format of the calls that read the status of an engine and load weights into it."""
 
 import http
+from typing import Annotated
 
 import msgspec
 
@@ -10,6 +11,7 @@
 from cicadapier._internal.protocols import answers
 from cicadapier._internal.protocols import engines
 from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import partial_json
 
 _REPLY_BY_STATUS = {
     http.HTTPStatus.ACCEPTED: rollout.Reply.ACCEPTED,
@@ -25,17 +27,21 @@
 _RETAIN_MODE = "retain"
 
 
+_MAX_COUNT = 2**53
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+
+
 class _LoadedModel(msgspec.Struct):
     name: str
-    version: int
+    version: _Count
 
 
 class _Report(msgspec.Struct):
     models: list[_LoadedModel]
     busy: bool  # Whether the engine is carrying out an order.
-    seq: int  # Number of orders accepted since the start of the engine.
-    active: int = 0
-    queued: int = 0
+    seq: _Count  # Number of orders accepted since the start of the engine.
+    active: _Count = 0
+    queued: _Count = 0
 
 
 class EngineCallFormat(engines.EngineFormat):
@@ -49,7 +55,7 @@
         """See `EngineFormat.read_report`."""
         try:
             report = msgspec.json.decode(body, type=_Report)
-        except msgspec.MsgspecError:
+        except partial_json.DECODING_ERRORS:
             return None
         for loaded in report.models:
             if loaded.name == model:
--- a/tests/_internal/services/test_odd_answers.py
+++ b/tests/_internal/services/test_odd_answers.py
@@ -9,6 +9,7 @@
 from tests import forwarding_world
 from tests import replacing_network
 
+DEEP = b"[" * 100_000 + b"]" * 100_000
 NUMBERS = [
     b"",
     b"\xb2",
@@ -136,6 +137,46 @@
                     ]
                 )
 
+    def test_odd_report_ends_no_router_and_is_no_report(self):
+        model = b'{"models":[{"name":"verse","version":%b}],"busy":false,"seq":0}'
+        bodies = [
+            DEEP,
+            b'{"x":' + DEEP + b"}",
+            b'{"models":' + DEEP + b',"busy":false,"seq":0}',
+            model % b"1e999",
+            model % (b"9" * 5000),
+            model % (b"9" * 400),
+            model % b"-1",
+            model % b'"\xff"',
+            (model % b"1").replace(b'"seq":0', b'"seq":' + b"9" * 400),
+            (model % b"1").replace(b'"seq":0', b'"seq":0,"active":' + b"9" * 400),
+            (model % b"1").replace(b'"seq":0', b'"seq":0,"queued":-5'),
+            b"",
+            b"null",
+        ]
+        for body in bodies:
+            for status in (200, 202):
+                with self.subTest(body[:60]):
+                    self._check_report(status, body)
+
+    def _check_report(self, status, body):
+        def replace(raw):
+            if not raw.startswith((b"GET /api/report", b"POST /api/order")):
+                return None
+            return make_answer(raw, status, (b"content-type", b"application/json"), body)
+
+        async def check(world):
+            network = replacing_network.install(world, replace)
+            world.set_target_weights(2)
+            await trio.sleep(2.0)
+            self.assertTrue(network.asked)
+            network.make_replacement = lambda raw: None
+            await trio.sleep(LOAD_WITHIN_S)
+            self.assertEqual({world.upstreams[f"engine-{i}"].weights for i in range(3)}, {2})
+            self.assertEqual((await world.ask()).numbers, [1, 2, 3, 4, 5, 6])
+
+        forwarding_world.run_in_world(check)
+
 
 class OddRequestTest(unittest.TestCase):
     def test_odd_header_of_a_caller_ends_no_router(self):
