Take deeply nested notes, bodies and updates for unreadable, as others are

All places that decode JSON of others and caught MsgspecError alone (found by searching for the decoder): the note of the order lease, which ended each router that read it in the world of the tests, and, of the own interface, load reports, cache events, the check of an upstream after a loss, chunks of answers, updates of the configuration by peers and the operators' requests for explanations. They catch partial_json.DECODING_ERRORS now. A weights version in a note that is no number is left out: an unknown version counts as current. The revision in an operator's query is read as ASCII digits.

--- a/src/cicadapier/_internal/protocols/completions.py
+++ b/src/cicadapier/_internal/protocols/completions.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import partial_json
 
 DONE_EVENT = b"data: [DONE]\n\n"
 EVENT_STREAM_TYPE = b"text/event-stream"
@@ -239,7 +240,7 @@
     data = event[len(_DATA_PREFIX) :] if event.startswith(_DATA_PREFIX) else event
     try:
         return _chunk_decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except (*partial_json.DECODING_ERRORS, UnicodeDecodeError) as exc:
         raise InvalidBodyError(str(exc)) from exc
 
 
--- a/src/cicadapier/_internal/services/configuration_service.py
+++ b/src/cicadapier/_internal/services/configuration_service.py
@@ -23,6 +23,7 @@
 from cicadapier._internal.models import exceptions as model_exceptions
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import schema
+from cicadapier._internal.protocols import partial_json
 from cicadapier._internal.services import configuration_source
 from cicadapier._internal.services import configuration_store
 from cicadapier._internal.services import exceptions
@@ -175,7 +176,7 @@
                 for patch in body["patches"]:
                     content = patches.merge(content, patch)
             self.apply_if_newer(Document(number, content, history))
-        except (zlib.error, msgspec.MsgspecError, KeyError, TypeError) as exc:
+        except (zlib.error, *partial_json.DECODING_ERRORS, KeyError, TypeError) as exc:
             _log.error("peer_configuration_unreadable", number=number, reason=repr(exc))
 
     async def submit(
--- a/src/cicadapier/_internal/services/operators_service.py
+++ b/src/cicadapier/_internal/services/operators_service.py
@@ -19,6 +19,7 @@
 from cicadapier._internal.models import schema
 from cicadapier._internal.models import settings
 from cicadapier._internal.protocols import http_server
+from cicadapier._internal.protocols import partial_json
 from cicadapier._internal.protocols import transport
 from cicadapier._internal.services import configuration_service
 from cicadapier._internal.services import configuration_store
@@ -30,6 +31,7 @@
 from cicadapier._internal.services import traffic_messages
 from cicadapier._internal.services import traffic_service
 
+_MAX_VERSION_DIGITS = 15
 _METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -163,7 +165,7 @@
     ) -> None:
         query = dict(urllib.parse.parse_qsl(req.query))
         version = query.get("version", "")
-        if not version.isdigit():
+        if not (version.isascii() and version.isdigit()) or len(version) > _MAX_VERSION_DIGITS:
             message = "expected ?version=N, the configuration number that the patch is based on"
             await _send_error(responder, http.HTTPStatus.BAD_REQUEST, message)
             return
@@ -220,7 +222,7 @@
         assert self._explainer
         try:
             explain_request = msgspec.json.decode(req.body, type=explanations.ExplainRequest)
-        except msgspec.MsgspecError as exc:
+        except partial_json.DECODING_ERRORS as exc:
             await _send_error(responder, http.HTTPStatus.BAD_REQUEST, str(exc))
             return
         answer = await self._explainer.explain(explain_request, self._config_service.current)
--- a/src/cicadapier/_internal/services/order_lease.py
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -12,6 +12,7 @@
 
 from cicadapier._internal.decisions import leases
 from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import partial_json
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import cluster_service
 from cicadapier._internal.services import exceptions
@@ -266,6 +267,6 @@
 def _read_note(raw: str) -> Note:
     try:
         return msgspec.json.decode(raw, type=Note) if raw else Note()
-    except msgspec.MsgspecError as exc:
+    except partial_json.DECODING_ERRORS as exc:
         _log.info("lease_note_unreadable", reason=str(exc))
         return Note()
--- a/src/cicadapier/_internal/services/upstream_condition.py
+++ b/src/cicadapier/_internal/services/upstream_condition.py
@@ -8,6 +8,7 @@
 from cicadapier._internal.protocols import answers
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import partial_json
 from cicadapier._internal.protocols import upstream_bodies
 from cicadapier._internal.services import connections_service
 
@@ -86,7 +87,7 @@
         try:
             _, body = await connections_service.exchange(conn, probe, b"", CHECK_TIMEOUT_S)
             current = msgspec.json.decode(body, type=upstream_bodies.LoadReport).incarnation
-        except (exceptions.ProtocolError, msgspec.MsgspecError):
+        except (exceptions.ProtocolError, *partial_json.DECODING_ERRORS):
             return False
         known = self._incarnation
         return bool(current and known and current != known)
--- a/src/cicadapier/_internal/services/upstreams_service.py
+++ b/src/cicadapier/_internal/services/upstreams_service.py
@@ -20,6 +20,7 @@
 from cicadapier._internal.protocols import completions
 from cicadapier._internal.protocols import exceptions as protocol_exceptions
 from cicadapier._internal.protocols import http_client
+from cicadapier._internal.protocols import partial_json
 from cicadapier._internal.protocols import upstream_bodies
 from cicadapier._internal.services import configuration_service
 from cicadapier._internal.services import connections_service
@@ -202,7 +203,7 @@
             if answer.status != 200:
                 raise protocol_exceptions.MalformedMessageError(f"status {answer.status}")
             return msgspec.json.decode(body, type=body_type)
-        except msgspec.MsgspecError as exc:
+        except partial_json.DECODING_ERRORS as exc:
             raise protocol_exceptions.MalformedMessageError(str(exc)) from exc
         finally:
             with trio.CancelScope(shield=True):
@@ -214,7 +215,7 @@
     async def _follow_events(self, target: _Target) -> None:
         while True:
             with contextlib.suppress(
-                protocol_exceptions.ProtocolError, msgspec.MsgspecError, ValueError
+                protocol_exceptions.ProtocolError, *partial_json.DECODING_ERRORS, ValueError
             ):
                 sequence = await self._fetch_snapshot(target)
                 await self._read_events(target, sequence)
--- a/src/cicadapier/_internal/services/weights_service.py
+++ b/src/cicadapier/_internal/services/weights_service.py
@@ -17,6 +17,7 @@
 from cicadapier._internal.decisions import leases
 from cicadapier._internal.decisions import members
 from cicadapier._internal.decisions import rollout
+from cicadapier._internal.decisions import weights_versions
 from cicadapier._internal.kernel import mailbox
 from cicadapier._internal.kernel import random_tokens
 from cicadapier._internal.kernel import service
@@ -270,7 +271,8 @@
         for name in note.loading:
             self._report_loading(pool, ids.UpstreamId(name), LOADING_EXPIRES_S)
         for name, version in note.loaded.items():
-            self._report_loaded(pool, ids.UpstreamId(name), ids.ModelId(note.model), version)
+            if weights_versions.number_of(version) is not None:
+                self._report_loaded(pool, ids.UpstreamId(name), ids.ModelId(note.model), version)
 
     def _report_loading(
         self, pool: ids.PoolId, upstream: ids.UpstreamId, duration_s: float
--- a/tests/_internal/services/test_odd_entries.py
+++ b/tests/_internal/services/test_odd_entries.py
@@ -86,6 +86,11 @@
     return msgspec.json.encode({**lease, **fields})
 
 
+def note(content):
+    """Returns the note of a lease on the model as a JSON text, with other members added."""
+    return msgspec.json.encode('{"model":"verse",' + content.decode()[1:])
+
+
 async def check_directory_is_followed(test, world):
     """Checks that routers find the entry of a new upstream and drop a removed one."""
     router = world.routers[0]
@@ -231,6 +236,18 @@
         odd = {
             "deep": DEEP,
             "out of range": lease_with(fencing=b"1e999"),
+            "deep note": lease_with(note=b'"' + DEEP + b'"'),
+            "deep field of a note": lease_with(note=note(b'{"x":' + DEEP + b"}")),
+            "weights that are no number": lease_with(
+                note=note('{"loaded":{"engine-1":"²"}}'.encode())
+            ),
+            "weights of 5000 digits": lease_with(
+                note=note(b'{"loaded":{"engine-1":"' + b"9" * 5000 + b'"}}')
+            ),
+            "quiet time without an end": lease_with(quiet_s=b"1e308", released=b"true"),
+            "own quiet time without an end": lease_with(own_quiet_s=b"1e308", released=b"true"),
+            "negative quiet time": lease_with(quiet_s=b"-1e308", fencing=b"-5"),
+            "fencing of 400 digits": lease_with(fencing=b"9" * 400),
             "address without a port": b'{"vm":"vm-9","address":"","generation":1}',
             "port out of range": b'{"vm":"vm-9","address":"127.0.0.1:99999","generation":1}',
             "port that is no ASCII digit": '{"vm":"v","address":"h:²","generation":1}'.encode(),
