Bound the quiet time that a lease in the store states

A lease object of another writer with a quiet time of 1e308 s that is not in use made each router wait for ever before its first order: no engine was updated (world of the tests, weights named, all engines old after 8 s). The time counts up to the longest that a holder has to state, valid_s and the larger of the two gaps; all own times are at most that long, so nothing changes for leases of routers. A fencing token of 400 digits, an unreadable lease and negative times stopped no update before either.

--- a/src/cicadapier/_internal/decisions/leases.py
+++ b/src/cicadapier/_internal/decisions/leases.py
@@ -223,14 +223,17 @@
     def _update_quiet_until(self, lease: LeaseObject, now: float) -> None:
         """Updates the time until which this router must not send orders."""
         previous = self._observed.lease if self._observed else None
+        # No holder has to state a longer time; a longer one would end all orders.
+        quiet_s = min(lease.quiet_s, self._longest_quiet_s)
+        own_quiet_s = min(lease.own_quiet_s, self._longest_quiet_s)
         if lease.released and self._is_of_this_vm(lease):
-            self._quiet_until = max(self._quiet_until, now + lease.own_quiet_s)
+            self._quiet_until = max(self._quiet_until, now + own_quiet_s)
         elif lease.released and previous and previous.fencing == lease.fencing:
             # The holder confirms with the release that it has sent its last order, so only the
             # quiet time that it states remains.
-            self._quiet_until = now + lease.quiet_s
+            self._quiet_until = now + quiet_s
         elif not lease.active:
-            self._quiet_until = max(self._quiet_until, now + lease.quiet_s)
+            self._quiet_until = max(self._quiet_until, now + quiet_s)
         elif not self._is_of_this_vm(lease):
             self._quiet_until = now + self._longest_quiet_s
 
--- a/tests/_internal/services/test_odd_entries.py
+++ b/tests/_internal/services/test_odd_entries.py
@@ -246,6 +246,9 @@
             ),
             "quiet time without an end": lease_with(quiet_s=b"1e308", released=b"true"),
             "own quiet time without an end": lease_with(own_quiet_s=b"1e308", released=b"true"),
+            "quiet time of a lease that is not in use": lease_with(
+                quiet_s=b"1e308", active=b"false"
+            ),
             "negative quiet time": lease_with(quiet_s=b"-1e308", fencing=b"-5"),
             "fencing of 400 digits": lease_with(fencing=b"9" * 400),
             "address without a port": b'{"vm":"vm-9","address":"","generation":1}',
--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -211,7 +211,7 @@
     planted_bug.Mutant(
         "ignore the quiet time in a lease whose holder sends no orders",
         "decisions/leases.py",
-        "self._quiet_until = max(self._quiet_until, now + lease.quiet_s)",
+        "self._quiet_until = max(self._quiet_until, now + quiet_s)",
         "pass",
         f"{planted_bug.DECISIONS}.test_forwarding_decisions.ShortLeaseTest",
     ),
