Let the own interface go on beside an object that others have written oddly

A call whose claim cannot be read is refused as not run, as its key may be in use; a configuration that cannot be read counts as a store that gives no usable answer, and the one in force holds; a VM that cannot be read is left out of the list.

--- a/src/cicadapier/_internal/services/claims_service.py
+++ b/src/cicadapier/_internal/services/claims_service.py
@@ -14,6 +14,7 @@
 from cicadapier._internal.kernel import random_tokens
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import outcomes
+from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import names
 from cicadapier._internal.services import platform_service
@@ -150,7 +151,8 @@
         if existing is None:
             # The claim existed and has just been released, so the next create may succeed.
             return claims.Rejected("the claim is being released")
-        return claims.Exists(_parse_claim(existing.spec))
+        claim = _read_claim(existing)
+        return claims.Exists(claim) if claim else claims.Rejected("the claim cannot be read")
 
     async def _process_next(self) -> None:
         message = self._backlog.popleft()
@@ -170,7 +172,8 @@
     async def _process(self, message: Message) -> None:
         assert self._platform
         existing = await self._platform.get(CLAIM_KIND, message.held_claim.name)
-        if existing is None or _parse_claim(existing.spec).nonce != message.held_claim.nonce:
+        claim = _read_claim(existing) if existing else None
+        if existing is None or claim is None or claim.nonce != message.held_claim.nonce:
             return
         if isinstance(message, ReleaseClaim):
             await self._platform.delete(CLAIM_KIND, existing)
@@ -199,6 +202,15 @@
     return spec
 
 
+def _read_claim(item: store_format.StoredObject) -> claims.Claim | None:
+    """Returns the claim in an object, or None if it cannot be read."""
+    try:
+        return _parse_claim(item.spec)
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as exc:
+        _log.warning("claim_unreadable", claim=item.name, reason=repr(exc))
+        return None
+
+
 def _parse_claim(spec: Any) -> claims.Claim:
     raw = spec.get("answer")
     answer = None
--- a/src/cicadapier/_internal/services/configuration_store.py
+++ b/src/cicadapier/_internal/services/configuration_store.py
@@ -1,6 +1,8 @@
 """Storage of the configuration as platform objects: a head and the chunks that it lists."""
 
 import base64
+import collections.abc
+import contextlib
 import dataclasses
 import time
 from typing import Any
@@ -13,6 +15,7 @@
 from cicadapier._internal.decisions import patches
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import schema
+from cicadapier._internal.protocols import partial_json
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import platform_service
@@ -22,6 +25,14 @@
 CHUNK_KIND = "configurationchunks"
 MAX_TRIES = 4
 _RETRY_PAUSE_S = 0.2
+_READING_ERRORS = (
+    *partial_json.DECODING_ERRORS,
+    zlib.error,
+    AttributeError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,9 +94,10 @@
     async def read_number(self) -> tuple[ids.ConfigNumber, str]:
         """Returns the configuration number in the head object and the version of the object."""
         head = await self._platform.get(HEAD_KIND, HEAD_NAME)
-        return (
-            (ids.ConfigNumber(head.spec["number"]), head.version) if head else (EMPTY.number, "0")
-        )
+        if head is None:
+            return EMPTY.number, "0"
+        with _unreadable_as_unavailable():
+            return _read_number(head), head.version
 
     async def read(self) -> StoredConfiguration:
         """Returns the newest configuration.
@@ -99,9 +111,10 @@
             head = await self._platform.get(HEAD_KIND, HEAD_NAME)
             if head is None:
                 return EMPTY
-            document = await self._read_chunks(head.spec["chunks"])
-            if document is not None:
-                return _to_stored_configuration(head, document)
+            with _unreadable_as_unavailable():
+                document = await self._read_chunks(head.spec["chunks"])
+                if document is not None:
+                    return _to_stored_configuration(head, document)
         raise exceptions.PlatformUnavailableError(
             "the configuration changed during each attempt to read it"
         )
@@ -200,12 +213,28 @@
     return any(change.patch_id == submission.patch_id for change in stored.history)
 
 
+@contextlib.contextmanager
+def _unreadable_as_unavailable() -> collections.abc.Iterator[None]:
+    try:
+        yield
+    except _READING_ERRORS as exc:
+        raise exceptions.UnreadableAnswerError(f"unreadable configuration: {exc!r}") from exc
+
+
+def _read_number(head: store_format.StoredObject) -> ids.ConfigNumber:
+    number = head.spec["number"]
+    if not isinstance(number, int):
+        raise TypeError(f"the number is a {type(number).__name__}")
+    return ids.ConfigNumber(number)
+
+
 def _to_stored_configuration(
     head: store_format.StoredObject, document: dict[str, Any]
 ) -> StoredConfiguration:
     history = tuple(parse_change(raw) for raw in head.spec["history"])
-    number = ids.ConfigNumber(head.spec["number"])
-    return StoredConfiguration(number, document, history, dict(head.spec["chunks"]), head)
+    return StoredConfiguration(
+        _read_number(head), document, history, dict(head.spec["chunks"]), head
+    )
 
 
 def parse_change(raw: Any) -> patches.Change:
--- a/src/cicadapier/_internal/services/upstreams_service.py
+++ b/src/cicadapier/_internal/services/upstreams_service.py
@@ -294,9 +294,10 @@
                 listing = await platform.list_all(VM_PLURAL)
             except (exceptions.PlatformUnavailableError, exceptions.PlatformRefusedError):
                 continue
-            leaving = {o.name for o in listing.objects if o.spec.get("state") == VM_STATE_LEAVING}
+            vms = [item for item in listing.objects if isinstance(item.spec, dict)]
+            leaving = {vm.name for vm in vms if vm.spec.get("state") == VM_STATE_LEAVING}
             listed_routers = {
-                ids.VmId(o.name) for o in listing.objects if o.spec.get("role") == VM_ROLE_ROUTER
+                ids.VmId(vm.name) for vm in vms if vm.spec.get("role") == VM_ROLE_ROUTER
             }
             if listed_routers:
                 peers.drop_unlisted(listed_routers)
