Refuse a YAML document that contains itself, and read aliases once

The same walk visited each value once for each of its aliases, so that thirty lines of ten aliases of the line before occupied it without an end (given up after 20 s). A value that contains itself is a fault with its path now, and the walk visits each value once; below an alias, a fault has the line of the alias.

--- a/src/cicadapier/_internal/models/documents.py
+++ b/src/cicadapier/_internal/models/documents.py
@@ -29,13 +29,14 @@
         self._filename = filename
         self.lines: dict[str, int] = {}
         self._faults: list[exceptions.Fault] = []
+        self._recorded: set[int] = set()  # By `id`, which is stable while the document is read.
         try:
             node = yaml.compose(text, Loader=yaml.SafeLoader)
             self.value: object = yaml.safe_load(text)
+            if node is not None:
+                self._record_children(node, "", frozenset())
         except (yaml.YAMLError, RecursionError, ValueError, TypeError) as exc:
             raise exceptions.InvalidDocumentError([_syntax_fault(exc)], filename) from exc
-        if node is not None:
-            self._record_children(node, "")
         if self._faults:
             raise exceptions.InvalidDocumentError(self._faults, filename)
 
@@ -55,11 +56,23 @@
             path = path.rpartition(".")[0]
         return 1
 
-    def _record_children(self, node: yaml.Node, path: str) -> None:
-        """Records the lines of all values below a node, and duplicate keys as faults."""
+    def _record_children(self, node: yaml.Node, path: str, around: frozenset[int]) -> None:
+        """Records the lines of all values below a node, and duplicate keys as faults.
+
+        Args:
+            node: The node. Below an alias of a node, only the first lines are recorded.
+            path: Its path.
+            around: The nodes that contain it. A node that contains itself is a fault.
+        """
+        if id(node) in around:
+            self._faults.append(exceptions.Fault(path, "a value that contains itself"))
+        if id(node) in self._recorded:
+            return
+        self._recorded.add(id(node))
+        around |= {id(node)}
         if isinstance(node, yaml.SequenceNode):
             for i, item in enumerate(node.value):
-                self._record_value(item, f"{path}[{i}]", item.start_mark.line + 1)
+                self._record_value(item, f"{path}[{i}]", item.start_mark.line + 1, around)
             return
         if not isinstance(node, yaml.MappingNode):
             return
@@ -71,11 +84,11 @@
             if key in seen:
                 self._faults.append(exceptions.Fault(child, "duplicate key", line))
             seen.add(key)
-            self._record_value(value_node, child, line)
+            self._record_value(value_node, child, line, around)
 
-    def _record_value(self, node: yaml.Node, path: str, line: int) -> None:
+    def _record_value(self, node: yaml.Node, path: str, line: int, around: frozenset[int]) -> None:
         self.lines[path] = line
-        self._record_children(node, path)
+        self._record_children(node, path, around)
 
 
 def read(path: str | os.PathLike[str]) -> Document:
--- a/tests/_internal/models/test_documents.py
+++ b/tests/_internal/models/test_documents.py
@@ -125,6 +125,28 @@
         with self.assertRaises(exceptions.InvalidDocumentError):
             documents.Document("a: !!python/object:os.system {}")
 
+    def test_value_that_contains_itself_is_a_fault(self):
+        for text in ("a: &x\n  b: *x\n", "&x [*x]\n", "a: &x [1, {b: [*x]}]\n", "&x ? *x\n: 1\n"):
+            with self.subTest(text), self.assertRaises(exceptions.InvalidDocumentError):
+                documents.Document(text)
+
+    def test_deep_document_is_invalid(self):
+        for text in ("[" * 5000 + "]" * 5000, "{a: " * 5000 + "1" + "}" * 5000, "[" * 5000):
+            with self.subTest(text[:5]), self.assertRaises(exceptions.InvalidDocumentError):
+                documents.Document(text)
+
+    def test_document_of_many_aliases_is_read_in_time(self):
+        lines = ["a0: &a0 [1]"]
+        lines += [f"a{i}: &a{i} [{', '.join([f'*a{i - 1}'] * 10)}]" for i in range(1, 30)]
+        self.assertEqual(len(documents.Document("\n".join(lines)).value), 30)
+
+    def test_line_of_a_value_below_an_alias_is_that_of_the_alias(self):
+        document = documents.Document("a: &x\n  b: {c: 1}\nd: *x\n")
+        self.assertEqual(document.value["d"], {"b": {"c": 1}})
+        fault = exceptions.Fault("d.b.c", "another value")
+        found = document.add_lines(exceptions.InvalidDocumentError([fault]))
+        self.assertEqual(found.faults[0].line, 3)
+
 
 if __name__ == "__main__":
     unittest.main()
