Use no upstream whose name no header can hold, and end no process for such a header

The name of an entry goes into X-Expect-Instance. An entry of another writer under a name with a line end or a null, with the address of a sound upstream, ended the router, if it was an engine, with the first order (h11.LocalProtocolError, which nobody catches there); requests placed there got 502 (trial in the world of the tests, 8 odd texts as name, zone, service, software and model: only names did harm). A name of 70,000 characters got 502 for the requests placed there, "²" 503 where no other upstream was left, as it is sent in another encoding than it is read.

An entry names an upstream only if its name has 1 to 256 visible ASCII characters. Any other header that cannot be sent is a MalformedMessageError of its request, before anything is sent. The test in the world and the 3 cases of test_http_client.py fail before.

--- a/src/cicadapier/_internal/platform/documents.py
+++ b/src/cicadapier/_internal/platform/documents.py
@@ -1,6 +1,7 @@
 """Formats of the documents that operators and upstreams write to the platform's object store."""
 
 import hashlib
+import re
 from typing import Annotated
 from typing import Any
 from typing import TypeVar
@@ -29,6 +30,8 @@
 
 _DocumentT = TypeVar("_DocumentT")
 
+# A name that a header can hold.
+_NAME = re.compile(r"[!-~]{1,256}")
 # Counts and versions. Larger ones are no sensible values, and not all of their uses can hold them.
 _MAX_COUNT = 2**53
 _Count = Annotated[int, msgspec.Meta(ge=-_MAX_COUNT, le=_MAX_COUNT)]
@@ -157,6 +160,8 @@
 
     def read_registration(self, item: store_format.StoredObject) -> directory_entries.Entry:
         """See `DeclarationFormat.read_registration`."""
+        if not _NAME.fullmatch(item.name):
+            return directory_entries.UnreadableEntry(item.name, "invalid name")
         try:
             registration = _convert(item.spec, _Registration)
         except msgspec.ValidationError as exc:
--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -130,6 +130,7 @@
 
         Raises:
             ConnectionLostError: The connection broke while sending.
+            MalformedMessageError: A header has a value that cannot be sent; nothing was sent.
         """
         self.sent = False
         headers = head.headers
@@ -137,7 +138,10 @@
             headers = [(b"host", self._host), *headers]
         if body or head.method in ("POST", "PUT", "PATCH"):
             headers = [*headers, (b"content-length", b"%d" % len(body))]
-        request = h11.Request(method=head.method, target=head.target, headers=headers)
+        try:
+            request = h11.Request(method=head.method, target=head.target, headers=headers)
+        except h11.LocalProtocolError as exc:
+            raise exceptions.MalformedMessageError(f"the request cannot be sent: {exc}") from exc
         parts = [self._h11.send(request) or b""]
         if body:
             parts.append(self._h11.send(h11.Data(data=body)) or b"")
--- a/tests/_internal/protocols/test_http_client.py
+++ b/tests/_internal/protocols/test_http_client.py
@@ -49,6 +49,20 @@
         self.assertEqual(_receive_head(answer).status, 500)
 
 
+class UnsendableRequestTest(unittest.TestCase):
+    def test_header_that_cannot_be_sent_is_an_error_of_the_protocol(self):
+        async def main(head):
+            client, _ = trio.testing.memory_stream_pair()
+            conn = http_client.ClientConnection(client, "10.0.0.1:80")
+            with self.assertRaises(exceptions.MalformedMessageError):
+                await conn.send(head, b"")
+            self.assertFalse(conn.sent)
+
+        for value in (b"a\r\nb", b"a\0b", b" a"):
+            with self.subTest(value):
+                support.run(main, http_client.RequestHead("GET", "/", [(b"x-tenant", value)]))
+
+
 class RememberedRefusalsTest(unittest.TestCase):
     def test_connection_is_given_up_before_it_remembers_too_many_refusals(self):
         async def main():
--- a/tests/_internal/services/test_odd_entries.py
+++ b/tests/_internal/services/test_odd_entries.py
@@ -154,6 +154,21 @@
                 told = [x for x in lines if x["event"] == "directory_entry_unreadable"]
                 self.assertEqual([line["entry"] for line in told], ["odd"])
 
+    def test_entry_whose_name_no_header_can_hold_names_no_upstream(self):
+        async def check(world):
+            names = ["a\r\nb", "a\0b", "²", "", " ", "x" * 70_000]
+            entry = world.store.find(SERVERS, "desk-0").spec
+            for name in names:
+                world.store.put(SERVERS, name, entry)
+            await trio.sleep(FOLLOW_S)
+            for number in range(20):
+                reply = await world.send("GET", "desk", f"/look/{number}")
+                self.assertEqual(reply.status, 200)
+            found = world.routers[0].kernel.find("upstreams")
+            self.assertEqual([found.find(name) for name in names], [None] * len(names))
+
+        forwarding_world.run_in_world(check)
+
     def test_entry_that_becomes_odd_is_used_neither_by_watching_nor_by_listing_routers(self):
         async def check(world):
             entry = world.upstreams["desk-1"].entry
