--- a/tests/forwarding_fuzzing.py
+++ b/tests/forwarding_fuzzing.py
@@ -41,6 +41,16 @@
 ENGINE_POOLS = (forwarding_deployment.ENGINES, SPARE)
 REGISTRATION_LAPSE_S = 3.0
 
+# Contents of objects in the store that other writers have left.
+ODD_CONTENTS = (
+    b"[" * 5000 + b"]" * 5000,
+    b'{"model":"verse","version":1e999}',
+    b'{"model":"verse","version":' + b"9" * 400 + b"}",
+    b'{"service":"engines","address":"127.0.0.1:70000","zone":"here","state":"ready","slots":8}',
+    '{"service":"desk","address":"127.0.0.1:²","zone":"here","state":"ready","slots":8}'.encode(),
+    '{"vm":"vm-odd","address":"127.0.0.1:²","generation":1}'.encode(),
+)
+
 
 def _restore_defaults(world):
     world.caller_limits = forwarding_deployment.CALLER_LIMITS
--- a/tests/test_forwarding_fuzz.py
+++ b/tests/test_forwarding_fuzz.py
@@ -111,6 +111,14 @@
     def wait(self, seconds):
         self.steps.append(lambda program: trio.sleep(seconds))
 
+    @stateful.rule(
+        kind=st.sampled_from(["servers", "versions", "cicadapier-routers"]),
+        name=st.sampled_from(["a", "odd", "router-odd", "zz"]),
+        content=st.sampled_from(forwarding_fuzzing.ODD_CONTENTS),
+    )
+    def write_oddly(self, kind, name, content):
+        self.steps.append(lambda program: program.world.store.put_raw(kind, name, content))
+
     def teardown(self):
         if self.steps:
             violations = run_program(self.steps)
