--- a/src/cicadapier/_internal/platform/documents.py
+++ b/src/cicadapier/_internal/platform/documents.py
@@ -1,16 +1,21 @@
 """Formats of the documents that operators and upstreams write to the platform's object store."""
 
 import hashlib
+import re
+from typing import Annotated
 from typing import Any
+from typing import TypeVar
 
 import msgspec
 
+from cicadapier._internal.models import addresses
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import directory_entries
 from cicadapier._internal.models import exceptions
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import settings
 from cicadapier._internal.protocols import declarations
+from cicadapier._internal.protocols import partial_json
 from cicadapier._internal.protocols import store_format
 
 # The platform's documents set no account limits, so accounts get limits that are never reached.
@@ -23,6 +28,15 @@
 _STATE_READY = "ready"
 _STATE_DRAINING = "draining"
 
+_DocumentT = TypeVar("_DocumentT")
+
+# A name that a header can hold.
+_NAME = re.compile(r"[!-~]{1,256}")
+# Counts and versions. Larger ones are no sensible values, and not all of their uses can hold them.
+_MAX_COUNT = 2**53
+_Count = Annotated[int, msgspec.Meta(ge=-_MAX_COUNT, le=_MAX_COUNT)]
+_Version = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+
 
 class _TrafficShare(msgspec.Struct):
     service: str
@@ -36,10 +50,10 @@
     kind: str
     timeout_ms: float
     slo_ms: float  # Latency objective of the answer or of its first event.
-    priority: int = 0
+    priority: _Count = 0
     service: str = ""
     traffic_split: list[_TrafficShare] = []
-    max_attempts: int = 1
+    max_attempts: _Count = 1
     public: bool = False
     resumable: bool = False
     gap_target_ms: float = 1000.0  # Latency objective of the gap between two events.
@@ -50,8 +64,8 @@
 
 
 class _Engine(msgspec.Struct):
-    slots: int = 1
-    kv_capacity_tokens: int = 0
+    slots: _Count = 1
+    kv_capacity_tokens: _Count = 0
     models: list[_Model] = []
     kv_token_bytes: float = 0.0  # Size of the KV cache of one token.
     link_mbps: float = 0.0  # Bandwidth between engines, in megabits per second.
@@ -66,8 +80,8 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
+    max_header_bytes: _Count = 16_384
+    max_body_bytes: _Count = 4_194_304
     header_timeout_ms: float = 3000.0
     idle_timeout_ms: float = 15_000.0
 
@@ -75,12 +89,12 @@
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: _Count | None = None
     isolated: bool = False
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: _Version
     routes: list[_Route] = []
     services: list[_Service] = []
     tenants: list[_Tenant] = []
@@ -89,7 +103,7 @@
 
 class _LoadedModel(msgspec.Struct):
     name: str
-    version: int
+    version: _Version
 
 
 class _Registration(msgspec.Struct):
@@ -97,15 +111,15 @@
     address: str
     zone: str
     state: str
-    slots: int
+    slots: _Count
     version: str = ""  # Of its software, not of the weights.
-    born: int = 0  # Start time of the upstream, in milliseconds since 1970.
+    born: _Count = 0  # Start time of the upstream, in milliseconds since 1970.
     models: list[_LoadedModel] = []
 
 
 class _TargetVersion(msgspec.Struct):
     model: str
-    version: int
+    version: _Version
 
 
 class DocumentFormat(declarations.DeclarationFormat):
@@ -128,7 +142,7 @@
     ) -> configuration.NumberedConfiguration:
         """See `DeclarationFormat.read_configuration`."""
         try:
-            document = msgspec.convert(item.spec, _Configuration)
+            document = _convert(item.spec, _Configuration)
         except msgspec.ValidationError as exc:
             raise exceptions.InvalidDocumentError([exceptions.Fault("", str(exc))]) from exc
         content = configuration.Configuration(
@@ -146,15 +160,17 @@
 
     def read_registration(self, item: store_format.StoredObject) -> directory_entries.Entry:
         """See `DeclarationFormat.read_registration`."""
+        if not _NAME.fullmatch(item.name):
+            return directory_entries.UnreadableEntry(item.name, "invalid name")
         try:
-            registration = msgspec.convert(item.spec, _Registration)
+            registration = _convert(item.spec, _Registration)
         except msgspec.ValidationError as exc:
             return directory_entries.UnreadableEntry(item.name, str(exc))
         if registration.state not in (_STATE_READY, _STATE_DRAINING):
             return directory_entries.UnreadableEntry(
                 item.name, f"unknown state {registration.state!r}"
             )
-        if not _is_valid_address(registration.address):
+        if not addresses.is_address(registration.address):
             return directory_entries.UnreadableEntry(
                 item.name, f"invalid address {registration.address!r}"
             )
@@ -175,12 +191,23 @@
     ) -> declarations.TargetVersion | None:
         """See `DeclarationFormat.read_target_version`."""
         try:
-            target = msgspec.convert(item.spec, _TargetVersion)
+            target = _convert(item.spec, _TargetVersion)
         except msgspec.ValidationError:
             return None
         return declarations.TargetVersion(ids.ModelId(target.model), target.version)
 
 
+def _convert(spec: Any, document_type: type[_DocumentT]) -> _DocumentT:
+    """Returns the content of an object as a document.
+
+    Raises:
+        ValidationError: The content is unreadable or not such a document.
+    """
+    if isinstance(spec, partial_json.Unreadable):
+        raise msgspec.ValidationError(spec.reason)
+    return msgspec.convert(spec, document_type)
+
+
 def _make_account(tenant: _Tenant) -> configuration.Account:
     return configuration.Account(
         key_hashes=[hashlib.sha256(key.encode()).hexdigest() for key in tenant.api_keys],
@@ -242,8 +269,3 @@
         header_timeout_s=limits.header_timeout_ms / 1000,
         idle_timeout_s=limits.idle_timeout_ms / 1000,
     )
-
-
-def _is_valid_address(address: Any) -> bool:
-    host, _, port = address.rpartition(":")
-    return bool(host) and port.isdigit() and 0 < int(port) < 65_536
--- a/tests/_internal/models/test_documents.py
+++ b/tests/_internal/models/test_documents.py
@@ -12,6 +12,7 @@
 from cicadapier._internal.models import exceptions
 from cicadapier._internal.models import schema
 from cicadapier._internal.models import settings
+from tests._internal.models import test_addresses
 
 
 def faults_of(raw):
@@ -56,6 +57,15 @@
             set(found), {"accounts.a.weight", "accounts.a.limits.streams", "accounts.a.colour"}
         )
 
+    def test_address_that_is_none_is_a_fault(self):
+        for address in test_addresses.ODD_ADDRESSES:
+            with self.subTest(address[:30]):
+                upstream = {"address": address, "failure_domain": "d"}
+                found = faults_of(
+                    {"pools": {"p": {"kind": "service", "upstreams": {"u": upstream}}}}
+                )
+                self.assertEqual(set(found), {"pools.p.upstreams.u.address"})
+
     @hypothesis.settings(derandomize=True, database=None, deadline=None)
     @hypothesis.given(
         st.recursive(
@@ -105,11 +115,38 @@
         text = "vm: a\nfailure_domain: b\nlisten: {operators: '10.0.0.1:1'}\n"
         self.assertEqual(self._first_fault(text).path, "operator_token")
 
+    def test_address_that_is_none_is_reported(self):
+        for address in ("10.0.0.1:²", "10.0.0.1:65536", "10.0.0.1", "a b:1"):
+            text = f"vm: a\nfailure_domain: b\nlisten: {{callers: '{address}'}}\n"
+            self.assertEqual(self._first_fault(text).path, "listen.callers")
+
     def test_invalid_yaml_and_python_objects_are_rejected(self):
         self.assertIn("YAML", self._first_fault("vm: [a\n").expected)
         with self.assertRaises(exceptions.InvalidDocumentError):
             documents.Document("a: !!python/object:os.system {}")
 
+    def test_value_that_contains_itself_is_a_fault(self):
+        for text in ("a: &x\n  b: *x\n", "&x [*x]\n", "a: &x [1, {b: [*x]}]\n", "&x ? *x\n: 1\n"):
+            with self.subTest(text), self.assertRaises(exceptions.InvalidDocumentError):
+                documents.Document(text)
+
+    def test_deep_document_is_invalid(self):
+        for text in ("[" * 5000 + "]" * 5000, "{a: " * 5000 + "1" + "}" * 5000, "[" * 5000):
+            with self.subTest(text[:5]), self.assertRaises(exceptions.InvalidDocumentError):
+                documents.Document(text)
+
+    def test_document_of_many_aliases_is_read_in_time(self):
+        lines = ["a0: &a0 [1]"]
+        lines += [f"a{i}: &a{i} [{', '.join([f'*a{i - 1}'] * 10)}]" for i in range(1, 30)]
+        self.assertEqual(len(documents.Document("\n".join(lines)).value), 30)
+
+    def test_line_of_a_value_below_an_alias_is_that_of_the_alias(self):
+        document = documents.Document("a: &x\n  b: {c: 1}\nd: *x\n")
+        self.assertEqual(document.value["d"], {"b": {"c": 1}})
+        fault = exceptions.Fault("d.b.c", "another value")
+        found = document.add_lines(exceptions.InvalidDocumentError([fault]))
+        self.assertEqual(found.faults[0].line, 3)
+
 
 if __name__ == "__main__":
     unittest.main()
