Give each router of the simulated users' platform a network of its own whose links can be cut

A router may be partitioned from all or some upstreams while callers, the store and the other routers reach it. The simulated deployments had one network for all, so that no test could cut one router off.

standins/router_links.py wraps the network of one router. Its connections to chosen addresses hang, are reset, or go on while new ones are refused. What the router sends while they hang is held and delivered after the cut, also if the router has closed the connection meanwhile, as a kernel does; a close after transport.reset_on_close discards it. Delivery can also be delayed to a time. MemoryNetwork's streams can be reset. Nothing in the product calls reset_on_close yet, except limit_delivery, which sets the same option on sockets as before.

--- a/src/cicadapier/_internal/protocols/transport.py
+++ b/src/cicadapier/_internal/protocols/transport.py
@@ -41,14 +41,33 @@
     return False
 
 
+class ResettableStream(abc.ABC):
+    """A stream whose close can discard what the peer has not received."""
+
+    @abc.abstractmethod
+    def reset_on_close(self) -> None:
+        """Makes the next close discard what the peer has not received and reset the connection."""
+
+
+def reset_on_close(stream: trio.abc.Stream) -> None:
+    """Makes the next close of a stream discard what the peer has not received, if it can.
+
+    Without it, the kernel delivers what was sent even after the close.
+    """
+    if isinstance(stream, ResettableStream):
+        stream.reset_on_close()
+    elif isinstance(stream, trio.SocketStream):
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_FOR_NO_TIME)
+
+
 def limit_delivery(stream: trio.abc.Stream, limit_s: float) -> None:
     """Limits how long the kernel tries to deliver what is sent on a socket.
 
     Data that the peer has not received is discarded when the socket is closed, also by the end of
     the process, and after the limit, also while the process is suspended.
     """
+    reset_on_close(stream)
     if isinstance(stream, trio.SocketStream):
-        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_FOR_NO_TIME)
         limit_ms = round(limit_s * 1000)
         stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
 
--- a/src/cicadapier/_internal/standins/faulty_network.py
+++ b/src/cicadapier/_internal/standins/faulty_network.py
@@ -132,17 +132,20 @@
 
     Attributes:
         server_closed: Whether the server has closed its end.
+        was_reset: Whether an end has closed the stream by a reset.
     """
 
     server_closed: bool = False
+    was_reset: bool = False
 
 
-class _StreamWrapper(trio.abc.Stream):
-    """One end of a memory stream; passes all calls through to another stream."""
+class _StreamWrapper(trio.abc.Stream, transport.ResettableStream):
+    """One end of a memory stream; passes calls through to another stream until a reset."""
 
     def __init__(self, inner: trio.abc.Stream, state: _StreamState) -> None:
         self._inner = inner
         self._state = state
+        self._resets_on_close = False
 
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
         await self._inner.send_all(data)
@@ -151,9 +154,18 @@
         await self._inner.wait_send_all_might_not_block()
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes | bytearray:
-        return await self._inner.receive_some(max_bytes)
+        data = await self._inner.receive_some(max_bytes)
+        if self._state.was_reset:
+            raise trio.BrokenResourceError("connection reset by peer")
+        return data
+
+    def reset_on_close(self) -> None:
+        """See `transport.ResettableStream.reset_on_close`."""
+        self._resets_on_close = True
 
     async def aclose(self) -> None:
+        if self._resets_on_close:
+            self._state.was_reset = True
         await self._inner.aclose()
 
 
@@ -162,7 +174,7 @@
 
     @property
     def has_input(self) -> bool:
-        return self._state.server_closed
+        return self._state.server_closed or self._state.was_reset
 
 
 class _ServerStream(_StreamWrapper):
@@ -170,7 +182,7 @@
 
     async def aclose(self) -> None:
         self._state.server_closed = True
-        await self._inner.aclose()
+        await super().aclose()
 
 
 class MemoryNetwork(transport.Network):
--- a/src/cicadapier/_internal/standins/forwarding_deployment.py
+++ b/src/cicadapier/_internal/standins/forwarding_deployment.py
@@ -21,6 +21,7 @@
 from cicadapier._internal.protocols import transport
 from cicadapier._internal.standins import forwarding_store
 from cicadapier._internal.standins import forwarding_upstream
+from cicadapier._internal.standins import router_links
 
 ANY_PORT = ids.Address("127.0.0.1:0")
 FAILURE_DOMAIN = ids.FailureDomainId("here")
@@ -78,7 +79,8 @@
     """The store, the upstreams and the routers of one deployment.
 
     Attributes:
-        network: Network on which all of them listen and connect.
+        network: Network on which all of them listen.
+        links: Network on which each router connects, by index.
         store: The object store.
         runs: Runs of requests at all upstreams, ordered by start.
         backups: Backups of runs that upstreams hold for each other.
@@ -100,6 +102,7 @@
         seed: int = 0,
     ) -> None:
         self.network = network
+        self.links: dict[int, router_links.RouterLinks] = {}
         self.store = forwarding_store.ForwardingStore(network)
         self.runs: list[forwarding_upstream.Run] = []
         self.backups = forwarding_upstream.Backups()
@@ -244,6 +247,33 @@
         await self._start(name, upstream.run)
         self.register(entry)
 
+    def upstream_addresses(self) -> list[ids.Address]:
+        """Returns the addresses of all upstreams."""
+        return [upstream.entry.address for upstream in self.upstreams.values()]
+
+    def cut_links(
+        self,
+        index: int,
+        fault: router_links.LinkFault,
+        names: collections.abc.Collection[str] | None = None,
+    ) -> None:
+        """Cuts links of a router; it still reaches the store, and peers and callers reach it.
+
+        Args:
+            index: Index of the router.
+            fault: What happens to its connections.
+            names: Upstreams to which the links are cut; None for all, also those that are added
+                later.
+        """
+        addresses: collections.abc.Collection[ids.Address] = _UpstreamAddresses(self)
+        if names is not None:
+            addresses = [self.upstreams[name].entry.address for name in names]
+        self.links[index].cut(fault, addresses)
+
+    def heal_links(self, index: int) -> None:
+        """Ends all cuts of the links of a router."""
+        self.links[index].heal()
+
     async def start_router(self, index: int) -> forwarding_assembly.ForwardingRouter:
         """Starts a router on the VM with an index."""
         vm = ids.VmId(f"vm-{index}")
@@ -257,9 +287,11 @@
             forwarding=forwarding_settings,
         )
         self._start_count += 1
+        if index not in self.links:
+            self.links[index] = router_links.RouterLinks(self.network)
         dependencies = router_assembly.Dependencies(
             self.network,
-            self.network,
+            self.links[index],
             self._make_peers(),
             self._start_count,
             index,
@@ -278,6 +310,22 @@
         return await self._nursery.start(_run_scoped, scope, run, *args)
 
 
+class _UpstreamAddresses(collections.abc.Collection[ids.Address]):
+    """Current addresses of all upstreams of a deployment."""
+
+    def __init__(self, deployment: ForwardingDeployment) -> None:
+        self._deployment = deployment
+
+    def __contains__(self, address: object) -> bool:
+        return address in self._deployment.upstream_addresses()
+
+    def __iter__(self) -> collections.abc.Iterator[ids.Address]:
+        return iter(self._deployment.upstream_addresses())
+
+    def __len__(self) -> int:
+        return len(self._deployment.upstreams)
+
+
 async def _run_scoped(
     scope: trio.CancelScope,
     run: _StartableFunction,
--- a/tests/wrapping_network.py
+++ b/tests/wrapping_network.py
@@ -5,7 +5,7 @@
 from cicadapier._internal.protocols import transport
 
 
-class WrappedStream(trio.abc.Stream, transport.PollableStream):
+class WrappedStream(trio.abc.Stream, transport.PollableStream, transport.ResettableStream):
     """Router's end of a connection; passes all calls through."""
 
     def __init__(self, inner, network):
@@ -16,6 +16,9 @@
     def has_input(self):
         return transport.has_input(self._inner)
 
+    def reset_on_close(self):
+        transport.reset_on_close(self._inner)
+
     async def send_all(self, data):
         await self._inner.send_all(data)
 
