Make the seed of the fuzz tests take effect

`make fuzz SEED=1` drew other programs each time, so that a failure was not repeated by its seed (listed in KNOWN-RED.txt). hypothesis.seed marked the TestCase, but Hypothesis reads the mark of the state machine (run_state_machine copies it from the machine's class). The same mistake was in both fuzz modules.

The programs of the derandomized run (no seed) are unchanged, since no machine class is edited.

--- a/tests/test_forwarding_fuzz.py
+++ b/tests/test_forwarding_fuzz.py
@@ -13,13 +13,13 @@
 from cicadapier._internal.standins import forwarding_upstream
 from tests import forwarding_fuzzing
 from tests import forwarding_world
+from tests import fuzz_seed
 from tests import support
 
 ROUTERS = 3
 ENGINES = 4
 EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "8"))
 STEPS = int(os.environ.get("FUZZ_STEPS", "14"))
-SEED = os.environ.get("FUZZ_SEED", "")
 PHASES = [hypothesis.Phase.explicit, hypothesis.Phase.generate]
 if os.environ.get("FUZZ_SHRINK"):
     PHASES.append(hypothesis.Phase.shrink)
@@ -181,16 +181,18 @@
 
 
 def _test_case(machine):
+    if fuzz_seed.SEED:
+        fuzz_seed.apply(machine, fuzz_seed.SEED)
     machine.TestCase.settings = hypothesis.settings(
         max_examples=EXAMPLES,
         stateful_step_count=STEPS,
         deadline=None,
         database=None,
-        derandomize=not SEED,
+        derandomize=not fuzz_seed.SEED,
         phases=PHASES,
         suppress_health_check=list(hypothesis.HealthCheck),
     )
-    return hypothesis.seed(int(SEED))(machine.TestCase) if SEED else machine.TestCase
+    return machine.TestCase
 
 
 ChangingTest = _test_case(ChangingMachine)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -9,6 +9,7 @@
 import trio
 
 from cicadapier._internal.standins import faults
+from tests import fuzz_seed
 from tests import fuzzing
 from tests import support
 
@@ -19,7 +20,6 @@
 PHASES = [hypothesis.Phase.explicit, hypothesis.Phase.generate]
 if os.environ.get("FUZZ_SHRINK"):
     PHASES.append(hypothesis.Phase.shrink)
-SEED = os.environ.get("FUZZ_SEED", "")
 PREFIX = "the style sheet asks for plain lines. " * 12
 
 _ENGINES = [f"quill-models-{i}" for i in range(1, 4)]
@@ -153,19 +153,19 @@
     return support.run(main)
 
 
+if fuzz_seed.SEED:
+    fuzz_seed.apply(PromisesMachine, fuzz_seed.SEED)
 PromisesTest = PromisesMachine.TestCase
 PromisesTest.settings = hypothesis.settings(
     max_examples=EXAMPLES,
     stateful_step_count=STEPS,
     deadline=None,
-    derandomize=not SEED,
+    derandomize=not fuzz_seed.SEED,
     database=None,
     print_blob=True,
     phases=PHASES,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
-if SEED:
-    PromisesTest = hypothesis.seed(int(SEED))(PromisesTest)
 
 
 if __name__ == "__main__":
