Cut links of single routers in the fuzz of forwarded routes

The programs could harm the store, its endpoints, upstreams and routers, but cut no router off from upstreams. A rule cuts the links of one router to all or some upstreams: connections hang in one or both directions, are reset, or go on while new ones are refused, for 0.5, 2 or 6 s.

--- a/src/cicadapier/_internal/standins/forwarding_deployment.py
+++ b/src/cicadapier/_internal/standins/forwarding_deployment.py
@@ -256,6 +256,7 @@
         index: int,
         fault: router_links.LinkFault,
         names: collections.abc.Collection[str] | None = None,
+        direction: router_links.Direction = router_links.Direction.BOTH,
     ) -> None:
         """Cuts links of a router; it still reaches the store, and peers and callers reach it.
 
@@ -264,11 +265,12 @@
             fault: What happens to its connections.
             names: Upstreams to which the links are cut; None for all, also those that are added
                 later.
+            direction: Directions in which connections hang.
         """
         addresses: collections.abc.Collection[ids.Address] = _UpstreamAddresses(self)
         if names is not None:
             addresses = [self.upstreams[name].entry.address for name in names]
-        self.links[index].cut(fault, addresses)
+        self.links[index].cut(fault, addresses, direction=direction)
 
     def heal_links(self, index: int) -> None:
         """Ends all cuts of the links of a router."""
