End one cut of a router's links and leave the others in force

Cuts of one router that overlapped could only end together, so that the fuzz drew longer cuts than it meant. RouterLinks.cut and ForwardingDeployment.cut_links return the cut, and heal and heal_links end it; without an argument they end all, as before.

The collection of all upstreams' addresses is now LiveAddresses, for other deployments to use.

--- a/src/cicadapier/_internal/standins/forwarding_deployment.py
+++ b/src/cicadapier/_internal/standins/forwarding_deployment.py
@@ -257,7 +257,7 @@
         fault: router_links.LinkFault,
         names: collections.abc.Collection[str] | None = None,
         direction: router_links.Direction = router_links.Direction.BOTH,
-    ) -> None:
+    ) -> router_links.Cut:
         """Cuts links of a router; it still reaches the store, and peers and callers reach it.
 
         Args:
@@ -266,15 +266,20 @@
             names: Upstreams to which the links are cut; None for all, also those that are added
                 later.
             direction: Directions in which connections hang.
+
+        Returns:
+            The cut, for `heal_links`.
         """
-        addresses: collections.abc.Collection[ids.Address] = _UpstreamAddresses(self)
-        if names is not None:
+        addresses: collections.abc.Collection[ids.Address]
+        if names is None:
+            addresses = router_links.LiveAddresses(self.upstream_addresses)
+        else:
             addresses = [self.upstreams[name].entry.address for name in names]
-        self.links[index].cut(fault, addresses, direction=direction)
+        return self.links[index].cut(fault, addresses, direction=direction)
 
-    def heal_links(self, index: int) -> None:
-        """Ends all cuts of the links of a router."""
-        self.links[index].heal()
+    def heal_links(self, index: int, cut: router_links.Cut | None = None) -> None:
+        """Ends a cut of the links of a router, or all of them."""
+        self.links[index].heal(cut)
 
     async def start_router(self, index: int) -> forwarding_assembly.ForwardingRouter:
         """Starts a router on the VM with an index."""
@@ -312,22 +317,6 @@
         return await self._nursery.start(_run_scoped, scope, run, *args)
 
 
-class _UpstreamAddresses(collections.abc.Collection[ids.Address]):
-    """Current addresses of all upstreams of a deployment."""
-
-    def __init__(self, deployment: ForwardingDeployment) -> None:
-        self._deployment = deployment
-
-    def __contains__(self, address: object) -> bool:
-        return address in self._deployment.upstream_addresses()
-
-    def __iter__(self) -> collections.abc.Iterator[ids.Address]:
-        return iter(self._deployment.upstream_addresses())
-
-    def __len__(self) -> int:
-        return len(self._deployment.upstreams)
-
-
 async def _run_scoped(
     scope: trio.CancelScope,
     run: _StartableFunction,
--- a/src/cicadapier/_internal/standins/router_links.py
+++ b/src/cicadapier/_internal/standins/router_links.py
@@ -37,8 +37,34 @@
     BOTH = TO_UPSTREAM | FROM_UPSTREAM
 
 
+class LiveAddresses(collections.abc.Collection[ids.Address]):
+    """Addresses that a function returns whenever they are needed."""
+
+    def __init__(
+        self, list_addresses: collections.abc.Callable[[], collections.abc.Collection[ids.Address]]
+    ) -> None:
+        self._list_addresses = list_addresses
+
+    def __contains__(self, address: object) -> bool:
+        return address in self._list_addresses()
+
+    def __iter__(self) -> collections.abc.Iterator[ids.Address]:
+        return iter(self._list_addresses())
+
+    def __len__(self) -> int:
+        return len(self._list_addresses())
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Cut:
+class Cut:
+    """A cut of the links to some addresses.
+
+    Attributes:
+        fault: What happens to the connections.
+        addresses: Addresses; the collection may change while they are cut.
+        direction: Directions in which connections hang.
+    """
+
     fault: LinkFault
     addresses: collections.abc.Collection[ids.Address]
     direction: Direction
@@ -60,7 +86,7 @@
 
     def __init__(self, inner: transport.Network) -> None:
         self._inner = inner
-        self._cuts: list[_Cut] = []
+        self._cuts: list[Cut] = []
         self._delays: list[_Delay] = []
         self._streams: dict[_LinkStream, None] = {}
 
@@ -70,23 +96,28 @@
         addresses: collections.abc.Collection[ids.Address],
         *,
         direction: Direction = Direction.BOTH,
-    ) -> None:
+    ) -> Cut:
         """Cuts the links to some addresses, in addition to those that are cut already.
 
         Args:
             fault: What happens to the connections.
             addresses: Addresses; the collection may change while they are cut.
             direction: Directions that are cut; matters for `LinkFault.HANG` only.
+
+        Returns:
+            The cut, for `heal`.
         """
-        self._cuts.append(_Cut(fault, addresses, direction))
+        cut = Cut(fault, addresses, direction)
+        self._cuts.append(cut)
         if fault is LinkFault.RESET:
             for stream in list(self._streams):
                 if stream.address in addresses:
                     stream.break_connection()
+        return cut
 
-    def heal(self) -> None:
-        """Ends all cuts."""
-        self._cuts.clear()
+    def heal(self, cut: Cut | None = None) -> None:
+        """Ends a cut if it is in force, or all cuts."""
+        self._cuts = [other for other in self._cuts if cut and other is not cut]
         for stream in self._streams:
             stream.wake()
 
--- a/tests/_internal/standins/test_router_links.py
+++ b/tests/_internal/standins/test_router_links.py
@@ -1,5 +1,6 @@
 """Links of one router that are cut: connections that hang, are reset or are refused."""
 
+import contextlib
 import unittest
 
 import trio
@@ -60,11 +61,11 @@
             self.received.append((trio.current_time(), bytes(data) or "end"))
 
 
-def _run(check, network_class=faulty_network.MemoryNetwork):
+def _run(check):
     """Runs a check with the links of a router and a server at each address."""
 
     async def main():
-        network = network_class()
+        network = faulty_network.MemoryNetwork()
         async with trio.open_nursery() as nursery:
             servers = [_Server(network, address) for address in (UPSTREAM, OTHER)]
             for server in servers:
@@ -449,6 +450,34 @@
 
         _run(check)
 
+    def test_a_cut_that_heals_leaves_the_others_in_force(self):
+        async def check(links, _, __):
+            first = links.cut(LinkFault.REFUSE_NEW, [UPSTREAM])
+            links.cut(LinkFault.REFUSE_NEW, [UPSTREAM])
+            links.cut(LinkFault.REFUSE_NEW, [OTHER])
+            links.heal(first)
+            links.heal(first)
+            for address in (UPSTREAM, OTHER):
+                with self.assertRaises(exceptions.ConnectRefusedError):
+                    await links.connect(address, TIMEOUT_S)
+
+        _run(check)
+
+    def test_a_connection_that_two_cuts_hold_waits_for_the_end_of_both(self):
+        async def check(links, server, _):
+            stream = await links.connect(UPSTREAM, 1.0)
+            first = links.cut(LinkFault.HANG, [UPSTREAM])
+            second = links.cut(LinkFault.HANG, [UPSTREAM])
+            await stream.send_all(b"request")
+            links.heal(first)
+            await trio.sleep(1.0)
+            self.assertEqual(server.contents, [])
+            links.heal(second)
+            await _settle()
+            self.assertEqual(server.contents, [b"request"])
+
+        _run(check)
+
 
 class DelayTest(unittest.TestCase):
     def test_what_is_sent_arrives_at_the_given_time_also_after_a_close(self):
@@ -497,6 +526,44 @@
         _run(check)
 
 
+class SocketsTest(unittest.TestCase):
+    """Cuts of connections over sockets, as in the demo."""
+
+    def _contents_after(self, fault, resets=False):
+        """Returns what a server receives of a request that is sent during a cut that heals."""
+
+        async def main():
+            network = transport.TcpNetwork()
+            server = _Server(network, ids.Address("127.0.0.1:0"))
+            links = router_links.RouterLinks(network)
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(server.run)
+                stream = await links.connect(address, 1.0)
+                links.cut(fault, [address])
+                with contextlib.suppress(trio.BrokenResourceError):
+                    await stream.send_all(b"request")
+                if resets:
+                    transport.reset_on_close(stream)
+                await stream.aclose()
+                await trio.sleep(0.2)
+                before = server.contents
+                links.heal()
+                await trio.sleep(0.2)
+                nursery.cancel_scope.cancel()
+            return before, server.contents
+
+        return trio.run(main)
+
+    def test_what_is_sent_during_a_hang_arrives_after_the_cut(self):
+        self.assertEqual(self._contents_after(LinkFault.HANG), ([], [b"request", "end"]))
+
+    def test_a_reset_discards_what_is_sent_during_a_hang(self):
+        self.assertEqual(self._contents_after(LinkFault.HANG, resets=True), ([], ["reset"]))
+
+    def test_open_connections_are_reset_at_once(self):
+        self.assertEqual(self._contents_after(LinkFault.RESET), (["reset"], ["reset"]))
+
+
 class ForwardingDeploymentTest(unittest.TestCase):
     async def _statuses(self, world, router):
         return [
--- a/tests/forwarding_fuzzing.py
+++ b/tests/forwarding_fuzzing.py
@@ -125,14 +125,14 @@
         fault: What happens to its connections.
         names: Upstreams to which its links are cut; None for all.
         since: Time of the cut.
-        until: Time at which the links work again.
+        until: Time at which the cut ends.
     """
 
     router: int
     fault: router_links.LinkFault
     names: list[str] | None
     since: float
-    until: float = math.inf
+    until: float
 
 
 class Program:
@@ -160,7 +160,6 @@
         self.rate_limit_periods = []
         self.fault_periods = collections.defaultdict(list)
         self.link_cuts = []
-        self._cut_counts = collections.Counter()
         self._routes = forwarding_deployment.routes()
         self._nursery = nursery
 
@@ -218,21 +217,15 @@
         period.until = trio.current_time()
 
     def cut_links(self, router, fault, names, direction, seconds):
-        """Cuts links of a router for some time; cuts that overlap end together."""
-        self.link_cuts.append(LinkCut(router, fault, names, trio.current_time()))
-        self._cut_counts[router] += 1
-        self.world.cut_links(router, fault, names, direction)
-        self._nursery.start_soon(self._heal_links_later, router, seconds)
+        """Cuts links of a router for some time."""
+        now = trio.current_time()
+        self.link_cuts.append(LinkCut(router, fault, names, now, now + seconds))
+        cut = self.world.cut_links(router, fault, names, direction)
+        self._nursery.start_soon(self._heal_links_later, router, cut, seconds)
 
-    async def _heal_links_later(self, router, seconds):
+    async def _heal_links_later(self, router, cut, seconds):
         await trio.sleep(seconds)
-        self._cut_counts[router] -= 1
-        if self._cut_counts[router]:
-            return
-        self.world.heal_links(router)
-        for cut in self.link_cuts:
-            if cut.router == router:
-                cut.until = min(cut.until, trio.current_time())
+        self.world.heal_links(router, cut)
 
     def pause_engines(self, seconds):
         """Stalls running and new streams for longer than the gap objective of their routes."""
