Cut links of single routers in the demonstration and in the fuzz of the own interface

The faults of the simulated world cut failure domains off from each other, with upstreams, peers and platform, but no router from upstreams alone. The kinds links-hang, links-reset and links-refused cut one router (or all, with `*`) off from all upstreams or from one; the store, peers and callers still reach it. The fuzz draws them; its oracle is unchanged.

--- a/src/cicadapier/_internal/standins/faults.py
+++ b/src/cicadapier/_internal/standins/faults.py
@@ -26,6 +26,9 @@
     PLATFORM_SLOW = "platform-slow"
     PLATFORM_ANSWER_LOST = "platform-answer-lost"
     PARTITION = "partition"
+    LINKS_HANG = "links-hang"
+    LINKS_RESET = "links-reset"
+    LINKS_REFUSED = "links-refused"
     POISON = "poison"
 
 
@@ -45,6 +48,9 @@
     FaultKind.PLATFORM_SLOW: "the platform answers amount seconds late (default 1)",
     FaultKind.PLATFORM_ANSWER_LOST: "writes take effect and their answers are lost",
     FaultKind.PARTITION: "A|B: failure domains, or one of them and 'platform', are partitioned",
+    FaultKind.LINKS_HANG: "router TARGET, or A|B: router A and upstream B, exchange nothing",
+    FaultKind.LINKS_RESET: "router TARGET's connections to upstreams, or A|B, break; no new ones",
+    FaultKind.LINKS_REFUSED: "router TARGET's new connections to upstreams, or A|B, are refused",
     FaultKind.POISON: "a prompt that contains TARGET crashes every engine that runs it",
 }
 
--- a/src/cicadapier/_internal/standins/faulty_network.py
+++ b/src/cicadapier/_internal/standins/faulty_network.py
@@ -78,7 +78,7 @@
         await self._inner.serve(address, handler, task_status=task_status)
 
 
-class _FaultyStream(trio.abc.Stream, transport.PollableStream):
+class _FaultyStream(trio.abc.Stream, transport.PollableStream, transport.ResettableStream):
     """A stream that drops sent data and receives nothing while it is cut off."""
 
     def __init__(
@@ -120,6 +120,10 @@
         """See `transport.PollableStream.has_input`."""
         return not self._is_cut_off() and transport.has_input(self._inner)
 
+    def reset_on_close(self) -> None:
+        """See `transport.ResettableStream.reset_on_close`."""
+        transport.reset_on_close(self._inner)
+
     async def aclose(self) -> None:
         """Closes the stream."""
         self._closed = True
--- a/src/cicadapier/_internal/standins/world.py
+++ b/src/cicadapier/_internal/standins/world.py
@@ -25,6 +25,7 @@
 from cicadapier._internal.standins import faults
 from cicadapier._internal.standins import faulty_network
 from cicadapier._internal.standins import ledger
+from cicadapier._internal.standins import link_faults
 from cicadapier._internal.standins import plain_services
 from cicadapier._internal.standins import platform_server
 from cicadapier._internal.standins import upstream_server
@@ -101,6 +102,7 @@
         self.weights = engine_server.WeightStore(plan.deployment.loads_at_once)
         self._network = network
         self._peers = peers
+        self._link_faults = link_faults.LinkFaults(self.active_faults, self._list_addresses)
         self.platform = platform_server.PlatformServer(network, self.active_faults)
         self._nursery: trio.Nursery | None = None
 
@@ -143,7 +145,7 @@
         domain = cfg.failure_domain
         dependencies = router_assembly.Dependencies(
             self._network,
-            self.network_for(domain),
+            self._link_faults.network_for(vm, self.network_for(domain)),
             self._peers.make(self, domain),
             generation,
             self.plan.seed * 1000 + index,
@@ -180,9 +182,20 @@
                 if target in (faults.ANY, upstream_id):
                     upstream.crash(CRASH_DOWNTIME_S if amount is None else amount)
             return
-        self.active_faults.add(kind, target, seconds, amount)
+        fault = self.active_faults.add(kind, target, seconds, amount)
         if kind is faults.FaultKind.LEAVING:
             self._write_vms()
+        if kind in link_faults.LINK_FAULTS:
+            assert self._nursery
+            self._link_faults.cut(fault, self._nursery)
+
+    def _list_addresses(self, upstream: str) -> list[ids.Address]:
+        """Returns the addresses of the upstreams with an id, or of all for `faults.ANY`."""
+        return [
+            server.address
+            for name, server in self.upstreams.items()
+            if upstream in (faults.ANY, name)
+        ]
 
     def declaration(self) -> dict[str, Any]:
         """Returns the configuration declaration of the deployment."""
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -42,6 +42,11 @@
     faults.FaultKind.PLATFORM_SLOW,
     faults.FaultKind.PLATFORM_ANSWER_LOST,
 ]
+_LINK_FAULTS = [
+    faults.FaultKind.LINKS_HANG,
+    faults.FaultKind.LINKS_RESET,
+    faults.FaultKind.LINKS_REFUSED,
+]
 _ROUTER = st.integers(0, ROUTERS - 1)
 _SECONDS = st.sampled_from([0.5, 2.0, 6.0, 15.0])
 
@@ -102,6 +107,16 @@
         sides = f"{one}|{other}" if one != other else one
         self._add(lambda program: program.strike(faults.FaultKind.PARTITION, sides, seconds))
 
+    @stateful.rule(
+        kind=st.sampled_from(_LINK_FAULTS),
+        router=_ROUTER,
+        victim=st.sampled_from([faults.ANY, faults.ANY, *_ENGINES, *_DESKS]),
+        seconds=_SECONDS,
+    )
+    def cut_links(self, kind, router, victim, seconds):
+        target = f"router-{router + 1}|{victim}"
+        self._add(lambda program: program.strike(kind, target, seconds))
+
     @stateful.rule(router=_ROUTER, graceful=st.booleans())
     def restart(self, router, graceful):
         self._add(lambda program: program.restart(router, graceful))
