--- a/src/cicadapier/_internal/standins/forwarding_demo.py
+++ b/src/cicadapier/_internal/standins/forwarding_demo.py
@@ -10,7 +10,9 @@
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import peer_transport
 from cicadapier._internal.protocols import transport
+from cicadapier._internal.standins import fault_server
 from cicadapier._internal.standins import forwarding_deployment
+from cicadapier._internal.standins import forwarding_faults
 
 TIMEOUT_S = 5.0
 _CALLS = (
@@ -40,6 +42,10 @@
         await deployment.start(nursery, routers)
         for index, router in deployment.routers.items():
             print(f"vm-{index}  http://{router.callers.address}")
+        targets = forwarding_faults.ForwardingFaults(deployment, nursery)
+        server = fault_server.FaultServer(targets, network)
+        fault_address = await nursery.start(server.run, forwarding_deployment.ANY_PORT)
+        print(f"faults  http://{fault_address}{fault_server.PATH}")
         print(_format_curl_command(deployment), flush=True)
         if once:
             for name, method, host, path, body in _CALLS:
--- a/src/cicadapier/_internal/standins/link_faults.py
+++ b/src/cicadapier/_internal/standins/link_faults.py
@@ -5,7 +5,6 @@
 import trio
 
 from cicadapier._internal.models import ids
-from cicadapier._internal.protocols import transport
 from cicadapier._internal.standins import faults
 from cicadapier._internal.standins import router_links
 
@@ -16,23 +15,29 @@
     faults.FaultKind.LINKS_REFUSED: router_links.LinkFault.REFUSE_NEW,
 }
 
-# Returns the current addresses of the upstreams with an id, or of all upstreams for `faults.ANY`.
-AddressesProvider = collections.abc.Callable[[str], list[ids.Address]]
-
 
 class LinkFaults:
-    """Networks of the routers of a world, whose links faults cut."""
+    """Cuts links of routers as long as faults are in force.
+
+    Attributes:
+        links: Links of the routers, by VM.
+    """
 
     def __init__(
-        self, active_faults: faults.ActiveFaults, list_addresses: AddressesProvider
+        self,
+        active_faults: faults.ActiveFaults,
+        list_addresses: collections.abc.Callable[[str], list[ids.Address]],
     ) -> None:
+        """Creates an instance without links.
+
+        Args:
+            active_faults: Faults in force.
+            list_addresses: Returns the current addresses of the upstreams with an id, or of all
+                upstreams for `faults.ANY`.
+        """
+        self.links: dict[str, router_links.RouterLinks] = {}
         self._active_faults = active_faults
         self._list_addresses = list_addresses
-        self._links: dict[ids.VmId, router_links.RouterLinks] = {}
-
-    def network_for(self, vm: ids.VmId, inner: transport.Network) -> transport.Network:
-        """Returns the network of the routers on a VM; cuts outlast a restart of the router."""
-        return self._links.setdefault(vm, router_links.RouterLinks(inner))
 
     def cut(self, fault: faults.Fault, nursery: trio.Nursery) -> None:
         """Cuts the links that a fault names until it ends.
@@ -43,7 +48,7 @@
         """
         vm, _, upstream = fault.target.partition("|")
         addresses = router_links.LiveAddresses(lambda: self._list_addresses(upstream or faults.ANY))
-        for name, links in self._links.items():
+        for name, links in self.links.items():
             if vm in (faults.ANY, name):
                 cut = links.cut(LINK_FAULTS[fault.kind], addresses)
                 nursery.start_soon(self._heal_later, links, cut, fault)
--- a/src/cicadapier/_internal/standins/world.py
+++ b/src/cicadapier/_internal/standins/world.py
@@ -22,12 +22,14 @@
 from cicadapier._internal.standins import deployments
 from cicadapier._internal.standins import engine_model
 from cicadapier._internal.standins import engine_server
+from cicadapier._internal.standins import fault_server
 from cicadapier._internal.standins import faults
 from cicadapier._internal.standins import faulty_network
 from cicadapier._internal.standins import ledger
 from cicadapier._internal.standins import link_faults
 from cicadapier._internal.standins import plain_services
 from cicadapier._internal.standins import platform_server
+from cicadapier._internal.standins import router_links
 from cicadapier._internal.standins import upstream_server
 
 LOOPBACK = ids.Address("127.0.0.1:0")
@@ -71,7 +73,7 @@
     generation: int
 
 
-class World:
+class World(fault_server.FaultTarget):
     """Stand-ins and routers that run together.
 
     Attributes:
@@ -145,7 +147,7 @@
         domain = cfg.failure_domain
         dependencies = router_assembly.Dependencies(
             self._network,
-            self._link_faults.network_for(vm, self.network_for(domain)),
+            self._links_for(vm, domain),
             self._peers.make(self, domain),
             generation,
             self.plan.seed * 1000 + index,
@@ -170,10 +172,19 @@
         else:
             running.scope.cancel()
 
+    @property
+    def upstream_names(self) -> list[str]:
+        """See `fault_server.FaultTarget.upstream_names`."""
+        return sorted(self.upstreams)
+
+    def list_runs(self) -> list[object]:
+        """See `fault_server.FaultTarget.list_runs`."""
+        return [schema.to_plain(entry) for entry in self.ledger.entries]
+
     def inject(
         self, kind: faults.FaultKind, target: str, seconds: float, amount: float | None
     ) -> None:
-        """Injects a fault; see `ActiveFaults.add` for the arguments.
+        """See `fault_server.FaultTarget.inject`.
 
         A crash happens at once; its amount is the time until the upstream restarts.
         """
@@ -189,6 +200,13 @@
             assert self._nursery
             self._link_faults.cut(fault, self._nursery)
 
+    def _links_for(self, vm: ids.VmId, domain: str) -> router_links.RouterLinks:
+        """Returns the network of the routers on a VM; cuts outlast a restart of the router."""
+        if vm not in self._link_faults.links:
+            links = router_links.RouterLinks(self.network_for(domain))
+            self._link_faults.links[vm] = links
+        return self._link_faults.links[vm]
+
     def _list_addresses(self, upstream: str) -> list[ids.Address]:
         """Returns the addresses of the upstreams with an id, or of all for `faults.ANY`."""
         return [
--- a/tests/_internal/standins/test_link_faults.py
+++ b/tests/_internal/standins/test_link_faults.py
@@ -2,11 +2,17 @@
 
 import unittest
 
+import msgspec
 import trio
 
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import http_client
+from cicadapier._internal.standins import fault_server
 from cicadapier._internal.standins import faults
+from cicadapier._internal.standins import forwarding_deployment
+from cicadapier._internal.standins import forwarding_faults
+from tests import forwarding_world
 from tests import support
 
 ROUTER = ids.VmId("router-1")
@@ -18,9 +24,9 @@
 
 async def _connect(world, vm, upstream):
     """Returns how an attempt of a router to connect to an upstream ends."""
-    network = world._link_faults.network_for(vm, world._network)
+    links = world._link_faults.links[vm]
     try:
-        stream = await network.connect(world.upstreams[upstream].address, TIMEOUT_S)
+        stream = await links.connect(world.upstreams[upstream].address, TIMEOUT_S)
     except exceptions.ConnectRefusedError:
         return "refused"
     except exceptions.ConnectError:
@@ -95,6 +101,40 @@
 
         support.run_in_world(check, deployment=support.SMALL_DEPLOYMENT)
 
+    def test_the_links_of_a_router_of_forwarded_routes_are_cut(self):
+        async def check(world):
+            address = world.upstreams["desk-0"].entry.address
+            async with trio.open_nursery() as nursery:
+                targets = forwarding_faults.ForwardingFaults(world, nursery)
+                targets.inject(faults.FaultKind.LINKS_REFUSED, "vm-1|desk-0", 2.0, None)
+                await world.links[0].connect(address, TIMEOUT_S)
+                with self.assertRaises(exceptions.ConnectRefusedError):
+                    await world.links[1].connect(address, TIMEOUT_S)
+            await world.links[1].connect(address, TIMEOUT_S)
+
+        forwarding_world.run_in_world(check, routers=2)
+
+
+class FaultServerTest(unittest.TestCase):
+    async def _post(self, world, address, kind):
+        body = msgspec.json.encode({"kind": kind, "target": "vm-0", "seconds": 5.0})
+        head = http_client.RequestHead("POST", fault_server.PATH, [])
+        return (await world._exchange(address, head, body)).status
+
+    def test_only_kinds_that_the_stand_ins_know_are_injected(self):
+        async def check(world):
+            async with trio.open_nursery() as nursery:
+                targets = forwarding_faults.ForwardingFaults(world, nursery)
+                server = fault_server.FaultServer(targets, world.network)
+                address = await nursery.start(server.run, forwarding_deployment.ANY_PORT)
+                self.assertEqual(await self._post(world, address, "poison"), 400)
+                self.assertEqual(await self._post(world, address, "links-hang"), 200)
+                kinds = [fault.kind for fault in targets.active_faults.active()]
+                self.assertEqual(kinds, [faults.FaultKind.LINKS_HANG])
+                nursery.cancel_scope.cancel()
+
+        forwarding_world.run_in_world(check)
+
 
 if __name__ == "__main__":
     unittest.main()
