--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -9,6 +9,7 @@
 import trio
 
 from cicadapier._internal.standins import faults
+from tests import fuzz_seed
 from tests import fuzzing
 from tests import support
 
@@ -19,7 +20,6 @@
 PHASES = [hypothesis.Phase.explicit, hypothesis.Phase.generate]
 if os.environ.get("FUZZ_SHRINK"):
     PHASES.append(hypothesis.Phase.shrink)
-SEED = os.environ.get("FUZZ_SEED", "")
 PREFIX = "the style sheet asks for plain lines. " * 12
 
 _ENGINES = [f"quill-models-{i}" for i in range(1, 4)]
@@ -42,6 +42,11 @@
     faults.FaultKind.PLATFORM_SLOW,
     faults.FaultKind.PLATFORM_ANSWER_LOST,
 ]
+_LINK_FAULTS = [
+    faults.FaultKind.LINKS_HANG,
+    faults.FaultKind.LINKS_RESET,
+    faults.FaultKind.LINKS_REFUSED,
+]
 _ROUTER = st.integers(0, ROUTERS - 1)
 _SECONDS = st.sampled_from([0.5, 2.0, 6.0, 15.0])
 
@@ -102,6 +107,16 @@
         sides = f"{one}|{other}" if one != other else one
         self._add(lambda program: program.strike(faults.FaultKind.PARTITION, sides, seconds))
 
+    @stateful.rule(
+        kind=st.sampled_from(_LINK_FAULTS),
+        router=_ROUTER,
+        victim=st.sampled_from([faults.ANY, faults.ANY, *_ENGINES, *_DESKS]),
+        seconds=_SECONDS,
+    )
+    def cut_links(self, kind, router, victim, seconds):
+        target = f"router-{router + 1}|{victim}"
+        self._add(lambda program: program.strike(kind, target, seconds))
+
     @stateful.rule(router=_ROUTER, graceful=st.booleans())
     def restart(self, router, graceful):
         self._add(lambda program: program.restart(router, graceful))
@@ -153,19 +168,19 @@
     return support.run(main)
 
 
+if fuzz_seed.SEED:
+    fuzz_seed.apply(PromisesMachine, fuzz_seed.SEED)
 PromisesTest = PromisesMachine.TestCase
 PromisesTest.settings = hypothesis.settings(
     max_examples=EXAMPLES,
     stateful_step_count=STEPS,
     deadline=None,
-    derandomize=not SEED,
+    derandomize=not fuzz_seed.SEED,
     database=None,
     print_blob=True,
     phases=PHASES,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
-if SEED:
-    PromisesTest = hypothesis.seed(int(SEED))(PromisesTest)
 
 
 if __name__ == "__main__":
