--- a/src/cicadapier/_internal/services/weights_service.py
+++ b/src/cicadapier/_internal/services/weights_service.py
@@ -30,6 +30,7 @@
 from cicadapier._internal.services import cluster_service
 from cicadapier._internal.services import configuration_source
 from cicadapier._internal.services import engine_orders
+from cicadapier._internal.services import links_service
 from cicadapier._internal.services import names
 from cicadapier._internal.services import order_lease
 from cicadapier._internal.services import peers_service
@@ -121,6 +122,7 @@
         self._configuration: configuration_source.ConfigurationSource | None = None
         self._engine_orders: engine_orders.EngineOrders | None = None
         self._traffic: traffic_service.TrafficService | None = None
+        self._links: links_service.LinksService | None = None
 
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
@@ -128,6 +130,7 @@
         self._peers = kernel.find(names.PEERS)
         self._configuration = kernel.find(names.CONFIGURATION)
         self._traffic = kernel.find(names.TRAFFIC)
+        self._links = kernel.find(names.LINKS)
         self._engine_orders = engine_orders.EngineOrders(
             self._vm,
             self._engine_format,
@@ -163,6 +166,12 @@
         for state in self._pools.values():
             await state.lease.release()
 
+    @property
+    def links(self) -> links_service.LinksService:
+        """Service that knows which links of this router work."""
+        assert self._links
+        return self._links
+
     @property
     def cluster(self) -> cluster_service.ClusterService:
         """Service that holds the shared objects."""
@@ -239,7 +248,7 @@
         if self._released or not self._may_take_lease(state, now, stopping):
             return
         remaining = [engine.upstream for engine in outdated]
-        if state.lease.is_holder and state.links.are_lost(remaining, now):
+        if state.lease.is_holder and self._are_links_lost(state, remaining, now):
             await self._hand_over(state)
             return
         by_id = {engine.upstream: engine for engine in pool_engines}
@@ -308,7 +317,7 @@
         """
         if state.lease.is_holder:
             return True
-        if stopping:
+        if stopping or self.links.all_lost:
             return False
         assert state.outdated_since is not None
         vacancy = state.lease.vacancy(state.outdated_since)
@@ -316,6 +325,12 @@
             self._vm, self.cluster.routers(), vacancy, state.handed_over_at
         )
 
+    def _are_links_lost(
+        self, state: _PoolState, remaining: list[ids.UpstreamId], now: float
+    ) -> bool:
+        """Returns whether this router reaches none of the engines that remain to be updated."""
+        return bool(remaining) and (self.links.all_lost or state.links.are_lost(remaining, now))
+
     def _check_links(
         self,
         target: engine_orders.Target,
--- a/tests/_internal/services/test_cut_order_holder.py
+++ b/tests/_internal/services/test_cut_order_holder.py
@@ -3,6 +3,7 @@
 import itertools
 import unittest
 
+from structlog import testing
 import trio
 
 from cicadapier._internal.models import ids
@@ -78,6 +79,26 @@
 
                 forwarding_world.run_in_world(check, routers=ROUTERS)
 
+    def test_routers_that_know_of_their_lost_links_leave_the_lease_to_others(self):
+        for fault in Fault:
+            with self.subTest(fault):
+
+                async def check(world, fault=fault):
+                    holder = await self._make_holder(world)
+                    world.cut_links(holder, fault)
+                    for number in range(12):
+                        await world.ask(router=holder, parts=f"p{number}:600,x:9")
+                        await trio.sleep(ASK_INTERVAL_S)
+                    world.set_target_weights(3)
+                    await trio.sleep(4.0)
+                    self._check_weights(world, 3)
+                    self._check_gaps(world)
+
+                with testing.capture_logs() as lines:
+                    forwarding_world.run_in_world(check, routers=ROUTERS)
+                # Nobody has tried in vain to update an engine.
+                self.assertNotIn("weights_not_loaded", {line["event"] for line in lines})
+
     def test_holder_that_is_cut_off_amid_a_rollout_is_replaced_in_time(self):
         for fault in Fault:
             for after_s in (0.3, 0.5, 1.0):
