Let a router that starts cost the others no reads of the store where they have nothing to vouch for

Cause: a router that has just started asks four others what they have seen, and each had its directory and its routes confirmed by the store first, though it had itself just started. Now only routers that have seen long enough do.

--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -34,6 +34,8 @@
 MAX_PENDING_ANSWERS = 256
 
 _UNNAMED_STREAM = stream_origins.StreamId("", ids.RequestId(""))
+# Names no stream either; the question is for what the routers have seen before the asker started.
+_ANY_STREAM = stream_origins.StreamId("", ids.RequestId("*"))
 
 _log = structlog.get_logger()
 
@@ -162,7 +164,7 @@
                 wait_s = MIN_LEARN_WAIT_S
                 await trio.sleep(CHECK_INTERVAL_S)
                 continue
-            await self._ask(_UNNAMED_STREAM, self._choose_any(), wants_seen=True)
+            await self._ask(_ANY_STREAM, self._choose_any(), wants_seen=True)
             seen = self._history.seen(trio.current_time())
             if seen.covers_all_streams:
                 _log.info("software_versions_learned", versions=sorted(seen.versions))
@@ -380,7 +382,7 @@
     async def _answer(self, query: stream_origins.OriginQuery, nursery: trio.Nursery) -> None:
         now = trio.current_time()
         is_known = self._origins.find(query.stream, now) is not None
-        may_vouch = len(self._history.seen(now).versions) == 1
+        may_vouch = self._may_vouch(query.stream, now)
         # The upstream that began a stream here may have started again with other software.
         is_own = query.stream in self._beginnings
         needs_directory = is_own or (query.wants_seen and may_vouch and not is_known)
@@ -390,6 +392,14 @@
             self._pending_answers += 1
             nursery.start_soon(self._answer_confirmed, query)
 
+    def _may_vouch(self, stream: stream_origins.StreamId, now: float) -> bool:
+        """Returns whether it is worth while to have the directory confirm what was seen."""
+        seen = self._history.seen(now)
+        if stream == _ANY_STREAM and not seen.covers_all_streams:
+            # A router that learns what served before it started gains nothing by less.
+            return False
+        return len(seen.versions) == 1
+
     async def _answer_confirmed(self, query: stream_origins.OriginQuery) -> None:
         """Answers once the directory has confirmed what this router has seen, or has not."""
         try:
--- a/tests/_internal/services/test_streams_after_restarts.py
+++ b/tests/_internal/services/test_streams_after_restarts.py
@@ -298,5 +298,16 @@
         self._check(silence, (0,), are_back=False)
 
 
+class StoreReadsTest(unittest.TestCase):
+    def test_routers_that_start_together_do_not_read_the_directory_for_each_other(self):
+        async def check(world):
+            await trio.sleep(8.0)
+            # One long poll at a time for each router and kind, of at most a few seconds.
+            for kind in ("config", "servers"):
+                self.assertLess(world.store.reads[kind], 4 * 8)
+
+        forwarding_world.run_in_world(check, routers=4)
+
+
 if __name__ == "__main__":
     unittest.main()
