--- a/src/cicadapier/_internal/decisions/lease_candidacy.py
+++ b/src/cicadapier/_internal/decisions/lease_candidacy.py
@@ -2,7 +2,9 @@
 
 Load pattern: all routers see at the same moment that engines are outdated. They try one after the
 other, so that few writes collide; the number of routers in a turn doubles with each turn, so that a
-large fleet in which the first routers cannot use the lease still finds one that can.
+large fleet in which the first routers cannot use the lease still finds one that can. Each hand-over
+draws another order: otherwise the first few, whose pauses end meanwhile, would keep all others
+from the lease.
 """
 
 import collections.abc
@@ -61,7 +63,7 @@
     """
     if vacancy.last_holder == vm:
         return max(vacancy.outdated_since, handed_over_at + HANDED_OVER_PAUSE_S)
-    turn = _turn(vm, routers, vacancy.pool)
+    turn = _turn(vm, routers, f"{vacancy.pool}/{vacancy.hand_overs}")
     head_start_s = 0.0 if vacancy.last_holder is None else LAST_HOLDER_HEAD_START_S
     if not vacancy.hand_overs:
         return vacancy.outdated_since + head_start_s + TURN_S * turn
@@ -75,11 +77,11 @@
     return min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2.0 ** min(hand_overs - 2, 16))
 
 
-def _turn(vm: ids.VmId, routers: collections.abc.Iterable[ids.VmId], pool: ids.PoolId) -> int:
+def _turn(vm: ids.VmId, routers: collections.abc.Iterable[ids.VmId], draw: str) -> int:
     """Returns the number of the turn of a router: 0 for the first one, 1 for the next two, ..."""
-    ranked = sorted(routers, key=lambda router: _rank_key(router, pool))
+    ranked = sorted(routers, key=lambda router: _rank_key(router, draw))
     return int(math.log2(ranked.index(vm) + 1))
 
 
-def _rank_key(vm: ids.VmId, pool: ids.PoolId) -> bytes:
-    return hashlib.blake2b(f"{vm}/{pool}".encode(), digest_size=8).digest()
+def _rank_key(vm: ids.VmId, draw: str) -> bytes:
+    return hashlib.blake2b(f"{vm}/{draw}".encode(), digest_size=8).digest()
--- a/tests/_internal/decisions/test_lease_candidacy.py
+++ b/tests/_internal/decisions/test_lease_candidacy.py
@@ -52,6 +52,23 @@
         self.assertLess(waits[3], 0.5)
         self.assertEqual(round(waits[-1], 6), lease_candidacy.MAX_BACKOFF_S)
 
+    def test_routers_that_cannot_use_the_lease_keep_no_other_router_from_it(self):
+        hold_s = 0.65  # From taking the lease until it is handed over.
+        for count in (8, 24, 77):
+            routers = [f"vm-{i}" for i in range(count)]
+            handed_over_at = dict.fromkeys(routers, NEVER)
+            vacancy = _vacancy("vm-99", 0, 10.0)
+            for number in range(24):
+                attempts = {
+                    vm: lease_candidacy.earliest_attempt(vm, routers, vacancy, at)
+                    for vm, at in handed_over_at.items()
+                }
+                holder = min(attempts, key=attempts.get)
+                handed_over_at[holder] = attempts[holder] + hold_s
+                vacancy = _vacancy(holder, number + 1, handed_over_at[holder])
+            tried = [vm for vm, at in handed_over_at.items() if at > NEVER]
+            self.assertGreaterEqual(len(tried), min(count, 12) * 3 // 4, count)
+
     def test_large_fleet_has_tried_within_few_turns(self):
         for count in (24, 77, 300):
             attempts = self._attempts([f"vm-{i}" for i in range(count)], _vacancy())
