--- a/src/cicadapier/_internal/services/weights_service.py
+++ b/src/cicadapier/_internal/services/weights_service.py
@@ -13,6 +13,7 @@
 import structlog
 import trio
 
+from cicadapier._internal.decisions import learned_age
 from cicadapier._internal.decisions import lease_candidacy
 from cicadapier._internal.decisions import leases
 from cicadapier._internal.decisions import members
@@ -49,10 +50,7 @@
 QUIET_MARGIN_S = 0.3
 LEASE_DELIVERY_S = engine_orders.CALL_TIMEOUT_S - QUIET_MARGIN_S
 NONCE_BYTES = 12
-# Maximum age assumed for a target that was set before the watch got its first answer or while it
-# got none. The rest of the time in which requests may start on older weights remains for updating
-# the engines.
-MAX_ASSUMED_AGE_S = 4.4
+AWAKE_INTERVAL_S = 0.2
 
 _log = structlog.get_logger()
 
@@ -111,9 +109,7 @@
             delivery_s=LEASE_DELIVERY_S,
         )
         self._released = False
-        self._is_watch_answered = False
-        self._last_answer_at = -math.inf
-        self._assumed_set_at = 0.0
+        self._learned_age = learned_age.LearnedAge()
         self._target_set_event = trio.Event()
         self._target_versions: dict[ids.ModelId, int] = {}
         self._pools: dict[ids.PoolId, _PoolState] = {}
@@ -143,6 +139,7 @@
         platform = kernel.find(names.PLATFORM)
         watch = watching.Watch(platform, kind, WATCH_OPTIONS, self, self._clock, self._rng)
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._record_awake)
             nursery.start_soon(watch.run)
             task_status.started()
             while True:
@@ -151,6 +148,11 @@
                     await self._round(target, nursery, kernel.is_stopping)
                 await self._pause()
 
+    async def _record_awake(self) -> None:
+        while True:
+            self._learned_age.record_awake(self._clock())
+            await trio.sleep(AWAKE_INTERVAL_S)
+
     async def _pause(self) -> None:
         """Waits until a target is set, a shared object changes, or the next round is due."""
         idle = all(state.outdated_since is None for state in self._pools.values())
@@ -180,17 +182,11 @@
 
     def record_answer(self, queried_at: float) -> None:
         """See `watching.WatchHandler.record_answer`."""
-        now = self._clock()
-        # After unanswered queries, a target may have been set at any time since the last answer.
-        self._assumed_set_at = (
-            now if self._is_watch_answered else max(self._last_answer_at, now - MAX_ASSUMED_AGE_S)
-        )
-        self._is_watch_answered = True
-        self._last_answer_at = now
+        self._learned_age.record_answer(queried_at, self._clock())
 
     def record_failure(self) -> None:
         """See `watching.WatchHandler.record_failure`."""
-        self._is_watch_answered = False
+        self._learned_age.record_failure()
 
     def handle_listing(self, objects: tuple[store_format.StoredObject, ...]) -> None:
         """See `watching.WatchHandler.handle_listing`."""
@@ -212,7 +208,7 @@
         self._target_versions[target.model] = target.version
         self._target_set_event.set()
         assert self._traffic
-        age_s = self._clock() - self._assumed_set_at
+        age_s = self._learned_age.age_s(self._clock())
         self._traffic.mailbox.send(
             traffic_messages.TargetVersionSet(target.model, target.version, age_s)
         )
