--- a/src/cicadapier/_internal/protocols/transport.py
+++ b/src/cicadapier/_internal/protocols/transport.py
@@ -69,7 +69,8 @@
         stream.reset_on_close(resets)
     elif isinstance(stream, trio.SocketStream):
         linger = _LINGER_FOR_NO_TIME if resets else _NO_LINGER
-        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        if stream.socket.fileno() >= 0:  # Otherwise, it was closed meanwhile.
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
 def limit_delivery(stream: trio.abc.Stream, limit_s: float) -> None:
--- a/tests/_internal/protocols/test_transport.py
+++ b/tests/_internal/protocols/test_transport.py
@@ -143,6 +143,18 @@
                 while accepted.recv(1_000_000):
                     pass
 
+    def test_connection_that_was_closed_meanwhile_counts_as_lost(self):
+        async def send_after_close(port):
+            address = ids.Address(f"127.0.0.1:{port}")
+            stream = await transport.TcpNetwork().connect(address, 1.0)
+            conn = http_client.ClientConnection(stream, address)
+            await conn.close()
+            with self.assertRaises(exceptions.ConnectionLostError):
+                await conn.send(http_client.RequestHead("GET", "/", []), b"")
+
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            trio.run(send_after_close, server.getsockname()[1])
+
 
 if __name__ == "__main__":
     unittest.main()
