Believe an upstream that refuses a request because its weights are older than expected (VERSION)

What callers saw: nothing known; found in review. Cause: a lower version counts as an outdated report, also where an upstream refuses a request that expects the newer one. A router that once takes an engine for newer than it is sends requests that the engine refuses, for ever, and the holder of the order lease never orders it. Class: not known is taken for as it should be; the weights in a lease's note and in an answer name no incarnation.

Evidence: test_mistaken_weights, second test, on the former code: with the belief planted in both routers, all engines are still on weights 1 after 8 s of requests. Now they are updated within that time and all callers get 200. Ruled out: an engine that falls over amid a load and comes back under its id with the version from before does not cause it (first test, which held before): its report, not the accepted order, ends an update, and its entry replaces what was known.

The refusal is later than the belief, which the request named, so it is no outdated report. It counts for the incarnation of the attempt alone.

--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -413,7 +413,9 @@
         if isinstance(outcome, outcomes.NotSent) and outcome.withheld:
             _forget_pieces(state, active, upstream)
             return None
-        if not (isinstance(outcome, outcomes.RefusedBeforeRunning) and outcome.other_weights):
+        if isinstance(outcome, outcomes.RefusedBeforeRunning) and outcome.other_weights:
+            _correct_weights(state, active, attempt, outcome)
+        else:
             active.failed_upstreams.add(upstream)
         return self._record_failure(state, active, attempt, outcome, now)
 
@@ -492,6 +494,29 @@
     )
 
 
+def _correct_weights(
+    state: observations.PoolState,
+    active: in_flight.ActiveRequest,
+    attempt: in_flight.Attempt,
+    refusal: outcomes.RefusedBeforeRunning,
+) -> None:
+    """Records the weights of an upstream that refused a request because they are too old.
+
+    The request was sent because the upstream was believed to serve newer weights, so this is no
+    outdated report.
+    """
+    upstream = attempt.estimate.upstream
+    member = state.policy.members.get(upstream)
+    model = active.request_spec.model
+    if member is None or model is None or member.spec.incarnation != attempt.incarnation:
+        return
+    served = refusal.served_weights
+    if served is None or member.versions.get(model) != refusal.expected_weights:
+        return
+    member.versions[model] = served
+    state.policy.weights_reloaded(upstream)
+
+
 def _forget_pieces(
     state: observations.PoolState, active: in_flight.ActiveRequest, upstream: ids.UpstreamId
 ) -> None:
--- a/src/cicadapier/_internal/models/outcomes.py
+++ b/src/cicadapier/_internal/models/outcomes.py
@@ -134,11 +134,15 @@
         retry_after_s: Time after which the upstream may have capacity.
         other_weights: Whether the only cause is that the upstream serves other weights than
             expected.
+        expected_weights: Weights version that the request expected; None if it named none.
+        served_weights: Weights version that the upstream serves; None if it named none.
     """
 
     reason: str
     retry_after_s: float = 1.0
     other_weights: bool = False
+    expected_weights: str | None = None
+    served_weights: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -489,7 +489,14 @@
         await self._read_refusal_body()
         reason = f"the upstream refused with status {head.status}"
         other_weights = self.facts.has_only_other_weights(self._call.upstream, self._call.weights)
-        raise AttemptFailedError(outcomes.RefusedBeforeRunning(reason, other_weights=other_weights))
+        raise AttemptFailedError(
+            outcomes.RefusedBeforeRunning(
+                reason,
+                other_weights=other_weights,
+                expected_weights=self._call.weights,
+                served_weights=self.facts.weights,
+            )
+        )
 
     async def _read_refusal_body(self) -> None:
         """Reads the body of a refusal, so that the connection can be reused."""
