--- a/src/cicadapier/_internal/services/weights_service.py
+++ b/src/cicadapier/_internal/services/weights_service.py
@@ -56,27 +56,47 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _PoolState:
-    """State of the updates of one pool.
+class _ModelState:
+    """State of the updates of one pool to the target of one model.
 
     Attributes:
-        lease: The lease that is required for orders to its engines.
+        target: The current target version.
         outdated_since: Time since which some engine is outdated; None if no engine is.
         updating: Engines that this router is updating; the scopes cancel the updates.
         loaded: Weights version of the engines that it has updated to the current target.
-        target: The current target version.
-        links: Links of this router to the engines, judged by its orders.
-        handed_over_at: Time at which this router last handed the lease over.
     """
 
-    lease: order_lease.OrderLease
+    target: int
     outdated_since: float | None = None
     updating: dict[ids.UpstreamId, trio.CancelScope] = dataclasses.field(default_factory=dict)
     loaded: dict[str, str] = dataclasses.field(default_factory=dict)
-    target: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _PoolState:
+    """State of the updates of one pool.
+
+    Attributes:
+        lease: The lease that is required for orders to its engines.
+        models: State of each model.
+        links: Links of this router to the engines, judged by its orders.
+        handed_over_at: Time at which this router last handed the lease over.
+    """
+
+    lease: order_lease.OrderLease
+    models: dict[ids.ModelId, _ModelState] = dataclasses.field(default_factory=dict)
     links: order_links.OrderLinks = dataclasses.field(default_factory=order_links.OrderLinks)
     handed_over_at: float = -math.inf
 
+    @property
+    def updating(self) -> dict[ids.UpstreamId, trio.CancelScope]:
+        """Engines that this router is updating to the target of any model."""
+        return {
+            upstream: scope
+            for state in self.models.values()
+            for upstream, scope in state.updating.items()
+        }
+
 
 class WeightsService(service.Service, watching.WatchHandler):
     """Watches the target versions and sends load orders while this router holds the lease."""
@@ -155,7 +175,11 @@
 
     async def _pause(self) -> None:
         """Waits until a target is set, a shared object changes, or the next round is due."""
-        idle = all(state.outdated_since is None for state in self._pools.values())
+        idle = all(
+            state.outdated_since is None
+            for pool in self._pools.values()
+            for state in pool.models.values()
+        )
         async with trio.open_nursery() as nursery:
             for event in (self._target_set_event, self.cluster.changed_event):
                 nursery.start_soon(_cancel_on_event, event, nursery.cancel_scope)
@@ -229,19 +253,22 @@
         self, target: engine_orders.Target, nursery: trio.Nursery, stopping: bool
     ) -> None:
         state = self._pool_state(target)
+        model_state = self._model_state(state, target)
         note = state.lease.observe()
         if note is not None:
             self._apply_note(target.pool, note)
         pool_engines = await self._get_engines(target)
         outdated = rollout.outdated_engines(pool_engines, target.version)
         must_update_note = state.lease.is_holder and bool(state.lease.note.loading)
-        if not (outdated or state.updating or must_update_note):
-            state.outdated_since = None
+        must_update_note = must_update_note and state.lease.note.model == target.model
+        if not (outdated or model_state.updating or must_update_note):
+            model_state.outdated_since = None
             return
         now = self._clock()
-        if state.outdated_since is None:
-            state.outdated_since = now
-        if self._released or not self._may_take_lease(state, now, stopping):
+        if model_state.outdated_since is None:
+            model_state.outdated_since = now
+        outdated_since = model_state.outdated_since
+        if self._released or not self._may_take_lease(state, outdated_since, now, stopping):
             return
         remaining = [engine.upstream for engine in outdated]
         if state.lease.is_holder and self._are_links_lost(state, remaining, now):
@@ -259,7 +286,7 @@
         if not await self._acquire_or_renew_lease(target, state, selected) or self._released:
             return
         for upstream in selected:
-            state.updating[upstream] = trio.CancelScope()
+            model_state.updating[upstream] = trio.CancelScope()
             nursery.start_soon(self._update_engine, target, state, by_id[upstream])
 
     def _pool_state(self, target: engine_orders.Target) -> _PoolState:
@@ -272,11 +299,15 @@
                 order_lease.OrderLease(target.pool, lease, self._nonce, self.cluster, self._clock)
             )
             self._pools[target.pool] = state
-        if target.version != state.target:
-            state.target = target.version
-            state.loaded = {}
         return state
 
+    def _model_state(self, state: _PoolState, target: engine_orders.Target) -> _ModelState:
+        model_state = state.models.setdefault(target.model, _ModelState(target.version))
+        if target.version != model_state.target:
+            model_state.target = target.version
+            model_state.loaded = {}
+        return model_state
+
     async def _get_engines(self, target: engine_orders.Target) -> tuple[rollout.Engine, ...]:
         assert self._traffic
         reply: mailbox.Reply[tuple[rollout.Engine, ...]] = mailbox.Reply()
@@ -306,7 +337,9 @@
         weights = members.Weights(model, version)
         self._traffic.mailbox.send(traffic_messages.StatusReported(pool, upstream, None, weights))
 
-    def _may_take_lease(self, state: _PoolState, now: float, stopping: bool) -> bool:
+    def _may_take_lease(
+        self, state: _PoolState, outdated_since: float, now: float, stopping: bool
+    ) -> bool:
         """Returns whether this router may try to take or renew the lease now.
 
         A router that is stopping keeps a lease that it holds, but takes no other.
@@ -315,8 +348,7 @@
             return True
         if stopping or self.links.all_lost:
             return False
-        assert state.outdated_since is not None
-        vacancy = state.lease.vacancy(state.outdated_since)
+        vacancy = state.lease.vacancy(outdated_since)
         return now >= lease_candidacy.earliest_attempt(
             self._vm, self.cluster.routers(), vacancy, state.handed_over_at
         )
@@ -359,7 +391,8 @@
         """
         usable = state.lease.fencing_token() is not None
         loading = sorted([*state.updating, *(selected if usable else [])])
-        note = order_lease.Note(target.model, list(loading), dict(state.loaded))
+        loaded = state.models[target.model].loaded
+        note = order_lease.Note(target.model, list(loading), dict(loaded))
         is_outcome_known = await state.lease.acquire_or_renew(note)
         return is_outcome_known and usable and state.lease.fencing_token() is not None
 
@@ -371,14 +404,15 @@
         self._report_loading(target.pool, engine.upstream, LOADING_EXPIRES_S)
         started_at = self._clock()
         step = rollout.Step.GIVE_UP
+        model_state = state.models[target.model]
         try:
-            with state.updating[engine.upstream]:
+            with model_state.updating[engine.upstream]:
                 await trio.sleep(ANNOUNCEMENT_LEAD_S)
                 step = await self._engine_orders.update_engine(
                     target, engine, functools.partial(self._take_token, state), state.links
                 )
         finally:
-            del state.updating[engine.upstream]
+            del model_state.updating[engine.upstream]
         done = step is rollout.Step.DONE
         _log.info(
             "weights_loaded" if done else "weights_not_loaded",
@@ -388,8 +422,8 @@
         )
         if done:
             version = str(target.version)
-            if state.target == target.version:
-                state.loaded[engine.upstream] = version
+            if model_state.target == target.version:
+                model_state.loaded[engine.upstream] = version
             self._report_loaded(target.pool, engine.upstream, target.model, version)
         else:
             self._report_loading(target.pool, engine.upstream, 0.0)
