--- a/src/cicadapier/_internal/protocols/transport.py
+++ b/src/cicadapier/_internal/protocols/transport.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections.abc
+import select
 import socket
 import ssl
 import struct
@@ -73,6 +74,18 @@
             stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def was_reset(stream: trio.abc.Stream) -> bool:
+    """Returns whether the peer has reset a connection, also while input is left to be read.
+
+    The kernel hands out input that came before the reset; streams in memory discard it.
+    """
+    if not isinstance(stream, trio.SocketStream) or stream.socket.fileno() < 0:
+        return False
+    poller = select.poll()
+    poller.register(stream.socket.fileno(), 0)
+    return any(events & select.POLLERR for _, events in poller.poll(0))
+
+
 def limit_delivery(stream: trio.abc.Stream, limit_s: float) -> None:
     """Limits how long the kernel tries to deliver what is sent on a socket.
 
--- a/src/cicadapier/_internal/services/tunnels_service.py
+++ b/src/cicadapier/_internal/services/tunnels_service.py
@@ -22,7 +22,7 @@
 REQUEST_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.3
 IDLE_TIMEOUT_S = 300.0
-IDLE_CHECK_INTERVAL_S = 10.0
+CHECK_INTERVAL_S = 0.25
 CHUNK_BYTES = 16_384
 MAX_PENDING = 64  # Connections beyond `max_tunnels` whose request is answered, with a refusal.
 
@@ -32,6 +32,9 @@
 class _Carrier:
     """Carries the bytes of one tunnel in both directions until one end closes it.
 
+    What a router has sent and given up since is not carried on, also if this router stood still
+    meanwhile or the upstream takes no bytes.
+
     Attributes:
         bytes_carried: Number of bytes that were carried.
         is_broken: Whether an end reset the connection.
@@ -50,13 +53,15 @@
             scope = nursery.cancel_scope
             nursery.start_soon(self._copy, self._router, self._upstream, scope)
             nursery.start_soon(self._copy, self._upstream, self._router, scope)
-            nursery.start_soon(self._end_if_idle, scope)
+            nursery.start_soon(self._end_if_unused, scope)
 
     async def _copy(
         self, source: trio.abc.Stream, sink: trio.abc.Stream, scope: trio.CancelScope
     ) -> None:
         try:
             while data := await source.receive_some(CHUNK_BYTES):
+                if self._is_given_up():
+                    break
                 await sink.send_all(data)
                 self.bytes_carried += len(data)
                 self._last_progress_at = trio.current_time()
@@ -64,10 +69,17 @@
             self.is_broken = True
         scope.cancel()
 
-    async def _end_if_idle(self, scope: trio.CancelScope) -> None:
-        while trio.current_time() - self._last_progress_at < IDLE_TIMEOUT_S:
-            await trio.sleep(IDLE_CHECK_INTERVAL_S)
-        self.is_broken = True
+    def _is_given_up(self) -> bool:
+        self.is_broken = self.is_broken or transport.was_reset(self._router)
+        return self.is_broken
+
+    async def _end_if_unused(self, scope: trio.CancelScope) -> None:
+        """Ends the tunnel once the router has reset it, or if nothing was carried for long."""
+        while not self._is_given_up():
+            if trio.current_time() - self._last_progress_at >= IDLE_TIMEOUT_S:
+                self.is_broken = True
+                break
+            await trio.sleep(CHECK_INTERVAL_S)
         scope.cancel()
 
 
