--- a/src/cicadapier/_internal/services/orders_service.py
+++ b/src/cicadapier/_internal/services/orders_service.py
@@ -4,7 +4,9 @@
 includes its fencing token in every order.
 """
 
+import collections.abc
 import dataclasses
+import math
 import random
 
 import msgspec
@@ -12,6 +14,7 @@
 import trio
 
 from cicadapier._internal.decisions import leases
+from cicadapier._internal.decisions import order_links
 from cicadapier._internal.kernel import random_tokens
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import configuration
@@ -33,6 +36,8 @@
 ROUND_S = 0.5
 CONNECT_TIMEOUT_S = 0.5
 NONCE_BYTES = 12
+# Time for which a router that reaches none of the engines leaves the orders to the others.
+HANDED_OVER_PAUSE_S = 10.0
 
 _log = structlog.get_logger()
 
@@ -74,6 +79,8 @@
         self._nonce = token_source.token_hex(NONCE_BYTES)
         self._tokens = token_source
         self._leases: dict[ids.PoolId, leases.Lease] = {}
+        self._links: dict[ids.PoolId, order_links.OrderLinks] = {}
+        self._handed_over_at: dict[ids.PoolId, float] = {}
         self._loading: set[ids.UpstreamId] = set()
         self._configuration: configuration_service.ConfigurationService | None = None
         self._connections: connections_service.ConnectionsService | None = None
@@ -97,22 +104,30 @@
         assert self._configuration
         for pool_id, pool in self._configuration.current.content.pools.items():
             due = self._due_orders(pool_id, pool)
-            if not due:
+            handed_over_at = self._handed_over_at.get(pool_id, -math.inf)
+            if not due or self._clock() - handed_over_at < HANDED_OVER_PAUSE_S:
                 continue
             lease = self._leases.setdefault(pool_id, leases.Lease(self._vm, self._nonce))
+            links = self._links.setdefault(pool_id, order_links.OrderLinks())
+            if lease.is_holder and links.are_lost({o.upstream for o in due}, self._clock()):
+                await self._hand_over(pool_id, lease, links)
+                continue
             if not await self._acquire_or_renew_lease(pool_id, lease):
                 continue
+            ready = [order for order in due if order.upstream not in self._loading]
+            unreached = links.unreached(self._clock())
+            ready.sort(key=lambda order: order.upstream in unreached)
             free_slots = pool.loads_at_once - len(self._loading)
-            for order in due[: max(0, free_slots)]:
+            for order in ready[: max(0, free_slots)]:
                 self._loading.add(order.upstream)
-                nursery.start_soon(self._run_order, order, lease)
+                nursery.start_soon(self._run_order, order, lease, links)
 
     def _due_orders(self, pool_id: ids.PoolId, pool: configuration.Pool) -> list[Order]:
         assert self._upstreams
         due = []
         for upstream_id, spec in pool.upstreams.items():
             reported = self._upstreams.model_versions.get(upstream_id, {})
-            if upstream_id in self._loading or spec.leaving:
+            if spec.leaving:
                 continue
             for model_id, model in pool.models.items():
                 if reported.get(model_id, model.weights_version) != model.weights_version:
@@ -120,20 +135,38 @@
                     due.append(Order(pool_id, upstream_id, spec.address, model_id, version))
         return due
 
+    async def _hand_over(
+        self, pool_id: ids.PoolId, lease: leases.Lease, links: order_links.OrderLinks
+    ) -> None:
+        """Releases the lease, because this router reaches none of the engines."""
+        _log.info("order_links_lost", pool=pool_id)
+        self._handed_over_at[pool_id] = self._clock()
+        links.forget()
+        await self._write_next(pool_id, lease, lambda: lease.propose_hand_over(self._clock()))
+
     async def _acquire_or_renew_lease(self, pool_id: ids.PoolId, lease: leases.Lease) -> bool:
         """Takes or renews the lease; returns whether orders may be sent now."""
+        await self._write_next(pool_id, lease, lambda: lease.propose(self._clock()))
+        return lease.fencing_token(self._clock()) is not None
+
+    async def _write_next(
+        self,
+        pool_id: ids.PoolId,
+        lease: leases.Lease,
+        propose: collections.abc.Callable[[], leases.LeaseObject | None],
+    ) -> None:
+        """Reads the lease, and writes what is proposed on it."""
         assert self._platform
         name = f"orders-{pool_id}"
         try:
             stored = await self._platform.get(LEASE_KIND, name)
             lease.observe(lease_objects.read_lease(stored), self._clock())
-            proposal = lease.propose(self._clock())
+            proposal = propose()
             if proposal:
                 await self._write_lease(name, stored, lease, proposal)
         except (exceptions.PlatformUnavailableError, exceptions.PlatformRefusedError):
             # The next read shows whether an unanswered write took effect.
             pass
-        return lease.fencing_token(self._clock()) is not None
 
     async def _write_lease(
         self,
@@ -156,18 +189,27 @@
         else:
             lease.record_refused(proposal)
 
-    async def _run_order(self, order: Order, lease: leases.Lease) -> None:
+    async def _run_order(
+        self, order: Order, lease: leases.Lease, links: order_links.OrderLinks
+    ) -> None:
         try:
             with trio.move_on_after(leases.MAX_ORDER_S):
-                await self._send_order(order, lease)
+                await self._send_order(order, lease, links)
         except protocol_exceptions.ProtocolError as exc:
             _log.warning("order_failed", upstream=order.upstream, reason=str(exc))
         finally:
             self._loading.discard(order.upstream)
 
-    async def _send_order(self, order: Order, lease: leases.Lease) -> None:
+    async def _send_order(
+        self, order: Order, lease: leases.Lease, links: order_links.OrderLinks
+    ) -> None:
         assert self._connections
-        conn = await self._connections.open_direct(order.address, CONNECT_TIMEOUT_S)
+        try:
+            conn = await self._connections.open_direct(order.address, CONNECT_TIMEOUT_S)
+        except protocol_exceptions.ConnectError:
+            links.record_unreached(order.upstream, self._clock())
+            raise
+        links.record_reached(order.upstream, self._clock())
         try:
             conn.limit_delivery(leases.MAX_ORDER_S)
             # The lease may have expired while the connection was being opened.
