--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -319,7 +319,7 @@
     planted_bug.Mutant(
         "keep an order lease that cannot be used",
         "services/weights_service.py",
-        "state.lease.is_holder and state.links.are_lost(remaining, now)",
+        "state.lease.is_holder and self._are_links_lost(state, remaining, now)",
         "False",
         f"{planted_bug.SERVICES}.test_cut_order_holder",
     ),
@@ -330,6 +330,34 @@
         "                pass\n",
         f"{planted_bug.DECISIONS}.test_leases",
     ),
+    planted_bug.Mutant(
+        "let the same routers try the order lease after each hand-over",
+        "decisions/lease_candidacy.py",
+        'f"{vacancy.pool}/{vacancy.hand_overs}"',
+        'f"{vacancy.pool}"',
+        f"{planted_bug.DECISIONS}.test_lease_candidacy",
+    ),
+    planted_bug.Mutant(
+        "take news that was held up for new",
+        "decisions/learned_age.py",
+        "if now - self._awake_at > MAX_PAUSE_S:",
+        "if False:",
+        f"{planted_bug.SERVICES}.test_held_up_targets",
+    ),
+    planted_bug.Mutant(
+        "doubt an upstream that refuses a request because its weights are older",
+        "decisions/placer.py",
+        "    member.versions[model] = served\n",
+        "    pass\n",
+        f"{planted_bug.SERVICES}.test_mistaken_weights",
+    ),
+    planted_bug.Mutant(
+        "carry on what a router has reset",
+        "services/tunnels_service.py",
+        "self.is_broken or transport.was_reset(self._router)",
+        "self.is_broken",
+        f"{planted_bug.SERVICES}.test_tunnel_endings",
+    ),
     planted_bug.Mutant(
         "deliver requests that were given up",
         "protocols/http_client.py",
