--- a/src/cicadapier/_internal/protocols/transport.py
+++ b/src/cicadapier/_internal/protocols/transport.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections.abc
+import select
 import socket
 import ssl
 import struct
@@ -69,7 +70,20 @@
         stream.reset_on_close(resets)
     elif isinstance(stream, trio.SocketStream):
         linger = _LINGER_FOR_NO_TIME if resets else _NO_LINGER
-        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        if stream.socket.fileno() >= 0:  # Otherwise, it was closed meanwhile.
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+def was_reset(stream: trio.abc.Stream) -> bool:
+    """Returns whether the peer has reset a connection, also while input is left to be read.
+
+    The kernel hands out input that came before the reset; streams in memory discard it.
+    """
+    if not isinstance(stream, trio.SocketStream) or stream.socket.fileno() < 0:
+        return False
+    poller = select.poll()
+    poller.register(stream.socket.fileno(), 0)
+    return any(events & select.POLLERR for _, events in poller.poll(0))
 
 
 def limit_delivery(stream: trio.abc.Stream, limit_s: float) -> None:
--- a/src/cicadapier/_internal/services/weights_service.py
+++ b/src/cicadapier/_internal/services/weights_service.py
@@ -13,6 +13,7 @@
 import structlog
 import trio
 
+from cicadapier._internal.decisions import learned_age
 from cicadapier._internal.decisions import lease_candidacy
 from cicadapier._internal.decisions import leases
 from cicadapier._internal.decisions import members
@@ -49,36 +50,53 @@
 QUIET_MARGIN_S = 0.3
 LEASE_DELIVERY_S = engine_orders.CALL_TIMEOUT_S - QUIET_MARGIN_S
 NONCE_BYTES = 12
-# Maximum age assumed for a target that was set before the watch got its first answer or while it
-# got none. The rest of the time in which requests may start on older weights remains for updating
-# the engines.
-MAX_ASSUMED_AGE_S = 4.4
+AWAKE_INTERVAL_S = 0.2
 
 _log = structlog.get_logger()
 
 
 @dataclasses.dataclass(slots=True)
-class _PoolState:
-    """State of the updates of one pool.
+class _ModelState:
+    """State of the updates of one pool to the target of one model.
 
     Attributes:
-        lease: The lease that is required for orders to its engines.
+        target: The current target version.
         outdated_since: Time since which some engine is outdated; None if no engine is.
         updating: Engines that this router is updating; the scopes cancel the updates.
         loaded: Weights version of the engines that it has updated to the current target.
-        target: The current target version.
-        links: Links of this router to the engines, judged by its orders.
-        handed_over_at: Time at which this router last handed the lease over.
     """
 
-    lease: order_lease.OrderLease
+    target: int
     outdated_since: float | None = None
     updating: dict[ids.UpstreamId, trio.CancelScope] = dataclasses.field(default_factory=dict)
     loaded: dict[str, str] = dataclasses.field(default_factory=dict)
-    target: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _PoolState:
+    """State of the updates of one pool.
+
+    Attributes:
+        lease: The lease that is required for orders to its engines.
+        models: State of each model.
+        links: Links of this router to the engines, judged by its orders.
+        handed_over_at: Time at which this router last handed the lease over.
+    """
+
+    lease: order_lease.OrderLease
+    models: dict[ids.ModelId, _ModelState] = dataclasses.field(default_factory=dict)
     links: order_links.OrderLinks = dataclasses.field(default_factory=order_links.OrderLinks)
     handed_over_at: float = -math.inf
 
+    @property
+    def updating(self) -> dict[ids.UpstreamId, trio.CancelScope]:
+        """Engines that this router is updating to the target of any model."""
+        return {
+            upstream: scope
+            for state in self.models.values()
+            for upstream, scope in state.updating.items()
+        }
+
 
 class WeightsService(service.Service, watching.WatchHandler):
     """Watches the target versions and sends load orders while this router holds the lease."""
@@ -111,9 +129,7 @@
             delivery_s=LEASE_DELIVERY_S,
         )
         self._released = False
-        self._is_watch_answered = False
-        self._last_answer_at = -math.inf
-        self._assumed_set_at = 0.0
+        self._learned_age = learned_age.LearnedAge()
         self._target_set_event = trio.Event()
         self._target_versions: dict[ids.ModelId, int] = {}
         self._pools: dict[ids.PoolId, _PoolState] = {}
@@ -143,6 +159,7 @@
         platform = kernel.find(names.PLATFORM)
         watch = watching.Watch(platform, kind, WATCH_OPTIONS, self, self._clock, self._rng)
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._record_awake)
             nursery.start_soon(watch.run)
             task_status.started()
             while True:
@@ -151,9 +168,18 @@
                     await self._round(target, nursery, kernel.is_stopping)
                 await self._pause()
 
+    async def _record_awake(self) -> None:
+        while True:
+            self._learned_age.record_awake(self._clock())
+            await trio.sleep(AWAKE_INTERVAL_S)
+
     async def _pause(self) -> None:
         """Waits until a target is set, a shared object changes, or the next round is due."""
-        idle = all(state.outdated_since is None for state in self._pools.values())
+        idle = all(
+            state.outdated_since is None
+            for pool in self._pools.values()
+            for state in pool.models.values()
+        )
         async with trio.open_nursery() as nursery:
             for event in (self._target_set_event, self.cluster.changed_event):
                 nursery.start_soon(_cancel_on_event, event, nursery.cancel_scope)
@@ -180,17 +206,11 @@
 
     def record_answer(self, queried_at: float) -> None:
         """See `watching.WatchHandler.record_answer`."""
-        now = self._clock()
-        # After unanswered queries, a target may have been set at any time since the last answer.
-        self._assumed_set_at = (
-            now if self._is_watch_answered else max(self._last_answer_at, now - MAX_ASSUMED_AGE_S)
-        )
-        self._is_watch_answered = True
-        self._last_answer_at = now
+        self._learned_age.record_answer(queried_at, self._clock())
 
     def record_failure(self) -> None:
         """See `watching.WatchHandler.record_failure`."""
-        self._is_watch_answered = False
+        self._learned_age.record_failure()
 
     def handle_listing(self, objects: tuple[store_format.StoredObject, ...]) -> None:
         """See `watching.WatchHandler.handle_listing`."""
@@ -212,7 +232,7 @@
         self._target_versions[target.model] = target.version
         self._target_set_event.set()
         assert self._traffic
-        age_s = self._clock() - self._assumed_set_at
+        age_s = self._learned_age.age_s(self._clock())
         self._traffic.mailbox.send(
             traffic_messages.TargetVersionSet(target.model, target.version, age_s)
         )
@@ -233,19 +253,22 @@
         self, target: engine_orders.Target, nursery: trio.Nursery, stopping: bool
     ) -> None:
         state = self._pool_state(target)
+        model_state = self._model_state(state, target)
         note = state.lease.observe()
         if note is not None:
             self._apply_note(target.pool, note)
         pool_engines = await self._get_engines(target)
         outdated = rollout.outdated_engines(pool_engines, target.version)
         must_update_note = state.lease.is_holder and bool(state.lease.note.loading)
-        if not (outdated or state.updating or must_update_note):
-            state.outdated_since = None
+        must_update_note = must_update_note and state.lease.note.model == target.model
+        if not (outdated or model_state.updating or must_update_note):
+            model_state.outdated_since = None
             return
         now = self._clock()
-        if state.outdated_since is None:
-            state.outdated_since = now
-        if self._released or not self._may_take_lease(state, now, stopping):
+        if model_state.outdated_since is None:
+            model_state.outdated_since = now
+        outdated_since = model_state.outdated_since
+        if self._released or not self._may_take_lease(state, outdated_since, now, stopping):
             return
         remaining = [engine.upstream for engine in outdated]
         if state.lease.is_holder and self._are_links_lost(state, remaining, now):
@@ -263,7 +286,7 @@
         if not await self._acquire_or_renew_lease(target, state, selected) or self._released:
             return
         for upstream in selected:
-            state.updating[upstream] = trio.CancelScope()
+            model_state.updating[upstream] = trio.CancelScope()
             nursery.start_soon(self._update_engine, target, state, by_id[upstream])
 
     def _pool_state(self, target: engine_orders.Target) -> _PoolState:
@@ -276,11 +299,15 @@
                 order_lease.OrderLease(target.pool, lease, self._nonce, self.cluster, self._clock)
             )
             self._pools[target.pool] = state
-        if target.version != state.target:
-            state.target = target.version
-            state.loaded = {}
         return state
 
+    def _model_state(self, state: _PoolState, target: engine_orders.Target) -> _ModelState:
+        model_state = state.models.setdefault(target.model, _ModelState(target.version))
+        if target.version != model_state.target:
+            model_state.target = target.version
+            model_state.loaded = {}
+        return model_state
+
     async def _get_engines(self, target: engine_orders.Target) -> tuple[rollout.Engine, ...]:
         assert self._traffic
         reply: mailbox.Reply[tuple[rollout.Engine, ...]] = mailbox.Reply()
@@ -310,7 +337,9 @@
         weights = members.Weights(model, version)
         self._traffic.mailbox.send(traffic_messages.StatusReported(pool, upstream, None, weights))
 
-    def _may_take_lease(self, state: _PoolState, now: float, stopping: bool) -> bool:
+    def _may_take_lease(
+        self, state: _PoolState, outdated_since: float, now: float, stopping: bool
+    ) -> bool:
         """Returns whether this router may try to take or renew the lease now.
 
         A router that is stopping keeps a lease that it holds, but takes no other.
@@ -319,8 +348,7 @@
             return True
         if stopping or self.links.all_lost:
             return False
-        assert state.outdated_since is not None
-        vacancy = state.lease.vacancy(state.outdated_since)
+        vacancy = state.lease.vacancy(outdated_since)
         return now >= lease_candidacy.earliest_attempt(
             self._vm, self.cluster.routers(), vacancy, state.handed_over_at
         )
@@ -363,7 +391,8 @@
         """
         usable = state.lease.fencing_token() is not None
         loading = sorted([*state.updating, *(selected if usable else [])])
-        note = order_lease.Note(target.model, list(loading), dict(state.loaded))
+        loaded = state.models[target.model].loaded
+        note = order_lease.Note(target.model, list(loading), dict(loaded))
         is_outcome_known = await state.lease.acquire_or_renew(note)
         return is_outcome_known and usable and state.lease.fencing_token() is not None
 
@@ -375,14 +404,15 @@
         self._report_loading(target.pool, engine.upstream, LOADING_EXPIRES_S)
         started_at = self._clock()
         step = rollout.Step.GIVE_UP
+        model_state = state.models[target.model]
         try:
-            with state.updating[engine.upstream]:
+            with model_state.updating[engine.upstream]:
                 await trio.sleep(ANNOUNCEMENT_LEAD_S)
                 step = await self._engine_orders.update_engine(
                     target, engine, functools.partial(self._take_token, state), state.links
                 )
         finally:
-            del state.updating[engine.upstream]
+            del model_state.updating[engine.upstream]
         done = step is rollout.Step.DONE
         _log.info(
             "weights_loaded" if done else "weights_not_loaded",
@@ -392,8 +422,8 @@
         )
         if done:
             version = str(target.version)
-            if state.target == target.version:
-                state.loaded[engine.upstream] = version
+            if model_state.target == target.version:
+                model_state.loaded[engine.upstream] = version
             self._report_loaded(target.pool, engine.upstream, target.model, version)
         else:
             self._report_loading(target.pool, engine.upstream, 0.0)
