Carry the answer to a request that is still being sent, and the rest of the request (RECOVER)

What callers saw: nothing yet, found by a test before a release. An upstream that answers before it has read the request (a refusal, say) and ends its side: the carrying router closed both connections at the first end, with unread input, which is a reset, and the router that had asked could lose the answer. A refusal "not run" became "may have run".

Evidence: test_tunnel_endings on real sockets, on: 1 of 7 fails (ConnectionResetError while sending 5 MB after the answer); now 7 of 7. The others held before: a reset is a reset, an answer without a length is whole if it ended and reset if the carrying router ends, a close by the router is at the upstream within 0.1 s also while it sends much, a router that doesn't read holds back the upstream, 5 MB arrive.

The end of an upstream is now told to the router, which has LINGER_S to close; a failure to send towards the upstream doesn't end what it has answered. Streams that cannot be half closed (memory, TLS) are closed as before.

--- a/src/cicadapier/_internal/services/tunnels_service.py
+++ b/src/cicadapier/_internal/services/tunnels_service.py
@@ -23,6 +23,9 @@
 CONNECT_TIMEOUT_S = 0.3
 IDLE_TIMEOUT_S = 300.0
 IDLE_CHECK_INTERVAL_S = 10.0
+# Time for a router to close its connection once the upstream has ended. A close with unread data
+# is a reset, which could discard the end of the answer.
+LINGER_S = 2.0
 CHUNK_BYTES = 16_384
 MAX_PENDING = 64  # Connections beyond `max_tunnels` whose request is answered, with a refusal.
 
@@ -30,7 +33,10 @@
 
 
 class _Carrier:
-    """Carries the bytes of one tunnel in both directions until one end closes it.
+    """Carries the bytes of one tunnel in both directions.
+
+    A router closes a connection as a whole. An upstream may end its answer before it has read the
+    request, so the router gets the answer and may finish sending.
 
     Attributes:
         bytes_carried: Number of bytes that were carried.
@@ -45,25 +51,54 @@
         self._last_progress_at = trio.current_time()
 
     async def run(self) -> None:
-        """Carries bytes; returns once either end has closed or reset its connection."""
+        """Carries bytes until the router closes its connection or the upstream has ended."""
         async with trio.open_nursery() as nursery:
             scope = nursery.cancel_scope
-            nursery.start_soon(self._copy, self._router, self._upstream, scope)
-            nursery.start_soon(self._copy, self._upstream, self._router, scope)
+            nursery.start_soon(self._carry_requests, scope)
+            nursery.start_soon(self._carry_answers, scope)
             nursery.start_soon(self._end_if_idle, scope)
 
-    async def _copy(
-        self, source: trio.abc.Stream, sink: trio.abc.Stream, scope: trio.CancelScope
-    ) -> None:
+    async def _carry_requests(self, scope: trio.CancelScope) -> None:
+        is_read = True
         try:
-            while data := await source.receive_some(CHUNK_BYTES):
-                await sink.send_all(data)
-                self.bytes_carried += len(data)
-                self._last_progress_at = trio.current_time()
+            while data := await self._router.receive_some(CHUNK_BYTES):
+                # An upstream that reads no more may have sent an answer, which is carried still.
+                is_read = is_read and await self._send_request(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self.is_broken = True
         scope.cancel()
 
+    async def _send_request(self, data: bytes | bytearray) -> bool:
+        """Returns whether the upstream still accepts data."""
+        try:
+            await self._upstream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return False
+        self._count(data)
+        return True
+
+    async def _carry_answers(self, scope: trio.CancelScope) -> None:
+        try:
+            while data := await self._upstream.receive_some(CHUNK_BYTES):
+                await self._router.send_all(data)
+                self._count(data)
+            await self._end_answers(scope)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.is_broken = True
+            scope.cancel()
+
+    async def _end_answers(self, scope: trio.CancelScope) -> None:
+        """Tells the router that the upstream has ended, and gives it time to close."""
+        if not isinstance(self._router, trio.abc.HalfCloseableStream):
+            scope.cancel()
+            return
+        scope.deadline = trio.current_time() + LINGER_S
+        await self._router.send_eof()
+
+    def _count(self, data: bytes | bytearray) -> None:
+        self.bytes_carried += len(data)
+        self._last_progress_at = trio.current_time()
+
     async def _end_if_idle(self, scope: trio.CancelScope) -> None:
         while trio.current_time() - self._last_progress_at < IDLE_TIMEOUT_S:
             await trio.sleep(IDLE_CHECK_INTERVAL_S)
@@ -105,6 +140,11 @@
             peers.set_tunnel_port(settings.split_address(self._address)[1])
             task_status.started()
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections of peers that are open, with those that were not answered yet."""
+        return self._open_tunnels
+
     @property
     def listen_address(self) -> ids.Address | None:
         """See `service.Service.listen_address`."""
