--- a/src/cicadapier/_internal/protocols/transport.py
+++ b/src/cicadapier/_internal/protocols/transport.py
@@ -157,12 +157,18 @@
     return all(isinstance(cause, ConnectionRefusedError) for cause in causes.exceptions)
 
 
-def enable_keepalive(stream: trio.abc.Stream) -> None:
-    """Makes the kernel close a connection if the peer disappears."""
+def enable_keepalive(stream: trio.abc.Stream, user_timeout_ms: int = USER_TIMEOUT_MS) -> None:
+    """Makes the kernel close a connection if the peer disappears.
+
+    Args:
+        stream: The stream.
+        user_timeout_ms: Time after which it is closed. It is closed as well if the peer does not
+            read for so long although there is something to read.
+    """
     if not isinstance(stream, trio.SocketStream):
         return
     stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
--- a/src/cicadapier/_internal/services/tunnels_service.py
+++ b/src/cicadapier/_internal/services/tunnels_service.py
@@ -26,6 +26,8 @@
 # Time for a router to close its connection once the upstream has ended. A close with unread data
 # is a reset, which could discard the end of the answer.
 LINGER_S = 2.0
+# Time for which a router may leave an answer unread, as a caller of it does that reads slowly.
+UNREAD_TIMEOUT_MS = 30_000
 CHUNK_BYTES = 16_384
 MAX_PENDING = 64  # Connections beyond `max_tunnels` whose request is answered, with a refusal.
 
@@ -158,7 +160,7 @@
         """Serves one connection of a peer."""
         # A router that ends must not look like an upstream that has finished its answer.
         transport.reset_on_close(stream)
-        transport.enable_keepalive(stream)
+        transport.enable_keepalive(stream, UNREAD_TIMEOUT_MS)
         self._open_tunnels += 1
         try:
             await self._serve_tunnel(stream)
--- a/tests/_internal/services/test_tunnel_endings.py
+++ b/tests/_internal/services/test_tunnel_endings.py
@@ -139,6 +139,19 @@
 
         self.check(_send_endlessly, test)
 
+    def test_reader_that_pauses_for_seconds_gets_the_rest(self):
+        async def begin(upstream, stream):
+            await stream.send_all(HEAD + b"x" * 4 * LARGE_BYTES)
+            await stream.aclose()
+
+        async def test(rig, upstream, stream):
+            await trio.sleep(4.0)
+            data, was_reset = await tunnel_rig.receive_all(stream)
+            self.assertEqual((len(data), was_reset), (len(HEAD) + 4 * LARGE_BYTES, False))
+            await stream.aclose()
+
+        self.check(begin, test)
+
     def test_large_request_arrives_whole(self):
         async def test(rig, upstream, stream):
             await stream.send_all(b"x" * LARGE_BYTES)
