--- a/src/cicadapier/_internal/protocols/tunnels.py
+++ b/src/cicadapier/_internal/protocols/tunnels.py
@@ -17,7 +17,6 @@
 from cicadapier._internal.protocols import transport
 
 MAX_HEAD_BYTES = 2048
-_READ_BYTES = 4096
 _METHOD = b"CONNECT"
 _SECRET = b"x-peer-secret"
 _OUTCOME = b"tunnel-outcome"
@@ -181,9 +180,15 @@
 
 
 async def _next_event(conn: h11.Connection, stream: trio.abc.Stream) -> h11.Event:
+    """Returns the next event of a message; reads at most `MAX_HEAD_BYTES`."""
+    bytes_left = MAX_HEAD_BYTES
     try:
         while (event := conn.next_event()) is h11.NEED_DATA:
-            conn.receive_data(bytes(await stream.receive_some(_READ_BYTES)))
+            if not bytes_left:
+                raise exceptions.MalformedMessageError(f"no head in {MAX_HEAD_BYTES} bytes")
+            data = bytes(await stream.receive_some(bytes_left))
+            bytes_left -= len(data)
+            conn.receive_data(data)
     except h11.RemoteProtocolError as exc:
         raise exceptions.MalformedMessageError(str(exc)) from exc
     except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
