--- a/src/cicadapier/_internal/protocols/tunnels.py
+++ b/src/cicadapier/_internal/protocols/tunnels.py
@@ -20,6 +20,7 @@
 _METHOD = b"CONNECT"
 _SECRET = b"x-peer-secret"
 _OUTCOME = b"tunnel-outcome"
+_FRAMING = frozenset((b"content-length", b"transfer-encoding"))
 
 
 class Outcome(enum.Enum):
@@ -120,7 +121,11 @@
             return Outcome.MALFORMED
         if not isinstance(request, h11.Request) or request.method != _METHOD:
             return Outcome.MALFORMED
-        received = dict(request.headers).get(_SECRET, b"")
+        headers = dict(request.headers)
+        if _FRAMING.intersection(headers) or self._h11.trailing_data[0]:
+            # The upstream would not get what belongs to no head.
+            return Outcome.MALFORMED
+        received = headers.get(_SECRET, b"")
         if not hmac.compare_digest(received, secret.encode()):
             return Outcome.FORBIDDEN
         return ids.Address(request.target.decode("ascii"))
--- a/tests/_internal/protocols/test_tunnels.py
+++ b/tests/_internal/protocols/test_tunnels.py
@@ -150,6 +150,18 @@
                 result, _ = _receive(REQUEST + header + b"\r\n")
                 self.assertIs(result, Outcome.FORBIDDEN)
 
+    def test_data_before_the_answer_is_malformed(self):
+        for parts in ((b"\r\nGET / HTTP/1.1\r\n\r\n",), (b"Content-Length: 5\r\n\r\nhello",)):
+            with self.subTest(parts):
+                result, _ = _receive(WITH_SECRET + parts[0])
+                self.assertIs(result, Outcome.MALFORMED)
+
+    def test_body_is_malformed(self):
+        for header in (b"Content-Length: 5\r\n", b"Transfer-Encoding: chunked\r\n"):
+            with self.subTest(header):
+                result, _ = _receive(WITH_SECRET + header + b"\r\n")
+                self.assertIs(result, Outcome.MALFORMED)
+
     def test_other_requests_are_malformed(self):
         for data in (
             b"GET / HTTP/1.1\r\nHost: x\r\nX-Peer-Secret: the routers' own\r\n\r\n",
