--- a/src/cicadapier/_internal/protocols/tunnels.py
+++ b/src/cicadapier/_internal/protocols/tunnels.py
@@ -154,12 +154,11 @@
     After `Outcome.OPEN`, the connection carries the bytes of the upstream.
 
     Raises:
-        ProtocolError: The peer closed the connection, or its response cannot be read.
+        ProtocolError: The peer closed the connection, its response cannot be read, or the address
+            or the secret cannot be sent.
     """
     conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-    headers = [(b"host", upstream.encode("ascii")), (_SECRET, secret.encode())]
-    request = h11.Request(method=_METHOD, target=upstream.encode("ascii"), headers=headers)
-    data = (conn.send(request) or b"") + (conn.send(h11.EndOfMessage()) or b"")
+    data = _encode_request(conn, upstream, secret)
     try:
         await stream.send_all(data)
     except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
@@ -173,6 +172,16 @@
     return outcome
 
 
+def _encode_request(conn: h11.Connection, upstream: ids.Address, secret: str) -> bytes:
+    try:
+        target = upstream.encode("ascii")
+        headers = [(b"host", target), (_SECRET, secret.encode())]
+        request = h11.Request(method=_METHOD, target=target, headers=headers)
+    except (UnicodeError, h11.LocalProtocolError) as exc:
+        raise exceptions.MalformedMessageError(f"no request can bear {upstream!r}: {exc}") from exc
+    return (conn.send(request) or b"") + (conn.send(h11.EndOfMessage()) or b"")
+
+
 def _read_outcome(response: h11.Response) -> Outcome:
     value = dict(response.headers).get(_OUTCOME, b"")
     try:
--- a/tests/_internal/protocols/test_tunnels.py
+++ b/tests/_internal/protocols/test_tunnels.py
@@ -219,6 +219,21 @@
                 result, _ = _request(data)
                 self.assertIsInstance(result, exceptions.ProtocolError)
 
+    def test_address_or_secret_that_no_head_can_bear_is_an_error(self):
+        for upstream, secret in (
+            ("h\u00f6st:80", SECRET),
+            ("a b:80", SECRET),
+            ("a\r\nX: y:80", SECRET),
+            ("", SECRET),
+        ):
+            with self.subTest(upstream=upstream, secret=secret):
+
+                async def main(upstream=upstream, secret=secret):
+                    with self.assertRaises(exceptions.ProtocolError):
+                        await tunnels.request_tunnel(_Recorder([OPEN]), upstream, secret)
+
+                support.run(main)
+
 
 if __name__ == "__main__":
     unittest.main()
