--- a/src/cicadapier/_internal/services/tunnels_service.py
+++ b/src/cicadapier/_internal/services/tunnels_service.py
@@ -29,7 +29,7 @@
 # Time for which a router may leave an answer unread, as a caller of it does that reads slowly.
 UNREAD_TIMEOUT_MS = 30_000
 CHUNK_BYTES = 16_384
-MAX_PENDING = 64  # Connections beyond `max_tunnels` whose request is answered, with a refusal.
+MAX_PENDING = 64  # Connections whose request is awaited; further ones are closed.
 
 _log = structlog.get_logger()
 
@@ -122,7 +122,9 @@
         self._cfg = cfg
         self._listen_network = listen_network
         self._connect_network = connect_network
-        self._open_tunnels = 0
+        self._open_connections = 0
+        self._pending = 0
+        self._tunnels = 0
         self._is_stopping = False
         self._address: ids.Address | None = None
 
@@ -145,7 +147,7 @@
     @property
     def open_connections(self) -> int:
         """Number of connections of peers that are open, with those that were not answered yet."""
-        return self._open_tunnels
+        return self._open_connections
 
     @property
     def listen_address(self) -> ids.Address | None:
@@ -161,29 +163,45 @@
         # A router that ends must not look like an upstream that has finished its answer.
         transport.reset_on_close(stream)
         transport.enable_keepalive(stream, UNREAD_TIMEOUT_MS)
-        self._open_tunnels += 1
+        self._open_connections += 1
         try:
             await self._serve_tunnel(stream)
         except exceptions.ProtocolError as exc:
             _log.debug("tunnel_not_served", reason=str(exc))
         finally:
-            self._open_tunnels -= 1
+            self._open_connections -= 1
             await trio.aclose_forcefully(stream)
 
     async def _serve_tunnel(self, stream: trio.abc.Stream) -> None:
-        if self._open_tunnels > self._cfg.peers.max_tunnels + MAX_PENDING:
+        if self._pending >= MAX_PENDING:
             return
         request = tunnels.TunnelRequest(stream)
-        address: ids.Address | tunnels.Outcome = tunnels.Outcome.MALFORMED
-        with trio.move_on_after(REQUEST_TIMEOUT_S):
-            address = await request.receive(self._cfg.peers.secret)
-        if isinstance(address, tunnels.Outcome):
-            await self._refuse(request, stream, address)
-            return
-        refusal = self._find_refusal(address)
+        address = await self._receive(request)
+        refusal = address if isinstance(address, tunnels.Outcome) else self._find_refusal(address)
         if refusal is not None:
             await self._refuse(request, stream, refusal)
             return
+        assert not isinstance(address, tunnels.Outcome)
+        self._tunnels += 1
+        try:
+            await self._open(request, stream, address)
+        finally:
+            self._tunnels -= 1
+
+    async def _receive(self, request: tunnels.TunnelRequest) -> ids.Address | tunnels.Outcome:
+        """Returns the address that is requested, or why no tunnel is opened."""
+        self._pending += 1
+        try:
+            with trio.move_on_after(REQUEST_TIMEOUT_S):
+                return await request.receive(self._cfg.peers.secret)
+            return tunnels.Outcome.MALFORMED
+        finally:
+            self._pending -= 1
+
+    async def _open(
+        self, request: tunnels.TunnelRequest, stream: trio.abc.Stream, address: ids.Address
+    ) -> None:
+        """Opens a tunnel and carries its bytes until it ends."""
         try:
             upstream = await self._connect_network.connect(address, CONNECT_TIMEOUT_S)
         except exceptions.ConnectRefusedError:
@@ -205,7 +223,7 @@
             return tunnels.Outcome.UNREGISTERED
         if self._is_stopping:
             return tunnels.Outcome.STOPPING
-        if self._open_tunnels > self._cfg.peers.max_tunnels:
+        if self._tunnels >= self._cfg.peers.max_tunnels:
             return tunnels.Outcome.FULL
         return tunnels.Outcome.LINKS_LOST if self._links.all_lost else None
 
