--- a/src/cicadapier/_internal/services/connections_service.py
+++ b/src/cicadapier/_internal/services/connections_service.py
@@ -149,14 +149,16 @@
             ConnectError: No connection could be opened.
         """
         while conn := await self._request_idle(address):
-            if self._is_usable(address, conn):
+            if self._is_usable(address, conn, trio.current_time()):
                 return conn
             # Upstreams close idle connections, so this is no evidence against the other ones.
             await conn.close()
         return await self.open(address, timeout_s)
 
-    def _is_usable(self, address: ids.Address, conn: http_client.ClientConnection) -> bool:
-        if conn.is_stale or _is_idle_too_long(conn, trio.current_time()):
+    def _is_usable(
+        self, address: ids.Address, conn: http_client.ClientConnection, now: float
+    ) -> bool:
+        if conn.is_stale or _is_idle_too_long(conn, now):
             return False
         return self._links.suits(address, conn.peer)
 
@@ -260,7 +262,7 @@
         now = trio.current_time()
         for address, idle in list(self._idle.items()):
             # Input on an idle connection means that it was closed or is out of step with its peer.
-            expired = [conn for conn in idle if conn.is_stale or _is_idle_too_long(conn, now)]
+            expired = [conn for conn in idle if not self._is_usable(address, conn, now)]
             self._idle[address] = [conn for conn in idle if conn not in expired]
             for conn in expired:
                 await conn.close()
--- a/src/cicadapier/_internal/services/tunnels_service.py
+++ b/src/cicadapier/_internal/services/tunnels_service.py
@@ -29,6 +29,8 @@
 # Time for which a router may leave an answer unread, as a caller of it does that reads slowly.
 UNREAD_TIMEOUT_MS = 30_000
 CHUNK_BYTES = 16_384
+MAX_DRAIN_S = 5.0
+DRAIN_POLL_S = 0.05
 MAX_PENDING = 64  # Connections whose request is awaited; further ones are closed.
 
 _log = structlog.get_logger()
@@ -125,11 +127,11 @@
         self._open_connections = 0
         self._pending = 0
         self._tunnels = 0
-        self._is_stopping = False
         self._address: ids.Address | None = None
 
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
+        self._kernel = kernel
         self._directory: directory_service.DirectoryService = kernel.find(names.UPSTREAMS)
         self._links: links_service.LinksService = kernel.find(names.LINKS)
         self._telemetry: telemetry_service.TelemetryService = kernel.find(names.TELEMETRY)
@@ -155,8 +157,13 @@
         return self._address
 
     async def drain(self) -> None:
-        """Opens no further tunnels; those that are open go on until the process ends."""
-        self._is_stopping = True
+        """Waits until the tunnels have ended; none is opened since the router began to stop.
+
+        Peers use no further tunnels of a router that tells them that it is leaving.
+        """
+        with trio.move_on_after(MAX_DRAIN_S):
+            while self._tunnels:
+                await trio.sleep(DRAIN_POLL_S)
 
     async def _serve(self, stream: trio.abc.Stream) -> None:
         """Serves one connection of a peer."""
@@ -221,7 +228,7 @@
         """Returns why no tunnel to an address is opened, or None."""
         if address not in self._directory.addresses:
             return tunnels.Outcome.UNREGISTERED
-        if self._is_stopping:
+        if self._kernel.is_stopping:
             return tunnels.Outcome.STOPPING
         if self._tunnels >= self._cfg.peers.max_tunnels:
             return tunnels.Outcome.FULL
--- a/tests/_internal/services/test_runs_over_lost_links.py
+++ b/tests/_internal/services/test_runs_over_lost_links.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from cicadapier._internal.standins import forwarding_deployment
 from cicadapier._internal.standins import router_links
 from tests import forwarding_world
 
@@ -64,6 +65,23 @@
 
         forwarding_world.run_in_world(check, routers=ROUTERS)
 
+    def test_stream_through_a_peer_that_is_restarted_gracefully_is_whole(self):
+        async def check(world):
+            replies = []
+            world.cut_links(0, Fault.HANG)
+            async with trio.open_nursery() as nursery:
+                await _start_long(world, nursery, replies, events=80)
+                world.routers[1].kernel.stop()
+                stopped_at = trio.current_time()
+            self.assertEqual((replies[0].status, replies[0].broken), (200, False))
+            self.assertEqual(replies[0].numbers, list(range(1, 81)))
+            self.assertEqual(len(world.runs_for("q")), 1)
+            while world.routers[1].peers.address in world._peer_handlers:
+                await trio.sleep(0.05)
+            self.assertLess(trio.current_time() - stopped_at, forwarding_deployment.DRAIN_S)
+
+        forwarding_world.run_in_world(check, routers=2)
+
     def test_caller_that_leaves_ends_its_run_behind_a_peer_at_once(self):
         async def check(world):
             world.cut_links(0, Fault.HANG)
--- a/tests/_internal/services/test_tunnels_service.py
+++ b/tests/_internal/services/test_tunnels_service.py
@@ -119,16 +119,28 @@
         async def test(rig):
             address = await rig.add_upstream(_echo)
             stream = await rig.open(address)
+            rig.kernel.is_stopping = True
+            self.assertIs(await rig.ask(address), Outcome.STOPPING)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(rig.service.drain)
-                await trio.sleep(0.1)
-                self.assertIs(await rig.ask(address), Outcome.STOPPING)
+                await trio.sleep(2.0)
                 await stream.send_all(b"hello")
                 self.assertEqual(await stream.receive_some(100), b"hello")
                 await stream.aclose()
 
         self.run_rig(test)
 
+    def test_drain_does_not_wait_for_ever(self):
+        async def test(rig):
+            await rig.service.drain()
+            started_at = trio.current_time()
+            await rig.open(await rig.add_upstream(_echo))
+            await rig.service.drain()
+            took_s = trio.current_time() - started_at
+            self.assertAlmostEqual(took_s, tunnels_service.MAX_DRAIN_S, 1)
+
+        self.run_rig(test)
+
     def test_router_without_links_says_so_at_once(self):
         async def test(rig):
             address = await rig.add_upstream(_echo)
--- a/tests/tunnel_rig.py
+++ b/tests/tunnel_rig.py
@@ -25,6 +25,7 @@
     def __init__(self):
         self.addresses = set()
         self.all_lost = False
+        self.is_stopping = False
         self.tunnel_port = 0
         self.events = []
         self.tunnel_bytes = 0
