--- a/src/cicadapier/_internal/protocols/tunnels.py
+++ b/src/cicadapier/_internal/protocols/tunnels.py
@@ -28,8 +28,8 @@
 
     Attributes:
         OPEN: The connection to the upstream is open.
-        REFUSED: The upstream refused the connection.
-        UNREACHABLE: The upstream did not answer in time.
+        REFUSED: The upstream refused the connection, and the peer reaches another one.
+        UNREACHABLE: The upstream did not answer in time, or the peer may have lost its own links.
         LINKS_LOST: The peer has lost its own links.
         FULL: The peer carries as many tunnels as it may.
         STOPPING: The peer is stopping.
--- a/src/cicadapier/_internal/services/links_service.py
+++ b/src/cicadapier/_internal/services/links_service.py
@@ -45,6 +45,7 @@
         started_at: Time of trio's clock at which the first attempt began.
         stream: Stream of the attempt that succeeded.
         direct_error: Error of the direct attempt.
+        outcomes: What the peers said that opened no connection.
         direct_ended: Set once the direct attempt has ended.
     """
 
@@ -53,8 +54,15 @@
     started_at: float = dataclasses.field(default_factory=trio.current_time)
     stream: trio.abc.Stream | None = None
     direct_error: exceptions.ConnectError | None = None
+    outcomes: list[tunnels.Outcome] = dataclasses.field(default_factory=list)
     direct_ended: trio.Event = dataclasses.field(default_factory=trio.Event)
 
+    @property
+    def is_refused_by_peers(self) -> bool:
+        """Whether the upstream refused all peers that tried to connect to it."""
+        tried = {tunnels.Outcome.REFUSED, tunnels.Outcome.UNREACHABLE}.intersection(self.outcomes)
+        return tried == {tunnels.Outcome.REFUSED}
+
     async def win(self, stream: trio.abc.Stream) -> bool:
         """Uses the stream of an attempt and ends the others; returns False if it is late."""
         if self.stream is not None:
@@ -168,7 +176,7 @@
         self, race: _Race, peer: tunnel_peers.TunnelPeer, timeout_s: float, ended: trio.Event
     ) -> None:
         try:
-            stream = await self._open_tunnel(race.address, peer, timeout_s)
+            stream = await self._open_tunnel(race, peer, timeout_s)
         except exceptions.ProtocolError as exc:
             self._choice.record_failure(peer.vm, race.address, trio.current_time())
             _log.debug("tunnel_failed", upstream=race.address, peer=peer.vm, reason=str(exc))
@@ -179,19 +187,20 @@
             ended.set()
 
     async def _open_tunnel(
-        self, address: ids.Address, peer: tunnel_peers.TunnelPeer, timeout_s: float
+        self, race: _Race, peer: tunnel_peers.TunnelPeer, timeout_s: float
     ) -> trio.abc.Stream:
         stream = await self._network.connect(peer.address, timeout_s)
         outcome = None
         try:
-            outcome = await tunnels.request_tunnel(stream, address, self._secret)
+            outcome = await tunnels.request_tunnel(stream, race.address, self._secret)
         finally:
             if outcome is not tunnels.Outcome.OPEN:
                 await trio.aclose_forcefully(stream)
         if self._telemetry:
             self._telemetry.count_event(f"tunnel_{outcome.value}")
         if outcome is not tunnels.Outcome.OPEN:
-            raise exceptions.ConnectError(f"{address}: {peer.vm} answered {outcome.value}")
+            race.outcomes.append(outcome)
+            raise exceptions.ConnectError(f"{race.address}: {peer.vm} answered {outcome.value}")
         return tunnels.TunnelStream(stream, peer.vm)
 
     def _choose_peers(self, address: ids.Address) -> list[tunnel_peers.TunnelPeer]:
@@ -203,16 +212,25 @@
     async def _failure(self, race: _Race, timeout_s: float) -> exceptions.ConnectError:
         """Returns the error of a connection that neither this router nor a peer could open."""
         error = race.direct_error
+        if error is None and race.is_refused_by_peers:
+            return exceptions.ConnectRefusedError(f"{race.address}: peers were refused")
         if error is None:
             return exceptions.ConnectError(f"{race.address}: no answer within {timeout_s} s")
         if not isinstance(error, exceptions.ConnectRefusedError):
             return error
-        if await self._reaches_another(race.address, race.started_at):
+        if await self.is_refusal_certain(race.address, race.started_at):
             return error
         return exceptions.ConnectError(f"{error}, and no other upstream is reached")
 
-    async def _reaches_another(self, address: ids.Address, since: float) -> bool:
-        """Returns whether this router reaches an upstream; True if there is no other one."""
+    async def is_refusal_certain(self, address: ids.Address, since: float) -> bool:
+        """Returns whether an upstream refused a connection, and not a lost link of this router.
+
+        It did if another one is reached directly, or if there is no other one.
+
+        Args:
+            address: Address of the upstream.
+            since: Time of trio's clock at which the connection was attempted.
+        """
         if self._state.last_direct_at >= since:
             return True
         others = sorted(self._registered() - {address})
--- a/src/cicadapier/_internal/services/tunnels_service.py
+++ b/src/cicadapier/_internal/services/tunnels_service.py
@@ -209,10 +209,13 @@
         self, request: tunnels.TunnelRequest, stream: trio.abc.Stream, address: ids.Address
     ) -> None:
         """Opens a tunnel and carries its bytes until it ends."""
+        started_at = trio.current_time()
         try:
             upstream = await self._connect_network.connect(address, CONNECT_TIMEOUT_S)
         except exceptions.ConnectRefusedError:
-            await self._refuse(request, stream, tunnels.Outcome.REFUSED)
+            is_certain = await self._links.is_refusal_certain(address, started_at)
+            outcome = tunnels.Outcome.REFUSED if is_certain else tunnels.Outcome.UNREACHABLE
+            await self._refuse(request, stream, outcome)
             return
         except exceptions.ConnectError:
             await self._refuse(request, stream, tunnels.Outcome.UNREACHABLE)
--- a/tests/tunnel_rig.py
+++ b/tests/tunnel_rig.py
@@ -26,6 +26,7 @@
         self.addresses = set()
         self.all_lost = False
         self.is_stopping = False
+        self.reaches_another = True
         self.tunnel_port = 0
         self.events = []
         self.tunnel_bytes = 0
@@ -37,6 +38,10 @@
     def set_tunnel_port(self, port):
         self.tunnel_port = port
 
+    async def is_refusal_certain(self, address, since):
+        await trio.lowlevel.checkpoint()
+        return self.reaches_another
+
     def count_event(self, name):
         self.events.append(name)
 
