--- a/src/cicadapier/_internal/services/links_service.py
+++ b/src/cicadapier/_internal/services/links_service.py
@@ -129,6 +129,19 @@
         """
         race = _Race(address)
         is_direct = self._state.is_direct(address) or not self._choose_peers(address)
+        try:
+            await self._run_race(race, is_direct, timeout_s)
+        except BaseException:
+            # The caller may leave as an attempt succeeds.
+            if race.stream is not None:
+                await trio.aclose_forcefully(race.stream)
+            raise
+        if race.stream is None:
+            raise await self._failure(race, timeout_s)
+        return race.stream
+
+    async def _run_race(self, race: _Race, is_direct: bool, timeout_s: float) -> None:
+        """Attempts to open a connection until an attempt succeeds or all have failed."""
         with trio.move_on_after(timeout_s):
             async with trio.open_nursery() as nursery:
                 race.scope = nursery.cancel_scope
@@ -137,9 +150,6 @@
                     await self._wait_for_direct(race)
                 if race.stream is None:
                     await self._try_peers(race, timeout_s)
-        if race.stream is None:
-            raise await self._failure(race, timeout_s)
-        return race.stream
 
     async def connect_direct(self, address: ids.Address, timeout_s: float) -> trio.abc.Stream:
         """See `connections_service.UpstreamLinks.connect_direct`."""
--- a/tests/_internal/services/test_links_service.py
+++ b/tests/_internal/services/test_links_service.py
@@ -28,10 +28,13 @@
     def __init__(self, inner):
         super().__init__(inner)
         self.asked = []
+        self.on_connected = lambda: None
 
     async def connect(self, address, timeout_s):
         self.asked.append(address)
-        return await super().connect(address, timeout_s)
+        stream = await super().connect(address, timeout_s)
+        self.on_connected()
+        return stream
 
     @property
     def open_streams(self):
@@ -321,6 +324,25 @@
 
                 run_with_links(test, peers=2)
 
+    def test_no_stream_is_left_open_if_the_caller_leaves_as_it_is_opened(self):
+        for event in ("connected", "tunnel_open"):
+            with self.subTest(event):
+
+                async def test(rig, event=event):
+                    scope = trio.CancelScope()
+                    if event == "tunnel_open":
+                        rig.network.cut(Fault.RESET, rig.upstreams)
+                        rig.kernel.count_event = lambda name: scope.cancel()
+                    else:
+                        rig.network.on_connected = scope.cancel
+                    with scope:
+                        async with await rig.links.connect(rig.lost, TIMEOUT_S):
+                            pass
+                    self.assertTrue(scope.cancel_called)
+                    self.assertEqual(rig.network.open_streams, [])
+
+                run_with_links(test, peers=1)
+
 
 async def _cancel_after_steps(scope, steps):
     """Cancels a scope at one of the moments at which something happens."""
