Connect directly again as soon as no peer helps (RECOVER)

What callers saw: nothing yet, found by a trial. A router that believed its links lost asked peers only: as its links healed while the links of those that carried it were cut, its callers were refused until the probes had found it out.

Evidence: test_healed_link_is_used_at_once_if_no_peer_opens_a_connection (no connection before).

A tunnel that isn't there after 0.1 s, or fails, is now tried directly as well, as a direct connection is tried through a peer. Where peers were refused, the router's own failed attempt needs no further check.

--- a/src/cicadapier/_internal/services/links_service.py
+++ b/src/cicadapier/_internal/services/links_service.py
@@ -47,6 +47,7 @@
         direct_error: Error of the direct attempt.
         outcomes: What the peers said that opened no connection.
         direct_ended: Set once the direct attempt has ended.
+        peers_ended: Set once the attempts through peers have failed.
     """
 
     address: ids.Address
@@ -56,6 +57,7 @@
     direct_error: exceptions.ConnectError | None = None
     outcomes: list[tunnels.Outcome] = dataclasses.field(default_factory=list)
     direct_ended: trio.Event = dataclasses.field(default_factory=trio.Event)
+    peers_ended: trio.Event = dataclasses.field(default_factory=trio.Event)
 
     @property
     def is_refused_by_peers(self) -> bool:
@@ -148,8 +150,11 @@
                 if is_direct:
                     nursery.start_soon(self._try_direct, race, timeout_s)
                     await self._wait_for_direct(race)
-                if race.stream is None:
                     await self._try_peers(race, timeout_s)
+                else:
+                    nursery.start_soon(self._try_peers, race, timeout_s)
+                    await self._wait_for_peers(race)
+                    await self._try_direct(race, timeout_s)
 
     async def connect_direct(self, address: ids.Address, timeout_s: float) -> trio.abc.Stream:
         """See `connections_service.UpstreamLinks.connect_direct`."""
@@ -173,8 +178,17 @@
         with trio.move_on_after(min(MAX_PEER_DELAY_S, max(MIN_PEER_DELAY_S, usual_s))):
             await race.direct_ended.wait()
 
+    async def _wait_for_peers(self, race: _Race) -> None:
+        """Waits until the peers have failed or take longer than usual."""
+        with trio.move_on_after(MIN_PEER_DELAY_S):
+            await race.peers_ended.wait()
+
     async def _try_peers(self, race: _Race, timeout_s: float) -> None:
         """Tries peers one after the other, further ones beside those that do not answer."""
+        await self._try_each_peer(race, timeout_s)
+        race.peers_ended.set()
+
+    async def _try_each_peer(self, race: _Race, timeout_s: float) -> None:
         async with trio.open_nursery() as nursery:
             for peer in self._choose_peers(race.address):
                 ended = trio.Event()
@@ -222,7 +236,7 @@
     async def _failure(self, race: _Race, timeout_s: float) -> exceptions.ConnectError:
         """Returns the error of a connection that neither this router nor a peer could open."""
         error = race.direct_error
-        if error is None and race.is_refused_by_peers:
+        if race.is_refused_by_peers:
             return exceptions.ConnectRefusedError(f"{race.address}: peers were refused")
         if error is None:
             return exceptions.ConnectError(f"{race.address}: no answer within {timeout_s} s")
--- a/tests/_internal/services/test_links_service.py
+++ b/tests/_internal/services/test_links_service.py
@@ -229,6 +229,27 @@
 
         run_with_links(test, peers=1)
 
+    def test_healed_link_is_used_at_once_if_no_peer_opens_a_connection(self):
+        async def hang(address, timeout_s):
+            await trio.sleep(timeout_s)
+            raise exceptions.ConnectError("no answer")
+
+        async def test(rig):
+            rig.network.cut(Fault.HANG, rig.upstreams)
+            for _ in range(2):
+                for upstream in rig.upstreams:
+                    await rig.connect(upstream)
+            self.assertTrue(rig.kernel.all_lost)
+            for peer in rig.peers:
+                peer.kernel.all_lost = peer is rig.peers[0]
+                peer.service._connect_network = type("Hanging", (), {"connect": staticmethod(hang)})
+            rig.network.heal()
+            for upstream in rig.upstreams:
+                self.assertLess(await rig.connect(upstream), 0.2)
+            self.assertFalse(rig.kernel.all_lost)
+
+        run_with_links(test, peers=2)
+
     def test_tunnels_are_spread_over_the_peers(self):
         async def test(rig):
             rig.network.cut(Fault.RESET, rig.upstreams)
