--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -397,4 +397,32 @@
         "self._next_index = 0",
         f"{planted_bug.DECISIONS}.test_cadence",
     ),
+    planted_bug.Mutant(
+        "choose a peer that has lost its own links",
+        "decisions/tunnel_peers.py",
+        "if not heartbeat.tunnel_port or heartbeat.leaving or heartbeat.links_lost:",
+        "if not heartbeat.tunnel_port or heartbeat.leaving:",
+        f"{planted_bug.DECISIONS}.test_tunnel_peers",
+    ),
+    planted_bug.Mutant(
+        "ask a peer again and again that could not open a connection",
+        "decisions/tunnel_peers.py",
+        "if peer is None or now - self._failed(peer.vm, upstream) < AVOIDED_S:",
+        "if peer is None:",
+        f"{planted_bug.SERVICES}.test_links_service",
+    ),
+    planted_bug.Mutant(
+        "believe a link that comes and goes as soon as it is back",
+        "decisions/link_state.py",
+        "min(MAX_PROBES, 2 * link.probes_needed) if is_flapping else 1",
+        "1",
+        f"{planted_bug.DECISIONS}.test_link_state",
+    ),
+    planted_bug.Mutant(
+        "take one slow connection for a lost link",
+        "decisions/link_state.py",
+        "SLOW_CONNECTIONS = 2",
+        "SLOW_CONNECTIONS = 1",
+        f"{planted_bug.DECISIONS}.test_link_state",
+    ),
 ]
