--- a/src/cicadapier/_internal/assembly/forwarding.py
+++ b/src/cicadapier/_internal/assembly/forwarding.py
@@ -101,9 +101,8 @@
             document_format, forwarding_settings.drain_ms / 1000, clock, rng
         ),
         peers,
-        tunnels_service.TunnelsService(
-            cfg, dependencies.listen_network, dependencies.connect_network
-        ),
+        # The certificate of the listeners is one for callers, and peers connect without TLS.
+        tunnels_service.TunnelsService(cfg, dependencies.connect_network),
         cluster_service.ClusterService(cfg, dependencies.generation, clock, rng),
         quotas_service.QuotasService(cfg.vm),
         origins_service.OriginsService(cfg.vm, rng),
--- a/src/cicadapier/_internal/services/tunnels_service.py
+++ b/src/cicadapier/_internal/services/tunnels_service.py
@@ -115,15 +115,15 @@
 
     name = names.TUNNELS
 
-    def __init__(
-        self,
-        cfg: settings.Settings,
-        listen_network: transport.Network,
-        connect_network: transport.Connector,
-    ) -> None:
+    def __init__(self, cfg: settings.Settings, network: transport.Network) -> None:
+        """Creates the service.
+
+        Args:
+            cfg: Settings of the router.
+            network: Network of the routers and the upstreams.
+        """
         self._cfg = cfg
-        self._listen_network = listen_network
-        self._connect_network = connect_network
+        self._network = network
         self._open_connections = 0
         self._pending = 0
         self._tunnels = 0
@@ -140,7 +140,7 @@
             return
         async with trio.open_nursery() as nursery:
             self._address = await nursery.start(
-                self._listen_network.serve, self._cfg.listen.tunnels, self._serve
+                self._network.serve, self._cfg.listen.tunnels, self._serve
             )
             peers: peers_service.PeersService = kernel.find(names.PEERS)
             peers.set_tunnel_port(settings.split_address(self._address)[1])
@@ -211,7 +211,7 @@
         """Opens a tunnel and carries its bytes until it ends."""
         started_at = trio.current_time()
         try:
-            upstream = await self._connect_network.connect(address, CONNECT_TIMEOUT_S)
+            upstream = await self._network.connect(address, CONNECT_TIMEOUT_S)
         except exceptions.ConnectRefusedError:
             is_certain = await self._links.is_refusal_certain(address, started_at)
             outcome = tunnels.Outcome.REFUSED if is_certain else tunnels.Outcome.UNREACHABLE
--- a/tests/_internal/services/test_links_service.py
+++ b/tests/_internal/services/test_links_service.py
@@ -242,7 +242,7 @@
             self.assertTrue(rig.kernel.all_lost)
             for peer in rig.peers:
                 peer.kernel.all_lost = peer is rig.peers[0]
-                peer.service._connect_network = type("Hanging", (), {"connect": staticmethod(hang)})
+                peer.service._network = type("Hanging", (), {"connect": staticmethod(hang)})
             rig.network.heal()
             for upstream in rig.upstreams:
                 self.assertLess(await rig.connect(upstream), 0.2)
@@ -317,7 +317,7 @@
             cut = router_links.RouterLinks(rig.inner)
             cut.cut(Fault.RESET, rig.upstreams)
             for peer in rig.peers:
-                peer.service._connect_network = cut
+                peer.service._network = cut
                 peer.kernel.reaches_another = False
             rig.network.cut(Fault.RESET, rig.upstreams)
             with self.assertRaises(exceptions.ConnectError) as caught:
--- a/tests/_internal/services/test_tunnels_service.py
+++ b/tests/_internal/services/test_tunnels_service.py
@@ -1,11 +1,19 @@
 """A router that opens connections to upstreams for its peers, and whom it refuses."""
 
+import pathlib
+import tempfile
 import unittest
 
 import trio
+import trustme
 
+from cicadapier._internal.assembly import forwarding as forwarding_assembly
+from cicadapier._internal.assembly import router as router_assembly
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import tunnels
+from cicadapier._internal.services import names
 from cicadapier._internal.services import tunnels_service
 from tests import forwarding_world
 from tests import tunnel_rig
@@ -87,7 +95,7 @@
                 await trio.sleep(timeout_s)
                 raise exceptions.ConnectError("no answer")
 
-            rig.service._connect_network = type("Hanging", (), {"connect": staticmethod(hang)})
+            rig.service._network = type("Hanging", (), {"connect": staticmethod(hang)})
             started_at = trio.current_time()
             self.assertIs(await rig.ask("127.0.0.1:1"), Outcome.UNREACHABLE)
             self.assertLess(
@@ -220,6 +228,35 @@
         forwarding_world.run_in_world(test, routers=2)
 
 
+class TlsTest(unittest.TestCase):
+    def test_certificate_for_callers_does_not_keep_peers_out(self):
+        certificate = trustme.CA().issue_cert("127.0.0.1")
+        with tempfile.TemporaryDirectory() as folder:
+            chain = pathlib.Path(folder) / "chain.pem"
+            key = pathlib.Path(folder) / "key.pem"
+            certificate.private_key_and_cert_chain_pem.write_to_path(str(chain))
+            certificate.private_key_pem.write_to_path(str(key))
+            trio.run(self._check, settings.Tls(str(chain), str(key)))
+
+    async def _check(self, tls):
+        cfg = settings.Settings(
+            ids.VmId("vm-1"),
+            ids.FailureDomainId("here"),
+            listen=settings.Listen(*[tunnel_rig.ANY_PORT] * 6),
+            tls=tls,
+            forwarding=settings.Forwarding(),
+        )
+        dependencies = router_assembly.production_dependencies(cfg)
+        router = forwarding_assembly.assemble(cfg, cfg.forwarding, dependencies)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(router.kernel.run, 0.1)
+            address = router.kernel.find(names.TUNNELS).listen_address
+            async with await dependencies.connect_network.connect(address, 1.0) as stream:
+                outcome = await tunnels.request_tunnel(stream, "127.0.0.1:1", "")
+            self.assertIs(outcome, Outcome.UNREGISTERED)
+            nursery.cancel_scope.cancel()
+
+
 async def _ask(world, service, address):
     async with await world.network.connect(service.listen_address, 1.0) as stream:
         return await tunnels.request_tunnel(stream, address, "")
--- a/tests/tunnel_rig.py
+++ b/tests/tunnel_rig.py
@@ -67,7 +67,7 @@
         )
         self.network = network
         self.kernel = _Kernel()
-        self.service = tunnels_service.TunnelsService(cfg, network, network)
+        self.service = tunnels_service.TunnelsService(cfg, network)
         self._nursery = nursery
         self._scope = trio.CancelScope()
 
