Shut no upstream out for links of its own that a router may have lost (RECOVER)

What callers saw: where no peer could help (all routers cut, or the half that could carry had only just healed), each refused connection counted as a certain failure of the upstream, for 1 s, then 2, 4, up to 15 s; after the cut all requests were still refused. Class: evidence against the own links is taken for evidence against what is behind them.

Evidence: test_upstreams_are_not_shut_out_for_links_that_all_routers_had_lost, two routers cut for 5 s: in the first second after the cut 0.0 of the first tries served before, 1.0 now (reset and live on).

The links already know that no other upstream is reached; the error now says so (LinksInDoubtError), and the outcome is no evidence. Connections that hang without an answer are judged as before.

--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -415,6 +415,9 @@
             return None
         if not (isinstance(outcome, outcomes.RefusedBeforeRunning) and outcome.other_weights):
             active.failed_upstreams.add(upstream)
+        if isinstance(outcome, outcomes.NotSent) and outcome.links_in_doubt:
+            _forget_pieces(state, active, upstream)
+            return None
         return self._record_failure(state, active, attempt, outcome, now)
 
     def _record_failure(
--- a/src/cicadapier/_internal/models/outcomes.py
+++ b/src/cicadapier/_internal/models/outcomes.py
@@ -119,10 +119,12 @@
         reason: Why it was not sent.
         withheld: Whether this router itself decided not to send it, which is no evidence of a
             failure of the upstream.
+        links_in_doubt: Whether this router may have lost its own links, which is none either.
     """
 
     reason: str
     withheld: bool = False
+    links_in_doubt: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/protocols/exceptions.py
+++ b/src/cicadapier/_internal/protocols/exceptions.py
@@ -15,6 +15,10 @@
     """The connection was refused because nothing listens at the address."""
 
 
+class LinksInDoubtError(ConnectError):
+    """The connection failed as connections to other addresses do, so the own links may be lost."""
+
+
 class ConnectionLostError(ProtocolError):
     """The peer closed or reset the connection."""
 
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -216,7 +216,9 @@
                 return await self._connections.open(call.address, call.connect_timeout_s)
             return await self._connections.acquire(call.address, call.connect_timeout_s)
         except exceptions.ConnectError as exc:
-            raise AttemptFailedError(outcomes.NotSent(str(exc))) from exc
+            in_doubt = isinstance(exc, exceptions.LinksInDoubtError)
+            not_sent = outcomes.NotSent(str(exc), links_in_doubt=in_doubt)
+            raise AttemptFailedError(not_sent) from exc
 
     async def _send(self) -> None:
         if self.request_sent:
--- a/src/cicadapier/_internal/services/links_service.py
+++ b/src/cicadapier/_internal/services/links_service.py
@@ -127,7 +127,8 @@
     async def connect(self, address: ids.Address, timeout_s: float) -> trio.abc.Stream:
         """See `transport.Connector.connect`.
 
-        The error is `ConnectRefusedError` only if the links of this router are not in doubt.
+        The error is `ConnectRefusedError` only if the links of this router are not in doubt, and
+        `LinksInDoubtError` if no other upstream is reached either.
         """
         race = _Race(address)
         is_direct = self._state.is_direct(address) or not self._choose_peers(address)
@@ -244,7 +245,7 @@
             return error
         if await self.is_refusal_certain(race.address, race.started_at):
             return error
-        return exceptions.ConnectError(f"{error}, and no other upstream is reached")
+        return exceptions.LinksInDoubtError(f"{error}, and no other upstream is reached")
 
     async def is_refusal_certain(self, address: ids.Address, since: float) -> bool:
         """Returns whether an upstream refused a connection, and not a lost link of this router.
--- a/tests/_internal/services/test_link_changes.py
+++ b/tests/_internal/services/test_link_changes.py
@@ -175,6 +175,23 @@
     def test_requests_are_refused_early_while_connections_of_all_routers_hang(self):
         self.check_refusals(Fault.HANG, MAX_REFUSAL_S)
 
+    def test_upstreams_are_not_shut_out_for_links_that_all_routers_had_lost(self):
+        for fault in (Fault.RESET, Fault.REFUSE_NEW):
+            with self.subTest(fault):
+
+                async def check(world, day, fault=fault):
+                    await trio.sleep(5.0)  # No idle connections.
+                    for router in (0, 1):
+                        world.cut_links(router, fault)
+                    await day.ask(5.0, range(2))
+                    for router in (0, 1):
+                        world.heal_links(router)
+                    healed_at = trio.current_time()
+                    await day.ask(1.0, range(2))
+                    self.assertEqual(day.share([0, 1], healed_at), 1.0)
+
+                self.check_logs(_run_day(check, routers=2))
+
     def test_carrying_routers_are_restarted_one_after_the_other(self):
         for fault, is_graceful in ((Fault.HANG, False), (Fault.RESET, True)):
             with self.subTest(fault=fault, is_graceful=is_graceful):
