--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -323,4 +323,19 @@
         "            if False:\n                await",
         f"{planted_bug.SERVICES}.test_links_service",
     ),
+    planted_bug.Mutant(
+        "shut an upstream out for lost links of the router",
+        "services/links_service.py",
+        "return exceptions.LinksInDoubtError(",
+        "return exceptions.ConnectError(",
+        f"{planted_bug.SERVICES}.test_link_changes.ChangesTest"
+        ".test_upstreams_are_not_shut_out_for_links_that_all_routers_had_lost",
+    ),
+    planted_bug.Mutant(
+        "take what a peer without links is refused for a crash",
+        "services/tunnels_service.py",
+        "is_certain = await self._links.is_refusal_certain(address, started_at)",
+        "is_certain = True",
+        f"{planted_bug.SERVICES}.test_links_service",
+    ),
 ]
