--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -417,6 +417,9 @@
             _correct_weights(state, active, attempt, outcome)
         else:
             active.failed_upstreams.add(upstream)
+        if isinstance(outcome, outcomes.NotSent) and outcome.links_in_doubt:
+            _forget_pieces(state, active, upstream)
+            return None
         return self._record_failure(state, active, attempt, outcome, now)
 
     def _record_failure(
--- a/src/cicadapier/_internal/protocols/tunnels.py
+++ b/src/cicadapier/_internal/protocols/tunnels.py
@@ -17,10 +17,10 @@
 from cicadapier._internal.protocols import transport
 
 MAX_HEAD_BYTES = 2048
-_READ_BYTES = 4096
 _METHOD = b"CONNECT"
 _SECRET = b"x-peer-secret"
 _OUTCOME = b"tunnel-outcome"
+_FRAMING = frozenset((b"content-length", b"transfer-encoding"))
 
 
 class Outcome(enum.Enum):
@@ -28,8 +28,8 @@
 
     Attributes:
         OPEN: The connection to the upstream is open.
-        REFUSED: The upstream refused the connection.
-        UNREACHABLE: The upstream did not answer in time.
+        REFUSED: The upstream refused the connection, and the peer reaches another one.
+        UNREACHABLE: The upstream did not answer in time, or the peer may have lost its own links.
         LINKS_LOST: The peer has lost its own links.
         FULL: The peer carries as many tunnels as it may.
         STOPPING: The peer is stopping.
@@ -121,7 +121,11 @@
             return Outcome.MALFORMED
         if not isinstance(request, h11.Request) or request.method != _METHOD:
             return Outcome.MALFORMED
-        received = dict(request.headers).get(_SECRET, b"")
+        headers = dict(request.headers)
+        if _FRAMING.intersection(headers) or self._h11.trailing_data[0]:
+            # The upstream would not get what belongs to no head.
+            return Outcome.MALFORMED
+        received = headers.get(_SECRET, b"")
         if not hmac.compare_digest(received, secret.encode()):
             return Outcome.FORBIDDEN
         return ids.Address(request.target.decode("ascii"))
@@ -150,12 +154,11 @@
     After `Outcome.OPEN`, the connection carries the bytes of the upstream.
 
     Raises:
-        ProtocolError: The peer closed the connection, or its response cannot be read.
+        ProtocolError: The peer closed the connection, its response cannot be read, or the address
+            or the secret cannot be sent.
     """
     conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-    headers = [(b"host", upstream.encode("ascii")), (_SECRET, secret.encode())]
-    request = h11.Request(method=_METHOD, target=upstream.encode("ascii"), headers=headers)
-    data = (conn.send(request) or b"") + (conn.send(h11.EndOfMessage()) or b"")
+    data = _encode_request(conn, upstream, secret)
     try:
         await stream.send_all(data)
     except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
@@ -169,6 +172,16 @@
     return outcome
 
 
+def _encode_request(conn: h11.Connection, upstream: ids.Address, secret: str) -> bytes:
+    try:
+        target = upstream.encode("ascii")
+        headers = [(b"host", target), (_SECRET, secret.encode())]
+        request = h11.Request(method=_METHOD, target=target, headers=headers)
+    except (UnicodeError, h11.LocalProtocolError) as exc:
+        raise exceptions.MalformedMessageError(f"no request can bear {upstream!r}: {exc}") from exc
+    return (conn.send(request) or b"") + (conn.send(h11.EndOfMessage()) or b"")
+
+
 def _read_outcome(response: h11.Response) -> Outcome:
     value = dict(response.headers).get(_OUTCOME, b"")
     try:
@@ -181,9 +194,15 @@
 
 
 async def _next_event(conn: h11.Connection, stream: trio.abc.Stream) -> h11.Event:
+    """Returns the next event of a message; reads at most `MAX_HEAD_BYTES`."""
+    bytes_left = MAX_HEAD_BYTES
     try:
         while (event := conn.next_event()) is h11.NEED_DATA:
-            conn.receive_data(bytes(await stream.receive_some(_READ_BYTES)))
+            if not bytes_left:
+                raise exceptions.MalformedMessageError(f"no head in {MAX_HEAD_BYTES} bytes")
+            data = bytes(await stream.receive_some(bytes_left))
+            bytes_left -= len(data)
+            conn.receive_data(data)
     except h11.RemoteProtocolError as exc:
         raise exceptions.MalformedMessageError(str(exc)) from exc
     except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
