--- a/src/cicadapier/_internal/decisions/leases.py
+++ b/src/cicadapier/_internal/decisions/leases.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import itertools
 import math
 
 from cicadapier._internal.models import ids
@@ -15,6 +16,8 @@
 RENEW_AFTER_S = 3.0
 SAFETY_MARGIN_S = 4.0
 MAX_ORDER_S = 3.0
+# An engine that is silent for that long may read an order then, and goes on.
+MAX_ENGINE_SILENCE_S = 1.5
 MIN_WRITE_TIMEOUT_S = 0.15
 MAX_WRITE_TIMEOUT_S = 0.8
 WRITE_TIMEOUT_FACTOR = 4.0  # Timeout of a write as a multiple of the last response time.
@@ -153,6 +156,9 @@
         self._requested_at = 0.0
         self._usable_from = 0.0
         self._last_order_at = -math.inf
+        self._order_numbers = itertools.count()
+        # Time until which each order without an answer may still be read, by its number.
+        self._unanswered_orders: dict[int, float] = {}
         self._has_ordered = False  # Since it took the lease.
         # Until then, the orders of other holders that this router has seen are too recent.
         self._quiet_until = 0.0
@@ -324,8 +330,7 @@
             return None
         quiet_s = release.quiet_s
         if self._held is not None and self._held.active:
-            last_order_until = self._last_order_at + self._timing.delivery_s + self._timing.quiet_s
-            quiet_s = max(0.0, last_order_until - now)
+            quiet_s = max(0.0, self._last_order_until() + self._timing.quiet_s - now)
         before = 0 if self._has_ordered else release.hand_overs
         return dataclasses.replace(release, quiet_s=quiet_s, hand_overs=before + 1)
 
@@ -388,10 +393,26 @@
             return None
         return self._held.fencing
 
-    def record_order(self, now: float) -> None:
-        """Records that an order is about to be sent."""
+    def record_order(self, now: float) -> int:
+        """Records that an order is about to be sent; returns its number."""
+        number = next(self._order_numbers)
+        self._unanswered_orders = {
+            order: until for order, until in self._unanswered_orders.items() if until > now
+        }
+        self._unanswered_orders[number] = now + MAX_ENGINE_SILENCE_S
         self._last_order_at = now
         self._has_ordered = True
+        return number
+
+    def record_order_answer(self, number: int, now: float) -> None:
+        """Records that an order was answered, so that it is not read later."""
+        self._unanswered_orders.pop(number, None)
+        self._last_order_at = max(self._last_order_at, now)
+
+    def _last_order_until(self) -> float:
+        """Returns the time until which an order of this router may be read."""
+        answered_until = self._last_order_at + self._timing.delivery_s
+        return max([answered_until, *self._unanswered_orders.values()])
 
     @property
     def hand_overs(self) -> int:
--- a/src/cicadapier/_internal/services/engine_orders.py
+++ b/src/cicadapier/_internal/services/engine_orders.py
@@ -29,7 +29,21 @@
 
 _log = structlog.get_logger()
 
-FencingTokenSource = collections.abc.Callable[[], int | None]
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderPermit:
+    """Permission to send one order at once.
+
+    Attributes:
+        fencing: Fencing token.
+        record_answer: Called once the order is answered.
+    """
+
+    fencing: int
+    record_answer: collections.abc.Callable[[], None]
+
+
+PermitSource = collections.abc.Callable[[], OrderPermit | None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,7 +78,7 @@
         self,
         target: Target,
         engine: rollout.Engine,
-        get_fencing_token: FencingTokenSource,
+        get_permit: PermitSource,
         links: order_links.OrderLinks,
     ) -> rollout.Step:
         """Updates an engine to the target version; returns `DONE`, or `GIVE_UP` if that fails.
@@ -72,7 +86,7 @@
         Args:
             target: The target version.
             engine: The engine.
-            get_fencing_token: Returns the fencing token if an order may be sent now, else None.
+            get_permit: Returns the permission for one order if it may be sent now, else None.
             links: Records whether the engine is reached.
         """
         update = rollout.EngineUpdate(target.version, self._clock())
@@ -89,9 +103,7 @@
                 step = update.handle_delay(self._clock())
                 continue
             if step is rollout.Step.ORDER:
-                step = await self._send_order(
-                    target, engine, address, update, get_fencing_token, links
-                )
+                step = await self._send_order(target, engine, address, update, get_permit, links)
                 continue
             report = await self._fetch_report(target, engine, address)
             now = self._clock()
@@ -183,7 +195,7 @@
         engine: rollout.Engine,
         address: ids.Address,
         update: rollout.EngineUpdate,
-        get_fencing_token: FencingTokenSource,
+        get_permit: PermitSource,
         links: order_links.OrderLinks,
     ) -> rollout.Step:
         try:
@@ -197,13 +209,15 @@
         try:
             conn.limit_delivery(CALL_TIMEOUT_S)
             # The lease may have expired while the connection was being opened.
-            fencing = get_fencing_token()
-            if fencing is None:
+            permit = get_permit()
+            if permit is None:
                 return rollout.Step.GIVE_UP
             order = rollout.LoadOrder(
-                target.model, target.version, self._vm, fencing, update.expected_orders
+                target.model, target.version, self._vm, permit.fencing, update.expected_orders
             )
             reply = await self._exchange_order(conn, engine, order)
+            if reply is not rollout.Reply.NONE:
+                permit.record_answer()
         finally:
             with trio.CancelScope(shield=True):
                 await conn.close()
--- a/src/cicadapier/_internal/services/order_lease.py
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -98,9 +98,13 @@
         self._follow_epoch()
         return self._lease.fencing_token(self._clock())
 
-    def record_order(self) -> None:
-        """Records that an order is about to be sent."""
-        self._lease.record_order(self._clock())
+    def record_order(self) -> int:
+        """Records that an order is about to be sent; returns its number."""
+        return self._lease.record_order(self._clock())
+
+    def record_order_answer(self, number: int) -> None:
+        """Records that an order was answered."""
+        self._lease.record_order_answer(number, self._clock())
 
     def _follow_epoch(self) -> None:
         """Gives up a lease of a former epoch."""
--- a/src/cicadapier/_internal/services/weights_service.py
+++ b/src/cicadapier/_internal/services/weights_service.py
@@ -409,7 +409,7 @@
             with model_state.updating[engine.upstream]:
                 await trio.sleep(ANNOUNCEMENT_LEAD_S)
                 step = await self._engine_orders.update_engine(
-                    target, engine, functools.partial(self._take_token, state), state.links
+                    target, engine, functools.partial(self._take_permit, state), state.links
                 )
         finally:
             del model_state.updating[engine.upstream]
@@ -428,12 +428,14 @@
         else:
             self._report_loading(target.pool, engine.upstream, 0.0)
 
-    def _take_token(self, state: _PoolState) -> int | None:
-        """Returns the fencing token for an order that is sent at once, or None."""
+    def _take_permit(self, state: _PoolState) -> engine_orders.OrderPermit | None:
+        """Returns the permission for an order that is sent at once, or None."""
         token = None if self._released else state.lease.fencing_token()
-        if token is not None:
-            state.lease.record_order()
-        return token
+        if token is None:
+            return None
+        number = state.lease.record_order()
+        record_answer = functools.partial(state.lease.record_order_answer, number)
+        return engine_orders.OrderPermit(token, record_answer)
 
 
 async def _cancel_on_event(event: trio.Event, scope: trio.CancelScope) -> None:
--- a/tests/_internal/decisions/test_leases.py
+++ b/tests/_internal/decisions/test_leases.py
@@ -171,19 +171,37 @@
                 orders = self._run_random_events(seed, HAND_OVER_WEIGHTS, order_share)
                 self._check_orders(orders, seed)
 
+    def _hand_over(self, act=lambda lease: None):
+        """Returns the lease that is left as its holder hands it over, 0.7 s after it took it."""
+        holder = leases.Lease(ids.VmId("vm0"), "process 0", TIMING)
+        taken = holder.propose(0.0)
+        holder.begin_write(taken, 0.0)
+        holder.observe(taken, 0.0)
+        act(holder)
+        return taken, holder.propose_hand_over(0.7)
+
     def test_lease_that_was_handed_over_without_orders_is_usable_at_once(self):
-        first = leases.Lease(ids.VmId("vm0"), "process 0", TIMING)
-        taken = first.propose(0.0)
-        first.begin_write(taken, 0.0)
-        first.observe(taken, 0.0)
+        taken, handed_over = self._hand_over()
         second = leases.Lease(ids.VmId("vm1"), "process 1", TIMING)
         second.observe(taken, 0.0)
-        second.observe(first.propose_hand_over(0.7), 0.7)
+        second.observe(handed_over, 0.7)
         retaken = second.propose(0.7)
         second.begin_write(retaken, 0.7)
         second.observe(retaken, 0.71)
         self.assertEqual(second.fencing_token(0.71), taken.fencing + 1)
 
+    def test_order_that_a_silent_engine_may_still_read_keeps_the_next_holder_quiet(self):
+        _, handed_over = self._hand_over(lambda lease: lease.record_order(0.6))
+        read_at = 0.6 + leases.MAX_ENGINE_SILENCE_S
+        self.assertGreaterEqual(0.7 + handed_over.quiet_s, read_at + MIN_ORDER_GAP_S)
+
+    def test_order_that_was_answered_keeps_the_next_holder_quiet_from_its_answer(self):
+        def order(lease):
+            lease.record_order_answer(lease.record_order(0.6), 0.65)
+
+        _, handed_over = self._hand_over(order)
+        self.assertAlmostEqual(0.7 + handed_over.quiet_s, 0.65 + TIMING.delivery_s + TIMING.quiet_s)
+
     def test_routers_take_turns(self):
         turns = 0
         for seed in range(SEEDS):
--- a/tests/_internal/services/test_engine_orders.py
+++ b/tests/_internal/services/test_engine_orders.py
@@ -36,9 +36,12 @@
             ids.VmId("vm"), None, None, _Directory(ids.PoolId("other")), None, trio.current_time
         )
         target = engine_orders.Target(POOL, MODEL, 2)
+        permit = engine_orders.OrderPermit(1, lambda: None)
 
         async def main():
-            return await orders.update_engine(target, ENGINE, lambda: 1, order_links.OrderLinks())
+            return await orders.update_engine(
+                target, ENGINE, lambda: permit, order_links.OrderLinks()
+            )
 
         self.assertIs(trio.run(main), rollout.Step.GIVE_UP)
 
