--- a/src/cicadapier/_internal/decisions/placer.py
+++ b/src/cicadapier/_internal/decisions/placer.py
@@ -4,6 +4,7 @@
 import http
 import math
 
+from cicadapier._internal.decisions import attempt_effects
 from cicadapier._internal.decisions import backups
 from cicadapier._internal.decisions import health
 from cicadapier._internal.decisions import in_flight
@@ -106,7 +107,7 @@
             )
         if active.attempt is not None:
             # The end of the previous attempt was not reported.
-            release_capacity(state, active, active.attempt, now)
+            attempt_effects.release_capacity(state, active, active.attempt, now)
         active.attempt = self._start_attempt(state, active, choice, now)
         backup = self._choose_backup(state, active)
         return self._make_placed(state, active, active.attempt, choice, now, backup)
@@ -397,11 +398,11 @@
         now: float,
     ) -> poison.Evidence | None:
         upstream = attempt.estimate.upstream
-        release_capacity(state, active, attempt, now)
+        attempt_effects.release_capacity(state, active, attempt, now)
         if isinstance(outcome, outcomes.Broken) and outcome.had_output:
             active.record_output(attempt)
         if outcome is None:
-            _forget_pieces(state, active, upstream)
+            attempt_effects.forget_pieces(state, active, upstream)
             return None
         if isinstance(outcome, outcomes.Complete):
             state.health.record_success(upstream)
@@ -411,14 +412,14 @@
                 self.poison.record_output(active.request_spec.subject, now)
             return None
         if isinstance(outcome, outcomes.NotSent) and outcome.withheld:
-            _forget_pieces(state, active, upstream)
+            attempt_effects.forget_pieces(state, active, upstream)
             return None
         if isinstance(outcome, outcomes.RefusedBeforeRunning) and outcome.other_weights:
-            _correct_weights(state, active, attempt, outcome)
+            attempt_effects.correct_weights(state, active, attempt, outcome)
         else:
             active.failed_upstreams.add(upstream)
         if isinstance(outcome, outcomes.NotSent) and outcome.links_in_doubt:
-            _forget_pieces(state, active, upstream)
+            attempt_effects.forget_pieces(state, active, upstream)
             return None
         return self._record_failure(state, active, attempt, outcome, now)
 
@@ -440,7 +441,7 @@
         if certain or not attempt.silence_counted:
             state.health.record_failure(upstream, certain, now)
         if not certain:
-            _forget_pieces(state, active, upstream)
+            attempt_effects.forget_pieces(state, active, upstream)
         elif isinstance(state.policy, placement.PrefixPlacement):
             state.policy.cache_index.forget(upstream)
         is_answering = isinstance(outcome, outcomes.Broken)
@@ -482,47 +483,3 @@
 def awaits_grant(state: observations.PoolState) -> bool:
     """Returns whether any upstream of a pool would be usable if it had a grant."""
     return any(member.awaits_grant for member in state.policy.members.values())
-
-
-def release_capacity(
-    state: observations.PoolState,
-    active: in_flight.ActiveRequest,
-    attempt: in_flight.Attempt,
-    now: float,
-) -> None:
-    """Releases the capacity that an attempt takes on its upstream."""
-    duration_s = now - attempt.started_at
-    state.policy.record_finished(
-        attempt.estimate.upstream, active.request_spec.memory_tokens, duration_s
-    )
-
-
-def _correct_weights(
-    state: observations.PoolState,
-    active: in_flight.ActiveRequest,
-    attempt: in_flight.Attempt,
-    refusal: outcomes.RefusedBeforeRunning,
-) -> None:
-    """Records the weights of an upstream that refused a request because they are too old.
-
-    The request was sent because the upstream was believed to serve newer weights, so this is no
-    outdated report.
-    """
-    upstream = attempt.estimate.upstream
-    member = state.policy.members.get(upstream)
-    model = active.request_spec.model
-    if member is None or model is None or member.spec.incarnation != attempt.incarnation:
-        return
-    served = refusal.served_weights
-    if served is None or member.versions.get(model) != refusal.expected_weights:
-        return
-    member.versions[model] = served
-    state.policy.weights_reloaded(upstream)
-
-
-def _forget_pieces(
-    state: observations.PoolState, active: in_flight.ActiveRequest, upstream: ids.UpstreamId
-) -> None:
-    """Removes the pieces that an attempt was expected to add to its upstream's cache."""
-    if isinstance(state.policy, placement.PrefixPlacement):
-        state.policy.cache_index.remove_in_flight(upstream, active.request_spec.prompt.pieces)
--- a/src/cicadapier/_internal/decisions/traffic.py
+++ b/src/cicadapier/_internal/decisions/traffic.py
@@ -7,6 +7,7 @@
 import collections.abc
 import math
 
+from cicadapier._internal.decisions import attempt_effects
 from cicadapier._internal.decisions import fair_queue
 from cicadapier._internal.decisions import health
 from cicadapier._internal.decisions import in_flight
@@ -209,7 +210,7 @@
         if state:
             state.queue.remove(request)
             for attempt in active.attempts:
-                placer.release_capacity(state, active, attempt, now)
+                attempt_effects.release_capacity(state, active, attempt, now)
         self.limits.release(active.request_spec.account)
         if not ran:
             cost = active.request_spec.memory_tokens
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -18,6 +18,7 @@
 from cicadapier._internal.protocols import answers
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import http_client
+from cicadapier._internal.services import attempt_errors
 from cicadapier._internal.services import connections_service
 from cicadapier._internal.services import upstream_call
 from cicadapier._internal.services import upstream_condition
@@ -32,18 +33,6 @@
 _ReadResult = TypeVar("_ReadResult")
 
 
-class AttemptFailedError(Exception):
-    """The attempt ended before its answer was complete.
-
-    Attributes:
-        outcome: Outcome of the attempt.
-    """
-
-    def __init__(self, outcome: outcomes.AttemptOutcome) -> None:
-        super().__init__(getattr(outcome, "reason", ""))
-        self.outcome = outcome
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Replacement:
     """The attempt that replaces a silent one.
@@ -105,7 +94,7 @@
     """
 
     data: list[_ReadResult] = dataclasses.field(default_factory=list)
-    failure: exceptions.ProtocolError | AttemptFailedError | None = None
+    failure: exceptions.ProtocolError | attempt_errors.AttemptFailedError | None = None
     replacement: Replacement | None = None
     is_searching: bool = False
 
@@ -196,7 +185,7 @@
             await self._send()
             return await self._read_or_supersede(self._receive_answer, self._call.head_timeout_s)
         except exceptions.ProtocolError as exc:
-            raise AttemptFailedError(await self._no_answer_outcome(exc)) from exc
+            raise attempt_errors.AttemptFailedError(await self._no_answer_outcome(exc)) from exc
 
     async def _receive_answer(self, timeout_s: float) -> http_client.ResponseHead:
         """Receives the head of an answer; raises if the upstream did not run the request."""
@@ -218,7 +207,7 @@
         except exceptions.ConnectError as exc:
             in_doubt = isinstance(exc, exceptions.LinksInDoubtError)
             not_sent = outcomes.NotSent(str(exc), links_in_doubt=in_doubt)
-            raise AttemptFailedError(not_sent) from exc
+            raise attempt_errors.AttemptFailedError(not_sent) from exc
 
     async def _send(self) -> None:
         if self.request_sent:
@@ -281,7 +270,7 @@
                 return
             if len(self._received_ahead) > progress_deadlines.MAX_ANSWER_BYTES:
                 await self.abandon()
-                raise AttemptFailedError(_too_large(offset))
+                raise attempt_errors.too_large_error(offset)
         self._body_ended = True
 
     async def _receive_part(self, timeout_s: float, offset: int) -> bytes | None:
@@ -289,7 +278,9 @@
         try:
             return await self._read_or_supersede(self._conn.receive_data, timeout_s, offset)
         except exceptions.ProtocolError as exc:
-            raise AttemptFailedError(await self._broken_outcome(exc, offset)) from exc
+            raise attempt_errors.AttemptFailedError(
+                await self._broken_outcome(exc, offset)
+            ) from exc
 
     async def receive_all(
         self, progress_timeout_s: float, total_timeout_s: float = math.inf
@@ -315,7 +306,7 @@
             progress.record_received(len(part), now)
             if progress.is_too_large:
                 await self.abandon()
-                raise AttemptFailedError(_too_large(0))
+                raise attempt_errors.too_large_error(0)
             parts.append(part)
         return b"".join(parts)
 
@@ -374,7 +365,7 @@
             )
             try:
                 race.data.append(await read(deadline - trio.current_time()))
-            except (exceptions.ProtocolError, AttemptFailedError) as exc:
+            except (exceptions.ProtocolError, attempt_errors.AttemptFailedError) as exc:
                 race.failure = exc
                 assert self.silence_handler
                 self.silence_handler.handle_attempt_failure()
@@ -395,10 +386,12 @@
         scope.cancel()
 
     async def _end_superseded(
-        self, failure: exceptions.ProtocolError | AttemptFailedError | None, offset: int | None
+        self,
+        failure: exceptions.ProtocolError | attempt_errors.AttemptFailedError | None,
+        offset: int | None,
     ) -> outcomes.AttemptOutcome:
         """Ends this attempt because another one replaces it, and returns its outcome."""
-        if isinstance(failure, AttemptFailedError):
+        if isinstance(failure, attempt_errors.AttemptFailedError):
             return failure.outcome
         silence = exceptions.SilentConnectionError("no progress")
         exc = failure or silence
@@ -474,7 +467,7 @@
         if answered_request is not None and answered_request != self._call.request:
             await self.abandon()
             reason = "the upstream answered another request"
-            raise AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
+            raise attempt_errors.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
 
     async def _check_refusal(self, head: http_client.ResponseHead) -> None:
         """Raises an error if the upstream refused to run the request."""
@@ -484,14 +477,14 @@
         if not self._conn.record_refusal(self._call.request, self.facts.request is not None):
             await self.abandon()
             reason = "the refusal may be older than the request"
-            raise AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
+            raise attempt_errors.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
         if head.status not in NOT_RUN_STATUSES and not self.facts.misdirected:
             # The request itself was refused, so the refusal is relayed to the caller.
             return
         await self._read_refusal_body()
         reason = f"the upstream refused with status {head.status}"
         other_weights = self.facts.has_only_other_weights(self._call.upstream, self._call.weights)
-        raise AttemptFailedError(
+        raise attempt_errors.AttemptFailedError(
             outcomes.RefusedBeforeRunning(
                 reason,
                 other_weights=other_weights,
@@ -511,8 +504,3 @@
             await self._conn.receive_body(REFUSAL_BODY_TIMEOUT_S, MAX_REFUSAL_BYTES)
             complete = True
         await (self.finish() if complete else self.abandon())
-
-
-def _too_large(offset: int) -> outcomes.Broken:
-    reason = f"the answer exceeds {progress_deadlines.MAX_ANSWER_BYTES} bytes"
-    return outcomes.Broken(reason, offset, crashed=False)
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -18,6 +18,7 @@
 from cicadapier._internal.protocols import exceptions as protocol_exceptions
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import http_server
+from cicadapier._internal.services import attempt_errors
 from cicadapier._internal.services import attempts
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import forwarded_calls
@@ -29,13 +30,13 @@
 from cicadapier._internal.services import forwarded_progress
 from cicadapier._internal.services import forwarded_silence
 from cicadapier._internal.services import hedging
+from cicadapier._internal.services import send_checks
 from cicadapier._internal.services import telemetry_service
 
 MIN_REMAINING_S = 0.01  # With less time left before its deadline, a request is not sent.
 # Longest wait for the directory before a stream goes on; without an answer, it goes on at what is
 # known, so that streams outlive an outage of the store.
 CONFIRM_TIMEOUT_S = 0.3
-CONFIGURATION_CHANGED_RETRY_S = 0.05  # Retry delay if the request no longer matches its route.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,6 +78,7 @@
         self._progress = forwarded_progress.AnswerProgress(
             plan.forwarded.resume_after, plan.request_spec.software
         )
+        self._checks = send_checks.SendChecks(dependencies, plan, self._progress)
         self._call_builder = forwarded_calls.CallBuilder(dependencies, plan, self._progress)
         self._silence_handler = forwarded_silence.SilentAnswerHandler(
             self._services,
@@ -194,7 +196,7 @@
                 raise self._broken_error("the upstream did not resume the stream")
             else:
                 outcome = await self._receive_whole(attempt, head)
-        except attempts.AttemptFailedError as exc:
+        except attempt_errors.AttemptFailedError as exc:
             outcome = self._mark_continuable(self._mark_output(exc.outcome))
         except attempts.AttemptSupersededError as exc:
             outcome = await self._supersede(exc)
@@ -225,8 +227,8 @@
         forwarded_log.log_attempt_given_up(self._plan, placed, attempt.sent_at)
         reason = "the weights of the upstream became too old to start the request"
         if attempt.send_started:
-            raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
-        raise attempts.AttemptFailedError(outcomes.NotSent(reason))
+            raise attempt_errors.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
+        raise attempt_errors.AttemptFailedError(outcomes.NotSent(reason))
 
     def _make_attempt(self, placed: routing.Placed) -> attempts.Attempt | None:
         registration = self._dependencies.directory.find(placed.choice.estimate.upstream)
@@ -269,7 +271,7 @@
         )
         if not self._heads.can_take_over(attempt.facts, head):
             reason = f"the upstream failed with status {head.status}"
-            raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
+            raise attempt_errors.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
         wire_format = self._dependencies.wire_format
         if self._heads.is_stream_route:
             await forwarded_hedge.receive_event(
@@ -326,7 +328,7 @@
         """Returns whether the request may be sent again now."""
         try:
             self._check_time()
-            self._check_admission()
+            self._checks.check_admission()
         except exceptions.RefusedError:
             return False
         return True
@@ -343,8 +345,8 @@
         if not self._sequence.may_have_run:
             # An interrupted run can be completed only by another run, so a retry does not depend on
             # changes of the configuration.
-            self._check_admission()
-        self._check_upstream(placed)
+            self._checks.check_admission()
+        self._checks.check_upstream(placed)
 
     def _check_before_hedge(self, placed: routing.Placed) -> None:
         """Checks the same for a hedge.
@@ -352,59 +354,13 @@
         The admission is always checked, because the silent attempt may still complete the answer.
         """
         self._check_time()
-        self._check_admission()
-        self._check_upstream(placed)
-
-    def _check_origin(self) -> None:
-        """Refuses to go on with a stream that another software version may have begun.
-
-        Raises:
-            RefusedError: The upstream that began it had started again with other software.
-        """
-        if self._dependencies.origins.is_doubted(self._plan.stream):
-            message = "the upstream that began this stream may have had other software"
-            raise exceptions.RefusedError(
-                outcomes.Refusal(
-                    outcomes.RefusalCode.ORIGIN_UNKNOWN, message, outcomes.Effect.UNKNOWN
-                )
-            )
+        self._checks.check_admission()
+        self._checks.check_upstream(placed)
 
     def _check_time(self) -> None:
         if self._remaining_s() < MIN_REMAINING_S:
             raise exceptions.RefusedError(self._deadline_refusal())
 
-    def _check_admission(self) -> None:
-        admission = self._dependencies.admit(self._plan.forwarded)
-        route_pools = {share.pool for share in admission.route.pools}
-        still_admitted = (
-            admission.account == self._plan.admission.account and self._plan.pool in route_pools
-        )
-        if not still_admitted:
-            message = "the configuration changed while the request was queued"
-            raise exceptions.RefusedError(
-                outcomes.Refusal(
-                    outcomes.RefusalCode.NO_UPSTREAM,
-                    message,
-                    retry_after_s=CONFIGURATION_CHANGED_RETRY_S,
-                )
-            )
-
-    def _check_upstream(self, placed: routing.Placed) -> None:
-        upstream = placed.choice.estimate.upstream
-        if not self._dependencies.directory.may_send(upstream, placed.incarnation):
-            raise attempts.AttemptFailedError(outcomes.NotSent("the upstream is leaving"))
-        if self._progress.software is not None:
-            self._check_origin()
-        if not self._progress.can_continue_at(placed):
-            reason = "the upstream has another software version than the one that began the stream"
-            raise attempts.AttemptFailedError(outcomes.NotSent(reason, withheld=True))
-        if not placed.granted and self._dependencies.directory.limits.requires_grant(
-            upstream, placed.incarnation
-        ):
-            reason = "the upstream limits the requests of all routers"
-            raise attempts.AttemptFailedError(outcomes.NotSent(reason, withheld=True))
-        self._dependencies.directory.limits.count_send(upstream, "attempt")
-
     async def _receive_whole(
         self, attempt: attempts.Attempt, head: http_client.ResponseHead
     ) -> outcomes.AttemptOutcome:
@@ -497,8 +453,8 @@
             telemetry_service.Histogram.FIRST_TOKEN, took_s, self._plan.attributes
         )
 
-    def _broken_error(self, reason: str) -> attempts.AttemptFailedError:
-        return attempts.AttemptFailedError(
+    def _broken_error(self, reason: str) -> attempt_errors.AttemptFailedError:
+        return attempt_errors.AttemptFailedError(
             outcomes.Broken(reason, self._progress.relayed_events, crashed=False)
         )
 
--- a/src/cicadapier/_internal/services/forwarded_hedge.py
+++ b/src/cicadapier/_internal/services/forwarded_hedge.py
@@ -7,6 +7,7 @@
 from cicadapier._internal.models import outcomes
 from cicadapier._internal.protocols import event_stream
 from cicadapier._internal.protocols import forwarding
+from cicadapier._internal.services import attempt_errors
 from cicadapier._internal.services import attempts
 from cicadapier._internal.services import forwarded_progress
 
@@ -39,7 +40,7 @@
     continues = progress.is_next(events[0], wire_format) if events else not splitter.rest
     if not continues:
         reason = "the answer does not continue the stream"
-        raise attempts.AttemptFailedError(
+        raise attempt_errors.AttemptFailedError(
             outcomes.Broken(reason, progress.relayed_events, crashed=False)
         )
 
--- a/src/cicadapier/_internal/services/hedging.py
+++ b/src/cicadapier/_internal/services/hedging.py
@@ -15,6 +15,7 @@
 from cicadapier._internal.decisions import routing
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
+from cicadapier._internal.services import attempt_errors
 from cicadapier._internal.services import attempts
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import request_context
@@ -100,7 +101,7 @@
         try:
             await self._wait_for_answer(placed, attempt)
             replacement = attempts.Replacement(placed, attempt)
-        except attempts.AttemptFailedError as exc:
+        except attempt_errors.AttemptFailedError as exc:
             outcome = exc.outcome
             reason = str(exc)
         except exceptions.RefusedError as exc:
@@ -123,7 +124,7 @@
             self._hedge = None
         if self._wait_scope.cancelled_caught and not attempt.may_still_answer:
             reason = "the hedge failed when it was to replace the failed attempt"
-            raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
+            raise attempt_errors.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
 
     async def _report_end(self, outcome: outcomes.AttemptOutcome | None, sent: bool) -> None:
         """Reports the end of a hedge that replaces no attempt.
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -18,6 +18,7 @@
 from cicadapier._internal.protocols import headers
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import http_server
+from cicadapier._internal.services import attempt_errors
 from cicadapier._internal.services import attempts
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import hedging
@@ -191,7 +192,7 @@
             else:
                 await self._relay_buffered(attempt, placed)
             return outcomes.Complete(head.status)
-        except attempts.AttemptFailedError as exc:
+        except attempt_errors.AttemptFailedError as exc:
             return outcomes.mark_output(exc.outcome, self._has_output)
         except attempts.AttemptSupersededError as exc:
             return await self._supersede(exc)
@@ -222,7 +223,7 @@
         head = await attempt.start()
         if head.status != http.HTTPStatus.OK or not self._has_same_weights(head):
             reason = f"the upstream answered with status {head.status}"
-            raise attempts.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
+            raise attempt_errors.AttemptFailedError(outcomes.SentNoAnswer(reason, crashed=False))
         await self._receive_beginning(attempt)
 
     async def _receive_beginning(self, attempt: attempts.Attempt) -> None:
@@ -467,5 +468,5 @@
         return identity_headers
 
 
-def _broken_error(reason: str, offset: int) -> attempts.AttemptFailedError:
-    return attempts.AttemptFailedError(outcomes.Broken(reason, offset, crashed=False))
+def _broken_error(reason: str, offset: int) -> attempt_errors.AttemptFailedError:
+    return attempt_errors.AttemptFailedError(outcomes.Broken(reason, offset, crashed=False))
--- a/src/cicadapier/_internal/services/service_calls.py
+++ b/src/cicadapier/_internal/services/service_calls.py
@@ -18,6 +18,7 @@
 from cicadapier._internal.protocols import headers
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import http_server
+from cicadapier._internal.services import attempt_errors
 from cicadapier._internal.services import attempts
 from cicadapier._internal.services import claims_service
 from cicadapier._internal.services import exceptions
@@ -242,7 +243,7 @@
             await attempt.finish()
             forwarded_headers = http_client.remove_hop_by_hop(head.headers, _ANSWER_HEADERS_DROPPED)
             return _Answer(head.status, forwarded_headers, body, upstream)
-        except attempts.AttemptFailedError as exc:
+        except attempt_errors.AttemptFailedError as exc:
             return exc.outcome
         finally:
             await attempt.abandon()
--- a/tests/_internal/services/test_attempts.py
+++ b/tests/_internal/services/test_attempts.py
@@ -11,6 +11,7 @@
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import transport
+from cicadapier._internal.services import attempt_errors
 from cicadapier._internal.services import attempts
 from cicadapier._internal.services import connections_service
 from cicadapier._internal.services import upstream_call
@@ -92,7 +93,7 @@
                 try:
                     results.append((await attempt.start()).status)
                     await attempt.finish()
-                except attempts.AttemptFailedError as exc:
+                except attempt_errors.AttemptFailedError as exc:
                     results.append(exc.outcome)
                 finally:
                     await attempt.abandon()
--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -211,7 +211,7 @@
     ),
     planted_bug.Mutant(
         "go on with an answer that another process may have begun",
-        "services/forwarded_exchange.py",
+        "services/send_checks.py",
         "if self._dependencies.origins.is_doubted(self._plan.stream):",
         "if False:",
         f"{planted_bug.SERVICES}.test_routers_out_of_step.BegunAtRestartedUpstreamTest"
@@ -346,7 +346,7 @@
     ),
     planted_bug.Mutant(
         "doubt an upstream that refuses a request because its weights are older",
-        "decisions/placer.py",
+        "decisions/attempt_effects.py",
         "    member.versions[model] = served\n",
         "    pass\n",
         f"{planted_bug.SERVICES}.test_mistaken_weights",
