--- a/src/cicadapier/_internal/services/links_service.py
+++ b/src/cicadapier/_internal/services/links_service.py
@@ -30,6 +30,7 @@
 PROBE_INTERVAL_S = 0.25
 PROBE_TIMEOUT_S = 0.4
 CHECK_TIMEOUT_S = 0.2
+MAX_CHECKS = 3  # Other upstreams that are tried to see whether the own links work.
 MAX_CONNECT_TIMES = 4096
 
 _log = structlog.get_logger()
@@ -258,11 +259,22 @@
         """
         if self._state.last_direct_at >= since:
             return True
-        others = sorted(self._registered() - {address})
-        if not others:
-            return True
+        others = self._others(address)
+        with trio.move_on_after(CHECK_TIMEOUT_S):
+            for other in others[:MAX_CHECKS]:
+                if await self._is_reached(other):
+                    return True
+        return not others
+
+    def _others(self, address: ids.Address) -> list[ids.Address]:
+        """Returns the other upstreams, those first that were last reached directly."""
+        registered = self._registered()
+        reached = [item for item in reversed(self._connect_s) if item in registered]
+        return [item for item in dict.fromkeys([*reached, *sorted(registered)]) if item != address]
+
+    async def _is_reached(self, address: ids.Address) -> bool:
         try:
-            stream = await self.connect_direct(others[0], CHECK_TIMEOUT_S)
+            stream = await self.connect_direct(address, CHECK_TIMEOUT_S)
         except exceptions.ConnectError:
             return False
         await trio.aclose_forcefully(stream)
@@ -288,6 +300,7 @@
         now = trio.current_time()
         if len(self._connect_s) >= MAX_CONNECT_TIMES:
             self._connect_s.clear()
+        self._connect_s.pop(address, None)  # The last one is the one reached last.
         self._connect_s[address] = now - started_at
         self._apply_change(self._state.record_direct(address, now), address, None)
 
--- a/tests/_internal/services/test_links_service.py
+++ b/tests/_internal/services/test_links_service.py
@@ -290,6 +290,20 @@
 
         run_with_links(test, peers=8)
 
+    def test_upstream_that_crashes_beside_another_is_refused(self):
+        async def test(rig):
+            third = await rig.add_upstream()
+            for upstream in (*rig.upstreams, third):
+                await rig.connect(upstream)
+            await trio.sleep(1.0)
+            for upstream in rig.upstreams:
+                rig.inner.refuse_connections(upstream)
+            for upstream in rig.upstreams:
+                with self.assertRaises(exceptions.ConnectRefusedError):
+                    await rig.connect(upstream)
+
+        run_with_links(test)
+
     def test_lost_link_is_no_refusal_without_a_peer(self):
         async def test(rig):
             rig.network.cut(Fault.RESET, rig.upstreams)
