Tell the peers that the links are back also where the upstreams behind the lost ones have left (RECOVER)

By reading: the belief that all links are lost ended without a word as the upstreams at which it was seen left the directory, so the heartbeat went on saying so, and no peer would go through this router any more. test_loss_of_all_links_ends_with_the_upstreams_that_it_was_seen_at covers the decision; the former code returned nothing there.

--- a/src/cicadapier/_internal/decisions/link_state.py
+++ b/src/cicadapier/_internal/decisions/link_state.py
@@ -130,12 +130,21 @@
             link.probes = 0
         self._reached.discard(address)
 
-    def retain(self, addresses: collections.abc.Container[ids.Address]) -> None:
-        """Forgets the links to upstreams that are no longer registered."""
+    def retain(
+        self, addresses: collections.abc.Container[ids.Address], now: float
+    ) -> LinkChange | None:
+        """Forgets the links to upstreams that are no longer registered.
+
+        Returns:
+            The end of the loss of all links, if no lost link remains.
+        """
         for address in [address for address in self._links if address not in addresses]:
             del self._links[address]
             self._reached.discard(address)
-        self.all_lost = self.all_lost and bool(self.lost_links())
+        if not self.all_lost or self.lost_links():
+            return None
+        self._regain_all(now)
+        return LinkChange.ALL_REGAINED
 
     def next_probe(self, now: float) -> ids.Address | None:
         """Returns the upstream whose lost link is to be tried next, or None if none is lost."""
--- a/src/cicadapier/_internal/services/links_service.py
+++ b/src/cicadapier/_internal/services/links_service.py
@@ -285,8 +285,9 @@
 
     async def _probe(self) -> None:
         """Tries one lost link directly, if there is any."""
-        self._state.retain(self._registered())
-        address = self._state.next_probe(trio.current_time())
+        now = trio.current_time()
+        self._apply_change(self._state.retain(self._registered(), now), None, None)
+        address = self._state.next_probe(now)
         if address is None:
             return
         try:
@@ -311,7 +312,10 @@
         self._apply_change(change, race.address, peer.vm)
 
     def _apply_change(
-        self, change: link_state.LinkChange | None, address: ids.Address, peer: ids.VmId | None
+        self,
+        change: link_state.LinkChange | None,
+        address: ids.Address | None,
+        peer: ids.VmId | None,
     ) -> None:
         """Acts on a change of what this router believes of its links."""
         if change is None:
--- a/tests/_internal/decisions/test_link_state.py
+++ b/tests/_internal/decisions/test_link_state.py
@@ -88,9 +88,15 @@
         self.state.record_direct(A, 2.75)
         self.assertTrue(self.state.is_direct(A))
 
+    def test_loss_of_all_links_ends_with_the_upstreams_that_it_was_seen_at(self):
+        self._lose_all(1.0)
+        self.assertIsNone(self.state.retain([A, B, C], 2.0))
+        self.assertIs(self.state.retain([C], 3.0), Change.ALL_REGAINED)
+        self.assertIsNone(self.state.retain([C], 4.0))
+
     def test_links_to_upstreams_that_have_left_are_forgotten(self):
         self._lose_all(1.0)
-        self.state.retain([C])
+        self.state.retain([C], 2.0)
         self.assertIsNone(self.state.next_probe(2.0))
         self.assertTrue(self.state.is_direct(C))
 
