Check the age of weights with which requests begin in the fuzz of forwarded routes

No check of the fuzz bounded when a request may begin on older weights, so that it could not have found what users saw. It now checks that none begins later than 8 s after newer weights were named, counted in one stretch without fault of the store or end of a router, and for requests that begin 3 s after the last one of these. A rule cuts one router off as weights are named, and another one as the weights of the engines age.

--- a/tests/forwarding_fuzzing.py
+++ b/tests/forwarding_fuzzing.py
@@ -38,6 +38,10 @@
     forwarding_upstream.UpstreamFault.BEGINS_LATE,
     forwarding_upstream.UpstreamFault.ORDERS_LATE,
 )
+# No request begins on weights older than those that were named this long before.
+MAX_WEIGHTS_AGE_S = 8.0
+# A router complies with time bounds this long after the last failure of the store.
+CONTACT_S = 3.0
 SPARE = ids.PoolId("spare")
 ENGINE_POOLS = (forwarding_deployment.ENGINES, SPARE)
 REGISTRATION_LAPSE_S = 3.0
@@ -158,6 +162,8 @@
         rate_limit_periods: Times in which upstreams state rate limits.
         fault_periods: Start and end of each fault of each upstream.
         link_cuts: Times in which links of routers are cut.
+        outages: Start and end of each fault of the store or of its endpoints.
+        named_at: Time at which each weights version became the target version.
     """
 
     def __init__(self, world, nursery):
@@ -170,6 +176,8 @@
         self.rate_limit_periods = []
         self.fault_periods = collections.defaultdict(list)
         self.link_cuts = []
+        self.outages = []
+        self.named_at = {}
         self._routes = forwarding_deployment.routes()
         self._nursery = nursery
 
@@ -188,6 +196,7 @@
 
     def raise_target_version(self):
         self.target_version += 1
+        self.named_at[self.target_version] = trio.current_time()
         self.world.set_target_weights(self.target_version)
 
     def revoke_key(self, key):
@@ -202,6 +211,12 @@
         faults.add(fault)
         self._nursery.start_soon(self._clear_fault_later, faults, fault, seconds)
 
+    def inject_store_fault(self, faults, fault, seconds):
+        """Adds a fault to the store or to one of its endpoints for some time."""
+        now = trio.current_time()
+        self.outages.append((now, now + seconds))
+        self.inject_fault(faults, fault, seconds)
+
     def inject_upstream_fault(self, name, fault, seconds):
         """Adds a fault to an upstream for some time."""
         now = trio.current_time()
@@ -329,6 +344,7 @@
         *_check_complete_answers(program),
         *_check_cut_runs(program),
         *_check_run_weights(program),
+        *_check_old_weights(program),
         *_check_order_holders(program),
         *_check_revoked_keys(program),
         *_check_retry_budget(program),
@@ -460,6 +476,46 @@
     ]
 
 
+def _check_old_weights(program):
+    """Checks that no request begins on weights that are too old.
+
+    The age counts in one stretch without an outage, and only for requests that begin without one.
+    Cuts of links excuse nothing: a router that does not reach an engine sends it nothing, and what
+    it has sent is not delivered later.
+    """
+    return [
+        f"{run.request} began on weights {run.weights} at {run.at:.2f} s,"
+        f" {run.at - named_at:.2f} s after version {version} was named"
+        for run in program.world.runs
+        for version, named_at in program.named_at.items()
+        if run.weights < version
+        and "kv-from" not in run.headers
+        and run.upstream.startswith(("engine", "spare"))
+        and _is_calm(program, run.at - CONTACT_S, run.at)
+        and _has_calm_stretch(program, named_at, run.at)
+    ]
+
+
+def _is_calm(program, since, until):
+    """Returns whether there was no outage and no router ended within some time."""
+    router_ends = [(at, at) for times in program.router_end_times.values() for at in times]
+    return not any(
+        started <= until and since <= ended for started, ended in [*program.outages, *router_ends]
+    )
+
+
+def _has_calm_stretch(program, since, until):
+    """Returns whether some stretch as long as the age limit of weights had no outage."""
+    router_ends = [at for times in program.router_end_times.values() for at in times]
+    starts = [since, *(ended + 0.001 for _, ended in program.outages), *router_ends]
+    return any(
+        since <= start
+        and start + MAX_WEIGHTS_AGE_S <= until
+        and _is_calm(program, start + 0.001, start + MAX_WEIGHTS_AGE_S)
+        for start in starts
+    )
+
+
 def _check_order_holders(program):
     """Checks the orders to each pool of engines; each pool has its own lease holder."""
     return [violation for pool in ENGINE_POOLS for violation in _check_pool_orders(program, pool)]
--- a/tests/test_forwarding_fuzz.py
+++ b/tests/test_forwarding_fuzz.py
@@ -141,14 +141,14 @@
 
     @stateful.rule(fault=st.sampled_from(list(forwarding_store.StoreFault)), seconds=_SECONDS)
     def strike_store(self, fault, seconds):
-        self.steps.append(lambda p: p.inject_fault(p.world.store.faults, fault, seconds))
+        self.steps.append(lambda p: p.inject_store_fault(p.world.store.faults, fault, seconds))
 
     @stateful.rule(
         router=_ROUTER, fault=st.sampled_from(list(forwarding_store.StoreFault)), seconds=_SECONDS
     )
     def strike_door(self, router, fault, seconds):
         self.steps.append(
-            lambda p: p.inject_fault(p.world.store_endpoints[router].faults, fault, seconds)
+            lambda p: p.inject_store_fault(p.world.store_endpoints[router].faults, fault, seconds)
         )
 
     @stateful.rule(
@@ -169,6 +169,23 @@
     def cut_links(self, router, fault, names, direction, seconds):
         self.steps.append(lambda p: p.cut_links(router, fault, names, direction, seconds))
 
+    @stateful.rule(
+        router=_ROUTER,
+        other=_ROUTER,
+        after_s=st.sampled_from([0.5, 4.0, 5.8]),
+        seconds=st.sampled_from([6.0, 9.0]),
+    )
+    def name_weights_amid_cuts(self, router, other, after_s, seconds):
+        """Cuts off a router as weights are named, and another one as the engines' weights age."""
+        hang = router_links.LinkFault.HANG
+        both = router_links.Direction.BOTH
+        self.cut_links(router, hang, None, both, seconds)
+        self.name_weights()
+        self.send_steadily(other, "ask", 15, 10)
+        self.wait(after_s)
+        self.cut_links(other, hang, _ENGINES, both, seconds - after_s)
+        self.wait(5.0)
+
     @stateful.rule()
     def forget_history(self):
         self.steps.append(lambda program: program.world.store.drop_history())
