Routers take turns again in a rollout long after a hand-over

What callers would see: after a lease was handed over and lapsed, all routers of a pool wrote to the lease at once as the next rollout began. Cause: the turn after a hand-over counted from the last change of the lease, however long ago, instead of from when the engines became outdated. Evidence: the new test gave 11.0 s instead of 100.0 s for a rollout that begins at 100 s. Found by reading. A second test states that turns make no router wait longer than one rank after the other would.

--- a/src/cicadapier/_internal/decisions/lease_candidacy.py
+++ b/src/cicadapier/_internal/decisions/lease_candidacy.py
@@ -68,7 +68,8 @@
     if not vacancy.hand_overs:
         return vacancy.outdated_since + head_start_s + TURN_S * turn
     wait_s = _backoff_s(vacancy.hand_overs) + HAND_OVER_TURN_S * turn
-    return max(vacancy.changed_at + wait_s, handed_over_at + HANDED_OVER_PAUSE_S)
+    vacant_since = max(vacancy.outdated_since, vacancy.changed_at)
+    return max(vacant_since + wait_s, handed_over_at + HANDED_OVER_PAUSE_S)
 
 
 def _backoff_s(hand_overs: int) -> float:
--- a/tests/_internal/decisions/test_lease_candidacy.py
+++ b/tests/_internal/decisions/test_lease_candidacy.py
@@ -69,6 +69,22 @@
             tried = [vm for vm, at in handed_over_at.items() if at > NEVER]
             self.assertGreaterEqual(len(tried), min(count, 12) * 3 // 4, count)
 
+    def test_routers_take_turns_again_in_a_rollout_long_after_a_hand_over(self):
+        routers = [f"vm-{i}" for i in range(24)]
+        vacancy = lease_candidacy.Vacancy("engines", 100.0, "vm-99", 1, 11.0)
+        attempts = self._attempts(routers, vacancy)
+        self.assertEqual(attempts[0], 100.0)
+        self.assertEqual(attempts.count(100.0), 1)
+
+    def test_turns_make_no_router_wait_longer_than_one_rank_after_the_other_would(self):
+        for count in (4, 8, 24, 77):
+            for last_holder in (None, "vm-99"):
+                attempts = self._attempts([f"vm-{i}" for i in range(count)], _vacancy(last_holder))
+                head_start_s = lease_candidacy.LAST_HOLDER_HEAD_START_S if last_holder else 0.0
+                for rank, attempt in enumerate(attempts):
+                    latest = 10.0 + head_start_s + lease_candidacy.TURN_S * rank
+                    self.assertLessEqual(attempt, latest + 1e-9, (count, last_holder, rank))
+
     def test_large_fleet_has_tried_within_few_turns(self):
         for count in (24, 77, 300):
             attempts = self._attempts([f"vm-{i}" for i in range(count)], _vacancy())
