Split large modules and share what tests say twice

Checks of the fuzz, planted bugs of rollouts, the recording server and the tests of a deployment's cut links get modules of their own; suspended and held-up routers share one scene. No check changes.

--- a/src/cicadapier/_internal/assembly/forwarding.py
+++ b/src/cicadapier/_internal/assembly/forwarding.py
@@ -71,15 +71,7 @@
     callers = forwarding_service.ForwardingService(
         cfg, forwarding_settings, dependencies.listen_network, request_format, token_source
     )
-    weights = weights_service.WeightsService(
-        cfg.vm,
-        document_format,
-        engine_calls.EngineCallFormat(),
-        forwarding_settings.order_lease_ms / 1000,
-        clock,
-        rng,
-        token_source,
-    )
+    weights = _make_weights(cfg, forwarding_settings, dependencies, document_format, rng)
     platform = platform_service.PlatformService(
         cfg.platform, dependencies.connect_network, rng, objects.ObjectFormat()
     )
@@ -113,3 +105,21 @@
     ):
         kernel.register(component)
     return ForwardingRouter(kernel, callers, readiness, peers, configuration)
+
+
+def _make_weights(
+    cfg: settings.Settings,
+    forwarding_settings: settings.Forwarding,
+    dependencies: router.Dependencies,
+    document_format: documents.DocumentFormat,
+    rng: random.Random,
+) -> weights_service.WeightsService:
+    return weights_service.WeightsService(
+        cfg.vm,
+        document_format,
+        engine_calls.EngineCallFormat(),
+        forwarding_settings.order_lease_ms / 1000,
+        dependencies.clock,
+        rng,
+        dependencies.token_source,
+    )
--- a/src/cicadapier/_internal/services/attempt_errors.py
+++ b/src/cicadapier/_internal/services/attempt_errors.py
@@ -2,6 +2,8 @@
 
 from cicadapier._internal.decisions import progress_deadlines
 from cicadapier._internal.models import outcomes
+from cicadapier._internal.protocols import answers
+from cicadapier._internal.services import upstream_call
 
 
 class AttemptFailedError(Exception):
@@ -24,3 +26,23 @@
     """
     reason = f"the answer exceeds {progress_deadlines.MAX_ANSWER_BYTES} bytes"
     return AttemptFailedError(outcomes.Broken(reason, offset, crashed=False))
+
+
+def refused_error(
+    call: upstream_call.Call, status: int, facts: answers.AnswerFacts
+) -> AttemptFailedError:
+    """Returns the error of an attempt that the upstream refused before it ran the request.
+
+    Args:
+        call: The request.
+        status: Status of the refusal.
+        facts: Metadata of the refusal.
+    """
+    return AttemptFailedError(
+        outcomes.RefusedBeforeRunning(
+            f"the upstream refused with status {status}",
+            other_weights=facts.has_only_other_weights(call.upstream, call.weights),
+            expected_weights=call.weights,
+            served_weights=facts.weights,
+        )
+    )
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -482,16 +482,7 @@
             # The request itself was refused, so the refusal is relayed to the caller.
             return
         await self._read_refusal_body()
-        reason = f"the upstream refused with status {head.status}"
-        other_weights = self.facts.has_only_other_weights(self._call.upstream, self._call.weights)
-        raise attempt_errors.AttemptFailedError(
-            outcomes.RefusedBeforeRunning(
-                reason,
-                other_weights=other_weights,
-                expected_weights=self._call.weights,
-                served_weights=self.facts.weights,
-            )
-        )
+        raise attempt_errors.refused_error(self._call, head.status, self.facts)
 
     async def _read_refusal_body(self) -> None:
         """Reads the body of a refusal, so that the connection can be reused."""
--- a/tests/_internal/protocols/test_transport.py
+++ b/tests/_internal/protocols/test_transport.py
@@ -156,5 +156,41 @@
             trio.run(send_after_close, server.getsockname()[1])
 
 
+async def _read_all(stream):
+    """Returns what a stream receives, then how it ended: `end` or `reset`."""
+    parts = []
+    try:
+        while data := bytes(await stream.receive_some()):
+            parts.append(data)
+    except trio.BrokenResourceError:
+        return [*parts, b"reset"]
+    return [*parts, b"end"]
+
+
+class ResetOnCloseTest(unittest.TestCase):
+    def test_a_socket_is_reset_and_what_has_arrived_stays_readable(self):
+        async def main():
+            network = transport.TcpNetwork()
+            readings = []
+
+            async def read_late(stream):
+                await trio.sleep(0.1)
+                readings.append(await _read_all(stream))
+
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(network.serve, ids.Address("127.0.0.1:0"), read_late)
+                for resets in (False, True):
+                    stream = await network.connect(address, 1.0)
+                    await stream.send_all(b"request")
+                    if resets:
+                        transport.reset_on_close(stream)
+                    await stream.aclose()
+                    await trio.sleep(0.3)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(readings, [[b"request", b"end"], [b"request", b"reset"]])
+
+        trio.run(main)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/_internal/services/test_cut_order_holder.py
+++ b/tests/_internal/services/test_cut_order_holder.py
@@ -51,6 +51,14 @@
         self._check_weights(world, 2)
         return _holder(world)
 
+    async def _check_rollout(self, world):
+        """Checks that all engines load new weights before the former ones are too old."""
+        await trio.sleep(1.0)
+        world.set_target_weights(3)
+        await trio.sleep(MAX_AGE_S)
+        self._check_weights(world, 3)
+        self._check_gaps(world)
+
     async def _ask_until(self, world, router, until, statuses):
         while trio.current_time() < until:
             reply = await world.ask(router=router, time_left_ms=3000)
@@ -125,11 +133,7 @@
                         await trio.sleep(MIN_ORDER_GAP_S)
                         for router in set(range(ROUTERS)) - {reached}:
                             world.cut_links(router, fault)
-                        await trio.sleep(1.0)
-                        world.set_target_weights(3)
-                        await trio.sleep(MAX_AGE_S)
-                        self._check_weights(world, 3)
-                        self._check_gaps(world)
+                        await self._check_rollout(world)
 
                     forwarding_world.run_in_world(check, routers=ROUTERS)
 
@@ -140,11 +144,7 @@
                 async def check(world, fault=fault):
                     holder = await self._make_holder(world)
                     world.cut_links(holder, fault, ["engine-0", "engine-1"])
-                    await trio.sleep(1.0)
-                    world.set_target_weights(3)
-                    await trio.sleep(MAX_AGE_S)
-                    self._check_weights(world, 3)
-                    self._check_gaps(world)
+                    await self._check_rollout(world)
 
                 forwarding_world.run_in_world(check, routers=ROUTERS)
 
--- a/tests/_internal/standins/test_router_links.py
+++ b/tests/_internal/standins/test_router_links.py
@@ -8,93 +8,20 @@
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import transport
-from cicadapier._internal.standins import faulty_network
-from cicadapier._internal.standins import forwarding_deployment
 from cicadapier._internal.standins import router_links
-from tests import forwarding_world
-from tests import support
+from tests import recording_server
 
 Direction = router_links.Direction
 LinkFault = router_links.LinkFault
-UPSTREAM = ids.Address("127.0.0.1:7001")
-OTHER = ids.Address("127.0.0.1:7002")
 CUT_S = 5.0
 TIMEOUT_S = 0.4
 
 
-class _Server:
-    """Server that records what it receives, each with its time.
-
-    Attributes:
-        received: Time and data, `end` or `reset`, in order.
-        streams: Its ends of the connections.
-    """
-
-    def __init__(self, network, address):
-        self.received = []
-        self.streams = []
-        self._network = network
-        self._address = address
-
-    @property
-    def times(self):
-        return [round(at, 2) for at, _ in self.received]
-
-    @property
-    def contents(self):
-        return [content for _, content in self.received]
-
-    async def run(self, task_status):
-        await self._network.serve(self._address, self._record, task_status=task_status)
-
-    async def _record(self, stream):
-        self.streams.append(stream)
-        data = b"-"
-        while data:
-            try:
-                data = await stream.receive_some()
-            except trio.BrokenResourceError:
-                self.received.append((trio.current_time(), "reset"))
-                return
-            except trio.ClosedResourceError:
-                return
-            self.received.append((trio.current_time(), bytes(data) or "end"))
-
-
-def _run(check):
-    """Runs a check with the links of a router and a server at each address."""
-
-    async def main():
-        network = faulty_network.MemoryNetwork()
-        async with trio.open_nursery() as nursery:
-            servers = [_Server(network, address) for address in (UPSTREAM, OTHER)]
-            for server in servers:
-                await nursery.start(server.run)
-            await check(router_links.RouterLinks(network), *servers)
-            nursery.cancel_scope.cancel()
-
-    support.run(main)
-
-
-async def _settle():
-    """Lets everything happen that needs no time to pass."""
-    await trio.sleep(0.001)
-
-
-async def _read(stream):
-    """Returns the next data of a stream, `end` or `reset`, and the time at which it was read."""
-    try:
-        data = bytes(await stream.receive_some()) or "end"
-    except trio.BrokenResourceError:
-        data = "reset"
-    return data, trio.current_time()
-
-
 class MemoryNetworkTest(unittest.TestCase):
     def test_a_close_after_reset_on_close_discards_what_was_not_read(self):
         async def check(links, server, _):
-            stream = await links._inner.connect(UPSTREAM, 1.0)
-            await _settle()
+            stream = await links._inner.connect(recording_server.UPSTREAM, 1.0)
+            await recording_server.settle()
             await server.streams[0].send_all(b"unread")
             transport.reset_on_close(server.streams[0])
             await server.streams[0].aclose()
@@ -104,75 +31,50 @@
             with self.assertRaises(trio.BrokenResourceError):
                 await stream.send_all(b"more")
 
-        _run(check)
+        recording_server.run(check)
 
     def test_a_reset_ends_the_read_that_waits_at_the_server(self):
         async def check(links, server, _):
-            stream = await links._inner.connect(UPSTREAM, 1.0)
-            await _settle()
+            stream = await links._inner.connect(recording_server.UPSTREAM, 1.0)
+            await recording_server.settle()
             transport.reset_on_close(stream)
             await stream.aclose()
-            await _settle()
+            await recording_server.settle()
             self.assertEqual(server.contents, ["reset"])
             with self.assertRaises(trio.BrokenResourceError):
                 await server.streams[0].send_all(b"late")
 
-        _run(check)
+        recording_server.run(check)
 
     def test_a_plain_close_delivers_what_was_sent(self):
         async def check(links, server, _):
-            stream = await links._inner.connect(UPSTREAM, 1.0)
+            stream = await links._inner.connect(recording_server.UPSTREAM, 1.0)
             await stream.send_all(b"request")
             await stream.aclose()
-            await _settle()
+            await recording_server.settle()
             self.assertEqual(server.contents, [b"request", "end"])
 
-        _run(check)
+        recording_server.run(check)
 
     def test_a_process_that_stops_ends_its_connections_without_a_reset(self):
         async def check(links, server, _):
-            stream = await links._inner.connect(UPSTREAM, 1.0)
+            stream = await links._inner.connect(recording_server.UPSTREAM, 1.0)
             await stream.send_all(b"request")
             with trio.CancelScope() as scope:
                 scope.cancel()
                 await stream.aclose()
-            await _settle()
+            await recording_server.settle()
             self.assertEqual(server.contents, [b"request", "end"])
 
-        _run(check)
-
-
-class ResetOnCloseTest(unittest.TestCase):
-    def test_a_socket_is_reset_and_what_has_arrived_stays_readable(self):
-        async def main():
-            network = transport.TcpNetwork()
-            readings = []
-
-            async def read_late(stream):
-                await trio.sleep(0.1)
-                readings.append([(await _read(stream))[0] for _ in range(2)])
-
-            async with trio.open_nursery() as nursery:
-                address = await nursery.start(network.serve, ids.Address("127.0.0.1:0"), read_late)
-                for resets in (False, True):
-                    stream = await network.connect(address, 1.0)
-                    await stream.send_all(b"request")
-                    if resets:
-                        transport.reset_on_close(stream)
-                    await stream.aclose()
-                    await trio.sleep(0.3)
-                nursery.cancel_scope.cancel()
-            self.assertEqual(readings, [[b"request", "end"], [b"request", "reset"]])
-
-        trio.run(main)
+        recording_server.run(check)
 
 
 class PassThroughTest(unittest.TestCase):
     def test_links_that_are_not_cut_pass_everything_through(self):
         async def check(links, server, _):
-            stream = await links.connect(UPSTREAM, 1.0)
+            stream = await links.connect(recording_server.UPSTREAM, 1.0)
             await stream.send_all(b"request")
-            await _settle()
+            await recording_server.settle()
             await server.streams[0].send_all(b"answer")
             self.assertEqual(await stream.receive_some(3), b"ans")
             self.assertEqual(await stream.receive_some(), b"wer")
@@ -181,23 +83,23 @@
                 await stream.send_all(b"more")
             with self.assertRaises(trio.ClosedResourceError):
                 await stream.receive_some()
-            await _settle()
+            await recording_server.settle()
             self.assertEqual(server.contents, [b"request", "end"])
 
-        _run(check)
+        recording_server.run(check)
 
     def test_a_close_ends_a_read_of_another_task(self):
         async def check(links, _, __):
             for fault in (None, LinkFault.HANG):
-                stream = await links.connect(UPSTREAM, 1.0)
+                stream = await links.connect(recording_server.UPSTREAM, 1.0)
                 if fault:
-                    links.cut(fault, [UPSTREAM])
+                    links.cut(fault, [recording_server.UPSTREAM])
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._read_closed, stream)
                     await trio.sleep(1.0)
                     await stream.aclose()
 
-        _run(check)
+        recording_server.run(check)
 
     async def _read_closed(self, stream):
         with self.assertRaises(trio.ClosedResourceError):
@@ -206,40 +108,40 @@
     def test_it_serves_on_the_inner_network(self):
         async def check(links, _, __):
             address = ids.Address("127.0.0.1:7003")
-            server = _Server(links, address)
+            server = recording_server.Server(links, address)
             links.cut(LinkFault.RESET, [address])
             async with trio.open_nursery() as nursery:
                 await nursery.start(server.run)
                 stream = await links._inner.connect(address, 1.0)
                 await stream.send_all(b"call")
-                await _settle()
+                await recording_server.settle()
                 self.assertEqual(server.contents, [b"call"])
                 nursery.cancel_scope.cancel()
 
-        _run(check)
+        recording_server.run(check)
 
 
 class HangTest(unittest.TestCase):
     def test_new_connections_get_no_answer_until_their_timeout(self):
         async def check(links, _, __):
-            links.cut(LinkFault.HANG, [UPSTREAM])
+            links.cut(LinkFault.HANG, [recording_server.UPSTREAM])
             began = trio.current_time()
             with self.assertRaisesRegex(
                 exceptions.ConnectError, "no answer within 0.4 s"
             ) as raised:
-                await links.connect(UPSTREAM, TIMEOUT_S)
+                await links.connect(recording_server.UPSTREAM, TIMEOUT_S)
             self.assertNotIsInstance(raised.exception, exceptions.ConnectRefusedError)
             self.assertAlmostEqual(trio.current_time() - began, TIMEOUT_S)
             links.heal()
-            await links.connect(UPSTREAM, TIMEOUT_S)
+            await links.connect(recording_server.UPSTREAM, TIMEOUT_S)
 
-        _run(check)
+        recording_server.run(check)
 
     def test_what_is_sent_both_ways_arrives_in_order_after_the_cut(self):
         async def check(links, server, _):
-            stream = await links.connect(UPSTREAM, 1.0)
-            await _settle()
-            links.cut(LinkFault.HANG, [UPSTREAM])
+            stream = await links.connect(recording_server.UPSTREAM, 1.0)
+            await recording_server.settle()
+            links.cut(LinkFault.HANG, [recording_server.UPSTREAM])
             await stream.send_all(b"first")
             await stream.send_all(b"second")
             await server.streams[0].send_all(b"answer")
@@ -251,35 +153,35 @@
             links.heal()
             healed = trio.current_time()
             self.assertTrue(transport.has_input(stream))
-            self.assertEqual(await _read(stream), (b"answer", healed))
+            self.assertEqual(await recording_server.read(stream), (b"answer", healed))
             await stream.send_all(b"third")
-            await _settle()
+            await recording_server.settle()
             self.assertEqual(b"".join(server.contents), b"firstsecondthird")
             self.assertEqual(set(server.times), {round(healed, 2)})
 
-        _run(check)
+        recording_server.run(check)
 
     def test_what_was_sent_arrives_after_the_cut_although_the_router_has_closed(self):
         async def check(links, server, _):
-            stream = await links.connect(UPSTREAM, 1.0)
-            links.cut(LinkFault.HANG, [UPSTREAM])
+            stream = await links.connect(recording_server.UPSTREAM, 1.0)
+            links.cut(LinkFault.HANG, [recording_server.UPSTREAM])
             await stream.send_all(b"request")
             await stream.aclose()
             await trio.sleep(CUT_S)
             self.assertEqual(server.received, [])
             links.heal()
-            await _settle()
+            await recording_server.settle()
             self.assertEqual(server.contents, [b"request", "end"])
             self.assertEqual(set(server.times), {round(trio.current_time(), 2)})
 
-        _run(check)
+        recording_server.run(check)
 
     def test_a_router_that_stops_does_not_take_back_what_it_has_sent(self):
         async def check(links, server, _):
             async def send():
-                stream = await links.connect(UPSTREAM, 1.0)
+                stream = await links.connect(recording_server.UPSTREAM, 1.0)
                 try:
-                    links.cut(LinkFault.HANG, [UPSTREAM])
+                    links.cut(LinkFault.HANG, [recording_server.UPSTREAM])
                     await stream.send_all(b"request")
                     await trio.sleep_forever()
                 finally:
@@ -288,32 +190,32 @@
             with trio.move_on_after(1.0):
                 await send()
             links.heal()
-            await _settle()
+            await recording_server.settle()
             self.assertEqual(server.contents, [b"request", "end"])
 
-        _run(check)
+        recording_server.run(check)
 
     def test_a_reset_discards_what_was_sent_and_is_seen_after_the_cut(self):
         async def check(links, server, _):
-            stream = await links.connect(UPSTREAM, 1.0)
-            links.cut(LinkFault.HANG, [UPSTREAM])
+            stream = await links.connect(recording_server.UPSTREAM, 1.0)
+            links.cut(LinkFault.HANG, [recording_server.UPSTREAM])
             await stream.send_all(b"request")
             transport.reset_on_close(stream)
             await stream.aclose()
             await trio.sleep(CUT_S)
             self.assertEqual(server.received, [])
             links.heal()
-            await _settle()
+            await recording_server.settle()
             self.assertEqual(server.contents, ["reset"])
 
-        _run(check)
+        recording_server.run(check)
 
     def test_the_end_of_an_upstream_is_seen_after_the_cut(self):
         async def check(links, server, _):
             for resets, expected in ((False, "end"), (True, "reset")):
-                stream = await links.connect(UPSTREAM, 1.0)
-                await _settle()
-                links.cut(LinkFault.HANG, [UPSTREAM])
+                stream = await links.connect(recording_server.UPSTREAM, 1.0)
+                await recording_server.settle()
+                links.cut(LinkFault.HANG, [recording_server.UPSTREAM])
                 if resets:
                     transport.reset_on_close(server.streams[-1])
                 await server.streams[-1].aclose()
@@ -322,30 +224,32 @@
                     await stream.receive_some()
                 self.assertTrue(scope.cancelled_caught)
                 links.heal()
-                self.assertEqual((await _read(stream))[0], expected)
+                self.assertEqual((await recording_server.read(stream))[0], expected)
 
-        _run(check)
+        recording_server.run(check)
 
     def test_a_cut_to_the_upstream_alone_lets_its_data_through(self):
         async def check(links, server, _):
-            stream = await links.connect(UPSTREAM, 1.0)
-            await _settle()
-            links.cut(LinkFault.HANG, [UPSTREAM], direction=Direction.TO_UPSTREAM)
+            stream = await links.connect(recording_server.UPSTREAM, 1.0)
+            await recording_server.settle()
+            links.cut(LinkFault.HANG, [recording_server.UPSTREAM], direction=Direction.TO_UPSTREAM)
             await stream.send_all(b"request")
             await server.streams[0].send_all(b"answer")
             self.assertEqual(await stream.receive_some(), b"answer")
             await trio.sleep(CUT_S)
             self.assertEqual(server.received, [])
             with self.assertRaises(exceptions.ConnectError):
-                await links.connect(UPSTREAM, TIMEOUT_S)
+                await links.connect(recording_server.UPSTREAM, TIMEOUT_S)
 
-        _run(check)
+        recording_server.run(check)
 
     def test_a_cut_from_the_upstream_alone_lets_the_routers_data_through(self):
         async def check(links, server, _):
-            stream = await links.connect(UPSTREAM, 1.0)
-            await _settle()
-            links.cut(LinkFault.HANG, [UPSTREAM], direction=Direction.FROM_UPSTREAM)
+            stream = await links.connect(recording_server.UPSTREAM, 1.0)
+            await recording_server.settle()
+            links.cut(
+                LinkFault.HANG, [recording_server.UPSTREAM], direction=Direction.FROM_UPSTREAM
+            )
             await stream.send_all(b"request")
             await server.streams[0].send_all(b"answer")
             with trio.move_on_after(CUT_S) as scope:
@@ -353,26 +257,26 @@
             self.assertTrue(scope.cancelled_caught)
             self.assertEqual(server.contents, [b"request"])
             with self.assertRaises(exceptions.ConnectError):
-                await links.connect(UPSTREAM, TIMEOUT_S)
+                await links.connect(recording_server.UPSTREAM, TIMEOUT_S)
 
-        _run(check)
+        recording_server.run(check)
 
 
 class ResetTest(unittest.TestCase):
     def test_open_connections_are_reset_at_both_ends_at_once(self):
         async def check(links, server, _):
-            stream = await links.connect(UPSTREAM, 1.0)
+            stream = await links.connect(recording_server.UPSTREAM, 1.0)
             readings = []
 
             async def read():
-                readings.append(await _read(stream))
+                readings.append(await recording_server.read(stream))
 
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(read)
                 await trio.sleep(1.0)
-                links.cut(LinkFault.RESET, [UPSTREAM])
+                links.cut(LinkFault.RESET, [recording_server.UPSTREAM])
                 cut_at = trio.current_time()
-            await _settle()
+            await recording_server.settle()
             self.assertEqual(readings, [("reset", cut_at)])
             self.assertEqual(server.received, [(cut_at, "reset")])
             self.assertTrue(transport.has_input(stream))
@@ -382,148 +286,150 @@
                 await stream.receive_some()
             await stream.aclose()
 
-        _run(check)
+        recording_server.run(check)
 
     def test_new_connections_are_refused_at_once(self):
         async def check(links, _, __):
             for fault in (LinkFault.RESET, LinkFault.REFUSE_NEW):
-                links.cut(fault, [UPSTREAM])
+                links.cut(fault, [recording_server.UPSTREAM])
                 began = trio.current_time()
                 with self.assertRaises(exceptions.ConnectRefusedError):
-                    await links.connect(UPSTREAM, TIMEOUT_S)
+                    await links.connect(recording_server.UPSTREAM, TIMEOUT_S)
                 self.assertEqual(trio.current_time(), began)
                 links.heal()
-                await (await links.connect(UPSTREAM, TIMEOUT_S)).aclose()
+                await (await links.connect(recording_server.UPSTREAM, TIMEOUT_S)).aclose()
 
-        _run(check)
+        recording_server.run(check)
 
     def test_a_reset_discards_what_a_hanging_connection_holds(self):
         async def check(links, server, _):
-            stream = await links.connect(UPSTREAM, 1.0)
-            links.cut(LinkFault.HANG, [UPSTREAM])
+            stream = await links.connect(recording_server.UPSTREAM, 1.0)
+            links.cut(LinkFault.HANG, [recording_server.UPSTREAM])
             await stream.send_all(b"request")
             await stream.aclose()
-            links.cut(LinkFault.RESET, [UPSTREAM])
+            links.cut(LinkFault.RESET, [recording_server.UPSTREAM])
             links.heal()
-            await _settle()
+            await recording_server.settle()
             self.assertEqual(server.contents, ["reset"])
 
-        _run(check)
+        recording_server.run(check)
 
 
 class RefuseNewTest(unittest.TestCase):
     def test_open_connections_go_on(self):
         async def check(links, server, _):
-            stream = await links.connect(UPSTREAM, 1.0)
-            links.cut(LinkFault.REFUSE_NEW, [UPSTREAM])
+            stream = await links.connect(recording_server.UPSTREAM, 1.0)
+            links.cut(LinkFault.REFUSE_NEW, [recording_server.UPSTREAM])
             await stream.send_all(b"request")
-            await _settle()
+            await recording_server.settle()
             await server.streams[0].send_all(b"answer")
             self.assertEqual(await stream.receive_some(), b"answer")
             self.assertEqual(server.contents, [b"request"])
 
-        _run(check)
+        recording_server.run(check)
 
 
 class AddressesTest(unittest.TestCase):
     def test_other_addresses_and_other_routers_are_not_cut(self):
         async def check(links, server, other):
             for fault in LinkFault:
-                links.cut(fault, [UPSTREAM])
-            await (await links.connect(OTHER, 1.0)).send_all(b"to the other")
+                links.cut(fault, [recording_server.UPSTREAM])
+            await (await links.connect(recording_server.OTHER, 1.0)).send_all(b"to the other")
             neighbour = router_links.RouterLinks(links._inner)
-            await (await neighbour.connect(UPSTREAM, 1.0)).send_all(b"of the neighbour")
-            await _settle()
+            await (await neighbour.connect(recording_server.UPSTREAM, 1.0)).send_all(
+                b"of the neighbour"
+            )
+            await recording_server.settle()
             self.assertEqual(other.contents, [b"to the other"])
             self.assertEqual(server.contents, [b"of the neighbour"])
 
-        _run(check)
+        recording_server.run(check)
 
     def test_a_second_cut_adds_to_the_first(self):
         async def check(links, _, __):
-            links.cut(LinkFault.HANG, [UPSTREAM])
-            links.cut(LinkFault.RESET, [OTHER])
+            links.cut(LinkFault.HANG, [recording_server.UPSTREAM])
+            links.cut(LinkFault.RESET, [recording_server.OTHER])
             with self.assertRaisesRegex(exceptions.ConnectError, "no answer"):
-                await links.connect(UPSTREAM, TIMEOUT_S)
+                await links.connect(recording_server.UPSTREAM, TIMEOUT_S)
             with self.assertRaises(exceptions.ConnectRefusedError):
-                await links.connect(OTHER, TIMEOUT_S)
+                await links.connect(recording_server.OTHER, TIMEOUT_S)
 
-        _run(check)
+        recording_server.run(check)
 
     def test_a_cut_that_heals_leaves_the_others_in_force(self):
         async def check(links, _, __):
-            first = links.cut(LinkFault.REFUSE_NEW, [UPSTREAM])
-            links.cut(LinkFault.REFUSE_NEW, [UPSTREAM])
-            links.cut(LinkFault.REFUSE_NEW, [OTHER])
+            first = links.cut(LinkFault.REFUSE_NEW, [recording_server.UPSTREAM])
+            links.cut(LinkFault.REFUSE_NEW, [recording_server.UPSTREAM])
+            links.cut(LinkFault.REFUSE_NEW, [recording_server.OTHER])
             links.heal(first)
             links.heal(first)
-            for address in (UPSTREAM, OTHER):
+            for address in (recording_server.UPSTREAM, recording_server.OTHER):
                 with self.assertRaises(exceptions.ConnectRefusedError):
                     await links.connect(address, TIMEOUT_S)
 
-        _run(check)
+        recording_server.run(check)
 
     def test_a_connection_that_two_cuts_hold_waits_for_the_end_of_both(self):
         async def check(links, server, _):
-            stream = await links.connect(UPSTREAM, 1.0)
-            first = links.cut(LinkFault.HANG, [UPSTREAM])
-            second = links.cut(LinkFault.HANG, [UPSTREAM])
+            stream = await links.connect(recording_server.UPSTREAM, 1.0)
+            first = links.cut(LinkFault.HANG, [recording_server.UPSTREAM])
+            second = links.cut(LinkFault.HANG, [recording_server.UPSTREAM])
             await stream.send_all(b"request")
             links.heal(first)
             await trio.sleep(1.0)
             self.assertEqual(server.contents, [])
             links.heal(second)
-            await _settle()
+            await recording_server.settle()
             self.assertEqual(server.contents, [b"request"])
 
-        _run(check)
+        recording_server.run(check)
 
 
 class DelayTest(unittest.TestCase):
     def test_what_is_sent_arrives_at_the_given_time_also_after_a_close(self):
         async def check(links, server, other):
-            stream = await links.connect(UPSTREAM, 1.0)
+            stream = await links.connect(recording_server.UPSTREAM, 1.0)
             await stream.send_all(b"before")
-            await _settle()
+            await recording_server.settle()
             until = trio.current_time() + CUT_S
-            links.delay_delivery_until(until, [UPSTREAM])
+            links.delay_delivery_until(until, [recording_server.UPSTREAM])
             await stream.send_all(b"request")
             await stream.aclose()
-            await (await links.connect(OTHER, 1.0)).send_all(b"not delayed")
+            await (await links.connect(recording_server.OTHER, 1.0)).send_all(b"not delayed")
             await trio.sleep_until(until - 0.1)
             self.assertEqual(server.contents, [b"before"])
             self.assertEqual(other.contents, [b"not delayed"])
             await trio.sleep_until(until + 0.1)
             self.assertEqual(server.contents, [b"before", b"request", "end"])
             self.assertEqual(server.received[1][0], until)
-            later = await links.connect(UPSTREAM, 1.0)
+            later = await links.connect(recording_server.UPSTREAM, 1.0)
             await later.send_all(b"later")
-            await _settle()
+            await recording_server.settle()
             self.assertEqual(server.contents[-1], b"later")
 
-        _run(check)
+        recording_server.run(check)
 
     def test_answers_are_not_delayed(self):
         async def check(links, server, _):
-            stream = await links.connect(UPSTREAM, 1.0)
-            await _settle()
-            links.delay_delivery_until(trio.current_time() + CUT_S, [UPSTREAM])
+            stream = await links.connect(recording_server.UPSTREAM, 1.0)
+            await recording_server.settle()
+            links.delay_delivery_until(trio.current_time() + CUT_S, [recording_server.UPSTREAM])
             await server.streams[0].send_all(b"answer")
             self.assertEqual(await stream.receive_some(), b"answer")
 
-        _run(check)
+        recording_server.run(check)
 
     def test_a_reset_discards_what_is_delayed(self):
         async def check(links, server, _):
-            stream = await links.connect(UPSTREAM, 1.0)
-            links.delay_delivery_until(trio.current_time() + CUT_S, [UPSTREAM])
+            stream = await links.connect(recording_server.UPSTREAM, 1.0)
+            links.delay_delivery_until(trio.current_time() + CUT_S, [recording_server.UPSTREAM])
             await stream.send_all(b"request")
             transport.reset_on_close(stream)
             await stream.aclose()
             await trio.sleep(CUT_S + 1.0)
             self.assertEqual(server.contents, ["reset"])
 
-        _run(check)
+        recording_server.run(check)
 
 
 class SocketsTest(unittest.TestCase):
@@ -534,7 +440,7 @@
 
         async def main():
             network = transport.TcpNetwork()
-            server = _Server(network, ids.Address("127.0.0.1:0"))
+            server = recording_server.Server(network, ids.Address("127.0.0.1:0"))
             links = router_links.RouterLinks(network)
             async with trio.open_nursery() as nursery:
                 address = await nursery.start(server.run)
@@ -564,56 +470,5 @@
         self.assertEqual(self._contents_after(LinkFault.RESET), (["reset"], ["reset"]))
 
 
-class ForwardingDeploymentTest(unittest.TestCase):
-    async def _statuses(self, world, router):
-        return [
-            (await world.send("GET", "desk", "/look/x", router=router)).status for _ in range(3)
-        ]
-
-    def test_a_cut_router_follows_the_store_while_the_others_serve(self):
-        async def check(world):
-            for number, fault in enumerate(LinkFault, 10):
-                world.cut_links(0, fault)
-                self.assertEqual(await self._statuses(world, 1), [200] * 3)
-                world.configure(forwarding_deployment.routes(), number)
-                await trio.sleep(3.0)
-                self.assertEqual(world.routers[0].configuration.current.number, number)
-                world.heal_links(0)
-                await trio.sleep(10.0)
-                self.assertEqual(await self._statuses(world, 0), [200] * 3)
-
-        forwarding_world.run_in_world(check, routers=2)
-
-    def test_named_upstreams_alone_are_cut(self):
-        async def check(world):
-            world.cut_links(0, LinkFault.RESET, ["desk-0"])
-            await world.links[0].connect(world.upstreams["desk-1"].entry.address, TIMEOUT_S)
-            with self.assertRaises(exceptions.ConnectRefusedError):
-                await world.links[0].connect(world.upstreams["desk-0"].entry.address, TIMEOUT_S)
-
-        forwarding_world.run_in_world(check)
-
-    def test_a_cut_of_all_covers_upstreams_that_are_added_later(self):
-        async def check(world):
-            world.cut_links(0, LinkFault.REFUSE_NEW)
-            upstream = await world.add_upstream("desk-9", forwarding_deployment.DESK, None)
-            with self.assertRaises(exceptions.ConnectRefusedError):
-                await world.links[0].connect(upstream.entry.address, TIMEOUT_S)
-            self.assertIn(upstream.entry.address, world.upstream_addresses())
-
-        forwarding_world.run_in_world(check)
-
-    def test_a_cut_outlasts_a_restart_of_the_router(self):
-        async def check(world):
-            world.cut_links(0, LinkFault.REFUSE_NEW)
-            world.stop("vm-0")
-            await trio.sleep(1.0)
-            await world.start_router(0)
-            with self.assertRaises(exceptions.ConnectRefusedError):
-                await world.links[0].connect(world.upstreams["desk-0"].entry.address, TIMEOUT_S)
-
-        forwarding_world.run_in_world(check)
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -10,12 +10,17 @@
 
 from tests import planted_bug
 from tests import planted_in_decisions
+from tests import planted_in_rollouts
 from tests import planted_in_services
 
 ROOT = pathlib.Path(__file__).parent.parent
 PACKAGE = "src/cicadapier/_internal"
 TIMEOUT_S = 240
-MUTANTS = [*planted_in_decisions.MUTANTS, *planted_in_services.MUTANTS]
+MUTANTS = [
+    *planted_in_decisions.MUTANTS,
+    *planted_in_rollouts.MUTANTS,
+    *planted_in_services.MUTANTS,
+]
 
 
 def mutant_path(root: pathlib.Path, mutant: planted_bug.Mutant) -> pathlib.Path:
--- /dev/null
+++ b/tests/planted_in_rollouts.py
@@ -0,0 +1,111 @@
+"""Bugs to plant in the decisions of the `decisions` package about rollouts of weights."""
+
+from tests import planted_bug
+
+MUTANTS = [
+    planted_bug.Mutant(
+        "send orders after the lease has expired",
+        "decisions/leases.py",
+        "if now >= self._requested_at + self._timing.valid_s - self._timing.delivery_s:",
+        "if False:",
+        f"{planted_bug.DECISIONS}.test_agreements.LeasesTest",
+    ),
+    planted_bug.Mutant(
+        "count a lease from the latest attempt to write it",
+        "decisions/leases.py",
+        "requested_at = self._unconfirmed.get(lease.renewals) if is_own else None",
+        "requested_at = max(self._unconfirmed.values(), default=None) if is_own else None",
+        f"{planted_bug.SERVICES}.test_order_lease",
+    ),
+    planted_bug.Mutant(
+        "send orders that may arrive after the lease has expired",
+        "decisions/leases.py",
+        "self._requested_at + self._timing.valid_s - self._timing.delivery_s:",
+        "self._requested_at + self._timing.valid_s:",
+        f"{planted_bug.SERVICES}.test_order_lease",
+    ),
+    planted_bug.Mutant(
+        "take a lease that the platform has lost without quiet time",
+        "decisions/leases.py",
+        "self._quiet_until_if_absent = now + self._longest_quiet_s",
+        "self._quiet_until_if_absent = now",
+        f"{planted_bug.SERVICES}.test_order_lease",
+    ),
+    planted_bug.Mutant(
+        "count fencing tokens from the lease that the platform shows alone",
+        "decisions/leases.py",
+        "self._highest_fencing + 1,",
+        "(self._observed.lease.fencing if self._observed else 0) + 1,",
+        f"{planted_bug.SERVICES}.test_order_lease",
+    ),
+    planted_bug.Mutant(
+        "take over a lease without the wait for orders of its last holder",
+        "decisions/leases.py",
+        "return max(now + self._timing.takeover_wait_s, self._quiet_until)",
+        "return now",
+        f"{planted_bug.DECISIONS}.test_agreements.LeasesTest",
+    ),
+    planted_bug.Mutant(
+        "send orders without quiet time after another holder",
+        "decisions/leases.py",
+        "self._quiet_until = now + self._longest_quiet_s",
+        "self._quiet_until = now",
+        f"{planted_bug.DECISIONS}.test_forwarding_decisions.ShortLeaseTest",
+    ),
+    planted_bug.Mutant(
+        "ignore the quiet time in a lease whose holder sends no orders",
+        "decisions/leases.py",
+        "self._quiet_until = max(self._quiet_until, now + quiet_s)",
+        "pass",
+        f"{planted_bug.DECISIONS}.test_forwarding_decisions.ShortLeaseTest",
+    ),
+    planted_bug.Mutant(
+        "repeat an unanswered order under a higher order count",
+        "decisions/rollout.py",
+        "self._accepted_orders = max(report.orders, self._accepted_orders or 0)",
+        "self._accepted_orders = report.orders + 1",
+        f"{planted_bug.DECISIONS}.test_forwarding_decisions.EngineUpdateTest",
+    ),
+    planted_bug.Mutant(
+        "treat expired weights as merely outdated",
+        "decisions/target_weights.py",
+        "return VersionStatus.EXPIRED",
+        "return VersionStatus.OUTDATED",
+        f"{planted_bug.DECISIONS}.test_forwarding_decisions.TargetWeightsTest",
+    ),
+    planted_bug.Mutant(
+        "leave no time for an engine that falls silent as its weights expire",
+        "decisions/target_weights.py",
+        "_GIVE_UP_SHARE = 0.85",
+        "_GIVE_UP_SHARE = 0.9",
+        f"{planted_bug.DECISIONS}.test_target_weights",
+    ),
+    planted_bug.Mutant(
+        "hand the lease over without quiet time for the orders of an earlier process",
+        "decisions/leases.py",
+        "                self._last_order_at = now\n",
+        "                pass\n",
+        f"{planted_bug.DECISIONS}.test_leases",
+    ),
+    planted_bug.Mutant(
+        "let the same routers try the order lease after each hand-over",
+        "decisions/lease_candidacy.py",
+        'f"{vacancy.pool}/{vacancy.hand_overs}"',
+        'f"{vacancy.pool}"',
+        f"{planted_bug.DECISIONS}.test_lease_candidacy",
+    ),
+    planted_bug.Mutant(
+        "take news that was held up for new",
+        "decisions/learned_age.py",
+        "if now - self._awake_at > MAX_PAUSE_S:",
+        "if False:",
+        f"{planted_bug.SERVICES}.test_held_up_targets",
+    ),
+    planted_bug.Mutant(
+        "ignore the queue time at an engine whose weights expire soon",
+        "decisions/target_weights.py",
+        "expired = now - newer_at + wait_s >= self._expires_after_s",
+        "expired = now - newer_at >= self._expires_after_s",
+        f"{planted_bug.DECISIONS}.test_traffic",
+    ),
+]
--- a/tests/test_forwarding_fuzz.py
+++ b/tests/test_forwarding_fuzz.py
@@ -13,6 +13,7 @@
 from cicadapier._internal.standins import forwarding_upstream
 from cicadapier._internal.standins import router_links
 from tests import forwarding_fuzzing
+from tests import forwarding_oracle
 from tests import forwarding_world
 from tests import fuzz_seed
 from tests import support
@@ -219,7 +220,7 @@
                     if result is not None:
                         await result
             await forwarding_fuzzing.settle(program)
-            violations.extend(forwarding_fuzzing.find_violations(program))
+            violations.extend(forwarding_oracle.find_violations(program))
             world_nursery.cancel_scope.cancel()
 
     support.run(main)
