Find the few peers that carry where most routers have lost their links

Cause: three peers were tried at random for each connection; one that hung was forgotten, as the attempt ended before it answered, and one that failed for an upstream was as likely as ever for the next. Ruled out: lost heartbeats (the routers learnt of each other's loss as soon as it was known). The tests of many routers now play every kind of cut, one router to most of them.

--- a/src/cicadapier/_internal/services/links_service.py
+++ b/src/cicadapier/_internal/services/links_service.py
@@ -201,17 +201,30 @@
     async def _try_peer(
         self, race: _Race, peer: tunnel_peers.TunnelPeer, timeout_s: float, ended: trio.Event
     ) -> None:
+        started_at = trio.current_time()
         try:
             stream = await self._open_tunnel(race, peer, timeout_s)
         except exceptions.ProtocolError as exc:
             self._choice.record_failure(peer.vm, race.address, trio.current_time())
             _log.debug("tunnel_failed", upstream=race.address, peer=peer.vm, reason=str(exc))
+        except trio.Cancelled:
+            self._record_unanswered(race, peer, started_at)
+            raise
         else:
+            self._choice.record_success(peer.vm)
             if await race.win(stream):
                 self._record_peer_only(race, peer)
         finally:
             ended.set()
 
+    def _record_unanswered(
+        self, race: _Race, peer: tunnel_peers.TunnelPeer, started_at: float
+    ) -> None:
+        """Records that a peer had not answered as the race ended, unless it had no time to."""
+        now = trio.current_time()
+        if now - started_at >= NEXT_PEER_DELAY_S:
+            self._choice.record_failure(peer.vm, race.address, now)
+
     async def _open_tunnel(
         self, race: _Race, peer: tunnel_peers.TunnelPeer, timeout_s: float
     ) -> trio.abc.Stream:
--- a/tests/_internal/decisions/test_tunnel_peers.py
+++ b/tests/_internal/decisions/test_tunnel_peers.py
@@ -53,6 +53,21 @@
         self.assertEqual(len(self.choice.choose(heartbeats, "10.9.0.2:80", 1.5)), 2)
         self.assertEqual(len(self._vms(heartbeats, 1.0 + tunnel_peers.AVOIDED_S)), 2)
 
+    def test_peers_that_have_failed_come_last_for_all_upstreams(self):
+        heartbeats = [_heartbeat(i) for i in range(8)] + [_heartbeat(9, "far")]
+        for index in range(7):
+            self.choice.record_failure(f"vm-{index}", "10.9.0.2:80", 1.0)
+        for _ in range(20):
+            self.assertEqual(self._vms(heartbeats, 2.0)[:2], ["vm-7", "vm-9"])
+        self.choice.record_success("vm-3")
+        self.assertEqual(set(self._vms(heartbeats, 2.0)[:2]), {"vm-3", "vm-7"})
+
+    def test_peers_that_have_failed_are_as_good_as_others_after_a_while(self):
+        heartbeats = [_heartbeat(1), _heartbeat(2)]
+        self.choice.record_failure("vm-1", "10.9.0.2:80", 1.0)
+        later = 1.0 + tunnel_peers.DOUBTED_S
+        self.assertIn("vm-1", {self._vms(heartbeats, later)[0] for _ in range(20)})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/_internal/services/test_link_changes.py
+++ b/tests/_internal/services/test_link_changes.py
@@ -21,6 +21,8 @@
 Fault = router_links.LinkFault
 KINDS = test_routers_without_links.KINDS
 ROUTERS = 4
+MANY_ROUTERS = 24
+ONE_WAY = (router_links.Direction.TO_UPSTREAM, router_links.Direction.FROM_UPSTREAM)
 MIN_SHARE = 2 / 3
 SERVED_SHARE = 0.95
 INTERVAL_S = 0.25
@@ -108,10 +110,7 @@
                 self.assertLessEqual(len(changes), 2 * cuts)
 
     def test_links_that_are_cut_in_one_direction(self):
-        for direction in (
-            router_links.Direction.TO_UPSTREAM,
-            router_links.Direction.FROM_UPSTREAM,
-        ):
+        for direction in ONE_WAY:
             with self.subTest(direction):
 
                 async def check(world, day, direction=direction):
@@ -207,26 +206,69 @@
 
                 self.check_logs(_run_day(check))
 
-    def test_many_routers_of_which_a_third_is_cut(self):
-        routers = range(24)
-        cut = range(0, 24, 3)
-        others = [router for router in routers if router % 3]
+    def check_many_routers(
+        self,
+        cut,
+        fault,
+        upstreams=None,
+        direction=router_links.Direction.BOTH,
+        contact_s=CONTACT_S / 2,
+    ):
+        """Checks a fleet in which the links of some routers are cut, and returns who carries.
+
+        Args:
+            cut: The routers whose links are cut.
+            fault: The fault of the cut.
+            upstreams: Names of the upstreams whose links are cut; None for all.
+            direction: Direction that is cut.
+            contact_s: Time after which they are served through others.
+        """
+        others = [router for router in range(MANY_ROUTERS) if router not in cut]
         carried = collections.Counter()
 
         async def check(world, day):
             for router in others:
                 _count_tunnels(world, router, carried)
             for router in cut:
-                world.cut_links(router, Fault.HANG)
-            await day.ask(1.5, routers)
+                world.cut_links(router, fault, upstreams, direction)
+            await day.ask(contact_s, range(MANY_ROUTERS))
             contact_at = trio.current_time()
-            await day.ask(1.5, routers)
+            await day.ask(1.5, range(MANY_ROUTERS))
             self.assertGreater(day.share(cut, contact_at), SERVED_SHARE)
             self.assertGreater(day.share(others), SERVED_SHARE)
+            self.assertEqual(day.orders_that_ran_twice(), [])
+
+        self.check_logs(_run_day(check, routers=MANY_ROUTERS))
+        return carried
+
+    def test_many_routers_of_which_a_third_is_cut(self):
+        for fault in Fault:
+            with self.subTest(fault):
+                carried = self.check_many_routers(range(0, MANY_ROUTERS, 3), fault)
+                self.assertGreaterEqual(len(carried), 12)
+                self.assertLess(max(carried.values()), sum(carried.values()) / 4)
+
+    def test_many_routers_of_which_one_is_cut(self):
+        for fault in Fault:
+            with self.subTest(fault):
+                self.check_many_routers([5], fault)
+
+    def test_many_routers_of_which_most_are_cut(self):
+        for fault in Fault:
+            with self.subTest(fault):
+                self.check_many_routers(range(4, MANY_ROUTERS), fault, contact_s=CONTACT_S)
 
-        self.check_logs(_run_day(check, routers=24))
-        self.assertGreaterEqual(len(carried), 12)
-        self.assertLess(max(carried.values()), sum(carried.values()) / 4)
+    def test_many_routers_of_which_a_third_is_cut_from_some_upstreams(self):
+        for fault in Fault:
+            with self.subTest(fault):
+                cut = range(0, MANY_ROUTERS, 3)
+                self.check_many_routers(cut, fault, ["engine-0", "desk-0"])
+
+    def test_many_routers_of_which_a_third_is_cut_in_one_direction(self):
+        for direction in ONE_WAY:
+            with self.subTest(direction):
+                cut = range(0, MANY_ROUTERS, 3)
+                self.check_many_routers(cut, Fault.HANG, direction=direction)
 
 
 async def _restart_others(world, is_graceful):
--- a/tests/planted_in_decisions.py
+++ b/tests/planted_in_decisions.py
@@ -386,6 +386,13 @@
         "if not heartbeat.tunnel_port or heartbeat.leaving:",
         f"{planted_bug.DECISIONS}.test_tunnel_peers",
     ),
+    planted_bug.Mutant(
+        "ask peers that have failed as soon as others",
+        "decisions/tunnel_peers.py",
+        "        _record_time(self._doubted_at, peer, now)\n",
+        "",
+        f"{planted_bug.DECISIONS}.test_tunnel_peers",
+    ),
     planted_bug.Mutant(
         "ask a peer again and again that could not open a connection",
         "decisions/tunnel_peers.py",
