review: case 3, two holders order one runner within lease_ms as the first is stopped

Rule ONE: holders take turns within lease_ms (3,000) in their orders to one runner.

Seen: a holder that drains orders a runner that is silent for 1.4 s, and releases the lease with a quiet time that does not count the order without an answer. The runner reads it, and gets the next holder's order 2.6 s later.

--- a/review/lib/runner_process.py
+++ b/review/lib/runner_process.py
@@ -1,13 +1,13 @@
-"""A model runner as a process of its own, which can fall silent: it stops itself and is continued.
+"""A model runner as a process of its own, which can fall silent: it reads and answers nothing then.
 
 Arguments: port, id, model. Each line that it writes is a JSON value with the time on the steady
-clock. The line `arm` on its standard input lets it fall silent once, right after it has answered
-the report after which a router sends an order; it reads what comes then when it is continued.
+clock. The line `arm SECONDS` on its standard input lets it fall silent once for so long, as it
+answers the report after which a router sends an order; it reads what comes meanwhile afterwards.
 """
 
 import json
 import os
-import signal
+import select
 import socket
 import sys
 import threading
@@ -25,7 +25,9 @@
         self.weights = 1
         self.seq = 0
         self.born = int(time.time() * 1000)
-        self.armed = False
+        self.silence_s = 0.0
+        self.awake = threading.Event()
+        self.awake.set()
         self.first_report_at = None
         self.lock = threading.Lock()
 
@@ -38,14 +40,15 @@
         self.tell(event="up")
         while True:
             conn, _ = server.accept()
+            self.awake.wait()
             threading.Thread(target=self.serve, args=(conn,), daemon=True).start()
 
     def read_commands(self):
         for line in sys.stdin:
-            if line.strip() == "arm":
+            command, _, seconds = line.strip().partition(" ")
+            if command == "arm":
                 self.first_report_at = None
-                self.armed = True
-                self.tell(event="armed")
+                self.silence_s = float(seconds)
         os._exit(0)
 
     def serve(self, conn):
@@ -53,7 +56,7 @@
         try:
             while True:
                 while b"\r\n\r\n" not in buffer:
-                    data = conn.recv(65536)
+                    data = self.receive(conn)
                     if not data:
                         return
                     buffer += data
@@ -63,7 +66,7 @@
                 headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
                 length = int(headers.get("content-length", 0))
                 while len(buffer) < length:
-                    data = conn.recv(65536)
+                    data = self.receive(conn)
                     if not data:
                         return
                     buffer += data
@@ -71,28 +74,41 @@
                 path = lines[0].split()[1].partition("?")[0]
                 status, answer = self.answer(path, headers, body)
                 encoded = json.dumps(answer).encode()
+                if path == "/api/report":
+                    self.fall_silent()
                 conn.sendall(
                     f"HTTP/1.1 {status} Status\r\ncontent-type: application/json\r\n"
                     f"x-instance-id: {self.name}\r\ncontent-length: {len(encoded)}\r\n\r\n".encode()
                     + encoded
                 )
-                if path == "/api/report":
-                    self.tell(event="report")
-                    self.fall_silent()
         except OSError:
             pass
         finally:
             conn.close()
 
+    def receive(self, conn):
+        """Reads; what comes while the runner is silent stays with the kernel until it goes on."""
+        while True:
+            self.awake.wait()
+            ready, _, _ = select.select([conn], [], [], 0.005)
+            if ready and self.awake.is_set():
+                return conn.recv(65536)
+
     def fall_silent(self):
+        """Falls silent as it answers a report, if it is to; the answer is the last for a while."""
         now = time.monotonic()
-        if not self.armed:
+        if not self.silence_s:
             return
         self.first_report_at = self.first_report_at or now
         if now - self.first_report_at >= SILENT_AFTER_S:
-            self.armed = False
-            self.tell(event="silent")
-            os.kill(os.getpid(), signal.SIGSTOP)
+            silence_s, self.silence_s = self.silence_s, 0.0
+            self.awake.clear()
+            self.tell(event="silent", seconds=silence_s)
+            threading.Timer(silence_s, self.go_on).start()
+
+    def go_on(self):
+        self.tell(event="goes on")
+        self.awake.set()
 
     def answer(self, path, headers, body):
         with self.lock:
