--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -62,7 +62,7 @@
     if not line:
         return None
     headers = []
-    while (raw := (await reader.readline()).strip()):
+    while raw := (await reader.readline()).strip():
         name, _, value = raw.decode("latin-1").partition(":")
         headers.append((name.strip().lower(), value.strip()))
     fields = dict(headers)
@@ -476,7 +476,7 @@
 
 async def _read_answer(reader, answer):
     answer.status = int((await reader.readline()).split()[1])
-    while (raw := (await reader.readline()).strip()):
+    while raw := (await reader.readline()).strip():
         name, _, value = raw.decode("latin-1").partition(":")
         answer.headers[name.strip().lower()] = value.strip()
     if answer.headers.get("transfer-encoding") == "chunked":
@@ -581,6 +581,10 @@
         async with asyncio.timeout(limit_s):
             return await case(record, trouble, temporary, routers)
 
+    def end(number, frame):
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, end)
     status = 2
     try:
         held = asyncio.run(main())
