--- a/src/cicadapier/_internal/platform/objects.py
+++ b/src/cicadapier/_internal/platform/objects.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from cicadapier._internal.models import ids
+from cicadapier._internal.models import store_versions
 from cicadapier._internal.platform import wire_headers
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import partial_json
@@ -28,11 +29,15 @@
         return store_format.Call("GET", f"{_ROOT}/{kind}{query}")
 
     def watch(
-        self, kind: str, version: str, wait_s: float, allow_stale: bool = False
+        self,
+        kind: str,
+        version: store_versions.StoreVersion,
+        wait_s: float,
+        allow_stale: bool = False,
     ) -> store_format.Call:
         """See `StoreFormat.watch`."""
         query = (
-            f"watch={version}&wait_ms={round(wait_s * 1000)}"
+            f"watch={version.revision}&wait_ms={round(wait_s * 1000)}"
             f"{'&allow_stale=1' if allow_stale else ''}"
         )
         return store_format.Call("GET", f"{_ROOT}/{kind}?{query}")
@@ -44,34 +49,35 @@
     def replace(self, kind: str, old: store_format.StoredObject, spec: object) -> store_format.Call:
         """See `StoreFormat.replace`."""
         body = _make_object_body(old.name, spec)
-        body["metadata"]["rev"] = int(old.version)
+        body["metadata"]["rev"] = int(old.version.revision)
         return store_format.Call("PUT", _make_object_path(kind, old.name), body)
 
     def delete(self, kind: str, old: store_format.StoredObject) -> store_format.Call:
         """See `StoreFormat.delete`."""
-        return store_format.Call("DELETE", f"{_make_object_path(kind, old.name)}?rev={old.version}")
+        path = _make_object_path(kind, old.name)
+        return store_format.Call("DELETE", f"{path}?rev={old.version.revision}")
 
-    def read_object(self, body: Any) -> store_format.StoredObject:
+    def read_object(self, body: Any, epoch: ids.StoreEpoch | None) -> store_format.StoredObject:
         """See `StoreFormat.read_object`."""
         parsed = msgspec.convert(body, _Object)
-        return store_format.StoredObject(
-            parsed.metadata.name, str(parsed.metadata.rev), parsed.spec
-        )
+        version = store_versions.StoreVersion(epoch, str(parsed.metadata.rev))
+        return store_format.StoredObject(parsed.metadata.name, version, parsed.spec)
 
-    def read_page(self, body: Any) -> store_format.Page:
+    def read_page(self, body: Any, epoch: ids.StoreEpoch | None) -> store_format.Page:
         """See `StoreFormat.read_page`."""
         page = msgspec.convert(body, _Page)
         objects = []
         for item in page.items:
             with contextlib.suppress(msgspec.ValidationError):
-                objects.append(self.read_object(item))
+                objects.append(self.read_object(item, epoch))
         if page.has_more and not objects:
             raise msgspec.ValidationError("no name on the page can be read")
         continue_after = objects[-1].name if page.has_more else ""
         unnamed = len(page.items) - len(objects)
-        return store_format.Page(tuple(objects), str(page.as_of), continue_after, unnamed)
+        version = store_versions.StoreVersion(epoch, str(page.as_of))
+        return store_format.Page(tuple(objects), version, continue_after, unnamed)
 
-    def read_changes(self, body: bytes, version: str) -> store_format.Changes:
+    def read_changes(self, body: bytes, since: store_versions.StoreVersion) -> store_format.Changes:
         """See `StoreFormat.read_changes`."""
         answer = partial_json.decode(body, store_format.CHANGES_LEVELS)
         parsed = msgspec.convert(answer, _Changes)
@@ -79,10 +85,12 @@
         for item in parsed.events:
             with contextlib.suppress(msgspec.ValidationError):
                 event = msgspec.convert(item, _Event)
-                changes.append(store_format.Change(self.read_object(event.object), event.deleted))
+                changed = self.read_object(event.object, since.epoch)
+                changes.append(store_format.Change(changed, event.deleted))
         # A stale response can be older than the version that the watch started from. The version
         # must not go back.
-        next_version = str(max(parsed.as_of, int(version)))
+        revision = str(max(parsed.as_of, int(since.revision)))
+        next_version = store_versions.StoreVersion(since.epoch, revision)
         unnamed = len(parsed.events) - len(changes)
         return store_format.Changes(tuple(changes), next_version, unnamed)
 
--- a/src/cicadapier/_internal/platform/server_formats.py
+++ b/src/cicadapier/_internal/platform/server_formats.py
@@ -97,7 +97,7 @@
         return msgspec.Raw(item.spec.encoded)
     metadata = {
         "name": item.name,
-        "rev": int(item.version),
+        "rev": int(item.version.revision),
         "created": 1,
         "finalizers": [],
         "pending_delete": False,
--- a/src/cicadapier/_internal/protocols/native_store_format.py
+++ b/src/cicadapier/_internal/protocols/native_store_format.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from cicadapier._internal.models import ids
+from cicadapier._internal.models import store_versions
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import partial_json
 from cicadapier._internal.protocols import store_format
@@ -22,13 +23,17 @@
         return store_format.Call("GET", f"{ROOT}/{kind}")
 
     def watch(
-        self, kind: str, version: str, wait_s: float, allow_stale: bool = False
+        self,
+        kind: str,
+        version: store_versions.StoreVersion,
+        wait_s: float,
+        allow_stale: bool = False,
     ) -> store_format.Call:
         """See `StoreFormat.watch`; `allow_stale` has no effect.
 
         The answer is complete only when the wait is over.
         """
-        query = f"watch=1&resourceVersion={version}&timeoutSeconds={wait_s:.3f}"
+        query = f"watch=1&resourceVersion={version.revision}&timeoutSeconds={wait_s:.3f}"
         return store_format.Call("GET", f"{ROOT}/{kind}?{query}")
 
     def create(self, kind: str, name: str, spec: object) -> store_format.Call:
@@ -38,35 +43,37 @@
 
     def replace(self, kind: str, old: store_format.StoredObject, spec: object) -> store_format.Call:
         """See `StoreFormat.replace`."""
-        body = {"metadata": {"name": old.name, "resourceVersion": old.version}, "spec": spec}
+        metadata = {"name": old.name, "resourceVersion": old.version.revision}
+        body = {"metadata": metadata, "spec": spec}
         return store_format.Call("PUT", f"{ROOT}/{kind}/{old.name}", body)
 
     def delete(self, kind: str, old: store_format.StoredObject) -> store_format.Call:
         """See `StoreFormat.delete`."""
-        body = {"preconditions": {"resourceVersion": old.version}}
+        body = {"preconditions": {"resourceVersion": old.version.revision}}
         return store_format.Call("DELETE", f"{ROOT}/{kind}/{old.name}", body)
 
-    def read_object(self, body: Any) -> store_format.StoredObject:
+    def read_object(self, body: Any, epoch: ids.StoreEpoch | None) -> store_format.StoredObject:
         """See `StoreFormat.read_object`."""
         metadata = body.get("metadata", {})
         return store_format.StoredObject(
             str(metadata.get("name", "")),
-            str(metadata.get("resourceVersion", "")),
+            store_versions.StoreVersion(epoch, str(metadata.get("resourceVersion", ""))),
             body.get("spec", {}),
         )
 
-    def read_page(self, body: Any) -> store_format.Page:
+    def read_page(self, body: Any, epoch: ids.StoreEpoch | None) -> store_format.Page:
         """See `StoreFormat.read_page`."""
-        objects = tuple(self.read_object(item) for item in body.get("items", []))
-        version = str(body.get("metadata", {}).get("resourceVersion", "0"))
-        return store_format.Page(objects, version)
+        objects = tuple(self.read_object(item, epoch) for item in body.get("items", []))
+        revision = str(body.get("metadata", {}).get("resourceVersion", "0"))
+        return store_format.Page(objects, store_versions.StoreVersion(epoch, revision))
 
-    def read_changes(self, body: bytes, version: str) -> store_format.Changes:
+    def read_changes(self, body: bytes, since: store_versions.StoreVersion) -> store_format.Changes:
         """See `StoreFormat.read_changes`."""
         changes = []
+        version = since
         for line in body.splitlines():
             event = partial_json.decode(line, store_format.CHANGE_LEVELS)
-            stored = self.read_object(event["object"])
+            stored = self.read_object(event["object"], since.epoch)
             changes.append(store_format.Change(stored, event["type"] == "DELETED"))
             version = stored.version
         return store_format.Changes(tuple(changes), version)
--- a/src/cicadapier/_internal/protocols/store_format.py
+++ b/src/cicadapier/_internal/protocols/store_format.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from cicadapier._internal.models import ids
+from cicadapier._internal.models import store_versions
 from cicadapier._internal.protocols import http_client
 
 # Levels of an answer, counted from its outermost object, whose items are read separately if one of
@@ -27,12 +28,12 @@
 
     Attributes:
         name: Name, unique within the kind.
-        version: Version of its last change, empty for a new object.
+        version: Version of its last change.
         spec: Content, or `partial_json.Unreadable`.
     """
 
     name: str
-    version: str
+    version: store_versions.StoreVersion
     spec: Any
 
 
@@ -48,7 +49,7 @@
     """
 
     objects: tuple[StoredObject, ...]
-    version: str
+    version: store_versions.StoreVersion
     continue_after: str = ""
     unnamed: int = 0
 
@@ -77,7 +78,7 @@
     """
 
     changes: tuple[Change, ...]
-    version: str
+    version: store_versions.StoreVersion
     unnamed: int = 0
 
 
@@ -113,7 +114,13 @@
         """
 
     @abc.abstractmethod
-    def watch(self, kind: str, version: str, wait_s: float, allow_stale: bool = False) -> Call:
+    def watch(
+        self,
+        kind: str,
+        version: store_versions.StoreVersion,
+        wait_s: float,
+        allow_stale: bool = False,
+    ) -> Call:
         """Returns the call that waits for changes of the objects of a kind.
 
         Args:
@@ -136,28 +143,36 @@
         """Returns the call that deletes an object if it still has the version of `old`."""
 
     @abc.abstractmethod
-    def read_object(self, body: Any) -> StoredObject:
+    def read_object(self, body: Any, epoch: ids.StoreEpoch | None) -> StoredObject:
         """Returns the object in the parsed JSON of an answer.
 
+        Args:
+            body: The parsed answer.
+            epoch: Epoch of the store in which it answered.
+
         Raises:
             MsgspecError: Its name or its version cannot be read.
         """
 
     @abc.abstractmethod
-    def read_page(self, body: Any) -> Page:
+    def read_page(self, body: Any, epoch: ids.StoreEpoch | None) -> Page:
         """Returns the page of a list in the parsed JSON of an answer.
 
+        Args:
+            body: The parsed answer.
+            epoch: Epoch of the store in which it answered.
+
         Raises:
             MsgspecError: The page cannot be read, or it does not show where the next one begins.
         """
 
     @abc.abstractmethod
-    def read_changes(self, body: bytes, version: str) -> Changes:
+    def read_changes(self, body: bytes, since: store_versions.StoreVersion) -> Changes:
         """Decodes the answer to a watch.
 
         Args:
             body: Body of the answer.
-            version: Version after which the watch began.
+            since: Version after which the watch began, of the epoch in which the store answered.
 
         Raises:
             MsgspecError: The answer cannot be read.
--- a/src/cicadapier/_internal/services/cluster_service.py
+++ b/src/cicadapier/_internal/services/cluster_service.py
@@ -23,7 +23,7 @@
 # Stale answers do no harm, nor does a list that is older than what is known. A lease is written on
 # condition of its version, and a write that fails this condition gets the current object in reply.
 # All other objects are hints.
-WATCH_OPTIONS = watching.WatchOptions(wait_s=2.5, allow_stale=True)
+WATCH_OPTIONS = watching.WatchOptions(wait_s=2.5, allow_stale=True, list_within_s=0.8)
 REGISTER_RETRY_S = 0.5
 ENTRY_EXPIRES_AFTER_S = 60.0
 SWEEP_INTERVAL_S = 10.0
@@ -107,7 +107,7 @@
     def put(self, item: store_format.StoredObject) -> None:
         """Records an object that this router has just written or read."""
         current = self._objects.get(item.name)
-        if current is None or int(current.version) < int(item.version):
+        if current is None or current.version.precedes(item.version):
             self._objects[item.name] = item
             self._seen_at[item.name] = self._clock()
             self._notify()
@@ -124,7 +124,7 @@
             self.put(change.object)
             return
         current = self._objects.get(change.object.name)
-        if current and int(current.version) <= int(change.object.version):
+        if current and not change.object.version.precedes(current.version):
             del self._objects[current.name]
             self._notify()
 
--- a/src/cicadapier/_internal/services/configuration_service.py
+++ b/src/cicadapier/_internal/services/configuration_service.py
@@ -193,7 +193,7 @@
     async def _poll(self) -> None:
         assert self._store
         try:
-            number, _ = await self._store.read_number()
+            number = await self._store.read_number()
             if number > self.current.number:
                 self._apply_stored(await self._store.read())
             self._record_reachability(True)
--- a/src/cicadapier/_internal/services/configuration_store.py
+++ b/src/cicadapier/_internal/services/configuration_store.py
@@ -91,13 +91,13 @@
         self._platform = platform
         self._cached_chunks: dict[str, dict[str, Any]] = {}
 
-    async def read_number(self) -> tuple[ids.ConfigNumber, str]:
-        """Returns the configuration number in the head object and the version of the object."""
+    async def read_number(self) -> ids.ConfigNumber:
+        """Returns the configuration number in the head object."""
         head = await self._platform.get(HEAD_KIND, HEAD_NAME)
         if head is None:
-            return EMPTY.number, "0"
+            return EMPTY.number
         with _unreadable_as_unavailable():
-            return _read_number(head), head.version
+            return _read_number(head)
 
     async def read(self) -> StoredConfiguration:
         """Returns the newest configuration.
--- a/src/cicadapier/_internal/services/exceptions.py
+++ b/src/cicadapier/_internal/services/exceptions.py
@@ -31,6 +31,10 @@
     """The platform no longer has the changes that a watch requested; list the objects again."""
 
 
+class EpochEndedError(ServiceError):
+    """The store has begun a new epoch, so what was asked for in the former one says nothing."""
+
+
 class RefusedError(ServiceError):
     """A request is refused.
 
--- a/src/cicadapier/_internal/services/order_lease.py
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -157,7 +157,7 @@
             holder=lease.holder if lease else None,
             fencing=lease.fencing if lease else None,
             before=self._shown_holder,
-            version=stored.version if stored else None,
+            version=stored.version.revision if stored else None,
             was_own=self._lease.is_holder,
         )
         self._shown_holder = shown
@@ -238,7 +238,7 @@
             return
         if isinstance(written, platform_service.NotWritten):
             self._lease.record_refused(proposal)
-            version = stored.version if stored else None
+            version = stored.version.revision if stored else None
             _log.info("lease_refused", pool=self.pool, fencing=proposal.fencing, written_on=version)
         if written.object:
             self._cluster.put(written.object)
--- a/src/cicadapier/_internal/services/platform_service.py
+++ b/src/cicadapier/_internal/services/platform_service.py
@@ -13,6 +13,7 @@
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import settings
+from cicadapier._internal.models import store_versions
 from cicadapier._internal.protocols import exceptions as protocol_exceptions
 from cicadapier._internal.protocols import headers
 from cicadapier._internal.protocols import http_client
@@ -21,6 +22,8 @@
 from cicadapier._internal.protocols import transport
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import names
+from cicadapier._internal.services import store_epochs
+from cicadapier._internal.services import telemetry_service
 
 MAX_IDLE_CONNECTIONS = 8
 MAX_IDLE_S = 4.0
@@ -55,7 +58,33 @@
     """All objects of one kind and the version from which to watch their changes."""
 
     objects: tuple[store_format.StoredObject, ...]
-    version: str
+    version: store_versions.StoreVersion
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """Answer to a call.
+
+    Attributes:
+        status: HTTP status.
+        epoch: Epoch of the store in which it was given; None if the store names no epochs.
+        content: Body, or its parsed JSON.
+    """
+
+    status: int
+    epoch: ids.StoreEpoch | None
+    content: Any
+
+
+class _EpochMetric(store_epochs.EpochListener):
+    """Shows the epoch among the metrics."""
+
+    def __init__(self, telemetry: telemetry_service.TelemetryService) -> None:
+        self._telemetry = telemetry
+
+    def handle_epoch(self, change: store_versions.EpochChange) -> None:
+        """See `store_epochs.EpochListener.handle_epoch`."""
+        self._telemetry.record_store_epoch(change.epoch)
 
 
 class PlatformService(service.Service):
@@ -65,7 +94,7 @@
     waiting watch does not delay other calls.
 
     Attributes:
-        epoch: Latest epoch that the store has named; None if it has named none.
+        epochs: The epoch of the store, and who is told of a new one.
     """
 
     name = names.PLATFORM
@@ -83,16 +112,21 @@
         self._format = wire_format
         self._idle: list[http_client.ClientConnection] = []
         self._watch_scopes: set[trio.CancelScope] = set()
-        self.epoch: ids.StoreEpoch | None = None
-        self._has_logged_fallen_epoch = False
+        self.epochs = store_epochs.StoreEpochs()
 
     @property
     def is_configured(self) -> bool:
         """Whether the settings contain an address of the platform."""
         return bool(self._cfg.addresses)
 
+    @property
+    def epoch(self) -> ids.StoreEpoch | None:
+        """Latest epoch that the store has named; None if it has named none."""
+        return self.epochs.current
+
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
+        self.epochs.add_listener(_EpochMetric(kernel.find(names.TELEMETRY)))
         task_status.started()
         await trio.sleep_forever()
 
@@ -103,33 +137,39 @@
             PlatformUnavailableError: No answer.
             PlatformRefusedError: Any other status.
         """
-        status, body = await self._call(self._format.get(kind, name))
-        return self._read_object(body) if status == http.HTTPStatus.OK else None
+        answer = await self._call(self._format.get(kind, name))
+        return self._read_object(answer) if answer.status == http.HTTPStatus.OK else None
 
     async def list_all(self, kind: str) -> Listing:
         """Returns all objects of a kind; a concurrent change may appear only in the later pages.
 
         Raises:
             PlatformUnavailableError: No answer.
+            EpochEndedError: The store has begun a new epoch between two pages.
             PlatformRefusedError: Any other status.
         """
         objects: list[store_format.StoredObject] = []
-        version = ""
+        version: store_versions.StoreVersion | None = None
         next_name = ""
         while True:
             call = self._format.list_page(kind, next_name)
-            _, body = await self._call(call, store_format.PAGE_LEVELS)
-            page = self._read_page(body)
+            page = self._read_page(await self._call(call, store_format.PAGE_LEVELS))
             _log_unnamed(kind, page.unnamed)
             objects.extend(page.objects)
             # A watch from the version of the first page delivers all changes since then again.
             version = version or page.version
+            if page.version.epoch != version.epoch:
+                raise exceptions.EpochEndedError(kind)
             next_name = page.continue_after
             if not next_name:
                 return Listing(tuple(objects), version)
 
     async def watch(
-        self, kind: str, version: str, wait_s: float, allow_stale: bool = False
+        self,
+        kind: str,
+        version: store_versions.StoreVersion,
+        wait_s: float,
+        allow_stale: bool = False,
     ) -> store_format.Changes:
         """Waits for changes of the objects of a kind.
 
@@ -142,26 +182,31 @@
         Raises:
             PlatformUnavailableError: No answer.
             HistoryGoneError: The platform no longer has the changes since that version.
+            EpochEndedError: The store has begun a new epoch, in which that version says nothing.
             PlatformRefusedError: Any other status.
         """
+        if version.epoch != self.epoch:
+            raise exceptions.EpochEndedError(kind)
         call = self._format.watch(kind, version, wait_s, allow_stale)
         timeout_s = max(MIN_WATCH_TIMEOUT_S, wait_s + WATCH_TIMEOUT_MARGIN_S)
         with trio.CancelScope() as scope:
             self._watch_scopes.add(scope)
             try:
-                status, answer = await self._send_call(call, timeout_s)
+                answer = await self._send_call(call, timeout_s)
             finally:
                 self._watch_scopes.discard(scope)
         if scope.cancelled_caught:
             raise exceptions.PlatformUnavailableError(
                 "cancelled because another call was not answered"
             )
-        if status == http.HTTPStatus.GONE:
+        if answer.epoch != version.epoch:
+            raise exceptions.EpochEndedError(kind)
+        if answer.status == http.HTTPStatus.GONE:
             raise exceptions.HistoryGoneError(kind)
-        if status != http.HTTPStatus.OK:
-            raise exceptions.PlatformRefusedError(status, "watch refused")
+        if answer.status != http.HTTPStatus.OK:
+            raise exceptions.PlatformRefusedError(answer.status, "watch refused")
         try:
-            changes = self._format.read_changes(answer, version)
+            changes = self._format.read_changes(answer.content, version)
         except _DECODING_ERRORS as exc:
             raise exceptions.UnreadableAnswerError(f"unreadable answer: {exc!r}") from exc
         _log_unnamed(kind, changes.unnamed)
@@ -174,22 +219,28 @@
             PlatformUnavailableError: No answer; the object may have been created.
             PlatformRefusedError: Refused without effect.
         """
-        return self._write_result(*await self._call(self._format.create(kind, name, spec)))
+        return self._write_result(await self._call(self._format.create(kind, name, spec)))
 
     async def replace(
         self, kind: str, old: store_format.StoredObject, spec: object
     ) -> Written | NotWritten:
         """Replaces an object if it still has the version of `old`.
 
+        Nothing is written if `old` is of a former epoch: its revision may name another content.
+
         Raises:
             PlatformUnavailableError: No answer; the object may have been replaced.
             PlatformRefusedError: Refused without effect.
         """
-        return self._write_result(*await self._call(self._format.replace(kind, old, spec)))
+        if self._is_of_former_epoch(kind, old):
+            return NotWritten()
+        return self._write_result(await self._call(self._format.replace(kind, old, spec)))
 
     async def delete(self, kind: str, old: store_format.StoredObject) -> bool:
         """Deletes an object if it still has the version of `old`.
 
+        Nothing is deleted if `old` is of a former epoch: its revision may name another content.
+
         Returns:
             Whether the object no longer exists.
 
@@ -197,45 +248,60 @@
             PlatformUnavailableError: No answer; the object may have been deleted.
             PlatformRefusedError: Refused without effect.
         """
-        status, _ = await self._call(self._format.delete(kind, old))
-        return status in (http.HTTPStatus.OK, http.HTTPStatus.NOT_FOUND)
+        if self._is_of_former_epoch(kind, old):
+            return False
+        answer = await self._call(self._format.delete(kind, old))
+        return answer.status in (http.HTTPStatus.OK, http.HTTPStatus.NOT_FOUND)
+
+    def _is_of_former_epoch(self, kind: str, old: store_format.StoredObject) -> bool:
+        if old.version.epoch == self.epoch:
+            return False
+        _log.info(
+            "store_write_dropped",
+            kind=kind,
+            entry=old.name,
+            version=old.version.revision,
+            epoch=old.version.epoch,
+            current=self.epoch,
+        )
+        return True
 
     async def _call(
         self, call: store_format.Call, levels: int = store_format.OBJECT_LEVELS
-    ) -> tuple[int, Any]:
-        """Returns the status and the parsed JSON of the answer to a call.
+    ) -> _Answer:
+        """Returns the answer to a call with its JSON parsed.
 
         Args:
             call: The call.
             levels: Levels of the answer whose items are read separately.
         """
-        status, answer = await self._send_call(call, self._cfg.timeout_s)
-        decoded = partial_json.decode(answer, levels) if answer else {}
-        if status >= 400 and status not in _EXPECTED_ERRORS:
+        answer = await self._send_call(call, self._cfg.timeout_s)
+        decoded = partial_json.decode(answer.content, levels) if answer.content else {}
+        if answer.status >= 400 and answer.status not in _EXPECTED_ERRORS:
             message = str(decoded.get("message", "")) if isinstance(decoded, dict) else ""
-            raise exceptions.PlatformRefusedError(status, message)
-        return status, decoded
+            raise exceptions.PlatformRefusedError(answer.status, message)
+        return dataclasses.replace(answer, content=decoded)
 
-    async def _send_call(self, call: store_format.Call, timeout_s: float) -> tuple[int, bytes]:
+    async def _send_call(self, call: store_format.Call, timeout_s: float) -> _Answer:
         body = b"" if call.body is None else msgspec.json.encode(call.body)
         head = http_client.RequestHead(call.method, call.target, self._headers(bool(body)))
         try:
             with trio.fail_after(timeout_s):
-                status, answer = await self._exchange(head, body, timeout_s)
+                answer = await self._exchange(head, body, timeout_s)
         except protocol_exceptions.ProtocolError as exc:
             raise exceptions.PlatformUnavailableError(str(exc) or type(exc).__name__) from exc
         except trio.TooSlowError as exc:
             self._cancel_watches()
             message = f"no answer within {timeout_s} s"
             raise exceptions.PlatformUnavailableError(message) from exc
-        if status >= 500:
+        if answer.status >= 500:
             # An error from a gateway does not show whether the write took effect.
-            raise exceptions.PlatformUnavailableError(f"status {status}")
-        return status, answer
+            raise exceptions.PlatformUnavailableError(f"status {answer.status}")
+        return answer
 
     async def _exchange(
         self, head: http_client.RequestHead, body: bytes, timeout_s: float
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         conn = await self._take_idle() or await self._connect()
         known_epoch = self.epoch
         is_reusable = False
@@ -244,8 +310,8 @@
             answer = await conn.receive_head(timeout_s)
             content = await conn.receive_body(timeout_s, progress_deadlines.MAX_ANSWER_BYTES)
             is_reusable = conn.make_reusable()
-            self._record_epoch(self._format.read_epoch(answer), known_epoch)
-            return answer.status, content
+            epoch = self.epochs.record(self._format.read_epoch(answer), known_epoch)
+            return _Answer(answer.status, epoch, content)
         finally:
             if is_reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
                 self._idle.append(conn)
@@ -254,31 +320,6 @@
                 if not is_reusable:
                     await self._close_idle()
 
-    def _record_epoch(
-        self, epoch: ids.StoreEpoch | None, known_epoch: ids.StoreEpoch | None
-    ) -> None:
-        """Records the epoch that an answer names.
-
-        Args:
-            epoch: The epoch; None if the answer names none.
-            known_epoch: Latest epoch that was known when the call was sent.
-
-        Raises:
-            PlatformUnavailableError: The store has begun another epoch since it answered.
-        """
-        if epoch is None or epoch == self.epoch:
-            return
-        if self.epoch is None or epoch > self.epoch:
-            _log.info("store_epoch_changed", epoch=epoch, before=self.epoch)
-            self.epoch = epoch
-        elif known_epoch != self.epoch:
-            raise exceptions.PlatformUnavailableError(
-                f"the answer is from the former epoch {epoch}"
-            )
-        elif not self._has_logged_fallen_epoch:
-            _log.info("store_epoch_fallen", epoch=epoch, known=self.epoch)
-            self._has_logged_fallen_epoch = True
-
     async def _connect(self) -> http_client.ClientConnection:
         if not self._cfg.addresses:
             raise protocol_exceptions.ConnectError("no platform address is configured")
@@ -313,25 +354,25 @@
             fields.append((headers.AUTHORIZATION, b"Bearer " + self._cfg.token.encode()))
         return fields
 
-    def _read_object(self, body: Any) -> store_format.StoredObject:
+    def _read_object(self, answer: _Answer) -> store_format.StoredObject:
         try:
-            return self._format.read_object(body)
+            return self._format.read_object(answer.content, answer.epoch)
         except _DECODING_ERRORS as exc:
             raise exceptions.UnreadableAnswerError(f"unreadable answer: {exc!r}") from exc
 
-    def _read_page(self, body: Any) -> store_format.Page:
+    def _read_page(self, answer: _Answer) -> store_format.Page:
         try:
-            return self._format.read_page(body)
+            return self._format.read_page(answer.content, answer.epoch)
         except _DECODING_ERRORS as exc:
             raise exceptions.UnreadableAnswerError(f"unreadable answer: {exc!r}") from exc
 
-    def _write_result(self, status: int, body: Any) -> Written | NotWritten:
-        if status in (http.HTTPStatus.OK, http.HTTPStatus.CREATED):
-            return Written(self._read_object(body))
-        if status != http.HTTPStatus.CONFLICT:
+    def _write_result(self, answer: _Answer) -> Written | NotWritten:
+        if answer.status in (http.HTTPStatus.OK, http.HTTPStatus.CREATED):
+            return Written(self._read_object(answer))
+        if answer.status != http.HTTPStatus.CONFLICT:
             return NotWritten()
         try:
-            return NotWritten(self._format.read_object(body))
+            return NotWritten(self._format.read_object(answer.content, answer.epoch))
         except _DECODING_ERRORS:
             return NotWritten()
 
--- a/src/cicadapier/_internal/services/telemetry_service.py
+++ b/src/cicadapier/_internal/services/telemetry_service.py
@@ -77,6 +77,7 @@
         self._events = meter.create_counter("cicadapier_events")
         self._tunnel_bytes = meter.create_counter("cicadapier_tunnel_bytes", unit="By")
         self._limited_sends = meter.create_counter("cicadapier_limited_sends")
+        self._store_epoch = meter.create_gauge("cicadapier_store_epoch")
 
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
@@ -124,6 +125,10 @@
         """Counts a request to an upstream that announces a rate limit, by its kind."""
         self._limited_sends.add(1, {"upstream": upstream, "kind": kind})
 
+    def record_store_epoch(self, epoch: ids.StoreEpoch) -> None:
+        """Records the epoch of the store."""
+        self._store_epoch.set(epoch)
+
     def exposition(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
--- a/src/cicadapier/_internal/services/upstreams_service.py
+++ b/src/cicadapier/_internal/services/upstreams_service.py
@@ -292,7 +292,7 @@
             await trio.sleep(interval_s * self._rng.uniform(0.8, 1.2))
             try:
                 listing = await platform.list_all(VM_PLURAL)
-            except (exceptions.PlatformUnavailableError, exceptions.PlatformRefusedError):
+            except exceptions.ServiceError:
                 continue
             vms = [item for item in listing.objects if isinstance(item.spec, dict)]
             leaving = {vm.name for vm in vms if vm.spec.get("state") == VM_STATE_LEAVING}
--- a/src/cicadapier/_internal/services/watched_configuration.py
+++ b/src/cicadapier/_internal/services/watched_configuration.py
@@ -26,6 +26,8 @@
 # Maximum age of the proof. Requests with keys are refused if the proof is older.
 PROOF_MAX_AGE_SHARE = 0.8
 
+LIST_WITHIN_S = 0.05  # Keys are refused while there is no proof.
+
 _log = structlog.get_logger()
 
 
@@ -50,7 +52,9 @@
     ) -> None:
         super().__init__()
         self._declaration_format = declaration_format
-        self._watch_options = watching.WatchOptions(revoke_s * WATCH_WAIT_SHARE)
+        self._watch_options = watching.WatchOptions(
+            revoke_s * WATCH_WAIT_SHARE, list_within_s=LIST_WITHIN_S
+        )
         self._proof = freshness.Freshness(revoke_s * PROOF_MAX_AGE_SHARE)
         self._clock = clock
         self._rng = rng
@@ -121,14 +125,14 @@
         try:
             candidate = self._declaration_format.read_configuration(item)
         except model_exceptions.InvalidDocumentError as exc:
-            _log.error("configuration_invalid", version=item.version, reason=str(exc))
+            _log.error("configuration_invalid", version=item.version.revision, reason=str(exc))
             return
         if candidate.number <= self.current.number:
             _log.info("configuration_ignored", number=candidate.number, current=self.current.number)
             return
         self.current = candidate
         self.ready.set()
-        _log.info("configuration_in_force", number=candidate.number, version=item.version)
+        _log.info("configuration_in_force", number=candidate.number, version=item.version.revision)
         if self._kernel:
             listener: ConfigurationListener = self._kernel.find(names.UPSTREAMS)
             listener.handle_configuration_change()
--- a/src/cicadapier/_internal/services/watching.py
+++ b/src/cicadapier/_internal/services/watching.py
@@ -9,9 +9,11 @@
 import structlog
 import trio
 
+from cicadapier._internal.models import store_versions
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import platform_service
+from cicadapier._internal.services import store_epochs
 
 MIN_RETRY_PAUSE_S = 0.1
 MAX_RETRY_PAUSE_S = 0.8
@@ -36,11 +38,14 @@
             answer. It delays a change by this time at most.
         allow_stale: Whether answers may be seconds old if this is cheaper for the store. The first
             answer after an outage or after a loss of the history is always current.
+        list_within_s: Longest random pause before the objects are listed in a new epoch of the
+            store, in which all routers list them.
     """
 
     wait_s: float
     batch_pause_s: float = 0.0
     allow_stale: bool = False
+    list_within_s: float = 0.2
 
 
 class WatchHandler(abc.ABC):
@@ -54,6 +59,14 @@
     def handle_change(self, change: store_format.Change) -> None:
         """Handles a change of one object."""
 
+    def begin_epoch(self, change: store_versions.EpochChange) -> None:
+        """Called as the store begins a new epoch, before the objects are listed again.
+
+        The store has been restored from an older copy: it may lack what this handler has learned,
+        and hold what has been removed since.
+        """
+        return
+
     def finish_update(self) -> None:
         """Called after the whole content of an answer has been handled."""
         return
@@ -75,8 +88,8 @@
         return
 
 
-class Watch:
-    """Lists the objects of a kind once and then watches their changes.
+class Watch(store_epochs.EpochListener):
+    """Lists the objects of a kind once in each epoch of the store and watches their changes.
 
     Attributes:
         kind: The kind of the objects.
@@ -99,42 +112,74 @@
         self._handler = handler
         self._clock = clock
         self._rng = rng
-        self._version: str | None = None
+        # Version after which the next changes are asked for; None if a listing is due.
+        self._version: store_versions.StoreVersion | None = None
+        self._last_version: store_versions.StoreVersion | None = None
+        self._has_epoch_begun = False
+        self._query_scope = trio.CancelScope()
         self._failures = 0
         self._recovered_at = -math.inf
         self._needs_fresh_answer = False
+        platform.epochs.add_listener(self)
+
+    def handle_epoch(self, change: store_versions.EpochChange) -> None:
+        """See `store_epochs.EpochListener.handle_epoch`."""
+        last = self._last_version
+        if last is None or last.epoch == change.epoch:
+            return
+        _log.info(
+            "watch_epoch_begun",
+            kind=self.kind,
+            epoch=change.epoch,
+            before=last.epoch,
+            version=last.revision,
+        )
+        self._version = None
+        self._needs_fresh_answer = True
+        self._has_epoch_begun = True
+        self._handler.begin_epoch(change)
+        self._query_scope.cancel()
 
     async def run(self) -> None:
         """Runs until it is cancelled."""
         while True:
-            queried_at = self._clock()
-            try:
-                changed = await self._poll_once(queried_at)
-                self._record_reachability(True, "")
-                if changed and self._clock() - self._recovered_at >= RECOVERY_S:
-                    await trio.sleep(self._watch_options.batch_pause_s)
-            except exceptions.HistoryGoneError:
-                _log.info("watch_history_gone", kind=self.kind, version=self._version)
+            if self._has_epoch_begun:
+                self._has_epoch_begun = False
+                await trio.sleep(self._rng.uniform(0.0, self._watch_options.list_within_s))
+            with trio.CancelScope() as self._query_scope:
+                await self._query()
+
+    async def _query(self) -> None:
+        queried_at = self._clock()
+        try:
+            changed = await self._poll_once(queried_at)
+            self._record_reachability(True, "")
+            if changed and self._clock() - self._recovered_at >= RECOVERY_S:
+                await trio.sleep(self._watch_options.batch_pause_s)
+        except exceptions.HistoryGoneError:
+            _log.info("watch_history_gone", kind=self.kind, version=self._version)
+            self._version = None
+            self._needs_fresh_answer = True
+        except exceptions.EpochEndedError:
+            self._version = None
+        except (
+            exceptions.PlatformUnavailableError,
+            exceptions.PlatformRefusedError,
+        ) as exc:
+            self._handler.record_failure()
+            self._needs_fresh_answer = True
+            self._record_reachability(False, str(exc))
+            if isinstance(exc, exceptions.UnreadableAnswerError):
+                # The history would show the same bytes again, also once they are replaced.
                 self._version = None
-                self._needs_fresh_answer = True
-            except (
-                exceptions.PlatformUnavailableError,
-                exceptions.PlatformRefusedError,
-            ) as exc:
-                self._handler.record_failure()
-                self._needs_fresh_answer = True
-                self._record_reachability(False, str(exc))
-                if isinstance(exc, exceptions.UnreadableAnswerError):
-                    # The history would show the same bytes again, also once they are replaced.
-                    self._version = None
-                    self._handler.record_unreadable()
-                await self._back_off()
+                self._handler.record_unreadable()
+            await self._back_off()
 
     async def _poll_once(self, queried_at: float) -> bool:
         """Sends one query; returns whether it was a watch that returned changes."""
         if self._version is None:
             listing = await self._platform.list_all(self.kind)
-            self._version = listing.version
+            self._set_version(listing.version)
             self._handler.record_answer(queried_at)
             self._handler.handle_listing(listing.objects)
             self._handler.finish_update()
@@ -173,19 +218,23 @@
         return False
 
     def _apply(self, changes: store_format.Changes, queried_at: float) -> None:
-        self._version = changes.version
+        self._set_version(changes.version)
         self._handler.record_answer(queried_at)
         for change in changes.changes:
             self._handler.handle_change(change)
         self._handler.finish_update()
 
+    def _set_version(self, version: store_versions.StoreVersion) -> None:
+        self._version = self._last_version = version
+
     def _record_reachability(self, reachable: bool, reason: str) -> None:
         if reachable and self._failures:
             self._recovered_at = self._clock()
         self._failures = 0 if reachable else self._failures + 1
         if reachable != self.reachable:
             event = "store_regained" if reachable else "store_lost"
-            _log.info(event, kind=self.kind, version=self._version, reason=reason)
+            revision = self._version.revision if self._version else None
+            _log.info(event, kind=self.kind, version=revision, reason=reason)
         self.reachable = reachable
 
     async def _back_off(self) -> None:
--- a/src/cicadapier/_internal/standins/forwarding_deployment.py
+++ b/src/cicadapier/_internal/standins/forwarding_deployment.py
@@ -171,10 +171,11 @@
         numbered = configuration.NumberedConfiguration(
             ids.ConfigNumber(self._config_number), content
         )
+        keys = {account: list(account_keys) for account, account_keys in self.keys.items()}
         self.store.put(
             _DOCUMENT_FORMAT.configuration_kind,
             _DOCUMENT_FORMAT.configuration_name,
-            server_formats.encode_configuration(numbered, self.keys),
+            server_formats.encode_configuration(numbered, keys),
         )
 
     def set_target_weights(self, version: int) -> None:
--- a/src/cicadapier/_internal/standins/forwarding_store.py
+++ b/src/cicadapier/_internal/standins/forwarding_store.py
@@ -11,6 +11,7 @@
 
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import settings
+from cicadapier._internal.models import store_versions
 from cicadapier._internal.platform import server_formats
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import http_server
@@ -153,7 +154,7 @@
         if current is not None and current.spec == spec:
             return
         self.revision += 1
-        item = store_format.StoredObject(name, str(self.revision), spec)
+        item = store_format.StoredObject(name, self._version(), spec)
         self._objects[kind, name] = item
         self._record(kind, item, deleted=False, by_router=by_router)
 
@@ -170,10 +171,16 @@
         item = self._objects.pop((kind, name), None)
         if item is not None:
             self.revision += 1
-            deleted_item = dataclasses.replace(item, version=str(self.revision))
+            deleted_item = dataclasses.replace(item, version=self._version())
             self._record(kind, deleted_item, deleted=True, by_router=by_router)
 
-    async def restore(self, away_s: float, age_s: float) -> None:
+    def _version(self) -> store_versions.StoreVersion:
+        """Returns the version of the latest change."""
+        return store_versions.StoreVersion(self.epoch, str(self.revision))
+
+    async def restore(
+        self, away_s: float, age_s: float, repeat_after_s: float = REPEATED_WRITE_DELAY_S
+    ) -> None:
         """Makes the store unavailable for a while and restores it from an older copy.
 
         What routers wrote since the copy is lost; operators and upstreams repeat their writes.
@@ -181,12 +188,15 @@
         Args:
             away_s: Time for which connections are closed without an answer.
             age_s: Age of the copy when the store goes away.
+            repeat_after_s: Time from the return of the store until the writes are repeated; 0 to
+                repeat them before any call is answered.
         """
         assert self._nursery
         copied_at = trio.current_time() - age_s
-        self.faults.add(StoreFault.REFUSES)
-        await trio.sleep(away_s)
-        self.faults.discard(StoreFault.REFUSES)
+        if away_s:
+            self.faults.add(StoreFault.REFUSES)
+            await trio.sleep(away_s)
+            self.faults.discard(StoreFault.REFUSES)
         lost = self._history.changes_since(copied_at)
         self._objects = self._history.objects_at(copied_at)
         self.revision = self._history.revision_at(copied_at)
@@ -194,19 +204,33 @@
         self._history.forget_since(copied_at)
         self.epoch = ids.StoreEpoch((self.epoch or 0) + 1)
         self._notify()
-        self._nursery.start_soon(self._repeat_writes, lost)
+        if repeat_after_s:
+            self._nursery.start_soon(self._repeat_writes_later, lost, repeat_after_s)
+        else:
+            self._repeat_writes(lost)
 
-    async def _repeat_writes(self, lost: list[store_history.RecordedChange]) -> None:
-        await trio.sleep(REPEATED_WRITE_DELAY_S)
+    async def _repeat_writes_later(
+        self, lost: list[store_history.RecordedChange], delay_s: float
+    ) -> None:
+        await trio.sleep(delay_s)
+        self._repeat_writes(lost)
+
+    def _repeat_writes(self, lost: list[store_history.RecordedChange]) -> None:
+        """Repeats writes, except those of objects that have been written again since."""
+        written = {(c.kind, c.change.object.name) for c in self._changes if self._is_current(c)}
         for recorded in lost:
             item = recorded.change.object
-            if recorded.by_router:
+            if recorded.by_router or (recorded.kind, item.name) in written:
                 continue
             if recorded.change.deleted:
                 self.remove(recorded.kind, item.name)
             else:
                 self.put(recorded.kind, item.name, item.spec)
 
+    def _is_current(self, recorded: store_history.RecordedChange) -> bool:
+        """Returns whether a change was made in the epoch of the store that runs now."""
+        return recorded.change.object.version.epoch == self.epoch
+
     def drop_history(self) -> None:
         """Drops all recorded changes, so that watches from earlier revisions must list again."""
         self._changes.clear()
@@ -356,7 +380,7 @@
         elif current is None:
             return http.HTTPStatus.NOT_FOUND, {}
         elif store_req.expected_revision is not None and store_req.expected_revision != int(
-            current.version
+            current.version.revision
         ):
             return http.HTTPStatus.CONFLICT, server_formats.encode_object(current)
         elif method == "DELETE":
--- a/tests/_internal/platform/test_formats.py
+++ b/tests/_internal/platform/test_formats.py
@@ -12,6 +12,7 @@
 from cicadapier._internal.models import exceptions as model_exceptions
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import outcomes
+from cicadapier._internal.models import store_versions
 from cicadapier._internal.platform import documents
 from cicadapier._internal.platform import engine_calls
 from cicadapier._internal.platform import objects
@@ -40,8 +41,12 @@
 )
 
 
+def _version(revision, epoch=None):
+    return store_versions.StoreVersion(epoch, str(revision))
+
+
 def make_stored_object(name, spec):
-    return store_format.StoredObject(name, "7", spec)
+    return store_format.StoredObject(name, _version(7), spec)
 
 
 def make_request(*headers, method="POST", target="/a/b?c"):
@@ -225,13 +230,13 @@
         self.object_format = objects.ObjectFormat()
 
     def test_requests_have_the_format_of_the_store(self):
-        old = store_format.StoredObject("leader", "412", {})
+        old = store_format.StoredObject("leader", _version(412), {})
         self.assertEqual(
             self.object_format.list_page("servers", "i-7").target, "/api/objects/servers?after=i-7"
         )
-        watch = self.object_format.watch("servers", "530", 2.5)
+        watch = self.object_format.watch("servers", _version(530), 2.5)
         self.assertEqual(watch.target, "/api/objects/servers?watch=530&wait_ms=2500")
-        watch = self.object_format.watch("servers", "530", 2.5, allow_stale=True)
+        watch = self.object_format.watch("servers", _version(530), 2.5, allow_stale=True)
         self.assertEqual(watch.target, "/api/objects/servers?watch=530&wait_ms=2500&allow_stale=1")
         put = self.object_format.replace("locks", old, {"a": 1})
         self.assertEqual((put.method, put.target), ("PUT", "/api/objects/locks/leader"))
@@ -241,26 +246,28 @@
         )
 
     def test_stale_response_does_not_decrease_the_version(self):
-        changes = self.object_format.read_changes(b'{"events": [], "as_of": 528}', "530")
-        self.assertEqual(changes.version, "530")
-        changes = self.object_format.read_changes(b'{"events": [], "as_of": 531}', "530")
-        self.assertEqual(changes.version, "531")
+        changes = self.object_format.read_changes(b'{"events": [], "as_of": 528}', _version(530))
+        self.assertEqual(changes.version, _version(530))
+        changes = self.object_format.read_changes(b'{"events": [], "as_of": 531}', _version(530))
+        self.assertEqual(changes.version, _version(531))
 
     def test_list_continues_after_the_last_name_of_a_page(self):
         item = {"metadata": {"name": "b", "rev": 3}, "spec": {}}
-        page = self.object_format.read_page({"items": [item], "has_more": True, "as_of": 9})
-        self.assertEqual((page.continue_after, page.version), ("b", "9"))
-        page = self.object_format.read_page({"items": [item], "has_more": False, "as_of": 9})
+        page = self.object_format.read_page({"items": [item], "has_more": True, "as_of": 9}, None)
+        self.assertEqual((page.continue_after, page.version), ("b", _version(9)))
+        page = self.object_format.read_page({"items": [item], "has_more": False, "as_of": 9}, None)
         self.assertEqual(page.continue_after, "")
 
     def test_list_continues_after_the_last_name_that_can_be_read(self):
         items = [{"metadata": {"name": "b", "rev": 3}}, {"metadata": {"rev": 4}}, 7]
-        page = self.object_format.read_page({"items": items, "has_more": True, "as_of": 9})
+        page = self.object_format.read_page({"items": items, "has_more": True, "as_of": 9}, None)
         self.assertEqual((page.continue_after, page.unnamed), ("b", 2))
-        page = self.object_format.read_page({"items": items[1:], "has_more": False, "as_of": 9})
+        page = self.object_format.read_page(
+            {"items": items[1:], "has_more": False, "as_of": 9}, None
+        )
         self.assertEqual((page.continue_after, page.unnamed), ("", 2))
         with self.assertRaises(msgspec.ValidationError):
-            self.object_format.read_page({"items": items[1:], "has_more": True, "as_of": 9})
+            self.object_format.read_page({"items": items[1:], "has_more": True, "as_of": 9}, None)
 
     def test_changes_whose_objects_cannot_be_read_cost_themselves_alone(self):
         deep = b"[" * 5000 + b"]" * 5000
@@ -273,8 +280,8 @@
             b'{"object":{"metadata":{"name":"c","rev":5},"spec":1}}',
         ]
         body = b'{"events":[' + b",".join(events) + b'],"as_of":5}'
-        changes = self.object_format.read_changes(body, "2")
-        self.assertEqual((changes.version, changes.unnamed), ("5", 3))
+        changes = self.object_format.read_changes(body, _version(2))
+        self.assertEqual((changes.version, changes.unnamed), (_version(5), 3))
         found = [(change.object.name, change.deleted) for change in changes.changes]
         self.assertEqual(found, [("a", True), ("b", False), ("c", False)])
         self.assertIsInstance(changes.changes[1].object.spec, partial_json.Unreadable)
--- a/tests/_internal/protocols/test_native_store_format.py
+++ b/tests/_internal/protocols/test_native_store_format.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from cicadapier._internal.models import store_versions
 from cicadapier._internal.protocols import native_store_format
 from cicadapier._internal.protocols import partial_json
 
@@ -17,10 +18,12 @@
             b'{"type":"DELETED","object":{"metadata":{"name":"b","resourceVersion":"4"}}}',
         ]
         store_format = native_store_format.NativeStoreFormat()
-        changes = store_format.read_changes(b"\n".join(lines), "2")
+        changes = store_format.read_changes(
+            b"\n".join(lines), store_versions.StoreVersion(None, "2")
+        )
         self.assertEqual([change.object.name for change in changes.changes], ["a", "b"])
         self.assertIsInstance(changes.changes[0].object.spec, partial_json.Unreadable)
-        self.assertEqual(changes.version, "4")
+        self.assertEqual(changes.version, store_versions.StoreVersion(None, "4"))
 
 
 if __name__ == "__main__":
--- a/tests/_internal/services/test_claims_service.py
+++ b/tests/_internal/services/test_claims_service.py
@@ -7,6 +7,7 @@
 import trio.testing
 
 from cicadapier._internal.kernel import random_tokens
+from cicadapier._internal.models import store_versions
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import claims_service
 from cicadapier._internal.services import exceptions
@@ -39,7 +40,9 @@
     def _create(self, name, spec):
         if name not in self.objects:
             self._revision += 1
-            self.objects[name] = store_format.StoredObject(name, str(self._revision), spec)
+            self.objects[name] = store_format.StoredObject(
+                name, store_versions.StoreVersion(None, str(self._revision)), spec
+            )
 
     async def delete(self, kind, item):
         self.objects.pop(item.name, None)
--- a/tests/_internal/services/test_cluster_service.py
+++ b/tests/_internal/services/test_cluster_service.py
@@ -9,6 +9,7 @@
 import trio.testing
 
 from cicadapier._internal.models import ids
+from cicadapier._internal.models import store_versions
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import cluster_service
 
@@ -29,7 +30,8 @@
 def _entry(generation):
     entry = cluster_service.RouterEntry(VM, "10.0.0.1:7000", generation)
     name = f"{cluster_service.ROUTER_PREFIX}{VM}"
-    return store_format.StoredObject(name, str(generation), msgspec.to_builtins(entry))
+    version = store_versions.StoreVersion(None, str(generation))
+    return store_format.StoredObject(name, version, msgspec.to_builtins(entry))
 
 
 class DrainTest(unittest.TestCase):
@@ -61,7 +63,8 @@
         odd = ["", "10.0.0.1", "10.0.0.1:²", "10.0.0.1:70000", "..:80"]
         for number, address in enumerate(["10.0.0.1:7000", *odd]):
             entry = {"vm": f"vm-{number}", "address": address, "generation": 1}
-            service.put(store_format.StoredObject(f"router-vm-{number}", "1", entry))
+            version = store_versions.StoreVersion(None, "1")
+            service.put(store_format.StoredObject(f"router-vm-{number}", version, entry))
         self.assertEqual(service.addresses(), {"vm-0": "10.0.0.1:7000"})
 
 
--- a/tests/_internal/services/test_odd_own_objects.py
+++ b/tests/_internal/services/test_odd_own_objects.py
@@ -7,6 +7,7 @@
 import trio.testing
 
 from cicadapier._internal.kernel import random_tokens
+from cicadapier._internal.models import store_versions
 from cicadapier._internal.protocols import partial_json
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import claims_service
@@ -43,7 +44,9 @@
         return platform_service.NotWritten()
 
     async def get(self, kind, name):
-        return store_format.StoredObject(name, "1", self._content)
+        return store_format.StoredObject(
+            name, store_versions.StoreVersion(None, "1"), self._content
+        )
 
 
 class OddOwnObjectTest(unittest.TestCase):
--- a/tests/_internal/services/test_order_lease.py
+++ b/tests/_internal/services/test_order_lease.py
@@ -7,6 +7,7 @@
 
 from cicadapier._internal.decisions import leases
 from cicadapier._internal.models import ids
+from cicadapier._internal.models import store_versions
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import engine_orders
 from cicadapier._internal.services import order_lease
@@ -51,12 +52,15 @@
         if (old.version if old else None) != (current.version if current else None):
             return platform_service.NotWritten(current)
         self.revision += 1
-        self.put(store_format.StoredObject(name, str(self.revision), spec))
+        self.put(store_format.StoredObject(name, self._version(), spec))
         return platform_service.Written(self.object)
 
     def put(self, item):
         self.object = self._objects[item.name] = item
 
+    def _version(self):
+        return store_versions.StoreVersion(self.epoch, str(self.revision))
+
     def remove_all(self):
         self.object = None
         self._objects = {}
@@ -107,7 +111,7 @@
 
     def put(self, item):
         current = self._objects.get(item.name)
-        if current is None or int(current.version) < int(item.version):
+        if current is None or current.version.precedes(item.version):
             self._objects[item.name] = item
             self._notify()
 
--- a/tests/_internal/services/test_orders_service.py
+++ b/tests/_internal/services/test_orders_service.py
@@ -12,6 +12,7 @@
 from cicadapier._internal.kernel import random_tokens
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
+from cicadapier._internal.models import store_versions
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import names
@@ -99,7 +100,9 @@
         self.writes += 1
         if old is not self.stored:
             return platform_service.NotWritten(self.stored)
-        self.stored = store_format.StoredObject("orders-pool", str(self.writes), spec)
+        self.stored = store_format.StoredObject(
+            "orders-pool", store_versions.StoreVersion(None, str(self.writes)), spec
+        )
         return platform_service.Written(self.stored)
 
 
--- a/tests/_internal/services/test_platform_service.py
+++ b/tests/_internal/services/test_platform_service.py
@@ -1,15 +1,18 @@
 """The client of the store follows the store's epoch."""
 
+import contextlib
 import random
 import unittest
 
 import trio
 
 from cicadapier._internal.models import settings
+from cicadapier._internal.models import store_versions
 from cicadapier._internal.platform import objects
 from cicadapier._internal.protocols import http_server
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import platform_service
+from cicadapier._internal.services import store_epochs
 from cicadapier._internal.standins import faulty_network
 from tests import support
 
@@ -23,17 +26,38 @@
     Attributes:
         epoch: Value of the epoch header; None for no header.
         delay_s: Time until the answer.
+        status: Status of the answers.
+        bodies: Bodies of the next answers, before those with the object.
+        calls: Method of each call.
     """
 
     def __init__(self):
         self.epoch = b"1"
         self.delay_s = 0.0
+        self.status = 200
+        self.bodies = []
+        self.calls = []
 
     async def handle(self, req, responder):
         epoch = self.epoch
+        self.calls.append(req.method)
         await trio.sleep(self.delay_s)
         headers = [] if epoch is None else [(b"Store-Era", epoch)]
-        await responder.send_json(OBJECT, headers=headers)
+        body = self.bodies.pop(0) if self.bodies else OBJECT
+        await responder.send_json(body, self.status, headers)
+        if self.bodies and self.bodies[0] == "next epoch":
+            self.epoch = b"%d" % (int(epoch) + 1)
+            self.bodies.pop(0)
+
+
+class Listener(store_epochs.EpochListener):
+    """Records the epochs that it is told of."""
+
+    def __init__(self):
+        self.changes = []
+
+    def handle_epoch(self, change):
+        self.changes.append((change.former, change.epoch))
 
 
 class StoreEpochTest(unittest.TestCase):
@@ -96,6 +120,90 @@
 
         self._run(check)
 
+    def test_answer_without_epoch_that_may_be_of_a_former_one_is_not_used(self):
+        async def check(handler, client):
+            await client.get("kind", "a")
+            handler.epoch, handler.delay_s = None, 0.5
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._expect, exceptions.PlatformUnavailableError, client)
+                await trio.sleep(0.1)
+                handler.epoch, handler.delay_s = b"2", 0.0
+                await client.get("kind", "a")
+
+        self._run(check)
+
+    async def _expect(self, error, client):
+        with self.assertRaises(error):
+            await client.get("kind", "a")
+
+    def test_listeners_learn_an_epoch_once_and_before_its_answer_is_used(self):
+        async def check(handler, client):
+            listener = Listener()
+            client.epochs.add_listener(listener)
+            for epoch in (b"4", b"4", None, b"3", b"6"):
+                handler.epoch = epoch
+                await client.get("kind", "a")
+            self.assertEqual(listener.changes, [(None, 4), (4, 6)])
+
+        self._run(check)
+
+    def test_errors_name_the_epoch_as_well(self):
+        async def check(handler, client):
+            await client.get("kind", "a")
+            for epoch, status in ((b"2", 404), (b"3", 429), (b"4", 503)):
+                handler.epoch, handler.status = epoch, status
+                with contextlib.suppress(exceptions.ServiceError):
+                    await client.get("kind", "a")
+                self.assertEqual(client.epoch, int(epoch))
+
+        self._run(check)
+
+    def test_pages_of_two_epochs_make_no_list(self):
+        async def check(handler, client):
+            page = {"items": [OBJECT], "has_more": True, "as_of": 9}
+            handler.bodies = [page, "next epoch", {**page, "has_more": False}]
+            with self.assertRaises(exceptions.EpochEndedError):
+                await client.list_all("kind")
+
+        self._run(check)
+
+    def test_changes_since_a_version_of_a_former_epoch_are_not_used(self):
+        async def check(handler, client):
+            found = await client.get("kind", "a")
+            handler.epoch = b"2"
+            handler.bodies = [{"events": [], "as_of": 9}]
+            with self.assertRaises(exceptions.EpochEndedError):
+                await client.watch("kind", found.version, 1.0)
+            calls = len(handler.calls)
+            with self.assertRaises(exceptions.EpochEndedError):
+                await client.watch("kind", found.version, 1.0)
+            self.assertEqual(len(handler.calls), calls)
+
+        self._run(check)
+
+    def test_write_that_depends_on_a_former_epoch_is_not_sent(self):
+        async def check(handler, client):
+            found = await client.get("kind", "a")
+            handler.epoch = b"2"
+            await client.get("kind", "a")
+            written = await client.replace("kind", found, {})
+            self.assertEqual(written, platform_service.NotWritten())
+            self.assertFalse(await client.delete("kind", found))
+            self.assertEqual(set(handler.calls), {"GET"})
+
+        self._run(check)
+
+
+class StoreVersionTest(unittest.TestCase):
+    def test_versions_of_a_former_epoch_are_older_whatever_their_revision(self):
+        versions = [(None, "90"), (1, "7"), (1, "12"), (2, "5")]
+        ordered = [store_versions.StoreVersion(*version) for version in versions]
+        for index, version in enumerate(ordered):
+            for later in ordered[index + 1 :]:
+                self.assertTrue(version.precedes(later))
+                self.assertFalse(later.precedes(version))
+            self.assertFalse(version.precedes(version))
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/_internal/services/test_store_restored.py
@@ -0,0 +1,233 @@
+"""The store comes back from an older copy, and its revisions are given out again."""
+
+import random
+import unittest
+
+import trio
+
+from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
+from cicadapier._internal.platform import documents
+from cicadapier._internal.platform import objects
+from cicadapier._internal.services import cluster_service
+from cicadapier._internal.services import platform_service
+from cicadapier._internal.services import watched_configuration
+from cicadapier._internal.services import watching
+from cicadapier._internal.services import weights_service
+from cicadapier._internal.standins import faulty_network
+from cicadapier._internal.standins import forwarding_deployment
+from cicadapier._internal.standins import forwarding_store
+from tests import forwarding_world
+from tests import support
+
+AWAY_S = 1.0
+AGE_S = 2.5
+NEVER_S = 600.0
+REVOKE_S = 5.0
+DRAIN_S = 2.0
+GRACE_S = 1.8
+TAKEN = "key-2"
+
+DIRECTORY = documents.DocumentFormat.directory_kind
+StoreFault = forwarding_store.StoreFault
+
+
+def _run(check, **options):
+    """Runs a check in a world whose store has named its epoch for some time."""
+
+    async def main(world):
+        world.store.epoch = ids.StoreEpoch(1)
+        await trio.sleep(8.0)
+        await check(world)
+
+    forwarding_world.run_in_world(main, **options)
+
+
+def _take_key_away(world, number=None):
+    keys = world.keys[forwarding_deployment.ACCOUNT]
+    if TAKEN in keys:
+        keys.remove(TAKEN)
+    world.configure(forwarding_deployment.routes(), number)
+
+
+async def _lose_two_changes(world):
+    """Makes two changes that the copy lacks: an upstream joins, a version is written."""
+    await world.add_upstream("desk-9", forwarding_deployment.DESK, None)
+    world.configure(forwarding_deployment.routes())
+    await trio.sleep(AGE_S - 0.1)
+
+
+async def _restore(world, away_s=AWAY_S, age_s=AGE_S):
+    """Restores the store; the operator repeats the lost version before any call is answered.
+
+    The revision of the next change is then that of the lost version, which routers know.
+    """
+    await world.store.restore(away_s, age_s, repeat_after_s=NEVER_S)
+    world.configure(forwarding_deployment.routes(), world._config_number)
+
+
+async def _statuses(world, key, router=0, count=4):
+    """Returns the statuses of some requests with a key."""
+    replies = [
+        await world.send("GET", "desk", "/look/", key=key, router=router) for _ in "a" * count
+    ]
+    return {reply.status for reply in replies}
+
+
+class TakenKeyTest(unittest.TestCase):
+    """A key that is taken away after the restore stops working (review/3)."""
+
+    def _check(self, disrupt, routers=2):
+        async def check(world):
+            self.assertEqual(await _statuses(world, TAKEN), {200})
+            await _lose_two_changes(world)
+            await disrupt(world)
+            await trio.sleep(0.5)
+            world.register(world.upstreams["desk-9"].entry)
+            await trio.sleep(REVOKE_S - 0.5)
+            for router in range(routers):
+                self.assertEqual(await _statuses(world, TAKEN, router), {401})
+                self.assertEqual(await _statuses(world, "key-1", router), {200})
+
+        _run(check, routers=routers)
+
+    def test_key_taken_away_right_after_the_restore_stops_working(self):
+        async def disrupt(world):
+            await _restore(world)
+            _take_key_away(world)
+
+        self._check(disrupt)
+
+    def test_key_taken_away_after_a_restore_that_no_query_noticed_stops_working(self):
+        async def disrupt(world):
+            await _restore(world, away_s=0.0)
+            _take_key_away(world)
+
+        self._check(disrupt)
+
+    def test_key_taken_away_after_the_second_of_two_restores_stops_working(self):
+        async def disrupt(world):
+            await _restore(world)
+            await trio.sleep(0.05)
+            await _restore(world, away_s=0.3, age_s=0.2)
+            _take_key_away(world)
+
+        self._check(disrupt)
+
+    def test_key_stops_working_on_a_router_that_reaches_the_store_only_later(self):
+        async def disrupt(world):
+            world.store_endpoints[1].faults.add(StoreFault.REFUSES)
+            await _restore(world)
+            _take_key_away(world)
+            await trio.sleep(2.0)
+            world.store_endpoints[1].faults.clear()
+
+        self._check(disrupt)
+
+    def test_key_stops_working_on_routers_that_were_suspended_meanwhile(self):
+        async def disrupt(world):
+            async def restore():
+                await _restore(world)
+                _take_key_away(world)
+
+            await world.suspend(0, 3.0, restore)
+
+        self._check(disrupt, routers=1)
+
+
+class DirectoryTest(unittest.TestCase):
+    async def _used(self, world, router=0, count=8):
+        before = len(world.runs)
+        for _ in range(count):
+            await world.send("GET", "desk", "/look/", router=router)
+        return {run.upstream for run in world.runs[before:]}
+
+    def test_upstream_that_leaves_after_the_restore_gets_no_requests(self):
+        async def check(world):
+            await _lose_two_changes(world)
+            await world.store.restore(AWAY_S, AGE_S, repeat_after_s=NEVER_S)
+            world.mark_leaving("desk-0")
+            world.register(world.upstreams["desk-9"].entry)
+            await trio.sleep(DRAIN_S)
+            self.assertEqual(await self._used(world), {"desk-1", "desk-9"})
+
+        _run(check)
+
+
+class WeightsTest(unittest.TestCase):
+    def test_weights_named_after_the_restore_are_loaded(self):
+        async def check(world):
+            world.set_target_weights(2)
+            await trio.sleep(0.5)
+            await world.store.restore(AWAY_S, AGE_S, repeat_after_s=NEVER_S)
+            world.set_target_weights(3)
+            await trio.sleep(12.0)
+            loaded = {u.weights for n, u in world.upstreams.items() if n.startswith("engine")}
+            self.assertEqual(loaded, {3})
+
+        _run(check)
+
+
+class HerdTest(unittest.TestCase):
+    """Many routers list everything as the store comes back, within the rates that it names."""
+
+    def _count_refused(self, routers, reads_per_s):
+        refused = []
+
+        async def main():
+            network = faulty_network.MemoryNetwork(0)
+            store = forwarding_store.ForwardingStore(network)
+            store.epoch = ids.StoreEpoch(1)
+            store.rates = forwarding_store.Rates(reads=reads_per_s)
+            async with trio.open_nursery() as nursery:
+                await nursery.start(store.run)
+                for index in range(routers):
+                    await _start_watches(network, store, nursery, index)
+                await trio.sleep(3.0)
+                before = store.calls["GET"], store.throttled_calls
+                await store.restore(AWAY_S, AGE_S)
+                await trio.sleep(2.0)
+                refused.append(store.throttled_calls - before[1])
+                self.assertLessEqual(store.calls["GET"] - before[0], 4 * 13 * routers)
+                nursery.cancel_scope.cancel()
+
+        support.run(main)
+        return refused[0]
+
+    def test_all_routers_of_a_fleet_list_within_the_rates_of_the_store(self):
+        # Rates of stores before fleets of these sizes; that of 300 is the one named for 77.
+        for routers, reads_per_s in ((4, 2000), (24, 6000), (60, 6000), (300, 16_000)):
+            with self.subTest(routers):
+                self.assertEqual(self._count_refused(routers, reads_per_s), 0)
+
+
+async def _start_watches(network, store, nursery, index):
+    """Starts the watches of one router."""
+    _, address = await store.open_endpoint(ids.Address(f"127.0.0.1:{20_000 + index}"))
+    rng = random.Random(index)
+    client = platform_service.PlatformService(
+        settings.Platform([address]), network, rng, objects.ObjectFormat()
+    )
+    options = {
+        documents.DocumentFormat.configuration_kind: watching.WatchOptions(
+            1.5, list_within_s=watched_configuration.LIST_WITHIN_S
+        ),
+        documents.DocumentFormat.directory_kind: watching.WatchOptions(2.5, 0.8),
+        documents.DocumentFormat.weights_kind: weights_service.WATCH_OPTIONS,
+        cluster_service.KIND: cluster_service.WATCH_OPTIONS,
+    }
+    for kind, watch_options in options.items():
+        watch = watching.Watch(client, kind, watch_options, IdleHandler(), trio.current_time, rng)
+        nursery.start_soon(watch.run)
+
+
+class IdleHandler(watching.WatchHandler):
+    def handle_listing(self, listed):
+        pass
+
+    def handle_change(self, change):
+        pass
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -34,8 +34,8 @@
     planted_bug.Mutant(
         "replace a stored object without a version precondition",
         "protocols/native_store_format.py",
-        '"resourceVersion": old.version}, "spec": spec}',
-        '"resourceVersion": ""}, "spec": spec}',
+        'metadata = {"name": old.name, "resourceVersion": old.version.revision}',
+        'metadata = {"name": old.name, "resourceVersion": ""}',
         f"{planted_bug.SERVICES}.test_router_fleet.ConfigurationTest",
     ),
     planted_bug.Mutant(
@@ -213,8 +213,8 @@
     ),
     planted_bug.Mutant(
         "use an answer that the store gave in a former epoch",
-        "services/platform_service.py",
-        "elif known_epoch != self.epoch:",
+        "services/store_epochs.py",
+        "elif self.current not in (named, known):",
         "elif False:",
         f"{planted_bug.SERVICES}.test_platform_service",
     ),
