An older configuration of a restored store gives no key back

What callers would see: a version that took a key away is lost with the copy. A router that was out of touch as it was written, or that starts just after the drill, finds the older version, takes the answer for a proof and runs requests with the key until the operator writes again (CONFIG, in touch or not).

Cause: an answer of the restored store counted as a proof like any other.

Mend: (1) a router without a proof of the last 5 s as it learns of the epoch takes answers for proofs only 2 s later, when operators have repeated their changes; one that had followed the store goes on at once. (2) Routers name the number of their configuration in each digest already; for 10 s after its start or a new epoch, a router that is behind a peer accepts no keys. The bound keeps a faulty peer's number from refusing keys for good. No message changes.

Before: test_key_works_on_no_router_that_starts_after_the_restore and ..._that_was_cut_off_as_it_was_taken_away fail on. After: they pass.

--- a/src/cicadapier/_internal/services/configuration_source.py
+++ b/src/cicadapier/_internal/services/configuration_source.py
@@ -26,6 +26,15 @@
         self.current = configuration.EMPTY
         self.ready = trio.Event()
 
+    def record_peer_number(self, number: ids.ConfigNumber, source: str) -> None:
+        """Records the number of the configuration in force on another router.
+
+        Args:
+            number: The number.
+            source: The router, for the log.
+        """
+        return
+
     @abc.abstractmethod
     def packed_update(self, since: ids.ConfigNumber) -> tuple[ids.ConfigNumber, bytes] | None:
         """Returns the current number and the update to it, or None if there is no update.
--- a/src/cicadapier/_internal/services/peers_service.py
+++ b/src/cicadapier/_internal/services/peers_service.py
@@ -406,6 +406,8 @@
         assert self._traffic
         now = trio.current_time()
         self._membership.merge_heartbeats(digest.heartbeats, now)
+        if self._configuration:
+            self._configuration.record_peer_number(digest.configuration_number, digest.sender)
         update = peer_updates.PeerUpdate(
             peer_updates.Sender(digest.sender, digest.generation),
             digest.sends,
--- a/src/cicadapier/_internal/services/watched_configuration.py
+++ b/src/cicadapier/_internal/services/watched_configuration.py
@@ -10,6 +10,7 @@
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import exceptions as model_exceptions
 from cicadapier._internal.models import ids
+from cicadapier._internal.models import store_versions
 from cicadapier._internal.protocols import declarations
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import configuration_source
@@ -26,6 +27,7 @@
 # Maximum age of the proof. Requests with keys are refused if the proof is older.
 PROOF_MAX_AGE_SHARE = 0.8
 
+PROOF_TIMEOUT_S = 1.0
 LIST_WITHIN_S = 0.05  # Keys are refused while there is no proof.
 
 _log = structlog.get_logger()
@@ -55,7 +57,9 @@
         self._watch_options = watching.WatchOptions(
             revoke_s * WATCH_WAIT_SHARE, list_within_s=LIST_WITHIN_S
         )
-        self._proof = freshness.Freshness(revoke_s * PROOF_MAX_AGE_SHARE)
+        self._proof = freshness.Freshness(revoke_s * PROOF_MAX_AGE_SHARE, revoke_s)
+        self._peer_numbers = freshness.PeerNumbers(clock())
+        self._proof_due = trio.Event()
         self._clock = clock
         self._rng = rng
         self._kernel: service.Kernel | None = None
@@ -71,8 +75,17 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._fresh_answers.run)
             nursery.start_soon(watch.run)
+            nursery.start_soon(self._prove_after_restore)
             task_status.started()
 
+    async def _prove_after_restore(self) -> None:
+        """Asks the store for a proof as soon as its answers are proofs again."""
+        while True:
+            await self._proof_due.wait()
+            self._proof_due = trio.Event()
+            await trio.sleep(max(0.0, self._proof.proves_from - self._clock()))
+            await self.confirm(PROOF_TIMEOUT_S)
+
     async def confirm(self, timeout_s: float) -> bool:
         """Asks the store for the newest configuration.
 
@@ -91,8 +104,35 @@
 
     @property
     def has_fresh_proof(self) -> bool:
-        """Whether keys may be accepted, because the proof is younger than its maximum age."""
-        return self._proof.is_fresh(self._clock())
+        """Whether keys may be accepted.
+
+        The proof has to be younger than its maximum age, and no peer may know a newer configuration
+        that a restored store has lost.
+        """
+        now = self._clock()
+        if self._peer_numbers.know_better(self.current.number, now):
+            return False
+        return self._proof.is_fresh(now)
+
+    def record_peer_number(self, number: ids.ConfigNumber, source: str) -> None:
+        """See `ConfigurationSource.record_peer_number`."""
+        now = self._clock()
+        is_news = self._peer_numbers.record(number)
+        if is_news and self._peer_numbers.know_better(self.current.number, now):
+            _log.info("peer_has_newer_configuration", number=number, peer=source)
+
+    def begin_epoch(self, change: store_versions.EpochChange) -> None:
+        """See `watching.WatchHandler.begin_epoch`."""
+        now = self._clock()
+        self._peer_numbers.begin_epoch(now)
+        if not self._proof.begin_epoch(now):
+            self._proof_due.set()
+        _log.info(
+            "configuration_kept",
+            epoch=change.epoch,
+            number=self.current.number,
+            proof_age_s=round(self.proof_age_s, 2),
+        )
 
     def record_answer(self, queried_at: float) -> None:
         """See `watching.WatchHandler.record_answer`."""
--- a/tests/_internal/decisions/test_forwarding_decisions.py
+++ b/tests/_internal/decisions/test_forwarding_decisions.py
@@ -39,23 +39,51 @@
 
 class FreshnessTest(unittest.TestCase):
     def test_nothing_is_fresh_without_proof(self):
-        proof = freshness.Freshness(4.0)
+        proof = freshness.Freshness(4.0, 5.0)
         self.assertFalse(proof.is_fresh(0.0))
         self.assertEqual(proof.age_s(0.0), math.inf)
 
     def test_the_age_of_a_proof_counts_from_the_query(self):
-        proof = freshness.Freshness(4.0)
+        proof = freshness.Freshness(4.0, 5.0)
         proof.record_proof(10.0)
         self.assertTrue(proof.is_fresh(13.9))
         self.assertFalse(proof.is_fresh(14.0))
 
     def test_a_delayed_answer_does_not_replace_a_newer_proof(self):
-        proof = freshness.Freshness(4.0)
+        proof = freshness.Freshness(4.0, 5.0)
         proof.record_proof(10.0)
         proof.record_proof(3.0)
         self.assertEqual(proof.age_s(11.0), 1.0)
 
 
+class RestoredSourceTest(unittest.TestCase):
+    def test_answers_are_proofs_for_a_router_that_followed_the_source(self):
+        proof = freshness.Freshness(4.0, 5.0)
+        proof.record_proof(10.0)
+        self.assertTrue(proof.begin_epoch(14.9))
+        proof.record_proof(14.9)
+        self.assertTrue(proof.is_fresh(15.0))
+
+    def test_answers_are_no_proofs_at_first_for_a_router_that_was_out_of_touch(self):
+        proof = freshness.Freshness(4.0, 5.0)
+        proof.record_proof(10.0)
+        self.assertFalse(proof.begin_epoch(15.0))
+        proof.record_proof(15.0 + freshness.REPEATED_WITHIN_S - 0.1)
+        self.assertFalse(proof.is_fresh(17.0))
+        proof.record_proof(15.0 + freshness.REPEATED_WITHIN_S)
+        self.assertTrue(proof.is_fresh(17.1))
+
+    def test_peer_knows_better_for_a_time_after_the_start_and_each_restore(self):
+        peers = freshness.PeerNumbers(0.0)
+        self.assertTrue(peers.record(7))
+        self.assertFalse(peers.record(6))
+        self.assertTrue(peers.know_better(6, 1.0))
+        self.assertFalse(peers.know_better(7, 1.0))
+        self.assertFalse(peers.know_better(6, freshness.PEERS_KNOW_BETTER_S))
+        peers.begin_epoch(100.0)
+        self.assertTrue(peers.know_better(6, 101.0))
+
+
 class TargetWeightsTest(unittest.TestCase):
     def setUp(self):
         self.targets = target_weights.TargetWeights(10.0)
--- a/tests/_internal/services/test_store_restored.py
+++ b/tests/_internal/services/test_store_restored.py
@@ -137,6 +137,55 @@
         self._check(disrupt, routers=1)
 
 
+class LostConfigurationTest(unittest.TestCase):
+    """The copy lacks the version that took a key away; operators write it again later."""
+
+    def test_key_stays_taken_away_while_the_store_shows_an_older_version(self):
+        async def check(world):
+            _take_key_away(world)
+            await trio.sleep(0.5)
+            await world.store.restore(AWAY_S, AGE_S, repeat_after_s=4.0)
+            for _ in range(40):
+                await trio.sleep(0.1)
+                self.assertNotIn(200, await _statuses(world, TAKEN, count=1))
+            self.assertEqual(await _statuses(world, TAKEN), {401})
+            self.assertEqual(await _statuses(world, "key-1"), {200})
+
+        _run(check)
+
+    def test_key_works_on_no_router_that_starts_after_the_restore(self):
+        async def check(world):
+            _take_key_away(world)
+            await trio.sleep(0.5)
+            world.stop("vm-1")
+            await world.store.restore(AWAY_S, AGE_S, repeat_after_s=4.0)
+            await world.start_router(1)
+            await trio.sleep(1.0)
+            for _ in range(25):
+                await trio.sleep(0.1)
+                self.assertNotIn(200, await _statuses(world, TAKEN, router=1, count=1))
+            await trio.sleep(4.0)
+            self.assertEqual(await _statuses(world, TAKEN, router=1), {401})
+            self.assertEqual(await _statuses(world, "key-1", router=1), {200})
+
+        _run(check, routers=2)
+
+    def test_key_works_on_no_router_that_was_cut_off_as_it_was_taken_away(self):
+        async def check(world):
+            world.store_endpoints[0].faults.add(StoreFault.SILENT)
+            await trio.sleep(4.5)
+            _take_key_away(world)
+            await trio.sleep(0.5)
+            world.store_endpoints[0].faults.clear()
+            await world.store.restore(AWAY_S, AGE_S, repeat_after_s=1.5)
+            for _ in range(50):
+                await trio.sleep(0.1)
+                self.assertNotIn(200, await _statuses(world, TAKEN, count=1))
+            self.assertEqual(await _statuses(world, "key-1"), {200})
+
+        _run(check)
+
+
 class DirectoryTest(unittest.TestCase):
     async def _used(self, world, router=0, count=8):
         before = len(world.runs)
