A router writes its entry again that a restored store has lost

What was seen: a router that had joined after the copy was made stayed without an entry after the drill, so that the others neither told it origins of streams nor counted it among the candidates for the order lease.

Cause: the entry was written once, at the start; the copy's list replaced what was known of the others at once.

Mend: a list without the own entry has it written again, after a random pause of up to 2 s; entries of others that the copy lacks are kept for 5 s. A router that stops writes none. The object's bytes are the same as before.

--- a/src/cicadapier/_internal/services/cluster_service.py
+++ b/src/cicadapier/_internal/services/cluster_service.py
@@ -1,5 +1,6 @@
 """Objects that the routers share in the platform's store: router entries and order leases."""
 
+import math
 import random
 from typing import Any
 
@@ -11,6 +12,7 @@
 from cicadapier._internal.models import addresses
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import settings
+from cicadapier._internal.models import store_versions
 from cicadapier._internal.protocols import store_format
 from cicadapier._internal.services import exceptions
 from cicadapier._internal.services import names
@@ -25,6 +27,10 @@
 # All other objects are hints.
 WATCH_OPTIONS = watching.WatchOptions(wait_s=2.5, allow_stale=True, list_within_s=0.8)
 REGISTER_RETRY_S = 0.5
+# Longest random pause before a router writes its entry again that a restored store has lost.
+REGISTER_AGAIN_WITHIN_S = 2.0
+# Time in which the entries of other routers, which a restored store has lost, are written again.
+LOST_ENTRIES_KEPT_S = 5.0
 ENTRY_EXPIRES_AFTER_S = 60.0
 SWEEP_INTERVAL_S = 10.0
 
@@ -60,6 +66,11 @@
         self._clock = clock
         self._rng = rng
         self._objects: dict[str, store_format.StoredObject] = {}
+        # Entries of routers that were known before the store was restored.
+        self._former_entries: dict[str, store_format.StoredObject] = {}
+        self._former_until = -math.inf
+        self._is_registered = self._is_draining = False
+        self._entry_lost = trio.Event()
         self._seen_at: dict[str, float] = {}
         self._addresses: dict[ids.VmId, ids.Address] = {}
         self._platform: platform_service.PlatformService | None = None
@@ -91,11 +102,17 @@
         """Returns all registered routers and this one."""
         registered = {
             ids.VmId(name.removeprefix(ROUTER_PREFIX))
-            for name in self._objects
+            for name in self._known_objects()
             if name.startswith(ROUTER_PREFIX)
         }
         return sorted(registered | {self._vm})
 
+    def _known_objects(self) -> dict[str, store_format.StoredObject]:
+        """Returns the objects, with the entries of routers that a restored store may have lost."""
+        if self._clock() < self._former_until:
+            return {**self._former_entries, **self._objects}
+        return self._objects
+
     def addresses(self) -> dict[ids.VmId, ids.Address]:
         """Returns the peer addresses of all registered routers; empty until they are known.
 
@@ -112,10 +129,18 @@
             self._seen_at[item.name] = self._clock()
             self._notify()
 
+    def begin_epoch(self, change: store_versions.EpochChange) -> None:
+        """See `watching.WatchHandler.begin_epoch`."""
+        entries = {n: item for n, item in self._objects.items() if n.startswith(ROUTER_PREFIX)}
+        self._former_entries = {**self._former_entries, **entries}
+        self._former_until = self._clock() + LOST_ENTRIES_KEPT_S
+
     def handle_listing(self, objects: tuple[store_format.StoredObject, ...]) -> None:
         """See `watching.WatchHandler.handle_listing`."""
         self._objects = {item.name: item for item in objects}
         self._seen_at = {item.name: self._seen_at.get(item.name, self._clock()) for item in objects}
+        if self._is_registered and not self._is_draining and not self._has_own_entry():
+            self._entry_lost.set()
         self._notify()
 
     def handle_change(self, change: store_format.Change) -> None:
@@ -130,6 +155,7 @@
 
     async def drain(self) -> None:
         """Removes this router's entry, so that other routers stop relying on this router."""
+        self._is_draining = True
         current = self._objects.get(f"{ROUTER_PREFIX}{self._vm}")
         entry = _read_entry(current.spec) if current else None
         if current is None or (entry and entry.generation != self._generation):
@@ -142,7 +168,7 @@
     def _notify(self) -> None:
         self.changed_event.set()
         self.changed_event = trio.Event()
-        entries = [_read_entry(item.spec) for item in self._objects.values()]
+        entries = [_read_entry(item.spec) for item in self._known_objects().values()]
         found = {
             ids.VmId(entry.vm): ids.Address(entry.address)
             for entry in entries
@@ -154,12 +180,28 @@
             others = [a for vm, a in self._addresses.items() if vm != self._vm]
             self._peers.set_seeds(others)
 
+    def _has_own_entry(self) -> bool:
+        """Returns whether the store shows an entry of this router, or of its successor."""
+        current = self._objects.get(f"{ROUTER_PREFIX}{self._vm}")
+        entry = _read_entry(current.spec) if current else None
+        return entry is not None and entry.generation >= self._generation
+
     async def _register(self) -> None:
+        """Writes this router's entry, and again each time that the store has lost it."""
+        while True:
+            await self._register_once()
+            self._is_registered = True
+            await self._entry_lost.wait()
+            self._entry_lost = trio.Event()
+            _log.info("router_entry_lost", vm=self._vm)
+            await trio.sleep(self._rng.uniform(0.0, REGISTER_AGAIN_WITHIN_S))
+
+    async def _register_once(self) -> None:
         assert self._peers
         name = f"{ROUTER_PREFIX}{self._vm}"
         entry = RouterEntry(self._vm, self._peers.address, self._generation)
         spec = msgspec.to_builtins(entry)
-        while True:
+        while not self._is_draining:
             try:
                 if await self._write_entry(name, spec):
                     _log.info("router_registered", vm=self._vm, address=entry.address)
@@ -189,6 +231,7 @@
         """Removes the entries of routers that have been unreachable for a long time."""
         while True:
             await trio.sleep(SWEEP_INTERVAL_S * self._rng.uniform(0.5, 1.5))
+            self._drop_former_entries()
             for item in list(self._objects.values()):
                 if self._is_expired(item):
                     try:
@@ -196,6 +239,11 @@
                     except exceptions.ServiceError as exc:
                         _log.info("router_entry_not_removed", entry=item.name, reason=str(exc))
 
+    def _drop_former_entries(self) -> None:
+        if self._former_entries and self._clock() >= self._former_until:
+            self._former_entries = {}
+            self._notify()
+
     def _is_expired(self, item: store_format.StoredObject) -> bool:
         entry = _read_entry(item.spec)
         if entry is None or self._peers is None or entry.vm == self._vm:
--- a/tests/_internal/services/test_store_restored.py
+++ b/tests/_internal/services/test_store_restored.py
@@ -316,6 +316,32 @@
         _run(check)
 
 
+class OwnEntryTest(unittest.TestCase):
+    def test_entry_of_a_router_that_the_copy_lacks_is_written_again(self):
+        async def check(world):
+            await world.start_router(1)
+            await trio.sleep(1.0)
+            await world.store.restore(AWAY_S, AGE_S)
+            self.assertNotIn("router-vm-1", world.store.names(cluster_service.KIND))
+            for _ in range(50):
+                cluster = world.routers[0].kernel.find(names.CLUSTER)
+                self.assertEqual(cluster.routers(), ["vm-0", "vm-1"])
+                await trio.sleep(0.1)
+            self.assertIn("router-vm-1", world.store.names(cluster_service.KIND))
+
+        _run(check)
+
+    def test_router_that_stops_does_not_write_its_entry_again(self):
+        async def check(world):
+            world.routers[1].kernel.stop()
+            await trio.sleep(0.5)
+            await world.store.restore(0.0, 0.4)
+            await trio.sleep(5.0)
+            self.assertNotIn("router-vm-1", world.store.names(cluster_service.KIND))
+
+        _run(check, routers=2)
+
+
 class HerdTest(unittest.TestCase):
     """Many routers list everything as the store comes back, within the rates that it names."""
 
