--- a/tests/_internal/services/test_store_restored.py
+++ b/tests/_internal/services/test_store_restored.py
@@ -342,6 +342,26 @@
         _run(check, routers=2)
 
 
+class WaitingQueryTest(unittest.TestCase):
+    def test_all_watches_learn_an_epoch_from_one_answer(self):
+        async def check(world):
+            reads = world.store.reads
+            begun = reads[DIRECTORY]
+            while reads[DIRECTORY] == begun:
+                await trio.sleep(0.01)
+            await trio.sleep(0.5)
+            waiting = reads[DIRECTORY]
+            # The query of the directory waits on: the copy has its revision, and no change of it.
+            await world.store.restore(0.0, 0.1)
+            await trio.sleep(0.1)
+            self.assertEqual(reads[DIRECTORY], waiting)
+            await world.routers[0].configuration.confirm(1.0)
+            await trio.sleep(0.3)
+            self.assertGreater(reads[DIRECTORY], waiting)
+
+        _run(check)
+
+
 class HerdTest(unittest.TestCase):
     """Many routers list everything as the store comes back, within the rates that it names."""
 
--- a/tests/forwarding_fuzzing.py
+++ b/tests/forwarding_fuzzing.py
@@ -196,6 +196,18 @@
         self.outages.append((now, now + seconds))
         self.inject_fault(faults, fault, seconds)
 
+    async def restore_store(self, away_s, age_s, repeat_after_s):
+        """Restores the store from an older copy; operators and upstreams write again what it lost.
+
+        Args:
+            away_s: Time for which the store is away.
+            age_s: Age of the copy.
+            repeat_after_s: Time until what was lost is written again.
+        """
+        now = trio.current_time()
+        self.outages.append((now, now + away_s + repeat_after_s))
+        await self.world.store.restore(away_s, age_s, repeat_after_s)
+
     def inject_upstream_fault(self, name, fault, seconds):
         """Adds a fault to an upstream for some time."""
         now = trio.current_time()
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -339,3 +339,101 @@
         f"{planted_bug.SERVICES}.test_links_service",
     ),
 ]
+
+_RESTORED = f"{planted_bug.SERVICES}.test_store_restored"
+
+RESTORED_STORE = [
+    planted_bug.Mutant(
+        "go on from a revision of the former epoch of the store",
+        "services/watching.py",
+        "if last is None or last.epoch == change.epoch:",
+        "if True:",
+        f"{_RESTORED}.OwnEntryTest",
+    ),
+    planted_bug.Mutant(
+        "ask for the changes since a version of a former epoch",
+        "services/platform_service.py",
+        "if version.epoch != self.epoch:",
+        "if False:",
+        f"{planted_bug.SERVICES}.test_platform_service",
+    ),
+    planted_bug.Mutant(
+        "use changes that the store names in another epoch",
+        "services/platform_service.py",
+        "if answer.epoch != version.epoch:",
+        "if False:",
+        f"{planted_bug.SERVICES}.test_platform_service",
+    ),
+    planted_bug.Mutant(
+        "make one list of pages of two epochs",
+        "services/platform_service.py",
+        "if page.version.epoch != version.epoch:",
+        "if False:",
+        f"{planted_bug.SERVICES}.test_platform_service",
+    ),
+    planted_bug.Mutant(
+        "write on the condition of a version of a former epoch",
+        "services/platform_service.py",
+        "if old.version.epoch == self.epoch:",
+        "if True:",
+        f"{planted_bug.SERVICES}.test_platform_service",
+    ),
+    planted_bug.Mutant(
+        "drop an object of a new epoch whose revision is lower",
+        "models/store_versions.py",
+        "if self.epoch != other.epoch:",
+        "if False:",
+        f"{planted_bug.SERVICES}.test_platform_service.StoreVersionTest",
+    ),
+    planted_bug.Mutant(
+        "let a query that waits go on across the epochs",
+        "services/watching.py",
+        "self._query_scope.cancel()",
+        "pass",
+        f"{_RESTORED}.WaitingQueryTest",
+    ),
+    planted_bug.Mutant(
+        "believe the list of a restored directory",
+        "decisions/directory.py",
+        "        if self._restored_at is not None:",
+        "        if False:",
+        f"{_RESTORED}.DirectoryTest",
+    ),
+    planted_bug.Mutant(
+        "drop at once what a restored directory lacks",
+        "services/directory_service.py",
+        "        self._directory.begin_epoch(self._clock())",
+        "        pass",
+        f"{_RESTORED}.DirectoryTest",
+    ),
+    planted_bug.Mutant(
+        "take the first answers of a restored store for proofs",
+        "decisions/freshness.py",
+        "if self.age_s(now) < self._out_of_touch_s:",
+        "if True:",
+        f"{_RESTORED}.LostConfigurationTest",
+    ),
+    planted_bug.Mutant(
+        "accept keys though a peer has a newer configuration",
+        "services/watched_configuration.py",
+        """        if self._peer_numbers.know_better(self.current.number, now):
+            return False""",
+        "        pass",
+        f"{_RESTORED}.LostConfigurationTest",
+    ),
+    planted_bug.Mutant(
+        "do not write the own entry again that a restored store has lost",
+        "services/cluster_service.py",
+        "            self._entry_lost.set()",
+        "            pass",
+        f"{_RESTORED}.OwnEntryTest",
+    ),
+    planted_bug.Mutant(
+        "forget the routers that a restored store has lost",
+        "services/cluster_service.py",
+        "if self._clock() < self._former_until:",
+        "if False:",
+        f"{_RESTORED}.OwnEntryTest",
+    ),
+]
+MUTANTS += RESTORED_STORE
--- a/tests/test_forwarding_fuzz.py
+++ b/tests/test_forwarding_fuzz.py
@@ -191,6 +191,31 @@
     def forget_history(self):
         self.steps.append(lambda program: program.world.store.drop_history())
 
+    @stateful.rule(
+        away_s=st.sampled_from([0.0, 0.5, 1.5]),
+        age_s=st.sampled_from([0.3, 1.0, 2.0]),
+        repeat_after_s=st.sampled_from([0.0, 1.0]),
+    )
+    def restore_store(self, away_s, age_s, repeat_after_s):
+        self.steps.append(lambda program: program.restore_store(away_s, age_s, repeat_after_s))
+
+    @stateful.rule(
+        router=_ROUTER,
+        key=st.sampled_from(["key-1", "key-2"]),
+        away_s=st.sampled_from([0.0, 1.5]),
+        part=st.sampled_from("abc"),
+    )
+    def restore_amid_orders(self, router, key, away_s, part):
+        """Restores the store as a holder renews its lease, and takes a key away at once."""
+        self.name_weights()
+        self.wait(2.0)
+        self.restore_store(away_s, 2.0, 0.0)
+        self.revoke(key)
+        self.wait(5.0)
+        self.wait(0.1)
+        for route in ("look", "ask"):
+            self.send(router, route, key, part, 3)
+
     @stateful.rule(name=st.sampled_from(_UPSTREAMS[:2]))
     def crash(self, name):
         self.steps.append(lambda program: program.crash_upstream(name))
