The sum of answers that are kept as a whole is bounded

Cause: on a route of streams an answer that is no stream is kept as a whole; that it bears no proof, so is of no use whatever follows, was looked at only behind its end. The limit is one of each request, nothing bounds the sum.

Mend: an answer without proof is given up at its head. What is kept of all answers has room for 32 MiB, shared among the upstreams that send large ones; beyond it an answer isn't read on (the connection holds it back), while small ones and the oldest large one go on, so that sound large answers come through one after the other. Waiting counts as no silence of the upstream. An answer's head and a large body aren't copied into one buffer any more.

--- a/src/cicadapier/_internal/protocols/http_server.py
+++ b/src/cicadapier/_internal/protocols/http_server.py
@@ -25,6 +25,7 @@
 READ_BYTES = 65_536
 _MAX_EXTRA_INPUT_BYTES = 1_048_576
 _LINGER_S = 1.0
+_MAX_COPIED_BYTES = 65_536  # Larger bodies are sent apart from their heads.
 _VERSION_WITHOUT_CHUNKS = b"1.0"
 
 _JSON_HEADERS = [(b"content-type", b"application/json")]
@@ -95,8 +96,13 @@
         length = (b"content-length", b"%d" % len(body))
         data = self._encode_head(status, [*headers, length])
         if body and self._h11.our_state is h11.SEND_BODY:
-            data += self._h11.send(h11.Data(data=body)) or b""
-        await self._write(data + (self._h11.send(h11.EndOfMessage()) or b""))
+            encoded = self._h11.send(h11.Data(data=body)) or b""
+            if len(encoded) > _MAX_COPIED_BYTES:
+                await self._write(data)
+                data = b""
+            data = data + encoded if data else encoded
+        end = self._h11.send(h11.EndOfMessage())
+        await self._write(data + end if end else data)
 
     async def start(
         self, status: int, headers: http_client.Headers, first_part: bytes = b""
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -17,6 +17,7 @@
 from cicadapier._internal.models import outcomes
 from cicadapier._internal.protocols import answers
 from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import held_bytes
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.services import attempt_errors
 from cicadapier._internal.services import connections_service
@@ -146,6 +147,7 @@
         self._is_receiving_ahead = False
         self._received_ahead = bytearray()
         self._body_ended = False
+        self._held: held_bytes.HeldMessage[ids.Address] | None = None
 
     @property
     def send_started(self) -> bool:
@@ -241,6 +243,7 @@
         if self._received_ahead:
             data = bytes(self._received_ahead)
             self._received_ahead.clear()
+            self._release_held()
             return data
         if self._body_ended:
             return None
@@ -268,6 +271,7 @@
             self._received_ahead += part
             if is_enough(part):
                 return
+            await self._hold(len(part))
             if len(self._received_ahead) > progress_deadlines.MAX_ANSWER_BYTES:
                 await self.abandon()
                 raise attempt_errors.too_large_error(offset)
@@ -308,8 +312,28 @@
                 await self.abandon()
                 raise attempt_errors.too_large_error(0)
             parts.append(part)
+            if await self._hold(len(part)):
+                now = trio.current_time()
+                progress.record_progress(now)
         return b"".join(parts)
 
+    async def _hold(self, size: int) -> bool:
+        """Waits for room after a part of an answer that is kept; returns whether it had to wait."""
+        if self._held is None:
+            self._held = self._connections.held_answers.open(self._call.address)
+        self._held.add(size)
+        return await self._held.wait_to_grow()
+
+    def take_held(self) -> held_bytes.HeldMessage[ids.Address] | None:
+        """Returns the record of the bytes that are kept; the caller releases it."""
+        held, self._held = self._held, None
+        return held
+
+    def _release_held(self) -> None:
+        held = self.take_held()
+        if held:
+            held.release()
+
     async def _read_or_supersede(
         self,
         read: collections.abc.Callable[[float], collections.abc.Awaitable[_ReadResult]],
@@ -405,6 +429,7 @@
 
     async def finish(self) -> None:
         """Returns the connection to the pool after a complete answer."""
+        self._release_held()
         if self._conn:
             conn, self._conn = self._conn, None
             self._connections.unwatch(conn)
@@ -419,6 +444,7 @@
             connection_failed: Whether the connection failed. The idle connections to the same
                 address may then be dead as well.
         """
+        self._release_held()
         if self._conn:
             conn, self._conn = self._conn, None
             self._connections.unwatch(conn)
--- a/src/cicadapier/_internal/services/connections_service.py
+++ b/src/cicadapier/_internal/services/connections_service.py
@@ -14,6 +14,7 @@
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import held_bytes
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import transport
 from cicadapier._internal.services import names
@@ -24,6 +25,10 @@
 MAX_AGE_S = 120.0
 SWEEP_INTERVAL_S = 1.0
 DEADLINE_CHECK_INTERVAL_S = 0.2
+# Answers that are kept as a whole, of all upstreams together.
+MAX_HELD_ANSWER_BYTES = 33_554_432
+# Number of upstreams among which their room is shared at least.
+LEAST_HELD_UPSTREAMS = 2
 MAX_SMALL_ANSWER_BYTES = 1_048_576  # Limit for answers to queries of the router itself.
 
 
@@ -114,12 +119,16 @@
 
     Attributes:
         mailbox: Messages to the service.
+        held_answers: Answers of upstreams that are kept as a whole.
     """
 
     name = names.CONNECTIONS
 
     def __init__(self, links: UpstreamLinks) -> None:
         self.mailbox: mailbox.Mailbox[Message] = mailbox.Mailbox()
+        self.held_answers = held_bytes.HeldBytes[ids.Address](
+            MAX_HELD_ANSWER_BYTES, LEAST_HELD_UPSTREAMS
+        )
         self._links = links
         self._idle: dict[ids.Address, list[http_client.ClientConnection]] = {}
         self._failed_at: dict[ids.Address, float] = {}
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -16,6 +16,7 @@
 from cicadapier._internal.models import outcomes
 from cicadapier._internal.protocols import event_stream
 from cicadapier._internal.protocols import exceptions as protocol_exceptions
+from cicadapier._internal.protocols import held_bytes
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import http_server
 from cicadapier._internal.services import attempt_errors
@@ -74,6 +75,7 @@
         self._current_attempt: attempts.Attempt | None = None
         self._answer: _WholeAnswer | None = None
         self._failed_answer: _WholeAnswer | None = None
+        self._held: list[held_bytes.HeldMessage[ids.Address]] = []
         self._answer_began_at: float | None = None
         self._progress = forwarded_progress.AnswerProgress(
             plan.forwarded.resume_after, plan.request_spec.software
@@ -115,6 +117,8 @@
             self._outcome = forwarded_log.outcome_of_error(exc, self._outcome)
             raise
         finally:
+            for held in self._held:
+                held.release()
             if self._replacement:
                 await self._replacement.abandon()
             forwarded_log.log_request_ended(self._plan, self._progress.placed, self._summary())
@@ -364,12 +368,15 @@
     async def _receive_whole(
         self, attempt: attempts.Attempt, head: http_client.ResponseHead
     ) -> outcomes.AttemptOutcome:
-        body = await attempt.receive_all(self._remaining_s(), self._remaining_s())
-        await attempt.finish()
         if not attempt.facts.genuine:
+            # The head shows that the body is of no use, and it may have no end.
             return outcomes.SentNoAnswer(
                 "the answer does not come from the upstream", crashed=False
             )
+        body = await attempt.receive_all(self._remaining_s(), self._remaining_s())
+        if held := attempt.take_held():
+            self._held.append(held)
+        await attempt.finish()
         headers = self._dependencies.wire_format.filter_answer_headers(head)
         answer = _WholeAnswer(head.status, headers, body)
         if head.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR and self._may_retry():
--- /dev/null
+++ b/tests/_internal/decisions/test_memory_shares.py
@@ -0,0 +1,50 @@
+"""The sum of the bytes that are held as whole messages."""
+
+import unittest
+
+from cicadapier._internal.decisions import memory_shares
+
+LIMIT = 10 * memory_shares.FREE_BYTES
+LARGE = 2 * memory_shares.FREE_BYTES
+
+
+class MemorySharesTest(unittest.TestCase):
+    def setUp(self):
+        self.shares = memory_shares.MemoryShares(LIMIT, 2)
+
+    def _hold(self, group, size):
+        holding = self.shares.open(group)
+        self.shares.add(holding, size)
+        return holding
+
+    def test_beginning_of_a_message_never_waits(self):
+        self._hold("sick", 2 * LIMIT)
+        self.assertTrue(self.shares.may_grow(self._hold("other", memory_shares.FREE_BYTES - 1)))
+
+    def test_group_that_holds_its_share_waits_and_others_do_not(self):
+        held = [self._hold("sick", LARGE) for _ in range(3)]
+        self.assertFalse(self.shares.may_grow(held[-1]))
+        self.assertTrue(self.shares.may_grow(self._hold("sound", LARGE)))
+
+    def test_oldest_message_grows_beyond_the_limit_and_makes_room_as_it_ends(self):
+        first, second = self._hold("sick", LIMIT), self._hold("sick", LARGE)
+        self.assertTrue(self.shares.may_grow(first))
+        self.assertFalse(self.shares.may_grow(second))
+        self.shares.close(first)
+        self.assertTrue(self.shares.may_grow(second))
+
+    def test_share_shrinks_with_the_number_of_groups(self):
+        holdings = [self._hold(group, LARGE) for group in "abcde"]
+        self.assertEqual([self.shares.may_grow(item) for item in holdings], [True] + [False] * 4)
+
+    def test_total_returns_to_zero_though_messages_are_closed_twice(self):
+        holding = self._hold("a", LARGE)
+        self.shares.close(holding)
+        self.shares.close(holding)
+        self.assertEqual(self.shares.total, 0)
+        self.shares.close(self._hold("a", 0))
+        self.assertEqual(self.shares.total, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
