The sum of callers' bodies is bounded, and stated lengths are waited for

What callers would see: some dozens of callers who send bodies of megabytes at once end the router by its memory, with the requests of all others.

Cause: `max_body_bytes` is a limit of each request; nothing bounds the sum of the bodies that are kept until their requests end.

Mend: the bodies of a listener's open requests have room for 24 MiB. A body waits behind its first 64 KiB until there is room for the length that it states (the connection holds it back); small ones never wait, the oldest large one always goes on. Without room within the time of a body it is refused: 503, not run, Retry-After. Stated lengths count in the same way for answers, so that messages don't hold each other up half read.

--- a/src/cicadapier/_internal/decisions/memory_shares.py
+++ b/src/cicadapier/_internal/decisions/memory_shares.py
@@ -19,22 +19,34 @@
     """Bytes that are held of one message.
 
     Attributes:
-        group: Who sent it.
-        size: Number of bytes.
+        group: Who sends it.
+        length: Length that the message states; 0 if it states none.
+        size: Number of bytes that are held.
+        has_room: Whether there is room for the stated length.
     """
 
     group: _Group
+    length: int = 0
     size: int = 0
+    has_room: bool = False
+
+    @property
+    def needed(self) -> int:
+        """Number of bytes for which there has to be room for the message to grow."""
+        return max(self.size, self.length)
+
+    @property
+    def taken(self) -> int:
+        """Number of bytes that the message takes of the room."""
+        return self.needed if self.has_room else self.size
 
 
 class MemoryShares(Generic[_Group]):
     """The bytes that are held, and the shares of those who send them.
 
-    A group may hold its share of the limit. The oldest message may grow beyond it, so that one
-    always comes to its end and makes room.
-
-    Attributes:
-        total: Number of bytes that are held.
+    A group may hold its share of the limit. The oldest large message may grow beyond it, so that
+    one always comes to its end and makes room. A message that states its length waits at its
+    beginning until there is room for all of it, so that messages do not hold each other up.
     """
 
     def __init__(self, limit_bytes: int, least_groups: int) -> None:
@@ -42,39 +54,49 @@
 
         Args:
             limit_bytes: Number of bytes that may be held, apart from the beginnings of messages and
-                the oldest message.
+                the oldest large message.
             least_groups: Least number of groups among which the limit is shared, so that a single
                 one does not take all of it.
         """
         self._limit_bytes = limit_bytes
         self._least_groups = least_groups
         self._holdings: dict[Holding[_Group], None] = {}  # Oldest first.
-        self.total = 0
 
-    def open(self, group: _Group) -> Holding[_Group]:
-        """Returns the holding of a new message."""
-        holding = Holding(group)
+    @property
+    def total(self) -> int:
+        """Number of bytes that are held."""
+        return sum(item.size for item in self._holdings)
+
+    def open(self, group: _Group, length: int = 0) -> Holding[_Group]:
+        """Returns the holding of a new message.
+
+        Args:
+            group: Who sends it.
+            length: Length that it states; 0 if it states none.
+        """
+        holding = Holding(group, length)
         self._holdings[holding] = None
         return holding
 
-    def add(self, holding: Holding[_Group], size: int) -> None:
-        """Records that further bytes of a message are held."""
-        holding.size += size
-        self.total += size
-
     def close(self, holding: Holding[_Group]) -> None:
         """Records that nothing of a message is held any more; may be called twice."""
-        if self._holdings.pop(holding, holding) is None:
-            self.total -= holding.size
+        self._holdings.pop(holding, None)
 
     def may_grow(self, holding: Holding[_Group]) -> bool:
         """Returns whether further bytes of a message may be received now."""
-        if holding.size < FREE_BYTES:
+        if holding.size < FREE_BYTES or (holding.has_room and holding.size < holding.length):
             return True
         large = [item for item in self._holdings if item.size >= FREE_BYTES]
-        if holding is large[0]:
+        if holding is large[0] or self._fits(holding, large):
+            holding.has_room = True
             return True
-        groups = len({item.group for item in large})
-        share = self._limit_bytes / max(self._least_groups, groups)
-        held = sum(item.size for item in large if item.group == holding.group)
-        return self.total < self._limit_bytes and held < share
+        return False
+
+    def _fits(self, holding: Holding[_Group], large: list[Holding[_Group]]) -> bool:
+        """Returns whether a message fits into the limit and into the share of its group."""
+        share = self._limit_bytes / max(self._least_groups, len({item.group for item in large}))
+        others = [item for item in large if item is not holding]
+        taken = sum(item.taken for item in others)
+        taken_by_group = sum(item.taken for item in others if item.group == holding.group)
+        fits_limit = taken + holding.needed <= self._limit_bytes
+        return fits_limit and taken_by_group + holding.needed <= share
--- a/src/cicadapier/_internal/protocols/exceptions.py
+++ b/src/cicadapier/_internal/protocols/exceptions.py
@@ -38,6 +38,7 @@
     HEADERS_TOO_LARGE = "headers_too_large"
     BODY_TOO_LARGE = "body_too_large"
     SLOW = "slow"
+    NO_ROOM = "no_room"
 
 
 class BadRequestError(ProtocolError):
--- a/src/cicadapier/_internal/protocols/held_bytes.py
+++ b/src/cicadapier/_internal/protocols/held_bytes.py
@@ -13,13 +13,13 @@
 class HeldMessage(Generic[_Group]):
     """One message that is being received and kept."""
 
-    def __init__(self, held_bytes: "HeldBytes[_Group]", group: _Group) -> None:
+    def __init__(self, held_bytes: "HeldBytes[_Group]", group: _Group, length: int) -> None:
         self._held_bytes = held_bytes
-        self._holding = held_bytes.shares.open(group)
+        self._holding = held_bytes.shares.open(group, length)
 
     def add(self, size: int) -> None:
         """Records that further bytes are held."""
-        self._held_bytes.shares.add(self._holding, size)
+        self._holding.size += size
 
     async def wait_to_grow(self) -> bool:
         """Waits until further bytes may be received; returns whether it had to wait."""
@@ -48,13 +48,14 @@
         self.shares = memory_shares.MemoryShares[_Group](limit_bytes, least_groups)
         self.changed = trio.Event()
 
-    def open(self, group: _Group) -> HeldMessage[_Group]:
+    def open(self, group: _Group, length: int = 0) -> HeldMessage[_Group]:
         """Returns a new message.
 
         Args:
             group: Who sends it.
+            length: Length that it states; 0 if it states none.
         """
-        return HeldMessage(self, group)
+        return HeldMessage(self, group, length)
 
     def notify(self) -> None:
         """Wakes up the messages that wait for room."""
--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -16,6 +16,7 @@
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 MAX_INTERIM_RESPONSES = 32
+MAX_LENGTH_DIGITS = 18
 MAX_REFUSALS = 256  # A connection with more refusals is not used again.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}( |$)")
 _STATUS_LINE_START = re.compile(rb"[\r\n]*HTTP/\d\.\d \d{3}[ \r\n]")
@@ -51,6 +52,11 @@
         """Whether the end of the body does not depend on the end of the connection."""
         return any(name in (b"content-length", b"transfer-encoding") for name, _ in self.headers)
 
+    @property
+    def content_length(self) -> int:
+        """Length of the body that it states; 0 if it states none that can be read."""
+        return read_length(self.headers)
+
     @property
     def keeps_connection(self) -> bool:
         """Whether it announces that the connection stays open behind the answer."""
@@ -77,6 +83,12 @@
     return None
 
 
+def read_length(headers: collections.abc.Iterable[tuple[bytes, bytes]]) -> int:
+    """Returns the length of a body that headers state; 0 if they state none that can be read."""
+    value = (find_header(headers, b"content-length") or b"").strip()
+    return int(value) if value.isdigit() and len(value) <= MAX_LENGTH_DIGITS else 0
+
+
 def remove_hop_by_hop(
     raw: collections.abc.Iterable[tuple[bytes, bytes]], drop: frozenset[bytes]
 ) -> Headers:
--- a/src/cicadapier/_internal/protocols/http_server.py
+++ b/src/cicadapier/_internal/protocols/http_server.py
@@ -15,6 +15,7 @@
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import settings
 from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import held_bytes
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import transport
 
@@ -23,6 +24,7 @@
 LimitsProvider = collections.abc.Callable[[], settings.CallerLimits]
 
 READ_BYTES = 65_536
+MAX_HELD_BODY_BYTES = 25_165_824  # Bodies of all open requests of a listener.
 _MAX_EXTRA_INPUT_BYTES = 1_048_576
 _LINGER_S = 1.0
 _MAX_COPIED_BYTES = 65_536  # Larger bodies are sent apart from their heads.
@@ -180,6 +182,7 @@
     exceptions.BadRequestKind.HEADERS_TOO_LARGE: http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
     exceptions.BadRequestKind.BODY_TOO_LARGE: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     exceptions.BadRequestKind.SLOW: http.HTTPStatus.REQUEST_TIMEOUT,
+    exceptions.BadRequestKind.NO_ROOM: http.HTTPStatus.SERVICE_UNAVAILABLE,
 }
 
 
@@ -191,8 +194,11 @@
         stream: trio.abc.Stream,
         handler: Handler,
         read_limits: LimitsProvider,
+        held_bodies: held_bytes.HeldBytes[None],
     ) -> None:
         self._stream = stream
+        self._held_bodies = held_bodies
+        self._held: held_bytes.HeldMessage[None] | None = None
         self._handler = handler
         self._read_limits = read_limits
         self._limits = read_limits()
@@ -215,6 +221,14 @@
 
     async def _serve_request(self) -> bool:
         responder = Responder(self._h11, self._stream, self._handler)
+        try:
+            return await self._read_and_handle(responder)
+        finally:
+            if self._held:
+                self._held.release()
+                self._held = None
+
+    async def _read_and_handle(self, responder: Responder) -> bool:
         try:
             req = await self._read_request()
         except exceptions.BadRequestError as exc:
@@ -305,11 +319,28 @@
                 if size > self._limits.body_bytes:
                     raise self._body_too_large_error()
                 parts.append(bytes(event.data))
+                deadline += await self._hold(len(event.data), headers)
             else:
                 method = head.method.decode("ascii")
                 target = head.target.decode("ascii")
                 return Request(method, target, headers, b"".join(parts), self._began_at)
 
+    async def _hold(self, size: int, headers: http_client.Headers) -> float:
+        """Waits for room after a part of a body; returns the time in seconds that it took.
+
+        Raises:
+            BadRequestError: There was no room in time.
+        """
+        if self._held is None:
+            self._held = self._held_bodies.open(None, http_client.read_length(headers))
+        self._held.add(size)
+        began_at = trio.current_time()
+        with trio.move_on_after(self._limits.body_timeout_s):
+            await self._held.wait_to_grow()
+            return trio.current_time() - began_at
+        kind = exceptions.BadRequestKind.NO_ROOM
+        raise exceptions.BadRequestError(kind, "the router has no room for the body now")
+
     def _check_headers(self, headers: http_client.Headers) -> None:
         if sum(len(name) + len(value) for name, value in headers) > self._limits.header_bytes:
             raise self._headers_too_large_error()
@@ -398,6 +429,7 @@
         self._handler = handler
         self._read_limits = limits if callable(limits) else lambda: limits
         self._open_connections = 0
+        self._held_bodies = held_bytes.HeldBytes[None](MAX_HELD_BODY_BYTES)
 
     async def run(self, address: ids.Address, task_status: "trio.TaskStatus[ids.Address]") -> None:
         """Accepts connections until it is cancelled; reports the address that it listens on."""
@@ -409,6 +441,7 @@
             return
         self._open_connections += 1
         try:
-            await ServerConnection(stream, self._handler, self._read_limits).serve()
+            conn = ServerConnection(stream, self._handler, self._read_limits, self._held_bodies)
+            await conn.serve()
         finally:
             self._open_connections -= 1
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -320,7 +320,8 @@
     async def _hold(self, size: int) -> bool:
         """Waits for room after a part of an answer that is kept; returns whether it had to wait."""
         if self._held is None:
-            self._held = self._connections.held_answers.open(self._call.address)
+            length = self.head.content_length if self.head else 0
+            self._held = self._connections.held_answers.open(self._call.address, length)
         self._held.add(size)
         return await self._held.wait_to_grow()
 
--- a/src/cicadapier/_internal/services/forwarded_requests.py
+++ b/src/cicadapier/_internal/services/forwarded_requests.py
@@ -150,7 +150,7 @@
         try:
             return self._wire_format.read_request(req)
         except protocol_exceptions.BadRequestError as exc:
-            refusal = outcomes.Refusal(request_listener.refusal_code(exc), str(exc))
+            refusal = request_listener.refusal_of(exc)
             raise exceptions.RefusedError(refusal) from exc
 
     def admit(self, forwarded: forwarding.ForwardedRequest) -> forwarded_plan.Admission:
--- a/src/cicadapier/_internal/services/request_listener.py
+++ b/src/cicadapier/_internal/services/request_listener.py
@@ -20,11 +20,13 @@
 
 QUIET_PERIOD_S = 1.0  # The drain ends only after this time without a new request.
 DRAIN_POLL_S = 0.05
+NO_ROOM_RETRY_AFTER_S = 1.0
 _REFUSAL_CODES = {
     protocol_exceptions.BadRequestKind.MALFORMED: outcomes.RefusalCode.INVALID_REQUEST,
     protocol_exceptions.BadRequestKind.HEADERS_TOO_LARGE: outcomes.RefusalCode.HEADERS_TOO_LARGE,
     protocol_exceptions.BadRequestKind.BODY_TOO_LARGE: outcomes.RefusalCode.BODY_TOO_LARGE,
     protocol_exceptions.BadRequestKind.SLOW: outcomes.RefusalCode.SLOW_REQUEST,
+    protocol_exceptions.BadRequestKind.NO_ROOM: outcomes.RefusalCode.OVERLOADED,
 }
 
 _log = structlog.get_logger()
@@ -158,10 +160,11 @@
         self, exc: protocol_exceptions.BadRequestError, responder: http_server.Responder
     ) -> None:
         """See `http_server.Handler.reject`."""
-        refusal = outcomes.Refusal(refusal_code(exc), str(exc))
-        await self.refuse(self.request_id(None), refusal, responder)
+        await self.refuse(self.request_id(None), refusal_of(exc), responder)
 
 
-def refusal_code(exc: protocol_exceptions.BadRequestError) -> outcomes.RefusalCode:
-    """Returns the refusal code for a request that violates the protocol or a limit."""
-    return _REFUSAL_CODES[exc.kind]
+def refusal_of(exc: protocol_exceptions.BadRequestError) -> outcomes.Refusal:
+    """Returns the refusal of a request that violates the protocol or a limit."""
+    has_no_room = exc.kind is protocol_exceptions.BadRequestKind.NO_ROOM
+    retry_after_s = NO_ROOM_RETRY_AFTER_S if has_no_room else None
+    return outcomes.Refusal(_REFUSAL_CODES[exc.kind], str(exc), retry_after_s=retry_after_s)
