A stopping router begins only requests that can end in its grace

The caller of a call that must run once can't repeat it.

Cause: one constant, 1.2 s before the drain ends, stood for the time of every request.

Mend: a router knows the times of its latest requests, route by route, and begins only what would end in the time that is left; the rest is refused at once as not run, on a connection that closes. Asked again before a queued request, an unsent retry or a hedge is sent.

ShutdownTest asked for the fault (504 and a run for a request of 25 s that is sent 6 s after the stop): it asks now for a refusal without a run there, and for the 504 of one sent at 2.5 s.

--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -149,10 +149,17 @@
             await self._responder.send_response(answer.status, answer.headers, answer.body)
             self._record_answer_begin()
             self._outcome = "answered"
+            if answer.status < http.HTTPStatus.BAD_REQUEST:
+                self._record_time()
         elif refusal is not None:
             self._finish_refused(refusal)
         else:
             self._outcome = "streamed"
+            self._record_time()
+
+    def _record_time(self) -> None:
+        took_s = trio.current_time() - self._plan.forwarded.raw.began_at
+        self._dependencies.record_time(self._plan.admission.route_id, took_s)
 
     def _finish_refused(self, refusal: outcomes.Refusal) -> None:
         self._outcome = refusal.code.value
@@ -348,7 +355,8 @@
         self._check_time()
         if not self._sequence.may_have_run:
             # An interrupted run can be completed only by another run, so a retry does not depend on
-            # changes of the configuration.
+            # changes of the configuration, nor on the time until this router stops.
+            self._dependencies.require_time(self._plan)
             self._checks.check_admission()
         self._checks.check_upstream(placed)
 
@@ -358,6 +366,7 @@
         The admission is always checked, because the silent attempt may still complete the answer.
         """
         self._check_time()
+        self._dependencies.require_time(self._plan)
         self._checks.check_admission()
         self._checks.check_upstream(placed)
 
--- a/src/cicadapier/_internal/services/forwarded_plan.py
+++ b/src/cicadapier/_internal/services/forwarded_plan.py
@@ -69,6 +69,9 @@
         origins: Knows which software version began which stream.
         admit: Checks a request against the current configuration; raises `RefusedError` if the
             request is not allowed.
+        require_time: Raises `RefusedError` if this router stops before a request would end that is
+            sent now.
+        record_time: Records the time that a request has taken that was answered.
     """
 
     services: request_context.Services
@@ -77,3 +80,5 @@
     configuration: watched_configuration.WatchedConfiguration
     origins: origins_service.OriginsService
     admit: collections.abc.Callable[[forwarding.ForwardedRequest], Admission]
+    require_time: collections.abc.Callable[[Plan], None]
+    record_time: collections.abc.Callable[[ids.RouteId, float], None]
--- a/src/cicadapier/_internal/services/forwarded_requests.py
+++ b/src/cicadapier/_internal/services/forwarded_requests.py
@@ -14,6 +14,7 @@
 from cicadapier._internal.decisions import backups
 from cicadapier._internal.decisions import prefix
 from cicadapier._internal.decisions import routing
+from cicadapier._internal.decisions import stopping
 from cicadapier._internal.decisions import stream_origins
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
@@ -44,22 +45,13 @@
 _log = structlog.get_logger()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StartDeadlines:
-    """Times until which a router starts requests; infinite unless it is stopping.
+class ForwardedRequests:
+    """Handles forwarded requests of one router.
 
     Attributes:
-        for_streams: Time of trio's clock until which it starts streams.
-        for_others: Time of trio's clock until which it starts all other requests.
+        grace: Time that is left to finish requests.
     """
 
-    for_streams: float
-    for_others: float
-
-
-class ForwardedRequests:
-    """Handles forwarded requests of one router."""
-
     def __init__(
         self,
         services: request_context.Services,
@@ -79,16 +71,15 @@
         self._secret = secret
         self._request_numbers = itertools.count()
         self._open_exchanges: set[forwarded_exchange.Exchange] = set()
+        self._run_times = stopping.RunTimes()
+        self.grace = stopping.Grace()
 
-    async def handle(
-        self, req: http_server.Request, responder: http_server.Responder, deadlines: StartDeadlines
-    ) -> None:
+    async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
         """Answers one request.
 
         Args:
             req: The request.
             responder: Sends the answer.
-            deadlines: Times until which requests may be started.
 
         Raises:
             RefusedError: The request is refused and no answer has begun.
@@ -100,7 +91,7 @@
             admission = self.admit(forwarded)
             origin = await self._find_origin(admission, forwarded)
             plan = self._make_plan(admission, forwarded, origin)
-            _require_not_draining(plan, deadlines)
+            self._require_time(plan)
             self._services.retry_budget.set_routers(len(self._cluster.routers()))
             await self._run_exchange(plan, responder)
         except exceptions.RefusedError as exc:
@@ -144,8 +135,22 @@
             self._configuration,
             self._origins,
             self.admit,
+            self._require_time,
+            self._run_times.record,
         )
 
+    def _require_time(self, plan: forwarded_plan.Plan) -> None:
+        """Refuses a request that would not end before this router stops.
+
+        Raises:
+            RefusedError: The request must not begin.
+        """
+        route = plan.admission.route
+        is_stream = route.kind is configuration.RouteKind.STREAM
+        needed_s = self._run_times.needed_s(plan.admission.route_id)
+        if not self.grace.may_begin(needed_s, is_stream, plan.deadline, trio.current_time()):
+            raise _refused_error(outcomes.RefusalCode.DRAINING, "this router is stopping", 0.0)
+
     def _read_request(self, req: http_server.Request) -> forwarding.ForwardedRequest:
         try:
             return self._wire_format.read_request(req)
@@ -318,18 +323,6 @@
     return route.pools[-1].pool
 
 
-def _require_not_draining(plan: forwarded_plan.Plan, deadlines: StartDeadlines) -> None:
-    """Refuses a request that is too late to be finished before this router stops.
-
-    Raises:
-        RefusedError: The deadline for its start has passed.
-    """
-    is_stream = plan.admission.route.kind is configuration.RouteKind.STREAM
-    start_deadline = deadlines.for_streams if is_stream else deadlines.for_others
-    if trio.current_time() > start_deadline:
-        raise _refused_error(outcomes.RefusalCode.DRAINING, "this router is stopping", 0.0)
-
-
 def _is_backed_up(
     admission: forwarded_plan.Admission,
     pool: ids.PoolId,
--- a/src/cicadapier/_internal/services/forwarding_service.py
+++ b/src/cicadapier/_internal/services/forwarding_service.py
@@ -5,6 +5,7 @@
 import structlog
 import trio
 
+from cicadapier._internal.decisions import stopping
 from cicadapier._internal.kernel import random_tokens
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import ids
@@ -58,7 +59,6 @@
         self._requests: forwarded_requests.ForwardedRequests | None = None
         self._services: request_context.Services | None = None
         self._stop_at = float("inf")
-        self._stream_start_deadline = float("inf")
 
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
@@ -109,13 +109,7 @@
     ) -> None:
         """See `RequestListener.dispatch`."""
         assert self._requests
-        await self._requests.handle(req, responder, self._start_deadlines())
-
-    def _start_deadlines(self) -> forwarded_requests.StartDeadlines:
-        """Returns the times until which requests may be started."""
-        return forwarded_requests.StartDeadlines(
-            self._stream_start_deadline, self._stop_at - START_MARGIN_S
-        )
+        await self._requests.handle(req, responder)
 
     def request_id(self, req: http_server.Request | None) -> ids.RequestId:
         """See `RequestListener.request_id`."""
@@ -144,8 +138,14 @@
         """
         began_at = trio.current_time()
         self._draining = True
-        self._stream_start_deadline = began_at + STREAM_START_WINDOW_S
         self._stop_at = began_at + self._forwarding_settings.grace_s - SHUTDOWN_MARGIN_S
+        if self._requests:
+            self._requests.grace = stopping.Grace(
+                unknown_until=began_at + STREAM_START_WINDOW_S,
+                streams_until=began_at + STREAM_START_WINDOW_S,
+                begins_until=self._stop_at - START_MARGIN_S,
+                ends_at=self._stop_at - EXPIRY_MARGIN_S,
+            )
         _log.info("draining", open=self._open_requests)
         while not self._may_stop(began_at):
             if self._requests and trio.current_time() >= self._stop_at - EXPIRY_MARGIN_S:
--- a/tests/_internal/services/test_planned_changes.py
+++ b/tests/_internal/services/test_planned_changes.py
@@ -469,8 +469,10 @@
             for upstream in world.upstreams.values():
                 upstream.work_s = 25.0
 
-        found = self._ask_before_stop("desk", "/order/x", 6.0, slow)
+        found = self._ask_before_stop("desk", "/order/x", 2.5, slow)
         self.assertEqual(found, (504, False, 1))
+        found = self._ask_before_stop("desk", "/order/x", 6.0, slow)
+        self.assertEqual(found, (NOT_RUN_STATUS, False, 0))
 
     def test_stream_without_an_event_gets_an_error_status_as_the_router_stops(self):
         def slow(world):
@@ -486,8 +488,9 @@
                 upstream.work_s = 25.0
 
         other_slots = 2 * forwarding_deployment.SLOTS
-        found = self._ask_before_stop("desk", "/order/x", 5.0, slow, other_slots)
-        self.assertEqual(found, (NOT_RUN_STATUS, False, 0))
+        for after_s in (2.0, 5.0):
+            found = self._ask_before_stop("desk", "/order/x", after_s, slow, other_slots)
+            self.assertEqual(found, (NOT_RUN_STATUS, False, 0))
 
 
 if __name__ == "__main__":
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -437,3 +437,42 @@
     ),
 ]
 MUTANTS += RESTORED_STORE
+
+BOUNDED_SUMS = [
+    planted_bug.Mutant(
+        "read the body of an answer without a proof",
+        "services/forwarded_exchange.py",
+        "        if not attempt.facts.genuine:\n            # The head",
+        "        if False:\n            # The head",
+        f"{planted_bug.SERVICES}.test_many_endless_answers",
+    ),
+    planted_bug.Mutant(
+        "bound each kept answer alone",
+        "services/attempts.py",
+        "return await self._held.wait_to_grow()",
+        "return False",
+        f"{planted_bug.SERVICES}.test_many_endless_answers",
+    ),
+    planted_bug.Mutant(
+        "bound each body of a caller alone",
+        "protocols/http_server.py",
+        "await self._held.wait_to_grow()",
+        "pass",
+        f"{planted_bug.SERVICES}.test_many_bodies",
+    ),
+    planted_bug.Mutant(
+        "begin requests that cannot end before the router stops",
+        "decisions/stopping.py",
+        "return now + needed_s <= self.ends_at",
+        "return True",
+        f"{planted_bug.SERVICES}.test_late_in_the_grace",
+    ),
+    planted_bug.Mutant(
+        "take no time of an answered request",
+        "services/forwarded_exchange.py",
+        "self._dependencies.record_time(self._plan.admission.route_id, took_s)",
+        "pass",
+        f"{planted_bug.SERVICES}.test_late_in_the_grace",
+    ),
+]
+MUTANTS += BOUNDED_SUMS
