--- a/tests/_internal/services/test_store_restored.py
+++ b/tests/_internal/services/test_store_restored.py
@@ -362,6 +362,17 @@
         _run(check)
 
 
+class MetricTest(unittest.TestCase):
+    def test_epoch_is_shown_among_the_metrics(self):
+        async def check(world):
+            await world.store.restore(AWAY_S, AGE_S)
+            await trio.sleep(1.5)
+            text = world.routers[0].kernel.find(names.TELEMETRY).exposition().decode()
+            self.assertRegex(text, r"cicadapier_store_epoch\{.*\} 2\.0")
+
+        _run(check)
+
+
 class HerdTest(unittest.TestCase):
     """Many routers list everything as the store comes back, within the rates that it names."""
 
