Entries that lists lacked, or whose grace is over, are doubted like removed ones

Read as a newcomer: only the event of a removal was remembered, so the copy of a later restore could bring back an upstream that a list after a lost history had lacked, or whose grace had ended. Two tests that failed first. The log of a watch names its revision.

--- a/src/cicadapier/_internal/decisions/directory.py
+++ b/src/cicadapier/_internal/decisions/directory.py
@@ -10,6 +10,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 from cicadapier._internal.decisions import restored_entries
 from cicadapier._internal.decisions import withdrawals
@@ -71,7 +72,7 @@
         self._doubted: dict[ids.UpstreamId, _DoubtedEntry] = {}
         self._past = restored_entries.PastProcesses()
         self._store_unavailable = False
-        self._store_recovered_at: float | None = None
+        self._store_recovered_at = -math.inf
         self._restored_at: float | None = None
         self.unreadable = 0
 
@@ -157,7 +158,7 @@
     def remove(self, upstream: ids.UpstreamId, now: float) -> None:
         """Applies the removal of an entry."""
         self._doubted.pop(upstream, None)
-        removed = self._entries.get(upstream)
+        removed = self.find(upstream)
         if removed is not None:
             self._past.record_removal(removed)
         self._remove(upstream, now)
@@ -166,7 +167,7 @@
         """Ends the periods of grace and doubt that are over; returns whether there were any."""
         expired = [u for u, entry in self._retained.items() if entry.retained_until <= now]
         for upstream in expired:
-            del self._retained[upstream]
+            self._past.record_removal(self._retained.pop(upstream).registration)
         believed = [item for item in self._doubted.values() if item.doubted_until <= now]
         for item in believed:
             self._put(item.registration)
@@ -238,10 +239,10 @@
         if registration is None:
             return
         leaving = self._with_withdrawal(registration).leaving
-        if leaving or self._store_recovered_at is None:
-            return
         until = self._store_recovered_at + REREGISTRATION_GRACE_S
-        if now < until:
+        if leaving or now >= until:
+            self._past.record_removal(registration)
+        else:
             self._retained[upstream] = _RetainedEntry(registration, until)
 
 
--- a/src/cicadapier/_internal/services/watching.py
+++ b/src/cicadapier/_internal/services/watching.py
@@ -157,7 +157,7 @@
             if changed and self._clock() - self._recovered_at >= RECOVERY_S:
                 await trio.sleep(self._watch_options.batch_pause_s)
         except exceptions.HistoryGoneError:
-            _log.info("watch_history_gone", kind=self.kind, version=self._version)
+            _log.info("watch_history_gone", kind=self.kind, version=self._revision)
             self._version = None
             self._needs_fresh_answer = True
         except exceptions.EpochEndedError:
@@ -224,6 +224,11 @@
             self._handler.handle_change(change)
         self._handler.finish_update()
 
+    @property
+    def _revision(self) -> str | None:
+        """Revision of the position, for the log."""
+        return self._version.revision if self._version else None
+
     def _set_version(self, version: store_versions.StoreVersion) -> None:
         self._version = self._last_version = version
 
@@ -233,8 +238,7 @@
         self._failures = 0 if reachable else self._failures + 1
         if reachable != self.reachable:
             event = "store_regained" if reachable else "store_lost"
-            revision = self._version.revision if self._version else None
-            _log.info(event, kind=self.kind, version=revision, reason=reason)
+            _log.info(event, kind=self.kind, version=self._revision, reason=reason)
         self.reachable = reachable
 
     async def _back_off(self) -> None:
--- a/tests/_internal/decisions/test_restored_entries.py
+++ b/tests/_internal/decisions/test_restored_entries.py
@@ -50,6 +50,18 @@
         self.directory.expire(RESTORED_AT + 1.0 + directory.REREGISTRATION_GRACE_S)
         self.assertEqual(self._ids(), set())
 
+    def test_upstream_that_a_list_lacked_is_doubted_as_one_that_was_removed(self):
+        self.directory.put(_entry())
+        self.directory.replace_all([], 1.0)
+        self.assertEqual(self._restore(_entry()).doubted, {"a"})
+
+    def test_upstream_whose_grace_is_over_is_doubted_in_the_next_epoch(self):
+        self.directory.put(_entry())
+        self._restore()
+        self.directory.expire(RESTORED_AT + directory.REREGISTRATION_GRACE_S)
+        difference = self._restore(_entry(), at=RESTORED_AT + 20.0)
+        self.assertEqual(difference.doubted, {"a"})
+
     def test_entry_that_is_written_again_ends_all_doubt(self):
         self.directory.put(_entry())
         self.directory.remove("a", 1.0)
