--- a/tests/_internal/protocols/test_http_server.py
+++ b/tests/_internal/protocols/test_http_server.py
@@ -2,9 +2,11 @@
 
 import dataclasses
 import unittest
+import unittest.mock
 
 import trio
 
+from cicadapier._internal.decisions import memory_shares
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import settings
 from cicadapier._internal.protocols import exceptions
@@ -70,6 +72,32 @@
 
         self._run_check(check, body_bytes=1024)
 
+    def test_body_without_room_waits_for_the_one_before_and_is_refused_in_time(self):
+        size = 4 * memory_shares.FREE_BYTES
+        head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % size
+        part = b"x" * (2 * memory_shares.FREE_BYTES)
+
+        async def check(connect):
+            first, second, third = [await connect() for _ in range(3)]
+            await first._stream.send_all(head + part)
+            await trio.sleep(0.1)
+            await second._stream.send_all(head + part)
+            await trio.sleep(1.0)
+            await first._stream.send_all(part)
+            self.assertTrue((await first._stream.receive_some()).startswith(b"HTTP/1.1 200"))
+            await second._stream.send_all(part)
+            self.assertTrue((await second._stream.receive_some()).startswith(b"HTTP/1.1 200"))
+            await first._stream.send_all(head + part)
+            await trio.sleep(0.1)
+            await third._stream.send_all(head + part)
+            # The body before does not end in time either.
+            answers = [await conn._stream.receive_some() for conn in (third, first)]
+            self.assertTrue(answers[0].startswith(b"HTTP/1.1 503"), answers)
+            self.assertTrue(answers[1].startswith(b"HTTP/1.1 408"), answers)
+
+        with unittest.mock.patch.object(http_server, "MAX_HELD_BODY_BYTES", size):
+            self._run_check(check, body_timeout_s=2.0)
+
     def test_idle_connection_is_closed_after_the_timeout(self):
         async def check(connect):
             conn = await connect()
