A message that has arrived whole no longer waits for room

What a caller could see: beside an upstream that answers without end, a sound answer that states its length is there, but held back until the oldest large one makes room, in the worst case to its deadline (a ready answer that isn't delivered).

Cause: a complete message was asked like one that wants to grow; the oldest one may have gone beyond the limit since it was given room.

Test: test_message_that_is_complete_waits_for_nothing, failed before.

--- a/src/cicadapier/_internal/decisions/memory_shares.py
+++ b/src/cicadapier/_internal/decisions/memory_shares.py
@@ -84,7 +84,8 @@
 
     def may_grow(self, holding: Holding[_Group]) -> bool:
         """Returns whether further bytes of a message may be received now."""
-        if holding.size < FREE_BYTES or (holding.has_room and holding.size < holding.length):
+        is_complete = holding.size == holding.length
+        if holding.size < FREE_BYTES or is_complete or (holding.has_room and holding.length):
             return True
         large = [item for item in self._holdings if item.size >= FREE_BYTES]
         if holding is large[0] or self._fits(holding, large):
--- a/tests/_internal/decisions/test_memory_shares.py
+++ b/tests/_internal/decisions/test_memory_shares.py
@@ -47,6 +47,15 @@
         other.size = LIMIT // 2 - memory_shares.FREE_BYTES - 1
         self.assertTrue(self.shares.may_grow(other))
 
+    def test_message_that_is_complete_waits_for_nothing(self):
+        granted = self._hold("a", LARGE, LARGE + 1)
+        self.assertTrue(self.shares.may_grow(granted))
+        late = self._hold("b", LARGE, LARGE)
+        granted.size += 1
+        self._hold("sick", 2 * LIMIT)
+        self.assertTrue(self.shares.may_grow(granted))
+        self.assertTrue(self.shares.may_grow(late))
+
     def test_messages_of_one_group_fill_the_limit_if_it_is_not_shared(self):
         shares = memory_shares.MemoryShares(LIMIT, 1)
         grown = []
