The sum of the store's answers, and of input behind open requests, is bounded

What would be seen: a store that answers several calls without end at once, or callers who go on sending behind their open requests, end the router by its memory.

Mend: both wait for room like those: answers of the store have 16 MiB while they are received, the input shares the room of the listener's bodies.

--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -10,6 +10,7 @@
 
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import exceptions
+from cicadapier._internal.protocols import held_bytes
 from cicadapier._internal.protocols import transport
 from cicadapier._internal.protocols import tunnels
 
@@ -234,9 +235,19 @@
             return None
         raise exceptions.ConnectionLostError("connection closed before the end of the answer")
 
-    async def receive_body(self, timeout_s: float, max_bytes: float = math.inf) -> bytes:
+    async def receive_body(
+        self,
+        timeout_s: float,
+        max_bytes: float = math.inf,
+        held: held_bytes.HeldMessage[None] | None = None,
+    ) -> bytes:
         """Returns the complete body; the time limit applies to each part.
 
+        Args:
+            timeout_s: Timeout for each part.
+            max_bytes: Maximum size of the body.
+            held: Counts the bytes and waits for room; None if their sum is not bounded.
+
         Raises:
             ProtocolError: As for `receive_data`, or the body exceeds `max_bytes`.
         """
@@ -247,6 +258,9 @@
             if size > max_bytes:
                 raise exceptions.MalformedMessageError(f"body exceeds {max_bytes} bytes")
             parts.append(part)
+            if held:
+                held.add(len(part))
+                await held.wait_to_grow()
         return b"".join(parts)
 
     def make_reusable(self) -> bool:
--- a/src/cicadapier/_internal/protocols/http_server.py
+++ b/src/cicadapier/_internal/protocols/http_server.py
@@ -258,18 +258,26 @@
 
     async def _cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
         """Cancels the handler when the caller closes the connection."""
+        held = self._held_bodies.open(None)
         size = 0
-        while size < _MAX_EXTRA_INPUT_BYTES:
-            try:
-                data = await self._stream.receive_some(READ_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                data = b""
-            if not data:
-                scope.cancel()
-                return
-            # A pipelined request stays in the parser's buffer until the current one is answered.
-            size += len(data)
-            self._h11.receive_data(bytes(data))
+        try:
+            while size < _MAX_EXTRA_INPUT_BYTES:
+                try:
+                    data = await self._stream.receive_some(READ_BYTES)
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    data = b""
+                if not data:
+                    scope.cancel()
+                    return
+                # A pipelined request stays in the parser's buffer until the current one is
+                # answered.
+                size += len(data)
+                self._h11.receive_data(bytes(data))
+                held.add(len(data))
+                await held.wait_to_grow()
+            await trio.sleep_forever()
+        finally:
+            held.release()
 
     async def _read_request(self) -> Request | None:
         self._began_at = trio.current_time()
--- a/src/cicadapier/_internal/services/platform_service.py
+++ b/src/cicadapier/_internal/services/platform_service.py
@@ -16,6 +16,7 @@
 from cicadapier._internal.models import store_versions
 from cicadapier._internal.protocols import exceptions as protocol_exceptions
 from cicadapier._internal.protocols import headers
+from cicadapier._internal.protocols import held_bytes
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.protocols import partial_json
 from cicadapier._internal.protocols import store_format
@@ -27,6 +28,7 @@
 
 MAX_IDLE_CONNECTIONS = 8
 MAX_IDLE_S = 4.0
+MAX_HELD_ANSWER_BYTES = 16_777_216  # Answers that are being received, all together.
 # A watch without an answer this long after the end of its wait is considered lost.
 WATCH_TIMEOUT_MARGIN_S = 0.5
 MIN_WATCH_TIMEOUT_S = 1.0  # Applies to a watch with a very short wait.
@@ -113,6 +115,7 @@
         self._idle: list[http_client.ClientConnection] = []
         self._watch_scopes: set[trio.CancelScope] = set()
         self.epochs = store_epochs.StoreEpochs()
+        self._held_answers = held_bytes.HeldBytes[None](MAX_HELD_ANSWER_BYTES)
 
     @property
     def is_configured(self) -> bool:
@@ -305,14 +308,19 @@
         conn = await self._take_idle() or await self._connect()
         known_epoch = self.epoch
         is_reusable = False
+        held = None
         try:
             await conn.send(head, body)
             answer = await conn.receive_head(timeout_s)
-            content = await conn.receive_body(timeout_s, progress_deadlines.MAX_ANSWER_BYTES)
+            held = self._held_answers.open(None, answer.content_length)
+            max_bytes = progress_deadlines.MAX_ANSWER_BYTES
+            content = await conn.receive_body(timeout_s, max_bytes, held)
             is_reusable = conn.make_reusable()
             epoch = self.epochs.record(self._format.read_epoch(answer), known_epoch)
             return _Answer(answer.status, epoch, content)
         finally:
+            if held:
+                held.release()
             if is_reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
                 self._idle.append(conn)
             else:
--- a/tests/_internal/services/test_many_bodies.py
+++ b/tests/_internal/services/test_many_bodies.py
@@ -13,6 +13,8 @@
 from tests._internal.services import test_endless_answers
 
 CALLERS = 18
+PIPELINING = 60
+PART = b"p" * 65_536
 BODY = b"b" * 3_500_000
 # What may be held and the oldest body, which are joined and sent on as a whole, and the rest.
 MAX_MEMORY_BYTES = 3 * (http_server.MAX_HELD_BODY_BYTES + len(BODY)) + 12 * 2**20
@@ -88,6 +90,42 @@
         self.assertLess(self.peak, MAX_MEMORY_BYTES)
 
 
+class InputBehindRequestsTest(unittest.TestCase):
+    """What callers send behind their open requests is bounded as a sum."""
+
+    def test_sum_of_input_behind_open_requests_is_bounded(self):
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+
+        async def send(world):
+            host, _, port = world.routers[0].callers.address.rpartition(":")
+            async with await trio.open_tcp_stream(host, int(port)) as stream:
+                await stream.send_all(
+                    b"POST /order/1 HTTP/1.1\r\nHost: desk\r\nX-Request-Id: q\r\n"
+                    b"Authorization: Token key-1\r\nContent-Length: 0\r\n\r\n"
+                )
+                with trio.move_on_after(1.5):
+                    while True:
+                        await stream.send_all(PART)
+
+        async def main():
+            world = test_endless_answers.SocketWorld()
+            async with trio.open_nursery() as nursery:
+                await world.start(nursery, engines=0, desks=8)
+                for upstream in world.upstreams.values():
+                    upstream.work_s = 2.0
+                await trio.sleep(0.3)
+                tracemalloc.reset_peak()
+                async with trio.open_nursery() as callers:
+                    for _ in range(PIPELINING):
+                        callers.start_soon(send, world)
+                self.peak = tracemalloc.get_traced_memory()[1]
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        self.assertLess(self.peak, http_server.MAX_HELD_BODY_BYTES + 20 * 2**20)
+
+
 def _entry(address):
     return directory_entries.Registration(
         ids.UpstreamId("slow"),
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -460,6 +460,27 @@
         "pass",
         f"{planted_bug.SERVICES}.test_many_bodies",
     ),
+    planted_bug.Mutant(
+        "bound each answer of the store alone",
+        "protocols/http_client.py",
+        "                await held.wait_to_grow()",
+        "                pass",
+        f"{planted_bug.SERVICES}.test_endless_store_answers",
+    ),
+    planted_bug.Mutant(
+        "bound the input behind each open request alone",
+        "protocols/http_server.py",
+        "                await held.wait_to_grow()",
+        "                pass",
+        f"{planted_bug.SERVICES}.test_many_bodies.InputBehindRequestsTest",
+    ),
+    planted_bug.Mutant(
+        "let a message that is complete wait for room",
+        "decisions/memory_shares.py",
+        "is_complete = holding.size == holding.length",
+        "is_complete = False",
+        f"{planted_bug.DECISIONS}.test_memory_shares",
+    ),
     planted_bug.Mutant(
         "begin requests that cannot end before the router stops",
         "decisions/stopping.py",
