A program of the forwarding fuzz catches a router that reads no epoch

Further writes now give those revisions out again, drawn and in a program that always runs; with all guards taken out it finds requests with a taken key.

--- a/tests/forwarding_fuzzing.py
+++ b/tests/forwarding_fuzzing.py
@@ -208,6 +208,11 @@
         self.outages.append((now, now + away_s + repeat_after_s))
         await self.world.store.restore(away_s, age_s, repeat_after_s)
 
+    def write_elsewhere(self, count):
+        """Writes to a kind that no router watches, which raises the revision of the store."""
+        for number in range(count):
+            self.world.store.put("notes", "note", {"number": number})
+
     def inject_upstream_fault(self, name, fault, seconds):
         """Adds a fault to an upstream for some time."""
         now = trio.current_time()
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -343,6 +343,13 @@
 _RESTORED = f"{planted_bug.SERVICES}.test_store_restored"
 
 RESTORED_STORE = [
+    planted_bug.Mutant(
+        "read no epoch from the answers of the store",
+        "services/store_epochs.py",
+        "            self._begin(named)",
+        "            pass",
+        "tests.test_forwarding_fuzz.RestoredStoreTest",
+    ),
     planted_bug.Mutant(
         "go on from a revision of the former epoch of the store",
         "services/watching.py",
--- a/tests/test_forwarding_fuzz.py
+++ b/tests/test_forwarding_fuzz.py
@@ -204,13 +204,18 @@
         key=st.sampled_from(["key-1", "key-2"]),
         away_s=st.sampled_from([0.0, 1.5]),
         part=st.sampled_from("abc"),
+        writes=st.sampled_from([0, 4, 12]),
     )
-    def restore_amid_orders(self, router, key, away_s, part):
-        """Restores the store as a holder renews its lease, and takes a key away at once."""
+    def restore_amid_orders(self, router, key, away_s, part, writes):
+        """Restores the store as a holder renews its lease, and takes a key away at once.
+
+        Further writes give out the revisions again that the routers know.
+        """
         self.name_weights()
         self.wait(2.0)
         self.restore_store(away_s, 2.0, 0.0)
         self.revoke(key)
+        self.steps.append(lambda program: program.write_elsewhere(writes))
         self.wait(5.0)
         self.wait(0.1)
         for route in ("look", "ask"):
@@ -267,6 +272,17 @@
     return machine.TestCase
 
 
+class RestoredStoreTest(unittest.TestCase):
+    """A program of the fuzz in which revisions that routers know are given out again."""
+
+    def test_nothing_is_violated_after_a_restore_amid_orders(self):
+        for writes in (4, 8, 12):
+            with self.subTest(writes):
+                machine = ForwardingMachine()
+                machine.restore_amid_orders(1, "key-2", 1.5, "b", writes)
+                self.assertEqual(run_program(machine.steps), [])
+
+
 ChangingTest = _test_case(ChangingMachine)
 ForwardingTest = _test_case(ForwardingMachine)
 
