--- a/tests/_internal/services/test_late_in_the_grace.py
+++ b/tests/_internal/services/test_late_in_the_grace.py
@@ -11,6 +11,7 @@
 from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.standins import forwarding_deployment
+from cicadapier._internal.standins import forwarding_upstream
 from tests import forwarding_world
 
 TIMEOUT_S = 9.0
@@ -145,5 +146,41 @@
         self._check(self._play(4.0, "/order/", warm_up=0))
 
 
+class LateHedgesTest(unittest.TestCase):
+    """A hedge that cannot end in the grace is not sent."""
+
+    def _count_arrivals(self, after_s):
+        found = []
+
+        async def check(world):
+            _configure(world)
+            for upstream in world.upstreams.values():
+                upstream.work_s = 2.0
+            await trio.sleep(0.5)
+            # One request shows the time of the route, and leaves repeats for the late one.
+            await _send_look(world, {"request": "first", "time_left_ms": 10_000})
+            forwarding_world.inject_fault(world, "desk", forwarding_upstream.UpstreamFault.SILENT)
+            world.routers[0].kernel.stop()
+            await trio.sleep(after_s)
+            await _send_look(world, {"request": "late", "time_left_ms": 10_000})
+            found.extend(
+                arrival
+                for upstream in world.upstreams.values()
+                for arrival in upstream.arrivals
+                if arrival.request == "late"
+            )
+
+        forwarding_world.run_in_world(check, desks=6)
+        return len(found)
+
+    def test_hedge_is_sent_only_if_it_can_end(self):
+        self.assertEqual(self._count_arrivals(1.0), 2)
+        self.assertEqual(self._count_arrivals(3.9), 1)
+
+
+async def _send_look(world, options):
+    await world.send("POST", "desk", "/look/", **options)
+
+
 if __name__ == "__main__":
     unittest.main()
