--- a/review/lib-2/runner.py
+++ b/review/lib-2/runner.py
@@ -138,7 +138,8 @@
     async def stream(self, request, reader, writer, head):
         head = [*head, ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
         writer.write(http1.encode("HTTP/1.1 200 OK", head))
-        first = int(request.header("last-event-id", "0")) + 1
+        last = request.header("last-event-id")
+        first = int(last) + 1 if last else self.args.first_id
         for number in range(first, self.args.events + 1):
             await asyncio.sleep(self.args.gap_s)
             if writer.is_closing() or reader.at_eof():
@@ -174,7 +175,8 @@
     parser.add_argument("--zone", default="zone-a")
     parser.add_argument("--version", default="v1")
     parser.add_argument("--model", default="")
-    parser.add_argument("--events", type=int, default=10)
+    parser.add_argument("--events", type=int, default=10)  # The id of the last one.
+    parser.add_argument("--first-id", type=int, default=1)
     parser.add_argument("--gap-s", type=float, default=0.1)
     parser.add_argument("--work-s", type=float, default=0.05)
     parser.add_argument("--log", required=True)
