review: streams are not taken up after all routers were killed (case 8)

Rule: LOST, of streams that clients take up again at machines in touch the share that goes on is not under half of the share of new streams that begin. Seen: after all routers were killed and started again, each take-up is refused for twice the time of an answer, though one software version alone has served all the time.

--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -128,6 +128,11 @@
         self.record(f"signal {signal.Signals(number).name} to {name}")
         self.processes[name].send_signal(number)
 
+    def restart(self, name):
+        """Starts a process again as it was started."""
+        self.record(f"start {name} again")
+        self.start(name, self.commands[name])
+
     def kill(self, name):
         self.signal(name, signal.SIGKILL)
         self.processes[name].wait()
