--- a/review/lib-2/streams.py
+++ b/review/lib-2/streams.py
@@ -35,6 +35,7 @@
         self.pause_s = pause_s
         self.growth = growth
         self.key = key
+        self.path = "/ask/verdict"
         self.events = []  # (id, runner, version, born)
         self.attempts = []
         self.first_try = None
@@ -71,7 +72,7 @@
             self._record(attempt, "no channel")
             return pause_s
         try:
-            self._writer.write(http1.encode("POST /ask/verdict HTTP/1.1", headers, body))
+            self._writer.write(http1.encode(f"POST {self.path} HTTP/1.1", headers, body))
             await self._writer.drain()
             head = await http1.read_head(reader)
             if head is None or head.status != 200:
