--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -101,6 +101,7 @@
         self.next_host = 1
         self.store_address = f"{self.net}.200:8784"
         self.down_file = self.tmp / "store-is-down"
+        self.late_file = self.tmp / "late-writes-of"
 
     def record(self, text):
         line = f"{time.monotonic() - self.began_at:8.3f} {text}"
@@ -139,7 +140,8 @@
 
     def start_store(self):
         store = [sys.executable, str(LIB / "store.py"), self.store_address]
-        self.start("store", [*store, "--down-file", str(self.down_file)])
+        store += ["--down-file", str(self.down_file), "--late-file", str(self.late_file)]
+        self.start("store", [*store, "--write-log", str(self.tmp / "writes.jsonl")])
 
     def start_runner(self, name, address, service, **options):
         command = [sys.executable, str(LIB / "runner.py"), "--id", name, "--address", address]
@@ -205,9 +207,16 @@
 
         await self.wait_for(f"ready: {ready_address}", check)
 
+    def writes(self):
+        """Returns the writes that the store has got."""
+        return self._read_lines("writes.jsonl")
+
     def runs(self):
         """Returns what the runners have written."""
-        path = self.tmp / "runs.jsonl"
+        return self._read_lines("runs.jsonl")
+
+    def _read_lines(self, name):
+        path = self.tmp / name
         if not path.exists():
             return []
         return [json.loads(line) for line in path.read_text().splitlines() if line.strip()]
--- a/review/lib-2/runner.py
+++ b/review/lib-2/runner.py
@@ -10,6 +10,7 @@
 import argparse
 import asyncio
 import json
+import os
 import sys
 import time
 
@@ -73,6 +74,19 @@
             self.registered = True
             self.log(event="registered")
 
+    def is_queue_full(self):
+        """Returns whether a request waits, which is as long as the file of `--queue-file` is."""
+        return bool(self.args.queue_file) and os.path.exists(self.args.queue_file)
+
+    def fall_silent(self):
+        """Stands still for a second or so behind a report, once, if it is to and none waits."""
+        path = self.args.silence_file
+        if path and os.path.exists(path) and not self.is_queue_full():
+            os.unlink(path)
+            self.log(event="silent")
+            time.sleep(self.args.silence_s)
+            self.log(event="goes on")
+
     async def serve(self, reader, writer):
         try:
             while True:
@@ -87,13 +101,14 @@
 
     async def answer(self, request, reader, writer):
         if request.target == "/api/report":
+            await asyncio.sleep(self.args.report_s)
             models = [{"name": self.args.model, "version": self.weights, "adapters": []}]
             report = {
                 "phase": "both",
                 "models": models,
                 "busy": time.monotonic() < self.busy_until,
                 "seq": self.seq,
-                "queued": 0,
+                "queued": int(self.is_queue_full()),
                 "active": self.active,
                 "kv_used": 0,
                 "kv_total": 110592,
@@ -102,6 +117,7 @@
             }
             writer.write(http1.answer(200, [], json.dumps(report).encode()))
             await writer.drain()
+            self.fall_silent()
             return
         request_id = request.header("x-request-id")
         base = [("X-Request-Id", request_id), ("X-Instance-Id", self.args.id)]
@@ -179,6 +195,10 @@
     parser.add_argument("--first-id", type=int, default=1)
     parser.add_argument("--gap-s", type=float, default=0.1)
     parser.add_argument("--work-s", type=float, default=0.05)
+    parser.add_argument("--queue-file", default="")
+    parser.add_argument("--report-s", type=float, default=0.0)
+    parser.add_argument("--silence-file", default="")
+    parser.add_argument("--silence-s", type=float, default=1.5)
     parser.add_argument("--log", required=True)
     runner = Runner(parser.parse_args())
     host, port = runner.args.address.rsplit(":", 1)
--- a/review/lib-2/store.py
+++ b/review/lib-2/store.py
@@ -1,10 +1,12 @@
 """Stand-in for the platform's store (PROTOCOL.md, "The platform's metadata store").
 
-usage: store.py ADDRESS [--silent-file PATH]
+usage: store.py ADDRESS [--down-file PATH] [--late-file PATH]
 
 Objects by kind and name, conditional writes, lists, watches. A PUT that changes nothing makes no
 revision. While the file of `--down-file` exists, every channel is reset without an answer
-(`platform_down`, how = "reset"); nothing is done then.
+(`platform_down`, how = "reset"); nothing is done then. While the file of `--late-file` exists, writes
+of order leases by the holder that it names get no answer and are done 6 s later, if their condition
+still holds (`platform_lost`, how = "late"). `--write-log` counts the writes.
 """
 
 import argparse
@@ -21,10 +23,13 @@
 
 ANSWER_S = 0.004
 HISTORY_S = 20.0
+LATE_S = 6.0
 
 
 class Store:
-    def __init__(self, down_file):
+    def __init__(self, down_file, late_file="", write_log=""):
+        self.late_file = late_file
+        self.write_log = write_log
         self.objects = {}
         self.revision = 1
         self.events = []  # (revision, time, kind, object, deleted)
@@ -58,6 +63,28 @@
         self._record(kind, item, False)
         return item
 
+    def log_write(self, kind, name, body, is_late):
+        if self.write_log:
+            spec = body.get("spec") or {}
+            line = {"t": time.monotonic(), "kind": kind, "name": name, "late": is_late}
+            if name.startswith("orders-"):
+                line |= {key: spec.get(key) for key in ("holder", "fencing", "active", "note")}
+            with open(self.write_log, "a") as file:
+                file.write(json.dumps(line) + "\n")
+
+    def is_late(self, kind, body):
+        """Returns whether a write is one of those that are done late and not answered."""
+        try:
+            holder = open(self.late_file).read() if self.late_file else ""
+        except FileNotFoundError:
+            return False
+        spec = body.get("spec")
+        return kind == "cicadapier-routers" and bool(holder) and (spec or {}).get("holder") == holder
+
+    async def write_late(self, *write):
+        await asyncio.sleep(LATE_S)
+        self.write(*write)
+
     def write(self, method, kind, name, query, body):
         metadata = body.get("metadata") or {}
         name = name or metadata.get("name")
@@ -123,6 +150,9 @@
     writer.transport.abort()
 
 
+tasks = set()
+
+
 async def serve(store, reader, writer):
     try:
         while True:
@@ -145,6 +175,13 @@
                     return
                 status, content = result
             else:
+                is_late = store.is_late(kind, body)
+                store.log_write(kind, name or (body.get("metadata") or {}).get("name"), body, is_late)
+                if is_late:
+                    write = (request.method, kind, name, query, body)
+                    tasks.add(asyncio.create_task(store.write_late(*write)))
+                    await reader.read()  # The channel returns nothing further.
+                    return
                 status, content = store.write(request.method, kind, name, query, body)
             data = json.dumps(content).encode()
             writer.write(http1.answer(status, [("Content-Type", "application/json")], data))
@@ -159,9 +196,11 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("address")
     parser.add_argument("--down-file", default="")
+    parser.add_argument("--late-file", default="")
+    parser.add_argument("--write-log", default="")
     args = parser.parse_args()
     host, port = args.address.rsplit(":", 1)
-    store = Store(args.down_file)
+    store = Store(args.down_file, args.late_file, args.write_log)
     server = await asyncio.start_server(lambda r, w: serve(store, r, w), host, int(port))
     async with server:
         await server.serve_forever()
