--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -24,6 +24,7 @@
 LIB = pathlib.Path(__file__).parent
 ROOT = LIB.parent.parent
 START_TIMEOUT_S = 25.0
+STORE_PORT = 8784
 
 
 def render(text, fields):
@@ -85,6 +86,18 @@
     return fill(text, [fields])
 
 
+def find_free_block():
+    """Returns a block of loopback addresses that no other run uses."""
+    while True:
+        block = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
+        with socket.socket() as sock:
+            try:
+                sock.bind((f"{block}.200", STORE_PORT))
+            except OSError:
+                continue
+        return block
+
+
 class World:
     """The processes of one run of a script."""
 
@@ -96,10 +109,9 @@
         self.commands = {}
         self.began_at = time.monotonic()
         self.record_file = open(self.folder / "record.txt", "w", buffering=1)
-        # A block of loopback addresses of its own, so that two runs do not meet.
-        self.net = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
+        self.net = find_free_block()
         self.next_host = 1
-        self.store_address = f"{self.net}.200:8784"
+        self.store_address = f"{self.net}.200:{STORE_PORT}"
         self.down_file = self.tmp / "store-is-down"
         self.late_file = self.tmp / "late-writes-of"
 
@@ -237,16 +249,6 @@
     """Something did not start."""
 
 
-def tcp_is_free(address):
-    host, port = address.rsplit(":", 1)
-    with socket.socket() as sock:
-        try:
-            sock.bind((host, int(port)))
-        except OSError:
-            return False
-        return True
-
-
 def run(folder, main):
     """Runs a script; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     world = World(folder)
--- a/review/lib-2/runner.py
+++ b/review/lib-2/runner.py
@@ -160,7 +160,8 @@
             await asyncio.sleep(self.args.gap_s)
             if writer.is_closing() or reader.at_eof():
                 raise ConnectionError("the caller closed the channel")
-            text = f"id: {number}\ndata: {self.args.id} {self.args.version} {self.born}\n\n".encode()
+            data = f"{self.args.id} {self.args.version} {self.born}"
+            text = f"id: {number}\ndata: {data}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(text), text))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
--- a/review/lib-2/store.py
+++ b/review/lib-2/store.py
@@ -4,9 +4,9 @@
 
 Objects by kind and name, conditional writes, lists, watches. A PUT that changes nothing makes no
 revision. While the file of `--down-file` exists, every channel is reset without an answer
-(`platform_down`, how = "reset"); nothing is done then. While the file of `--late-file` exists, writes
-of order leases by the holder that it names get no answer and are done 6 s later, if their condition
-still holds (`platform_lost`, how = "late"). `--write-log` counts the writes.
+(`platform_down`, how = "reset"); nothing is done then. While the file of `--late-file` exists,
+writes of order leases by the holder that it names get no answer and are done 6 s later, if their
+condition still holds (`platform_lost`, how = "late"). `--write-log` counts the writes.
 """
 
 import argparse
@@ -78,8 +78,8 @@
             holder = open(self.late_file).read() if self.late_file else ""
         except FileNotFoundError:
             return False
-        spec = body.get("spec")
-        return kind == "cicadapier-routers" and bool(holder) and (spec or {}).get("holder") == holder
+        writer = (body.get("spec") or {}).get("holder")
+        return kind == "cicadapier-routers" and bool(holder) and writer == holder
 
     async def write_late(self, *write):
         await asyncio.sleep(LATE_S)
@@ -176,7 +176,8 @@
                 status, content = result
             else:
                 is_late = store.is_late(kind, body)
-                store.log_write(kind, name or (body.get("metadata") or {}).get("name"), body, is_late)
+                written = name or (body.get("metadata") or {}).get("name")
+                store.log_write(kind, written, body, is_late)
                 if is_late:
                     write = (request.method, kind, name, query, body)
                     tasks.add(asyncio.create_task(store.write_late(*write)))
