--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,7 +12,8 @@
 import streams  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-STREAMS = 8
+STREAMS = 40
+LEAST_JOINABLE = 3  # Streams at the runner that crashes; two joined ones are allowed.
 EVENTS = 20
 GAP_S = 0.4
 DOWN_S = 3.0  # The runner; as `srv_crash` in sites/andino-inv.toml.
@@ -61,7 +62,11 @@
     await world.wait_for("store", store_answers)
     await world.put("config", "main", CONFIG)
     await world.put("versions", "verse", {"model": "verse", "version": 1})
-    runners = {"i-7f3a": ("v1", f"{world.host()}:8080"), "i-91c2": ("v2", f"{world.host()}:8080")}
+    # One runner of one version beside four of another one.
+    crashed = "i-0"
+    runners = {
+        f"i-{number}": ("v2" if number else "v1", f"{world.host()}:8080") for number in range(5)
+    }
 
     def start_runner(name):
         version, address = runners[name]
@@ -93,8 +98,9 @@
         await asyncio.sleep(0.01)
     begun_at = [client.events[0][1] for client in clients]
     world.record(f"all streams have begun, at {begun_at}")
+    if begun_at.count(crashed) < LEAST_JOINABLE:
+        raise harness.NotReadyError("too few streams at the runner that crashes")
     if TROUBLE:
-        crashed = max(set(begun_at), key=begun_at.count)
         world.kill(crashed)
         await asyncio.sleep(DOWN_S)
         start_runner(crashed)
@@ -102,4 +108,4 @@
     return streams.report_joined(world, clients) > 2
 
 
-harness.run(FOLDER, main)
+harness.run(sys.argv[1], main)  # record.txt
--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -101,14 +101,13 @@
 class World:
     """The processes of one run of a script."""
 
-    def __init__(self, folder):
-        self.folder = pathlib.Path(folder)
+    def __init__(self, record):
         self.temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.tmp = pathlib.Path(self.temporary.name)
         self.processes = {}
         self.commands = {}
         self.began_at = time.monotonic()
-        self.record_file = open(self.folder / "record.txt", "w", buffering=1)
+        self.record_file = open(record, "w", buffering=1)
         self.net = find_free_block()
         self.next_host = 1
         self.store_address = f"{self.net}.200:{STORE_PORT}"
@@ -249,9 +248,9 @@
     """Something did not start."""
 
 
-def run(folder, main):
-    """Runs a script; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    world = World(folder)
+def run(record, main):
+    """Runs a script that writes `record`; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
+    world = World(record)
     try:
         broken = asyncio.run(asyncio.wait_for(main(world), 110))
     except (NotReadyError, TimeoutError, OSError) as exc:
