Streams taken up behind event 0 go on at the version that began them

Cause: `_find_origin` tested the number of the last event as a truth, so that 0 counted as none and the stream had no origin. Placement and the check before a send then allowed any version. The log has no question for an origin and the second runs bear `last-event-id: 0`, which rules out a lost message; comparisons within one answer are with None.

Mend: `_takes_up_stream` decides by what the caller names. Event 0 without a stream begins one, as before; event 0 of a stream that nobody knows begins one only where no version that may have begun it has been seen to number from 0 (`FirstNumbers`). A last event that can't be read, or two of them, is refused with 400 on routes of streams: before, a stream began anew behind events that the caller may hold.

No message between routers and nothing that is stored changes.

--- a/src/cicadapier/_internal/decisions/stream_origins.py
+++ b/src/cicadapier/_internal/decisions/stream_origins.py
@@ -238,6 +238,34 @@
         return SeenVersions(self._current | recent, observed_s)
 
 
+class FirstNumbers:
+    """Numbers of the first events of streams, by the software version that began them.
+
+    No standard says where numbers begin, so a caller that names event 0 holds it, or no event.
+    """
+
+    def __init__(self) -> None:
+        self._lowest: collections.OrderedDict[str, int] = collections.OrderedDict()
+
+    def record(self, software: str, number: int) -> None:
+        """Records the number of the first event of a stream."""
+        self._lowest[software] = min(number, self._lowest.get(software, number))
+        self._lowest.move_to_end(software)
+        if len(self._lowest) > MAX_VERSIONS:
+            self._lowest.popitem(last=False)
+
+    def may_contain(self, number: int, versions: frozenset[str]) -> bool:
+        """Returns whether an event of a number may be part of a stream.
+
+        Args:
+            number: Number of the event.
+            versions: Versions that may have begun the stream.
+        """
+        if not versions:
+            return True
+        return any(self._lowest.get(version, 0) <= number for version in versions)
+
+
 def first_by_hash(
     stream: StreamId, vms: collections.abc.Iterable[ids.VmId], count: int
 ) -> list[ids.VmId]:
--- a/src/cicadapier/_internal/platform/requests.py
+++ b/src/cicadapier/_internal/platform/requests.py
@@ -62,6 +62,7 @@
             req,
             ids.RequestId(_header_text(req, wire_headers.RESUMED_REQUEST)) or None,
             _read_stated_tokens(req),
+            _is_resumption_readable(req),
         )
 
     def make_request_head(
@@ -179,6 +180,19 @@
     return int(raw) if raw.isascii() and raw.isdigit() else None
 
 
+def _is_resumption_readable(req: http_server.Request) -> bool:
+    """Returns whether a request names one stream and one event of it at most.
+
+    As browsers do, callers that have no event to name may send an empty value.
+    """
+    names = [name for name, _ in req.headers]
+    for name in (wire_headers.LAST_EVENT_ID, wire_headers.RESUMED_REQUEST):
+        if names.count(name) > 1:
+            return False
+    last_event = _header_text(req, wire_headers.LAST_EVENT_ID)
+    return not last_event or _parse_count(last_event) is not None
+
+
 def _parse_weights(raw: bytes) -> str | None:
     version = raw.decode("latin-1").strip()
     return None if weights_versions.number_of(version) is None else version
--- a/src/cicadapier/_internal/protocols/forwarding.py
+++ b/src/cicadapier/_internal/protocols/forwarding.py
@@ -42,13 +42,15 @@
         host: Requested host, in lower case and without port.
         key: Key of the caller; empty if there is none.
         time_left_s: Time for which the caller waits for the answer; None if it does not say.
-        resume_after: Number of the event after which to resume a stream; None to start from the
-            beginning.
+        resume_after: Number of the last event that the caller says it holds of a stream, from 0
+            on; None if it says of none, or nothing that can be read.
         work: Work that it causes at a language model; None for other requests.
         raw: The HTTP request.
         resumes: Id of the request that began the stream to resume; None if the caller names none.
         stated_tokens: Tokens of the prompt and of the answer together that the caller states; None
             if it states none, or no numbers.
+        is_resumption_readable: Whether what it says of a stream to resume can be read. If not, it
+            may hold events, so that no stream may begin for it.
     """
 
     request: ids.RequestId
@@ -60,6 +62,7 @@
     raw: http_server.Request
     resumes: ids.RequestId | None = None
     stated_tokens: int | None = None
+    is_resumption_readable: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -416,7 +416,7 @@
             events = splitter.feed(part)
             accepted = self._progress.take_in_order(events, self._dependencies.wire_format)
             if accepted:
-                self._record_origin()
+                self._record_origin(accepted[0])
                 self._report_output(len(accepted))
                 await self._send_data(attempt, head, b"".join(event.raw for event in accepted))
             if len(accepted) < len(events) or splitter.is_overlong:
@@ -434,10 +434,12 @@
         self._is_stream_received = True
         return outcomes.Complete(head.status)
 
-    def _record_origin(self) -> None:
+    def _record_origin(self, first_event: event_stream.Event) -> None:
         """Records which software began the stream, before its caller gets the first event."""
         software = self._progress.software
         if not self._responder.started and software is not None:
+            if self._plan.forwarded.resume_after is None and first_event.number is not None:
+                self._dependencies.origins.record_first_number(software, first_event.number)
             origin = stream_origins.Origin(self._plan.stream, self._plan.pool, software)
             assert self._progress.placed
             self._dependencies.origins.record_begin(
--- a/src/cicadapier/_internal/services/forwarded_progress.py
+++ b/src/cicadapier/_internal/services/forwarded_progress.py
@@ -19,6 +19,7 @@
         attempt_events: Number of them that the current attempt has received.
         weights_changed: Whether an event announced other weights.
         software: Version of the software whose events the stream holds; None before the first.
+        begins_stream: Whether the caller holds no event of the stream from an earlier request.
         last_progress_at: Time of trio's clock of the last progress of the current attempt.
         peer: Peer through which the last attempt was connected; None if it was direct.
     """
@@ -30,6 +31,7 @@
         self.attempt_events = 0
         self.weights_changed = False
         self.software = software
+        self.begins_stream = software is None
         self.last_progress_at = trio.current_time()
         self.peer: ids.VmId | None = None
 
@@ -63,7 +65,11 @@
         """Returns whether an event is well-formed and continues the stream."""
         if event.number is None or not event.is_well_formed(wire_format.event_fields):
             return False
-        return self.last_event_number in (None, event.number - 1)
+        if self.last_event_number is None:
+            return True
+        if self.begins_stream and not self.relayed_events:
+            return event.number > self.last_event_number
+        return event.number == self.last_event_number + 1
 
     def take_in_order(
         self, events: list[event_stream.Event], wire_format: forwarding.ForwardingFormat
--- a/src/cicadapier/_internal/services/forwarded_requests.py
+++ b/src/cicadapier/_internal/services/forwarded_requests.py
@@ -43,6 +43,8 @@
 MAX_RETRY_AFTER_SHARE = 1 / 3
 MAX_QUEUE_SHARE = 0.5  # Of the route's objective; a longer wait for a slot is not worthwhile.
 _PUBLIC_ACCOUNT_SPEC = configuration.Account(limits=configuration.Limits(1e9, 1e15, 1_000_000_000))
+# Callers that hold no event may name it as their last one, where events are numbered from 1.
+NO_EVENT = 0
 MAX_SHARED_PARTS = 64  # Later parts of a prompt are not checked for crashes of upstreams.
 
 _log = structlog.get_logger()
@@ -225,15 +227,25 @@
         """Returns where the stream began that a request takes up; None if it takes up none.
 
         Raises:
-            RefusedError: It is not certain which software version began the stream.
+            RefusedError: It is not certain which software version began the stream, or what the
+                request says of it cannot be read.
         """
         route = admission.route
-        if route.kind is not configuration.RouteKind.STREAM or not forwarded.resume_after:
+        if route.kind is not configuration.RouteKind.STREAM:
+            return None
+        if not forwarded.is_resumption_readable:
+            raise _refused_error(
+                outcomes.RefusalCode.INVALID_REQUEST,
+                "the last event or the stream to take up is named more than once or cannot be read",
+            )
+        if not _takes_up_stream(forwarded):
             return None
         stream = _stream_id(admission, forwarded.resumes) if forwarded.resumes else None
         pool = _choose_pool(route, forwarded.resumes or forwarded.request)
         life_s = stream_origins.stream_life_s(route.timeout_s, forwarded.time_left_s)
         origin = await self._origins.find_origin(stream, pool, life_s)
+        if origin is None and self._holds_no_event(forwarded, stream):
+            return None
         if origin is None:
             raise _refused_error(
                 outcomes.RefusalCode.ORIGIN_UNKNOWN,
@@ -245,6 +257,14 @@
             return dataclasses.replace(origin, pool=pool)
         return origin
 
+    def _holds_no_event(
+        self, forwarded: forwarding.ForwardedRequest, stream: stream_origins.StreamId | None
+    ) -> bool:
+        """Returns whether a caller names a stream that nobody knows, and holds nothing of it."""
+        if stream is None or forwarded.resume_after != NO_EVENT:
+            return False
+        return self._origins.is_without_events(stream, NO_EVENT)
+
     def _make_plan(
         self,
         admission: forwarded_plan.Admission,
@@ -326,6 +346,16 @@
         )
 
 
+def _takes_up_stream(forwarded: forwarding.ForwardedRequest) -> bool:
+    """Returns whether a request goes on with a stream, whose version then matters.
+
+    A caller that holds events names their stream; without one, `NO_EVENT` stands for none.
+    """
+    if forwarded.resume_after is None:
+        return False
+    return forwarded.resume_after != NO_EVENT or forwarded.resumes is not None
+
+
 def _stream_id(
     admission: forwarded_plan.Admission, request: ids.RequestId
 ) -> stream_origins.StreamId:
--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -84,6 +84,7 @@
         self._rng = rng
         self._origins = stream_origins.Origins()
         self._history = stream_origins.VersionHistory()
+        self._first_numbers = stream_origins.FirstNumbers()
         self._beginnings = stream_beginnings.Beginnings()
         self._questions: dict[int, origin_questions.Question] = {}
         self._numbers = itertools.count(rng.getrandbits(_NUMBER_BITS))
@@ -204,6 +205,23 @@
         known = self._origins.find(stream, trio.current_time())
         return known is not None and known.doubted
 
+    def record_first_number(self, software: str, number: int) -> None:
+        """Records the number of the first event of a stream that a software version began."""
+        self._first_numbers.record(software, number)
+
+    def is_without_events(self, stream: stream_origins.StreamId, last_event: int) -> bool:
+        """Returns whether a caller holds no event, though it says that it takes a stream up.
+
+        Args:
+            stream: The stream, for which other routers were asked.
+            last_event: Number of the last event that the caller says it holds.
+        """
+        now = trio.current_time()
+        if self._origins.find(stream, now) is not None:
+            return False
+        versions = self._history.seen(now).versions
+        return not self._first_numbers.may_contain(last_event, versions)
+
     def record_begin(
         self,
         origin: stream_origins.Origin,
--- a/src/cicadapier/_internal/standins/forwarding_upstream.py
+++ b/src/cicadapier/_internal/standins/forwarding_upstream.py
@@ -155,6 +155,7 @@
         has_said_leaving: Whether some answer has announced that it is leaving.
         has_stopped: Whether its process has ended; this closes connections too.
         events: Number of events in a complete stream.
+        first_event: Number of its first event.
         event_interval_s: Time between two events.
         first_event_delay_s: Additional time before the first event.
         skipped_events: Number of events that are missing where a stream is resumed.
@@ -188,6 +189,7 @@
         self.has_said_leaving = False
         self.has_stopped = False
         self.events = 6
+        self.first_event = 1
         self.event_interval_s = EVENT_INTERVAL_S
         self.first_event_delay_s = 0.0
         self.skipped_events = 0
@@ -393,9 +395,10 @@
     async def _stream(
         self, req: http_server.Request, responder: http_server.Responder, request: str
     ) -> None:
-        first_number = int(_read_header(req, wire_headers.LAST_EVENT_ID) or "0") + 1
-        if first_number > 1:
-            first_number += self.skipped_events
+        last_event = _read_header(req, wire_headers.LAST_EVENT_ID)
+        first_number = self.first_event
+        if last_event and int(last_event) >= self.first_event:
+            first_number = int(last_event) + 1 + self.skipped_events
         weights = self.weights
         software = self.entry.software.encode()
         headers = [
@@ -409,7 +412,7 @@
         await responder.start(http.HTTPStatus.OK, headers)
         await self._crash_on_poison(req)
         await trio.sleep(self.first_event_delay_s)
-        for number in range(first_number, self.events + 1):
+        for number in range(first_number, self.first_event + self.events):
             await trio.sleep(self.event_interval_s)
             if UpstreamFault.STALLS in self.faults and number == first_number + 2:
                 await trio.sleep(STALL_S)
--- a/tests/_internal/platform/test_formats.py
+++ b/tests/_internal/platform/test_formats.py
@@ -93,6 +93,7 @@
         self.assertIsNone(request.time_left_s)
         self.assertEqual(request.key, "")
         self.assertIsNone(request.resume_after)
+        self.assertFalse(request.is_resumption_readable)
         self.assertEqual([part.tokens for part in request.work.parts], [800])
 
     def test_request_without_id_is_rejected(self):
--- a/tests/planted_in_beliefs.py
+++ b/tests/planted_in_beliefs.py
@@ -3,6 +3,20 @@
 from tests import planted_bug
 
 MUTANTS = [
+    planted_bug.Mutant(
+        "take the number 0 of an event for none",
+        "services/forwarded_requests.py",
+        "    if forwarded.resume_after is None:\n        return False\n",
+        "    if not forwarded.resume_after:\n        return False\n",
+        f"{planted_bug.SERVICES}.test_last_event_numbers.BehindEventZeroTest",
+    ),
+    planted_bug.Mutant(
+        "begin a stream for callers whose last event cannot be read",
+        "services/forwarded_requests.py",
+        "if not forwarded.is_resumption_readable:",
+        "if False:",
+        f"{planted_bug.SERVICES}.test_last_event_numbers.RowsTest",
+    ),
     planted_bug.Mutant(
         "count the life of a grant from its arrival",
         "decisions/grant_ages.py",
