A check finds optional numbers that are tested as truths

Cause: `not forwarded.resume_after` took event 0 for none, and no check of ours could see the class: a number of which 0 is a value is tested as a truth.

Change: tools/check_zeros.py, part of `make test`, lists each condition whose type, as mypy infers it, is a number or None (`x or 0` has one value for both and is allowed). 11 places were left; they now compare with None or with 0. One was a fault: a `max_completion_tokens` of 0 counted as no limit where `max_tokens` of 0 is refused with 400.

Tests: test_max_tokens_out_of_range failed before (the request was not refused); eight planted conditions are found and others are not (test_checks). The check takes 22 s on this machine.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 	$(BIN)/mypy
 	$(BIN)/python tools/check_layers.py
 	$(BIN)/python tools/check_boundary.py
+	$(BIN)/python tools/check_zeros.py
 	$(BIN)/python tools/run_tests.py
 
 fuzz: $(VENV)/.ready
--- a/src/cicadapier/_internal/cli/http.py
+++ b/src/cicadapier/_internal/cli/http.py
@@ -61,7 +61,9 @@
     use_tls = url_parts.scheme == "https"
     if url_parts.scheme not in ("http", "https") or not url_parts.hostname:
         raise exceptions.CommandError(f"expected an http or https URL, got {url!r}")
-    port = url_parts.port or (443 if use_tls else 80)
+    port = url_parts.port
+    if port is None:
+        port = 443 if use_tls else 80
     target = url_parts.path + (f"?{url_parts.query}" if url_parts.query else "")
     with trio.fail_after(TIMEOUT_S):
         stream: trio.abc.Stream = await trio.open_tcp_stream(url_parts.hostname, port)
--- a/src/cicadapier/_internal/platform/load_header.py
+++ b/src/cicadapier/_internal/platform/load_header.py
@@ -35,7 +35,7 @@
     load = answers.ReportedLoad(
         _parse_count(running),
         _parse_count(waiting),
-        _parse_count(slots) or None,
+        _parse_slots(slots),
         _parse_slowness(percent),
     )
     read = (load.running, load.waiting, load.slots, load.slowness)
@@ -52,6 +52,12 @@
     return count if count <= MAX_REQUESTS else None
 
 
+def _parse_slots(raw: bytes | None) -> int | None:
+    """Returns a number of slots; None for 0, as an upstream without slots serves nothing."""
+    count = _parse_count(raw)
+    return None if count == 0 else count
+
+
 def _parse_slowness(raw: bytes | None) -> float | None:
     if raw is None or not _PERCENT.fullmatch(raw):
         return None
--- a/src/cicadapier/_internal/platform/requests.py
+++ b/src/cicadapier/_internal/platform/requests.py
@@ -204,12 +204,11 @@
         return None
     prompt, _, output = _header_text(req, wire_headers.TOKEN_COUNTS).partition(",")
     parts = _parse_prompt_parts(_header_text(req, wire_headers.PROMPT_PARTS))
-    return forwarding.ModelWork(
-        ids.ModelId(model),
-        parts,
-        _parse_count(prompt.strip()) or sum(part.tokens for part in parts),
-        _parse_count(output.strip()) or 1,
-    )
+    prompt_tokens = _parse_count(prompt.strip()) or 0
+    output_tokens = _parse_count(output.strip()) or 0
+    if prompt_tokens == 0:
+        prompt_tokens = sum(part.tokens for part in parts)
+    return forwarding.ModelWork(ids.ModelId(model), parts, prompt_tokens, max(1, output_tokens))
 
 
 def _read_stated_tokens(req: http_server.Request) -> int | None:
@@ -224,8 +223,8 @@
     parts = []
     for item in raw.split(",")[:_MAX_PROMPT_PARTS]:
         name, _, size = item.strip().rpartition(":")
-        tokens = _parse_count(size)
-        if not name or not tokens:
+        tokens = _parse_count(size) or 0
+        if not name or tokens == 0:
             # A cached prefix cannot extend past an unreadable part, so the later parts are dropped.
             break
         parts.append(prefix.Part(name, tokens))
--- a/src/cicadapier/_internal/protocols/completions.py
+++ b/src/cicadapier/_internal/protocols/completions.py
@@ -102,7 +102,9 @@
             parsed = completion
     except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as exc:
         raise InvalidBodyError(str(exc)) from exc
-    max_tokens = parsed.max_completion_tokens or parsed.max_tokens
+    max_tokens = parsed.max_completion_tokens
+    if max_tokens is None:
+        max_tokens = parsed.max_tokens
     _check_values(parsed, max_tokens)
     model = ids.ModelId(parsed.model)
     return ModelRequest(endpoint, model, parsed.stream, max_tokens, prompt, raw)
--- a/src/cicadapier/_internal/services/known_brittleness.py
+++ b/src/cicadapier/_internal/services/known_brittleness.py
@@ -100,4 +100,4 @@
     """Returns whether a rejection had another cause than want of room, as far as is stated."""
     if load is None or load.running is None or load.slots is None:
         return False
-    return load.running < load.slots and not load.waiting
+    return load.running < load.slots and (load.waiting or 0) == 0
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -129,7 +129,7 @@
             context.account,
             pool_id,
             prompt,
-            req.max_tokens or DEFAULT_OUTPUT_TOKENS,
+            DEFAULT_OUTPUT_TOKENS if req.max_tokens is None else req.max_tokens,
             prefix.fingerprint(scope, req.prompt),
             members.Weights(req.model, version),
             parts=tuple(ids.PartId(piece.hex()) for piece in prompt.pieces[:MAX_SHARED_PIECES]),
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -145,7 +145,10 @@
         task_status.started()
         while True:
             now = trio.current_time()
-            deadline = min(now + MAX_POLL_INTERVAL_S, self._traffic.next_deadline() or float("inf"))
+            deadline = now + MAX_POLL_INTERVAL_S
+            next_deadline = self._traffic.next_deadline()
+            if next_deadline is not None:
+                deadline = min(deadline, next_deadline)
             message = await self.mailbox.receive_until(deadline)
             now = trio.current_time()
             self._notice_suspension(now)
--- a/src/cicadapier/_internal/standins/engine_server.py
+++ b/src/cicadapier/_internal/standins/engine_server.py
@@ -219,7 +219,9 @@
             # Used as the scope, it yields the same piece ids as the router computes.
             scope = ids.PieceId(bytes.fromhex(salt))
         prompt = prefix.split_prompt(scope, req.prompt, self._spec.piece_tokens, BYTES_PER_TOKEN)
-        answer_tokens = req.max_tokens or engine_text.DEFAULT_ANSWER_TOKENS
+        answer_tokens = req.max_tokens
+        if answer_tokens is None:
+            answer_tokens = engine_text.DEFAULT_ANSWER_TOKENS
         resume_offset = int(req.body.get("resume_from", 0))
         import_pieces = await self._count_importable(req, prompt.pieces)
         job = engine_model.Job(
--- a/src/cicadapier/_internal/standins/forwarding_deployment.py
+++ b/src/cicadapier/_internal/standins/forwarding_deployment.py
@@ -166,7 +166,7 @@
             declared_routes: Routes of the configuration.
             number: Configuration number; None for the next one.
         """
-        self._config_number = number or self._config_number + 1
+        self._config_number = self._config_number + 1 if number is None else number
         content = configuration.Configuration(
             self.accounts, self.pools, declared_routes, self.caller_limits
         )
--- a/tests/_internal/services/test_callers_service.py
+++ b/tests/_internal/services/test_callers_service.py
@@ -121,6 +121,9 @@
 
     def test_max_tokens_out_of_range(self):
         self._check_bad_body(b'{"model": "quill-verse", "prompt": "x", "max_tokens": 0}')
+        # Guards against a limit of 0 that counts as none.
+        limits = b'"max_tokens": 5, "max_completion_tokens": 0'
+        self._check_bad_body(b'{"model": "quill-verse", "prompt": "x", ' + limits + b"}")
 
     def test_unknown_model(self):
         body = b'{"model": "nobody", "prompt": "x"}'
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -116,7 +116,7 @@
     planted_bug.Mutant(
         "relay events out of order",
         "services/forwarded_progress.py",
-        "return self.last_event_number in (None, event.number - 1)",
+        "return event.number == self.last_event_number + 1",
         "return True",
         f"{planted_bug.FORWARDED_EXCHANGE}.AnswerIntegrityTest",
     ),
