The fuzz draws the number of the first event of streams

The stand-ins numbered from 1, so no program could see what becomes of event 0. The fuzz now draws 0, 1 or 7 for each program, and the oracle follows it.

--- a/tests/_internal/services/test_last_event_numbers.py
+++ b/tests/_internal/services/test_last_event_numbers.py
@@ -36,9 +36,8 @@
     def _check_killed_router(self, first_event):
         async def check(world):
             await stream_callers.add_engines(world, "v2", 3)
-            stream_callers.number_from(world, first_event)
+            world.number_from(first_event)
             callers = stream_callers.StreamCallers(world)
-            callers.first_event = first_event
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(callers.ask, 20)
                 # Each caller has the first event, and few have more.
@@ -58,12 +57,11 @@
     def test_stream_that_breaks_off_within_an_answer_goes_on_at_its_version(self):
         async def check(world):
             await stream_callers.add_engines(world, "v2", 3)
-            stream_callers.number_from(world, 0)
+            world.number_from(0)
             forwarding_world.inject_fault(
                 world, "engine", forwarding_upstream.UpstreamFault.BREAKS_OFF
             )
             callers = stream_callers.StreamCallers(world)
-            callers.first_event = 0
             await callers.ask(12)
             self.assertEqual(callers.mixed(), [])
 
@@ -77,7 +75,7 @@
         async def check(world):
             if versions > 1:
                 await stream_callers.add_engines(world, "v2", 3)
-            stream_callers.number_from(world, first_event)
+            world.number_from(first_event)
             if before:
                 await before(world)
             replies = await ask_some(world, extra)
@@ -160,7 +158,7 @@
 
     def test_number_with_leading_zeros_names_the_event_that_a_router_relays_with_it(self):
         async def check(world):
-            stream_callers.number_from(world, 0)
+            world.number_from(0)
             await self._learn_all(world)
             for value, first in ((b"00", 1), (b"002", 3)):
                 reply = await world.ask(extra=naming(value, b"never-seen"))
--- a/tests/forwarding_oracle.py
+++ b/tests/forwarding_oracle.py
@@ -83,8 +83,9 @@
         if sent.reply.status != 200:
             continue
         numbers = sent.reply.numbers
+        first = program.world.first_event
         if sent.route in forwarding_fuzzing.STREAM_ROUTES and numbers != list(
-            range(1, len(numbers) + 1)
+            range(first, first + len(numbers))
         ):
             violations.append(f"{sent.request_id} got events {numbers}")
         if sent.reply.broken:
--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -54,7 +54,11 @@
 
 
 class World(forwarding_deployment.ForwardingDeployment):
-    """The simulated store, upstreams and routers, with callers."""
+    """The simulated store, upstreams and routers, with callers.
+
+    Attributes:
+        first_event: Number of the first event of each stream.
+    """
 
     def __init__(self, seed=0):
         handlers = {}
@@ -63,8 +67,21 @@
         self._peer_handlers = handlers
         self.cut_peers = set()  # Indexes of routers that are cut off from the others.
         self.lost_datagrams = ()  # Types of the messages that are lost between routers.
+        self.first_event = 1
         self._requests = 0
 
+    async def add_upstream(self, *args, **options):
+        """See `ForwardingDeployment.add_upstream`."""
+        upstream = await super().add_upstream(*args, **options)
+        upstream.first_event = self.first_event
+        return upstream
+
+    def number_from(self, first_event):
+        """Makes all streams that begin from now on number their events from some number."""
+        self.first_event = first_event
+        for upstream in self.upstreams.values():
+            upstream.first_event = first_event
+
     async def send(
         self,
         method,
--- a/tests/stream_callers.py
+++ b/tests/stream_callers.py
@@ -36,12 +36,6 @@
         upstream.event_interval_s = EVENT_INTERVAL_S
 
 
-def number_from(world, first_event):
-    """Makes all streams that begin from now on number their events from some number."""
-    for upstream in world.upstreams.values():
-        upstream.first_event = first_event
-
-
 def engines(world, software):
     """Returns the names of the engines of a software version that run."""
     return [
@@ -57,14 +51,12 @@
 
     Attributes:
         next_router: Index of the router at which they do; None for the one after the last.
-        first_event: Number of the first event of each stream.
     """
 
     def __init__(self, world, tries=3):
         self.world = world
         self.replies = {}
         self.next_router = None
-        self.first_event = 1
         self._tries = tries
 
     async def ask(self, count, router=0, every_s=0.01, **options):
@@ -113,7 +105,8 @@
 
     def whole(self):
         """Returns the streams that their callers have got whole."""
-        expected = list(range(self.first_event, self.first_event + EVENTS))
+        first = self.world.first_event
+        expected = list(range(first, first + EVENTS))
         return [
             name
             for name, replies in self.replies.items()
--- a/tests/test_forwarding_fuzz.py
+++ b/tests/test_forwarding_fuzz.py
@@ -54,6 +54,10 @@
         super().__init__()
         self.steps = []
 
+    @stateful.initialize(first_event=st.sampled_from([0, 1, 7]))
+    def number_from(self, first_event):
+        self.steps.append(lambda program: program.world.number_from(first_event))
+
     @stateful.rule(
         router=_ROUTER,
         route=st.sampled_from(["look", "order", "ask", "ask", "long", "long"]),
