A part of an answer is not complete after a reset that the send met

Cause: a kernel reports a reset once. The send met it, and the read behind it shows a plain end, which ends an answer without a length. In a tunnel the carrying router met it and half-closed its connection to the router that waited, so that no error was left anywhere.

Mend: the end of a connection ends an answer only if the send did not fail, and a carrier that lost its upstream in either direction resets the router's connection once what was carried has been received.

No message between routers changes.

--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -237,6 +237,10 @@
             return data
         if isinstance(event, h11.EndOfMessage):
             self._body.check_end(self._h11.trailing_data[0], self._peer_closed)
+            if self._peer_closed and self._send_failed:
+                # A reset is reported once. As the send has met it, the end may hide it.
+                message = "connection lost while sending, so that its end does not end the answer"
+                raise exceptions.ConnectionLostError(message)
             return None
         raise exceptions.ConnectionLostError("connection closed before the end of the answer")
 
--- a/src/cicadapier/_internal/protocols/transport.py
+++ b/src/cicadapier/_internal/protocols/transport.py
@@ -120,11 +120,14 @@
         raise exceptions.ConnectionLostError(f"the connection is closed: {exc}") from exc
 
 
-def unreceived_bytes(stream: trio.SocketStream) -> int:
+def unreceived_bytes(stream: trio.abc.Stream) -> int:
     """Returns how many bytes that were sent the peer's kernel has not received yet.
 
-    It receives no more once its buffer is full of what the peer has not read.
+    It receives no more once its buffer is full of what the peer has not read. Streams other than
+    sockets hold none.
     """
+    if not isinstance(stream, trio.SocketStream) or stream.socket.fileno() < 0:
+        return 0
     try:
         raw = fcntl.ioctl(stream.socket.fileno(), termios.TIOCOUTQ, bytes(4))
     except OSError:
--- a/src/cicadapier/_internal/services/tunnels_service.py
+++ b/src/cicadapier/_internal/services/tunnels_service.py
@@ -28,6 +28,7 @@
 LINGER_S = 2.0
 # Time for which a router may leave an answer unread, as a caller of it does that reads slowly.
 UNREAD_TIMEOUT_MS = 30_000
+DELIVERY_POLL_S = 0.005
 CHUNK_BYTES = 16_384
 MAX_DRAIN_S = 5.0
 DRAIN_POLL_S = 0.05
@@ -44,6 +45,9 @@
     up since is not carried on, also if this router stood still meanwhile or the upstream takes no
     bytes.
 
+    A kernel reports a reset once. If it was the send to the upstream that met it, the end of the
+    upstream's bytes does not end an answer, and the router gets a reset behind them.
+
     Attributes:
         bytes_carried: Number of bytes that were carried.
         is_broken: Whether an end reset the connection.
@@ -54,6 +58,7 @@
         self.is_broken = False
         self._router = router
         self._upstream = upstream
+        self._is_upstream_lost = False
         self._last_progress_at = trio.current_time()
 
     async def run(self) -> None:
@@ -65,36 +70,58 @@
             nursery.start_soon(self._end_if_unused, scope)
 
     async def _carry_requests(self, scope: trio.CancelScope) -> None:
-        is_read = True
         try:
             while data := await self._router.receive_some(CHUNK_BYTES):
                 if self._is_given_up():
                     break
                 # An upstream that reads no more may have sent an answer, which is carried still.
-                is_read = is_read and await self._send_request(data)
+                if not self._is_upstream_lost:
+                    await self._send_request(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self.is_broken = True
         scope.cancel()
 
-    async def _send_request(self, data: bytes | bytearray) -> bool:
-        """Returns whether the upstream still accepts data."""
+    async def _send_request(self, data: bytes | bytearray) -> None:
+        """Sends a part of a request to the upstream, if that still accepts data."""
         try:
             await self._upstream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return False
+            self._is_upstream_lost = True
+            return
         self._count(data)
-        return True
 
     async def _carry_answers(self, scope: trio.CancelScope) -> None:
         try:
-            while data := await self._upstream.receive_some(CHUNK_BYTES):
+            while data := await self._receive_answer():
                 await self._router.send_all(data)
                 self._count(data)
-            await self._end_answers(scope)
+            if self._is_upstream_lost:
+                await self._break_off(scope)
+            else:
+                await self._end_answers(scope)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self.is_broken = True
             scope.cancel()
 
+    async def _receive_answer(self) -> bytes | bytearray:
+        """Returns the next bytes of the upstream, or none at their end."""
+        try:
+            return await self._upstream.receive_some(CHUNK_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self._is_upstream_lost = True
+            return b""
+
+    async def _break_off(self, scope: trio.CancelScope) -> None:
+        """Resets the connection to the router once that has received what was carried.
+
+        The answer may be whole before the reset. A reset that came first would discard its end.
+        """
+        with trio.move_on_after(LINGER_S):
+            while transport.unreceived_bytes(self._router):
+                await trio.sleep(DELIVERY_POLL_S)
+        self.is_broken = True
+        scope.cancel()
+
     async def _end_answers(self, scope: trio.CancelScope) -> None:
         """Tells the router that the upstream has ended, and gives it time to close."""
         if not isinstance(self._router, trio.abc.HalfCloseableStream):
