An answer with a status over 599 is no answer

What callers saw: an upstream in trouble answered 600 or 999 with its proof, and the caller got it as an answer. RFC 9110 (section 15) knows 100 to 599 and calls others invalid, so a caller can't know what it means; 000, 099 and 1000 were refused already by h11.

Mend: `receive_head` takes such a head for one that can't be read. Calls that may be repeated are tried elsewhere, others get 502 (outcome unknown). The status that the caller gets never bears the proof.

Test: StatusTest failed for 600 and 999 before.

--- a/src/cicadapier/_internal/protocols/http_client.py
+++ b/src/cicadapier/_internal/protocols/http_client.py
@@ -17,6 +17,7 @@
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 MAX_INTERIM_RESPONSES = 32
+MAX_STATUS = 599  # RFC 9110, section 15: larger ones are invalid.
 MAX_LENGTH_DIGITS = 18
 MAX_REFUSALS = 256  # A connection with more refusals is not used again.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}( |$)")
@@ -215,6 +216,8 @@
                 raise exceptions.MalformedMessageError("a head begins within another one")
             if not _has_one_kind_of_line_ends(self._take_raw_head()):
                 raise exceptions.MalformedMessageError("a head has line ends of two kinds")
+            if event.status_code > MAX_STATUS:
+                raise exceptions.MalformedMessageError(f"{event.status_code} is no status")
             if isinstance(event, h11.Response):
                 head = ResponseHead(event.status_code, list(event.headers))
                 self._body = _ReceivedBody(head)
--- a/tests/_internal/protocols/test_http_client.py
+++ b/tests/_internal/protocols/test_http_client.py
@@ -49,6 +49,21 @@
         self.assertEqual(_receive_head(answer).status, 500)
 
 
+class StatusTest(unittest.TestCase):
+    """Guards against statuses that no caller can understand (MIXED)."""
+
+    def test_answer_with_a_status_that_http_does_not_know_is_none(self):
+        for status in (b"000", b"099", b"600", b"999", b"1000", b"20", b"-20", b"2x0"):
+            answer = FAILURE.replace(b"500", status)
+            with self.subTest(status), self.assertRaises(exceptions.MalformedMessageError):
+                _receive_head(answer)
+
+    def test_known_and_unknown_statuses_of_each_class_are_answers(self):
+        for status in (200, 299, 399, 499, 599):
+            answer = FAILURE.replace(b"500", b"%d" % status)
+            self.assertEqual(_receive_head(answer).status, status)
+
+
 class UnsendableRequestTest(unittest.TestCase):
     def test_header_that_cannot_be_sent_is_an_error_of_the_protocol(self):
         async def main(head):
