While the store is down, streams go on only at a process that says so itself

Cause: without an answer of the directory, `may_go_on` asked other routers, which know no more, and went on unless one contradicted. The upstream, the only one that knows, was not asked.

Mend: the upstream is asked for its status report meanwhile; `born` tells its process. Another process or no answer: the stream goes on elsewhere at its version, or is refused as not run. A report without `born` leaves it as it was. While the store answers, nothing is asked.

Left, said in the postmortem: streams that begin at such an upstream during the outage, and upstreams that answer before their new entry while the store is up. No message between routers changes.

--- a/src/cicadapier/_internal/assembly/forwarding.py
+++ b/src/cicadapier/_internal/assembly/forwarding.py
@@ -99,7 +99,7 @@
         tunnels_service.TunnelsService(cfg, dependencies.connect_network),
         cluster_service.ClusterService(cfg, dependencies.generation, clock, rng),
         quotas_service.QuotasService(cfg.vm, clock),
-        origins_service.OriginsService(cfg.vm, rng),
+        origins_service.OriginsService(cfg.vm, engine_calls.EngineCallFormat(), rng),
         _make_account_quotas(cfg, forwarding_settings, dependencies),
         weights,
         probes_service.MetricsService(cfg, dependencies.listen_network, token_source),
--- a/src/cicadapier/_internal/platform/documents.py
+++ b/src/cicadapier/_internal/platform/documents.py
@@ -16,6 +16,7 @@
 from cicadapier._internal.models import exceptions
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import settings
+from cicadapier._internal.platform import wire_headers
 from cicadapier._internal.protocols import declarations
 from cicadapier._internal.protocols import partial_json
 from cicadapier._internal.protocols import store_format
@@ -210,7 +211,7 @@
             ids.PoolId(registration.service),
             ids.Address(registration.address),
             ids.FailureDomainId(registration.zone),
-            ids.Incarnation(f"{item.name}@{registration.born}"),
+            wire_headers.make_incarnation(ids.UpstreamId(item.name), registration.born),
             max(1, registration.slots),
             registration.state == _STATE_DRAINING,
             {ids.ModelId(model.name): str(model.version) for model in registration.models},
--- a/src/cicadapier/_internal/platform/engine_calls.py
+++ b/src/cicadapier/_internal/platform/engine_calls.py
@@ -44,6 +44,10 @@
     queued: _Count = 0
 
 
+class _Origin(msgspec.Struct):
+    born: _Count  # Start time of the engine, in milliseconds since 1970.
+
+
 class EngineCallFormat(engines.EngineFormat):
     """Writes requests to engines of the users' platform and reads their responses."""
 
@@ -64,6 +68,14 @@
                 )
         return None
 
+    def read_incarnation(self, body: bytes, upstream: ids.UpstreamId) -> ids.Incarnation | None:
+        """See `EngineFormat.read_incarnation`."""
+        try:
+            origin = msgspec.json.decode(body, type=_Origin)
+        except partial_json.DECODING_ERRORS:
+            return None
+        return wire_headers.make_incarnation(upstream, origin.born)
+
     def make_order_head(self, upstream: ids.UpstreamId) -> http_client.RequestHead:
         """See `EngineFormat.make_order_head`."""
         order_headers = [
--- a/src/cicadapier/_internal/platform/server_formats.py
+++ b/src/cicadapier/_internal/platform/server_formats.py
@@ -136,7 +136,7 @@
         "phase": "both",
         "models": models,
         "seq": 1,
-        "born": int(entry.incarnation.rpartition("@")[2] or "0"),
+        "born": _born_at(entry.incarnation),
     }
 
 
@@ -273,9 +273,17 @@
     return headers
 
 
-def encode_report(report: rollout.EngineReport, model: str) -> dict[str, Any]:
+def _born_at(incarnation: ids.Incarnation) -> int:
+    """Returns the start time of an upstream's process, in milliseconds since 1970."""
+    return int(incarnation.rpartition("@")[2] or "0")
+
+
+def encode_report(
+    report: rollout.EngineReport, model: str, incarnation: ids.Incarnation
+) -> dict[str, Any]:
     """Returns a status report in the format in which engines send it."""
     return {
+        "born": _born_at(incarnation),
         "phase": "both",
         "models": [{"name": model, "version": report.version, "adapters": []}],
         "busy": report.busy,
--- a/src/cicadapier/_internal/platform/wire_headers.py
+++ b/src/cicadapier/_internal/platform/wire_headers.py
@@ -118,3 +118,8 @@
     """Returns whether an upstream announces in an answer that it is leaving."""
     value = head.header(LEAVING)
     return value is not None and value.strip() not in (b"", b"0")
+
+
+def make_incarnation(upstream: ids.UpstreamId, born: int) -> ids.Incarnation:
+    """Returns the incarnation of an upstream that started at a time in milliseconds since 1970."""
+    return ids.Incarnation(f"{upstream}@{born}")
--- a/src/cicadapier/_internal/protocols/engines.py
+++ b/src/cicadapier/_internal/protocols/engines.py
@@ -19,6 +19,10 @@
     def read_report(self, body: bytes, model: ids.ModelId) -> rollout.EngineReport | None:
         """Returns the status report in a body; None if it is invalid or lacks the model."""
 
+    @abc.abstractmethod
+    def read_incarnation(self, body: bytes, upstream: ids.UpstreamId) -> ids.Incarnation | None:
+        """Returns the incarnation that sent a status report; None if the report does not say."""
+
     @abc.abstractmethod
     def make_order_head(self, upstream: ids.UpstreamId) -> http_client.RequestHead:
         """Returns the head of a load order to an engine."""
--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -13,6 +13,7 @@
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import directory_entries
 from cicadapier._internal.models import ids
+from cicadapier._internal.protocols import engines
 from cicadapier._internal.protocols import origin_codec
 from cicadapier._internal.services import cluster_service
 from cicadapier._internal.services import directory_service
@@ -20,6 +21,7 @@
 from cicadapier._internal.services import origin_questions
 from cicadapier._internal.services import peers_service
 from cicadapier._internal.services import platform_service
+from cicadapier._internal.services import process_checks
 from cicadapier._internal.services import version_recorder
 from cicadapier._internal.services import watched_configuration
 
@@ -43,6 +45,9 @@
 # Names no stream either; the question is for what the routers have seen before the asker started.
 _ANY_STREAM = stream_origins.StreamId("", ids.RequestId("*"))
 
+# An upstream that reports no start time is taken for the process that is known.
+_MAY_GO_ON = frozenset((process_checks.Finding.SAME, process_checks.Finding.UNDATED))
+
 _log = structlog.get_logger()
 
 
@@ -73,16 +78,20 @@
 
     name = names.ORIGINS
 
-    def __init__(self, vm: ids.VmId, rng: random.Random) -> None:
+    def __init__(
+        self, vm: ids.VmId, engine_format: engines.EngineFormat, rng: random.Random
+    ) -> None:
         """Creates the service.
 
         Args:
             vm: VM of this router.
+            engine_format: Format of the calls to upstreams.
             rng: Source of the first question's number, so that a router that restarts does not take
                 answers to its former self for its own, and of the routers that it learns from.
         """
         self.mailbox: mailbox.Mailbox[Message] = mailbox.Mailbox()
         self._vm = vm
+        self._engine_format = engine_format
         self._rng = rng
         self._origins = stream_origins.Origins()
         self._history = stream_origins.VersionHistory()
@@ -105,6 +114,9 @@
         self._configuration: watched_configuration.WatchedConfiguration = kernel.find(
             names.CONFIGURATION
         )
+        self._process_checks = process_checks.ProcessChecks(
+            kernel.find(names.CONNECTIONS), self._engine_format, self._directory.limits
+        )
         self._peers.set_origin_sink(self)
         platform: platform_service.PlatformService = kernel.find(names.PLATFORM)
         async with trio.open_nursery() as nursery:
@@ -205,7 +217,8 @@
     async def may_go_on(self, upstream: ids.UpstreamId) -> bool:
         """Returns whether a stream may go on at an upstream as far as anybody knows its process.
 
-        If the store does not answer this router, others are asked, as it may answer them.
+        If the store does not answer this router, others are asked, as it may answer them, and so
+        is the upstream, which alone knows while the store answers nobody.
         """
         if await self._directory.confirm(SEND_CONFIRM_TIMEOUT_S):
             return True
@@ -213,10 +226,24 @@
         if registration is None:
             return False
         process = stream_origins.Process(upstream, registration.incarnation)
-        question = await self._ask(_UNNAMED_STREAM, self._choose_any(), False, process)
-        if question.is_replaced:
-            _log.info("upstream_replaced_unseen", upstream=upstream)
-        return not question.is_replaced
+        finding = process_checks.Finding.NO_ANSWER
+
+        async def check_process() -> None:
+            nonlocal finding
+            finding = await self._process_checks.check(process, registration.address)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(check_process)
+            question = await self._ask(_UNNAMED_STREAM, self._choose_any(), False, process)
+        may_go_on = not question.is_replaced and finding in _MAY_GO_ON
+        _log.info(
+            "process_checked",
+            upstream=upstream,
+            finding=finding.value,
+            replaced=question.is_replaced,
+            goes_on=may_go_on,
+        )
+        return may_go_on
 
     def is_doubted(self, stream: stream_origins.StreamId) -> bool:
         """Returns whether a stream may have begun at another version than was believed."""
--- a/src/cicadapier/_internal/standins/forwarding_upstream.py
+++ b/src/cicadapier/_internal/standins/forwarding_upstream.py
@@ -225,7 +225,9 @@
         """See `http_server.Handler.handle`."""
         self.call_times.append(trio.current_time())
         if req.path == server_formats.REPORT_PATH:
-            report = server_formats.encode_report(self._make_report(), self._model or "")
+            report = server_formats.encode_report(
+                self._make_report(), self._model or "", self.entry.incarnation
+            )
             await responder.send_json(report, headers=self._status_headers())
         elif req.path == server_formats.ORDER_PATH:
             await self._handle_order(req, responder)
--- a/tests/_internal/services/test_routers_out_of_step.py
+++ b/tests/_internal/services/test_routers_out_of_step.py
@@ -13,6 +13,7 @@
 from cicadapier._internal.standins import forwarding_deployment
 from cicadapier._internal.standins import forwarding_store
 from tests import forwarding_world
+from tests import replacing_network
 from tests import stream_callers
 
 STREAMS = 16
@@ -22,6 +23,8 @@
 AWAY_S = (2.0, 4.0, 8.0)
 TOO_SHORT_TO_NOTICE_S = (2.0, 4.0)  # The directory counts as current for 5 s after an answer.
 LATE = 1  # Index of the router that is out of step.
+# A report without a start time, as by upstreams that know none.
+UNDATED = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}"
 DIRECTORY = documents.DocumentFormat.directory_kind
 
 StoreFault = forwarding_store.StoreFault
@@ -326,6 +329,76 @@
         await trio.sleep(BEGIN_S)
 
 
+class SilentStoreTest(unittest.TestCase):
+    """An upstream starts again with other software while the store answers nobody (ORDER)."""
+
+    def _check(self, change, whole, fault=StoreFault.REFUSES, software="v1", taken_up=0.8):
+        """Lets streams break as the store is away, and be taken up at another router.
+
+        Args:
+            change: Async function that changes the engine at which streams begin.
+            whole: Least share of the streams that callers get whole.
+            fault: Fault of the store.
+            software: Version of the engines beside it.
+            taken_up: Least share that callers take up; others go on within their answers.
+        """
+
+        async def check(world):
+            await age(world)
+            for name in ("engine-1", "engine-2"):
+                world.stop(name)
+                world.unregister(name)
+            await stream_callers.add_engines(world, software, 2)
+            names = stream_callers.engines(world, software)
+            others = [name for name in names if name != "engine-0"]
+            for name in others:
+                world.mark_leaving(name)  # So that all streams begin at the other one.
+            await trio.sleep(stream_callers.REGISTRATION_S)
+            callers = stream_callers.StreamCallers(world, tries=3)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(callers.ask, forwarding_deployment.SLOTS)
+                await trio.sleep(BEGIN_S)
+                for name in others:
+                    world.register(world.upstreams[name].entry)
+                await trio.sleep(stream_callers.REGISTRATION_S)
+                world.store.faults.add(fault)
+                await change(world)
+                await trio.sleep(4.0)
+                world.store.faults.clear()
+            self.assertEqual(callers.mixed(), [])
+            self.assertGreaterEqual(len(callers.taken_up()), taken_up * forwarding_deployment.SLOTS)
+            self.assertGreaterEqual(len(callers.whole()), whole * forwarding_deployment.SLOTS)
+
+        forwarding_world.run_in_world(check, routers=4)
+
+    async def _upgrade(self, world):
+        await restart_with_other_software(world, "engine-0")
+
+    async def _stop_router(self, world):
+        world.stop("vm-0")
+
+    def test_streams_do_not_go_on_at_other_software_under_the_same_id(self):
+        for fault in (StoreFault.REFUSES, StoreFault.SILENT, StoreFault.BUSY):
+            with self.subTest(fault):
+                self._check(self._upgrade, 0.0, fault, "v2")
+
+    def test_streams_go_on_at_the_process_that_is_still_there(self):
+        self._check(self._stop_router, 0.9, software="v2")
+
+    def test_streams_go_on_at_other_processes_of_the_same_version(self):
+        self._check(self._upgrade, 0.9, taken_up=0.0)
+
+    def test_streams_go_on_where_an_upstream_does_not_say_when_it_started(self):
+        def omit(raw):
+            return UNDATED if raw.startswith(b"GET /api/report") else None
+
+        async def stop(world):
+            replacing_network.install(world, omit)
+            world.stop("vm-0")
+
+        self._check(stop, 0.9, software="v2")
+
+
 class MovedRouteTest(unittest.TestCase):
     """A route moves to another pool while a router is out of step."""
 
--- a/tests/planted_in_beliefs.py
+++ b/tests/planted_in_beliefs.py
@@ -3,6 +3,13 @@
 from tests import planted_bug
 
 MUTANTS = [
+    planted_bug.Mutant(
+        "go on with a stream at a process that nobody has confirmed",
+        "services/origins_service.py",
+        "may_go_on = not question.is_replaced and finding in _MAY_GO_ON",
+        "may_go_on = not question.is_replaced",
+        f"{planted_bug.SERVICES}.test_routers_out_of_step.SilentStoreTest",
+    ),
     planted_bug.Mutant(
         "do not read the record of versions",
         "services/origins_service.py",
