A successor leaves engines alone that may read the last holder's order late

Cause: a take-over after an expiry counted the validity and the quiet time from the last renewal, not that an order may be read up to MAX_ENGINE_SILENCE_S after it was sent; only releases counted that.

The lease object has no new field: a router of the build before reads and writes it as before.

--- a/src/cicadapier/_internal/decisions/leases.py
+++ b/src/cicadapier/_internal/decisions/leases.py
@@ -429,6 +429,27 @@
         """Time of the last change that this router has seen; minus infinity without one."""
         return self._observed.changed_at if self._observed else -math.inf
 
+    @property
+    def unread_until(self) -> float:
+        """Time until which an order of the holder may be too recent, if it is read late.
+
+        A holder that is gone may have left its last order unread in an engine that is silent. That
+        concerns the engines that it was updating, so others need not wait for so long. Minus
+        infinity if the last lease was released, is this VM's own or was not in use.
+        """
+        if self._observed is None:
+            return -math.inf
+        lease = self._observed.lease
+        if lease.released or not lease.active or self._is_of_this_vm(lease):
+            return -math.inf
+        last_order_at = self._observed.changed_at + self._timing.valid_s - self._timing.delivery_s
+        return last_order_at + MAX_ENGINE_SILENCE_S + self._timing.quiet_s
+
+    @property
+    def is_released(self) -> bool:
+        """Whether its last holder has released it, and has said how recent its orders are."""
+        return self._observed is not None and self._observed.lease.released
+
     @property
     def last_holder(self) -> ids.VmId | None:
         """VM that holds or last held the lease, or None if there is no lease yet."""
--- a/src/cicadapier/_internal/services/order_lease.py
+++ b/src/cicadapier/_internal/services/order_lease.py
@@ -77,6 +77,21 @@
         """Whether this router holds the lease, by its latest information."""
         return self._lease.is_holder
 
+    @property
+    def unread_until(self) -> float:
+        """See `leases.Lease.unread_until`."""
+        return self._lease.unread_until
+
+    @property
+    def last_holder(self) -> ids.VmId | None:
+        """See `leases.Lease.last_holder`."""
+        return self._lease.last_holder
+
+    @property
+    def is_released(self) -> bool:
+        """See `leases.Lease.is_released`."""
+        return self._lease.is_released
+
     def vacancy(self, outdated_since: float) -> lease_candidacy.Vacancy:
         """Returns what this router knows of the lease, which it does not hold.
 
--- a/src/cicadapier/_internal/services/weights_service.py
+++ b/src/cicadapier/_internal/services/weights_service.py
@@ -74,6 +74,19 @@
     loaded: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _UnreadOrder:
+    """An order of another router that an engine may read late.
+
+    Attributes:
+        holder: The router.
+        until: Time until which the engine must get no order of this router.
+    """
+
+    holder: ids.VmId | None
+    until: float
+
+
 @dataclasses.dataclass(slots=True)
 class _PoolState:
     """State of the updates of one pool.
@@ -83,12 +96,29 @@
         models: State of each model.
         links: Links of this router to the engines, judged by its orders.
         handed_over_at: Time at which this router last handed the lease over.
+        unread: Engines that may read an order of another router late.
     """
 
     lease: order_lease.OrderLease
     models: dict[ids.ModelId, _ModelState] = dataclasses.field(default_factory=dict)
     links: order_links.OrderLinks = dataclasses.field(default_factory=order_links.OrderLinks)
     handed_over_at: float = -math.inf
+    unread: dict[ids.UpstreamId, _UnreadOrder] = dataclasses.field(default_factory=dict)
+
+    def note_unread_orders(self, now: float) -> None:
+        """Remembers the engines that another holder is updating, in case it leaves no release."""
+        holder = self.lease.last_holder
+        self.unread = {
+            upstream: order
+            for upstream, order in self.unread.items()
+            if order.until > now and not (self.lease.is_released and order.holder == holder)
+        }
+        until = self.lease.unread_until
+        if until > now:
+            self.unread.update(
+                (ids.UpstreamId(name), _UnreadOrder(holder, until))
+                for name in self.lease.note.loading
+            )
 
     @property
     def updating(self) -> dict[ids.UpstreamId, trio.CancelScope]:
@@ -256,6 +286,7 @@
         note = state.lease.observe()
         if note is not None:
             self._apply_note(target.pool, note)
+        state.note_unread_orders(self._clock())
         pool_engines = await self._get_engines(target)
         outdated = rollout.outdated_engines(pool_engines, target.version)
         must_update_note = state.lease.is_holder and bool(state.lease.note.loading)
@@ -293,10 +324,15 @@
         assert self._engine_orders
         limited = filter(self._engine_orders.limits_requests, pool_engines)
         held_back = state.links.held_back(now) | {engine.upstream for engine in limited}
+        held_back |= state.unread.keys()
         chosen = rollout.choose_engines(
             pool_engines, target.version, state.updating, state.links.unreached(now), held_back
         )
-        return [upstream for upstream in chosen if state.links.may_try(upstream, now)]
+        return [
+            upstream
+            for upstream in chosen
+            if upstream not in state.unread and state.links.may_try(upstream, now)
+        ]
 
     def _pool_state(self, target: engine_orders.Target) -> _PoolState:
         state = self._pools.get(target.pool)
--- a/tests/_internal/decisions/test_leases.py
+++ b/tests/_internal/decisions/test_leases.py
@@ -144,6 +144,39 @@
                 self.orders.append((self.now, index, token))
 
 
+class UnreadOrdersTest(unittest.TestCase):
+    """Guards against orders of two holders that come too close, as one is read late (ONE)."""
+
+    TIMING = dataclasses.replace(TIMING, delivery_s=0.3)
+
+    def _take(self, vm, now, previous=None):
+        """Returns a router's lease, and what it writes as it takes it."""
+        lease = leases.Lease(vm, f"{vm}-nonce", self.TIMING)
+        lease.observe(previous, now)
+        proposal = lease.propose(now)
+        if proposal is not None:
+            lease.begin_write(proposal, now)
+        return lease, proposal
+
+    def test_last_order_of_a_holder_that_is_gone_is_counted_as_read_late(self):
+        first, held = self._take(ids.VmId("a"), 0.0)
+        first.observe(held, 0.0)
+        last_order_at = max(at / 100 for at in range(200) if first.fencing_token(at / 100))
+        second = leases.Lease(ids.VmId("b"), "b-nonce", self.TIMING)
+        second.observe(held, 0.0)
+        read_at = last_order_at + leases.MAX_ENGINE_SILENCE_S
+        self.assertGreaterEqual(second.unread_until, read_at + MIN_ORDER_GAP_S)
+
+    def test_orders_are_not_unread_after_a_release_or_of_an_own_process(self):
+        first, held = self._take(ids.VmId("a"), 0.0)
+        first.observe(held, 0.0)
+        released = first.propose_release(0.5)
+        for vm, stored in (("b", released), ("a", held), ("b", None)):
+            other = leases.Lease(ids.VmId(vm), "other-nonce", self.TIMING)
+            other.observe(stored, 1.0)
+            self.assertLess(other.unread_until, 0.0)
+
+
 class LateWritesTest(unittest.TestCase):
     def _run_random_events(self, seed, weights=WEIGHTS, order_share=1.0):
         rng = random.Random(seed)
--- a/tests/_internal/services/test_cut_order_holder.py
+++ b/tests/_internal/services/test_cut_order_holder.py
@@ -15,6 +15,9 @@
 MAX_AGE_S = 8.0  # Default of `forwarding.weights_ms`.
 MIN_ORDER_GAP_S = 3.0
 ASK_INTERVAL_S = 0.2
+# From the last renewal: the latest order (1.3 s), its late reading (1.5 s) and the gap behind it,
+# less the time between that renewal and the first order.
+UNREAD_ORDER_GAP_S = 5.4
 
 
 def _engines(world):
@@ -185,5 +188,43 @@
         forwarding_world.run_in_world(check, routers=ROUTERS, engines=6)
 
 
+class KilledOrderHolderTest(unittest.TestCase):
+    """The holder is killed as an engine has not read its order; the engine reads it late (ONE)."""
+
+    async def _kill_holder_amid_order(self, world):
+        """Kills the holder as it has ordered the first engine.
+
+        Returns:
+            The engine, the time of its order, and the orders of other holders that follow.
+        """
+        world.set_target_weights(2)
+        engine = None
+        while engine is None:
+            await trio.sleep(0.005)
+            engine = next((upstream for upstream in _engines(world) if upstream.orders), None)
+        ordered_at, order = engine.orders[0]
+        world.stop(order.holder)
+        engine.weights = 1  # As if it had not read the order yet.
+        await trio.sleep(10.0)
+        later = [item for item in _orders(world) if item[2] != order.holder]
+        return engine.entry.upstream, ordered_at, later
+
+    def test_next_holder_orders_the_engine_once_an_order_has_long_been_read(self):
+        async def check(world):
+            _, ordered_at, later = await self._kill_holder_amid_order(world)
+            self.assertGreaterEqual(later[0][0], ordered_at + UNREAD_ORDER_GAP_S)
+
+        forwarding_world.run_in_world(check, routers=ROUTERS, engines=1)
+
+    def test_next_holder_orders_other_engines_earlier(self):
+        async def check(world):
+            engine, ordered_at, later = await self._kill_holder_amid_order(world)
+            own = [at for at, name, _, _ in later if name == engine]
+            self.assertGreaterEqual(min(own), ordered_at + UNREAD_ORDER_GAP_S)
+            self.assertLess(later[0][0], ordered_at + UNREAD_ORDER_GAP_S)
+
+        forwarding_world.run_in_world(check, routers=ROUTERS)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/planted_in_beliefs.py
+++ b/tests/planted_in_beliefs.py
@@ -3,6 +3,13 @@
 from tests import planted_bug
 
 MUTANTS = [
+    planted_bug.Mutant(
+        "order an engine that may read an order of the last holder late",
+        "services/weights_service.py",
+        "if upstream not in state.unread and state.links.may_try(upstream, now)",
+        "if state.links.may_try(upstream, now)",
+        f"{planted_bug.SERVICES}.test_cut_order_holder.KilledOrderHolderTest",
+    ),
     planted_bug.Mutant(
         "go on with a stream at a process that nobody has confirmed",
         "services/origins_service.py",
