A tunnel looks at its own send before it takes an end for the end of an answer

Not load alone, but a race that load shows: a send that has met a reset raises one turn of trio's loop after its system call, and the other direction may read the plain end in that turn. Then neither knew that the upstream was lost.

Mend: at the end of the upstream's bytes the carrier lets two turns pass before it judges, so that each send that has met the error has said so.

--- a/src/cicadapier/_internal/services/tunnels_service.py
+++ b/src/cicadapier/_internal/services/tunnels_service.py
@@ -95,6 +95,9 @@
             while data := await self._receive_answer():
                 await self._router.send_all(data)
                 self._count(data)
+            # A send that has met a reset raises in this turn of trio's loop, or in the next one.
+            await trio.lowlevel.checkpoint()
+            await trio.lowlevel.checkpoint()
             if self._is_upstream_lost:
                 await self._break_off(scope)
             else:
