--- a/tests/forwarding_world.py
+++ b/tests/forwarding_world.py
@@ -60,6 +60,8 @@
         first_event: Number of the first event of each stream.
     """
 
+    first_event = 1
+
     def __init__(self, seed=0):
         handlers = {}
         network = faulty_network.MemoryNetwork(seed)
@@ -67,7 +69,6 @@
         self._peer_handlers = handlers
         self.cut_peers = set()  # Indexes of routers that are cut off from the others.
         self.lost_datagrams = ()  # Types of the messages that are lost between routers.
-        self.first_event = 1
         self._requests = 0
 
     async def add_upstream(self, *args, **options):
