A report that names no limit ends one that a report has named

Cause: only the answer of a run ended a limit. An engine that is limited and on old weights gets no runs; the reports that a grant let through each 10 s said that the limit was over and were not believed. Evidence, by the times of grants and reports: reports without a limit at 10.92 and 11.12 s, no `rate_limit_lifted`.

Mend: an engine that has named a limit in a report, or in the answer to an order, ends it by one that names none. Engines that never name limits there are as before.

Test: LimitedEngineTest failed before in both orders ("engine-0 serves weights 1, target version is 2"). The planted bug is caught.

--- a/src/cicadapier/_internal/services/engine_orders.py
+++ b/src/cicadapier/_internal/services/engine_orders.py
@@ -163,10 +163,7 @@
             withdrawal = withdrawals.Withdrawal(engine.upstream, engine.incarnation)
             self._directory.record_withdrawal(withdrawal, "report")
         limit = self._engine_format.read_rate_limit(head)
-        if limit is not None:
-            self._directory.limits.record_announcement(
-                engine.upstream, engine.incarnation, limit, "report"
-            )
+        self._directory.limits.record_report(engine.upstream, engine.incarnation, limit)
 
     async def _fetch_report(
         self, target: Target, engine: rollout.Engine, address: ids.Address
--- a/src/cicadapier/_internal/services/known_limits.py
+++ b/src/cicadapier/_internal/services/known_limits.py
@@ -44,6 +44,7 @@
         self._rng = rng
         self._limits = rate_limits.AnnouncedLimits()
         self._unreadable_logged: set[ids.UpstreamId] = set()
+        self._named_in_reports: dict[ids.UpstreamId, ids.Incarnation] = {}
         self._traffic: traffic_service.TrafficService | None = None
         self._telemetry: telemetry_service.TelemetryService | None = None
         self._quotas: LimitListener | None = None
@@ -115,6 +116,30 @@
             rate_limits.AnnouncedLimit(upstream, incarnation, per_s, self._clock()), source
         )
 
+    def record_report(
+        self,
+        upstream: ids.UpstreamId,
+        incarnation: ids.Incarnation,
+        limit: answers.RateLimit | None,
+    ) -> None:
+        """Records what the answer to a report or an order says of a rate limit.
+
+        Not all upstreams name their limits in these answers. One that has done so lifts its limit
+        by an answer that names none; no other answer may come while it lets nothing through.
+
+        Args:
+            upstream: The upstream.
+            incarnation: Its incarnation.
+            limit: The limit; None if the answer names none.
+        """
+        if limit is not None:
+            self._named_in_reports[upstream] = incarnation
+        elif self._named_in_reports.get(upstream) != incarnation:
+            return
+        else:
+            del self._named_in_reports[upstream]
+        self.record_announcement(upstream, incarnation, limit, "report")
+
     def record_notice(self, notice: rate_limits.LimitNotice, source: str) -> None:
         """Records a notice that another router has sent.
 
@@ -132,6 +157,8 @@
         """
         self._limits.retain(upstreams)
         self._unreadable_logged &= upstreams
+        for upstream in self._named_in_reports.keys() - upstreams:
+            del self._named_in_reports[upstream]
         for limit in self._limits.in_force():
             self._notify_traffic(limit)
 
--- a/tests/planted_in_beliefs.py
+++ b/tests/planted_in_beliefs.py
@@ -3,6 +3,13 @@
 from tests import planted_bug
 
 MUTANTS = [
+    planted_bug.Mutant(
+        "keep a limit that an engine's reports no longer name",
+        "services/known_limits.py",
+        "elif self._named_in_reports.get(upstream) != incarnation:",
+        "else:",
+        "tests.test_forwarding_fuzz.LimitedEngineTest",
+    ),
     planted_bug.Mutant(
         "order an engine that may read an order of the last holder late",
         "services/weights_service.py",
--- a/tests/test_forwarding_fuzz.py
+++ b/tests/test_forwarding_fuzz.py
@@ -289,6 +289,21 @@
                 self.assertEqual(run_program(machine.steps), [])
 
 
+class LimitedEngineTest(unittest.TestCase):
+    """Programs of the fuzz in which an engine that gets no requests lets nothing through."""
+
+    def test_engine_loads_new_weights_once_its_limit_of_0_is_over(self):
+        for first in (ChangingMachine.name_weights, None):
+            machine = ChangingMachine()
+            if first:
+                first(machine)
+            machine.limit_upstream("engine-0", 0.0, 2.0)
+            if not first:
+                machine.name_weights()
+            with self.subTest(limit_first=not first):
+                self.assertEqual(run_program(machine.steps), [])
+
+
 class LeavingEngineTest(unittest.TestCase):
     """Programs of the fuzz in which an engine announces its withdrawal and stays registered."""
 
