Telling and choosing routers leave the service of stream origins

OriginTeller tells the holders of streams, OriginRouters chooses the routers that are told or asked, and Confirmation asks the store itself.

--- a/src/cicadapier/_internal/services/origin_questions.py
+++ b/src/cicadapier/_internal/services/origin_questions.py
@@ -1,11 +1,11 @@
 """What a router waits for as it asks others where a stream began."""
 
-import dataclasses
-
 import trio
 
 from cicadapier._internal.decisions import stream_origins
 from cicadapier._internal.models import ids
+from cicadapier._internal.services import directory_service
+from cicadapier._internal.services import watched_configuration
 
 
 class Question:
@@ -51,7 +51,6 @@
         await self._settled.wait()
 
 
-@dataclasses.dataclass(slots=True)
 class Confirmation:
     """Whether the store has answered this router since a stream was taken up.
 
@@ -60,10 +59,29 @@
         has_routes: Whether all routes up to then are known.
     """
 
-    has_directory: bool = False
-    has_routes: bool = False
+    def __init__(
+        self,
+        directory: directory_service.DirectoryService,
+        configuration: watched_configuration.WatchedConfiguration,
+    ) -> None:
+        self._directory = directory
+        self._configuration = configuration
+        self.has_directory = False
+        self.has_routes = False
 
     @property
     def is_complete(self) -> bool:
         """Whether all software versions at which streams can have begun are known."""
         return self.has_directory and self.has_routes
+
+    async def ask(self, timeout_s: float) -> None:
+        """Asks the store for all upstreams, and for the routes that say which serve streams."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._confirm_directory, timeout_s)
+            nursery.start_soon(self._confirm_routes, timeout_s)
+
+    async def _confirm_directory(self, timeout_s: float) -> None:
+        self.has_directory = await self._directory.confirm(timeout_s)
+
+    async def _confirm_routes(self, timeout_s: float) -> None:
+        self.has_routes = await self._configuration.confirm(timeout_s)
--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -14,11 +14,12 @@
 from cicadapier._internal.models import directory_entries
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import engines
-from cicadapier._internal.protocols import origin_codec
 from cicadapier._internal.services import cluster_service
 from cicadapier._internal.services import directory_service
 from cicadapier._internal.services import names
 from cicadapier._internal.services import origin_questions
+from cicadapier._internal.services import origin_routers
+from cicadapier._internal.services import origin_teller
 from cicadapier._internal.services import peers_service
 from cicadapier._internal.services import platform_service
 from cicadapier._internal.services import process_checks
@@ -101,8 +102,9 @@
         self._numbers = itertools.count(rng.getrandbits(_NUMBER_BITS))
         self._pending_answers = 0
         self._is_directory_silent = False
-        # Streams told as unconfirmed, with the times at which they began; oldest first.
-        self._told_unconfirmed: dict[stream_origins.StreamId, float] = {}
+        self._teller = origin_teller.OriginTeller(
+            self._origins, self._beginnings, self._is_directory_current
+        )
         self._recorder = version_recorder.VersionRecorder(vm, self._see, rng)
         self._tells_all = True  # As a router that has just started can vouch for nothing.
 
@@ -117,6 +119,10 @@
         self._process_checks = process_checks.ProcessChecks(
             kernel.find(names.CONNECTIONS), self._engine_format, self._directory.limits
         )
+        self._routers = origin_routers.OriginRouters(
+            self._vm, self._cluster, self._peers, self._rng
+        )
+        self._teller.start(self._directory, self._peers, self._routers)
         self._peers.set_origin_sink(self)
         platform: platform_service.PlatformService = kernel.find(names.PLATFORM)
         async with trio.open_nursery() as nursery:
@@ -142,7 +148,7 @@
                 await trio.sleep(CHECK_INTERVAL_S)
                 continue
             if not await self._learn_from_record():
-                await self._ask(_ANY_STREAM, self._choose_any(), wants_seen=True)
+                await self._ask(_ANY_STREAM, self._routers.choose_any(), wants_seen=True)
             seen = self._history.seen(trio.current_time())
             if seen.covers_all_streams:
                 _log.info("software_versions_learned", versions=sorted(seen.versions))
@@ -163,9 +169,9 @@
             message = await self.mailbox.receive()
             now = trio.current_time()
             if isinstance(message, TellOrigins):
-                await self._tell(message.origins)
+                await self._teller.tell(message.origins)
             elif isinstance(message, DirectoryAnswered):
-                await self._tell_confirmed()
+                await self._teller.tell_confirmed()
             elif isinstance(message, stream_origins.OriginNotice):
                 for origin in message.origins:
                     self._origins.add(origin, now)
@@ -188,7 +194,7 @@
         """Records that the directory has answered."""
         self._history.confirm(trio.current_time())
         self._is_directory_silent = False
-        if self._told_unconfirmed:
+        if self._teller.has_unconfirmed:
             self.mailbox.try_send(DirectoryAnswered())
 
     def record_silence(self) -> None:
@@ -234,7 +240,7 @@
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(check_process)
-            question = await self._ask(_UNNAMED_STREAM, self._choose_any(), False, process)
+            question = await self._ask(_UNNAMED_STREAM, self._routers.choose_any(), False, process)
         may_go_on = not question.is_replaced and finding in _MAY_GO_ON
         _log.info(
             "process_checked",
@@ -376,13 +382,13 @@
             The answers of the routers, and whether the directory has answered this router.
         """
         own = self._history.seen(trio.current_time())
-        addresses = self._choose_asked(stream)
+        addresses = self._routers.choose_asked(stream)
         if len(own.versions) > 1:  # Then it matters only who knows the stream.
             return await self._ask(stream, addresses, wants_seen=False), False
         can_vouch = own.sole_version(life_s) is not None
-        confirmation = origin_questions.Confirmation()
+        confirmation = origin_questions.Confirmation(self._directory, self._configuration)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._confirm, confirmation, CONFIRM_TIMEOUT_S)
+            nursery.start_soon(confirmation.ask, CONFIRM_TIMEOUT_S)
             question = await self._ask(stream, addresses, wants_seen=not can_vouch)
             if question.origin is not None:
                 nursery.cancel_scope.cancel()
@@ -392,19 +398,6 @@
             question.seen = first.seen | question.seen
         return question, confirmation.is_complete
 
-    async def _confirm(self, confirmation: origin_questions.Confirmation, timeout_s: float) -> None:
-        """Asks the store for all upstreams, and for the routes that say which serve streams."""
-
-        async def confirm_directory() -> None:
-            confirmation.has_directory = await self._directory.confirm(timeout_s)
-
-        async def confirm_routes() -> None:
-            confirmation.has_routes = await self._configuration.confirm(timeout_s)
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(confirm_directory)
-            nursery.start_soon(confirm_routes)
-
     async def _ask(
         self,
         stream: stream_origins.StreamId,
@@ -469,8 +462,8 @@
     async def _answer_confirmed(self, query: stream_origins.OriginQuery) -> None:
         """Answers once the directory has confirmed what this router has seen, or has not."""
         try:
-            confirmation = origin_questions.Confirmation()
-            await self._confirm(confirmation, ANSWER_CONFIRM_TIMEOUT_S)
+            confirmation = origin_questions.Confirmation(self._directory, self._configuration)
+            await confirmation.ask(ANSWER_CONFIRM_TIMEOUT_S)
             await self._send_answer(query, confirmation.is_complete)
         finally:
             self._pending_answers -= 1
@@ -487,75 +480,14 @@
         )
         await self._peers.send_datagram([query.reply_to], answer)
 
-    def _mark_unconfirmed(self, origin: stream_origins.Origin) -> stream_origins.Origin:
-        """Returns an origin as it is told, with its process if the directory is silent.
-
-        The upstream may have started again with other software before the stream began there.
-        """
-        begun = self._beginnings.find(origin.stream)
-        if begun is None or begun.at <= self._directory.known_up_to:
-            return origin
-        if not self._is_directory_silent and self._history.is_current(trio.current_time()):
-            return origin
-        self._told_unconfirmed[origin.stream] = begun.at
-        if len(self._told_unconfirmed) > stream_origins.MAX_ORIGINS:
-            del self._told_unconfirmed[next(iter(self._told_unconfirmed))]
-        return dataclasses.replace(origin, unconfirmed=begun.process)
-
-    async def _tell_confirmed(self) -> None:
-        """Tells origins again that were told as unconfirmed and that the directory confirms."""
-        known_up_to = self._directory.known_up_to
-        confirmed = [
-            stream for stream, begun_at in self._told_unconfirmed.items() if begun_at <= known_up_to
-        ]
-        now = trio.current_time()
-        found = []
-        for stream in confirmed:
-            del self._told_unconfirmed[stream]
-            origin = self._origins.find(stream, now)
-            if origin is not None:
-                found.append(origin)
-        await self._tell(found)
-
     def _is_replaced(self, process: stream_origins.Process) -> bool:
         """Returns whether the directory, which answers this router, lists another process."""
-        if self._is_directory_silent or not self._history.is_current(trio.current_time()):
+        if not self._is_directory_current():
             return False
         registration = self._directory.find(process.upstream)
         return registration is None or registration.incarnation != process.incarnation
 
-    async def _tell(self, origins: list[stream_origins.Origin]) -> None:
-        """Tells the holders of each stream its origin."""
-        by_address: dict[ids.Address, list[stream_origins.Origin]] = {}
-        for origin in map(self._mark_unconfirmed, origins):
-            holders = self._choose_routers(
-                origin.stream, stream_origins.HOLDERS, stream_origins.DOMAIN_HOLDERS
-            )
-            for address in holders.values():
-                by_address.setdefault(address, []).append(origin)
-        for address, told in by_address.items():
-            for start in range(0, len(told), origin_codec.MAX_ORIGINS):
-                notice = stream_origins.OriginNotice(
-                    tuple(told[start : start + origin_codec.MAX_ORIGINS])
-                )
-                await self._peers.send_datagram([address], notice)
-
-    def _choose_asked(self, stream: stream_origins.StreamId) -> dict[ids.VmId, ids.Address]:
-        return self._choose_routers(stream, stream_origins.ASKED, stream_origins.DOMAIN_ASKED)
-
-    def _choose_any(self) -> dict[ids.VmId, ids.Address]:
-        """Returns the addresses of some other routers."""
-        others = {vm: at for vm, at in self._cluster.addresses().items() if vm != self._vm}
-        count = min(stream_origins.ASKED, len(others))
-        return dict(self._rng.sample(sorted(others.items()), count))
-
-    def _choose_routers(
-        self, stream: stream_origins.StreamId, count: int, domain_count: int
-    ) -> dict[ids.VmId, ids.Address]:
-        """Returns the addresses of other routers that are told of a stream or asked for it."""
-        addresses = self._cluster.addresses()
-        others = [vm for vm in addresses if vm != self._vm]
-        near = [vm for vm in self._peers.domain_routers() if vm in addresses]
-        chosen = stream_origins.first_by_hash(stream, others, count)
-        chosen += stream_origins.first_by_hash(stream, near, domain_count)
-        return {vm: addresses[vm] for vm in chosen}
+    def _is_directory_current(self) -> bool:
+        """Returns whether the directory has answered this router lately, and still does."""
+        now = trio.current_time()
+        return not self._is_directory_silent and self._history.is_current(now)
