--- a/review/13/case.py
+++ b/review/13/case.py
@@ -12,7 +12,7 @@
 
 DOWN_S = 0.5
 LIFE_S = 0.8  # Of the new process; its first liveness report is due after 1.2 s.
-STREAMS = 18
+STREAMS = 30
 PIECE = re.compile(rb"piece (\d+) of (\w+)")
 
 
@@ -21,7 +21,7 @@
     fleet.configure()
     fleet.name_weights(1)
     engines = []
-    for i in range(3):
+    for i in range(5):
         engine = await fleet.add_runner(f"i-engine{i}", "pool", "m1", slots=64)
         engine.events = 13
         engine.event_s = 0.1
@@ -31,7 +31,7 @@
         return 2
     await asyncio.sleep(2.0)
     warm_up = []
-    await asyncio.gather(*(ask(fleet, router, f"before-{i}", warm_up) for i in range(9)))
+    await asyncio.gather(*(ask(fleet, router, f"before-{i}", warm_up) for i in range(15)))
     await asyncio.sleep(1.0)
     engine = engines[0]
     port = engine.port
@@ -59,7 +59,7 @@
     complete = sum(1 for _, is_complete in results if is_complete)
     mixed = [versions for versions, _ in results if len(versions) > 1]
     fleet.log(f"{complete} streams complete, {len(mixed)} of two versions")
-    if len(warm_up) < 9 or begun < 3:
+    if len(warm_up) < 15 or begun < 3:
         return 2
     return 1 if len(mixed) > 2 else 0
 
