--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,8 +1,7 @@
-"""A runner starts again with other software and crashes before its first liveness report."""
+"""The operator removes the only tenant, and its key goes on working."""
 
 import asyncio
 import os
-import re
 import sys
 import time
 
@@ -10,75 +9,71 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib-3"))
 import fleet as fleets  # noqa: E402
 
-DOWN_S = 0.5
-LIFE_S = 0.8  # Of the new process; its first liveness report is due after 1.2 s.
-STREAMS = 30
-PIECE = re.compile(rb"piece (\d+) of (\w+)")
+REVOKE_S = 5.0  # `revoke_ms`
+TEST_S = 12.0  # From the ack of the configuration that takes the key away.
+NEVER_A_KEY = "no-configuration-ever-held-this"
 
 
 async def case(fleet, trouble):
-    """Returns 1 if more than two streams mix software versions, 0 if not, 2 if it could not run."""
+    """Returns 1 if requests run that must not, 0 if none does, and 2 if it could not run."""
+    tenant = {"name": "t1", "api_keys": ["key-1"], "priority": 1, "isolated": False}
     fleet.configure()
+    fleet.configure(tenants=[tenant])
     fleet.name_weights(1)
-    engines = []
-    for i in range(5):
-        engine = await fleet.add_runner(f"i-engine{i}", "pool", "m1", slots=64)
-        engine.events = 13
-        engine.event_s = 0.1
-        engines.append(engine)
-    router = await fleet.add_router("edge-1")
-    if not await router.wait_ready():
-        return 2
-    await asyncio.sleep(2.0)
-    warm_up = []
-    await asyncio.gather(*(ask(fleet, router, f"before-{i}", warm_up) for i in range(15)))
-    await asyncio.sleep(1.0)
-    engine = engines[0]
-    port = engine.port
-    fleet.log(f"{engine.name} ENDS while it has no work")
-    await engine.stop()
-    await asyncio.sleep(DOWN_S)
-    engine.software = "v2"
-    engine.born = int(time.time() * 1000)
-    if not trouble:
-        # Without the disruption, its entry is there before it takes work.
-        engine.register()
-        await asyncio.sleep(1.2)
-    await engine.start(port)
-    fleet.log(f"{engine.name} STARTS with software v2, born {engine.born}")
-    results = []
-    streams = [
-        asyncio.create_task(ask(fleet, router, f"classify-{i}", results)) for i in range(STREAMS)
+    for i in range(2):
+        await fleet.add_runner(f"i-engine{i}", "pool", "m1")
+        await fleet.add_runner(f"i-desk{i}", "desk")
+    routers = [await fleet.add_router(f"edge-{i}") for i in (1, 2)]
+    for router in routers:
+        if not await router.wait_ready():
+            return 2
+    await asyncio.sleep(3.0)
+    sent = {}
+    clients = [
+        asyncio.create_task(send(fleet, router, kind, key, sent))
+        for router in routers
+        for kind, key in (("transfer", "key-1"), ("lookup", "key-1"), ("transfer", NEVER_A_KEY))
     ]
-    # Its former process wrote its last report 2 s ago at most, so the entry has not lapsed.
-    await asyncio.sleep(LIFE_S)
-    begun = len([run for run in engine.runs if run[1].startswith("classify")])
-    fleet.log(f"{engine.name} CRASHES; it has begun {begun} of the streams")
-    await engine.stop()
-    await asyncio.gather(*streams)
-    complete = sum(1 for _, is_complete in results if is_complete)
-    mixed = [versions for versions, _ in results if len(versions) > 1]
-    fleet.log(f"{complete} streams complete, {len(mixed)} of two versions")
-    if len(warm_up) < 15 or begun < 3:
+    await asyncio.sleep(3.0)
+    # Without the disruption, the tenant stays and loses all its keys.
+    tenants = [] if trouble else [dict(tenant, api_keys=[])]
+    fleet.log(f"operator TAKES the key away: tenants {tenants}")
+    taken_at = fleet.configure(tenants=tenants)
+    await asyncio.sleep(TEST_S)
+    for client in clients:
+        client.cancel()
+    await asyncio.gather(*clients, return_exceptions=True)
+    ran = {request: req for runner in fleet.runners.values() for _, request, req in runner.runs}
+    before = [r for r in ran if sent[r][1] == "key-1" and sent[r][0] < taken_at]
+    late = [r for r in ran if sent[r][1] == "key-1" and sent[r][0] > taken_at + REVOKE_S]
+    never = [r for r in ran if sent[r][1] == NEVER_A_KEY]
+    asked = [r for r, (at, key) in sent.items() if key == "key-1" and at > taken_at + REVOKE_S]
+    fleet.log(f"with the key: {len(before)} ran before it was taken away, {len(late)} of"
+              f" {len(asked)} that were sent later than {REVOKE_S} s after; with a key that no"
+              f" configuration held: {len(never)} ran")
+    if not before or not asked:
         return 2
-    return 1 if len(mixed) > 2 else 0
+    return 1 if late or never else 0
 
 
-async def ask(fleet, router, request, results):
-    """Sends one request and records the software versions of its events."""
-    prefix = f"{request.encode().hex()}:6300,{request[::-1].encode().hex()}:2800"
-    headers = fleets.request_headers("classify", request, 5000, prefix=prefix)
-    answer = await fleets.exchange(router.front, "POST", "/classify/x", headers, b"{}")
-    if answer is None or answer.status != 200:
+async def send(fleet, router, kind, key, sent):
+    """Sends requests on a kept channel until it is cancelled."""
+    number = 0
+    channel = None
+    while True:
+        number += 1
+        request = f"{router.name}-{kind}-{key}-{number}"
+        if channel is None:
+            channel = fleets.Channel(router.front)
+            await channel.open()
+        sent[request] = (time.monotonic(), key)
+        headers = fleets.request_headers(kind, request, 3000, key=key)
+        answer = await channel.exchange("POST", f"/{kind}/x", headers, b"{}")
         fleet.log(f"client GETS {request} {answer.status if answer else 'nothing'}")
-        return
-    pieces = PIECE.findall(answer.body)
-    versions = sorted({version.decode() for _, version in pieces})
-    results.append((versions, answer.complete))
-    end = "complete" if answer.complete else "broken off"
-    text = " ".join(f"{number.decode()}:{version.decode()}" for number, version in pieces)
-    mark = " MIXED" if len(versions) > 1 else ""
-    fleet.log(f"client GETS {request} 200, {end}{mark} {text}")
+        if answer is None or answer.header("connection") == "close":
+            channel.close()
+            channel = None
+        await asyncio.sleep(0.3)
 
 
 fleets.main(case, FOLDER)
