--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -59,8 +59,8 @@
 class Record:
     """What was sent, answered and run, in `record.txt` of the case."""
 
-    def __init__(self, folder):
-        self._file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self._file = open(path, "w", encoding="utf-8")
         self._began = time.monotonic()
         self.lines = []
 
@@ -430,6 +430,7 @@
         self.load_s = 0.3
         self.on_request = None  # A coroutine function of (runner, req, writer); None: not handled.
         self.on_order = None
+        self.tells_load = True
         self.orders = []
         self.runs = []
 
@@ -461,8 +462,9 @@
             ("X-Request-Id", req.header("x-request-id")),
             ("X-Server-Stamp", f"proof.{self.name}.{req.header('x-request-id')}"),
             ("X-Instance-Id", self.name),
-            ("X-Server-Load", f"{self.running},0,{self.slots}"),
         ]
+        if self.tells_load:
+            headers.append(("X-Server-Load", f"{self.running},0,{self.slots}"))
         if self.model:
             headers.append(("X-Weight-Versions", self.weights))
         return headers
@@ -546,7 +548,8 @@
         request = req.header("x-request-id")
         refusal = self.refusal(req)
         if refusal:
-            self.fleet.log(f"{self.name} REFUSES {refusal} {request}")
+            if not request.startswith("other-"):
+                self.fleet.log(f"{self.name} REFUSES {refusal} {request}")
             headers = [
                 ("X-Request-Id", request),
                 ("X-Not-Executed", "1"),
@@ -557,7 +560,8 @@
             self.send(writer, refusal, b"", headers)
             return True
         self.runs.append((time.monotonic(), request, req))
-        self.fleet.log(f"{self.name} RUNS {request} {req.first}")
+        if not request.startswith("other-"):
+            self.fleet.log(f"{self.name} RUNS {request} {req.first}")
         self.running += 1
         try:
             if self.on_request:
@@ -714,8 +718,8 @@
 class Fleet:
     """One small deployment."""
 
-    def __init__(self, case_folder):
-        self.record = Record(case_folder)
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="review-3-")
         self.net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         self.store = Store()
@@ -936,15 +940,14 @@
             abort(self.writer)
 
 
-def main(case, folder):
+def main(case, record_path, trouble):
     """Runs the coroutine function `case(fleet, trouble)` and exits with what it returns."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     del soft
     resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 6150) if hard > 0 else 6150, hard))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
-        fleet = Fleet(folder)
+        fleet = Fleet(record_path)
         fleet.log(f"TROUBLE={int(trouble)}")
         await fleet.store.start()
         try:
