--- a/review/12/case.py
+++ b/review/12/case.py
@@ -10,6 +10,10 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib-3"))
 import fleet as fleets  # noqa: E402
 
+RECORD = os.path.join(FOLDER, "record.txt")
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # TROUBLE=0 runs without the disruption.
+
+MACHINES = 4  # Of which one gets SIGHUP and SIGTERM.
 GRACE_BEFORE_S = 8
 GRACE_S = 12
 LONG_RUN_S = 9.0  # Ends before the last sixth of the grace time (10 s).
@@ -27,8 +31,10 @@
     # Without the disruption, the process has had the longer grace time from its start.
     bounds = {"grace_s": GRACE_BEFORE_S if trouble else GRACE_S}
     router = await fleet.add_router("edge-1", bounds=bounds)
-    if not await router.wait_ready():
-        return 2
+    others = [await fleet.add_router(f"edge-{i}") for i in range(2, MACHINES + 1)]
+    for machine in (router, *others):
+        if not await machine.wait_ready():
+            return 2
     await asyncio.sleep(3.0)
     if trouble:
         router.bounds["grace_s"] = GRACE_S
@@ -69,4 +75,4 @@
     return None
 
 
-fleets.main(case, FOLDER)
+fleets.main(case, RECORD, TROUBLE)
