--- a/review/13/case.py
+++ b/review/13/case.py
@@ -9,6 +9,9 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib-3"))
 import fleet as fleets  # noqa: E402
 
+RECORD = os.path.join(FOLDER, "record.txt")
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # TROUBLE=0 runs without the disruption.
+
 REVOKE_S = 5.0  # `revoke_ms`
 TEST_S = 12.0  # From the ack of the configuration that takes the key away.
 NEVER_A_KEY = "no-configuration-ever-held-this"
@@ -76,4 +79,4 @@
         await asyncio.sleep(0.3)
 
 
-fleets.main(case, FOLDER)
+fleets.main(case, RECORD, TROUBLE)
