A grace time that changes counts for the whole process

Cause: one value with two holders, of which one was told of the change. _serve gave the kernel a limit computed from the settings of the start; the listener planned with the new one. drain_s of the own interface had the same holder, and a change without a signal reached neither.

Change: the kernel holds the settings in force and the times by which the process ends (kernel/stop_times.py); the listener plans by them. The file is read at SIGTERM too and looked at once a second; one that is missing, invalid or half written leaves what was last good. After SIGTERM, what has not begun keeps to the shortest time, what has begun goes on until the longest.

Why it works: there is one value, and whoever ends the process asks for it.

--- a/src/cicadapier/_internal/assembly/forwarding.py
+++ b/src/cicadapier/_internal/assembly/forwarding.py
@@ -56,7 +56,7 @@
     dependencies: router.Dependencies,
 ) -> ForwardingRouter:
     """Returns a router whose services are registered in the order in which they start."""
-    kernel = service.Kernel()
+    kernel = service.Kernel(cfg)
     rng = random.Random(dependencies.seed)
     clock = dependencies.clock
     orders_by_urgency = features.orders_by_urgency(forwarding_settings)
--- a/src/cicadapier/_internal/assembly/router.py
+++ b/src/cicadapier/_internal/assembly/router.py
@@ -93,7 +93,7 @@
 
 def assemble(cfg: settings.Settings, dependencies: Dependencies) -> Router:
     """Returns a router whose services are registered in the order in which they start."""
-    kernel = service.Kernel()
+    kernel = service.Kernel(cfg)
     rng = random.Random(dependencies.seed)
     configuration = configuration_service.ConfigurationService(cfg.vm, rng)
     peers = peers_service.PeersService(
--- a/src/cicadapier/_internal/commands/serve.py
+++ b/src/cicadapier/_internal/commands/serve.py
@@ -11,14 +11,18 @@
 from cicadapier._internal.assembly import router as router_assembly
 from cicadapier._internal.cli import exit_codes
 from cicadapier._internal.cli import logs
+from cicadapier._internal.cli import settings_file
 from cicadapier._internal.cli import start_signals
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import exceptions as model_exceptions
 from cicadapier._internal.models import settings as router_settings
+from cicadapier._internal.models import settings_changes
 
 LOG_FLUSH_INTERVAL_S = 0.1
-# Part of the grace time that remains between the end of the drain and SIGKILL.
-FORWARDING_DRAIN_MARGIN_S = 0.3
+# Interval at which the settings file is looked at for a change that no signal announces.
+SETTINGS_CHECK_INTERVAL_S = 1.0
+SETTLE_S = 0.05  # Between two reads of a settings file that has changed as the process is stopped.
+MAX_SETTLE_READS = 4
 
 _log = structlog.get_logger()
 
@@ -28,34 +32,34 @@
 
     :param settings: Settings file (YAML).
     """
+    file = settings_file.SettingsFile(settings)
     try:
-        cfg = router_settings.load(settings)
+        cfg = file.load()
     except model_exceptions.InvalidDocumentError as exc:
         print(f"cicadapier serve: {exc}", file=sys.stderr)
         return exit_codes.INVALID_SETTINGS
     writer = logs.configure_stdout(cfg.log_level)
     try:
-        trio.run(_serve, cfg, settings, writer)
+        trio.run(_serve, cfg, file, writer)
     finally:
         writer.flush()
     return exit_codes.SUCCESS
 
 
 async def _serve(
-    cfg: router_settings.Settings, settings_path: str, writer: logs.LineWriter
+    cfg: router_settings.Settings, file: settings_file.SettingsFile, writer: logs.LineWriter
 ) -> None:
     dependencies = router_assembly.production_dependencies(cfg)
-    drain_s = cfg.drain_s
     if cfg.forwarding:
         kernel = forwarding_assembly.assemble(cfg, cfg.forwarding, dependencies).kernel
-        drain_s = cfg.forwarding.grace_s - FORWARDING_DRAIN_MARGIN_S
     else:
         kernel = router_assembly.assemble(cfg, dependencies).kernel
     async with trio.open_nursery() as nursery:
-        await nursery.start(_handle_signals, kernel, settings_path)
+        await nursery.start(_handle_signals, kernel, file)
         nursery.start_soon(_log_start, kernel, cfg)
         nursery.start_soon(_flush_logs, writer)
-        await kernel.run(drain_s)
+        nursery.start_soon(_follow_settings, kernel, file)
+        await kernel.run()
         _log.info("router_stopped", vm=cfg.vm)
         nursery.cancel_scope.cancel()
 
@@ -81,9 +85,16 @@
         writer.flush()
 
 
+async def _follow_settings(kernel: service.Kernel, file: settings_file.SettingsFile) -> None:
+    """Takes over changes of the settings file that no signal announces."""
+    while True:
+        await trio.sleep(SETTINGS_CHECK_INTERVAL_S)
+        _take_over(kernel, file.check())
+
+
 async def _handle_signals(
     kernel: service.Kernel,
-    settings_path: str,
+    file: settings_file.SettingsFile,
     task_status: "trio.TaskStatus[None]" = trio.TASK_STATUS_IGNORED,
 ) -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -91,18 +102,31 @@
         task_status.started()
         async for signal_number in signals:
             if signal_number == signal.SIGHUP:
-                _reload_settings(kernel, settings_path)
+                _take_over(kernel, file.reload())
             else:
-                _log.info("router_stopping", signal=signal.Signals(signal_number).name)
-                kernel.stop()
+                await _stop(kernel, file, signal.Signals(signal_number))
 
 
-def _reload_settings(kernel: service.Kernel, settings_path: str) -> None:
-    """Reads the settings file again and applies the settings that may change at run time."""
-    try:
-        cfg = router_settings.load(settings_path)
-    except model_exceptions.InvalidDocumentError as exc:
-        _log.error("settings_not_reloaded", reason=str(exc))
+async def _stop(
+    kernel: service.Kernel, file: settings_file.SettingsFile, received: signal.Signals
+) -> None:
+    """Stops the router by the grace time that the settings file names now."""
+    asked_at = trio.current_time()
+    _log.info("router_stopping", signal=received.name)
+    if not kernel.is_stopping:
+        _take_over(kernel, file.check())
+        for _ in range(MAX_SETTLE_READS):
+            if not file.is_unsettled:
+                break
+            await trio.sleep(SETTLE_S)
+            _take_over(kernel, file.check())
+    kernel.stop(asked_at)
+
+
+def _take_over(kernel: service.Kernel, cfg: router_settings.Settings | None) -> None:
+    """Applies those of the changed settings that may change at run time."""
+    if cfg is None:
         return
-    kernel.reload(cfg)
-    _log.info("settings_reloaded", vm=cfg.vm)
+    change = settings_changes.take_over(kernel.settings, cfg)
+    kernel.reload(change.settings)
+    _log.info("settings_reloaded", vm=cfg.vm, waiting_for_start=change.waiting)
--- a/src/cicadapier/_internal/experiments/bench.py
+++ b/src/cicadapier/_internal/experiments/bench.py
@@ -118,9 +118,9 @@
 async def start_router(nursery: trio.Nursery, upstream: ids.Address) -> router_assembly.Router:
     """Starts a router with one upstream and returns it."""
     listen = settings.Listen(LOOPBACK, LOOPBACK, LOOPBACK)
-    cfg = settings.Settings(ids.VmId("bench"), ids.FailureDomainId("here"), listen)
+    cfg = settings.Settings(ids.VmId("bench"), ids.FailureDomainId("here"), listen, drain_s=0.0)
     router = router_assembly.assemble(cfg, router_assembly.production_dependencies(cfg))
-    await nursery.start(router.kernel.run, 0.0)
+    await nursery.start(router.kernel.run)
     router.configuration.apply_if_newer(
         configuration_service.Document(ids.ConfigNumber(1), _make_declaration(upstream), ())
     )
--- a/src/cicadapier/_internal/kernel/service.py
+++ b/src/cicadapier/_internal/kernel/service.py
@@ -9,6 +9,7 @@
 import trio
 
 from cicadapier._internal.kernel import exceptions
+from cicadapier._internal.kernel import stop_times
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import settings
 
@@ -57,13 +58,21 @@
 class Kernel:
     """Starts services in order, finds them by name and stops them in reverse order.
 
+    It holds the settings in force: what may change at run time is asked of it, or taken over by
+    `Service.reload`.
+
     Attributes:
+        settings: Settings in force.
+        stop_times: Until when the process may run.
         started: Set once every service has started.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, cfg: settings.Settings) -> None:
         self._services: dict[ServiceName, Service] = {}
         self._stop = trio.Event()
+        self._drain_scope = trio.CancelScope()
+        self.settings = cfg
+        self.stop_times = stop_times.StopTimes(cfg.stop_limit_s)
         self.started = trio.Event()
 
     def register(self, service: Service) -> None:
@@ -82,7 +91,10 @@
             raise exceptions.UnknownServiceError(f"no service named {name!r}") from exc
 
     def reload(self, cfg: settings.Settings) -> None:
-        """Passes changed settings to all services."""
+        """Takes over changed settings and passes them to all services."""
+        self.settings = cfg
+        self.stop_times.set_limit(cfg.stop_limit_s)
+        self._drain_scope.deadline = self.stop_times.latest_end
         for service in self._services.values():
             service.reload(cfg)
 
@@ -94,8 +106,14 @@
                 found[name] = service.listen_address
         return found
 
-    def stop(self) -> None:
-        """Requests a graceful shutdown."""
+    def stop(self, asked_at: float | None = None) -> None:
+        """Requests a graceful shutdown; further calls change nothing.
+
+        Args:
+            asked_at: Time of the stop signal, on trio's clock; now by default.
+        """
+        self.stop_times.stop(trio.current_time() if asked_at is None else asked_at)
+        self._drain_scope.deadline = self.stop_times.latest_end
         self._stop.set()
 
     @property
@@ -105,13 +123,11 @@
 
     async def run(
         self,
-        drain_s: float,
         task_status: "trio.TaskStatus[None]" = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Runs all services until `stop` is called, then drains them.
+        """Runs all services until `stop` is called, then drains them until `stop_times` at most.
 
         Args:
-            drain_s: Maximum time for draining all services together, in seconds.
             task_status: Signalled once every service has started.
         """
         async with trio.open_nursery() as nursery:
@@ -120,11 +136,11 @@
             task_status.started()
             self.started.set()
             await self._stop.wait()
-            with trio.move_on_after(drain_s) as scope:
+            with self._drain_scope:
                 for service in reversed(list(self._services.values())):
                     await service.drain()
-            if scope.cancelled_caught:
-                _log.warning("drain_timeout", drain_s=drain_s)
+            if self._drain_scope.cancelled_caught:
+                _log.warning("drain_timeout", limit_s=self.settings.stop_limit_s)
             nursery.cancel_scope.cancel()
 
     async def _run_service(
--- a/src/cicadapier/_internal/models/documents.py
+++ b/src/cicadapier/_internal/models/documents.py
@@ -97,13 +97,21 @@
     Raises:
         InvalidDocumentError: The file cannot be read or is not valid YAML.
     """
+    return Document(read_text(path), os.fspath(path))
+
+
+def read_text(path: str | os.PathLike[str]) -> str:
+    """Reads a text file.
+
+    Raises:
+        InvalidDocumentError: The file cannot be read.
+    """
     name = os.fspath(path)
     try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
+        return pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as exc:
         fault = exceptions.Fault("", f"cannot read {name}: {exc}")
         raise exceptions.InvalidDocumentError([fault], name) from exc
-    return Document(text, name)
 
 
 def _syntax_fault(exc: Exception) -> exceptions.Fault:
--- a/src/cicadapier/_internal/models/settings.py
+++ b/src/cicadapier/_internal/models/settings.py
@@ -10,6 +10,8 @@
 from cicadapier._internal.models import ids
 from cicadapier._internal.models import schema
 
+KILL_MARGIN_S = 0.3  # Part of the grace time that remains between the end of the drain and SIGKILL.
+
 
 class LogLevel(enum.Enum):
     """Minimum severity of logged events."""
@@ -266,6 +268,13 @@
     caller_limits: CallerLimits = schema.field(factory=CallerLimits)
     forwarding: Forwarding | None = None
 
+    @property
+    def stop_limit_s(self) -> float:
+        """Time from the stop signal until the process ends by itself, in seconds."""
+        if self.forwarding:
+            return max(0.0, self.forwarding.grace_s - KILL_MARGIN_S)
+        return self.drain_s
+
 
 def load(path: str | os.PathLike[str]) -> Settings:
     """Reads and checks a settings file.
@@ -273,7 +282,20 @@
     Raises:
         InvalidDocumentError: The file is invalid; the error lists the faults with their lines.
     """
-    document = documents.read(path)
+    return parse(documents.read_text(path), path)
+
+
+def parse(text: str, path: str | os.PathLike[str]) -> Settings:
+    """Checks the text of a settings file.
+
+    Args:
+        text: The text.
+        path: Path of the file, for error messages.
+
+    Raises:
+        InvalidDocumentError: The text is invalid; the error lists the faults with their lines.
+    """
+    document = documents.Document(text, os.fspath(path))
     try:
         value = schema.convert(Settings, document.value)
         _check_network_settings(value)
--- a/src/cicadapier/_internal/services/forwarding_service.py
+++ b/src/cicadapier/_internal/services/forwarding_service.py
@@ -35,7 +35,8 @@
 # Streams are started for this long after the stop signal. The balancer has removed the router by
 # then, and the rest of the grace time is left for the streams to finish.
 STREAM_START_WINDOW_S = 2.7
-SHUTDOWN_MARGIN_S = 0.6  # Part of the grace time that is reserved for stopping the other services.
+# Reserved for stopping the other services, before the process ends.
+SHUTDOWN_MARGIN_S = 0.3
 # This long before the drain ends, requests without an answer are refused, so that their callers get
 # a status instead of a closed connection.
 EXPIRY_MARGIN_S = 0.2
@@ -65,16 +66,17 @@
         self._configuration: watched_configuration.WatchedConfiguration | None = None
         self._requests: forwarded_requests.ForwardedRequests | None = None
         self._services: request_context.Services | None = None
-        self._stop_at = float("inf")
+        self._kernel: service.Kernel | None = None
         self._declared_limits: settings.CallerLimits | None = None
         self._limits = cfg.caller_limits
 
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
+        self._kernel = kernel
         self._configuration = kernel.find(names.CONFIGURATION)
         self._telemetry = kernel.find(names.TELEMETRY)
         secret = hashlib.blake2b(self._settings.cache_secret.encode(), digest_size=32).digest()
-        self._services = request_context.Services(kernel, self._settings)
+        self._services = request_context.Services(kernel, kernel.settings)
         self._requests = forwarded_requests.ForwardedRequests(
             self._services,
             self._wire_format,
@@ -102,7 +104,6 @@
     def reload(self, cfg: settings.Settings) -> None:
         """See `service.Service.reload`."""
         if cfg.forwarding and self._services:
-            self._forwarding_settings = cfg.forwarding
             self._services.retry_budget.set_settings(cfg.forwarding.retries)
 
     @property
@@ -161,31 +162,41 @@
         """Serves until the balancer has removed this router and every open request is answered.
 
         Requests without an answer at the end of the grace time are refused, as the end of the
-        process would close their connections without one.
+        process would close their connections without one. The grace time may still change.
         """
+        assert self._kernel
         began_at = trio.current_time()
         self._draining = True
-        self._stop_at = began_at + self._forwarding_settings.grace_s - SHUTDOWN_MARGIN_S
-        if self._requests:
-            self._requests.grace = stopping.Grace(
-                unknown_until=began_at + STREAM_START_WINDOW_S,
-                streams_until=began_at + STREAM_START_WINDOW_S,
-                begins_until=self._stop_at - START_MARGIN_S,
-                ends_at=self._stop_at - EXPIRY_MARGIN_S,
-            )
         _log.info("draining", open=self._open_requests)
         while not self._may_stop(began_at):
-            if self._requests and trio.current_time() >= self._stop_at - EXPIRY_MARGIN_S:
-                self._requests.expire_unanswered()
+            if self._requests:
+                self._plan_requests(self._requests, began_at)
             await trio.sleep(request_listener.DRAIN_POLL_S)
         self._drained = True
         _log.info(
             "drained", open=self._open_requests, took_s=round(trio.current_time() - began_at, 2)
         )
 
+    def _plan_requests(
+        self, requests: forwarded_requests.ForwardedRequests, began_at: float
+    ) -> None:
+        """Says which requests may still begin, and refuses those that got no answer in time."""
+        assert self._kernel
+        stop_at = self._kernel.stop_times.earliest_end - SHUTDOWN_MARGIN_S
+        ends_at = stop_at - EXPIRY_MARGIN_S
+        requests.grace = stopping.Grace(
+            unknown_until=began_at + STREAM_START_WINDOW_S,
+            streams_until=began_at + STREAM_START_WINDOW_S,
+            begins_until=stop_at - START_MARGIN_S,
+            ends_at=ends_at,
+        )
+        if trio.current_time() >= ends_at:
+            requests.expire_unanswered()
+
     def _may_stop(self, began_at: float) -> bool:
+        assert self._kernel
         now = trio.current_time()
-        if now >= self._stop_at:
+        if now >= self._kernel.stop_times.latest_end - SHUTDOWN_MARGIN_S:
             return True
         is_quiet = now - self._last_request_at >= QUIET_PERIOD_S
         return is_quiet and not self.is_busy and now - began_at >= BALANCER_REMOVAL_S
--- a/src/cicadapier/_internal/standins/forwarding_deployment.py
+++ b/src/cicadapier/_internal/standins/forwarding_deployment.py
@@ -313,7 +313,7 @@
         )
         router = forwarding_assembly.assemble(cfg, forwarding_settings, dependencies)
         self.routers[index] = router
-        await self._start(vm, router.kernel.run, DRAIN_S)
+        await self._start(vm, router.kernel.run)
         return router
 
     def _uptime_s(self, index: int) -> float:
--- a/src/cicadapier/_internal/standins/world.py
+++ b/src/cicadapier/_internal/standins/world.py
@@ -343,7 +343,7 @@
     ) -> None:
         structlog.contextvars.bind_contextvars(vm=cfg.vm)
         with scope:
-            await router.kernel.run(cfg.drain_s, task_status)
+            await router.kernel.run(task_status)
         ended.set()
 
     def _write_vms(self) -> None:
--- a/tests/_internal/services/test_tunnels_service.py
+++ b/tests/_internal/services/test_tunnels_service.py
@@ -249,7 +249,7 @@
         dependencies = router_assembly.production_dependencies(cfg)
         router = forwarding_assembly.assemble(cfg, cfg.forwarding, dependencies)
         async with trio.open_nursery() as nursery:
-            await nursery.start(router.kernel.run, 0.1)
+            await nursery.start(router.kernel.run)
             address = router.kernel.find(names.TUNNELS).listen_address
             async with await dependencies.connect_network.connect(address, 1.0) as stream:
                 outcome = await tunnels.request_tunnel(stream, "127.0.0.1:1", "")
--- a/tests/alone/router_process.py
+++ b/tests/alone/router_process.py
@@ -32,7 +32,7 @@
         addresses: Its addresses by the name of the service, once it is ready.
     """
 
-    def __init__(self, store_address, limits=None, peers=None):
+    def __init__(self, store_address, limits=None, peers=None, grace_s=8.0):
         self._folder = tempfile.TemporaryDirectory()
         folder = pathlib.Path(self._folder.name)
         any_port = str(forwarding_deployment.ANY_PORT)
@@ -42,12 +42,13 @@
             "failure_domain": "here",
             "listen": dict.fromkeys(names, any_port),
             "platform": {"addresses": [store_address], "timeout_s": 1.5},
-            "forwarding": {"readiness_path": requests.READINESS_PATH},
+            "forwarding": {"readiness_path": requests.READINESS_PATH, "grace_s": grace_s},
             "caller_limits": limits or {},
             "peers": peers or {},
         }
         self.settings = folder / "router.yaml"
         self.settings.write_text(json.dumps(settings))
+        self._values = settings
         self.log = folder / "router.log"
         self.addresses = {}
         command = [sys.executable, "-m", "cicadapier", "serve", "--settings", str(self.settings)]
@@ -61,6 +62,17 @@
         self.process.wait(STOP_TIMEOUT_S)
         self._folder.cleanup()
 
+    def set_grace(self, grace_s):
+        """Replaces the settings file by one with another grace time."""
+        self._values["forwarding"]["grace_s"] = grace_s
+        new = self.settings.with_suffix(".new")
+        new.write_text(json.dumps(self._values))
+        new.replace(self.settings)
+
+    def count_events(self, event):
+        """Returns the number of lines of an event in its log."""
+        return self.log.read_text().count(f'"{event}"')
+
     @property
     def is_alive(self):
         """Whether the process runs."""
