An empty list of accounts asks for keys

Cause: an unknown key was refused only if the configuration had accounts; a collection's emptiness was tested for "there is none", and the reader gave an empty list for a missing one.

An empty account name no longer counts as no account in the cache scopes.

Why it works: what is asked for is said once, by a type that is not a collection.

--- a/src/cicadapier/_internal/assembly/forwarding.py
+++ b/src/cicadapier/_internal/assembly/forwarding.py
@@ -60,7 +60,9 @@
     rng = random.Random(dependencies.seed)
     clock = dependencies.clock
     orders_by_urgency = features.orders_by_urgency(forwarding_settings)
-    document_format = documents.DocumentFormat(forwarding_settings.engines)
+    document_format = documents.DocumentFormat(
+        forwarding_settings.engines, features.asks_for_keys(forwarding_settings)
+    )
     token_source = dependencies.token_source
     configuration = watched_configuration.WatchedConfiguration(
         document_format, forwarding_settings.revoke_ms / 1000, clock, rng
--- a/src/cicadapier/_internal/commands/status.py
+++ b/src/cicadapier/_internal/commands/status.py
@@ -38,12 +38,14 @@
 
 def _print_statuses(statuses: list[Any], errors: list[str]) -> None:
     output.print_table(
-        ["router", "failure domain", "configuration", "platform", "peers", "active"],
+        ["router", "failure domain", "configuration", "valid keys", "platform", "peers", "active"],
         [
             (
                 router["vm"],
                 router["failure_domain"],
                 router["configuration_number"],
+                # A router of the build before does not tell.
+                router.get("valid_keys", "-"),
                 "reachable" if router["platform_reachable"] else "unreachable",
                 ",".join(router["peers"]) or "-",
                 router["active_requests"],
--- a/src/cicadapier/_internal/decisions/cache_scopes.py
+++ b/src/cicadapier/_internal/decisions/cache_scopes.py
@@ -56,8 +56,7 @@
         if content is not self._content:
             self._shared = CacheScope(_shared_name(content.accounts))
             self._content = content
-        spec = content.accounts[account] if account else None
-        if account and spec and spec.isolated:
+        if account is not None and content.accounts[account].isolated:
             return CacheScope(f"{_ISOLATED}/{account}", account)
         return self._shared
 
--- a/src/cicadapier/_internal/models/configuration.py
+++ b/src/cicadapier/_internal/models/configuration.py
@@ -112,6 +112,10 @@
     isolated: bool = False
     quota: AccountQuota | None = None
 
+    def may_use(self, pool: ids.PoolId) -> bool:
+        """Returns whether its requests may go to a pool."""
+        return len(self.pools) == 0 or pool in self.pools
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Upstream:
@@ -288,6 +292,16 @@
     caller_limits: settings.CallerLimits | None = None
 
 
+class KeyPolicy(enum.Enum):
+    """Whether requests have to carry the API key of a client account.
+
+    That there are no accounts does not say that no key is asked for.
+    """
+
+    REQUIRED = "required"
+    NOT_ASKED = "not_asked"
+
+
 @dataclasses.dataclass(frozen=True)
 class NumberedConfiguration:
     """A configuration with its number; a newer configuration has a higher number.
@@ -295,10 +309,17 @@
     Attributes:
         number: Number of the configuration.
         content: The configuration.
+        key_policy: Whether requests have to carry a key.
     """
 
     number: ids.ConfigNumber
     content: Configuration
+    key_policy: KeyPolicy = KeyPolicy.REQUIRED
+
+    @property
+    def has_valid_key(self) -> bool:
+        """Whether any key is valid."""
+        return len(self.accounts_by_key_hash) > 0
 
     @functools.cached_property
     def accounts_by_key_hash(self) -> dict[str, ids.AccountId]:
@@ -431,7 +452,7 @@
         path = f"routes.{route_id}"
         if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
             yield exceptions.Fault(f"{path}.prefix", "expected a path that begins and ends with /")
-        if not route.pools:
+        if len(route.pools) == 0:
             yield exceptions.Fault(f"{path}.pools", "expected at least one pool")
         for i, share in enumerate(route.pools):
             if share.pool not in value.pools:
@@ -486,7 +507,7 @@
     value: Configuration, pool: Pool, path: str
 ) -> collections.abc.Iterator[exceptions.Fault]:
     """Yields faults of fields that only some kinds of pools may have or refer to."""
-    if pool.models and pool.kind is not PoolKind.MODEL:
+    if len(pool.models) > 0 and pool.kind is not PoolKind.MODEL:
         yield exceptions.Fault(f"{path}.models", "only a pool of kind model can serve models")
     if pool.keep is None:
         return
--- a/src/cicadapier/_internal/platform/documents.py
+++ b/src/cicadapier/_internal/platform/documents.py
@@ -114,7 +114,8 @@
     version: _Version
     routes: list[_Route] = []
     services: list[_Service] = []
-    tenants: list[_Tenant] = []
+    # An empty list says that no key is valid; without a list, there may be no accounts at all.
+    tenants: list[_Tenant] | msgspec.UnsetType = msgspec.UNSET
     limits: _Limits | None = None
 
 
@@ -144,6 +145,8 @@
 
     Args:
         engines: Assumed properties of engines that the documents do not contain.
+        asks_for_keys: Whether requests have to carry a key also under a configuration that does not
+            mention accounts.
     """
 
     configuration_kind = "config"
@@ -151,8 +154,11 @@
     directory_kind = "servers"
     weights_kind = "versions"
 
-    def __init__(self, engines: settings.EngineAssumptions | None = None) -> None:
+    def __init__(
+        self, engines: settings.EngineAssumptions | None = None, asks_for_keys: bool = False
+    ) -> None:
         self._engines = engines or settings.EngineAssumptions()
+        self._asks_for_keys = asks_for_keys
         self._quota_faults: dict[str, str] = {}
 
     def read_configuration(
@@ -163,11 +169,10 @@
             document = _convert(item.spec, _Configuration)
         except msgspec.ValidationError as exc:
             raise exceptions.InvalidDocumentError([exceptions.Fault("", str(exc))]) from exc
+        has_accounts = document.tenants is not msgspec.UNSET
+        tenants = [] if document.tenants is msgspec.UNSET else document.tenants
         content = configuration.Configuration(
-            accounts={
-                ids.AccountId(tenant.name): self._make_account(tenant)
-                for tenant in document.tenants
-            },
+            accounts={ids.AccountId(tenant.name): self._make_account(tenant) for tenant in tenants},
             pools={
                 ids.PoolId(service.name): _make_pool(service, self._engines)
                 for service in document.services
@@ -175,7 +180,13 @@
             routes={ids.RouteId(route.name): _make_route(route) for route in document.routes},
             caller_limits=_make_caller_limits(document.limits) if document.limits else None,
         )
-        return configuration.NumberedConfiguration(ids.ConfigNumber(document.version), content)
+        return configuration.NumberedConfiguration(
+            ids.ConfigNumber(document.version),
+            content,
+            configuration.KeyPolicy.REQUIRED
+            if has_accounts or self._asks_for_keys
+            else configuration.KeyPolicy.NOT_ASKED,
+        )
 
     def _make_account(self, tenant: _Tenant) -> configuration.Account:
         quota, fault = _read_quota(tenant)
--- a/src/cicadapier/_internal/platform/server_formats.py
+++ b/src/cicadapier/_internal/platform/server_formats.py
@@ -159,20 +159,29 @@
         "version": current.number,
         "routes": [_encode_route(name, route) for name, route in content.routes.items()],
         "services": [_encode_pool(name, pool) for name, pool in content.pools.items()],
-        "tenants": [
-            {
-                "name": account,
-                "api_keys": keys.get(account, []),
-                "priority": spec.priority,
-                "isolated": spec.isolated,
-                **(_encode_quota(spec.quota) if spec.quota else {}),
-            }
-            for account, spec in content.accounts.items()
-        ],
+        **_encode_accounts(current, keys),
         "limits": _encode_limits(content.caller_limits or settings.CallerLimits()),
     }
 
 
+def _encode_accounts(
+    current: configuration.NumberedConfiguration, keys: dict[ids.AccountId, list[str]]
+) -> dict[str, Any]:
+    if current.key_policy is configuration.KeyPolicy.NOT_ASKED:
+        return {}
+    tenants = [
+        {
+            "name": account,
+            "api_keys": keys.get(account, []),
+            "priority": spec.priority,
+            "isolated": spec.isolated,
+            **(_encode_quota(spec.quota) if spec.quota else {}),
+        }
+        for account, spec in current.content.accounts.items()
+    ]
+    return {"tenants": tenants}
+
+
 def _encode_quota(quota: configuration.AccountQuota) -> dict[str, Any]:
     is_tokens = quota.unit is configuration.QuotaUnit.TOKENS
     return {
--- a/src/cicadapier/_internal/services/callers_service.py
+++ b/src/cicadapier/_internal/services/callers_service.py
@@ -205,8 +205,7 @@
 def _list_models(context: request_context.Context) -> dict[str, object]:
     models: list[ids.ModelId] = []
     for pool_id, pool in context.cfg.content.pools.items():
-        is_permitted = not context.spec.pools or pool_id in context.spec.pools
-        if is_permitted and pool.kind is configuration.PoolKind.MODEL:
+        if context.spec.may_use(pool_id) and pool.kind is configuration.PoolKind.MODEL:
             models.extend(pool.models)
     data = [
         {"id": model, "object": "model", "created": 0, "owned_by": "cicadapier"}
--- a/src/cicadapier/_internal/services/configuration_service.py
+++ b/src/cicadapier/_internal/services/configuration_service.py
@@ -125,7 +125,7 @@
         assert self._traffic
         self._traffic.mailbox.send(traffic_messages.ConfigurationChanged(self.current))
         self.ready.set()
-        _log.info("configuration_in_force", number=document.number)
+        configuration_source.log_in_force(self.current)
         return True
 
     def packed_update(self, since: ids.ConfigNumber) -> tuple[ids.ConfigNumber, bytes] | None:
--- a/src/cicadapier/_internal/services/configuration_source.py
+++ b/src/cicadapier/_internal/services/configuration_source.py
@@ -2,6 +2,7 @@
 
 import abc
 
+import structlog
 import trio
 
 from cicadapier._internal.kernel import service
@@ -9,6 +10,27 @@
 from cicadapier._internal.models import ids
 from cicadapier._internal.services import names
 
+_log = structlog.get_logger()
+
+
+def log_in_force(current: configuration.NumberedConfiguration, **details: str) -> None:
+    """Logs that a configuration has come into force, and whether keys are asked for.
+
+    One under which no key is valid, or none is asked for, is a warning.
+
+    Args:
+        current: The configuration.
+        details: Further fields of the line.
+    """
+    write = _log.info if current.has_valid_key else _log.warning
+    write(
+        "configuration_in_force",
+        number=current.number,
+        keys=current.key_policy.value,
+        valid_keys=len(current.accounts_by_key_hash),
+        **details,
+    )
+
 
 class ConfigurationSource(service.Service):
     """Holds the configuration in force.
--- a/src/cicadapier/_internal/services/exports_service.py
+++ b/src/cicadapier/_internal/services/exports_service.py
@@ -46,7 +46,7 @@
         pool = pools.get(export.pool)
         keep = pools.get(pool.keep) if pool and pool.keep else None
         upstream = pool.upstreams.get(export.upstream) if pool else None
-        if keep is None or upstream is None or not keep.upstreams:
+        if keep is None or upstream is None or len(keep.upstreams) == 0:
             return
         keep_address = next(iter(keep.upstreams.values())).address
         body = {"keep": keep_address, "pieces": [piece.hex() for piece in export.pieces]}
--- a/src/cicadapier/_internal/services/forwarded_requests.py
+++ b/src/cicadapier/_internal/services/forwarded_requests.py
@@ -202,7 +202,7 @@
         self._require_proof()
         digest = hashlib.sha256(forwarded.key.encode()).hexdigest()
         account = cfg.accounts_by_key_hash.get(digest) if forwarded.key else None
-        if account is None and cfg.content.accounts:
+        if account is None and cfg.key_policy is configuration.KeyPolicy.REQUIRED:
             raise _refused_error(
                 outcomes.RefusalCode.INVALID_KEY, "the API key is missing or unknown"
             )
@@ -282,7 +282,7 @@
         prompt = self._make_prompt(cache_scope, forwarded.work)
         request_spec = routing.RequestSpec(
             request,
-            admission.account or _public_account(admission),
+            _public_account(admission) if admission.account is None else admission.account,
             pool_id,
             prompt,
             forwarded.work.output_tokens if forwarded.work else 0,
@@ -316,8 +316,10 @@
         self, admission: forwarded_plan.Admission, forwarded: forwarding.ForwardedRequest
     ) -> request_quota.RequestQuota | None:
         account = admission.account
-        quota = admission.cfg.content.accounts[account].quota if account else None
-        if account is None or quota is None:
+        if account is None:
+            return None
+        quota = admission.cfg.content.accounts[account].quota
+        if quota is None:
             return None
         return request_quota.RequestQuota(
             self._account_quotas, account, quota, forwarded.request, forwarded.stated_tokens
@@ -400,7 +402,8 @@
     forwarded: forwarding.ForwardedRequest,
 ) -> routing.RequestSpec:
     """Returns the request with what decides on its begin while room is short."""
-    account = admission.cfg.content.accounts[admission.account] if admission.account else None
+    accounts = admission.cfg.content.accounts
+    account = None if admission.account is None else accounts[admission.account]
     time_left_s = forwarded.time_left_s
     return dataclasses.replace(
         request_spec,
--- a/src/cicadapier/_internal/services/model_requests.py
+++ b/src/cicadapier/_internal/services/model_requests.py
@@ -113,8 +113,7 @@
             RefusedError: The model is unknown or not permitted.
         """
         pool_id = context.cfg.pools_by_model.get(req.model)
-        is_permitted = not context.spec.pools or pool_id in context.spec.pools
-        if pool_id is None or not is_permitted:
+        if pool_id is None or not context.spec.may_use(pool_id):
             message = f"there is no model {req.model!r} for this account"
             refusal = outcomes.Refusal(outcomes.RefusalCode.MODEL_NOT_FOUND, message)
             raise exceptions.RefusedError(refusal)
--- a/src/cicadapier/_internal/services/operators_service.py
+++ b/src/cicadapier/_internal/services/operators_service.py
@@ -110,6 +110,8 @@
             "vm": self._settings.vm,
             "failure_domain": self._settings.failure_domain,
             "configuration_number": self._config_service.current.number,
+            "keys": self._config_service.current.key_policy.value,
+            "valid_keys": len(self._config_service.current.accounts_by_key_hash),
             "platform_reachable": self._config_service.platform_reachable,
             "draining": self._kernel.is_stopping,
             "peers": sorted(heartbeat.vm for heartbeat in reachable),
--- a/src/cicadapier/_internal/services/service_calls.py
+++ b/src/cicadapier/_internal/services/service_calls.py
@@ -287,7 +287,7 @@
         RefusedError: The service is unknown or not permitted, or the idempotency key is too long.
     """
     pool = context.cfg.content.pools.get(pool_id)
-    is_permitted = not context.spec.pools or pool_id in context.spec.pools
+    is_permitted = context.spec.may_use(pool_id)
     if pool is None or not is_permitted or pool.kind is not configuration.PoolKind.SERVICE:
         message = f"there is no service {pool_id!r} for this account"
         raise exceptions.RefusedError(outcomes.Refusal(outcomes.RefusalCode.NOT_FOUND, message))
--- a/src/cicadapier/_internal/services/telemetry_service.py
+++ b/src/cicadapier/_internal/services/telemetry_service.py
@@ -85,6 +85,8 @@
         self._slowness = meter.create_gauge("cicadapier_upstream_slowness")
         self._uneven_sends = meter.create_counter("cicadapier_uneven_sends")
         self._store_epoch = meter.create_gauge("cicadapier_store_epoch")
+        self._keys_required = meter.create_gauge("cicadapier_keys_required")
+        self._valid_keys = meter.create_gauge("cicadapier_valid_keys")
         self._store_calls = meter.create_counter("cicadapier_store_calls")
         self._connections = meter.create_counter("cicadapier_upstream_connections")
         self._shared_reads = meter.create_counter("cicadapier_shared_reads")
@@ -173,6 +175,11 @@
         """Records the epoch of the store."""
         self._store_epoch.set(epoch)
 
+    def record_keys(self, policy: configuration.KeyPolicy, valid: int) -> None:
+        """Records whether requests have to carry a key, and how many keys are valid."""
+        self._keys_required.set(policy is configuration.KeyPolicy.REQUIRED)
+        self._valid_keys.set(valid)
+
     def count_store_call(self, kind: str, call: str) -> None:
         """Counts a call to the platform's store.
 
--- a/src/cicadapier/_internal/services/watched_configuration.py
+++ b/src/cicadapier/_internal/services/watched_configuration.py
@@ -16,6 +16,7 @@
 from cicadapier._internal.services import configuration_source
 from cicadapier._internal.services import fresh_answers
 from cicadapier._internal.services import names
+from cicadapier._internal.services import telemetry_service
 from cicadapier._internal.services import watching
 
 # The three constants are shares of the time within which a revoked key must stop working.
@@ -176,7 +177,9 @@
             return
         self.current = candidate
         self.ready.set()
-        _log.info("configuration_in_force", number=candidate.number, version=item.version.revision)
+        configuration_source.log_in_force(candidate, version=item.version.revision)
         if self._kernel:
+            telemetry: telemetry_service.TelemetryService = self._kernel.find(names.TELEMETRY)
+            telemetry.record_keys(candidate.key_policy, len(candidate.accounts_by_key_hash))
             listener: ConfigurationListener = self._kernel.find(names.UPSTREAMS)
             listener.handle_configuration_change()
--- a/src/cicadapier/_internal/standins/forwarding_deployment.py
+++ b/src/cicadapier/_internal/standins/forwarding_deployment.py
@@ -91,6 +91,7 @@
             of the time since the VM booted is ahead of trio's clock by it.
         keys: API keys by account, for the next configuration.
         accounts: Accounts of the next configuration.
+        key_policy: Whether the next configuration mentions accounts.
         pools: Pools of the next configuration.
         caller_limits: Caller limits of the next configuration.
         forwarding_settings: Settings of the routers that start next.
@@ -118,6 +119,7 @@
             ACCOUNT: configuration.Account(),
             ISOLATED_ACCOUNT: configuration.Account(isolated=True),
         }
+        self.key_policy = configuration.KeyPolicy.REQUIRED
         self.pools = {
             ENGINES: engine_pool(),
             DESK: configuration.Pool(configuration.PoolKind.SERVICE),
@@ -171,7 +173,7 @@
             self.accounts, self.pools, declared_routes, self.caller_limits
         )
         numbered = configuration.NumberedConfiguration(
-            ids.ConfigNumber(self._config_number), content
+            ids.ConfigNumber(self._config_number), content, self.key_policy
         )
         keys = {account: list(account_keys) for account, account_keys in self.keys.items()}
         self.store.put(
--- a/tests/_internal/platform/test_formats.py
+++ b/tests/_internal/platform/test_formats.py
@@ -301,6 +301,33 @@
         current = self.document_format.read_configuration(make_stored_object("main", spec))
         self.assertEqual(current.content.accounts["t"].quota, quota)
 
+    def _read_policy(self, asks_for_keys, **fields):
+        document_format = documents.DocumentFormat(asks_for_keys=asks_for_keys)
+        item = make_stored_object("main", {"version": 3, **fields})
+        return document_format.read_configuration(item).key_policy
+
+    def test_empty_list_of_accounts_is_not_a_missing_one(self):
+        required = configuration.KeyPolicy.REQUIRED
+        for asks_for_keys in (False, True):
+            self.assertIs(self._read_policy(asks_for_keys, tenants=[]), required)
+            self.assertIs(self._read_policy(asks_for_keys, tenants=[{"name": "t"}]), required)
+        self.assertIs(self._read_policy(True), required)
+        self.assertIs(self._read_policy(False), configuration.KeyPolicy.NOT_ASKED)
+
+    def test_null_list_of_accounts_is_invalid(self):
+        for tenants in (None, [{"name": "t", "api_keys": None}]):
+            with self.assertRaises(model_exceptions.InvalidDocumentError):
+                self._read_policy(False, tenants=tenants)
+
+    def test_policy_survives_the_format_of_the_stand_ins(self):
+        for policy in configuration.KeyPolicy:
+            numbered = configuration.NumberedConfiguration(
+                ids.ConfigNumber(3), configuration.Configuration(), policy
+            )
+            spec = server_formats.encode_configuration(numbered, {})
+            current = self.document_format.read_configuration(make_stored_object("main", spec))
+            self.assertIs(current.key_policy, policy)
+
     def test_configuration_with_an_invalid_structure_raises_an_error(self):
         with self.assertRaises(model_exceptions.InvalidDocumentError):
             self.document_format.read_configuration(make_stored_object("main", {"routes": 1}))
--- a/tests/_internal/services/test_router_fleet.py
+++ b/tests/_internal/services/test_router_fleet.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from cicadapier._internal.models import configuration
 from cicadapier._internal.standins import deployments
 from cicadapier._internal.standins import engine_text
 from cicadapier._internal.standins import faults
@@ -43,6 +44,25 @@
 
         _run_in_world(check)
 
+    def test_key_of_the_last_account_is_refused_everywhere_once_it_is_removed(self):
+        # Guards against an empty list of accounts that counts as none (issue 66).
+        async def check(world):
+            removed = dict.fromkeys(world.declaration()["accounts"])
+            status, _ = await _patch(world, 0, {"accounts": removed}, 1)
+            self.assertEqual(status, 200)
+            await trio.sleep(3.0)
+            for index, router in enumerate(world.routers.values()):
+                current = router.router.configuration.current
+                self.assertFalse(current.has_valid_key)
+                self.assertIs(current.key_policy, configuration.KeyPolicy.REQUIRED)
+                reply = await support.Caller(world, router=index).complete("x")
+                self.assertEqual(reply.status, 401)
+            address = _router(world, 0).operators.address
+            _, body = await fuzzing.call_operator(world, address, "GET", "/status")
+            self.assertEqual((body["keys"], body["valid_keys"]), ("required", 0))
+
+        _run_in_world(check)
+
     def test_stale_patch_is_refused_with_the_changes_since_its_base(self):
         async def check(world):
             await _patch(world, 0, {"accounts": {"new": {}}}, 1)
--- a/tests/planted_in_beliefs.py
+++ b/tests/planted_in_beliefs.py
@@ -104,7 +104,7 @@
     planted_bug.Mutant(
         "share cached prompt parts with isolated accounts",
         "decisions/cache_scopes.py",
-        "if account and spec and spec.isolated:",
+        "if account is not None and content.accounts[account].isolated:",
         "if False:",
         f"{planted_bug.FORWARDING_SERVICE}.ForwardingTest",
     ),
--- a/tests/planted_in_services.py
+++ b/tests/planted_in_services.py
@@ -3,6 +3,20 @@
 from tests import planted_bug
 
 MUTANTS = [
+    planted_bug.Mutant(
+        "take an empty list of accounts for a deployment without accounts",
+        "services/forwarded_requests.py",
+        "if account is None and cfg.key_policy is configuration.KeyPolicy.REQUIRED:",
+        "if account is None and cfg.content.accounts:",
+        f"{planted_bug.SERVICES}.test_accounts_removed.AccountsRemovedTest",
+    ),
+    planted_bug.Mutant(
+        "drain until the time to stop that was in force at the start",
+        "kernel/service.py",
+        "self.stop_times.set_limit(cfg.stop_limit_s)",
+        "pass",
+        "tests._internal.kernel.test_service.KernelTest",
+    ),
     planted_bug.Mutant(
         "accept the answer to another request",
         "services/attempts.py",
@@ -235,7 +249,7 @@
     planted_bug.Mutant(
         "do not refuse unanswered requests at the end of the drain",
         "services/forwarding_service.py",
-        "self._requests.expire_unanswered()",
+        "requests.expire_unanswered()",
         "pass",
         f"{planted_bug.PLANNED_CHANGES}.ShutdownTest",
     ),
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -57,6 +57,31 @@
             found = check.find_violations(*check.process_options([str(path)]))
         self.assertEqual([int(line.split(":")[1]) for line in found], expected)
 
+    def test_planted_truths_of_declared_collections_are_found(self):
+        check = load_tool("check_zeros")
+        # Guards against a list of which nothing is left that counts as one nobody has declared.
+        planted = (
+            "import dataclasses",
+            "@dataclasses.dataclass",
+            "class Configuration:",
+            "    accounts: dict[str, int]",
+            "    keys: list[str]",
+            "    name: str",
+            "def check(cfg: Configuration, known: dict[str, int]) -> object:",
+            "    if not known and cfg.accounts: return 1  # wrong",
+            "    some = cfg.keys or ['x']  # wrong",
+            "    one = 1 if not cfg.accounts else 2  # wrong",
+            "    if cfg.name or known: return some",
+            "    if len(cfg.accounts) == 0: return one",
+            "    return cfg.accounts",
+        )
+        expected = [i for i, line in enumerate(planted, 1) if line.endswith("# wrong")]
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / "planted.py"
+            path.write_text("\n".join(planted))
+            found = check.find_violations(*check.process_options([str(path)]), ("planted",))
+        self.assertEqual([int(line.split(":")[1]) for line in found], expected)
+
     def test_source_tree_has_no_violations(self):
         self.assertEqual(load_tool("check_boundary").main(), 0)
         self.assertEqual(load_tool("check_layers").main(), 0)
--- a/tools/check_zeros.py
+++ b/tools/check_zeros.py
@@ -1,6 +1,8 @@
-"""Checks that no number that may be absent is tested as a truth, which takes 0 for absent.
+"""Checks that no test of a truth takes a value for "there is none".
 
-The types are those that mypy infers, so the check sees fields, results and narrowed names alike.
+Numbers that may be absent take 0 for it, and collections of a configuration take an empty one for
+one that nobody has declared: both are compared instead. The types are those that mypy infers, so
+the check sees fields, results and narrowed names alike.
 """
 
 import ast
@@ -20,6 +22,12 @@
 # Expressions without a name that may yield a number, as Python and as mypy call them.
 _UNNAMED = {"Subscript": "[]", "IndexExpr": "[]", "Await": "await", "AwaitExpr": "await"}
 _NUMBERS = ("builtins.int", "builtins.float")
+_COLLECTIONS = ("builtins.dict", "builtins.list", "builtins.set", "builtins.frozenset")
+# Modules whose classes hold what operators declare.
+CONFIGURATION_MODULES = (
+    "cicadapier._internal.models.configuration",
+    "cicadapier._internal.platform.documents",
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +98,25 @@
     return any(item.type.has_base(name) for name in _NUMBERS)
 
 
+def _instance(found: mypy.types.Type | None) -> mypy.types.Instance | None:
+    proper = mypy.types.get_proper_type(found)
+    return proper if isinstance(proper, mypy.types.Instance) else None
+
+
+def _is_declared_collection(
+    node: mypy.nodes.Expression,
+    types: collections.abc.Mapping[mypy.nodes.Expression, mypy.types.Type],
+    modules: collections.abc.Collection[str],
+) -> bool:
+    """Returns whether an expression is a collection that is a field of a configuration."""
+    if not isinstance(node, mypy.nodes.MemberExpr):
+        return False
+    holder, value = _instance(types.get(node.expr)), _instance(types.get(node))
+    if holder is None or value is None or holder.type.module_name not in modules:
+        return False
+    return any(value.type.has_base(name) for name in _COLLECTIONS)
+
+
 def _place_of_type(node: mypy.nodes.Expression) -> Place:
     named = node.callee if isinstance(node, mypy.nodes.CallExpr) else node
     name = _UNNAMED.get(type(node).__name__, "")
@@ -116,13 +143,16 @@
 
 
 def find_violations(
-    sources: list[mypy.modulefinder.BuildSource], options: mypy.options.Options
+    sources: list[mypy.modulefinder.BuildSource],
+    options: mypy.options.Options,
+    modules: collections.abc.Collection[str] = CONFIGURATION_MODULES,
 ) -> list[str]:
-    """Returns the places where an optional number is tested as a truth.
+    """Returns the places where an optional number or a declared collection is tested as a truth.
 
     Args:
         sources: Modules to check.
         options: Options for the inference of types.
+        modules: Modules whose classes hold what operators declare.
 
     Raises:
         CompileError: A module cannot be parsed.
@@ -133,13 +163,18 @@
     numbers = {
         _place_of_type(node) for node, kind in result.types.items() if _is_optional_number(kind)
     }
+    declared = {
+        _place_of_type(node)
+        for node in result.types
+        if _is_declared_collection(node, result.types, modules)
+    }
     found = []
     for path in sorted(source.path for source in sources if source.path):
         tree = ast.parse(pathlib.Path(path).read_text(encoding="utf-8"))
-        conditions = find_conditions(tree)
-        places = [_place_of_condition(node) for node in conditions]
-        lines = {place.begin[0] for place in places if place.name and place in numbers}
-        found += [f"{path}:{line}: 0 is taken for absent" for line in sorted(lines)]
+        places = [_place_of_condition(node) for node in find_conditions(tree)]
+        for known, fault in ((numbers, "0"), (declared, "an empty collection")):
+            lines = {place.begin[0] for place in places if place.name and place in known}
+            found += [f"{path}:{line}: {fault} is taken for absent" for line in sorted(lines)]
     return found
 
 
