A patch that takes an account's last permitted pool is refused

What callers could see: on the own interface an account whose list of permitted pools became empty might use all pools.

Cause: an empty collection counts as "no restriction", also where it is what is left of one.

Change: patches.evaluate refuses such a patch and says what to write instead.

Failed before: test_patch_that_takes_the_last_permitted_pool_is_invalid (Accepted).

Why it works: configurations change by patches alone, and each is checked against the document before.

--- a/src/cicadapier/_internal/decisions/patches.py
+++ b/src/cicadapier/_internal/decisions/patches.py
@@ -1,5 +1,6 @@
 """Merge patches (RFC 7396) to numbered versions of the configuration."""
 
+import collections.abc
 import copy
 import dataclasses
 from typing import Any
@@ -93,9 +94,30 @@
         value = configuration.parse(merged)
     except exceptions.InvalidDocumentError as exc:
         return Invalid(tuple(exc.faults))
+    faults = tuple(_find_emptied_permissions(document, merged))
+    if faults:
+        return Invalid(faults)
     return Accepted(merged, value, tuple(changed_paths(document, merged)))
 
 
+def _find_emptied_permissions(
+    old: dict[str, Any], new: dict[str, Any]
+) -> collections.abc.Iterator[exceptions.Fault]:
+    """Yields a fault for each account whose last permitted pool is taken away.
+
+    An empty list permits all pools, which is hardly meant by who removes the last one.
+    """
+    old_accounts = old.get("accounts", {})
+    for name, account in new.get("accounts", {}).items():
+        before = old_accounts.get(name, {}).get("pools", [])
+        if len(before) > 0 and account.get("pools") == []:
+            message = (
+                "an empty list permits all pools; patch it with null to permit them, or take the "
+                "account's keys away"
+            )
+            yield exceptions.Fault(f"accounts.{name}.pools", message)
+
+
 def merge(target: Any, patch: Any) -> Any:
     """Returns the result of a merge patch (RFC 7396); the arguments are not modified."""
     if not isinstance(patch, dict):
--- a/tests/_internal/decisions/test_agreements.py
+++ b/tests/_internal/decisions/test_agreements.py
@@ -240,6 +240,33 @@
         result = patches.evaluate({}, ids.ConfigNumber(2), (change,), {}, ids.ConfigNumber(1))
         self.assertEqual(result, patches.Stale(ids.ConfigNumber(2), (change,)))
 
+    def _patch_pools(self, before, patch):
+        """Returns the result of a patch to the permitted pools of one account."""
+        document = {
+            "accounts": {"a": {"pools": before} if before is not None else {}},
+            "pools": {"p": {"kind": "service"}, "q": {"kind": "service"}},
+        }
+        number = ids.ConfigNumber(1)
+        return patches.evaluate(document, number, (), {"accounts": {"a": patch}}, number)
+
+    def test_patch_that_takes_the_last_permitted_pool_is_invalid(self):
+        # Guards against an account that may use all pools because none is left to it (issue 66).
+        result = self._patch_pools(["p"], {"pools": []})
+        self.assertIsInstance(result, patches.Invalid)
+        self.assertEqual(result.faults[0].path, "accounts.a.pools")
+
+    def test_patches_that_say_which_pools_are_permitted(self):
+        for before, patch in (
+            (["p"], {"pools": None}),
+            (["p"], {"pools": ["q"]}),
+            (["p"], None),
+            ([], {"pools": []}),
+            (None, {"pools": []}),
+            ([], {"weight": 2.0}),
+        ):
+            with self.subTest(before=before, patch=patch):
+                self.assertIsInstance(self._patch_pools(before, patch), patches.Accepted)
+
     def test_chunks_join_to_the_document_and_one_change_affects_one_chunk(self):
         accounts = {f"account-{i}": {"weight": 1.0} for i in range(1000)}
         document = {"accounts": accounts, "pools": {"p": {"kind": "keep"}, "q": {"kind": "keep"}}}
