--- a/tests/_internal/services/test_late_in_the_grace.py
+++ b/tests/_internal/services/test_late_in_the_grace.py
@@ -17,6 +17,7 @@
 TIMEOUT_S = 9.0
 WARM_UP = 12
 STOPPED_S = 9.0
+CHANGED_AFTER_S = 0.5
 MAX_REFUSAL_S = 0.05
 # Requests that are sent this long after the stop may still be at work as the grace ends.
 EARLY_S = 3.0
@@ -82,7 +83,7 @@
 class LateRequestsTest(unittest.TestCase):
     """Requests late in the grace are answered, or refused at once as not run (issue 47)."""
 
-    def _play(self, work_s, path, warm_up=WARM_UP):
+    def _play(self, work_s, path, warm_up=WARM_UP, changed_grace_s=None):
         callers = []
 
         async def check(world):
@@ -97,6 +98,8 @@
             world.routers[0].kernel.stop()
             with trio.move_on_after(STOPPED_S):
                 async with trio.open_nursery() as nursery:
+                    if changed_grace_s is not None:
+                        nursery.start_soon(self._change_grace, world, changed_grace_s)
                     for number in range(16):
                         caller = _Caller(world, f"c{number}", path, stopped_at)
                         callers.append(caller)
@@ -107,6 +110,13 @@
         forwarding_world.run_in_world(check, desks=6)
         return [sent for caller in callers for sent in caller.sent if sent.status]
 
+    async def _change_grace(self, world, grace_s):
+        """Changes the settings while the router stops."""
+        await trio.sleep(CHANGED_AFTER_S)
+        kernel = world.routers[0].kernel
+        changed = dataclasses.replace(kernel.settings.forwarding, grace_s=grace_s)
+        kernel.reload(dataclasses.replace(kernel.settings, forwarding=changed))
+
     async def _warm_up(self, world, path, number):
         await trio.sleep(0.1 * number)
         await world.send("POST", "desk", path, request=f"w{number}", time_left_ms=10_000)
@@ -139,6 +149,19 @@
         served = [item.after_s for item in late if item.status == 200]
         self.assertGreater(max(served), 5.5)
 
+    def test_grace_that_gets_shorter_holds_for_what_has_not_begun(self):
+        # Guards against requests that begin within the former time and are cut at the new one.
+        late = self._check(self._play(0.3, "/order/", changed_grace_s=5.0))
+        ends = [item.after_s + item.took_s for item in late if item.status == 200]
+        self.assertGreater(max(ends), 3.0)
+        self.assertLess(max(ends), 5.0 - 0.3)
+
+    def test_grace_that_gets_longer_does_not_hold_for_what_has_not_begun(self):
+        # The platform may still kill the process by the time of the stop signal.
+        late = self._check(self._play(0.3, "/order/", changed_grace_s=12.0))
+        ends = [item.after_s + item.took_s for item in late if item.status == 200]
+        self.assertLess(max(ends), 8.0 - 0.3)
+
     def test_router_that_has_seen_one_request_goes_by_it(self):
         self._check(self._play(2.0, "/order/", warm_up=1))
 
