Bounds of revoked keys, withdrawals and weights follow the settings

Cause: as in, a value with a holder that is not told: revoke_ms, drain_ms and weights_ms were those of the start, whatever the settings file said since.

Change: the three services that hold them take a change over. A shorter revoke_ms asks the store for proofs until the query under way, which waits by the former time, has ended, so that nobody is refused meanwhile. order_lease_ms still waits for a start: the table says why.

--- a/src/cicadapier/_internal/decisions/freshness.py
+++ b/src/cicadapier/_internal/decisions/freshness.py
@@ -39,6 +39,11 @@
         self._proved_at = -math.inf
         self._proves_from = -math.inf
 
+    def set_bounds(self, max_age_s: float, out_of_touch_s: float) -> None:
+        """Replaces the bounds; the arguments are those of the constructor."""
+        self._max_age_s = max_age_s
+        self._out_of_touch_s = out_of_touch_s
+
     @property
     def proves_from(self) -> float:
         """Time from which a query has to be sent for its answer to be a proof."""
--- a/src/cicadapier/_internal/decisions/target_weights.py
+++ b/src/cicadapier/_internal/decisions/target_weights.py
@@ -37,9 +37,13 @@
     """Target weights versions of each model, with the times at which they were set."""
 
     def __init__(self, max_age_s: float) -> None:
+        self._targets: dict[ids.ModelId, list[_Target]] = {}
+        self.set_max_age(max_age_s)
+
+    def set_max_age(self, max_age_s: float) -> None:
+        """Sets the time after which no request starts on older weights, in seconds."""
         self._expires_after_s = max_age_s * _EXPIRY_SHARE
         self._give_up_after_s = max_age_s * _GIVE_UP_SHARE
-        self._targets: dict[ids.ModelId, list[_Target]] = {}
 
     def set_target(self, model: ids.ModelId, version: int, now: float) -> bool:
         """Records a target version; returns whether it is newer than all earlier ones."""
--- a/src/cicadapier/_internal/models/settings_changes.py
+++ b/src/cicadapier/_internal/models/settings_changes.py
@@ -13,6 +13,9 @@
     {
         "drain_s",
         "forwarding.grace_s",
+        "forwarding.revoke_ms",
+        "forwarding.drain_ms",
+        "forwarding.weights_ms",
         "forwarding.retries",
         "forwarding.quotas",
     }
@@ -31,10 +34,7 @@
         "otlp_endpoint",
         "caller_limits",
         "forwarding.readiness_path",
-        "forwarding.revoke_ms",
         "forwarding.order_lease_ms",
-        "forwarding.drain_ms",
-        "forwarding.weights_ms",
         "forwarding.engines",
         "forwarding.scarcity",
         "forwarding.platform_features",
--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -14,6 +14,7 @@
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import directory_entries
 from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
 from cicadapier._internal.models import store_versions
 from cicadapier._internal.protocols import answers
 from cicadapier._internal.protocols import declarations
@@ -96,11 +97,8 @@
             rng: Source of random delays.
         """
         self._declaration_format = declaration_format
-        self._watch_options = watching.WatchOptions(
-            WATCH_TIMEOUT_S,
-            drain_s * BATCH_PAUSE_SHARE,
-            reader_wait_s=drain_s * READER_WAIT_SHARE,
-        )
+        self._watch_options = _watch_options(drain_s)
+        self._watch: watching.Watch | None = None
         self._clock = clock
         self._rng = rng
         self._directory = directory.Directory()
@@ -133,6 +131,7 @@
         kind = self._declaration_format.directory_kind
         platform = kernel.find(names.PLATFORM)
         watch = watching.Watch(platform, kind, self._watch_options, self, self._clock, self._rng)
+        self._watch = watch
         self._fresh_answers = fresh_answers.FreshAnswers(watch.confirm)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._expire_entries)
@@ -140,6 +139,14 @@
             nursery.start_soon(self._fresh_answers.run)
             task_status.started()
 
+    def reload(self, cfg: settings.Settings) -> None:
+        """See `service.Service.reload`."""
+        if cfg.forwarding is None:
+            return
+        self._watch_options = _watch_options(cfg.forwarding.drain_ms / 1000)
+        if self._watch:
+            self._watch.set_options(self._watch_options)
+
     def handle_configuration_change(self) -> None:
         """Passes the pools of the new configuration to the traffic decisions."""
         self._publish()
@@ -383,3 +390,12 @@
         "weights": entry.weights,
         "software": entry.software,
     }
+
+
+def _watch_options(drain_s: float) -> watching.WatchOptions:
+    """Returns how often the store is asked if a withdrawal has to be known within a time."""
+    return watching.WatchOptions(
+        WATCH_TIMEOUT_S,
+        drain_s * BATCH_PAUSE_SHARE,
+        reader_wait_s=drain_s * READER_WAIT_SHARE,
+    )
--- a/src/cicadapier/_internal/services/traffic_service.py
+++ b/src/cicadapier/_internal/services/traffic_service.py
@@ -18,6 +18,7 @@
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import configuration
 from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
 from cicadapier._internal.services import names
 from cicadapier._internal.services import rejection_messages
 from cicadapier._internal.services import telemetry_service
@@ -137,6 +138,11 @@
             traffic_messages.GetStatus: self._get_status,
         }
 
+    def reload(self, cfg: settings.Settings) -> None:
+        """See `service.Service.reload`."""
+        if cfg.forwarding:
+            self._traffic.target_weights.set_max_age(cfg.forwarding.weights_ms / 1000)
+
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
         """See `service.Service.run`."""
         self._kernel = kernel
--- a/src/cicadapier/_internal/services/watched_configuration.py
+++ b/src/cicadapier/_internal/services/watched_configuration.py
@@ -1,5 +1,6 @@
 """Configuration service of a router that watches a configuration written by others."""
 
+import math
 import random
 from typing import Protocol
 
@@ -10,6 +11,7 @@
 from cicadapier._internal.kernel import service
 from cicadapier._internal.models import exceptions as model_exceptions
 from cicadapier._internal.models import ids
+from cicadapier._internal.models import settings
 from cicadapier._internal.models import store_versions
 from cicadapier._internal.protocols import declarations
 from cicadapier._internal.protocols import store_format
@@ -57,14 +59,12 @@
     ) -> None:
         super().__init__()
         self._declaration_format = declaration_format
-        self._watch_options = watching.WatchOptions(
-            revoke_s * WATCH_WAIT_SHARE,
-            list_within_s=LIST_WITHIN_S,
-            reader_wait_s=revoke_s * READER_WAIT_SHARE,
-        )
+        self._watch_options = _watch_options(revoke_s)
+        self._watch: watching.Watch | None = None
         self._proof = freshness.Freshness(revoke_s * PROOF_MAX_AGE_SHARE, revoke_s)
         self._peer_numbers = freshness.PeerNumbers(clock())
         self._proof_due = trio.Event()
+        self._prove_until = -math.inf
         self._clock = clock
         self._rng = rng
         self._kernel: service.Kernel | None = None
@@ -76,20 +76,39 @@
         kind = self._declaration_format.configuration_kind
         platform = kernel.find(names.PLATFORM)
         watch = watching.Watch(platform, kind, self._watch_options, self, self._clock, self._rng)
+        self._watch = watch
         self._fresh_answers = fresh_answers.FreshAnswers(watch.confirm)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._fresh_answers.run)
             nursery.start_soon(watch.run)
-            nursery.start_soon(self._prove_after_restore)
+            nursery.start_soon(self._prove_when_due)
             task_status.started()
 
-    async def _prove_after_restore(self) -> None:
-        """Asks the store for a proof as soon as its answers are proofs again."""
+    def reload(self, cfg: settings.Settings) -> None:
+        """See `service.Service.reload`."""
+        if cfg.forwarding is None:
+            return
+        revoke_s = cfg.forwarding.revoke_ms / 1000
+        former_wait_s = self._watch_options.wait_s
+        self._watch_options = _watch_options(revoke_s)
+        self._proof.set_bounds(revoke_s * PROOF_MAX_AGE_SHARE, revoke_s)
+        if self._watch and self._watch_options.wait_s < former_wait_s:
+            # The query under way waits by the former time, and the proof may be too old by then.
+            self._prove_until = self._clock() + former_wait_s
+            self._proof_due.set()
+        if self._watch:
+            self._watch.set_options(self._watch_options)
+
+    async def _prove_when_due(self) -> None:
+        """Asks the store for a proof as soon as its answers are proofs."""
         while True:
             await self._proof_due.wait()
             self._proof_due = trio.Event()
             await trio.sleep(max(0.0, self._proof.proves_from - self._clock()))
             await self.confirm(PROOF_TIMEOUT_S)
+            while self._clock() < self._prove_until:
+                await trio.sleep(self._watch_options.wait_s)
+                await self.confirm(PROOF_TIMEOUT_S)
 
     async def confirm(self, timeout_s: float) -> bool:
         """Asks the store for the newest configuration.
@@ -183,3 +202,12 @@
             telemetry.record_keys(candidate.key_policy, len(candidate.accounts_by_key_hash))
             listener: ConfigurationListener = self._kernel.find(names.UPSTREAMS)
             listener.handle_configuration_change()
+
+
+def _watch_options(revoke_s: float) -> watching.WatchOptions:
+    """Returns how often the store is asked if a revoked key has to stop working within a time."""
+    return watching.WatchOptions(
+        revoke_s * WATCH_WAIT_SHARE,
+        list_within_s=LIST_WITHIN_S,
+        reader_wait_s=revoke_s * READER_WAIT_SHARE,
+    )
--- a/src/cicadapier/_internal/services/watching.py
+++ b/src/cicadapier/_internal/services/watching.py
@@ -213,6 +213,10 @@
         options = self._watch_options
         return 2 * options.reader_wait_s + options.batch_pause_s + REPORT_MARGIN_S
 
+    def set_options(self, options: WatchOptions) -> None:
+        """Replaces the options, from the next query on."""
+        self._watch_options = options
+
     def stop_following(self) -> None:
         """Queries the store again."""
         self._heard_until = -math.inf
