Events whose ids increase by any step continue a stream

Cause: is_next asked for one more than the last number; the protocol says that ids increase.

Evidence, on: attempt_failed of sound engines, "out of order, malformed or too long", with one event relayed.

Change: within one connection any higher number goes on.

Why it works: TCP loses nothing between two events, and where it might be lost the version's own numbering is asked.

--- a/src/cicadapier/_internal/protocols/event_stream.py
+++ b/src/cicadapier/_internal/protocols/event_stream.py
@@ -1,4 +1,4 @@
-"""Server-sent events with consecutive numbers as ids.
+"""Server-sent events with increasing numbers as ids.
 
 A stream is relayed event by event. If it breaks, the caller never has a partial event, and the
 stream can be resumed after the last complete event.
--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -71,7 +71,7 @@
         self._held: list[held_bytes.HeldMessage[ids.Address]] = []
         self._answer_began_at: float | None = None
         self._progress = forwarded_progress.AnswerProgress(
-            plan.forwarded.resume_after, plan.request_spec.software
+            dependencies.numbering, plan.forwarded.resume_after, plan.request_spec.software
         )
         self._checks = send_checks.SendChecks(dependencies, plan, self._progress)
         self._call_builder = forwarded_calls.CallBuilder(dependencies, plan, self._progress)
--- a/src/cicadapier/_internal/services/forwarded_hedge.py
+++ b/src/cicadapier/_internal/services/forwarded_hedge.py
@@ -37,7 +37,7 @@
         return bool(events) or splitter.is_overlong
 
     await attempt.receive_ahead(has_event, timeout_s, progress.relayed_events)
-    continues = progress.is_next(events[0], wire_format) if events else not splitter.rest
+    continues = progress.is_continuation(events[0], wire_format) if events else not splitter.rest
     if not continues:
         reason = "the answer does not continue the stream"
         raise attempt_errors.AttemptFailedError(
--- a/src/cicadapier/_internal/services/forwarded_plan.py
+++ b/src/cicadapier/_internal/services/forwarded_plan.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 
+from cicadapier._internal.decisions import event_numbering
 from cicadapier._internal.decisions import routing
 from cicadapier._internal.decisions import stream_origins
 from cicadapier._internal.decisions.scarcity import urgency as urgencies
@@ -80,6 +81,7 @@
             sent now.
         record_time: Records the time that a request has taken that was answered.
         make_output: Creates the sending side of a stream.
+        numbering: How upstreams number the events of streams.
     """
 
     services: request_context.Services
@@ -91,3 +93,4 @@
     require_time: collections.abc.Callable[[Plan], None]
     record_time: collections.abc.Callable[[ids.RouteId, float], None]
     make_output: stream_output.MakeOutput
+    numbering: event_numbering.EventNumbering
--- a/src/cicadapier/_internal/services/forwarded_progress.py
+++ b/src/cicadapier/_internal/services/forwarded_progress.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from cicadapier._internal.decisions import event_numbering
 from cicadapier._internal.decisions import routing
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import event_stream
@@ -24,7 +25,20 @@
         peer: Peer through which the last attempt was connected; None if it was direct.
     """
 
-    def __init__(self, resume_after: int | None, software: str | None = None) -> None:
+    def __init__(
+        self,
+        numbering: event_numbering.EventNumbering,
+        resume_after: int | None,
+        software: str | None = None,
+    ) -> None:
+        """Creates it.
+
+        Args:
+            numbering: How upstreams number events.
+            resume_after: Number of the last event that the caller has of an earlier request.
+            software: Version of the software whose events the stream holds already.
+        """
+        self._numbering = numbering
         self.placed: routing.Placed | None = None
         self.last_event_number = resume_after
         self.relayed_events = 0
@@ -62,14 +76,33 @@
         self.last_progress_at = trio.current_time()
 
     def is_next(self, event: event_stream.Event, wire_format: forwarding.ForwardingFormat) -> bool:
-        """Returns whether an event is well-formed and continues the stream."""
-        if event.number is None or not event.is_well_formed(wire_format.event_fields):
+        """Returns whether an event is well-formed and continues the stream in its connection."""
+        if not self.attempt_events:
+            return self.is_continuation(event, wire_format)
+        number = _read_number(event, wire_format)
+        return number is not None and self._is_higher(number)
+
+    def is_continuation(
+        self, event: event_stream.Event, wire_format: forwarding.ForwardingFormat
+    ) -> bool:
+        """Returns whether the first event of another attempt is well-formed and goes on."""
+        number = _read_number(event, wire_format)
+        if number is None:
             return False
-        if self.last_event_number is None:
-            return True
-        if self.begins_stream and not self.relayed_events:
-            return event.number > self.last_event_number
-        return event.number == self.last_event_number + 1
+        last = self.last_event_number
+        if last is None or (self.begins_stream and not self.relayed_events):
+            return self._is_higher(number)
+        return self._numbering.may_follow(self.software, last, number)
+
+    def _is_higher(self, number: int) -> bool:
+        return self.last_event_number is None or number > self.last_event_number
+
+    def _record_step(self, event: event_stream.Event) -> None:
+        """Records the step to an event from the one before it in the same connection."""
+        if not self.attempt_events or self.placed is None:
+            return
+        assert event.number is not None and self.last_event_number is not None
+        self._numbering.record_step(self.placed.software, event.number - self.last_event_number)
 
     def take_in_order(
         self, events: list[event_stream.Event], wire_format: forwarding.ForwardingFormat
@@ -79,6 +112,7 @@
         for event in events:
             if not self.is_next(event, wire_format):
                 break
+            self._record_step(event)
             self.last_event_number = event.number
             self.relayed_events += 1
             self.attempt_events += 1
@@ -88,3 +122,10 @@
         if accepted and self.software is None and self.placed is not None:
             self.software = self.placed.software
         return accepted
+
+
+def _read_number(event: event_stream.Event, wire_format: forwarding.ForwardingFormat) -> int | None:
+    """Returns the number of an event; None if the event is malformed or has none."""
+    if event.number is None or not event.is_well_formed(wire_format.event_fields):
+        return None
+    return event.number
--- a/src/cicadapier/_internal/services/forwarded_requests.py
+++ b/src/cicadapier/_internal/services/forwarded_requests.py
@@ -13,6 +13,7 @@
 
 from cicadapier._internal.decisions import backups
 from cicadapier._internal.decisions import cache_scopes
+from cicadapier._internal.decisions import event_numbering
 from cicadapier._internal.decisions import prefix
 from cicadapier._internal.decisions import routing
 from cicadapier._internal.decisions import stopping
@@ -84,6 +85,7 @@
         self._request_numbers = itertools.count()
         self._open_exchanges: set[forwarded_exchange.Exchange] = set()
         self._run_times = stopping.RunTimes()
+        self._numbering = event_numbering.EventNumbering()
         self.grace = stopping.Grace()
 
     async def handle(self, req: http_server.Request, responder: http_server.Responder) -> None:
@@ -155,6 +157,7 @@
             self._require_time,
             self._run_times.record,
             self._make_output,
+            self._numbering,
         )
 
     def _require_time(self, plan: forwarded_plan.Plan) -> None:
