A refused HEAD request is answered

Cause: send_response wrote the body of a refusal also to HEAD, for which h11 allows none; the handler failed (handler_failed in the log).

Change: the responder alone decides whether an answer has a body, by the request's method and the status.

Why it works: there is one place that writes bodies, and it knows the method.

--- a/src/cicadapier/_internal/protocols/http_server.py
+++ b/src/cicadapier/_internal/protocols/http_server.py
@@ -35,6 +35,8 @@
 MAX_BODY_BEGINNINGS_BYTES = 16_777_216
 _MAX_COPIED_BYTES = 16_384  # Larger bodies are sent apart from their heads.
 _VERSION_WITHOUT_CHUNKS = b"1.0"
+_HEAD = b"HEAD"
+_STATUSES_WITHOUT_BODY = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 _CHUNKED_HEADERS = [(b"transfer-encoding", b"chunked")]
@@ -61,6 +63,7 @@
         self._handler = handler
         self.started = False
         self.is_next_sent_ahead = False
+        self._has_body = True
         self.nursery: trio.Nursery | None = None
 
     async def send_json(
@@ -78,8 +81,8 @@
         """Sends a complete answer."""
         length = (b"content-length", b"%d" % len(body))
         data = self._encode_head(status, [*headers, length])
-        if body and self._h11.our_state is h11.SEND_BODY:
-            encoded = self._h11.send(h11.Data(data=body)) or b""
+        if self._has_body and len(body) > 0:
+            encoded = self.encode_part(body)
             if len(encoded) > _MAX_COPIED_BYTES:
                 await self._output.write(data)
                 data = b""
@@ -105,7 +108,7 @@
 
     def encode_part(self, data: bytes) -> bytes:
         """Returns what `send_part` sends; the calling code then has to write it."""
-        return self._h11.send(h11.Data(data=data)) or b""
+        return (self._h11.send(h11.Data(data=data)) or b"") if self._has_body else b""
 
     async def write(self, encoded: bytes) -> None:
         """Writes encoded data.
@@ -147,6 +150,7 @@
         is_last = not self._handler.is_accepting
         if is_last and request_reader.unparsed_bytes(self._h11) == 0:
             headers = [*headers, (b"connection", b"close")]
+        self._has_body = self._reader.method != _HEAD and status not in _STATUSES_WITHOUT_BODY
         response = h11.Response(status_code=status, headers=headers, reason=reason)
         return self._h11.send(response) or b""
 
--- a/src/cicadapier/_internal/protocols/request_reader.py
+++ b/src/cicadapier/_internal/protocols/request_reader.py
@@ -41,6 +41,7 @@
 
     Attributes:
         h11: State of the protocol.
+        method: Method of the latest request; empty as long as its head has not been read.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         self._ahead_since: float | None = None
         self._input = connection_input
         self._began_at = 0.0
+        self.method = b""
         # The limit may change while the connection is open, so `_parse` enforces it instead.
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
 
@@ -133,6 +135,7 @@
 
     async def _read_request(self) -> http_request.Request | None:
         self._began_at = trio.current_time()
+        self.method = b""
         self._limits = self._read_limits()
         self._output.unread_timeout_s = self._limits.unread_timeout_s
         header_deadline = math.inf
@@ -167,6 +170,7 @@
         return trio.current_time() < self._idle_deadline()
 
     async def _read_body(self, head: h11.Request) -> http_request.Request:
+        self.method = head.method
         headers = list(head.headers)
         self._check_headers(headers)
         length = http_client.read_length(headers)
