CONNECT requests are refused

What could be seen: one to a route was passed on, ran, and its answer could not be sent, as a 2xx switches the protocol of the connection (handler_failed). Found by test_refused_methods.

Cause: the listener handed every method on. Change: 400 as soon as the head is read.

Failed before: test_connect_is_refused (the request ran).

--- a/src/cicadapier/_internal/protocols/request_reader.py
+++ b/src/cicadapier/_internal/protocols/request_reader.py
@@ -26,6 +26,7 @@
 _MAX_LINGER_BYTES = 1_048_576
 _LEAVE_CHECK_INTERVAL_S = 0.25
 _ROOM_CHECK_INTERVAL_S = 1.0
+_CONNECT = b"CONNECT"
 
 LimitsProvider = collections.abc.Callable[[], settings.CallerLimits]
 
@@ -171,6 +172,10 @@
 
     async def _read_body(self, head: h11.Request) -> http_request.Request:
         self.method = head.method
+        if head.method == _CONNECT:
+            raise exceptions.BadRequestError(
+                exceptions.BadRequestKind.MALFORMED, "the method CONNECT is not supported"
+            )
         headers = list(head.headers)
         self._check_headers(headers)
         length = http_client.read_length(headers)
--- a/tests/_internal/services/test_refused_methods.py
+++ b/tests/_internal/services/test_refused_methods.py
@@ -1,11 +1,13 @@
 """Refusals of requests of any method: each gets its answer, and the connection goes on."""
 
+import http
 import unittest
 
 import trio
 
 from cicadapier._internal.models import ids
 from cicadapier._internal.platform import server_formats
+from cicadapier._internal.protocols import exceptions
 from cicadapier._internal.protocols import http_client
 from cicadapier._internal.standins import forwarding_store
 from cicadapier._internal.standins import forwarding_upstream
@@ -177,6 +179,19 @@
         head, _, rest = bytes(answer).partition(b"\r\n\r\n")
         return head, rest
 
+    def test_connect_is_refused(self):
+        # A tunnel through a route would end the protocol on a kept connection.
+        async def check(world):
+            client = _Client(world)
+            try:
+                head, _ = await client.ask("CONNECT", "/order/", _headers("c"))
+            except exceptions.ProtocolError as exc:
+                self.fail(f"no answer: {exc}")
+            self.assertGreaterEqual(head.status, http.HTTPStatus.BAD_REQUEST)
+            self.assertEqual(world.runs, [])
+
+        forwarding_world.run_in_world(check)
+
 
 if __name__ == "__main__":
     unittest.main()
