A refused test connection does not end a run whose own one is open

Cause: is_reachable took the refusal for the loss of the engine.

Change: with the connection of the run open, a refusal shows that something answers; the attempt stands. A process that is gone has its connection reset by its kernel, at the latest by the keep-alive probe, and the run goes on from its backup then.

Changed test: the engine that "becomes unreachable" refused new connections and kept the run's own one, which is this case; it gives no answer now, as strictly.

--- a/src/cicadapier/_internal/services/upstream_condition.py
+++ b/src/cicadapier/_internal/services/upstream_condition.py
@@ -54,7 +54,7 @@
         self._answer_format = answer_format
 
     async def is_reachable(self, is_direct: bool) -> bool:
-        """Returns whether a connection that makes no progress can still be expected to.
+        """Returns whether an open connection that makes no progress can still be expected to.
 
         Args:
             is_direct: Whether it was opened without a peer. If the direct link carries nothing,
@@ -65,8 +65,10 @@
             try:
                 conn = await open_connection(self._address, CHECK_TIMEOUT_S)
             except exceptions.ConnectRefusedError:
-                # New connections may be refused by a lost link that leaves open ones alone.
-                return is_direct and await self.is_reachable(is_direct=False)
+                # Something answers. An upstream at its limit of connections refuses new ones, and
+                # so does a lost link that leaves open ones alone; where the process has ended, its
+                # kernel resets the open connection, at the latest as it is probed.
+                return True
             except exceptions.ConnectError:
                 continue
             await conn.close()
--- a/tests/_internal/services/test_forwarded_exchange.py
+++ b/tests/_internal/services/test_forwarded_exchange.py
@@ -9,6 +9,7 @@
 from cicadapier._internal.decisions import stream_origins
 from cicadapier._internal.services import forwarded_exchange
 from cicadapier._internal.standins import forwarding_upstream
+from cicadapier._internal.standins import router_links
 from tests import forwarding_world
 
 Fault = forwarding_upstream.UpstreamFault
@@ -300,7 +301,7 @@
             forwarding_world.inject_fault(world, "engine", Fault.STALLS)
 
             async def hide(engine):
-                world.network.refuse_connections(engine.entry.address)
+                world.cut_links(0, router_links.LinkFault.HANG, [engine.entry.upstream])
                 for upstream in world.upstreams.values():
                     upstream.faults.clear()
 
@@ -311,6 +312,43 @@
 
         forwarding_world.run_in_world(check)
 
+    def _ask_a_full_engine(self, world, reset_after_s=None):
+        """Lets an engine stall that refuses new connections; returns the caller's reply.
+
+        Args:
+            world: The world.
+            reset_after_s: When its kernel resets the open connection; None for never.
+        """
+
+        async def fill(engine):
+            world.network.refuse_connections(engine.entry.address)
+            for upstream in world.upstreams.values():
+                upstream.faults.clear()
+            if reset_after_s is not None:
+                await trio.sleep(reset_after_s)
+                world.cut_links(0, router_links.LinkFault.RESET, [engine.entry.upstream])
+
+        forwarding_world.inject_fault(world, "engine", Fault.STALLS)
+        return self._ask_and_interrupt(world, fill)
+
+    def test_run_does_not_fail_over_from_an_engine_at_its_limit_of_connections(self):
+        # Guards against two engines that work on one run, as a new connection is refused while the
+        # one of the run is open.
+        async def check(world):
+            reply = await self._ask_a_full_engine(world)
+            self.assertEqual((reply.broken, reply.numbers), (False, list(range(1, 21))))
+            self.assertEqual(len(world.runs_for("q")), 1)
+
+        forwarding_world.run_in_world(check)
+
+    def test_run_fails_over_from_an_engine_whose_kernel_resets_the_open_connection(self):
+        async def check(world):
+            reply = await self._ask_a_full_engine(world, reset_after_s=1.0)
+            self.assertEqual((reply.broken, reply.numbers), (False, list(range(1, 21))))
+            self.assertEqual(len(world.runs_for("q")), 2)
+
+        forwarding_world.run_in_world(check)
+
     def test_run_does_not_fail_over_from_a_slow_engine(self):
         async def check(world):
             forwarding_world.inject_fault(world, "engine", Fault.STALLS)
