Streams that run are told to other routers also while one version serves

Cause: while one version serves alone, a router tells nobody where its streams began, and it learns of a second one up to 0.8 s late, as the directory's watch pauses after an answer with changes.

Change: streams that still run are told each 0.5 s, many in one datagram; the message is unchanged.

Failed before: test_stream_of_a_router_that_is_killed_as_a_second_version_comes_goes_on (0 of 20).

Why it works: the holders know a stream before its router can be missing the second version for long.

--- a/src/cicadapier/_internal/services/forwarded_exchange.py
+++ b/src/cicadapier/_internal/services/forwarded_exchange.py
@@ -432,6 +432,7 @@
             await self._begin_answer(attempt, head, b"")
         await self._output.end()
         self._is_stream_received = True
+        self._dependencies.origins.record_end(self._plan.stream)
         return outcomes.Complete(head.status)
 
     def _record_origin(self, first_event: event_stream.Event) -> None:
--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -29,6 +29,8 @@
 # Datagrams may be lost, so the routers that have not answered are asked again after these times.
 ASK_WAITS_S = (0.04, 0.06, 0.1)
 CHECK_INTERVAL_S = 1.0
+# Interval at which the streams that still run are told while one version serves alone.
+TELL_INTERVAL_S = 0.5
 # Waits between the questions of a router that cannot vouch for all streams yet.
 MIN_LEARN_WAIT_S = 0.25
 MAX_LEARN_WAIT_S = 8.0
@@ -70,8 +72,9 @@
 class OriginsService(service.Service):
     """Owns the origins of streams, and tells and asks other routers about them.
 
-    Each stream is told to a few routers, unless this router can vouch that all streams began at one
-    version.
+    Each stream is told to a few routers: at once if another version than the one that began it may
+    serve, otherwise soon, unless it has ended by then. A second version may come, and this router
+    be gone, before it knows of it.
 
     Attributes:
         mailbox: Messages to the service.
@@ -106,6 +109,8 @@
             self._origins, self._beginnings, self._is_directory_current
         )
         self._recorder = version_recorder.VersionRecorder(vm, self._see, rng)
+        # Streams that run and were not told; oldest first.
+        self._untold: dict[stream_origins.StreamId, stream_origins.Origin] = {}
         self._tells_all = True  # As a router that has just started can vouch for nothing.
 
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
@@ -128,6 +133,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._recorder.run, platform, self._cluster, self._directory)
             nursery.start_soon(self._check_regularly)
+            nursery.start_soon(self._tell_regularly)
             nursery.start_soon(self._learn_history)
             task_status.started()
             await self._handle_messages(nursery)
@@ -138,6 +144,14 @@
             await trio.sleep(CHECK_INTERVAL_S)
             self._update_telling()
 
+    async def _tell_regularly(self) -> None:
+        """Tells the streams that were not told as they began."""
+        while True:
+            await trio.sleep(TELL_INTERVAL_S)
+            if self._untold:
+                self.mailbox.try_send(TellOrigins(list(self._untold.values())))
+                self._untold.clear()
+
     async def _learn_history(self) -> None:
         """Asks other routers what served before this one started, while they are there."""
         wait_s = MIN_LEARN_WAIT_S
@@ -293,6 +307,14 @@
         self._update_telling()
         if self._tells_all:
             self.mailbox.try_send(TellOrigins([origin]))
+            return
+        self._untold[origin.stream] = origin
+        if len(self._untold) > stream_origins.MAX_ORIGINS:
+            del self._untold[next(iter(self._untold))]
+
+    def record_end(self, stream: stream_origins.StreamId) -> None:
+        """Records that a stream was relayed to its end, so that nobody takes it up."""
+        self._untold.pop(stream, None)
 
     def _update_telling(self, repeats: bool = False) -> None:
         """Decides whether the holders of each stream must be told its origin.
@@ -305,6 +327,7 @@
         self._tells_all = self._history.seen(now).sole_version() is None
         if self._tells_all and (repeats or not had_told_all):
             # Streams that began earlier may be taken up after this router is gone.
+            self._untold.clear()
             self.mailbox.try_send(TellOrigins(self._origins.recent(now)))
 
     async def find_origin(
--- a/tests/_internal/services/test_software_versions.py
+++ b/tests/_internal/services/test_software_versions.py
@@ -19,6 +19,10 @@
 BACKED_UP = {"path": "/long/x", "output_tokens": 200}
 
 
+async def _know_all_streams(_world):
+    await trio.sleep(stream_origins.STREAM_LIFE_S)  # From then on streams are not told at once.
+
+
 class WithinAnAnswerTest(unittest.TestCase):
     def _check_after(self, action, **options):
         async def check(world):
@@ -124,10 +128,19 @@
         self._check_killed_router(self._add_v2, routers=12)
 
     def test_stream_that_began_before_the_second_version_appeared_goes_on_elsewhere(self):
-        async def know_all_streams(_world):
-            await trio.sleep(stream_origins.STREAM_LIFE_S)  # From then on streams are told no more.
-
-        self._check_killed_router(know_all_streams, after=self._add_v2)
+        self._check_killed_router(_know_all_streams, after=self._add_v2)
+
+    def test_stream_of_a_router_that_is_killed_as_a_second_version_comes_goes_on(self):
+        # Guards against streams that nobody else knows, as their router learns of the version late.
+        async def begin_release(world):
+            await trio.sleep(0.7)
+            # The answer that tells of this change is followed by a pause of the watch.
+            world.mark_leaving("desk-0")
+            await trio.sleep(0.05)
+            await stream_callers.start_engines(world, "v2", 1)
+            await trio.sleep(0.3)
+
+        self._check_killed_router(_know_all_streams, begin_release, routers=2)
 
     def test_stream_goes_on_elsewhere_while_there_is_one_version(self):
         self._check_killed_router()
