An upstream whose connections were lost is asked which process it is

Cause: the directory's entry was believed whatever the connections to the process had shown.

Change: after a lost connection, or an idle one closed before its stated time, the upstream is asked for its start time. Another process than the directory names: streams since the known one last lived, and those that begin there until its entry comes, are doubted.

Failed before: test_streams_of_an_unseen_process_with_other_software_are_not_joined (6 streams mixed).

Why it works: a process that ends closes its connections, and only the process itself knows its start.

--- a/src/cicadapier/_internal/decisions/stream_beginnings.py
+++ b/src/cicadapier/_internal/decisions/stream_beginnings.py
@@ -70,6 +70,21 @@
                 return
             del self._by_upstream[oldest]
 
+    def doubt_process(
+        self, process: stream_origins.Process, alive_until: float
+    ) -> list[stream_origins.Origin]:
+        """Returns the streams that an unknown process may have begun in place of a known one.
+
+        Args:
+            process: The known process.
+            alive_until: Time until which it is known to have lived.
+        """
+        return [
+            dataclasses.replace(begun.origin, doubted=True)
+            for begun in self._by_upstream.get(process.upstream, ())
+            if begun.at > alive_until and begun.process == process
+        ]
+
     def doubt(
         self,
         upstream: ids.UpstreamId,
--- a/src/cicadapier/_internal/services/attempts.py
+++ b/src/cicadapier/_internal/services/attempts.py
@@ -403,6 +403,7 @@
         await self.abandon(connection_failed=True)
         if not isinstance(exc, exceptions.ConnectionLostError):
             return upstream_condition.Condition()
+        self._connections.report_loss(self._call.address)
         return await self._upstream_checker.check_after_loss()
 
     async def _check_request_id(self) -> None:
--- a/src/cicadapier/_internal/services/connections_service.py
+++ b/src/cicadapier/_internal/services/connections_service.py
@@ -117,6 +117,19 @@
         return True
 
 
+class LossListener(abc.ABC):
+    """Is told of connections that upstreams, or the links to them, have ended."""
+
+    @abc.abstractmethod
+    def record_loss(self, address: ids.Address, alive_until: float) -> None:
+        """Records that a connection ended before it was expected to.
+
+        Args:
+            address: Address of the upstream.
+            alive_until: Time until which the process that held it is known to have lived.
+        """
+
+
 class ConnectionsService(service.Service):
     """Owns the idle connections to upstreams.
 
@@ -150,6 +163,7 @@
         self._links = links
         self._idle: dict[ids.Address, list[http_client.ClientConnection]] = {}
         self._failed_at: dict[ids.Address, float] = {}
+        self._loss_listener: LossListener | None = None
         self._watched: set[http_client.ClientConnection] = set()
 
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
@@ -182,9 +196,25 @@
                 return conn
             # Upstreams close idle connections, so this is no evidence against the other ones.
             reason = "closed_by_peer" if conn.is_stale else "idle_too_long"
+            self._report_early_end(address, conn)
             await conn.close()
         return await self._open(address, timeout_s, reason)
 
+    def set_loss_listener(self, listener: LossListener) -> None:
+        """Sets who is told of connections that were lost."""
+        self._loss_listener = listener
+
+    def report_loss(self, address: ids.Address) -> None:
+        """Reports that a connection in use was lost just now."""
+        if self._loss_listener:
+            self._loss_listener.record_loss(address, trio.current_time())
+
+    def _report_early_end(self, address: ids.Address, conn: http_client.ClientConnection) -> None:
+        """Reports an idle connection that its peer closed before it said it would."""
+        idle_s = trio.current_time() - conn.idle_since
+        if self._loss_listener and conn.is_stale and idle_s < conn.max_idle_s:
+            self._loss_listener.record_loss(address, conn.idle_since)
+
     def _is_usable(
         self, address: ids.Address, conn: http_client.ClientConnection, now: float
     ) -> bool:
@@ -313,6 +343,7 @@
             expired = [conn for conn in idle if not self._is_usable(address, conn, now)]
             self._idle[address] = [conn for conn in idle if conn not in expired]
             for conn in expired:
+                self._report_early_end(address, conn)
                 await conn.close()
             if not self._idle[address]:
                 del self._idle[address]
--- a/src/cicadapier/_internal/services/directory_service.py
+++ b/src/cicadapier/_internal/services/directory_service.py
@@ -171,6 +171,20 @@
         """Returns the registration of an upstream, or None if it has none that may be used."""
         return self._directory.find(upstream)
 
+    def find_stream_upstream(self, address: ids.Address) -> directory_entries.Registration | None:
+        """Returns the upstream at an address that serves streams, or None if there is none."""
+        if self._configuration is None:
+            return None
+        pools = _stream_pools(self._configuration.current.content)
+        return next(
+            (
+                item
+                for item in self._directory.registrations()
+                if item.address == address and item.pool in pools
+            ),
+            None,
+        )
+
     def may_send(self, upstream: ids.UpstreamId, incarnation: ids.Incarnation) -> bool:
         """Returns whether a request that was placed on an incarnation may still be sent there."""
         return self._directory.may_send(upstream, incarnation, self._clock())
--- a/src/cicadapier/_internal/services/origin_teller.py
+++ b/src/cicadapier/_internal/services/origin_teller.py
@@ -37,6 +37,8 @@
         self._origins = origins
         self._beginnings = beginnings
         self._is_directory_current = is_directory_current
+        # Streams that run and were not told; oldest first.
+        self._untold: dict[stream_origins.StreamId, stream_origins.Origin] = {}
         # Streams told as unconfirmed, with the times at which they began; oldest first.
         self._told_unconfirmed: dict[stream_origins.StreamId, float] = {}
 
@@ -56,6 +58,22 @@
         """Whether origins were told that the directory has not confirmed."""
         return bool(self._told_unconfirmed)
 
+    def postpone(self, origin: stream_origins.Origin) -> None:
+        """Records a stream that need not be told at once."""
+        self._untold[origin.stream] = origin
+        if len(self._untold) > stream_origins.MAX_ORIGINS:
+            del self._untold[next(iter(self._untold))]
+
+    def record_end(self, stream: stream_origins.StreamId) -> None:
+        """Records that a stream was relayed to its end, so that nobody takes it up."""
+        self._untold.pop(stream, None)
+
+    def take_untold(self) -> list[stream_origins.Origin]:
+        """Returns the streams that were postponed and still run, and forgets them."""
+        untold = list(self._untold.values())
+        self._untold.clear()
+        return untold
+
     async def tell(self, origins: list[stream_origins.Origin]) -> None:
         """Tells the holders of each stream its origin."""
         by_address: dict[ids.Address, list[stream_origins.Origin]] = {}
--- a/src/cicadapier/_internal/services/origins_service.py
+++ b/src/cicadapier/_internal/services/origins_service.py
@@ -15,6 +15,7 @@
 from cicadapier._internal.models import ids
 from cicadapier._internal.protocols import engines
 from cicadapier._internal.services import cluster_service
+from cicadapier._internal.services import connections_service
 from cicadapier._internal.services import directory_service
 from cicadapier._internal.services import names
 from cicadapier._internal.services import origin_questions
@@ -23,6 +24,7 @@
 from cicadapier._internal.services import peers_service
 from cicadapier._internal.services import platform_service
 from cicadapier._internal.services import process_checks
+from cicadapier._internal.services import replaced_processes
 from cicadapier._internal.services import version_recorder
 from cicadapier._internal.services import watched_configuration
 
@@ -108,9 +110,8 @@
         self._teller = origin_teller.OriginTeller(
             self._origins, self._beginnings, self._is_directory_current
         )
+        self._replaced = replaced_processes.ReplacedProcesses(self._doubt_process)
         self._recorder = version_recorder.VersionRecorder(vm, self._see, rng)
-        # Streams that run and were not told; oldest first.
-        self._untold: dict[stream_origins.StreamId, stream_origins.Origin] = {}
         self._tells_all = True  # As a router that has just started can vouch for nothing.
 
     async def run(self, kernel: service.Kernel, task_status: "trio.TaskStatus[None]") -> None:
@@ -121,9 +122,11 @@
         self._configuration: watched_configuration.WatchedConfiguration = kernel.find(
             names.CONFIGURATION
         )
+        connections: connections_service.ConnectionsService = kernel.find(names.CONNECTIONS)
         self._process_checks = process_checks.ProcessChecks(
-            kernel.find(names.CONNECTIONS), self._engine_format, self._directory.limits
+            connections, self._engine_format, self._directory.limits
         )
+        self._replaced.start(connections, self._directory, self._process_checks)
         self._routers = origin_routers.OriginRouters(
             self._vm, self._cluster, self._peers, self._rng
         )
@@ -134,6 +137,7 @@
             nursery.start_soon(self._recorder.run, platform, self._cluster, self._directory)
             nursery.start_soon(self._check_regularly)
             nursery.start_soon(self._tell_regularly)
+            nursery.start_soon(self._replaced.run)
             nursery.start_soon(self._learn_history)
             task_status.started()
             await self._handle_messages(nursery)
@@ -148,9 +152,9 @@
         """Tells the streams that were not told as they began."""
         while True:
             await trio.sleep(TELL_INTERVAL_S)
-            if self._untold:
-                self.mailbox.try_send(TellOrigins(list(self._untold.values())))
-                self._untold.clear()
+            untold = self._teller.take_untold()
+            if untold:
+                self.mailbox.try_send(TellOrigins(untold))
 
     async def _learn_history(self) -> None:
         """Asks other routers what served before this one started, while they are there."""
@@ -226,9 +230,20 @@
         doubted = self._beginnings.doubt(
             entry.upstream, entry.incarnation, entry.software, certain_until
         )
+        self._replaced.record_registration(
+            stream_origins.Process(entry.upstream, entry.incarnation)
+        )
+        self._doubt(entry.upstream, doubted)
+
+    def _doubt_process(self, process: stream_origins.Process, alive_until: float) -> None:
+        doubted = self._beginnings.doubt_process(process, alive_until)
+        self._doubt(process.upstream, doubted)
+
+    def _doubt(self, upstream: ids.UpstreamId, doubted: list[stream_origins.Origin]) -> None:
+        """Ends the belief in the origins of streams, here and at the routers that were told."""
         if not doubted:
             return
-        _log.info("stream_origins_doubted", upstream=entry.upstream, streams=len(doubted))
+        _log.info("stream_origins_doubted", upstream=upstream, streams=len(doubted))
         now = trio.current_time()
         for origin in doubted:
             self._origins.add(origin, now)
@@ -301,20 +316,20 @@
             incarnation: Its incarnation, as the directory last said.
         """
         now = trio.current_time()
+        if self._replaced.record_begin(stream_origins.Process(upstream, incarnation)):
+            origin = dataclasses.replace(origin, doubted=True)
         if self._origins.find(origin.stream, now) is None:
             self._beginnings.add(origin, upstream, incarnation, now)
         self._origins.add(origin, now)
         self._update_telling()
         if self._tells_all:
             self.mailbox.try_send(TellOrigins([origin]))
-            return
-        self._untold[origin.stream] = origin
-        if len(self._untold) > stream_origins.MAX_ORIGINS:
-            del self._untold[next(iter(self._untold))]
+        else:
+            self._teller.postpone(origin)
 
     def record_end(self, stream: stream_origins.StreamId) -> None:
         """Records that a stream was relayed to its end, so that nobody takes it up."""
-        self._untold.pop(stream, None)
+        self._teller.record_end(stream)
 
     def _update_telling(self, repeats: bool = False) -> None:
         """Decides whether the holders of each stream must be told its origin.
@@ -327,7 +342,7 @@
         self._tells_all = self._history.seen(now).sole_version() is None
         if self._tells_all and (repeats or not had_told_all):
             # Streams that began earlier may be taken up after this router is gone.
-            self._untold.clear()
+            self._teller.take_untold()
             self.mailbox.try_send(TellOrigins(self._origins.recent(now)))
 
     async def find_origin(
