--- a/tests/_internal/services/test_errors_after_a_stream_began.py
+++ b/tests/_internal/services/test_errors_after_a_stream_began.py
@@ -77,6 +77,7 @@
     return lambda raw: _fill(head, raw) + CHUNKED + _chunk(make_body(raw)) + end
 
 
+STREAMS_BEFORE = 2  # They show that events are numbered one by one, so that a gap is one.
 # Answers to a request for the rest of a stream, none of which ends it.
 ANSWERS = {
     "400": _whole(400, PROVED),
@@ -176,6 +177,8 @@
 
     def _check(self, ask, make_answer, from_beginning=False):
         async def check(world):
+            for _ in range(0 if from_beginning else STREAMS_BEFORE):
+                self.assertFalse((await world.ask()).broken)
             network = replacing_network.install(
                 world,
                 lambda raw: make_answer(raw) if from_beginning or _resumed_after(raw) else None,
