--- a/tests/_internal/services/test_changed_bounds.py
+++ b/tests/_internal/services/test_changed_bounds.py
@@ -9,6 +9,7 @@
 
 from cicadapier._internal.assembly import forwarding as forwarding_assembly
 from cicadapier._internal.decisions import target_weights
+from cicadapier._internal.models import configuration
 from cicadapier._internal.models import settings
 from cicadapier._internal.services import names
 from cicadapier._internal.standins import forwarding_deployment
@@ -51,6 +52,19 @@
 
         forwarding_world.run_in_world(check)
 
+    def test_budgets_of_retries_and_quotas_follow(self):
+        async def check(world):
+            kernel = world.routers[0].kernel
+            quotas = kernel.find(names.ACCOUNT_QUOTAS)
+            quota = configuration.AccountQuota(10.0)
+            self.assertEqual(quotas.window_total(quota), 100.0)
+            budget = settings.RetryBudget(0.0, 5.0)
+            _reload(world, retries=budget, quotas=settings.AccountQuotas(window_s=20.0))
+            self.assertEqual(quotas.window_total(quota), 200.0)
+            self.assertEqual(world.routers[0].callers._services.retry_budget._settings, budget)
+
+        forwarding_world.run_in_world(check)
+
     def test_withdrawals_are_looked_for_by_the_changed_time(self):
         async def check(world):
             directory = world.routers[0].kernel.find(names.UPSTREAMS)
